--- /dev/null
+++ b/ferrydock/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/ferrydock/cli/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m ferrydock.cli``."""
+
+import sys
+
+from ._main import main
+
+sys.exit(main())
--- /dev/null
+++ b/ferrydock/clock.py
@@ -0,0 +1,64 @@
+"""Clocks. Decisions take ``now_s`` as an argument; only the I/O around them reads a clock."""
+
+import time
+from typing import Protocol
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
+
+
+class Clock(Protocol):
+    """What ferrydock asks of a clock."""
+
+    def now_s(self) -> float:
+        """Return seconds on a clock that never goes back; its origin means nothing."""
+
+    def wall_s(self) -> float:
+        """Return seconds since the Unix epoch, for people to read and never for a decision."""
+
+
+class SystemClock:
+    """The clock of the machine.
+
+    Notes
+    -----
+    ``CLOCK_BOOTTIME`` where the system has it: unlike ``CLOCK_MONOTONIC`` it also runs while the
+    machine is suspended, so a lease cannot look fresh after a long sleep.
+    """
+
+    __slots__ = ("_clock_id",)
+
+    def __init__(self):
+        self._clock_id = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+    def now_s(self) -> float:
+        return time.clock_gettime(self._clock_id)
+
+    def wall_s(self) -> float:
+        return time.time()
+
+
+class ManualClock:
+    """A clock that moves only when told, for tests and replays.
+
+    Examples
+    --------
+    >>> clock = ManualClock(10.0)
+    >>> clock.advance(2.5)
+    >>> clock.now_s()
+    12.5
+    """
+
+    __slots__ = ("_now_s",)
+
+    def __init__(self, now_s: float = 0.0):
+        self._now_s = now_s
+
+    def now_s(self) -> float:
+        return self._now_s
+
+    def wall_s(self) -> float:
+        return self._now_s
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward by `seconds`."""
+        self._now_s += seconds
--- /dev/null
+++ b/ferrydock/demo_keys.py
@@ -0,0 +1,9 @@
+"""Keys of the embedded mode. Everybody knows them, so a real site must not hold them."""
+
+from .table import digest_key
+
+__all__ = ["DEMO_DIGESTS", "DEMO_OPERATOR_KEY", "DEMO_TEAM_KEY"]
+
+DEMO_TEAM_KEY = "demo-key"
+DEMO_OPERATOR_KEY = "demo-operator-key"
+DEMO_DIGESTS = frozenset({digest_key(DEMO_TEAM_KEY), digest_key(DEMO_OPERATOR_KEY)})
--- /dev/null
+++ b/ferrydock/engines/_http.py
@@ -0,0 +1,147 @@
+"""Engines whose control side speaks JSON over HTTP, below ``/control`` of the box's address."""
+
+import asyncio
+
+import aiohttp
+import orjson
+
+from ..outcomes import Unavailable, Unknown
+from ._port import (
+    BoxPhase,
+    BoxState,
+    CacheEvent,
+    CacheEvents,
+    Fence,
+    Order,
+    OrderAccepted,
+    OrderRefused,
+)
+from ._registry import register_engine
+
+__all__ = ["HttpEngineControl", "state_from_json", "state_to_json"]
+
+_FAILURES = (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError, KeyError)
+
+
+def state_to_json(state: BoxState) -> dict:
+    """Return the JSON form of a box's state."""
+    return {
+        "box": state.box,
+        "incarnation": state.incarnation,
+        "fence": list(state.fence),
+        "phase": state.phase.value,
+        "replica_id": state.replica_id,
+        "model": state.model,
+        "version": state.version,
+        "members": list(state.members),
+        "held": [list(pair) for pair in state.held],
+        "running": state.running,
+        "waiting": state.waiting,
+        "draining": state.draining,
+        "slots": state.slots,
+    }
+
+
+def state_from_json(fields: dict) -> BoxState:
+    """Read what `state_to_json` wrote."""
+    return BoxState(
+        box=fields["box"],
+        incarnation=fields["incarnation"],
+        fence=Fence(*fields["fence"]),
+        phase=BoxPhase(fields["phase"]),
+        replica_id=fields.get("replica_id", ""),
+        model=fields.get("model", ""),
+        version=fields.get("version", ""),
+        members=tuple(fields.get("members", ())),
+        held=tuple((model, version) for model, version in fields.get("held", ())),
+        running=int(fields.get("running", 0)),
+        waiting=int(fields.get("waiting", 0)),
+        draining=bool(fields.get("draining", False)),
+        slots=int(fields.get("slots", 0)),
+    )
+
+
+@register_engine("http")
+class HttpEngineControl:
+    """Control side of engines over HTTP.
+
+    Parameters
+    ----------
+    timeout_s : float, default=1.0
+        Longest wait for one answer. Shorter than the time for which a statement that a replica
+        is whole counts.
+    """
+
+    __slots__ = ("_session", "timeout_s")
+
+    def __init__(self, timeout_s: float = 1.0):
+        self.timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def state(self, url: str) -> BoxState | Unavailable:
+        try:
+            async with self._http().get(f"{url}/control/state") as response:
+                response.raise_for_status()
+                return state_from_json(orjson.loads(await response.read()))
+        except _FAILURES as error:
+            return Unavailable(f"no state from the box: {type(error).__name__}")
+
+    async def send(
+        self, url: str, order: Order
+    ) -> OrderAccepted | OrderRefused | Unavailable | Unknown:
+        body = {
+            "order_id": order.order_id,
+            "fence": list(order.fence),
+            "action": order.action.value,
+            "replica_id": order.replica_id,
+            "model": order.model,
+            "version": order.version,
+            "weight_bytes": order.weight_bytes,
+            "members": list(order.members),
+            "slots": order.slots,
+        }
+        try:
+            async with self._http().post(
+                f"{url}/control/order", data=orjson.dumps(body)
+            ) as response:
+                answer = orjson.loads(await response.read())
+                if response.status == 409:
+                    return OrderRefused(Fence(*answer["fence"]))
+                response.raise_for_status()
+                return OrderAccepted()
+        except aiohttp.ClientConnectorError as error:
+            return Unavailable(f"the box cannot be reached: {type(error).__name__}")
+        except _FAILURES as error:
+            return Unknown(f"the box's answer was lost: {type(error).__name__}")
+
+    async def cache_events(self, url: str, after: int) -> CacheEvents | Unavailable:
+        try:
+            async with self._http().get(
+                f"{url}/control/events", params={"after": str(after)}
+            ) as response:
+                response.raise_for_status()
+                fields = orjson.loads(await response.read())
+            events = tuple(
+                CacheEvent(e["sequence"], e["stored"], tuple(e["blocks"])) for e in fields["events"]
+            )
+            return CacheEvents(fields["incarnation"], events)
+        except _FAILURES as error:
+            return Unavailable(f"no cache events from the box: {type(error).__name__}")
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        try:
+            async with self._http().post(f"{url}/control/cancel/{request_id}"):
+                pass
+        except _FAILURES:
+            return
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    def _http(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+            self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+        return self._session
--- /dev/null
+++ b/ferrydock/gateway/_app.py
@@ -0,0 +1,153 @@
+"""The HTTP application: routes, bounds, health, and the count of what is under way."""
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Callable
+
+from aiohttp import web
+
+from ..logs import log_event
+from ..outcomes import Run
+from ._connections import ConnectionGuard
+from ._errors import error_response
+
+__all__ = ["Gateway"]
+
+_LOG = logging.getLogger("ferrydock.gateway")
+LARGEST_BODY_BYTES = 4 * 2**20
+LONGEST_HEAD_BYTES = 16384
+DRAIN_LOOK_S = 0.05
+
+
+class Gateway:
+    """Listens to callers and operators.
+
+    Parameters
+    ----------
+    routes : list of web.RouteDef
+        What is served.
+    ready : callable
+        Says why the daemon is not ready, or returns an empty text.
+    most_connections : int
+        Connections at a time.
+    first_request_s : float
+        How long a new connection may take to send its first request's head.
+    """
+
+    __slots__ = (
+        "_app",
+        "_guard",
+        "_guard_settings",
+        "_runner",
+        "_server",
+        "address",
+        "in_flight",
+        "ready",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        routes: list[web.RouteDef],
+        ready: Callable[[], str],
+        most_connections: int,
+        first_request_s: float,
+    ):
+        self.ready = ready
+        self.stopping = False
+        self.in_flight = 0
+        self.address = ""
+        self._guard: ConnectionGuard | None = None
+        self._server: asyncio.Server | None = None
+        self._app = web.Application(
+            client_max_size=LARGEST_BODY_BYTES, middlewares=[self._middleware()]
+        )
+        self._app.add_routes(routes)
+        self._app.add_routes([web.get("/healthz", self._healthz), web.get("/readyz", self._readyz)])
+        self._runner = web.AppRunner(
+            self._app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=LONGEST_HEAD_BYTES,
+            max_field_size=LONGEST_HEAD_BYTES,
+            shutdown_timeout=1.0,
+        )
+        self._guard_settings = (most_connections, first_request_s)
+
+    async def start(self, listen: str, tls: ssl.SSLContext | None = None) -> str:
+        """Begin to listen on ``IP:PORT``; return what was bound."""
+        await self._runner.setup()
+        most, first_request_s = self._guard_settings
+        self._guard = ConnectionGuard(self._runner.server, most, first_request_s)
+        host, port = listen.rsplit(":", 1)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._guard, host, int(port), ssl=tls, backlog=1024
+        )
+        bound = self._server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        return self.address
+
+    async def stop_listening(self) -> None:
+        """Take no new connections; those that are open go on."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.close()
+
+    async def drain(self, longest_s: float | None, busy: Callable[[], int]) -> bool:
+        """Wait until nothing is under way; return whether that came to be.
+
+        Parameters
+        ----------
+        longest_s : float or None
+            Longest wait; None waits as long as it takes.
+        busy : callable
+            Returns how much is under way.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = None if longest_s is None else loop.time() + longest_s
+        while busy():
+            if until_s is not None and loop.time() >= until_s:
+                return False
+            await asyncio.sleep(DRAIN_LOOK_S)
+        return True
+
+    async def close(self) -> None:
+        """Close what is left."""
+        if self._server is not None:
+            self._server.close()
+        await self._runner.cleanup()
+
+    def _middleware(self):
+        @web.middleware
+        async def handle(request: web.Request, handler) -> web.StreamResponse:
+            if self._guard is not None:
+                self._guard.note(request.protocol)
+            self.in_flight += 1
+            try:
+                response = await handler(request)
+                if self.stopping and not response.prepared:
+                    response.force_close()
+                return response
+            except web.HTTPRequestEntityTooLarge:
+                return error_response(413, "body_too_large", "the body is larger than allowed")
+            except web.HTTPException as error:
+                return error_response(error.status, "bad_request", error.reason)
+            except AssertionError:
+                raise
+            except (ValueError, UnicodeError) as error:
+                log_event(_LOG, logging.WARNING, "bad_request", why=error, path=request.path)
+                return error_response(400, "bad_request", "the request cannot be read")
+            finally:
+                self.in_flight -= 1
+
+        return handle
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        why_not = "stopping" if self.stopping else self.ready()
+        if why_not:
+            return error_response(503, "not_ready", why_not, Run.NOT_RUN)
+        return web.Response(text="ready\n")
--- /dev/null
+++ b/ferrydock/gateway/_callers.py
@@ -0,0 +1,53 @@
+"""Who calls: teams and operators by their bearer keys."""
+
+from aiohttp import web
+
+from ..table import TableKeeper, digest_key, is_operator_key, team_of_key
+
+__all__ = ["Callers"]
+
+_KEYS_REMEMBERED = 4096
+
+
+class Callers:
+    """Finds the team of a request, and remembers keys for one table revision.
+
+    Parameters
+    ----------
+    keeper : TableKeeper
+        The table in force.
+    bootstrap_digests : tuple of str
+        Operator keys by the settings, for a table that names none yet.
+    """
+
+    __slots__ = ("_teams", "_teams_revision", "bootstrap_digests", "keeper")
+
+    def __init__(self, keeper: TableKeeper, bootstrap_digests: tuple[str, ...]):
+        self.keeper = keeper
+        self.bootstrap_digests = bootstrap_digests
+        self._teams: dict[str, str | None] = {}
+        self._teams_revision = -1
+
+    def team(self, request: web.Request) -> str | None:
+        """Return the team that calls, or None."""
+        key = _bearer(request)
+        view = self.keeper.view
+        if not key or view is None:
+            return None
+        if self._teams_revision != view.revision or len(self._teams) > _KEYS_REMEMBERED:
+            self._teams.clear()
+            self._teams_revision = view.revision
+        digest = digest_key(key)
+        if digest not in self._teams:
+            self._teams[digest] = team_of_key(view, key)
+        return self._teams[digest]
+
+    def is_operator(self, request: web.Request) -> bool:
+        """Return whether an operator calls."""
+        key = _bearer(request)
+        return bool(key) and is_operator_key(self.keeper.view, key, self.bootstrap_digests)
+
+
+def _bearer(request: web.Request) -> str:
+    kind, _, key = request.headers.get("Authorization", "").partition(" ")
+    return key.strip() if kind.lower() == "bearer" else ""
--- /dev/null
+++ b/ferrydock/gateway/_connections.py
@@ -0,0 +1,70 @@
+"""Bounds on connections: how many there may be, and how long one may take to say something."""
+
+import asyncio
+
+from aiohttp import web
+
+__all__ = ["ConnectionGuard"]
+
+_FULL_HEAD = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n"
+    b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+)
+_FULL_BODY = (
+    b'{"error":{"message":"too many connections","code":"too_many_connections",'
+    b'"run":"not_run","retry":true}}'
+)
+
+
+class _Refusal(asyncio.Protocol):
+    """Answers a connection that is one too many, and closes it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.write(_FULL_HEAD % len(_FULL_BODY) + _FULL_BODY)
+        transport.close()
+
+
+class ConnectionGuard:
+    """Makes the protocol of each new connection.
+
+    Parameters
+    ----------
+    server : web.Server
+        Serves the connections that are let in.
+    most : int
+        How many there may be at a time.
+    first_request_s : float
+        How long a new connection may take to send the head of its first request.
+    """
+
+    __slots__ = ("_silent", "first_request_s", "most", "refused", "server", "timed_out")
+
+    def __init__(self, server: web.Server, most: int, first_request_s: float):
+        self.server = server
+        self.most = most
+        self.first_request_s = first_request_s
+        self.refused = 0
+        self.timed_out = 0
+        self._silent: set[asyncio.Protocol] = set()
+
+    def __call__(self) -> asyncio.Protocol:
+        if len(self.server.connections) >= self.most:
+            self.refused += 1
+            return _Refusal()
+        protocol = self.server()
+        self._silent.add(protocol)
+        asyncio.get_running_loop().call_later(self.first_request_s, self._check, protocol)
+        return protocol
+
+    def _check(self, protocol) -> None:
+        if protocol not in self._silent:
+            return
+        self._silent.discard(protocol)
+        transport = getattr(protocol, "transport", None)
+        if transport is not None and not transport.is_closing():
+            self.timed_out += 1
+            transport.close()
+
+    def note(self, protocol) -> None:
+        """Note that a connection has sent a request."""
+        self._silent.discard(protocol)
--- /dev/null
+++ b/ferrydock/gateway/_errors.py
@@ -0,0 +1,76 @@
+"""Answers that say what went wrong, in the JSON shape that model clients know."""
+
+import math
+
+import orjson
+from aiohttp import web
+
+from ..outcomes import Invalid, NotRun, Run
+
+__all__ = ["error_body", "error_response", "invalid_response", "not_run_response"]
+
+_TYPES = {400: "invalid_request_error", 401: "authentication_error", 403: "permission_error"}
+
+
+def error_body(code: str, message: str, run: Run, retry: bool, status: int = 500, **extra) -> dict:
+    """Return the ``error`` object of an answer.
+
+    Parameters
+    ----------
+    code : str
+        Snake-case word for programs.
+    message : str
+        The same for people.
+    run : Run
+        Whether the request ran, as far as can be known.
+    retry : bool
+        Whether it makes sense to send it again.
+    status : int
+        HTTP status; it chooses the type.
+    """
+    kind = _TYPES.get(status, "rate_limit_error" if status == 429 else "server_error")
+    return {
+        "message": message,
+        "type": kind,
+        "code": code,
+        "run": run.value,
+        "retry": retry,
+        **extra,
+    }
+
+
+def error_response(
+    status: int,
+    code: str,
+    message: str,
+    run: Run = Run.NOT_RUN,
+    retry: bool = False,
+    retry_after_s: float | None = None,
+    **extra,
+) -> web.Response:
+    """Return an answer with an ``error`` object."""
+    headers = {}
+    if retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(retry_after_s)))
+        retry = True
+    fields = error_body(code, message, run, retry, status, **extra)
+    return web.Response(
+        body=orjson.dumps({"error": fields}),
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def not_run_response(outcome: NotRun) -> web.Response:
+    """Return the answer for a request that was surely not run."""
+    message = outcome.message or outcome.reason.replace("_", " ")
+    return error_response(
+        outcome.status, outcome.reason, message, Run.NOT_RUN, retry_after_s=outcome.retry_after_s
+    )
+
+
+def invalid_response(outcome: Invalid) -> web.Response:
+    """Return the answer for an input that was refused, with every fault."""
+    faults = [{"place": f.place, "problem": f.problem} for f in outcome.faults]
+    return error_response(400, "invalid", outcome.reason, faults=faults)
--- /dev/null
+++ b/ferrydock/gateway/_operators.py
@@ -0,0 +1,183 @@
+"""``/operator/...``: the table and the status, for the command line."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+from aiohttp import web
+
+from ..clock import Clock
+from ..outcomes import Conflict, Invalid, Unavailable, Unknown
+from ..table import (
+    AcceptedEdit,
+    Change,
+    Edit,
+    RowKey,
+    Table,
+    TableKeeper,
+    TableRepository,
+    TableWatcher,
+    merge,
+)
+from ._callers import Callers
+from ._errors import error_response
+
+__all__ = ["OperatorRoutes"]
+
+COMMIT_S = 10.0
+LOG_LENGTH = 50
+MOST_CHANGES = 20000
+
+
+@dataclass(slots=True)
+class OperatorRoutes:
+    """Serves operators.
+
+    Attributes
+    ----------
+    keeper : TableKeeper
+        The table in force here.
+    repository : TableRepository
+        Commits edits.
+    watcher : TableWatcher
+        Brings what others committed.
+    callers : Callers
+        Tells operators from others.
+    status : callable
+        Returns the status of site and daemon, as JSON fields.
+    burn : callable
+        Returns the burn report for query parameters, as JSON fields.
+    on_edit : callable
+        Is called after an edit was accepted.
+    clock : Clock
+        For deadlines.
+    """
+
+    keeper: TableKeeper
+    repository: TableRepository
+    watcher: TableWatcher
+    callers: Callers
+    status: Callable[[], dict]
+    burn: Callable[[dict], dict]
+    on_edit: Callable[[], None]
+    clock: Clock
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the HTTP routes."""
+        return [
+            web.get("/operator/table", self._guarded(self._get_table)),
+            web.post("/operator/edits", self._guarded(self._post_edit)),
+            web.get("/operator/log", self._guarded(self._get_log)),
+            web.get("/operator/status", self._guarded(self._get_status)),
+            web.get("/operator/burn", self._guarded(self._get_burn)),
+        ]
+
+    def _guarded(self, handler):
+        async def guarded(request: web.Request) -> web.Response:
+            if not self.callers.is_operator(request):
+                return error_response(401, "unauthorised", "the key gives no operator rights")
+            return await handler(request)
+
+        return guarded
+
+    async def _get_table(self, request: web.Request) -> web.Response:
+        table: Table | None = self.keeper.table
+        wanted = request.query.get("revision")
+        if wanted is not None:
+            if not wanted.isdigit():
+                return error_response(400, "invalid", "revision: must be a whole number")
+            table = self.keeper.history.table_at(table, int(wanted))
+        if table is None:
+            return error_response(409, "conflict", f"revision {wanted} is not kept any more")
+        rows = [[k.sheet, k.row, dict(cells)] for k, cells in sorted(table.rows.items())]
+        return _json({"revision": table.revision, "lineage": self.keeper.lineage, "rows": rows})
+
+    async def _get_log(self, request: web.Request) -> web.Response:
+        edits = self.keeper.history.latest(LOG_LENGTH)
+        return _json({"edits": [orjson.loads(e.to_json()) for e in edits]})
+
+    async def _get_status(self, request: web.Request) -> web.Response:
+        return _json(self.status())
+
+    async def _get_burn(self, request: web.Request) -> web.Response:
+        return _json(self.burn(dict(request.query)))
+
+    async def _post_edit(self, request: web.Request) -> web.Response:
+        edit = _parse_edit(await request.read())
+        if isinstance(edit, str):
+            return error_response(400, "invalid", edit)
+        if request.query.get("dry_run") == "true":
+            merged = merge(self.keeper.table, self.keeper.history, edit)
+            if isinstance(merged, Table):
+                return _json({"outcome": "valid", "revision": self.keeper.revision})
+            return _edit_response(merged)
+        deadline_s = self.clock.now_s() + COMMIT_S
+        outcome = await self.repository.commit(edit, deadline_s, self.keeper.revision)
+        if isinstance(outcome, AcceptedEdit):
+            await self._put_in_force(outcome)
+        return _edit_response(outcome)
+
+    async def _put_in_force(self, accepted: AcceptedEdit) -> None:
+        self.keeper.offer_edits((accepted,))
+        if self.keeper.revision < accepted.revision:
+            await self.watcher.look()
+        self.on_edit()
+
+
+def _json(fields: dict, status: int = 200) -> web.Response:
+    return web.Response(body=orjson.dumps(fields), status=status, content_type="application/json")
+
+
+def _parse_edit(raw: bytes) -> Edit | str:
+    """Return the edit within a body, or what is wrong with it."""
+    try:
+        fields = orjson.loads(raw)
+        edit_id = fields["edit_id"]
+        base = fields["base_revision"]
+        operator = fields.get("operator", "")
+        listed = fields["changes"]
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return f"body: is not an edit: {error}"
+    if not isinstance(edit_id, str) or not 8 <= len(edit_id) <= 64 or not edit_id.isalnum():
+        return "edit_id: must be 8 to 64 letters and digits"
+    if type(base) is not int or base < 0:
+        return "base_revision: must be a whole number"
+    if not isinstance(operator, str) or len(operator) > 200:
+        return "operator: must be a short text"
+    if not isinstance(listed, list) or not 1 <= len(listed) <= MOST_CHANGES:
+        return f"changes: must be a list of 1 to {MOST_CHANGES}"
+    changes = []
+    for index, item in enumerate(listed):
+        change = _parse_change(item)
+        if change is None:
+            return f"changes[{index}]: must be [sheet, row, column or null, text or null]"
+        changes.append(change)
+    return Edit(edit_id, base, tuple(changes), operator)
+
+
+def _parse_change(item) -> Change | None:
+    if not isinstance(item, list) or len(item) != 4:
+        return None
+    sheet, row, column, text = item
+    if not isinstance(sheet, str) or not isinstance(row, str):
+        return None
+    if not isinstance(column, str | None) or not isinstance(text, str | None):
+        return None
+    return Change(RowKey(sheet, row), column, text)
+
+
+def _edit_response(outcome) -> web.Response:
+    if isinstance(outcome, AcceptedEdit):
+        return _json(
+            {"outcome": "accepted", "revision": outcome.revision, "edit_id": outcome.edit_id}
+        )
+    if isinstance(outcome, Invalid):
+        faults = [{"place": f.place, "problem": f.problem} for f in outcome.faults]
+        return _json({"outcome": "invalid", "reason": outcome.reason, "faults": faults}, 400)
+    if isinstance(outcome, Conflict):
+        fields = {"outcome": "conflict", "reason": outcome.reason, "cells": list(outcome.cells)}
+        return _json(fields, 409)
+    if isinstance(outcome, Unknown):
+        return _json({"outcome": "unknown", "reason": outcome.reason}, 504)
+    assert isinstance(outcome, Unavailable)
+    return _json({"outcome": "unreachable", "reason": outcome.reason}, 503)
--- /dev/null
+++ b/ferrydock/gateway/_services.py
@@ -0,0 +1,223 @@
+"""``/v1/services/NAME/...``: calls of plain services."""
+
+import asyncio
+import logging
+import uuid
+
+import aiohttp
+from aiohttp import web
+
+from ..clock import Clock
+from ..logs import log_event
+from ..outcomes import NotRun, Run
+from ..requests import Answered, Claim, ClaimBook, RequestLife, RetryBudget
+from ..table import TableKeeper, Target
+from ._callers import Callers
+from ._errors import error_response, not_run_response
+from ._models import claim_response
+
+__all__ = ["ServiceRoutes"]
+
+_LOG = logging.getLogger("ferrydock.gateway")
+CONNECT_TIMEOUT_S = 1.0
+AVOID_S = 2.0
+CLAIM_DEADLINE_S = 5.0
+_PASSED_ON = ("Content-Type", "Accept", "Accept-Language", "Idempotency-Key", "If-None-Match")
+
+
+class ServiceRoutes:
+    """Serves callers of plain services.
+
+    Parameters
+    ----------
+    keeper : TableKeeper
+        Names the services.
+    callers : Callers
+        Finds teams.
+    claims : ClaimBook
+        Keeps calls with a key from running twice.
+    clock : Clock
+        For time-outs.
+    body_timeout_s : float
+        How long a caller may take to send a body.
+    """
+
+    __slots__ = (
+        "_avoid_until_s",
+        "_in_flight",
+        "_session",
+        "body_timeout_s",
+        "budget",
+        "callers",
+        "claims",
+        "clock",
+        "keeper",
+        "unfinished",
+    )
+
+    def __init__(
+        self,
+        keeper: TableKeeper,
+        callers: Callers,
+        claims: ClaimBook,
+        clock: Clock,
+        body_timeout_s: float,
+    ):
+        self.keeper = keeper
+        self.callers = callers
+        self.claims = claims
+        self.clock = clock
+        self.body_timeout_s = body_timeout_s
+        self.budget = RetryBudget(0.1)
+        self.unfinished = 0
+        self._in_flight: dict[str, int] = {}
+        self._avoid_until_s: dict[str, float] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the HTTP routes."""
+        return [web.route("*", "/v1/services/{name}/{tail:.*}", self.call)]
+
+    async def close(self) -> None:
+        """Give up the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Run one call of a plain service."""
+        team = self.callers.team(request)
+        if team is None:
+            return error_response(401, "unauthorised", "the bearer key belongs to no enabled team")
+        name = request.match_info["name"]
+        target = self.keeper.view.plain_service(name)
+        if target is None:
+            return error_response(404, "no_such_service", f"there is no service {name}")
+        if target.leaving:
+            return not_run_response(NotRun("leaving", f"{name} is leaving", 5.0))
+        try:
+            async with asyncio.timeout(self.body_timeout_s):
+                body = await request.read()
+        except TimeoutError:
+            return error_response(408, "body_too_slow", "the body did not come in time")
+        work = asyncio.get_running_loop().create_task(self._run(request, team, target, body))
+        self.unfinished += 1
+        work.add_done_callback(self._note_finished)
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if request.method in target.repeatable_methods:
+                work.cancel()
+            raise
+
+    def _note_finished(self, work: asyncio.Task) -> None:
+        self.unfinished -= 1
+
+    async def _run(
+        self, request: web.Request, team: str, target: Target, body: bytes
+    ) -> web.Response:
+        key = request.headers.get("Idempotency-Key", "")
+        if not key:
+            return self._response(await self._attempt_all(request, target, body, key))
+        until_s = self.clock.now_s() + CLAIM_DEADLINE_S
+        claim = await self.claims.open(team, f"{target.name}/{key}", until_s)
+        if not isinstance(claim, Claim):
+            return claim_response(claim)
+        outcome = await self._attempt_all(request, target, body, key)
+        if isinstance(outcome, Answered):
+            await self.claims.end(claim, outcome.status, outcome.content_type, outcome.body)
+        elif isinstance(outcome, NotRun):
+            await self.claims.withdraw(claim)
+        return self._response(outcome)
+
+    def _response(self, outcome: Answered | NotRun | RequestLife) -> web.Response:
+        if isinstance(outcome, Answered):
+            return web.Response(
+                body=outcome.body,
+                status=outcome.status,
+                content_type=outcome.content_type.partition(";")[0],
+            )
+        if isinstance(outcome, NotRun):
+            return not_run_response(outcome)
+        return error_response(
+            502, "lost_contact", "the service did not answer", Run.UNKNOWN, outcome.repeatable
+        )
+
+    async def _attempt_all(
+        self, request: web.Request, target: Target, body: bytes, key: str
+    ) -> Answered | NotRun | RequestLife:
+        """Attempt until there is an answer, or nothing more may be done."""
+        repeatable = request.method in target.repeatable_methods and not key
+        life = RequestLife(repeatable)
+        self.budget.first_attempt()
+        request_id = uuid.uuid4().hex
+        tried: set[str] = set()
+        for attempt in range(target.max_attempts):
+            url = self._choose(target, tried)
+            if url is None or (attempt and not self.budget.spend()):
+                break
+            tried.add(url)
+            life.queue()
+            life.dispatch()
+            outcome = await self._attempt(request, target, url, body, request_id, repeatable)
+            if isinstance(outcome, Answered):
+                life.finish()
+                return outcome
+            log_event(
+                _LOG,
+                logging.WARNING,
+                "service_call_failed",
+                request_id=request_id,
+                url=url,
+                why=outcome,
+            )
+            if outcome == "not_sent":
+                life.take_back()
+                self._avoid_until_s[url] = self.clock.now_s() + AVOID_S
+            else:
+                life.lose_contact()
+            if not life.may_run_again:
+                break
+        if life.run is Run.NOT_RUN:
+            return NotRun("unreachable", f"{target.name} cannot be reached", 2.0)
+        return life
+
+    def _choose(self, target: Target, tried: set[str]) -> str | None:
+        """Return the address with the fewest calls of this daemon, avoiding failed ones."""
+        now_s = self.clock.now_s()
+        left = [url for url in target.urls if url not in tried]
+        if not left:
+            return None
+        good = [url for url in left if self._avoid_until_s.get(url, 0.0) <= now_s]
+        return min(good or left, key=lambda url: self._in_flight.get(url, 0))
+
+    async def _attempt(
+        self, request, target: Target, url: str, body: bytes, request_id: str, repeatable: bool
+    ) -> Answered | str:
+        """Send one call; return the whole answer, ``not_sent`` or ``lost_contact``."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            self._session = aiohttp.ClientSession(connector=connector)
+        headers = {n: request.headers[n] for n in _PASSED_ON if n in request.headers}
+        headers["X-Request-Id"] = request_id
+        timeout = aiohttp.ClientTimeout(total=target.timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        address = f"{url.rstrip('/')}/{request.match_info['tail']}"
+        self._in_flight[url] = self._in_flight.get(url, 0) + 1
+        try:
+            async with self._session.request(
+                request.method,
+                address,
+                params=request.query,
+                data=body or None,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                answer = await response.read()
+                kind = response.headers.get("Content-Type", "application/octet-stream")
+                return Answered(response.status, kind, answer)
+        except aiohttp.ClientConnectorError:
+            return "not_sent"
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return "lost_contact"
+        finally:
+            self._in_flight[url] -= 1
--- /dev/null
+++ b/ferrydock/gateway/_spill.py
@@ -0,0 +1,145 @@
+"""Passing a request on to a daemon of another hall, which then chooses; once and no further."""
+
+import aiohttp
+from aiohttp import web
+
+from ..clock import Clock
+from ..membership import HallSummary, SharedState
+from ..outcomes import NotRun, Run
+from ..requests import EventRelay, ModelRequest, error_event
+from ._errors import error_body, error_response
+
+__all__ = ["HOP_HEADER", "Spill"]
+
+HOP_HEADER = "X-Ferrydock-Hop"
+SUMMARY_FRESH_S = 5.0
+CONNECT_TIMEOUT_S = 1.0
+TRIES = 2
+
+
+class Spill:
+    """Sends requests to the halls that have room.
+
+    Parameters
+    ----------
+    state : SharedState
+        Summaries of the other halls.
+    clock : Clock
+        Tells which summaries are fresh.
+    """
+
+    __slots__ = ("_session", "_turn", "clock", "state")
+
+    def __init__(self, state: SharedState, clock: Clock):
+        self.state = state
+        self.clock = clock
+        self._session: aiohttp.ClientSession | None = None
+        self._turn = 0
+
+    async def close(self) -> None:
+        """Give up the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def halls_with_room(self, model: str) -> list[HallSummary]:
+        """Return other halls that serve the model and have free slots, the nearest first."""
+        now_s = self.clock.now_s()
+        view = self.state.keeper.view
+        found = []
+        for summary in self.state.halls.values():
+            if now_s - summary.made_s > SUMMARY_FRESH_S or not summary.contacts:
+                continue
+            if any(m.model == model and m.load < m.slots for m in summary.models):
+                found.append(summary)
+        distances = {name: hall.distance_ms for name, hall in view.halls.items()}
+        return sorted(found, key=lambda s: (distances.get(s.hall, 0.0), s.hall))
+
+    async def forward(
+        self, request: web.Request, wanted: ModelRequest
+    ) -> web.StreamResponse | NotRun:
+        """Send the request on and pass the answer back.
+
+        Returns
+        -------
+        web.StreamResponse or NotRun
+            `NotRun` if no byte has left, so that the caller may be served in another way.
+        """
+        for summary in self.halls_with_room(wanted.model)[:TRIES]:
+            self._turn += 1
+            contact = summary.contacts[self._turn % len(summary.contacts)]
+            answer = await self._forward_to(contact.url, request, wanted)
+            if answer is not None:
+                return answer
+        return NotRun("no_replica", "no replica of the model can be reached", 2.0)
+
+    async def _forward_to(
+        self, url: str, request: web.Request, wanted: ModelRequest
+    ) -> web.StreamResponse | None:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+        headers = {
+            name: request.headers[name]
+            for name in ("Authorization", "Content-Type", "Idempotency-Key", "X-Not-Repeatable")
+            if name in request.headers
+        }
+        headers[HOP_HEADER] = str(wanted.hops + 1)
+        try:
+            response = await self._session.post(
+                url + wanted.path, data=wanted.body, headers=headers
+            )
+        except aiohttp.ClientConnectorError:
+            return None
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return error_response(
+                502,
+                "lost_contact",
+                f"another hall did not answer: {type(error).__name__}",
+                Run.UNKNOWN,
+                retry=wanted.repeatable,
+            )
+        try:
+            if response.content_type == "text/event-stream":
+                return await self._relay(response, request)
+            return await self._whole(response, wanted)
+        finally:
+            response.close()
+
+    async def _whole(self, response, wanted: ModelRequest) -> web.Response:
+        try:
+            body = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return error_response(
+                502,
+                "lost_contact",
+                "the answer of another hall broke",
+                Run.UNKNOWN,
+                retry=wanted.repeatable,
+            )
+        headers = {"X-Request-Id": wanted.request_id}
+        if "Retry-After" in response.headers:
+            headers["Retry-After"] = response.headers["Retry-After"]
+        return web.Response(
+            body=body,
+            status=response.status,
+            headers=headers,
+            content_type=response.content_type,
+        )
+
+    async def _relay(self, response, request: web.Request) -> web.StreamResponse:
+        answer = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await answer.prepare(request)
+        relay = EventRelay(keep=False)
+        try:
+            async for piece in response.content.iter_any():
+                ready = relay.feed(piece)
+                if ready:
+                    await answer.write(ready)
+        except (aiohttp.ClientPayloadError, TimeoutError):
+            relay.whole = False
+        if not relay.whole:
+            error = error_body("stream_broken", "another hall went away", Run.UNKNOWN, False)
+            await answer.write(error_event(error))
+        await answer.write_eof()
+        return answer
--- /dev/null
+++ b/ferrydock/hall/__init__.py
@@ -0,0 +1,24 @@
+"""One hall: its controller, lease, attestations, isolation and rejoin."""
+
+from ._attestation import Attestation, AttestationBook
+from ._controller import ControllerMode, HallController
+from ._lease import ControllerLease, HeldLease, controller_key
+from ._observer import HallObserver
+from ._prober import Prober, attest
+from ._repository import PlacementRepository, StoredPlacement, placement_key
+
+__all__ = [
+    "Attestation",
+    "AttestationBook",
+    "ControllerLease",
+    "ControllerMode",
+    "HallController",
+    "HallObserver",
+    "HeldLease",
+    "PlacementRepository",
+    "Prober",
+    "StoredPlacement",
+    "attest",
+    "controller_key",
+    "placement_key",
+]
--- /dev/null
+++ b/ferrydock/hall/_lease.py
@@ -0,0 +1,144 @@
+"""The lease that makes a daemon the controller of its hall."""
+
+import uuid
+from dataclasses import dataclass
+
+import orjson
+
+from ..clock import Clock
+from ..outcomes import Conflict, Unavailable, Unknown
+from ..platform import (
+    Compare,
+    CompareField,
+    KeyValue,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    RangeDone,
+    Store,
+    Txn,
+)
+
+__all__ = ["ControllerLease", "HeldLease", "controller_key"]
+
+CLOCK_MARGIN_S = 0.25
+
+
+def controller_key(hall: str) -> str:
+    """Return the key that a hall's controller holds."""
+    return f"/ferrydock/hall/{hall}/controller"
+
+
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """A lease as its holder knows it.
+
+    Attributes
+    ----------
+    term : int
+        Store revision at which the controller's key was created: rank of its orders.
+    lease_id : int
+        Lease that the key is bound to.
+    valid_until_s : float
+        Time on the local clock up to which the store cannot have let the lease lapse.
+    """
+
+    term: int
+    lease_id: int
+    valid_until_s: float
+
+
+class ControllerLease:
+    """Takes, keeps and gives back the lease.
+
+    Parameters
+    ----------
+    store : Store
+        Grants it.
+    clock : Clock
+        Measures its validity.
+    hall, holder : str
+        Whose controller; who asks.
+
+    Notes
+    -----
+    Validity counts from before the call was sent, less a margin. A holder that wakes after a
+    pause therefore sees that its time is over before it does anything else.
+    """
+
+    __slots__ = ("clock", "hall", "held", "holder", "store")
+
+    def __init__(self, store: Store, clock: Clock, hall: str, holder: str):
+        self.store = store
+        self.clock = clock
+        self.hall = hall
+        self.holder = holder
+        self.held: HeldLease | None = None
+
+    @property
+    def valid(self) -> bool:
+        """Whether this daemon is the controller right now."""
+        return self.held is not None and self.clock.now_s() < self.held.valid_until_s
+
+    async def acquire(self, ttl_s: float) -> HeldLease | Conflict | Unavailable | Unknown:
+        """Try to become the controller."""
+        sent_s = self.clock.now_s()
+        lease = await self.store.grant_lease(ttl_s)
+        if not isinstance(lease, LeaseGranted):
+            return lease
+        nonce = uuid.uuid4().hex
+        key = controller_key(self.hall)
+        value = orjson.dumps({"holder": self.holder, "nonce": nonce})
+        absent = Compare(key, 0, CompareField.CREATE_REVISION)
+        done = await self.store.transact(Txn((absent,), (Put(key, value, lease.lease_id),), (key,)))
+        if isinstance(done, Unavailable):
+            return done
+        if isinstance(done, Unknown):
+            return await self._read_back(key, value, lease, sent_s)
+        if not done.succeeded:
+            await self.store.revoke_lease(lease.lease_id)
+            return Conflict(f"{_holder_of(done.reads[0])} is the controller")
+        return self._hold(done.revision, lease, sent_s)
+
+    async def _read_back(
+        self, key: str, value: bytes, lease: LeaseGranted, sent_s: float
+    ) -> HeldLease | Conflict | Unavailable | Unknown:
+        """Settle a write whose answer was lost."""
+        found = await self.store.range(key)
+        if not isinstance(found, RangeDone):
+            return Unknown("the answer to the lease was lost and could not be read back")
+        if found.items and found.items[0].value == value:
+            return self._hold(found.items[0].create_revision, lease, sent_s)
+        await self.store.revoke_lease(lease.lease_id)
+        return Conflict("the lease was not taken")
+
+    def _hold(self, term: int, lease: LeaseGranted, sent_s: float) -> HeldLease:
+        until_s = sent_s + lease.ttl_s - CLOCK_MARGIN_S
+        self.held = HeldLease(term, lease.lease_id, until_s)
+        return self.held
+
+    async def keep(self) -> HeldLease | LeaseLost | Unavailable:
+        """Renew the lease; one that is lost is given up."""
+        held = self.held
+        if held is None:
+            return LeaseLost(0)
+        sent_s = self.clock.now_s()
+        kept = await self.store.keep_lease(held.lease_id)
+        if isinstance(kept, LeaseLost):
+            self.held = None
+            return kept
+        if isinstance(kept, Unavailable):
+            return kept
+        until_s = max(held.valid_until_s, sent_s + kept.ttl_s - CLOCK_MARGIN_S)
+        self.held = HeldLease(held.term, held.lease_id, until_s)
+        return self.held
+
+    async def give_back(self) -> None:
+        """End the lease, so that another daemon can take it at once."""
+        held, self.held = self.held, None
+        if held is not None:
+            await self.store.revoke_lease(held.lease_id)
+
+
+def _holder_of(item: KeyValue | None) -> str:
+    return str(orjson.loads(item.value)["holder"]) if item is not None else "another daemon"
--- /dev/null
+++ b/ferrydock/membership/__init__.py
@@ -0,0 +1,34 @@
+"""Daemons among themselves: membership, digests, relay of table and placement."""
+
+from ._digest import Needs, apply_digest, build_digest
+from ._exchange import ExchangeClient, ExchangeServer, PeerSecurity
+from ._gossip import Gossip
+from ._members import DaemonInfo, MemberStatus, MemberTable, rendezvous_rank
+from ._state import (
+    Contact,
+    ControllerNews,
+    DemandNews,
+    HallSummary,
+    ModelLoad,
+    SharedState,
+)
+
+__all__ = [
+    "Contact",
+    "ControllerNews",
+    "DaemonInfo",
+    "DemandNews",
+    "ExchangeClient",
+    "ExchangeServer",
+    "Gossip",
+    "HallSummary",
+    "MemberStatus",
+    "MemberTable",
+    "ModelLoad",
+    "Needs",
+    "PeerSecurity",
+    "SharedState",
+    "apply_digest",
+    "build_digest",
+    "rendezvous_rank",
+]
--- /dev/null
+++ b/ferrydock/membership/_state.py
@@ -0,0 +1,233 @@
+"""What a daemon knows together with its peers, and the summaries of the other halls."""
+
+from dataclasses import dataclass, field
+
+from ..hall import Attestation, AttestationBook
+from ..placement import HallPlacement, ReplicaPhase
+from ..table import TableKeeper, TableView
+from ._members import DaemonInfo, MemberTable
+
+__all__ = [
+    "Contact",
+    "ControllerNews",
+    "DemandNews",
+    "HallSummary",
+    "ModelLoad",
+    "SharedState",
+]
+
+SUMMARY_CONTACTS = 16
+SUMMARY_TTL_S = 10.0
+DEMAND_TTL_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerNews:
+    """Which daemon held the hall's lease, and when it last renewed it (local clock)."""
+
+    name: str
+    term: int
+    renewed_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """A daemon of another hall, as it is reached from outside."""
+
+    name: str
+    peer_address: str
+    url: str
+    table_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ModelLoad:
+    """What a hall has of a model."""
+
+    model: str
+    replicas: int
+    slots: int
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class HallSummary:
+    """What one hall tells the others.
+
+    Attributes
+    ----------
+    made_s : float
+        When it was made, on the local clock.
+    daemons : int
+        How many are alive.
+    lowest_revision : int
+        Table revision that all of them have in force.
+    contacts : tuple of Contact
+        Some of them, those that are behind first.
+    wanted, serving : int
+        Replicas that the table asks for, and that are attested.
+    demands : mapping of str to float
+        Requests a second that callers bring there, by row of ``shares``.
+    """
+
+    hall: str
+    made_s: float
+    daemons: int
+    lowest_revision: int
+    contacts: tuple[Contact, ...]
+    models: tuple[ModelLoad, ...]
+    controller: str
+    store_away: bool
+    wanted: int
+    serving: int
+    demands: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class DemandNews:
+    """Requests a second that callers bring to one daemon, by row of ``shares``."""
+
+    name: str
+    made_s: float
+    rates_per_s: dict[str, float]
+
+
+class SharedState:
+    """Everything that digests carry, as this daemon knows it.
+
+    Parameters
+    ----------
+    own : DaemonInfo
+        This daemon.
+    keeper : TableKeeper
+        The table in force.
+    book : AttestationBook
+        Which replicas are whole.
+    """
+
+    __slots__ = (
+        "_placement_listeners",
+        "book",
+        "controller",
+        "demands",
+        "halls",
+        "keeper",
+        "members",
+        "placement",
+        "store_away",
+    )
+
+    def __init__(self, own: DaemonInfo, keeper: TableKeeper, book: AttestationBook):
+        self.members = MemberTable(own)
+        self.keeper = keeper
+        self.book = book
+        self.placement = HallPlacement(own.hall)
+        self.controller: ControllerNews | None = None
+        self.halls: dict[str, HallSummary] = {}
+        self.demands: dict[str, DemandNews] = {}
+        self.store_away = False
+        self._placement_listeners = []
+
+    @property
+    def hall(self) -> str:
+        """Hall of this daemon."""
+        return self.members.own.hall
+
+    def listen_placement(self, listener) -> None:
+        """Have `listener` called with every newer placement record."""
+        self._placement_listeners.append(listener)
+
+    def offer_placement(self, placement: HallPlacement) -> bool:
+        """Take a record with a higher fence; return whether it was taken."""
+        if placement.fence <= self.placement.fence:
+            return False
+        self.placement = placement
+        self.book.keep_only(set(placement.replicas))
+        for listener in self._placement_listeners:
+            listener(placement)
+        return True
+
+    def offer_controller(self, news: ControllerNews) -> None:
+        """Take news of who holds the lease."""
+        known = self.controller
+        if known is None or (news.term, news.renewed_s) > (known.term, known.renewed_s):
+            self.controller = news
+
+    def offer_summary(self, summary: HallSummary) -> None:
+        """Take the summary of another hall if it is newer."""
+        known = self.halls.get(summary.hall)
+        if summary.hall != self.hall and (known is None or summary.made_s > known.made_s):
+            self.halls[summary.hall] = summary
+
+    def offer_demand(self, news: DemandNews) -> None:
+        """Take a neighbour's demand if it is newer."""
+        known = self.demands.get(news.name)
+        if known is None or news.made_s > known.made_s:
+            self.demands[news.name] = news
+
+    def offer_attestations(self, statements: tuple[Attestation, ...]) -> None:
+        """Take statements that replicas are whole."""
+        for statement in statements:
+            self.book.accept(statement)
+
+    def tick(self, now_s: float) -> None:
+        """Forget demands that nobody renews."""
+        for name, news in list(self.demands.items()):
+            if now_s - news.made_s > DEMAND_TTL_S:
+                del self.demands[name]
+
+    def own_summary(self, now_s: float) -> HallSummary:
+        """Return what this daemon would tell other halls of its own."""
+        live = self.members.live()
+        revisions = {m.name: self.members.revision_of(m.name) for m in live}
+        revisions[self.members.own.name] = self.keeper.revision
+        ordered = sorted(live, key=lambda m: (revisions[m.name], m.name))
+        contacts = [_contact(m, revisions[m.name]) for m in ordered[:SUMMARY_CONTACTS]]
+        view = self.keeper.view
+        controller = self.controller.name if self.controller is not None else ""
+        return HallSummary(
+            hall=self.hall,
+            made_s=now_s,
+            daemons=len(live),
+            lowest_revision=min(revisions.values()),
+            contacts=tuple(contacts),
+            models=self._model_loads(now_s),
+            controller=controller,
+            store_away=self.store_away,
+            wanted=_wanted(view, self.hall),
+            serving=sum(1 for r in self.placement.replicas.values() if self.book.whole(r, now_s)),
+            demands=self._hall_demands(),
+        )
+
+    def _model_loads(self, now_s: float) -> tuple[ModelLoad, ...]:
+        loads: dict[str, list[int]] = {}
+        for replica in self.placement.replicas.values():
+            serving = replica.phase is ReplicaPhase.SERVING
+            if not serving or not self.book.whole(replica, now_s):
+                continue
+            statement = self.book.get(replica.replica_id)
+            load = loads.setdefault(replica.model, [0, 0, 0])
+            load[0] += 1
+            load[1] += replica.slots
+            load[2] += statement.running + statement.waiting
+        return tuple(ModelLoad(model, *load) for model, load in sorted(loads.items()))
+
+    def _hall_demands(self) -> dict[str, float]:
+        total: dict[str, float] = {}
+        for news in self.demands.values():
+            for share, rate_per_s in news.rates_per_s.items():
+                total[share] = total.get(share, 0.0) + rate_per_s
+        return total
+
+
+def _contact(member: DaemonInfo, revision: int) -> Contact:
+    return Contact(
+        member.name,
+        member.outside_peer_address or member.peer_address,
+        member.outside_url or member.url,
+        revision,
+    )
+
+
+def _wanted(view: TableView | None, hall: str) -> int:
+    return sum(m.replicas_in(hall) for m in view.models.values()) if view is not None else 0
--- /dev/null
+++ b/ferrydock/node/__init__.py
@@ -0,0 +1,18 @@
+"""A whole daemon: settings, composition, status, and the embedded mode."""
+
+from ._embedded import demo_changes, embedded_platform, write_demo_table
+from ._node import Node, Platform
+from ._settings import Settings, define_flags, read_settings
+from ._status import status_fields
+
+__all__ = [
+    "Node",
+    "Platform",
+    "Settings",
+    "define_flags",
+    "demo_changes",
+    "embedded_platform",
+    "read_settings",
+    "status_fields",
+    "write_demo_table",
+]
--- /dev/null
+++ b/ferrydock/node/_node.py
@@ -0,0 +1,434 @@
+"""One daemon, put together: its parts, the loops that drive them, its start and planned stop."""
+
+import asyncio
+import logging
+import random
+import ssl
+import uuid
+from collections.abc import Awaitable, Callable
+
+from ..clock import Clock, SystemClock
+from ..demo_keys import DEMO_DIGESTS
+from ..engines import make_engine_control
+from ..gateway import Callers, Gateway, ModelRoutes, OperatorRoutes, ServiceRoutes, Spill
+from ..hall import AttestationBook, ControllerMode, HallController, HallObserver, Prober
+from ..logs import log_event
+from ..membership import (
+    ControllerNews,
+    DaemonInfo,
+    DemandNews,
+    ExchangeClient,
+    ExchangeServer,
+    Gossip,
+    PeerSecurity,
+    SharedState,
+    rendezvous_rank,
+)
+from ..outcomes import Unavailable
+from ..placement import AbsenceModel, HallPlacement, make_placement_policy
+from ..platform import BoxList, Store, WeightStore
+from ..reports import Recorder, make_statsd
+from ..requests import ClaimBook, Dispatcher, EngineClient, ReplicaGate
+from ..routing import RouteBook, make_routing_policy
+from ..table import TableKeeper, TableRepository, TableView, TableWatcher
+from ..teams import LimitBook, Neighbourhood
+from ._settings import Settings
+from ._status import status_fields
+
+__all__ = ["Node", "Platform"]
+
+_LOG = logging.getLogger("ferrydock.node")
+CONTROL_ROUND_S = 0.5
+LIMIT_ROUND_S = 0.5
+STAND_IN_LOOK_S = 4.0
+WATCH_STALLED_S = 4.0
+FIRST_LOOK_S = 0.6
+RETRY_STORE_S = 1.0
+EVENT_POLLS_PER_S = 8.0
+TIDY_S = 10.0
+RATE_LOOK_S = 10.0
+RANK_DELAY_S = 1.5
+DEFAULT_PROBE_S = 0.5
+
+
+class Platform:
+    """The platform as one daemon reaches it."""
+
+    __slots__ = ("box_list", "store", "weight_store")
+
+    def __init__(self, store: Store, box_list: BoxList, weight_store: WeightStore):
+        self.store = store
+        self.box_list = box_list
+        self.weight_store = weight_store
+
+    async def close(self) -> None:
+        """Give up the connections."""
+        for part in (self.store, self.box_list, self.weight_store):
+            await part.close()
+
+
+class Node:
+    """A daemon of one hall.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    platform : Platform
+        Store, box list and weight store.
+    clock : Clock, default=SystemClock()
+        Time.
+    random_source : random.Random, optional
+        Source of all random choices; by default seeded from the settings.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        clock: Clock | None = None,
+        random_source: random.Random | None = None,
+    ):
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock or SystemClock()
+        self.random_source = random_source or random.Random(settings.seed or None)
+        self.name = f"{settings.hall}-{uuid.UUID(int=self.random_source.getrandbits(128)).hex[:8]}"
+        self._tasks: list[asyncio.Task] = []
+        self._started_s = self.clock.now_s()
+        self.security = _peer_security(settings)
+        self._make_parts()
+
+    def _make_parts(self) -> None:
+        settings, clock, store = self.settings, self.clock, self.platform.store
+        own = DaemonInfo(self.name, settings.hall, settings.peer_advertise, "")
+        self.keeper = TableKeeper(self._on_table)
+        self.attestations = AttestationBook(ttl_s=2.0)
+        self.state = SharedState(own, self.keeper, self.attestations)
+        self.state.listen_placement(self._on_placement)
+        self.repository = TableRepository(store, clock, self.random_source)
+        self.watcher = TableWatcher(self.repository, self.keeper, clock)
+        self.control = make_engine_control(settings.engine)
+        self.prober = Prober(self.control, self.attestations, clock)
+        absences = AbsenceModel()
+        self.observer = HallObserver(
+            settings.hall, self.platform.box_list, self.control, self.attestations, absences, clock
+        )
+        self.controller = HallController(
+            settings.hall,
+            self.name,
+            store,
+            self.observer,
+            self.control,
+            make_placement_policy("cost_based", absences=absences),
+            clock,
+            self.random_source,
+            self._publish,
+        )
+        self.exchange_client = ExchangeClient(self.state, clock, self.security)
+        self.gossip = Gossip(
+            self.state, self.exchange_client, clock, self.random_source, settings.peers
+        )
+        self.exchange_server = ExchangeServer(self.state, clock, self.gossip.on_needs)
+        self._make_request_path()
+
+    def _make_request_path(self) -> None:
+        settings, clock = self.settings, self.clock
+        self.recorder = Recorder(make_statsd(settings.statsd), clock)
+        self.limits = LimitBook()
+        self.route_book = RouteBook(self.attestations)
+        policy = make_routing_policy("prefix_affinity", self.random_source)
+        self.gate = ReplicaGate(self.state, self.route_book, policy, clock)
+        self.engine_client = EngineClient()
+        self.dispatcher = Dispatcher(
+            self.state,
+            self.gate,
+            self.route_book,
+            self.engine_client,
+            self.control,
+            clock,
+            self.random_source,
+        )
+        self.claims = ClaimBook(self.platform.store, clock, 86400.0, self.name)
+        self.callers = Callers(self.keeper, settings.operator_key_digests)
+        self.spill = Spill(self.state, clock)
+        self.models = ModelRoutes(
+            state=self.state,
+            callers=self.callers,
+            limits=self.limits,
+            dispatcher=self.dispatcher,
+            spill=self.spill,
+            claims=self.claims,
+            recorder=self.recorder,
+            clock=clock,
+            around=self.neighbourhood,
+            body_timeout_s=settings.body_timeout_s,
+        )
+        self.services = ServiceRoutes(
+            self.keeper, self.callers, self.claims, clock, settings.body_timeout_s
+        )
+        self.operators = OperatorRoutes(
+            keeper=self.keeper,
+            repository=self.repository,
+            watcher=self.watcher,
+            callers=self.callers,
+            status=lambda: status_fields(self),
+            burn=lambda query: {},
+            on_edit=self.gossip.spread,
+            clock=clock,
+        )
+        routes = [*self.models.routes(), *self.services.routes(), *self.operators.routes()]
+        self.gateway = Gateway(
+            routes, self.why_not_ready, settings.most_connections, settings.first_request_s
+        )
+
+    # Life ---------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Listen, and begin all loops."""
+        settings = self.settings
+        port = await self.exchange_server.start(settings.peer_listen, self.security)
+        peer_address = f"{settings.peer_listen.rsplit(':', 1)[0]}:{port}"
+        tls = _caller_tls(settings)
+        address = await self.gateway.start(settings.listen, tls)
+        scheme = "https" if tls is not None else "http"
+        outside = settings.outside_advertise
+        self.state.members.change_own(
+            self.clock.now_s(),
+            peer_address=settings.peer_advertise or peer_address,
+            url=f"{scheme}://{settings.advertise or address}",
+            outside_peer_address=settings.outside_peer_advertise,
+            outside_url=f"{scheme}://{outside}" if outside else "",
+        )
+        self._begin_loops()
+        log_event(
+            _LOG,
+            logging.INFO,
+            "ready",
+            listen=address,
+            peer_listen=peer_address,
+            hall=settings.hall,
+            name=self.name,
+        )
+
+    def _begin_loops(self) -> None:
+        self._spawn(self.gossip.run())
+        self._spawn(self.dispatcher.watch())
+        self._spawn(self._follow_store())
+        self._spawn(self._every(CONTROL_ROUND_S, self._control_round))
+        self._spawn(self._probe_rounds())
+        self._spawn(self._every(LIMIT_ROUND_S, self._limit_round))
+        self._spawn(self._every(TIDY_S, self.claims.tidy))
+        self._spawn(self._every(RATE_LOOK_S, self._look_at_rate))
+        self._spawn(self._poll_cache_events())
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        task.add_done_callback(self._on_loop_end)
+        self._tasks.append(task)
+
+    def _on_loop_end(self, task: asyncio.Task) -> None:
+        """A loop never ends by itself: an error in one is a broken invariant."""
+        if not task.cancelled() and task.exception() is not None:
+            log_event(_LOG, logging.CRITICAL, "loop_failed", why=repr(task.exception()))
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "a loop of the daemon failed", "exception": task.exception()}
+            )
+
+    async def _every(self, pause_s: float, step: Callable[[], Awaitable]) -> None:
+        while True:
+            await step()
+            await asyncio.sleep(pause_s * (0.75 + 0.5 * self.random_source.random()))
+
+    async def stop(self) -> None:
+        """Planned stop: nothing in flight is cut off."""
+        settings = self.settings
+        log_event(_LOG, logging.INFO, "stopping", in_flight=self.busy())
+        self.gateway.stopping = True
+        self.state.members.change_own(self.clock.now_s(), stopping=True)
+        await self.controller.stand_down()
+        await asyncio.sleep(settings.stop_readiness_s)
+        await self.gateway.stop_listening()
+        drained = await self.gateway.drain(settings.stop_longest_s, self.busy)
+        log_event(_LOG, logging.INFO, "drained", whole=drained, in_flight=self.busy())
+        await self.gossip.leave()
+        await self.close()
+        log_event(_LOG, logging.INFO, "stopped", name=self.name)
+
+    def busy(self) -> int:
+        """Return how much is under way: requests, and filings whose caller has left."""
+        return self.gateway.in_flight + self.models.unfinished + self.services.unfinished
+
+    async def close(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.gateway.close()
+        await self.gossip.close()
+        await self.exchange_server.close()
+        await self.exchange_client.close()
+        await self.dispatcher.close()
+        for part in (self.engine_client, self.control, self.spill, self.services, self.platform):
+            await part.close()
+
+    # Readiness ----------------------------------------------------------------------------
+
+    def why_not_ready(self) -> str:
+        """Return why the balancer should send nobody here, or an empty text."""
+        return "" if self.keeper.loaded else "no table yet"
+
+    # The table ----------------------------------------------------------------------------
+
+    def _on_table(self, view: TableView) -> None:
+        self.attestations.ttl_s = view.site.attestation_ttl_s
+        self.claims.retention_s = view.site.claim_retention_s
+        self.dispatcher.budget.ratio = view.site.retry_budget_ratio
+        self.services.budget.ratio = view.site.retry_budget_ratio
+        self._update_limits()
+        if self.settings.store != "embedded":
+            _warn_of_demo_keys(view)
+
+    async def _follow_store(self) -> None:
+        """Watch the store if that falls to this daemon; else look now and then."""
+        await asyncio.sleep(FIRST_LOOK_S * self.random_source.random())
+        while True:
+            if not self.keeper.loaded:
+                await self.watcher.look()
+            rank = self._rank("watch/" + self.settings.hall)
+            if rank == 0:
+                await self.watcher.follow(WATCH_STALLED_S)
+                await asyncio.sleep(RETRY_STORE_S * (0.5 + self.random_source.random()))
+            elif rank == 1:
+                await asyncio.sleep(STAND_IN_LOOK_S * (0.75 + 0.5 * self.random_source.random()))
+                await self.watcher.look()
+            else:
+                await asyncio.sleep(RETRY_STORE_S)
+
+    def _rank(self, task: str) -> int:
+        """Return the place of this daemon among those that could take a task; 0 takes it."""
+        ranked = rendezvous_rank(self.state.members.working(), task)
+        return ranked.index(self.name) if self.name in ranked else len(ranked)
+
+    # The hall -----------------------------------------------------------------------------
+
+    def _publish(self, placement: HallPlacement) -> None:
+        if self.state.offer_placement(placement):
+            self.gossip.spread()
+
+    def _on_placement(self, placement: HallPlacement) -> None:
+        self.controller.learn(placement)
+        self.route_book.keep_only(placement)
+
+    async def _control_round(self) -> None:
+        view = self.keeper.view
+        if view is None or self.gateway.stopping:
+            return
+        rank = self._rank("controller/" + self.settings.hall)
+        await self.controller.step(view, self._is_candidate(view, rank), rank == 0)
+        held = self.controller.lease.held
+        if self.controller.mode is ControllerMode.CONTROLLER and held is not None:
+            renewed_s = held.valid_until_s - view.site.lease_ttl_s
+            self.state.offer_controller(ControllerNews(self.name, held.term, renewed_s))
+        self.state.store_away = self.controller.store_away
+
+    def _is_candidate(self, view: TableView, rank: int) -> bool:
+        """Return whether to try for the lease: nobody is known to hold it, and it is our turn."""
+        now_s = self.clock.now_s()
+        news = self.state.controller
+        free_since_s = self._started_s
+        if news is not None:
+            free_since_s = news.renewed_s + view.site.lease_ttl_s
+            if news.name not in self.state.members.working():
+                free_since_s = news.renewed_s
+        return now_s >= free_since_s + rank * RANK_DELAY_S
+
+    async def _probe_rounds(self) -> None:
+        while True:
+            started_s = self.clock.now_s()
+            await self._probe_round()
+            view = self.keeper.view
+            pause_s = view.site.probe_interval_s if view is not None else DEFAULT_PROBE_S
+            took_s = self.clock.now_s() - started_s
+            jitter = 0.9 + 0.2 * self.random_source.random()
+            await asyncio.sleep(max(0.02, pause_s * jitter - took_s))
+
+    async def _probe_round(self) -> None:
+        """Probe the replicas that fall to this daemon."""
+        placement = self.state.placement
+        working = self.state.members.working()
+        mine = [
+            replica_id
+            for replica_id in placement.replicas
+            if rendezvous_rank(working, replica_id)[:1] == [self.name] or not working
+        ]
+        await self.prober.probe(placement, mine)
+
+    async def _look_at_rate(self) -> None:
+        if self.controller.mode is ControllerMode.FOLLOWER:
+            return
+        rate = await self.platform.weight_store.rate()
+        if not isinstance(rate, Unavailable):
+            self.controller.rate_bytes_per_s = rate.rate_bytes_per_s
+
+    # Requests -----------------------------------------------------------------------------
+
+    def neighbourhood(self) -> Neighbourhood:
+        """Return what is known of the demand elsewhere."""
+        now_s = self.clock.now_s()
+        halls = {
+            hall: (now_s - summary.made_s, summary.demands)
+            for hall, summary in self.state.halls.items()
+        }
+        daemons = {
+            name: news.rates_per_s for name, news in self.state.demands.items() if name != self.name
+        }
+        live = len(self.state.members.live())
+        return Neighbourhood(self.settings.hall, self.name, daemons, live, halls)
+
+    async def _limit_round(self) -> None:
+        self._update_limits()
+
+    def _update_limits(self) -> None:
+        view = self.keeper.view
+        if view is None:
+            return
+        now_s = self.clock.now_s()
+        self.limits.update(view, now_s, self.neighbourhood(), len(view.halls) or 1)
+        rates = self.limits.demands()
+        self.state.offer_demand(DemandNews(self.name, now_s, rates))
+
+    async def _poll_cache_events(self) -> None:
+        """Ask the replicas in turn what their prefix caches hold, at a bounded rate."""
+        while True:
+            replicas = list(self.state.placement.replicas.values())
+            for replica in replicas:
+                after = self.route_book.last_sequence(replica.replica_id)
+                news = await self.control.cache_events(replica.head.url, after)
+                if not isinstance(news, Unavailable):
+                    self.route_book.take_events(replica.replica_id, news)
+                await asyncio.sleep(1 / EVENT_POLLS_PER_S)
+            await asyncio.sleep(max(0.0, 1.0 - len(replicas) / EVENT_POLLS_PER_S))
+
+
+def _peer_security(settings: Settings) -> PeerSecurity | None:
+    if not settings.peer_certificate:
+        return None
+    return PeerSecurity(settings.peer_certificate, settings.peer_key, settings.peer_authority)
+
+
+def _caller_tls(settings: Settings) -> ssl.SSLContext | None:
+    if not settings.tls_certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    return context
+
+
+def _warn_of_demo_keys(view: TableView) -> None:
+    """Complain of keys that everybody knows."""
+    digests = set(view.site.operator_key_digests)
+    for team in view.teams.values():
+        digests.update(team.key_digests)
+    if digests.intersection(DEMO_DIGESTS):
+        log_event(_LOG, logging.ERROR, "demo_key_in_table", revision=view.revision)
--- /dev/null
+++ b/ferrydock/node/_settings.py
@@ -0,0 +1,182 @@
+"""Settings of the daemon: flags, each also read from ``FERRYDOCK_<FLAG>``, checked in one place."""
+
+import os
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from absl import flags
+
+from ..outcomes import Fault, Invalid
+
+__all__ = ["Settings", "define_flags", "read_settings"]
+
+_ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+_URL = re.compile(r"https?://(\d{1,3}\.){3}\d{1,3}:\d{1,5}(/[^\s]*)?")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_LEVELS = ("debug", "info", "warning", "error")
+_STORES = ("embedded", "etcd")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Checked settings of one daemon; the flags of the same names document them."""
+
+    hall: str
+    region: str
+    listen: str
+    peer_listen: str
+    advertise: str
+    peer_advertise: str
+    outside_advertise: str
+    outside_peer_advertise: str
+    peers: tuple[str, ...]
+    store: str
+    store_urls: tuple[str, ...]
+    box_list_url: str
+    weight_store_url: str
+    statsd: str
+    log_level: str
+    embedded: bool
+    operator_key_digests: tuple[str, ...]
+    stop_readiness_s: float
+    stop_longest_s: float | None
+    most_connections: int
+    first_request_s: float
+    body_timeout_s: float
+    engine: str
+    tls_certificate: str
+    tls_key: str
+    peer_certificate: str
+    peer_key: str
+    peer_authority: str
+    seed: int
+
+
+def define_flags() -> None:
+    """Define the daemon's flags."""
+    text, many, number = flags.DEFINE_string, flags.DEFINE_list, flags.DEFINE_float
+    text("hall", "", "Hall in which this daemon stands.")
+    text("region", "", "Region in which the hall stands.")
+    text("listen", "127.0.0.1:7070", "IP:PORT for callers and operators; port 0 takes a free one.")
+    text("peer_listen", "127.0.0.1:0", "IP:PORT for other daemons; port 0 takes a free one.")
+    text("advertise", "", "IP:PORT at which others in the hall reach --listen; empty: as bound.")
+    text("peer_advertise", "", "The same for --peer_listen.")
+    text("outside_advertise", "", "IP:PORT at which other halls reach --listen.")
+    text("outside_peer_advertise", "", "The same for --peer_listen.")
+    many("peers", [], "IP:PORT of the first other daemons to talk to.")
+    text("store", "etcd", "Platform's key-value service: embedded or etcd.")
+    many("store_urls", [], "Addresses http://IP:PORT of the platform's key-value service.")
+    text("box_list_url", "", "Address http://IP:PORT of the platform's box list.")
+    text("weight_store_url", "", "Address http://IP:PORT of the weight store.")
+    text("statsd", "", "IP:PORT for metrics over UDP; empty sends none.")
+    text("log_level", "info", "debug, info, warning or error.")
+    flags.DEFINE_bool("embedded", False, "Run with a store and stand-in targets in this process.")
+    flags.DEFINE_bool("check_settings", False, "Check the settings and exit.")
+    many("operator_key_digests", [], "SHA-256 of operator keys, for a table that names none yet.")
+    number("stop_readiness_s", 5.0, "Planned stop: time for the balancer to see /readyz fail.")
+    number("stop_longest_s", -1.0, "Planned stop: longest wait for requests; below 0: no limit.")
+    flags.DEFINE_integer("most_connections", 4000, "Connections of callers at a time.")
+    number("first_request_s", 10.0, "How long a connection may take to send its first head.")
+    number("body_timeout_s", 30.0, "How long a caller may take to send a body.")
+    text("engine", "http", "Kind of engine on the target boxes.")
+    text("tls_certificate", "", "PEM file: certificate towards callers and operators.")
+    text("tls_key", "", "PEM file: its key.")
+    text("peer_certificate", "", "PEM file: certificate towards other daemons.")
+    text("peer_key", "", "PEM file: its key.")
+    text("peer_authority", "", "PEM file: authority of all daemons.")
+    flags.DEFINE_integer("seed", 0, "Seed of the random choices; 0 draws one.")
+
+
+def _matches(pattern: re.Pattern, empty: bool = False) -> Callable[[str], bool]:
+    def check(text: str) -> bool:
+        return (empty and not text) or pattern.fullmatch(text) is not None
+
+    return check
+
+
+def _all(check: Callable[[str], bool]) -> Callable[[list[str]], bool]:
+    return lambda texts: all(check(text) for text in texts)
+
+
+def _within(low: float, high: float) -> Callable[[float], bool]:
+    return lambda value: low <= value <= high
+
+
+def _file_or_empty(text: str) -> bool:
+    return not text or os.path.isfile(text)
+
+
+_ADDRESS_WORDS = "IP:PORT, such as 127.0.0.1:7070"
+_URL_WORDS = "http://IP:PORT"
+_CONSTRAINTS: dict[str, tuple[Callable, str]] = {
+    "hall": (_matches(_NAME), "a name of letters, digits, '.', '_' and '-'"),
+    "region": (_matches(_NAME, empty=True), "a name, or empty"),
+    "listen": (_matches(_ADDRESS), _ADDRESS_WORDS),
+    "peer_listen": (_matches(_ADDRESS), _ADDRESS_WORDS),
+    "advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
+    "peer_advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
+    "outside_advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
+    "outside_peer_advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
+    "peers": (_all(_matches(_ADDRESS)), _ADDRESS_WORDS + ", set apart by commas"),
+    "store": (lambda text: text in _STORES, "embedded or etcd"),
+    "store_urls": (_all(_matches(_URL)), _URL_WORDS + ", set apart by commas"),
+    "box_list_url": (_matches(_URL, empty=True), _URL_WORDS),
+    "weight_store_url": (_matches(_URL, empty=True), _URL_WORDS + ", or empty"),
+    "statsd": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
+    "log_level": (lambda text: text in _LEVELS, ", ".join(_LEVELS)),
+    "operator_key_digests": (_all(_matches(_DIGEST)), "SHA-256 in hexadecimal"),
+    "stop_readiness_s": (_within(0, 3600), "0 to 3600"),
+    "stop_longest_s": (_within(-1, 86400), "-1 to 86400"),
+    "most_connections": (_within(1, 100000), "1 to 100000"),
+    "first_request_s": (_within(0.1, 600), "0.1 to 600"),
+    "body_timeout_s": (_within(0.1, 3600), "0.1 to 3600"),
+    "tls_certificate": (_file_or_empty, "a file that exists, or empty"),
+    "tls_key": (_file_or_empty, "a file that exists, or empty"),
+    "peer_certificate": (_file_or_empty, "a file that exists, or empty"),
+    "peer_key": (_file_or_empty, "a file that exists, or empty"),
+    "peer_authority": (_file_or_empty, "a file that exists, or empty"),
+}
+
+
+def read_settings(values: flags.FlagValues) -> Settings | Invalid:
+    """Return the settings within parsed flags, or every fault with flag, value and what is
+    allowed."""
+    given = {name: values[name].value for name in Settings.__slots__}
+    if given["embedded"]:
+        given["hall"] = given["hall"] or "hall-a"
+        if not values["store"].present:
+            given["store"] = "embedded"
+    faults = []
+    for name, (check, allowed) in _CONSTRAINTS.items():
+        if not check(given[name]):
+            faults.append(Fault(f"--{name}", f"{given[name]!r} is not allowed; allowed: {allowed}"))
+    faults += _combination_faults(given)
+    if faults:
+        return Invalid(tuple(faults))
+    given["stop_longest_s"] = given["stop_longest_s"] if given["stop_longest_s"] >= 0 else None
+    for name in ("peers", "store_urls", "operator_key_digests"):
+        given[name] = tuple(given[name])
+    return Settings(**given)
+
+
+def _combination_faults(given: Mapping) -> list[Fault]:
+    faults = []
+    if given["store"] == "etcd" and not given["store_urls"]:
+        faults.append(Fault("--store_urls", "'' is not allowed with --store=etcd; allowed: a list"))
+    if given["store"] == "etcd" and given["embedded"]:
+        faults.append(Fault("--embedded", "True is not allowed with a real store; use --store"))
+    if given["store"] == "embedded" and not given["embedded"]:
+        faults.append(Fault("--store", "'embedded' is allowed with --embedded only"))
+    if not given["embedded"] and not given["box_list_url"]:
+        faults.append(Fault("--box_list_url", f"'' is not allowed; allowed: {_URL_WORDS}"))
+    for group in (
+        ("tls_certificate", "tls_key"),
+        ("peer_certificate", "peer_key", "peer_authority"),
+    ):
+        filled = [name for name in group if given[name]]
+        if filled and len(filled) != len(group):
+            missing = next(name for name in group if not given[name])
+            faults.append(Fault(f"--{missing}", f"'' is not allowed with --{filled[0]}"))
+    return faults
--- /dev/null
+++ b/ferrydock/node/_status.py
@@ -0,0 +1,118 @@
+"""The status of a site as one daemon knows it, for `ferrydock status` and `table watch`."""
+
+from ..placement import ReplicaPhase
+
+__all__ = ["status_fields"]
+
+
+def status_fields(node) -> dict:
+    """Return the status as JSON fields."""
+    now_s = node.clock.now_s()
+    own = node.state.own_summary(now_s)
+    halls = [_hall_fields(own, now_s)]
+    halls += [
+        _hall_fields(s, now_s) for s in sorted(node.state.halls.values(), key=lambda s: s.hall)
+    ]
+    return {
+        "daemon": node.name,
+        "hall": node.settings.hall,
+        "revision": node.keeper.revision,
+        "lineage": node.keeper.lineage,
+        "store": str(node.watcher.sight),
+        "controller": own.controller,
+        "controller_mode": str(node.controller.mode),
+        "halls": halls,
+        "members": _members(node),
+        "replicas": _replicas(node, now_s),
+        "waiting": _waiting(node),
+        "counters": _counters(node),
+    }
+
+
+def _hall_fields(summary, now_s: float) -> dict:
+    return {
+        "hall": summary.hall,
+        "age_s": round(now_s - summary.made_s, 2),
+        "daemons": summary.daemons,
+        "lowest_revision": summary.lowest_revision,
+        "controller": summary.controller,
+        "store_away": summary.store_away,
+        "wanted": summary.wanted,
+        "serving": summary.serving,
+        "known": [
+            {"name": c.name, "revision": c.table_revision, "url": c.url} for c in summary.contacts
+        ],
+    }
+
+
+def _members(node) -> list[dict]:
+    members = node.state.members
+    found = []
+    for info in sorted(members.everyone(), key=lambda m: m.name):
+        own = info.name == node.name
+        found.append(
+            {
+                "name": info.name,
+                "status": info.status.name.lower(),
+                "stopping": info.stopping,
+                "revision": node.keeper.revision if own else members.revision_of(info.name),
+                "url": info.url,
+            }
+        )
+    return found
+
+
+def _replicas(node, now_s: float) -> list[dict]:
+    found = []
+    for replica in sorted(node.state.placement.replicas.values(), key=lambda r: r.replica_id):
+        statement = node.attestations.get(replica.replica_id)
+        found.append(
+            {
+                "replica": replica.replica_id,
+                "model": replica.model,
+                "version": replica.version,
+                "phase": replica.phase.value,
+                "whole": node.attestations.whole(replica, now_s),
+                "generation": str(replica.generation),
+                "boxes": list(replica.boxes),
+                "running": statement.running if statement else 0,
+                "waiting": statement.waiting if statement else 0,
+                "why": node.controller.reasons.get(replica.replica_id, ""),
+            }
+        )
+    return found
+
+
+def _waiting(node) -> list[dict]:
+    """Return what the hall still waits for."""
+    view = node.keeper.view
+    if view is None:
+        return [{"what": "table", "why": "no table yet"}]
+    found = []
+    for model in view.models.values():
+        mine = [r for r in node.state.placement.replicas.values() if r.model == model.name]
+        serving = sum(1 for r in mine if r.phase is ReplicaPhase.SERVING)
+        wanted = model.replicas_in(node.settings.hall)
+        if serving < wanted:
+            why = node.controller.reasons.get(model.name, "")
+            found.append(
+                {"what": f"model {model.name}", "serving": serving, "wanted": wanted, "why": why}
+            )
+    for model, length in node.gate.queue_lengths().items():
+        found.append({"what": f"queue of {model}", "requests": length, "why": "no room"})
+    return found
+
+
+def _counters(node) -> dict:
+    return {
+        "peer_sent_bytes": node.exchange_client.sent_bytes + node.exchange_server.sent_bytes,
+        "peer_received_bytes": node.exchange_client.received_bytes
+        + node.exchange_server.received_bytes,
+        "probes": node.prober.probes + node.observer.probes,
+        "orders": node.controller.counters.orders,
+        "orders_refused": node.controller.counters.refused,
+        "record_writes": node.controller.counters.writes,
+        "claim_writes": node.claims.group_writes,
+        "retries": node.dispatcher.budget.spent,
+        "in_flight": node.gateway.in_flight,
+    }
--- /dev/null
+++ b/ferrydock/placement/__init__.py
@@ -0,0 +1,41 @@
+"""Which boxes form each replica: the record, the decisions, and the orders that follow."""
+
+from ._adopt import adopt
+from ._cost_based import CostBased
+from ._health import ReplicaHealth, judge
+from ._naive import FirstFit
+from ._observed import Absence, AbsenceModel, ObservedBox
+from ._orders import AddressedOrder, pending_orders
+from ._policy import (
+    PlacementInput,
+    PlacementPolicy,
+    Plan,
+    make_placement_policy,
+    placement_policies,
+    register_placement_policy,
+)
+from ._record import HallPlacement, Member, Prepare, Replica, ReplicaPhase
+
+__all__ = [
+    "Absence",
+    "AbsenceModel",
+    "AddressedOrder",
+    "CostBased",
+    "FirstFit",
+    "HallPlacement",
+    "Member",
+    "ObservedBox",
+    "PlacementInput",
+    "PlacementPolicy",
+    "Plan",
+    "Prepare",
+    "Replica",
+    "ReplicaHealth",
+    "ReplicaPhase",
+    "adopt",
+    "judge",
+    "make_placement_policy",
+    "pending_orders",
+    "placement_policies",
+    "register_placement_policy",
+]
--- /dev/null
+++ b/ferrydock/placement/_upkeep.py
@@ -0,0 +1,67 @@
+"""What every policy does first: note what boxes have done, and take away what nobody wants."""
+
+from ..engines import Fence
+from ..table import Model
+from ._draft import Draft
+from ._observed import ObservedBox
+from ._record import Replica, ReplicaPhase
+
+__all__ = ["keep_books", "remove_surplus"]
+
+
+def keep_books(draft: Draft) -> None:
+    """Confirm releases, drop what no longer fits, and release boxes that nobody placed."""
+    boxes = draft.given.boxes
+    for box, fence in list(draft.releases.items()):
+        _settle_release(draft, box, fence, boxes.get(box))
+    for box, prepare in list(draft.prepares.items()):
+        seen = boxes.get(box)
+        if seen is None or not seen.idle or seen.leaving or seen.state.fence > prepare.fence:
+            draft.drop_prepare(box)
+    taken = draft.taken()
+    for name, seen in boxes.items():
+        stray = seen.present and seen.state.replica_id and name not in taken
+        if stray and name not in draft.releases:
+            draft.release(name)
+
+
+def _settle_release(draft: Draft, box: str, fence: Fence, seen: ObservedBox | None) -> None:
+    """Confirm a release that was carried out; repeat one that something later overtook."""
+    if seen is None or (not seen.listed and not seen.present):
+        draft.confirm_release(box)
+    elif seen.present and seen.state.fence >= fence:
+        if seen.idle:
+            draft.confirm_release(box)
+        elif seen.state.fence > fence:
+            draft.release(box)
+
+
+def remove_surplus(draft: Draft) -> None:
+    """Drain replicas that the table no longer asks for, and dissolve those that are drained."""
+    hall = draft.given.placement.hall
+    models = draft.given.view.models
+    for replica in list(draft.replicas.values()):
+        model = models.get(replica.model)
+        wanted = 0 if model is None else model.replicas_in(hall)
+        mine = [r for r in draft.replicas.values() if r.model == replica.model]
+        surplus = len(mine) > wanted and replica is _least_useful(mine)
+        if replica.phase is ReplicaPhase.DRAINING and replica.replica_id in draft.given.drained:
+            if surplus or _outdated(replica, model):
+                draft.explain(replica.replica_id, "drained, and no longer wanted: dissolved")
+                draft.dissolve(replica)
+        elif surplus and replica.phase is ReplicaPhase.SERVING:
+            draft.explain(replica.replica_id, "the table asks for fewer replicas: draining")
+            draft.set_phase(replica, ReplicaPhase.DRAINING)
+        elif surplus and replica.phase is ReplicaPhase.FORMING:
+            draft.explain(replica.replica_id, "the table asks for fewer replicas: dissolved")
+            draft.dissolve(replica)
+
+
+def _outdated(replica: Replica, model: Model | None) -> bool:
+    return model is None or replica.version != model.version
+
+
+def _least_useful(replicas: list[Replica]) -> Replica:
+    """Return the replica to give up first: one that drains, then one that forms, then any."""
+    order = {ReplicaPhase.DRAINING: 0, ReplicaPhase.FORMING: 1, ReplicaPhase.SERVING: 2}
+    return min(replicas, key=lambda r: (order[r.phase], r.replica_id))
--- /dev/null
+++ b/ferrydock/platform/_box_list.py
@@ -0,0 +1,111 @@
+"""The platform's list of live and leaving boxes. It lags: a box on it may be gone already."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import aiohttp
+
+from ..outcomes import Unavailable
+
+__all__ = ["Box", "BoxList", "HttpBoxList", "StaticBoxList"]
+
+
+@dataclass(frozen=True, slots=True)
+class Box:
+    """A target box as the platform describes it.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the box.
+    hall : str
+        Hall in which it stands.
+    fabric_domain : str
+        Boxes of one replica share a fabric domain.
+    url : str
+        Base address of its engine, by IP number.
+    accelerators : int
+        How many accelerators it holds.
+    leaving : bool
+        Whether the platform is about to take it away.
+    """
+
+    name: str
+    hall: str
+    fabric_domain: str
+    url: str
+    accelerators: int = 8
+    leaving: bool = False
+
+
+class BoxList(Protocol):
+    """What ferrydock asks of the platform's box list."""
+
+    async def fetch(self, hall: str) -> tuple[Box, ...] | Unavailable:
+        """Return the boxes of `hall`."""
+
+    async def close(self) -> None:
+        """Give up the connections."""
+
+
+class StaticBoxList:
+    """A box list held in memory, for the embedded mode and for tests."""
+
+    __slots__ = ("boxes",)
+
+    def __init__(self, boxes: tuple[Box, ...]):
+        self.boxes = boxes
+
+    async def fetch(self, hall: str) -> tuple[Box, ...]:
+        return tuple(box for box in self.boxes if box.hall == hall)
+
+    async def close(self) -> None:
+        return None
+
+
+class HttpBoxList:
+    """The box list over HTTP: ``GET URL/boxes?hall=NAME`` answers ``{"boxes": [...]}``.
+
+    Parameters
+    ----------
+    url : str
+        Base address of the platform's box list.
+    timeout_s : float, default=2.0
+        Longest wait for an answer.
+    """
+
+    __slots__ = ("_session", "timeout_s", "url")
+
+    def __init__(self, url: str, timeout_s: float = 2.0):
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def fetch(self, hall: str) -> tuple[Box, ...] | Unavailable:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self._session.get(
+                f"{self.url}/boxes", params={"hall": hall}, timeout=timeout
+            ) as response:
+                response.raise_for_status()
+                listed = (await response.json())["boxes"]
+            return tuple(_box_from(fields) for fields in listed)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
+            return Unavailable(f"the box list cannot be read: {type(error).__name__}")
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+
+def _box_from(fields: dict) -> Box:
+    return Box(
+        name=str(fields["name"]),
+        hall=str(fields["hall"]),
+        fabric_domain=str(fields["fabric_domain"]),
+        url=str(fields["url"]).rstrip("/"),
+        accelerators=int(fields.get("accelerators", 8)),
+        leaving=bool(fields.get("leaving", False)),
+    )
--- /dev/null
+++ b/ferrydock/platform/_etcd.py
@@ -0,0 +1,220 @@
+"""The store over the published etcd v3 JSON API.
+
+Source: the etcd documentation, "Why gRPC gateway" (``/v3/kv/range``, ``/v3/kv/txn``,
+``/v3/lease/*`` and ``/v3/watch``; keys and values in base64, 64-bit numbers as strings).
+"""
+
+import base64
+import itertools
+from collections.abc import AsyncIterator, Sequence
+
+import aiohttp
+import orjson
+
+from ..outcomes import Unavailable, Unknown
+from ._store import (
+    Delete,
+    KeyValue,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    RangeDone,
+    Txn,
+    TxnDone,
+    WatchBatch,
+    prefix_end,
+)
+
+__all__ = ["EtcdStore", "decode_key_value", "encode_text"]
+
+_NOT_SENT = (aiohttp.ClientConnectorError,)
+
+
+def encode_text(text: str | bytes) -> str:
+    """Return `text` in the base64 form that the JSON API uses."""
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode("ascii")
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def decode_key_value(fields: dict) -> KeyValue:
+    """Read one ``mvccpb.KeyValue`` of the JSON API."""
+    return KeyValue(
+        key=_decode(fields["key"]).decode(),
+        value=_decode(fields.get("value", "")),
+        create_revision=int(fields.get("create_revision", 0)),
+        mod_revision=int(fields.get("mod_revision", 0)),
+        lease_id=int(fields.get("lease", 0)),
+    )
+
+
+def _encode_operation(operation: Put | Delete | Txn) -> dict:
+    if isinstance(operation, Put):
+        put = {"key": encode_text(operation.key), "value": encode_text(operation.value)}
+        if operation.lease_id:
+            put["lease"] = str(operation.lease_id)
+        return {"request_put": put}
+    if isinstance(operation, Delete):
+        delete = {"key": encode_text(operation.key)}
+        if operation.range_end:
+            delete["range_end"] = encode_text(operation.range_end)
+        return {"request_delete_range": delete}
+    return {"request_txn": _encode_txn(operation)}
+
+
+def _encode_txn(txn: Txn) -> dict:
+    compare = [
+        {
+            "key": encode_text(c.key),
+            "result": "EQUAL",
+            "target": c.field.value,
+            f"{c.field.value.lower()}_revision": str(c.revision),
+        }
+        for c in txn.compares
+    ]
+    failure = [{"request_range": {"key": encode_text(key)}} for key in txn.failure_reads]
+    success = [_encode_operation(operation) for operation in txn.success]
+    return {"compare": compare, "success": success, "failure": failure}
+
+
+def _decode_txn(txn: Txn, answer: dict, revision: int) -> TxnDone:
+    responses = answer.get("responses", [])
+    if not answer.get("succeeded", False):
+        reads = []
+        for response in responses:
+            found = response["response_range"].get("kvs", [])
+            reads.append(decode_key_value(found[0]) if found else None)
+        return TxnDone(False, revision, tuple(reads))
+    nested = [
+        _decode_txn(operation, response["response_txn"], revision)
+        for operation, response in zip(txn.success, responses, strict=True)
+        if isinstance(operation, Txn)
+    ]
+    return TxnDone(True, revision, nested=tuple(nested))
+
+
+class EtcdStore:
+    """Client of the platform's key-value service.
+
+    Parameters
+    ----------
+    urls : sequence of str
+        Base addresses; a call that cannot connect goes on to the next one.
+    timeout_s : float, default=2.0
+        Longest wait for the answer to one call.
+    """
+
+    __slots__ = ("_preferred", "_session", "timeout_s", "urls")
+
+    def __init__(self, urls: Sequence[str], timeout_s: float = 2.0):
+        self.urls = tuple(url.rstrip("/") for url in urls)
+        self.timeout_s = timeout_s
+        self._preferred = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def range(self, key: str, range_end: str = "") -> RangeDone | Unavailable:
+        body = {"key": encode_text(key)}
+        if range_end:
+            body["range_end"] = encode_text(range_end)
+        answer = await self._call("/v3/kv/range", body)
+        if not isinstance(answer, dict):
+            return Unavailable(answer.reason)
+        items = tuple(decode_key_value(fields) for fields in answer.get("kvs", []))
+        return RangeDone(items, _revision_of(answer))
+
+    async def transact(self, txn: Txn) -> TxnDone | Unavailable | Unknown:
+        answer = await self._call("/v3/kv/txn", _encode_txn(txn))
+        if not isinstance(answer, dict):
+            return answer
+        return _decode_txn(txn, answer, _revision_of(answer))
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable | Unknown:
+        answer = await self._call("/v3/lease/grant", {"TTL": str(max(1, round(ttl_s)))})
+        if not isinstance(answer, dict):
+            return answer
+        return LeaseGranted(int(answer["ID"]), float(answer["TTL"]))
+
+    async def keep_lease(self, lease_id: int) -> LeaseGranted | LeaseLost | Unavailable:
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
+        if not isinstance(answer, dict):
+            return Unavailable(answer.reason)
+        ttl_s = float(answer.get("result", answer).get("TTL", 0))
+        return LeaseGranted(lease_id, ttl_s) if ttl_s > 0 else LeaseLost(lease_id)
+
+    async def revoke_lease(self, lease_id: int) -> LeaseLost | Unavailable | Unknown:
+        answer = await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
+        return LeaseLost(lease_id) if isinstance(answer, dict) else answer
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+        request = {
+            "create_request": {
+                "key": encode_text(prefix),
+                "range_end": encode_text(prefix_end(prefix)),
+                "start_revision": str(from_revision),
+            }
+        }
+        url = self.urls[self._preferred] + "/v3/watch"
+        timeout = aiohttp.ClientTimeout(total=None, connect=self.timeout_s)
+        try:
+            async with self._http().post(url, json=request, timeout=timeout) as response:
+                if response.status != 200:
+                    return
+                async for line in response.content:
+                    for batch in _decode_watch(line):
+                        yield batch
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    def _http(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    async def _call(self, path: str, body: dict) -> dict | Unavailable | Unknown:
+        outcome: Unavailable | Unknown = Unavailable("no address of the store is set")
+        for offset in range(len(self.urls)):
+            index = (self._preferred + offset) % len(self.urls)
+            outcome = await self._call_one(self.urls[index] + path, body)
+            if not isinstance(outcome, Unavailable):
+                self._preferred = index
+                return outcome
+        self._preferred = (self._preferred + 1) % max(1, len(self.urls))
+        return outcome
+
+    async def _call_one(self, url: str, body: dict) -> dict | Unavailable | Unknown:
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self._http().post(url, data=orjson.dumps(body), timeout=timeout) as response:
+                raw = await response.read()
+                if response.status == 200:
+                    return orjson.loads(raw)
+                return Unknown(f"the store answered with status {response.status}")
+        except _NOT_SENT as error:
+            return Unavailable(f"the store cannot be reached: {error}")
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return Unknown(f"the store's answer was lost: {type(error).__name__}")
+
+
+def _revision_of(answer: dict) -> int:
+    return int(answer.get("header", {}).get("revision", 0))
+
+
+def _decode_watch(line: bytes) -> list[WatchBatch]:
+    """Read one line of the watch stream, in which an event without a type is a put."""
+    if not line.strip():
+        return []
+    events = orjson.loads(line).get("result", {}).get("events", [])
+    changes = []
+    for event in events:
+        item = decode_key_value(event["kv"])
+        removed = event.get("type") == "DELETE"
+        changes.append((item.mod_revision, (item.key, None if removed else item.value)))
+    grouped = itertools.groupby(changes, key=lambda change: change[0])
+    return [WatchBatch(revision, tuple(c for _, c in group)) for revision, group in grouped]
--- /dev/null
+++ b/ferrydock/platform/_weight_store.py
@@ -0,0 +1,68 @@
+"""The rate-limited store of model weights. Engines read it; ferrydock only paces the loads."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import aiohttp
+
+from ..outcomes import Unavailable
+
+__all__ = ["HttpWeightStore", "StaticWeightStore", "WeightStore", "WeightStoreRate"]
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStoreRate:
+    """How fast the store serves weights at the moment, over all readers."""
+
+    rate_bytes_per_s: float
+
+
+class WeightStore(Protocol):
+    """What ferrydock asks of the store of model weights."""
+
+    async def rate(self) -> WeightStoreRate | Unavailable:
+        """Return the rate that loads share."""
+
+    async def close(self) -> None:
+        """Give up the connections."""
+
+
+class StaticWeightStore:
+    """A weight store whose rate is known beforehand."""
+
+    __slots__ = ("rate_bytes_per_s",)
+
+    def __init__(self, rate_bytes_per_s: float):
+        self.rate_bytes_per_s = rate_bytes_per_s
+
+    async def rate(self) -> WeightStoreRate:
+        return WeightStoreRate(self.rate_bytes_per_s)
+
+    async def close(self) -> None:
+        return None
+
+
+class HttpWeightStore:
+    """The weight store over HTTP: ``GET URL/rate`` answers ``{"rate_bytes_per_s": NUMBER}``."""
+
+    __slots__ = ("_session", "timeout_s", "url")
+
+    def __init__(self, url: str, timeout_s: float = 2.0):
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def rate(self) -> WeightStoreRate | Unavailable:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self._session.get(f"{self.url}/rate", timeout=timeout) as response:
+                response.raise_for_status()
+                return WeightStoreRate(float((await response.json())["rate_bytes_per_s"]))
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
+            return Unavailable(f"the weight store cannot be read: {type(error).__name__}")
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/ferrydock/reports/_burn.py
@@ -0,0 +1,127 @@
+"""Service-level burn: how fast the error budget of each team and model is used up.
+
+Each answer is counted in the minute in which it ended. Burn 1 uses up just the whole budget over
+the objective's period; the alert lines pair a long window with a short one, so that an alert is
+both meant and current. Source: "The Site Reliability Workbook", chapter 5, multiwindow alerts.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["ALERTS", "Alert", "BurnBook", "BurnMinute", "Sample", "merge_minutes"]
+
+MINUTE_S = 60
+KEPT_MINUTES = 6 * 60
+HISTOGRAM_LOW_MS = 1
+HISTOGRAM_HIGH_MS = 3_600_000
+HISTOGRAM_DIGITS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Alert:
+    """A pair of windows and the burn above which, in both, an operator is called."""
+
+    name: str
+    long_minutes: int
+    short_minutes: int
+    burn: float
+
+
+ALERTS = (Alert("page", 60, 5, 14.4), Alert("page_slow", 360, 30, 6.0))
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One answer, or its absence, as the caller met it.
+
+    Attributes
+    ----------
+    whole : bool
+        Whether the whole answer came.
+    first_token_ms, between_tokens_ms : float or None
+        Time to the first token, and the mean time between tokens; None where it was no stream.
+    """
+
+    whole: bool
+    first_token_ms: float | None = None
+    between_tokens_ms: float | None = None
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(HISTOGRAM_LOW_MS, HISTOGRAM_HIGH_MS, HISTOGRAM_DIGITS)
+
+
+@dataclass(slots=True)
+class BurnMinute:
+    """What ended in one minute for one team and model, on one or more daemons."""
+
+    minute: int
+    answers: int = 0
+    not_whole: int = 0
+    first_token: HdrHistogram = field(default_factory=_histogram)
+    between_tokens: HdrHistogram = field(default_factory=_histogram)
+
+    def add(self, sample: Sample) -> None:
+        """Count one answer."""
+        self.answers += 1
+        if not sample.whole:
+            self.not_whole += 1
+        if sample.first_token_ms is not None:
+            self.first_token.record_value(_in_range(sample.first_token_ms))
+        if sample.between_tokens_ms is not None:
+            self.between_tokens.record_value(_in_range(sample.between_tokens_ms))
+
+    def merge(self, other: "BurnMinute") -> None:
+        """Add what another daemon counted."""
+        self.answers += other.answers
+        self.not_whole += other.not_whole
+        self.first_token.add(other.first_token)
+        self.between_tokens.add(other.between_tokens)
+
+
+def _in_range(value_ms: float) -> int:
+    return min(HISTOGRAM_HIGH_MS, max(HISTOGRAM_LOW_MS, round(value_ms)))
+
+
+class BurnBook:
+    """The last hours of one daemon, minute by minute.
+
+    Parameters
+    ----------
+    started_s : float
+        Wall-clock time at which this daemon began to count; what was before is a gap.
+    """
+
+    __slots__ = ("_minutes", "started_s")
+
+    def __init__(self, started_s: float):
+        self.started_s = started_s
+        self._minutes: dict[tuple[str, str], deque[BurnMinute]] = {}
+
+    def add(self, team: str, model: str, sample: Sample, wall_s: float) -> None:
+        """Count one answer that ended at `wall_s`."""
+        minute = int(wall_s // MINUTE_S)
+        kept = self._minutes.setdefault((team, model), deque(maxlen=KEPT_MINUTES))
+        if not kept or kept[-1].minute != minute:
+            kept.append(BurnMinute(minute))
+        kept[-1].add(sample)
+
+    def pairs(self) -> Iterable[tuple[str, str]]:
+        """Return the teams and models that anything was counted for."""
+        return tuple(self._minutes)
+
+    def minutes(self, team: str, model: str, since_minute: int) -> list[BurnMinute]:
+        """Return the minutes from `since_minute` on."""
+        kept = self._minutes.get((team, model), ())
+        return [minute for minute in kept if minute.minute >= since_minute]
+
+
+def merge_minutes(minutes: Iterable[BurnMinute]) -> BurnMinute:
+    """Return one sum over minutes and daemons."""
+    total = BurnMinute(0)
+    for minute in minutes:
+        total.merge(minute)
+    return total
--- /dev/null
+++ b/ferrydock/requests/_admission.py
@@ -0,0 +1,185 @@
+"""Waiting for a replica: candidates with room now, or a place in the model's short queue."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..membership import SharedState
+from ..outcomes import NotRun
+from ..routing import Candidate, RouteBook, RouteRequest, RoutingPolicy
+from ..teams import FairQueue, Waiting
+from ._model_request import ModelRequest
+
+__all__ = ["ReplicaGate"]
+
+PUMP_S = 0.02
+ROOM_OVER_SLOTS = 1.0
+LEAST_RETRY_AFTER_S = 1.0
+MOST_RETRY_AFTER_S = 60.0
+
+
+@dataclass(eq=False, slots=True)
+class _Place:
+    """What a queued request waits for."""
+
+    request: ModelRequest
+    excluded: set
+    chosen: asyncio.Future
+
+
+class ReplicaGate:
+    """Chooses replicas, and queues requests while none has room.
+
+    Parameters
+    ----------
+    state : SharedState
+        Placement, attestations and the table.
+    book : RouteBook
+        What is remembered of the replicas.
+    policy : RoutingPolicy
+        Chooses.
+    clock : Clock
+        For deadlines.
+    """
+
+    __slots__ = ("_pump", "_queues", "book", "clock", "policy", "service_s", "state")
+
+    def __init__(self, state: SharedState, book: RouteBook, policy: RoutingPolicy, clock: Clock):
+        self.state = state
+        self.book = book
+        self.policy = policy
+        self.clock = clock
+        self.service_s: dict[str, float] = {}
+        self._queues: dict[str, FairQueue] = {}
+        self._pump: asyncio.Task | None = None
+
+    def waiting(self, model: str) -> int:
+        """Return how many requests for `model` wait here."""
+        queue = self._queues.get(model)
+        return len(queue) if queue is not None else 0
+
+    def queue_lengths(self) -> dict[str, int]:
+        """Return the length of every queue that is not empty."""
+        return {model: len(queue) for model, queue in self._queues.items() if len(queue)}
+
+    def choose_now(self, request: ModelRequest, excluded: set) -> Candidate | None:
+        """Return a replica with room, or None."""
+        view = self.state.keeper.view
+        now_s = self.clock.now_s()
+        serving = self.book.serving(self.state.placement, view, request.model, now_s)
+        open_to_it = [r for r in serving if r.generation not in excluded]
+        candidates = self.book.candidates(open_to_it, request.blocks, now_s)
+        with_room = [c for c in candidates if c.load < c.replica.slots * ROOM_OVER_SLOTS]
+        route = RouteRequest(request.model, request.blocks, request.priority)
+        return self.policy.choose(with_room, route)
+
+    def has_room(self, model: str) -> bool:
+        """Return whether a request for `model` would find a replica here without waiting."""
+        view = self.state.keeper.view
+        now_s = self.clock.now_s()
+        serving = self.book.serving(self.state.placement, view, model, now_s)
+        return any(
+            c.load < c.replica.slots * ROOM_OVER_SLOTS
+            for c in self.book.candidates(serving, (), now_s)
+        )
+
+    async def choose(
+        self, request: ModelRequest, excluded: set, weight: float, wait_s: float
+    ) -> Candidate | NotRun:
+        """Return a replica for the request, waiting in the queue for at most `wait_s`."""
+        if self.waiting(request.model) == 0:
+            chosen = self.choose_now(request, excluded)
+            if chosen is not None:
+                return chosen
+        refusal = self._refuse_early(request, wait_s)
+        if refusal is not None:
+            return refusal
+        return await self._queue_up(request, excluded, weight, wait_s)
+
+    def _refuse_early(self, request: ModelRequest, wait_s: float) -> NotRun | None:
+        """Refuse at once what could not be served before its deadline."""
+        left_s = min(wait_s, request.deadline_s - self.clock.now_s())
+        expected_s = self.expected_wait_s(request.model, request.priority)
+        if expected_s > left_s:
+            return self._not_run(request, "overloaded", "the queue is too long for its deadline")
+        return None
+
+    async def _queue_up(
+        self, request: ModelRequest, excluded: set, weight: float, wait_s: float
+    ) -> Candidate | NotRun:
+        now_s = self.clock.now_s()
+        until_s = min(now_s + wait_s, request.deadline_s)
+        queue = self._queues.setdefault(request.model, FairQueue())
+        place = _Place(request, excluded, asyncio.get_running_loop().create_future())
+        waiting = Waiting(request.team, weight, request.cost, request.priority, until_s, place)
+        shed = queue.push(waiting)
+        if shed is not None:
+            self._shed(shed)
+        if self._pump is None or self._pump.done():
+            self._pump = asyncio.get_running_loop().create_task(self._run_pump())
+        try:
+            return await asyncio.wait_for(place.chosen, max(0.0, until_s - now_s))
+        except TimeoutError:
+            return self._not_run(request, "no_capacity", "no replica had room in time")
+        finally:
+            queue.remove(waiting)
+
+    def _shed(self, waiting: Waiting) -> None:
+        place = waiting.wake
+        if not place.chosen.done():
+            place.chosen.set_result(
+                self._not_run(place.request, "overloaded", "shed for a higher priority")
+            )
+
+    def _not_run(self, request: ModelRequest, reason: str, message: str) -> NotRun:
+        return NotRun(reason, message, self.retry_after_s(request.model, request.priority), 503)
+
+    def expected_wait_s(self, model: str, priority: int) -> float:
+        """Return how long a newcomer would wait, by the queue and the usual service time."""
+        queue = self._queues.get(model)
+        ahead = queue.ahead_of(priority) if queue is not None else 0
+        slots = self._slots(model)
+        if slots == 0 or ahead == 0:
+            return 0.0
+        own_slots = max(1.0, slots / max(1, len(self.state.members.live())))
+        return ahead * self.service_s.get(model, 1.0) / own_slots
+
+    def retry_after_s(self, model: str, priority: int) -> float:
+        """Return when it is worth to come back."""
+        expected_s = self.expected_wait_s(model, priority)
+        return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, expected_s))
+
+    def _slots(self, model: str) -> int:
+        view = self.state.keeper.view
+        now_s = self.clock.now_s()
+        serving = self.book.serving(self.state.placement, view, model, now_s)
+        return sum(replica.slots for replica in serving)
+
+    def note_service(self, model: str, took_s: float) -> None:
+        """Learn how long requests for `model` usually take."""
+        before_s = self.service_s.get(model, took_s)
+        self.service_s[model] = before_s + 0.1 * (took_s - before_s)
+
+    def wake(self, model: str) -> None:
+        """Hand out room that has become free."""
+        queue = self._queues.get(model)
+        if queue is None:
+            return
+        while (waiting := queue.peek()) is not None:
+            place = waiting.wake
+            if place.chosen.done():
+                queue.remove(waiting)
+                continue
+            chosen = self.choose_now(place.request, place.excluded)
+            if chosen is None:
+                return
+            queue.pop(self.clock.now_s())
+            place.chosen.set_result(chosen)
+            return
+
+    async def _run_pump(self) -> None:
+        """Look for room now and then while anybody waits: replicas come, reports come late."""
+        while any(len(queue) for queue in self._queues.values()):
+            for model in list(self._queues):
+                self.wake(model)
+            await asyncio.sleep(PUMP_S)
--- /dev/null
+++ b/ferrydock/requests/_budget.py
@@ -0,0 +1,56 @@
+"""A budget that keeps retries a small part of the first attempts."""
+
+import random
+
+__all__ = ["RetryBudget", "backoff_s"]
+
+MOST_SAVED = 20.0
+START = 5.0
+BACKOFF_START_S = 0.05
+BACKOFF_MOST_S = 1.0
+
+
+class RetryBudget:
+    """Each first attempt pays in `ratio`, each retry costs 1.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries as a part of the first attempts, over time.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(0.5)
+    >>> sum(budget.spend() for _ in range(20))
+    5
+    >>> budget.first_attempt(); budget.first_attempt()
+    >>> budget.spend(), budget.spend()
+    (True, False)
+    """
+
+    __slots__ = ("_saved", "ratio", "refused", "spent")
+
+    def __init__(self, ratio: float):
+        self.ratio = ratio
+        self._saved = START
+        self.spent = 0
+        self.refused = 0
+
+    def first_attempt(self) -> None:
+        """Note a first attempt."""
+        self._saved = min(MOST_SAVED, self._saved + self.ratio)
+
+    def spend(self) -> bool:
+        """Pay for one retry, if there is enough."""
+        if self._saved < 1:
+            self.refused += 1
+            return False
+        self._saved -= 1
+        self.spent += 1
+        return True
+
+
+def backoff_s(attempt: int, random_source: random.Random) -> float:
+    """Return a pause before retry number `attempt` (from 1), exponential with full jitter."""
+    most_s = min(BACKOFF_MOST_S, BACKOFF_START_S * 2 ** (attempt - 1))
+    return random_source.uniform(0, most_s)
--- /dev/null
+++ b/ferrydock/requests/_claims.py
@@ -0,0 +1,269 @@
+"""Claims: a not-repeatable request with a key runs at most once, whichever daemon it comes to.
+
+A claim is created in the store before the request leaves; only its creator may dispatch, once.
+An unfinished claim is never run again. Keys::
+
+    /ferrydock/claim/TEAM/DIGEST   nonce, state, and the recorded end
+
+Claims of one daemon that come close together share one transaction (group commit).
+"""
+
+import asyncio
+import base64
+import hashlib
+import logging
+import uuid
+from collections import deque
+from dataclasses import dataclass, field
+
+import orjson
+
+from ..clock import Clock
+from ..logs import log_event
+from ..outcomes import Unavailable, Unknown
+from ..platform import (
+    Compare,
+    CompareField,
+    Delete,
+    KeyValue,
+    LeaseGranted,
+    Put,
+    RangeDone,
+    Store,
+    Txn,
+    TxnDone,
+)
+
+__all__ = ["Claim", "ClaimBook", "ClaimEnd", "ClaimUnfinished", "ClaimUnwritten", "claim_key"]
+
+_LOG = logging.getLogger("ferrydock.requests")
+GROUP_LIMIT = 48
+GROUP_WAIT_S = 0.002
+RECORDED_BODY_BYTES = 65536
+RETENTION_STEP_S = 600.0
+READ_BACK_TRIES = 6
+READ_BACK_PAUSE_S = 0.05
+ABANDONED_FOR_S = 120.0
+
+
+def claim_key(team: str, key: str) -> str:
+    """Return the store key of a claim; the caller's key is kept as a digest."""
+    return f"/ferrydock/claim/{team}/{hashlib.sha256(key.encode()).hexdigest()[:40]}"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim that this daemon has created: it, and nobody else, may dispatch once."""
+
+    key: str
+    nonce: str
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimEnd:
+    """The recorded end of a claim that was run.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status of the answer.
+    content_type : str
+        Its type.
+    digest : str
+        SHA-256 of its body.
+    body : bytes or None
+        The body itself; None if it was larger than `RECORDED_BODY_BYTES`.
+    """
+
+    status: int
+    content_type: str
+    digest: str
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnfinished:
+    """Somebody else created the claim, and no end of it is recorded."""
+
+    reason: str = "the request was taken before and no end of it is recorded"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnwritten:
+    """The claim surely was not used: the request was not dispatched."""
+
+    reason: str
+
+
+@dataclass(eq=False, slots=True)
+class _Pending:
+    """A write that waits for its group."""
+
+    txn: Txn
+    done: asyncio.Future = field(default_factory=lambda: asyncio.get_running_loop().create_future())
+
+
+class ClaimBook:
+    """Creates, reads back and ends claims.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's key-value service.
+    clock : Clock
+        For deadlines and retention.
+    retention_s : float
+        How long a claim is remembered at least.
+    daemon : str
+        Who claims, for people who look into the store.
+    """
+
+    __slots__ = (
+        "_abandoned",
+        "_flusher",
+        "_lease",
+        "_lease_lock",
+        "_pending",
+        "clock",
+        "daemon",
+        "group_writes",
+        "retention_s",
+        "store",
+    )
+
+    def __init__(self, store: Store, clock: Clock, retention_s: float, daemon: str):
+        self.store = store
+        self.clock = clock
+        self.retention_s = retention_s
+        self.daemon = daemon
+        self.group_writes = 0
+        self._pending: deque[_Pending] = deque()
+        self._flusher: asyncio.Task | None = None
+        self._lease: tuple[int, float] | None = None
+        self._lease_lock = asyncio.Lock()
+        self._abandoned: dict[str, tuple[str, float]] = {}
+
+    # Creating -----------------------------------------------------------------------------
+
+    async def open(
+        self, team: str, key: str, deadline_s: float
+    ) -> Claim | ClaimEnd | ClaimUnfinished | ClaimUnwritten:
+        """Create the claim for a caller's key, or say what stands there already."""
+        lease_id = await self._retention_lease()
+        if lease_id is None:
+            return ClaimUnwritten("the platform's store cannot be reached")
+        name = claim_key(team, key)
+        nonce = uuid.uuid4().hex
+        value = orjson.dumps({"nonce": nonce, "daemon": self.daemon, "state": "open"})
+        absent = Compare(name, 0, CompareField.CREATE_REVISION)
+        txn = Txn((absent,), (Put(name, value, lease_id),), (name,))
+        for _ in range(READ_BACK_TRIES):
+            done = await self._commit(txn)
+            if isinstance(done, TxnDone):
+                return self._settle(name, nonce, done)
+            if self.clock.now_s() >= deadline_s:
+                break
+            found = await self.store.range(name)
+            if isinstance(found, RangeDone) and found.items:
+                return _read(found.items[0], nonce)
+            await asyncio.sleep(READ_BACK_PAUSE_S)
+        self._abandoned[name] = (nonce, self.clock.now_s())
+        return ClaimUnwritten("the platform's store did not confirm the claim")
+
+    def _settle(self, name: str, nonce: str, done: TxnDone):
+        if done.succeeded:
+            return Claim(name, nonce, done.revision)
+        standing = done.reads[0]
+        if standing is None:
+            return ClaimUnfinished()
+        return _read(standing, nonce)
+
+    async def _retention_lease(self) -> int | None:
+        """Return a lease under which claims are forgotten; a new one now and then."""
+        async with self._lease_lock:
+            now_s = self.clock.now_s()
+            if self._lease is not None and now_s < self._lease[1]:
+                return self._lease[0]
+            granted = await self.store.grant_lease(self.retention_s + RETENTION_STEP_S)
+            if not isinstance(granted, LeaseGranted):
+                return None
+            self._lease = (granted.lease_id, now_s + RETENTION_STEP_S)
+            return granted.lease_id
+
+    # Ending -------------------------------------------------------------------------------
+
+    async def end(self, claim: Claim, status: int, content_type: str, body: bytes | None) -> bool:
+        """Record how the request ended; return whether the record surely stands."""
+        kept = body if body is not None and len(body) <= RECORDED_BODY_BYTES else None
+        fields = {
+            "nonce": claim.nonce,
+            "daemon": self.daemon,
+            "state": "ended",
+            "status": status,
+            "content_type": content_type,
+            "digest": hashlib.sha256(body).hexdigest() if body is not None else "",
+            "body": base64.b64encode(kept).decode() if kept is not None else None,
+        }
+        lease_id = await self._retention_lease()
+        if lease_id is None:
+            return False
+        put = Put(claim.key, orjson.dumps(fields), lease_id)
+        done = await self._commit(Txn((Compare(claim.key, claim.mod_revision),), (put,)))
+        return isinstance(done, TxnDone) and done.succeeded
+
+    async def withdraw(self, claim: Claim) -> bool:
+        """Remove the claim of a request that was surely not run, so that it can be sent again."""
+        done = await self._commit(
+            Txn((Compare(claim.key, claim.mod_revision),), (Delete(claim.key),))
+        )
+        if isinstance(done, TxnDone):
+            return done.succeeded
+        self._abandoned[claim.key] = (claim.nonce, self.clock.now_s())
+        return False
+
+    async def tidy(self) -> None:
+        """Remove claims that were given up on before dispatch and landed all the same."""
+        now_s = self.clock.now_s()
+        for name, (nonce, since_s) in list(self._abandoned.items()):
+            found = await self.store.range(name)
+            if isinstance(found, Unavailable):
+                return
+            item = found.items[0] if found.items else None
+            if item is not None and orjson.loads(item.value).get("nonce") == nonce:
+                await self.store.transact(Txn((Compare(name, item.mod_revision),), (Delete(name),)))
+                log_event(_LOG, logging.INFO, "claim_withdrawn", key=name)
+            if item is not None or now_s - since_s > ABANDONED_FOR_S:
+                self._abandoned.pop(name, None)
+
+    # Group commit -------------------------------------------------------------------------
+
+    async def _commit(self, txn: Txn) -> TxnDone | Unavailable | Unknown:
+        pending = _Pending(txn)
+        self._pending.append(pending)
+        if self._flusher is None or self._flusher.done():
+            self._flusher = asyncio.get_running_loop().create_task(self._flush())
+        return await asyncio.shield(pending.done)
+
+    async def _flush(self) -> None:
+        """Write what has gathered, one transaction at a time."""
+        await asyncio.sleep(GROUP_WAIT_S)
+        while self._pending:
+            count = min(GROUP_LIMIT, len(self._pending))
+            group = [self._pending.popleft() for _ in range(count)]
+            self.group_writes += 1
+            done = await self.store.transact(Txn((), tuple(p.txn for p in group)))
+            for index, pending in enumerate(group):
+                outcome = done.nested[index] if isinstance(done, TxnDone) else done
+                if not pending.done.done():
+                    pending.done.set_result(outcome)
+
+
+def _read(item: KeyValue, nonce: str) -> Claim | ClaimEnd | ClaimUnfinished:
+    fields = orjson.loads(item.value)
+    if fields["nonce"] == nonce:
+        return Claim(item.key, nonce, item.mod_revision)
+    if fields["state"] != "ended":
+        return ClaimUnfinished()
+    body = base64.b64decode(fields["body"]) if fields["body"] is not None else None
+    return ClaimEnd(fields["status"], fields["content_type"], fields["digest"], body)
--- /dev/null
+++ b/ferrydock/requests/_dispatcher.py
@@ -0,0 +1,370 @@
+"""Takes a model request from admission to its end: choose, send, resume, repeat, tell the truth."""
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass
+
+import orjson
+
+from ..clock import Clock
+from ..engines import EngineControl
+from ..logs import log_event
+from ..membership import SharedState
+from ..outcomes import NotRun, Run
+from ..placement import Replica
+from ..routing import Candidate, Flight, RouteBook
+from ._admission import ReplicaGate
+from ._attempt import Answered, Attempt, Broken, Caller, CallerLeft, EngineClient, Refused, Streamed
+from ._budget import RetryBudget, backoff_s
+from ._events import EventRelay, text_so_far
+from ._lifecycle import RequestLife
+from ._model_request import ModelRequest
+
+__all__ = ["Dispatcher", "Ended", "GaveUp"]
+
+_LOG = logging.getLogger("ferrydock.requests")
+MOST_ATTEMPTS = 6
+RESUMES = 2
+WATCH_S = 0.25
+BROKEN_AFTER_S = 3.0
+PATIENCE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The caller has, or will get, the whole answer."""
+
+    answer: Answered | Streamed
+    replica_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class GaveUp:
+    """There is no whole answer, and whether it ran may be unknown."""
+
+    reason: str
+    run: Run
+
+
+@dataclass(eq=False, slots=True)
+class _Watched:
+    """An attempt under the watchdog's eyes."""
+
+    attempt: Attempt
+    patience_s: float
+    broken_since_s: float | None = None
+
+
+class Dispatcher:
+    """Runs model requests on this hall's replicas.
+
+    Parameters
+    ----------
+    state : SharedState
+        Placement, attestations and the table.
+    gate : ReplicaGate
+        Chooses replicas.
+    book : RouteBook
+        Is told what happens.
+    client : EngineClient
+        Data side of the engines.
+    control : EngineControl
+        Cancels.
+    clock : Clock
+        For deadlines.
+    random_source : random.Random
+        For the jitter of retries.
+    """
+
+    __slots__ = (
+        "_tasks",
+        "_watched",
+        "book",
+        "budget",
+        "client",
+        "clock",
+        "control",
+        "gate",
+        "random_source",
+        "state",
+    )
+
+    def __init__(
+        self,
+        state: SharedState,
+        gate: ReplicaGate,
+        book: RouteBook,
+        client: EngineClient,
+        control: EngineControl,
+        clock: Clock,
+        random_source: random.Random,
+    ):
+        self.state = state
+        self.gate = gate
+        self.book = book
+        self.client = client
+        self.control = control
+        self.clock = clock
+        self.random_source = random_source
+        self.budget = RetryBudget(0.1)
+        self._watched: set[_Watched] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(
+        self,
+        request: ModelRequest,
+        caller: Caller,
+        life: RequestLife,
+        weight: float,
+    ) -> Ended | NotRun | GaveUp:
+        """Run a request to its end.
+
+        Parameters
+        ----------
+        request : ModelRequest
+            What to run.
+        caller : Caller
+            Gets the stream.
+        life : RequestLife
+            Keeps what may be said of it.
+        weight : float
+            The team's weight in queues.
+
+        Returns
+        -------
+        Ended or NotRun or GaveUp
+        """
+        run = _Run(self, request, caller, life, weight)
+        try:
+            return await run.to_end()
+        except (asyncio.CancelledError, CallerLeft):
+            run.cancel_at_engine()
+            raise
+
+    # The watchdog -------------------------------------------------------------------------
+
+    async def watch(self) -> None:
+        """Abandon attempts whose replica has not been whole for too long, for ever."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            self.look_after(self.clock.now_s())
+
+    def look_after(self, now_s: float) -> None:
+        """Check every attempt once."""
+        for watched in list(self._watched):
+            replica = watched.attempt.replica
+            if self.state.book.whole(replica, now_s):
+                watched.broken_since_s = None
+            elif watched.broken_since_s is None:
+                watched.broken_since_s = now_s
+            elif now_s - watched.broken_since_s > watched.patience_s:
+                watched.attempt.abandon("a member of the replica is missing")
+
+    def watch_attempt(self, attempt: Attempt, patience_s: float) -> _Watched:
+        """Put an attempt under the watchdog's eyes."""
+        watched = _Watched(attempt, patience_s)
+        self._watched.add(watched)
+        return watched
+
+    def unwatch(self, watched: _Watched) -> None:
+        """Take an attempt out of the watchdog's eyes."""
+        self._watched.discard(watched)
+
+    def cancel_later(self, replica: Replica, request_id: str) -> None:
+        """Tell an engine that nobody waits, without waiting for it."""
+        self.spawn(self.control.cancel(replica.head.url, request_id))
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Run something beside the requests."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def close(self) -> None:
+        """Wait for cancellations that are under way."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class _Run:
+    """One request on its way."""
+
+    __slots__ = (
+        "attempts",
+        "body",
+        "caller",
+        "dispatcher",
+        "excluded",
+        "life",
+        "relay",
+        "replica",
+        "request",
+        "started_s",
+        "weight",
+    )
+
+    def __init__(self, dispatcher, request, caller, life, weight):
+        self.dispatcher: Dispatcher = dispatcher
+        self.request: ModelRequest = request
+        self.caller: Caller = caller
+        self.life: RequestLife = life
+        self.weight: float = weight
+        self.relay = EventRelay(keep=request.stream)
+        self.excluded: set = set()
+        self.attempts = 0
+        self.body: bytes | None = None
+        self.replica: Replica | None = None
+        self.started_s = dispatcher.clock.now_s()
+
+    async def to_end(self) -> Ended | NotRun | GaveUp:
+        """Attempt until there is a whole answer, or nothing more may be done."""
+        self.dispatcher.budget.first_attempt()
+        while True:
+            self.life.queue()
+            chosen = await self._choose()
+            if isinstance(chosen, NotRun):
+                return self._no_replica(chosen)
+            outcome = await self._attempt(chosen)
+            if isinstance(outcome, Answered | Streamed):
+                return self._finished(outcome, chosen)
+            if isinstance(outcome, Refused):
+                self._take_back(outcome, chosen)
+            else:
+                self.life.lose_contact()
+                log_event(
+                    _LOG,
+                    logging.WARNING,
+                    "attempt_broken",
+                    request_id=self.request.request_id,
+                    replica=chosen.replica.replica_id,
+                    why=outcome.reason,
+                )
+            stop = await self._before_retry(outcome)
+            if stop is not None:
+                return stop
+
+    async def _choose(self) -> Candidate | NotRun:
+        wait_s = self.dispatcher.state.keeper.view.site.queue_wait_s
+        return await self.dispatcher.gate.choose(self.request, self.excluded, self.weight, wait_s)
+
+    def _no_replica(self, refusal: NotRun) -> NotRun | GaveUp:
+        run = self.life.give_up()
+        if run is Run.NOT_RUN and not self.relay.events:
+            return refusal
+        return GaveUp(f"lost contact, and then {refusal.reason}", Run.UNKNOWN)
+
+    # One replica --------------------------------------------------------------------------
+
+    async def _attempt(self, chosen: Candidate) -> Answered | Streamed | Refused | Broken:
+        """Send to one replica; resume there as long as the engine goes on."""
+        dispatcher = self.dispatcher
+        self.attempts += 1
+        self.replica = chosen.replica
+        flight = dispatcher.book.sent(chosen.replica, self.request.blocks, dispatcher.clock.now_s())
+        caller = _TimedCaller(self.caller, self.life, dispatcher, flight)
+        try:
+            self.life.dispatch()
+            outcome = await self._send(chosen.replica, caller, resume=False)
+            for _ in range(RESUMES):
+                if not isinstance(outcome, Broken) or not self.request.stream:
+                    break
+                if not dispatcher.state.book.whole(chosen.replica, dispatcher.clock.now_s()):
+                    break
+                self.life.resume()
+                resumed = await self._send(chosen.replica, caller, resume=True)
+                if isinstance(resumed, Refused):
+                    break
+                outcome = resumed
+            return outcome
+        finally:
+            dispatcher.book.ended(flight)
+            dispatcher.gate.wake(self.request.model)
+
+    async def _send(self, replica: Replica, caller, resume: bool):
+        dispatcher = self.dispatcher
+        attempt = Attempt(replica)
+        patience_s = BROKEN_AFTER_S if self.request.repeatable else PATIENCE_S
+        watched = dispatcher.watch_attempt(attempt, patience_s)
+        body = None if resume else self.body
+        try:
+            return await dispatcher.client.send(
+                self.request, attempt, self.relay, caller, resume, body
+            )
+        finally:
+            dispatcher.unwatch(watched)
+
+    def _finished(self, outcome: Answered | Streamed, chosen: Candidate) -> Ended:
+        self.life.finish()
+        took_s = self.dispatcher.clock.now_s() - self.started_s
+        self.dispatcher.gate.note_service(self.request.model, took_s)
+        return Ended(outcome, chosen.replica.replica_id)
+
+    def _take_back(self, refused: Refused, chosen: Candidate) -> None:
+        self.life.take_back()
+        self.excluded.add(chosen.replica.generation)
+        if refused.stale or not refused.connected:
+            self.dispatcher.state.book.revoke(chosen.replica.replica_id, chosen.replica.generation)
+
+    async def _before_retry(self, outcome: Refused | Broken) -> NotRun | GaveUp | None:
+        """Decide whether another attempt may follow; prepare it, or end."""
+        if not self.life.may_run_again:
+            return GaveUp(outcome.reason, self.life.give_up())
+        if isinstance(outcome, Broken) and self.relay.events and not self._continue_elsewhere():
+            return GaveUp(outcome.reason, self.life.give_up())
+        late = self.dispatcher.clock.now_s() >= self.request.deadline_s
+        if late or self.attempts >= MOST_ATTEMPTS or not self.dispatcher.budget.spend():
+            run = self.life.give_up()
+            if run is Run.NOT_RUN:
+                after_s = self.dispatcher.gate.retry_after_s(
+                    self.request.model, self.request.priority
+                )
+                return NotRun("refused_by_target", outcome.reason, after_s)
+            return GaveUp(outcome.reason, run)
+        if isinstance(outcome, Broken) or self.attempts > 1:
+            await asyncio.sleep(backoff_s(self.attempts, self.dispatcher.random_source))
+        return None
+
+    def _continue_elsewhere(self) -> bool:
+        """Have the next engine go on after the text that the caller already has."""
+        relayed = self.relay.relayed()
+        if relayed is None:
+            return False
+        fields = dict(self.request.fields)
+        fields["continue_text"] = text_so_far(relayed)
+        self.body = orjson.dumps(fields)
+        self.relay.start_run()
+        return True
+
+    def cancel_at_engine(self) -> None:
+        """Free the engine's slot: the caller has left."""
+        if self.replica is not None:
+            self.dispatcher.cancel_later(self.replica, self.request.request_id)
+
+
+class _TimedCaller:
+    """Passes events on and notes when the first one came."""
+
+    __slots__ = ("_caller", "_dispatcher", "_flight", "_life", "_started")
+
+    def __init__(self, caller: Caller, life: RequestLife, dispatcher: Dispatcher, flight: Flight):
+        self._caller = caller
+        self._life = life
+        self._dispatcher = dispatcher
+        self._flight = flight
+        self._started = False
+
+    async def begin(self) -> None:
+        await self._caller.begin()
+
+    @property
+    def write(self):
+        """The caller's own `write` once the first event has passed."""
+        return self._caller.write if self._started else self._first_write
+
+    async def _first_write(self, events: bytes) -> None:
+        if not self._started:
+            self._started = True
+            self._life.first_byte()
+            self._dispatcher.book.first_token(self._flight, self._dispatcher.clock.now_s())
+        await self._caller.write(events)
--- /dev/null
+++ b/ferrydock/routing/_book.py
@@ -0,0 +1,159 @@
+"""What a daemon remembers of the replicas it routes to: own requests, latencies, caches."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import takewhile
+
+from ..engines import CacheEvents
+from ..hall import AttestationBook
+from ..placement import HallPlacement, Replica, ReplicaPhase
+from ..table import TableView
+from ._candidate import Candidate
+
+__all__ = ["Flight", "RouteBook"]
+
+LATENCY_WEIGHT = 0.2
+LATENCY_FORGET_S = 30.0
+KNOWN_BLOCKS = 8192
+LOAD_REPORT_LAG_S = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class Flight:
+    """One request of this daemon at a replica."""
+
+    replica_id: str
+    sent_s: float
+
+
+@dataclass(slots=True)
+class _Memory:
+    """What is remembered of one replica."""
+
+    flights: set[Flight] = field(default_factory=set)
+    first_token_s: float = 0.0
+    measured_s: float = 0.0
+    blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    incarnation: str = ""
+    sequence: int = 0
+    gaps: int = 0
+
+
+class RouteBook:
+    """Keeps what routing needs beside the placement record.
+
+    Parameters
+    ----------
+    attestations : AttestationBook
+        Only attested replicas are candidates.
+    """
+
+    __slots__ = ("_memories", "attestations")
+
+    def __init__(self, attestations: AttestationBook):
+        self.attestations = attestations
+        self._memories: dict[str, _Memory] = {}
+
+    def serving(
+        self, placement: HallPlacement, view: TableView, model: str, now_s: float
+    ) -> list[Replica]:
+        """Return the replicas of `model` that may get work: serving, attested, none leaving."""
+        return [
+            replica
+            for replica in placement.replicas.values()
+            if replica.model == model
+            and replica.phase is ReplicaPhase.SERVING
+            and self.attestations.whole(replica, now_s)
+            and not any(view.box_leaving(box) for box in replica.boxes)
+        ]
+
+    def candidates(
+        self, replicas: Iterable[Replica], blocks: tuple[int, ...], now_s: float
+    ) -> list[Candidate]:
+        """Return what is known of `replicas`, for a prompt with these blocks."""
+        return [self._candidate(replica, blocks, now_s) for replica in replicas]
+
+    def _candidate(self, replica: Replica, blocks: tuple[int, ...], now_s: float) -> Candidate:
+        memory = self._memory(replica.replica_id)
+        statement = self.attestations.get(replica.replica_id)
+        reported = statement.running + statement.waiting if statement is not None else 0
+        seen_s = statement.probed_s - LOAD_REPORT_LAG_S if statement is not None else 0.0
+        since = sum(1 for flight in memory.flights if flight.sent_s > seen_s)
+        latency_s = memory.first_token_s
+        if now_s - memory.measured_s > LATENCY_FORGET_S:
+            latency_s = 0.0
+        cached = sum(1 for _ in takewhile(memory.blocks.__contains__, blocks))
+        return Candidate(replica, reported, since, len(memory.flights), cached, latency_s)
+
+    def _memory(self, replica_id: str) -> _Memory:
+        memory = self._memories.get(replica_id)
+        if memory is None:
+            memory = self._memories[replica_id] = _Memory()
+        return memory
+
+    def keep_only(self, placement: HallPlacement) -> None:
+        """Forget replicas that are no longer recorded and have no request under way."""
+        for replica_id, memory in list(self._memories.items()):
+            if replica_id not in placement.replicas and not memory.flights:
+                del self._memories[replica_id]
+
+    # What happened ------------------------------------------------------------------------
+
+    def sent(self, replica: Replica, blocks: tuple[int, ...], now_s: float) -> Flight:
+        """Note that a request goes to a replica; its prompt will be in the cache."""
+        memory = self._memory(replica.replica_id)
+        flight = Flight(replica.replica_id, now_s)
+        memory.flights.add(flight)
+        self._remember_blocks(memory, blocks)
+        return flight
+
+    def first_token(self, flight: Flight, now_s: float) -> None:
+        """Note how long the first token took."""
+        memory = self._memory(flight.replica_id)
+        took_s = now_s - flight.sent_s
+        fresh = now_s - memory.measured_s <= LATENCY_FORGET_S and memory.first_token_s > 0
+        weight = LATENCY_WEIGHT if fresh else 1.0
+        memory.first_token_s += weight * (took_s - memory.first_token_s)
+        memory.measured_s = now_s
+
+    def ended(self, flight: Flight) -> None:
+        """Note that a request is no longer at its replica."""
+        self._memory(flight.replica_id).flights.discard(flight)
+
+    def own_in_flight(self, replica_id: str) -> int:
+        """Return how many requests of this daemon are at a replica."""
+        return len(self._memory(replica_id).flights)
+
+    def _remember_blocks(self, memory: _Memory, blocks: tuple[int, ...]) -> None:
+        for block in blocks:
+            memory.blocks[block] = None
+            memory.blocks.move_to_end(block)
+        while len(memory.blocks) > KNOWN_BLOCKS:
+            memory.blocks.popitem(last=False)
+
+    # Cache events -------------------------------------------------------------------------
+
+    def last_sequence(self, replica_id: str) -> int:
+        """Return the number of the last cache event taken from a replica."""
+        return self._memory(replica_id).sequence
+
+    def take_events(self, replica_id: str, news: CacheEvents) -> None:
+        """Take cache events. A gap makes knowledge stale, not wrong: blocks that were dropped
+        unseen cost a cache miss, and the least recently used are forgotten first."""
+        memory = self._memory(replica_id)
+        if news.incarnation != memory.incarnation:
+            memory.incarnation = news.incarnation
+            memory.sequence = 0
+            memory.blocks.clear()
+        for event in news.events:
+            if event.sequence <= memory.sequence:
+                continue
+            if event.sequence != memory.sequence + 1:
+                memory.gaps += 1
+            memory.sequence = event.sequence
+            if event.stored:
+                self._remember_blocks(memory, event.blocks)
+            else:
+                for block in event.blocks:
+                    memory.blocks.pop(block, None)
--- /dev/null
+++ b/ferrydock/routing/_candidate.py
@@ -0,0 +1,59 @@
+"""What a routing policy sees: the replicas that may take a request, and the request."""
+
+from dataclasses import dataclass
+
+from ..placement import Replica
+
+__all__ = ["Candidate", "RouteRequest"]
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that may take the request.
+
+    Attributes
+    ----------
+    replica : Replica
+        An attested replica of the model.
+    reported_load : int
+        Requests that its head last reported, running and waiting.
+    sent_since : int
+        Requests that this daemon has sent since that report, and that have not ended.
+    own_in_flight : int
+        Requests of this daemon at the replica now.
+    cached_blocks : int
+        Leading blocks of the prompt that its cache is believed to hold.
+    first_token_s : float
+        Its usual time to the first token as this daemon measured it; 0 if unknown.
+    """
+
+    replica: Replica
+    reported_load: int
+    sent_since: int
+    own_in_flight: int
+    cached_blocks: int = 0
+    first_token_s: float = 0.0
+
+    @property
+    def load(self) -> int:
+        """Best estimate of the requests at the replica."""
+        return max(self.reported_load + self.sent_since, self.own_in_flight)
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What of a request matters for its way.
+
+    Attributes
+    ----------
+    model : str
+        The model asked for.
+    blocks : tuple of int
+        Chained hashes of the prompt's blocks.
+    priority : int
+        0 to 9, 9 is the highest.
+    """
+
+    model: str
+    blocks: tuple[int, ...] = ()
+    priority: int = 5
--- /dev/null
+++ b/ferrydock/standins/__init__.py
@@ -0,0 +1,21 @@
+"""Small stand-ins of the systems that ferrydock serves, with faults that can be switched."""
+
+from ._engine import EngineProfile, StandInBox, StandInFleet
+from ._etcd import StandInEtcd, StoreFaults
+from ._link import Link
+from ._plain import StandInService
+from ._site import SiteSize, StandInSite
+from ._weights import StandInWeightStore
+
+__all__ = [
+    "EngineProfile",
+    "Link",
+    "SiteSize",
+    "StandInBox",
+    "StandInEtcd",
+    "StandInFleet",
+    "StandInService",
+    "StandInSite",
+    "StandInWeightStore",
+    "StoreFaults",
+]
--- /dev/null
+++ b/ferrydock/table/_table.py
@@ -0,0 +1,195 @@
+"""The table aggregate: rows of text cells under a revision, and the rules a whole table obeys."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from ..outcomes import Fault, Invalid
+from ._columns import SHEETS, Sheet, is_row_name
+from ._view import ROW_TYPES, TableView
+
+__all__ = ["SCHEMA_VERSION", "Change", "RowKey", "Table"]
+
+SCHEMA_VERSION = 1
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RowKey:
+    """Place of a row: its sheet and its name."""
+
+    sheet: str
+    row: str
+
+    def __str__(self):
+        return f"{self.sheet}/{self.row}"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One cell set, or a whole row removed.
+
+    Attributes
+    ----------
+    key : RowKey
+        The row.
+    column : str or None
+        The cell's column; None stands for the whole row.
+    text : str or None
+        What the cell shall hold; None empties the cell or removes the row.
+    """
+
+    key: RowKey
+    column: str | None
+    text: str | None
+
+    @property
+    def place(self) -> str:
+        """``sheet/row`` or ``sheet/row/column``."""
+        return str(self.key) if self.column is None else f"{self.key}/{self.column}"
+
+
+class Table:
+    """Rows of text cells at one revision. A table is never changed: edits make a new one.
+
+    Parameters
+    ----------
+    rows : mapping of RowKey to mapping of str to str
+        Cells that are filled. Columns this version does not know are kept as they are.
+    revision : int, default=0
+        How many edits were accepted up to this table.
+
+    Examples
+    --------
+    >>> key = RowKey("halls", "hall-a")
+    >>> table = Table({}).changed([Change(key, "region", "north")], revision=1)
+    >>> table.text(key, "region"), table.text(key, "serving")
+    ('north', 'true')
+    """
+
+    __slots__ = ("_view", "revision", "rows")
+
+    def __init__(self, rows: Mapping[RowKey, Mapping[str, str]], revision: int = 0):
+        self.rows = rows
+        self.revision = revision
+        self._view: TableView | None = None
+
+    def text(self, key: RowKey, column: str) -> str | None:
+        """Return the text of a cell, its column's default, or None if there is neither."""
+        cells = self.rows.get(key)
+        if cells is None:
+            return None
+        if column in cells:
+            return cells[column]
+        declared = SHEETS[key.sheet].column(column) if key.sheet in SHEETS else None
+        return declared.default if declared else None
+
+    def changed(self, changes: Iterable[Change], revision: int) -> "Table":
+        """Return the table after `changes`, under `revision`."""
+        rows = {key: dict(cells) for key, cells in self.rows.items()}
+        for change in changes:
+            if change.column is None:
+                if change.text is None:
+                    rows.pop(change.key, None)
+                else:
+                    rows.setdefault(change.key, {})
+            elif change.text is None:
+                rows.setdefault(change.key, {}).pop(change.column, None)
+            else:
+                rows.setdefault(change.key, {})[change.column] = change.text
+        return Table(rows, revision)
+
+    def inverse(self, changes: Iterable[Change]) -> tuple[Change, ...]:
+        """Return the changes that would undo `changes` when applied after them."""
+        undo: list[Change] = []
+        touched = dict.fromkeys(change.key for change in changes)
+        for key in touched:
+            undo.append(Change(key, None, None))
+            if key in self.rows:
+                undo.append(Change(key, None, ""))
+                undo += [Change(key, c, text) for c, text in self.rows[key].items()]
+        return tuple(undo)
+
+    def faults(self) -> tuple[Fault, ...]:
+        """Return every fault of the table, each with sheet, row and cell."""
+        found: list[Fault] = []
+        for key in sorted(self.rows):
+            found += _row_faults(key, self.rows[key])
+        if not found:
+            found += _reference_faults(self)
+        return tuple(found)
+
+    def view(self) -> TableView | Invalid:
+        """Return the typed rows, or every fault."""
+        if self._view is not None:
+            return self._view
+        faults = self.faults()
+        if faults:
+            return Invalid(faults)
+        self._view = _build_view(self)
+        return self._view
+
+
+def _row_faults(key: RowKey, cells: Mapping[str, str]) -> list[Fault]:
+    sheet = SHEETS.get(key.sheet)
+    if sheet is None:
+        known = ", ".join(SHEETS)
+        return [Fault(str(key), f"there is no sheet {key.sheet!r}; the sheets are {known}")]
+    faults = []
+    if not is_row_name(key.row):
+        faults.append(
+            Fault(str(key), "a row's name is 1 to 63 letters, digits, '.', '_', ':', '-'")
+        )
+    if sheet.only_row is not None and key.row != sheet.only_row:
+        faults.append(Fault(str(key), f"the only row of this sheet is {sheet.only_row!r}"))
+    for column in sheet.columns:
+        text = cells.get(column.name, column.default)
+        place = f"{key}/{column.name}"
+        if text is None or (column.default is None and not text.strip()):
+            faults.append(Fault(place, f"must be filled: {column.allowed}"))
+            continue
+        try:
+            column.parse(text)
+        except ValueError as error:
+            faults.append(Fault(place, str(error)))
+    return faults
+
+
+def _reference_faults(table: Table) -> list[Fault]:
+    """Check what one row says of another."""
+    faults = []
+    pairs: dict[tuple[str, str], str] = {}
+    for key in sorted(k for k in table.rows if k.sheet == "shares"):
+        pair = []
+        for column, sheet in (("team", "teams"), ("model", "models")):
+            name = table.text(key, column).strip()
+            pair.append(name)
+            if RowKey(sheet, name) not in table.rows:
+                faults.append(Fault(f"{key}/{column}", f"there is no row {name!r} in {sheet!r}"))
+        other = pairs.setdefault(tuple(pair), key.row)
+        if other != key.row:
+            faults.append(Fault(str(key), f"row {other!r} is for the same team and model"))
+    for key in sorted(k for k in table.rows if k.sheet == "targets"):
+        plain = table.text(key, "kind").strip() == "plain_service"
+        needed = "urls" if plain else "boxes"
+        if not table.text(key, needed).strip():
+            faults.append(Fault(f"{key}/{needed}", "must be filled for this kind of target"))
+    for key in sorted(k for k in table.rows if k.sheet == "models"):
+        for hall in table.text(key, "halls").split():
+            if RowKey("halls", hall) not in table.rows:
+                faults.append(Fault(f"{key}/halls", f"there is no row {hall!r} in 'halls'"))
+    return faults
+
+
+def _build_view(table: Table) -> TableView:
+    rows: dict[str, dict] = {name: {} for name in SHEETS}
+    for key, cells in table.rows.items():
+        sheet = SHEETS[key.sheet]
+        rows[key.sheet][key.row] = _typed_row(sheet, key.row, cells)
+    site = rows.pop("site").get("site") or _typed_row(SHEETS["site"], "site", {})
+    return TableView(table.revision, site, **rows)
+
+
+def _typed_row(sheet: Sheet, name: str, cells: Mapping[str, str]):
+    values = {c.name: c.parse(cells.get(c.name, c.default)) for c in sheet.columns}
+    if sheet.only_row is None:
+        values["name"] = name
+    return ROW_TYPES[sheet.name](**values)
--- /dev/null
+++ b/ferrydock/table/_view.py
@@ -0,0 +1,143 @@
+"""Typed rows of one revision of the table, as the rest of ferrydock reads them."""
+
+import fnmatch
+from dataclasses import dataclass, field
+
+__all__ = ["Model", "Share", "Site", "TableView", "Target", "Team"]
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """The row of sheet ``site``; `ferrydock.table.SHEETS` documents each cell."""
+
+    downtime_weight: float
+    stranded_weight: float
+    attestation_ttl_s: float
+    probe_interval_s: float
+    lease_ttl_s: float
+    settle_s: float
+    member_wait_s: float
+    concurrent_loads: int
+    claim_retention_s: float
+    queue_wait_s: float
+    retry_budget_ratio: float
+    operator_key_digests: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Hall:
+    """A row of sheet ``halls``."""
+
+    name: str
+    region: str
+    serving: bool
+    distance_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Model:
+    """A row of sheet ``models``."""
+
+    name: str
+    version: str
+    weight_bytes: int
+    boxes_per_replica: int
+    replicas_per_hall: int
+    halls: tuple[str, ...]
+    priority: int
+    slots_per_replica: int
+    first_token_objective_ms: int
+    between_tokens_objective_ms: int
+    objective_ratio: float
+
+    def replicas_in(self, hall: str) -> int:
+        """Return how many replicas `hall` should hold."""
+        return self.replicas_per_hall if not self.halls or hall in self.halls else 0
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A row of sheet ``teams``."""
+
+    name: str
+    key_digests: tuple[str, ...]
+    enabled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A row of sheet ``shares``."""
+
+    name: str
+    team: str
+    model: str
+    weight: float
+    requests_per_s: float
+    burst_requests: int
+    concurrency: int
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A row of sheet ``targets``."""
+
+    name: str
+    kind: str
+    hall: str
+    urls: tuple[str, ...]
+    boxes: tuple[str, ...]
+    checks_orders: bool
+    leaving: bool
+    repeatable_methods: tuple[str, ...]
+    timeout_s: float
+    max_attempts: int
+
+    def covers(self, box: str) -> bool:
+        """Return whether the box belongs to this group of model engines."""
+        return any(fnmatch.fnmatchcase(box, pattern) for pattern in self.boxes)
+
+
+@dataclass(frozen=True, slots=True)
+class TableView:
+    """All typed rows of one revision."""
+
+    revision: int
+    site: Site
+    halls: dict[str, Hall] = field(default_factory=dict)
+    models: dict[str, Model] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+    shares: dict[str, Share] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+
+    def share_of(self, team: str, model: str) -> Share | None:
+        """Return the row of `shares` for the pair, or None."""
+        return next((s for s in self.shares.values() if s.team == team and s.model == model), None)
+
+    def checks_orders(self, box: str) -> bool:
+        """Return whether the engine on `box` refuses orders with an old fence.
+
+        A box that no row names is taken to check: `targets` lists those that do not.
+        """
+        groups = [t for t in self.targets.values() if t.kind == "model_engine" and t.covers(box)]
+        return all(group.checks_orders for group in groups)
+
+    def box_leaving(self, box: str) -> bool:
+        """Return whether the operators have marked the box as leaving."""
+        groups = [t for t in self.targets.values() if t.kind == "model_engine" and t.covers(box)]
+        return any(group.leaving for group in groups)
+
+    def plain_service(self, name: str) -> Target | None:
+        """Return the plain service called `name`, or None."""
+        target = self.targets.get(name)
+        return target if target is not None and target.kind == "plain_service" else None
+
+
+ROW_TYPES = {
+    "site": Site,
+    "halls": Hall,
+    "models": Model,
+    "teams": Team,
+    "shares": Share,
+    "targets": Target,
+}
--- /dev/null
+++ b/ferrydock/teams/_queue.py
@@ -0,0 +1,130 @@
+"""The short queue of a model on one daemon: strict by priority, fair by weight among teams."""
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+__all__ = ["FairQueue", "Waiting"]
+
+DEFAULT_LENGTH = 256
+
+
+@dataclass(eq=False, slots=True)
+class Waiting:
+    """A request in the queue.
+
+    Attributes
+    ----------
+    team : str
+        Who asks.
+    weight : float
+        The team's weight under contention.
+    cost : float
+        Expected work, such as tokens.
+    priority : int
+        9 goes first.
+    deadline_s : float
+        When waiting any longer is useless.
+    wake : object
+        Whatever the owner needs to go on with it.
+    """
+
+    team: str
+    weight: float
+    cost: float
+    priority: int
+    deadline_s: float
+    wake: object = None
+    virtual_end: float = field(default=0.0, init=False)
+    gone: bool = field(default=False, init=False)
+
+
+class FairQueue:
+    """Weighted fair queueing within each priority.
+
+    Parameters
+    ----------
+    length : int, default=256
+        How many may wait. Beyond it the lowest priority is shed first, the newcomer included.
+
+    Notes
+    -----
+    Start-time fair queueing: each request ends at a virtual time that lies its cost, over its
+    team's weight, behind the team's last one; the earliest end goes first. A team that was idle
+    starts at the present virtual time, so that idling saves nothing up.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> for team in ("a", "a", "b"):
+    ...     _ = queue.push(Waiting(team, 1.0, 1.0, 5, 99.0))
+    >>> [queue.pop(0.0).team for _ in range(3)]
+    ['a', 'b', 'a']
+    """
+
+    __slots__ = ("_heap", "_size", "_team_end", "_ticket", "_virtual", "length")
+
+    def __init__(self, length: int = DEFAULT_LENGTH):
+        self.length = length
+        self._heap: list[tuple[int, float, int, Waiting]] = []
+        self._team_end: dict[str, float] = {}
+        self._ticket = itertools.count()
+        self._virtual = 0.0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def push(self, waiting: Waiting) -> Waiting | None:
+        """Add a request; return the one that is shed for it, which may be itself."""
+        shed = None
+        if self._size >= self.length:
+            shed = self._lowest(waiting)
+            if shed is waiting:
+                return shed
+            self.remove(shed)
+        start = max(self._virtual, self._team_end.get(waiting.team, 0.0))
+        waiting.virtual_end = start + waiting.cost / waiting.weight
+        self._team_end[waiting.team] = waiting.virtual_end
+        entry = (-waiting.priority, waiting.virtual_end, next(self._ticket), waiting)
+        heapq.heappush(self._heap, entry)
+        self._size += 1
+        return shed
+
+    def _lowest(self, newcomer: Waiting) -> Waiting:
+        """Return whom to shed: the lowest priority, and of those the one to be served last."""
+        entries = [entry for entry in self._heap if not entry[3].gone]
+        last = max(entries)[3]
+        return last if last.priority < newcomer.priority else newcomer
+
+    def pop(self, now_s: float) -> Waiting | None:
+        """Return the next request whose deadline has not passed, or None."""
+        while self._heap:
+            waiting = heapq.heappop(self._heap)[3]
+            if waiting.gone:
+                continue
+            waiting.gone = True
+            self._size -= 1
+            self._virtual = max(self._virtual, waiting.virtual_end - waiting.cost / waiting.weight)
+            if waiting.deadline_s >= now_s:
+                return waiting
+        if not self._heap:
+            self._team_end.clear()
+            self._virtual = 0.0
+        return None
+
+    def peek(self) -> Waiting | None:
+        """Return the next request without taking it."""
+        while self._heap and self._heap[0][3].gone:
+            heapq.heappop(self._heap)
+        return self._heap[0][3] if self._heap else None
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out, wherever it stands."""
+        if not waiting.gone:
+            waiting.gone = True
+            self._size -= 1
+
+    def ahead_of(self, priority: int) -> int:
+        """Return how many would be served before a newcomer of this priority."""
+        return sum(1 for e in self._heap if not e[3].gone and e[3].priority >= priority)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,19 @@
+"""Fixtures of the tests over whole programs."""
+
+import pytest
+
+from .processes import Site
+
+
+@pytest.fixture
+def make_site(tmp_path):
+    sites = []
+
+    def make(*halls):
+        site = Site(tmp_path, halls)
+        sites.append(site)
+        return site
+
+    yield make
+    for site in sites:
+        site.end()
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,154 @@
+"""Promises that span processes, over real ones: kill -9, SIGSTOP, SIGTERM. Verdicts wait on
+conditions; the limits only end a run that hangs."""
+
+import json
+import signal
+import threading
+import urllib.error
+import urllib.request
+
+from .processes import TEAM_KEY, cli, fill_table, wait_until
+
+HALLS = ("hall-a", "hall-b", "hall-c")
+
+
+def status(daemon):
+    return json.loads(cli(daemon, "status", "--json").stdout)
+
+
+def serving(daemon):
+    return [r for r in status(daemon)["replicas"] if r["phase"] == "serving" and r["whole"]]
+
+
+def post(daemon, path, body, **headers):
+    """Return status and body of one POST."""
+    request = urllib.request.Request(
+        daemon.url + path,
+        data=json.dumps(body).encode(),
+        headers={"Authorization": f"Bearer {TEAM_KEY}", **headers},
+    )
+    try:
+        with urllib.request.urlopen(request) as response:
+            return response.status, json.loads(response.read())
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read())
+
+
+def fault(site, **fields):
+    request = urllib.request.Request(site.standins.url + "/faults", json.dumps(fields).encode())
+    with urllib.request.urlopen(request) as response:
+        assert json.loads(response.read())["problem"] == ""
+
+
+def chat(text, **fields):
+    return {"model": "draft", "messages": [{"role": "user", "content": text}], **fields}
+
+
+def test_edit_is_in_force_everywhere_and_outlives_kill_of_its_daemon(make_site):
+    site = make_site(*HALLS)
+    daemons = [site.daemon(hall) for hall in HALLS]
+    fill_table(daemons[0], HALLS)
+    wait_until(lambda: serving(daemons[1]), "a replica serves")
+    done = cli(daemons[0], "table", "set", "models", "draft", "priority=8")
+    assert done.returncode == 0, done.stderr
+    daemons[0].kill()
+    for daemon in daemons[1:]:
+        wait_until(
+            lambda d=daemon: cli(d, "table", "get", "models", "draft", "priority").stdout == "8\n",
+            "the accepted edit is in force on the daemons that are left",
+        )
+    code, answer = post(daemons[1], "/v1/chat/completions", chat("the pump is broken"))
+    assert code == 200
+    assert "the pump is broken" in answer["choices"][0]["message"]["content"]
+
+
+def test_replica_with_a_killed_member_gets_nothing_and_becomes_whole_again(make_site):
+    site = make_site("hall-a")
+    daemon = site.daemon("hall-a")
+    fill_table(daemon, ["hall-a"])
+    before = wait_until(lambda: serving(daemon), "a replica serves")[0]
+    fault(site, fault="kill", box=before["boxes"][1])
+    after = wait_until(
+        lambda: [r for r in serving(daemon) if r["generation"] != before["generation"]],
+        "the replica is whole in a new generation",
+    )[0]
+    assert before["boxes"][1] not in after["boxes"]
+    code, answer = post(daemon, "/v1/chat/completions", chat("after the repair"))
+    assert code == 200
+    assert "after the repair" in answer["choices"][0]["message"]["content"]
+
+
+def test_frozen_controller_is_replaced_and_gives_no_order_when_it_wakes(make_site):
+    site = make_site("hall-a")
+    daemons = [site.daemon("hall-a") for _ in range(2)]
+    fill_table(daemons[0], ["hall-a"])
+    wait_until(lambda: serving(daemons[0]) and serving(daemons[1]), "a replica serves")
+    names = {d.ready["name"]: d for d in daemons}
+    first = status(daemons[0])["controller"]
+    frozen, other = names[first], next(d for d in daemons if d is not names[first])
+    frozen.signal(signal.SIGSTOP)
+    wait_until(
+        lambda: status(other)["controller"] == other.ready["name"], "the other takes the hall"
+    )
+    wait_until(lambda: serving(other), "the replica is attested by the other")
+    frozen.signal(signal.SIGCONT)
+    wait_until(
+        lambda: status(frozen)["controller"] == other.ready["name"], "the sleeper learns of it"
+    )
+    wait_until(lambda: "lease_lost" in frozen.log(), "the sleeper notices that its lease is over")
+    assert status(frozen)["controller_mode"] == "follower"
+    assert len(serving(other)) == 1
+
+
+def test_planned_stop_ends_a_stream_whole(make_site):
+    site = make_site("hall-a")
+    daemon = site.daemon("hall-a")
+    fill_table(daemon, ["hall-a"])
+    wait_until(lambda: serving(daemon), "a replica serves")
+    text = "a long grievance " * 20
+    lines = []
+
+    def read_stream():
+        request = urllib.request.Request(
+            daemon.url + "/v1/chat/completions",
+            data=json.dumps(chat(text, stream=True)).encode(),
+            headers={"Authorization": f"Bearer {TEAM_KEY}"},
+        )
+        with urllib.request.urlopen(request) as response:
+            for line in response:
+                lines.append(line)
+
+    reader = threading.Thread(target=read_stream)
+    reader.start()
+    wait_until(lambda: lines, "the stream has begun")
+    daemon.signal(signal.SIGTERM)
+    daemon.signal(signal.SIGTERM)
+    reader.join()
+    assert daemon.popen.wait() == 0
+    assert lines[-2] == b"data: [DONE]\n"
+    tokens = [json.loads(x[6:]) for x in lines if x.startswith(b"data: {")]
+    answer = "".join(t["choices"][0]["delta"].get("content", "") for t in tokens)
+    assert text in answer
+
+
+def test_doubled_filing_over_two_daemons_runs_once(make_site):
+    site = make_site("hall-a", "hall-b")
+    daemons = [site.daemon(hall) for hall in ("hall-a", "hall-b")]
+    fill_table(daemons[0], ["hall-a", "hall-b"])
+    done = cli(
+        daemons[0],
+        "table",
+        "set",
+        "targets",
+        "records",
+        "kind=plain_service",
+        f"urls={site.standins.url}/service",
+    )
+    assert done.returncode == 0, done.stderr
+    wait_until(lambda: all(status(d)["revision"] >= 7 for d in daemons), "both know the service")
+    path = "/v1/services/records/records"
+    answers = [post(d, path, {"grade": 5}, **{"Idempotency-Key": "pupil-7"}) for d in daemons * 2]
+    assert [code for code, _ in answers] == [201] * 4
+    assert len({json.dumps(body) for _, body in answers}) == 1
+    with urllib.request.urlopen(site.standins.url + "/counts") as response:
+        assert json.loads(response.read())["executions"] == {"pupil-7": 1}
