--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -60,11 +60,11 @@
         self.address = ""
         self._guard: ConnectionGuard | None = None
         self._server: asyncio.Server | None = None
-        self._app = web.Application(
-            client_max_size=LARGEST_BODY_BYTES, middlewares=[self._middleware()]
-        )
-        self._app.add_routes(routes)
-        self._app.add_routes([web.get("/healthz", self._healthz), web.get("/readyz", self._readyz)])
+        self._app = web.Application(client_max_size=LARGEST_BODY_BYTES)
+        health = [web.get("/healthz", self._healthz), web.get("/readyz", self._readyz)]
+        anything_else = web.route("*", "/{path:.*}", self._no_such_path)
+        for route in (*routes, *health, anything_else):
+            self._app.router.add_route(route.method, route.path, self._bounded(route.handler))
         self._runner = web.AppRunner(
             self._app,
             access_log=None,
@@ -118,11 +118,14 @@
             self._server.close()
         await self._runner.cleanup()
 
-    def _middleware(self):
-        @web.middleware
-        async def handle(request: web.Request, handler) -> web.StreamResponse:
-            if self._guard is not None:
-                self._guard.note(request.protocol)
+    def _bounded(self, handler):
+        """Return `handler` with its requests counted and its errors answered in JSON.
+
+        A wrapper costs less for each request than aiohttp's middlewares do.
+        """
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            self._guard.note(request.protocol)
             self.in_flight += 1
             try:
                 response = await handler(request)
@@ -133,8 +136,6 @@
                 return error_response(413, "body_too_large", "the body is larger than allowed")
             except web.HTTPException as error:
                 return error_response(error.status, "bad_request", error.reason)
-            except AssertionError:
-                raise
             except (ValueError, UnicodeError) as error:
                 log_event(_LOG, logging.WARNING, "bad_request", why=error, path=request.path)
                 return error_response(400, "bad_request", "the request cannot be read")
@@ -143,6 +144,10 @@
 
         return handle
 
+    async def _no_such_path(self, request: web.Request) -> web.Response:
+        message = f"there is no {request.method} {request.path}"
+        return error_response(404, "no_such_path", message)
+
     async def _healthz(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
--- a/ferrydock/gateway/_models.py
+++ b/ferrydock/gateway/_models.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-import uuid
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -31,7 +31,7 @@
     prompt_blocks,
 )
 from ..table import Share
-from ..teams import Admission, LimitBook, Neighbourhood
+from ..teams import Admission, LimitBook
 from ._callers import Callers
 from ._errors import error_body, error_response, invalid_response, not_run_response
 from ._spill import HOP_HEADER, Spill
@@ -67,8 +67,6 @@
         Counts and measures.
     clock : Clock
         For deadlines.
-    around : callable
-        Returns what is known of the demand elsewhere.
     body_timeout_s : float
         How long a caller may take to send a body.
     unfinished : int
@@ -83,7 +81,6 @@
     claims: ClaimBook
     recorder: Recorder
     clock: Clock
-    around: Callable[[], Neighbourhood]
     body_timeout_s: float
     unfinished: int = 0
 
@@ -113,10 +110,8 @@
         team = self.callers.team(request)
         if team is None:
             return _unauthorised()
-        try:
-            async with asyncio.timeout(self.body_timeout_s):
-                raw = await request.read()
-        except TimeoutError:
+        raw = await read_body(request, self.body_timeout_s)
+        if raw is None:
             return error_response(408, "body_too_slow", "the body did not come in time")
         wanted = self._parse(request, team, raw)
         if isinstance(wanted, Invalid):
@@ -128,9 +123,7 @@
             status, code = (403, "no_share") if known else (404, "no_such_model")
             return error_response(status, code, f"team {team} has no share of {wanted.model}")
         wanted.priority = share.priority
-        admission = self.limits.admit(
-            share, self.clock.now_s(), self.around(), len(view.halls) or 1
-        )
+        admission = self.limits.admit(share, self.clock.now_s())
         if isinstance(admission, NotRun):
             self.recorder.refused(wanted, admission.reason)
             return not_run_response(admission)
@@ -145,7 +138,7 @@
         key = headers.get("Idempotency-Key", "")
         marked = headers.get("X-Not-Repeatable", "").lower() in ("1", "true", "yes")
         return ModelRequest(
-            request_id=uuid.uuid4().hex,
+            request_id=os.urandom(16).hex(),
             team=team,
             model=fields["model"],
             path=request.path,
@@ -163,16 +156,16 @@
     async def _serve(
         self, request: web.Request, wanted: ModelRequest, share: Share, admission: Admission
     ) -> web.StreamResponse:
-        """Run an admitted request, here or in another hall."""
+        """Run an admitted request, here or in another hall.
+
+        What may not be repeated goes on when its caller leaves, so that its end is recorded.
+        """
+        if wanted.repeatable:
+            return await self._serve_admitted(request, wanted, share, admission)
         work = asyncio.get_running_loop().create_task(
             self._serve_admitted(request, wanted, share, admission)
         )
-        try:
-            return await asyncio.shield(work)
-        except asyncio.CancelledError:
-            if wanted.repeatable:
-                work.cancel()
-            raise
+        return await asyncio.shield(work)
 
     async def _serve_admitted(
         self, request: web.Request, wanted: ModelRequest, share: Share, admission: Admission
@@ -189,7 +182,9 @@
             self.limits.release(admission)
 
     def _should_spill(self, wanted: ModelRequest) -> bool:
-        if wanted.hops >= MOST_HOPS or self.dispatcher.gate.has_room(wanted.model):
+        if wanted.hops >= MOST_HOPS or not self.state.halls:
+            return False
+        if self.dispatcher.gate.has_room(wanted.model):
             return False
         return bool(self.spill.halls_with_room(wanted.model))
 
@@ -212,7 +207,7 @@
             return caller.response
         if claim is not None:
             await self._end_claim(claim, outcome, caller)
-        self.recorder.ended(wanted, outcome, caller, started_s, self.clock.now_s())
+        self.recorder.ended(wanted, outcome, caller.first_s, started_s, self.clock.now_s())
         return await self._answer(wanted, outcome, caller)
 
     async def _end_claim(self, claim: Claim, outcome, caller: "StreamCaller") -> None:
@@ -273,39 +268,30 @@
 
     __slots__ = (
         "_kept",
-        "_last_s",
         "_request",
         "_wanted",
         "clock",
-        "events",
         "first_s",
         "left",
+        "on_first",
         "response",
-        "slowest_gap_s",
     )
 
     def __init__(self, request: web.Request, wanted: ModelRequest, clock: Clock):
         self._request = request
         self._wanted = wanted
         self._kept: list[bytes] | None = [] if wanted.key else None
-        self._last_s = 0.0
         self.clock = clock
-        self.events = 0
         self.first_s: float | None = None
         self.left = False
+        self.on_first: Callable[[], None] | None = None
         self.response: web.StreamResponse | None = None
-        self.slowest_gap_s = 0.0
 
     @property
     def begun(self) -> bool:
         """Whether the caller has the headers of a stream."""
         return self.response is not None
 
-    @property
-    def last_s(self) -> float:
-        """When the last events went out."""
-        return self._last_s
-
     async def begin(self) -> None:
         """Send the headers of a stream, once."""
         if self.response is not None:
@@ -324,13 +310,8 @@
 
     async def write(self, events: bytes) -> None:
         """Send whole events."""
-        now_s = self.clock.now_s()
-        if self.first_s is None:
-            self.first_s = now_s
-        elif now_s - self._last_s > self.slowest_gap_s:
-            self.slowest_gap_s = now_s - self._last_s
-        self._last_s = now_s
-        self.events += 1
+        if self.on_first is not None:
+            self._note_first()
         if self._kept is not None:
             self._kept.append(events)
         if self.left:
@@ -340,6 +321,12 @@
         except ConnectionError:
             self._lost()
 
+    def _note_first(self) -> None:
+        on_first, self.on_first = self.on_first, None
+        on_first()
+        if self.first_s is None:
+            self.first_s = self.clock.now_s()
+
     def _lost(self) -> None:
         """The caller is gone. What must run at most once goes on, so that its end is recorded."""
         self.left = True
@@ -358,7 +345,7 @@
 
     async def fail(self, outcome: NotRun | GaveUp) -> web.StreamResponse:
         """End a stream that cannot be completed with an event that says so."""
-        run = Run.UNKNOWN if self.events else outcome.run
+        run = Run.UNKNOWN if self.first_s is not None else outcome.run
         error = error_body("stream_broken", outcome.reason, run, self._wanted.repeatable)
         if not self.left:
             await self.response.write(error_event(error))
@@ -366,6 +353,17 @@
         return self.response
 
 
+async def read_body(request: web.Request, timeout_s: float) -> bytes | None:
+    """Return the body, or None if it does not come in time."""
+    if request.content.is_eof():
+        return await request.read()
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await request.read()
+    except TimeoutError:
+        return None
+
+
 def claim_response(found) -> web.Response:
     """Return the answer to a request whose key has been used before."""
     if isinstance(found, ClaimUnwritten):
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -14,7 +14,7 @@
 from ..table import TableKeeper, Target
 from ._callers import Callers
 from ._errors import error_response, not_run_response
-from ._models import claim_response
+from ._models import claim_response, read_body
 
 __all__ = ["ServiceRoutes"]
 
@@ -94,10 +94,8 @@
             return error_response(404, "no_such_service", f"there is no service {name}")
         if target.leaving:
             return not_run_response(NotRun("leaving", f"{name} is leaving", 5.0))
-        try:
-            async with asyncio.timeout(self.body_timeout_s):
-                body = await request.read()
-        except TimeoutError:
+        body = await read_body(request, self.body_timeout_s)
+        if body is None:
             return error_response(408, "body_too_slow", "the body did not come in time")
         work = asyncio.get_running_loop().create_task(self._run(request, team, target, body))
         self.unfinished += 1
@@ -196,7 +194,9 @@
         """Send one call; return the whole answer, ``not_sent`` or ``lost_contact``."""
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
         headers = {n: request.headers[n] for n in _PASSED_ON if n in request.headers}
         headers["X-Request-Id"] = request_id
         timeout = aiohttp.ClientTimeout(total=target.timeout_s, sock_connect=CONNECT_TIMEOUT_S)
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -78,7 +78,9 @@
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
             connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+            self._session = aiohttp.ClientSession(
+                timeout=timeout, connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
         headers = {
             name: request.headers[name]
             for name in ("Authorization", "Content-Type", "Idempotency-Key", "X-Not-Repeatable")
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -161,7 +161,6 @@
             claims=self.claims,
             recorder=self.recorder,
             clock=clock,
-            around=self.neighbourhood,
             body_timeout_s=settings.body_timeout_s,
         )
         self.services = ServiceRoutes(
--- a/ferrydock/reports/_recorder.py
+++ b/ferrydock/reports/_recorder.py
@@ -34,7 +34,7 @@
         self.clock = clock
         self.burn = BurnBook(clock.wall_s())
 
-    def ended(self, wanted, outcome, caller, started_s: float, now_s: float) -> None:
+    def ended(self, wanted, outcome, first_s: float | None, started_s: float, now_s: float) -> None:
         """Note a request that was run, or could not be.
 
         Parameters
@@ -43,13 +43,15 @@
             What was asked.
         outcome : Ended or NotRun or GaveUp
             What became of it.
-        caller : StreamCaller
-            Timed the stream.
+        first_s : float or None
+            When the first event of a stream went to the caller.
         started_s, now_s : float
             When it was accepted, and when it ended.
         """
-        whole = hasattr(outcome, "answer")
-        sample = Sample(whole, *_times_ms(caller, started_s))
+        answer = getattr(outcome, "answer", None)
+        whole = answer is not None
+        events = getattr(answer, "events", 0)
+        sample = _sample(whole, events, first_s, started_s, now_s)
         self.burn.add(wanted.team, wanted.model, sample, self.clock.wall_s())
         word = "whole" if whole else outcome.run.value
         self.count(f"requests.{wanted.model}.{word}")
@@ -81,11 +83,13 @@
             self.metrics.timing(name, value_ms)
 
 
-def _times_ms(caller, started_s: float) -> tuple[float | None, float | None]:
-    """Return time to the first token and mean time between tokens of a stream."""
-    if caller.first_s is None:
-        return None, None
-    first_ms = (caller.first_s - started_s) * 1000
-    if caller.events < 2:
-        return first_ms, None
-    return first_ms, (caller.last_s - caller.first_s) * 1000 / (caller.events - 1)
+def _sample(
+    whole: bool, events: int, first_s: float | None, started_s: float, now_s: float
+) -> Sample:
+    """Return the answer as the burn report counts it."""
+    if first_s is None:
+        return Sample(whole)
+    first_ms = (first_s - started_s) * 1000
+    if events < 2:
+        return Sample(whole, first_ms)
+    return Sample(whole, first_ms, (now_s - first_s) * 1000 / (events - 1))
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at a request with one engine: send, relay, and say truly how it ended."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -23,7 +24,7 @@
 ]
 
 CONNECT_TIMEOUT_S = 1.0
-LARGEST_ANSWER_BYTES = 64 * 2**20
+_NOT_SENT = ("User-Agent", "Accept", "Accept-Encoding")
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,15 @@
 
 
 class Caller(Protocol):
-    """The side towards the caller of a stream."""
+    """The side towards the caller of a stream.
+
+    Attributes
+    ----------
+    on_first : callable or None
+        Called when the first event of an attempt passes.
+    """
+
+    on_first: Callable[[], None] | None
 
     async def begin(self) -> None:
         """Send the headers of a stream, once."""
@@ -82,24 +91,33 @@
     `Broken` with that reason.
     """
 
-    __slots__ = ("_response", "reason", "replica")
+    __slots__ = ("_task", "reason", "replica")
 
     def __init__(self, replica: Replica):
         self.replica = replica
         self.reason = ""
-        self._response: aiohttp.ClientResponse | asyncio.Task | None = None
+        self._task: asyncio.Task | None = None
 
-    def bind(self, waiting) -> None:
-        """Name what `abandon` shall end."""
-        self._response = waiting
+    def begin(self) -> None:
+        """Name the running task as the one that `abandon` interrupts."""
+        self._task = asyncio.current_task()
+
+    def end(self) -> None:
+        """Let `abandon` do nothing from now on."""
+        self._task = None
 
     def abandon(self, reason: str) -> None:
         """End the attempt."""
-        self.reason = reason
-        if isinstance(self._response, asyncio.Task):
-            self._response.cancel()
-        elif self._response is not None:
-            self._response.close()
+        if self._task is not None and not self.reason:
+            self.reason = reason
+            self._task.cancel()
+
+    def was_abandoned(self) -> bool:
+        """Return whether a cancellation came from `abandon`; it is then taken back."""
+        if not self.reason or self._task is None:
+            return False
+        self._task.uncancel()
+        return True
 
 
 class EngineClient:
@@ -108,7 +126,8 @@
     Notes
     -----
     Requests that are not repeatable go over connections of their own: a kept connection that the
-    engine has just closed would leave it open whether the request arrived.
+    engine has just closed would leave it open whether the request arrived. No cookie is kept:
+    it could carry something from one caller to another.
     """
 
     __slots__ = ("_fresh", "_kept")
@@ -122,12 +141,16 @@
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
             self._kept = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=20),
+                cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=timeout,
+                skip_auto_headers=_NOT_SENT,
                 auto_decompress=False,
             )
             self._fresh = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=timeout,
+                skip_auto_headers=_NOT_SENT,
                 auto_decompress=False,
             )
         return self._kept if repeatable else self._fresh
@@ -168,24 +191,29 @@
         url = attempt.replica.head.url + request.path
         session = self._session(request.repeatable)
         data = request.body if body is None else body
-        posting = asyncio.ensure_future(session.post(url, data=data, headers=headers))
-        attempt.bind(posting)
+        attempt.begin()
         try:
-            response = await posting
+            return await self._exchange(session, url, data, headers, request, relay, caller)
         except asyncio.CancelledError:
-            if attempt.reason:
-                return Broken(attempt.reason)
-            posting.cancel()
-            raise
+            if not attempt.was_abandoned():
+                raise
+            relay.drop_rest()
+            return Broken(attempt.reason)
+        finally:
+            attempt.end()
+
+    async def _exchange(self, session, url, data, headers, request, relay, caller):
+        """Send, and take the answer in whatever form it comes."""
+        try:
+            response = await session.post(url, data=data, headers=headers)
         except aiohttp.ClientConnectorError:
             return Refused("the engine cannot be reached", stale=False, connected=False)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Broken(f"no answer from the engine: {type(error).__name__}")
-        attempt.bind(response)
         try:
             if response.status == 200 and request.stream:
-                return await self._relay(response, relay, caller, attempt)
-            return await self._whole(response, attempt)
+                return await self._relay(response, relay, caller)
+            return await self._whole(response)
         finally:
             response.close()
 
@@ -205,7 +233,7 @@
             headers["Idempotency-Key"] = request.key
         return headers
 
-    async def _relay(self, response, relay: EventRelay, caller: Caller, attempt: Attempt):
+    async def _relay(self, response, relay: EventRelay, caller: Caller) -> Streamed | Broken:
         """Pass whole events on until the terminal marker."""
         await caller.begin()
         feed = relay.feed
@@ -216,18 +244,18 @@
                     await caller.write(ready)
         except (aiohttp.ClientError, TimeoutError) as error:
             relay.drop_rest()
-            return Broken(attempt.reason or f"the stream broke: {type(error).__name__}")
+            return Broken(f"the stream broke: {type(error).__name__}")
         relay.drop_rest()
         if relay.whole:
             response.release()
             return Streamed(relay.events)
-        return Broken(attempt.reason or "the stream ended without its terminal marker")
+        return Broken("the stream ended without its terminal marker")
 
-    async def _whole(self, response, attempt: Attempt) -> Answered | Refused | Broken:
+    async def _whole(self, response) -> Answered | Refused | Broken:
         try:
             body = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return Broken(attempt.reason or f"the answer broke: {type(error).__name__}")
+            return Broken(f"the answer broke: {type(error).__name__}")
         response.release()
         if response.status in (404, 409, 429, 503):
             refusal = _refusal(response.status, body)
--- a/ferrydock/requests/_dispatcher.py
+++ b/ferrydock/requests/_dispatcher.py
@@ -262,17 +262,17 @@
         self.attempts += 1
         self.replica = chosen.replica
         flight = dispatcher.book.sent(chosen.replica, self.request.blocks, dispatcher.clock.now_s())
-        caller = _TimedCaller(self.caller, self.life, dispatcher, flight)
+        self.caller.on_first = lambda: self._first_event(flight)
         try:
             self.life.dispatch()
-            outcome = await self._send(chosen.replica, caller, resume=False)
+            outcome = await self._send(chosen.replica, resume=False)
             for _ in range(RESUMES):
                 if not isinstance(outcome, Broken) or not self.request.stream:
                     break
                 if not dispatcher.state.book.whole(chosen.replica, dispatcher.clock.now_s()):
                     break
                 self.life.resume()
-                resumed = await self._send(chosen.replica, caller, resume=True)
+                resumed = await self._send(chosen.replica, resume=True)
                 if isinstance(resumed, Refused):
                     break
                 outcome = resumed
@@ -281,7 +281,11 @@
             dispatcher.book.ended(flight)
             dispatcher.gate.wake(self.request.model)
 
-    async def _send(self, replica: Replica, caller, resume: bool):
+    def _first_event(self, flight: Flight) -> None:
+        self.life.first_byte()
+        self.dispatcher.book.first_token(flight, self.dispatcher.clock.now_s())
+
+    async def _send(self, replica: Replica, resume: bool):
         dispatcher = self.dispatcher
         attempt = Attempt(replica)
         patience_s = BROKEN_AFTER_S if self.request.repeatable else PATIENCE_S
@@ -289,7 +293,7 @@
         body = None if resume else self.body
         try:
             return await dispatcher.client.send(
-                self.request, attempt, self.relay, caller, resume, body
+                self.request, attempt, self.relay, self.caller, resume, body
             )
         finally:
             dispatcher.unwatch(watched)
@@ -340,31 +344,3 @@
         """Free the engine's slot: the caller has left."""
         if self.replica is not None:
             self.dispatcher.cancel_later(self.replica, self.request.request_id)
-
-
-class _TimedCaller:
-    """Passes events on and notes when the first one came."""
-
-    __slots__ = ("_caller", "_dispatcher", "_flight", "_life", "_started")
-
-    def __init__(self, caller: Caller, life: RequestLife, dispatcher: Dispatcher, flight: Flight):
-        self._caller = caller
-        self._life = life
-        self._dispatcher = dispatcher
-        self._flight = flight
-        self._started = False
-
-    async def begin(self) -> None:
-        await self._caller.begin()
-
-    @property
-    def write(self):
-        """The caller's own `write` once the first event has passed."""
-        return self._caller.write if self._started else self._first_write
-
-    async def _first_write(self, events: bytes) -> None:
-        if not self._started:
-            self._started = True
-            self._life.first_byte()
-            self._dispatcher.book.first_token(self._flight, self._dispatcher.clock.now_s())
-        await self._caller.write(events)
--- a/ferrydock/requests/_events.py
+++ b/ferrydock/requests/_events.py
@@ -8,6 +8,7 @@
 DONE = b"data: [DONE]\n\n"
 DATA = b"data: "
 KEPT_BYTES = 1 << 20
+RECENT_PIECES = 256
 
 
 class EventRelay:
@@ -27,41 +28,56 @@
     (b'data: 2\\n\\ndata: [DONE]\\n\\n', 3, True)
     """
 
-    __slots__ = ("_kept", "_kept_bytes", "_rest", "_run_start", "events", "keep", "whole")
+    __slots__ = ("_counted", "_kept", "_recent", "_rest", "_run_start", "keep", "whole")
 
     def __init__(self, keep: bool):
         self.keep = keep
-        self.events = 0
         self.whole = False
-        self._run_start = 0
+        self._counted = 0
+        self._kept = b""
+        self._recent: list[bytes] = []
         self._rest = b""
-        self._kept: list[bytes] = []
-        self._kept_bytes = 0
+        self._run_start = 0
 
     def feed(self, piece: bytes) -> bytes:
         """Take bytes and return those that complete events."""
-        data = self._rest + piece if self._rest else piece
-        cut = data.rfind(END_OF_EVENT) + len(END_OF_EVENT)
-        if cut < len(END_OF_EVENT):
+        if self._rest or not piece.endswith(END_OF_EVENT):
+            piece = self._cut(piece)
+            if not piece:
+                return piece
+        self._recent.append(piece)
+        if len(self._recent) >= RECENT_PIECES:
+            self._fold()
+        if piece.endswith(DONE):
+            self.whole = True
+        return piece
+
+    def _cut(self, piece: bytes) -> bytes:
+        """Return what completes events, and hold the rest back."""
+        data = self._rest + piece
+        cut = data.rfind(END_OF_EVENT)
+        if cut < 0:
             self._rest = data
             return b""
-        ready = data
-        self._rest = b""
-        if cut < len(data):
-            ready, self._rest = data[:cut], data[cut:]
-        self.events += ready.count(END_OF_EVENT)
-        self.whole = ready.endswith(DONE)
+        cut += len(END_OF_EVENT)
+        self._rest = data[cut:]
+        return data[:cut]
+
+    def _fold(self) -> None:
+        """Count the recent pieces, and keep their bytes if wanted. Not done for each piece: it
+        is needed only where a stream breaks."""
+        recent = b"".join(self._recent)
+        self._recent.clear()
+        self._counted += recent.count(END_OF_EVENT)
         if self.keep:
-            self._keep(ready)
-        return ready
+            self._kept += recent
+            self.keep = len(self._kept) <= KEPT_BYTES
 
-    def _keep(self, ready: bytes) -> None:
-        self._kept_bytes += len(ready)
-        if self._kept_bytes > KEPT_BYTES:
-            self.keep = False
-            self._kept.clear()
-        else:
-            self._kept.append(ready)
+    @property
+    def events(self) -> int:
+        """How many events were relayed."""
+        self._fold()
+        return self._counted
 
     @property
     def events_of_run(self) -> int:
@@ -78,7 +94,8 @@
 
     def relayed(self) -> bytes | None:
         """Return all that was relayed, or None if it was too much to keep."""
-        return b"".join(self._kept) if self.keep else None
+        self._fold()
+        return self._kept if self.keep else None
 
 
 def text_so_far(relayed: bytes) -> str:
--- a/ferrydock/routing/_book.py
+++ b/ferrydock/routing/_book.py
@@ -49,24 +49,32 @@
         Only attested replicas are candidates.
     """
 
-    __slots__ = ("_memories", "attestations")
+    __slots__ = ("_memories", "_placement", "_serving", "_view", "attestations")
 
     def __init__(self, attestations: AttestationBook):
         self.attestations = attestations
         self._memories: dict[str, _Memory] = {}
+        self._placement: HallPlacement | None = None
+        self._view: TableView | None = None
+        self._serving: dict[str, list[Replica]] = {}
 
     def serving(
         self, placement: HallPlacement, view: TableView, model: str, now_s: float
     ) -> list[Replica]:
         """Return the replicas of `model` that may get work: serving, attested, none leaving."""
-        return [
-            replica
-            for replica in placement.replicas.values()
-            if replica.model == model
-            and replica.phase is ReplicaPhase.SERVING
-            and self.attestations.whole(replica, now_s)
-            and not any(view.box_leaving(box) for box in replica.boxes)
-        ]
+        if placement is not self._placement or view is not self._view:
+            self._note_serving(placement, view)
+        attested = self.attestations.whole
+        return [r for r in self._serving.get(model, ()) if attested(r, now_s)]
+
+    def _note_serving(self, placement: HallPlacement, view: TableView) -> None:
+        """Keep, for one record and one table, the replicas that would get work if attested."""
+        self._placement, self._view = placement, view
+        self._serving = {}
+        for replica in placement.replicas.values():
+            leaving = any(view.box_leaving(box) for box in replica.boxes)
+            if replica.phase is ReplicaPhase.SERVING and not leaving:
+                self._serving.setdefault(replica.model, []).append(replica)
 
     def candidates(
         self, replicas: Iterable[Replica], blocks: tuple[int, ...], now_s: float
--- a/ferrydock/standins/_etcd.py
+++ b/ferrydock/standins/_etcd.py
@@ -120,14 +120,21 @@
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         await response.prepare(request)
         await _write_line(response, {"header": self._header(), "created": True})
-        async for batch in self.store.watch(_text(body["key"]), first):
+        try:
+            await self._send_events(request, response, _text(body["key"]), first)
+        except ConnectionError:
+            return response
+        return _cut(request)
+
+    async def _send_events(self, request, response, prefix: str, first: int) -> None:
+        """Send what happens below `prefix`, until an outage."""
+        async for batch in self.store.watch(prefix, first):
             if self.faults.down:
-                return _cut(request)
+                return
             if self.faults.silent_watches:
                 continue
             events = [_event(key, value, batch.revision) for key, value in batch.changes]
             await _write_line(response, {"header": self._header(), "events": events})
-        return response
 
 
 async def _write_line(response: web.StreamResponse, result: dict) -> None:
--- a/ferrydock/standins/_link.py
+++ b/ferrydock/standins/_link.py
@@ -5,6 +5,7 @@
 __all__ = ["Link"]
 
 _PIECE_BYTES = 65536
+_CLOSED = (OSError, RuntimeError)  # uvloop raises RuntimeError on a transport that was aborted
 
 
 class Link:
@@ -65,7 +66,7 @@
             far_reader, far_writer = await asyncio.open_connection(self.host, self.port)
             self._writers.add(far_writer)
             await asyncio.gather(self._pass(reader, far_writer), self._pass(far_reader, writer))
-        except (OSError, asyncio.CancelledError):
+        except (*_CLOSED, asyncio.CancelledError):
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
@@ -79,7 +80,7 @@
                 writer.write(piece)
                 await writer.drain()
             writer.close()
-        except OSError:
+        except _CLOSED:
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
--- a/ferrydock/teams/_limits.py
+++ b/ferrydock/teams/_limits.py
@@ -59,19 +59,15 @@
 class LimitBook:
     """Admits requests under this daemon's part of each limit."""
 
-    __slots__ = ("_uses",)
+    __slots__ = ("_even", "_uses")
 
     def __init__(self):
         self._uses: dict[str, _Use] = {}
+        self._even = 1.0
 
-    def admit(self, share: Share, now_s: float, around: Neighbourhood, halls: int):
-        """Let a request in, or say when to come back.
-
-        Returns
-        -------
-        Admission or NotRun
-        """
-        use = self._use(share, now_s, around, halls)
+    def admit(self, share: Share, now_s: float) -> Admission | NotRun:
+        """Let a request in, or say when to come back."""
+        use = self._uses.get(share.name) or self._begin(share, now_s)
         use.arrivals += 1
         if use.in_flight >= self._concurrency(share, use):
             return NotRun("concurrency_limit", f"{share.name}: too many at a time", 1.0, 429)
@@ -93,17 +89,16 @@
             return 0
         return max(1, int(share.concurrency * use.used_part + 1e-6))
 
-    def _use(self, share: Share, now_s: float, around: Neighbourhood, halls: int) -> _Use:
-        use = self._uses.get(share.name)
-        if use is None:
-            even = 1.0 / max(1, halls) / max(1, around.live)
-            bucket = TokenBucket(share.requests_per_s * even, _burst(share, even), now_s)
-            use = _Use(bucket, DelayedPart(even, now_s), even, arrivals_s=now_s)
-            self._uses[share.name] = use
+    def _begin(self, share: Share, now_s: float) -> _Use:
+        """Start with an even part of a limit that was not used here before."""
+        bucket = TokenBucket(share.requests_per_s * self._even, _burst(share, self._even), now_s)
+        use = _Use(bucket, DelayedPart(self._even, now_s), self._even, arrivals_s=now_s)
+        self._uses[share.name] = use
         return use
 
     def update(self, view: TableView, now_s: float, around: Neighbourhood, halls: int) -> None:
         """Compute the parts anew; called every half second or so, and after each edit."""
+        self._even = 1.0 / max(1, halls) / max(1, around.live)
         for name in self._uses.keys() - view.shares.keys():
             if self._uses[name].in_flight == 0:
                 del self._uses[name]
