--- a/ferrydock/platform/_memory.py
+++ b/ferrydock/platform/_memory.py
@@ -101,12 +101,13 @@
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
         seen = from_revision - 1
         while True:
+            changed = self._changed  # taken first: a change during a yield must not be missed
             for batch in self._batches_after(seen):
                 seen = batch.revision
                 wanted = tuple(c for c in batch.changes if c[0].startswith(prefix))
                 if wanted:
                     yield WatchBatch(batch.revision, wanted)
-            await self._changed.wait()
+            await changed.wait()
 
     async def close(self) -> None:
         return None
--- /dev/null
+++ b/ferrydock/standins/_local.py
@@ -0,0 +1,194 @@
+"""Stand-ins reached by calls instead of HTTP: for focused tests and replays in one process."""
+
+from collections.abc import AsyncIterator
+
+from ..engines import (
+    BoxState,
+    CacheEvents,
+    Order,
+    OrderAccepted,
+    OrderRefused,
+)
+from ..outcomes import Unavailable, Unknown
+from ..platform import (
+    Box,
+    LeaseGranted,
+    LeaseLost,
+    MemoryStore,
+    RangeDone,
+    Txn,
+    TxnDone,
+    WatchBatch,
+)
+from ._engine import StandInFleet
+
+__all__ = ["FaultyStore", "LocalBoxList", "LocalControl"]
+
+
+class LocalControl:
+    """Control side of a `StandInFleet`, where a box's address is its name.
+
+    Parameters
+    ----------
+    fleet : StandInFleet
+        The boxes.
+
+    Attributes
+    ----------
+    unreachable : set of str
+        Boxes that this control cannot reach.
+    hold_orders : bool
+        Whether orders are kept back in `held`, to arrive late.
+    """
+
+    def __init__(self, fleet: StandInFleet):
+        self.fleet = fleet
+        self.unreachable: set[str] = set()
+        self.hold_orders = False
+        self.held: list[tuple[str, Order]] = []
+        self.cancelled: list[str] = []
+
+    def _box(self, url: str):
+        box = self.fleet.boxes.get(url)
+        gone = box is None or not box.alive or not box.running_gate.is_set()
+        return None if gone or url in self.unreachable else box
+
+    async def state(self, url: str) -> BoxState | Unavailable:
+        box = self._box(url)
+        return Unavailable("no answer") if box is None else box.state()
+
+    async def send(
+        self, url: str, order: Order
+    ) -> OrderAccepted | OrderRefused | Unavailable | Unknown:
+        if self.hold_orders:
+            self.held.append((url, order))
+            return Unknown("no answer yet")
+        box = self._box(url)
+        return Unavailable("no answer") if box is None else box.obey(order)
+
+    def deliver_held(self) -> None:
+        """Let the orders that were kept back arrive now."""
+        held, self.held = self.held, []
+        for url, order in held:
+            box = self._box(url)
+            if box is not None:
+                box.obey(order)
+
+    async def cache_events(self, url: str, after: int) -> CacheEvents | Unavailable:
+        box = self._box(url)
+        if box is None:
+            return Unavailable("no answer")
+        return CacheEvents(box.incarnation, box.published_events(after))
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        self.cancelled.append(request_id)
+        box = self._box(url)
+        if box is not None:
+            box.cancel(request_id)
+
+    async def close(self) -> None:
+        return None
+
+
+class LocalBoxList:
+    """The box list of a `StandInFleet`, with a lag that is moved by hand.
+
+    Attributes
+    ----------
+    down : bool
+        Whether it cannot be read.
+    leaving, delisted : set of str
+        Boxes that it marks, or does not name.
+    """
+
+    def __init__(self, fleet: StandInFleet):
+        self.fleet = fleet
+        self.down = False
+        self.leaving: set[str] = set()
+        self.delisted: set[str] = set()
+
+    async def fetch(self, hall: str) -> tuple[Box, ...] | Unavailable:
+        if self.down:
+            return Unavailable("the box list is down")
+        return tuple(
+            Box(box.name, hall, box.fabric_domain, box.name, 8, box.name in self.leaving)
+            for box in self.fleet.boxes.values()
+            if box.hall == hall and box.name not in self.delisted
+        )
+
+    async def close(self) -> None:
+        return None
+
+
+class FaultyStore:
+    """One client's way to a `MemoryStore`, which can be cut or lose answers.
+
+    Parameters
+    ----------
+    store : MemoryStore
+        The store itself, shared by all clients.
+
+    Attributes
+    ----------
+    down : bool
+        Whether nothing gets through.
+    lose_answers : int
+        So many of the next writes take effect while their answer is lost.
+    lose_writes : int
+        So many of the next writes are lost on their way, which the writer cannot tell apart.
+    late : list of Txn
+        Writes that were lost on their way and may still arrive: see `deliver_late`.
+    calls : int
+        Calls that were made.
+    """
+
+    def __init__(self, store: MemoryStore):
+        self.store = store
+        self.down = False
+        self.lose_answers = 0
+        self.lose_writes = 0
+        self.late: list[Txn] = []
+        self.calls = 0
+
+    async def range(self, key: str, range_end: str = "") -> RangeDone | Unavailable:
+        self.calls += 1
+        return Unavailable("down") if self.down else await self.store.range(key, range_end)
+
+    async def transact(self, txn: Txn) -> TxnDone | Unavailable | Unknown:
+        self.calls += 1
+        if self.down:
+            return Unavailable("down")
+        if self.lose_writes > 0:
+            self.lose_writes -= 1
+            self.late.append(txn)
+            return Unknown("lost on its way")
+        done = await self.store.transact(txn)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Unknown("the answer was lost")
+        return done
+
+    async def deliver_late(self) -> None:
+        """Let the writes that were lost on their way arrive after all."""
+        late, self.late = self.late, []
+        for txn in late:
+            await self.store.transact(txn)
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
+        self.calls += 1
+        return Unavailable("down") if self.down else await self.store.grant_lease(ttl_s)
+
+    async def keep_lease(self, lease_id: int) -> LeaseGranted | LeaseLost | Unavailable:
+        self.calls += 1
+        return Unavailable("down") if self.down else await self.store.keep_lease(lease_id)
+
+    async def revoke_lease(self, lease_id: int) -> LeaseLost | Unavailable:
+        self.calls += 1
+        return Unavailable("down") if self.down else await self.store.revoke_lease(lease_id)
+
+    def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+        self.calls += 1
+        return self.store.watch(prefix, from_revision)
+
+    async def close(self) -> None:
+        return None
