Test requests, claims and a whole gateway; mend what the tests found

Cause: no proof yet for whole answers, 'not run', and at most once.

Found: RequestLife.finish marked a request as run before it checked that it could end, and take_back was possible without a dispatch (both by hypothesis); a repeatable stream whose replica died gave up after the queue's two seconds although the replica is whole again in four.

Change: both transitions are checked first; a caller who has half an answer waits up to 30 s for a replica to go on with it.

--- /dev/null
+++ b/ferrydock/gateway/tests/test_gateway.py
@@ -0,0 +1,391 @@
+"""A whole daemon over stand-ins in one process: callers, failures in the middle, bad input."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import openai
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...clock import SystemClock
+from ...demo import DemoSite, stream_text, until, whole_replicas, whole_text
+from ...demo_keys import DEMO_OPERATOR_KEY, DEMO_TEAM_KEY
+
+TEAM = {"Authorization": f"Bearer {DEMO_TEAM_KEY}"}
+OPERATOR = {"Authorization": f"Bearer {DEMO_OPERATOR_KEY}"}
+TEXT = "the drain in our street has been blocked for three years " * 4
+
+
+@contextlib.asynccontextmanager
+async def one_hall(halls=("hall-a",)):
+    """Run a site whose replicas serve; yields the site, a node and an HTTP session."""
+    site = DemoSite(halls)
+    await site.start()
+    nodes = list(site.nodes.values())
+    assert await until(lambda: all(len(whole_replicas(n)) == 2 for n in nodes))
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=60)) as http:
+        try:
+            yield site, nodes[0], http
+        finally:
+            await site.close()
+
+
+def url(node, path):
+    return node.state.members.own.url + path
+
+
+def chat(stream=False, text=TEXT, model="draft-large"):
+    return {
+        "model": model,
+        "messages": [{"role": "user", "content": text}],
+        "stream": stream,
+        "max_tokens": 4000,
+    }
+
+
+async def ask(node, http, body, **headers):
+    async with http.post(
+        url(node, "/v1/chat/completions"), json=body, headers={**TEAM, **headers}
+    ) as response:
+        return response.status, await response.read(), response.headers
+
+
+def replica_of(node, model="draft-large"):
+    return next(r for r in whole_replicas(node) if r.model == model)
+
+
+async def in_flight(node, model="draft-large"):
+    replica = replica_of(node, model)
+    assert await until(lambda: node.route_book.own_in_flight(replica.replica_id) > 0)
+    return replica
+
+
+def run(check):
+    asyncio.run(check())
+
+
+def test_the_openai_client_lists_completes_streams_and_cancels():
+    async def check():
+        async with one_hall() as (site, node, _):
+            client = openai.AsyncOpenAI(
+                api_key=DEMO_TEAM_KEY, base_url=url(node, "/v1"), max_retries=0
+            )
+            names = [model.id async for model in client.models.list()]
+            assert names == ["draft-large", "tutor-large"]
+            messages = [{"role": "user", "content": TEXT}]
+            whole = await client.chat.completions.create(model="draft-large", messages=messages)
+            assert TEXT in whole.choices[0].message.content
+            old = await client.completions.create(model="tutor-large", prompt=TEXT)
+            assert TEXT in old.choices[0].text
+            stream = await client.chat.completions.create(
+                model="draft-large", messages=messages, stream=True
+            )
+            parts = [chunk.choices[0].delta.content or "" async for chunk in stream]
+            assert "".join(parts) == whole.choices[0].message.content
+            cut = await client.chat.completions.create(
+                model="draft-large", messages=messages, stream=True
+            )
+            await anext(aiter(cut))
+            head = site.site.fleet.boxes[replica_of(node).head.box]
+            assert len(head.running) == 1
+            await cut.close()
+            assert await until(lambda: not head.running), "the engine's slot is free again"
+            await client.close()
+
+    run(check)
+
+
+def test_a_connection_cut_in_a_stream_is_resumed_on_the_same_engine():
+    async def check():
+        async with one_hall() as (site, node, http):
+            asking = asyncio.create_task(ask(node, http, chat(stream=True)))
+            replica = await in_flight(node)
+            head = site.site.fleet.boxes[replica.head.box]
+            assert await until(lambda: head.running and head.running[0].emitted > 3)
+            for connection in list(site.site._runner.server.connections):
+                request = connection._current_request
+                if request is not None and request.path.endswith("/completions"):
+                    connection.transport.abort()
+            status, raw, _ = await asking
+            assert status == 200
+            assert TEXT in stream_text(raw)
+            assert set(site.site.fleet.runs.values()) == {1}
+
+    run(check)
+
+
+def test_a_repeatable_stream_goes_on_elsewhere_when_its_replica_dies():
+    async def check():
+        async with one_hall(("hall-a", "hall-b")) as (site, node, http):
+            asking = asyncio.create_task(ask(node, http, chat(stream=True)))
+            replica = await in_flight(node)
+            head = site.site.fleet.boxes[replica.head.box]
+            assert await until(lambda: head.running and head.running[0].emitted > 3)
+            site.site.fleet.boxes[replica.boxes[2]].kill()
+            status, raw, _ = await asking
+            assert status == 200
+            assert TEXT in stream_text(raw)
+
+    run(check)
+
+
+def test_a_not_repeatable_stream_whose_replica_dies_says_so_and_runs_once():
+    async def check():
+        async with one_hall() as (site, node, http):
+            marked = {"X-Not-Repeatable": "true"}
+            asking = asyncio.create_task(ask(node, http, chat(stream=True), **marked))
+            replica = await in_flight(node)
+            head = site.site.fleet.boxes[replica.head.box]
+            assert await until(lambda: head.running and head.running[0].emitted > 3)
+            head.kill()
+            _, raw, _ = await asking
+            assert b"[DONE]" not in raw
+            last = orjson.loads(raw.strip().split(b"\n\n")[-1].removeprefix(b"data: "))
+            assert last["error"]["run"] == "unknown"
+            assert set(site.site.fleet.runs.values()) == {1}
+
+    run(check)
+
+
+def test_a_refusal_of_a_stale_replica_is_not_run_and_goes_elsewhere():
+    async def check():
+        async with one_hall() as (site, node, http):
+            head = site.site.fleet.boxes[replica_of(node).head.box]
+            head.restart()
+            status, raw, _ = await ask(node, http, chat(), **{"X-Not-Repeatable": "true"})
+            if status == 200:
+                assert TEXT in whole_text(raw)
+            else:
+                assert orjson.loads(raw)["error"]["run"] == "not_run"
+            assert sum(site.site.fleet.runs.values()) == (status == 200)
+
+    run(check)
+
+
+def test_the_same_key_at_once_runs_once_and_the_answer_is_kept():
+    async def check():
+        async with one_hall() as (site, node, http):
+            key = {"Idempotency-Key": "petition-1"}
+            answers = await asyncio.gather(*(ask(node, http, chat(), **key) for _ in range(4)))
+            statuses = sorted(status for status, _, _ in answers)
+            assert statuses == [200, 409, 409, 409]
+            words = {orjson.loads(raw)["error"]["run"] for s, raw, _ in answers if s == 409}
+            assert words == {"unknown"}
+            status, raw, headers = await ask(node, http, chat(), **key)
+            assert (status, headers["X-Already-Ran"]) == (200, "true")
+            assert TEXT in whole_text(raw)
+            assert sum(site.site.fleet.runs.values()) == 1
+
+    run(check)
+
+
+def test_a_filing_without_the_store_is_refused_as_not_run():
+    async def check():
+        async with one_hall() as (site, node, http):
+            site.site.etcd.faults.down = True
+            site.platform_link.cut()
+            key = {"Idempotency-Key": "petition-2"}
+            status, raw, _ = await ask(node, http, chat(), **key)
+            assert status == 503
+            assert orjson.loads(raw)["error"]["run"] == "not_run"
+            assert site.site.fleet.runs == {}
+            status, _, _ = await ask(node, http, chat())
+            assert status == 200, "what needs no claim is served all the same"
+
+    run(check)
+
+
+def test_each_of_many_callers_gets_the_whole_answer_to_its_own_request():
+    async def check():
+        async with one_hall() as (_, node, http):
+            texts = [f"case {number} of our street. " * 5 for number in range(40)]
+            bodies = [chat(stream=i % 2 == 0, text=text) for i, text in enumerate(texts)]
+            answers = await asyncio.gather(*(ask(node, http, body) for body in bodies))
+            for text, body, (status, raw, _) in zip(texts, bodies, answers, strict=True):
+                assert status == 200
+                assert text in (stream_text(raw) if body["stream"] else whole_text(raw))
+
+    run(check)
+
+
+def test_a_plain_service_call_that_may_not_be_repeated_is_sent_once():
+    async def check():
+        async with one_hall() as (site, node, http):
+            site.site.service.cut_after_run = 1
+            path = url(node, "/v1/services/records/records")
+            async with http.post(path, data=b"grade", headers=TEAM) as response:
+                fields = await response.json()
+            assert (response.status, fields["error"]["run"]) == (502, "unknown")
+            assert len(site.site.service.records) == 1
+            async with http.get(path + "/0", headers=TEAM) as response:
+                assert (await response.json())["record"] == "grade"
+
+    run(check)
+
+
+def test_limits_answer_at_once_with_the_time_to_come_back():
+    async def check():
+        async with one_hall() as (_, node, http):
+            edit = {
+                "edit_id": "limitedit1",
+                "base_revision": node.keeper.revision,
+                "changes": [
+                    ["shares", "demo-draft", "requests_per_s", "1"],
+                    ["shares", "demo-draft", "burst_requests", "1"],
+                ],
+            }
+            async with http.post(url(node, "/operator/edits"), json=edit, headers=OPERATOR) as r:
+                assert r.status == 200
+            answers = [await ask(node, http, chat(text="x")) for _ in range(3)]
+            refused = [(raw, headers) for status, raw, headers in answers if status == 429]
+            assert refused
+            for raw, headers in refused:
+                assert int(headers["Retry-After"]) >= 1
+                assert orjson.loads(raw)["error"]["run"] == "not_run"
+
+    run(check)
+
+
+def test_keys_are_told_apart():
+    async def check():
+        async with one_hall() as (_, node, http):
+            for headers in ({}, {"Authorization": "Bearer wrong"}, OPERATOR):
+                async with http.get(url(node, "/v1/models"), headers=headers) as response:
+                    assert response.status == 401
+            for headers in ({}, TEAM):
+                async with http.get(url(node, "/operator/status"), headers=headers) as response:
+                    assert response.status == 401
+
+    run(check)
+
+
+# Bad input ------------------------------------------------------------------------------------
+
+
+@pytest.fixture(scope="module")
+def gateway():
+    """One daemon for all fuzzing, with a loop of its own."""
+    loop = asyncio.new_event_loop()
+    context = one_hall()
+    parts = loop.run_until_complete(context.__aenter__())
+    yield loop, *parts
+    loop.run_until_complete(context.__aexit__(None, None, None))
+    loop.close()
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def to_json(value):
+    return json.dumps(value).encode()
+
+
+bodies = st.one_of(
+    st.binary(max_size=200),
+    json_values.map(to_json),
+    st.fixed_dictionaries(
+        {},
+        optional={
+            "model": json_values,
+            "messages": json_values,
+            "prompt": json_values,
+            "stream": json_values,
+            "max_tokens": json_values,
+        },
+    ).map(to_json),
+)
+header_text = st.text(st.characters(min_codepoint=32, max_codepoint=126), max_size=30)
+
+
+@settings(max_examples=80)
+@given(bodies, header_text, header_text, st.sampled_from(("chat/completions", "completions")))
+def test_no_body_or_header_gets_more_than_a_clear_answer(gateway, body, deadline, hop, path):
+    loop, _, node, http = gateway
+    headers = {**TEAM, "X-Deadline-S": deadline, "X-Ferrydock-Hop": hop}
+
+    async def send():
+        async with http.post(url(node, f"/v1/{path}"), data=body, headers=headers) as response:
+            return response.status, await response.json()
+
+    status, fields = loop.run_until_complete(send())
+    assert status in (400, 404, 403, 200), fields
+    if status != 200:
+        assert fields["error"]["run"] == "not_run"
+        assert fields["error"]["message"]
+
+
+@settings(max_examples=80)
+@given(st.one_of(st.binary(max_size=100), json_values.map(to_json)))
+def test_no_edit_is_written_by_half(gateway, body):
+    loop, _, node, http = gateway
+    before = node.keeper.revision
+
+    async def send():
+        path = url(node, "/operator/edits")
+        async with http.post(path, data=body, headers=OPERATOR) as response:
+            return response.status, await response.json()
+
+    status, _ = loop.run_until_complete(send())
+    assert status == 400
+    assert node.keeper.revision == before
+
+
+def test_a_body_over_the_limit_is_refused(gateway):
+    loop, _, node, http = gateway
+
+    async def send():
+        body = chat(text="x" * (5 * 2**20))
+        return await ask(node, http, body)
+
+    status, raw, _ = loop.run_until_complete(send())
+    assert status == 413
+    assert orjson.loads(raw)["error"]["run"] == "not_run"
+
+
+def test_a_slow_sender_is_cut_off_and_too_many_connections_are_refused(gateway):
+    loop, _, node, _ = gateway
+    guard = node.gateway._guard
+    host, port = node.gateway.address.split(":")
+
+    async def check():
+        usual = guard.first_request_s, guard.most
+        guard.first_request_s = 0.05
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /v1/completions HTTP/1.1\r\nHost:")
+        assert await reader.read() == b""
+        guard.most = 0
+        reader, writer = await asyncio.open_connection(host, int(port))
+        answer = await reader.read()
+        guard.first_request_s, guard.most = usual
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"too_many_connections" in answer
+
+    loop.run_until_complete(check())
+
+
+def test_unknown_paths_and_methods_are_answered_in_json(gateway):
+    loop, _, node, http = gateway
+
+    async def send(method, path):
+        async with http.request(method, url(node, path), headers=TEAM) as response:
+            return response.status, await response.json()
+
+    for method, path in (("GET", "/nowhere"), ("DELETE", "/v1/models")):
+        status, fields = loop.run_until_complete(send(method, path))
+        assert (status, fields["error"]["code"]) == (404, "no_such_path")
+
+
+def test_the_clock_does_not_go_back():
+    clock = SystemClock()
+    times = [clock.now_s() for _ in range(100)]
+    assert times == sorted(times)
--- a/ferrydock/hall/tests/test_machine.py
+++ b/ferrydock/hall/tests/test_machine.py
@@ -122,6 +122,18 @@
 
         self.run(deliver())
 
+    @rule(number=daemon_numbers, back=st.integers(0, 5))
+    def doubled_orders(self, number, back):
+        control = self.world.daemons[number].control
+        fences = sorted({order.fence for _, order in control.sent})
+
+        async def deliver():
+            if back < len(fences):
+                control.repeat_orders(fences[-1 - back])
+            await asyncio.sleep(0)
+
+        self.run(deliver())
+
     @rule(number=daemon_numbers, apart=st.booleans())
     def part(self, number, apart):
         parted = self.world.parted
--- a/ferrydock/requests/_dispatcher.py
+++ b/ferrydock/requests/_dispatcher.py
@@ -29,6 +29,7 @@
 WATCH_S = 0.25
 BROKEN_AFTER_S = 3.0
 PATIENCE_S = 60.0
+CONTINUE_WAIT_S = 30.0  # a caller who has half an answer waits for the replica's repair
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,6 +247,8 @@
 
     async def _choose(self) -> Candidate | NotRun:
         wait_s = self.dispatcher.state.keeper.view.site.queue_wait_s
+        if self.relay.events:
+            wait_s = max(wait_s, CONTINUE_WAIT_S)
         return await self.dispatcher.gate.choose(self.request, self.excluded, self.weight, wait_s)
 
     def _no_replica(self, refusal: NotRun) -> NotRun | GaveUp:
--- a/ferrydock/requests/_lifecycle.py
+++ b/ferrydock/requests/_lifecycle.py
@@ -89,6 +89,8 @@
 
     def take_back(self) -> None:
         """The target said that it did not run it, or no byte had left."""
+        if self.phase is not RequestPhase.DISPATCHED:
+            raise AssertionError(f"a request that is {self.phase} cannot be taken back")
         self._move(RequestPhase.QUEUED)
 
     def lose_contact(self) -> None:
@@ -109,9 +111,9 @@
 
     def finish(self) -> None:
         """The target's whole answer is there."""
+        self._move(RequestPhase.ENDED)
         self._ran = True
         self._doubt = False
-        self._move(RequestPhase.ENDED)
 
     def give_up(self) -> Run:
         """End without a whole answer; return what the caller may be told."""
--- a/ferrydock/standins/_local.py
+++ b/ferrydock/standins/_local.py
@@ -5,6 +5,7 @@
 from ..engines import (
     BoxState,
     CacheEvents,
+    Fence,
     Order,
     OrderAccepted,
     OrderRefused,
@@ -39,6 +40,8 @@
         Boxes that this control cannot reach.
     hold_orders : bool
         Whether orders are kept back in `held`, to arrive late.
+    sent : list
+        Every order with its address, in order.
     """
 
     def __init__(self, fleet: StandInFleet):
@@ -46,6 +49,7 @@
         self.unreachable: set[str] = set()
         self.hold_orders = False
         self.held: list[tuple[str, Order]] = []
+        self.sent: list[tuple[str, Order]] = []
         self.cancelled: list[str] = []
 
     def _box(self, url: str):
@@ -60,6 +64,7 @@
     async def send(
         self, url: str, order: Order
     ) -> OrderAccepted | OrderRefused | Unavailable | Unknown:
+        self.sent.append((url, order))
         if self.hold_orders:
             self.held.append((url, order))
             return Unknown("no answer yet")
@@ -69,7 +74,14 @@
     def deliver_held(self) -> None:
         """Let the orders that were kept back arrive now."""
         held, self.held = self.held, []
-        for url, order in held:
+        self._deliver(held)
+
+    def repeat_orders(self, fence: Fence) -> None:
+        """Let all orders of one fence arrive once more, as a network does that doubles them."""
+        self._deliver([(url, order) for url, order in self.sent if order.fence == fence])
+
+    def _deliver(self, orders: list[tuple[str, Order]]) -> None:
+        for url, order in orders:
             box = self._box(url)
             if box is not None:
                 box.obey(order)
