Cut what daemons tell each other without need

Cause: benchmarks.control_cost gave 8.6 to 28 KB/s a daemon (wanted 2) and 3.4 to 6.6 per cent of a core (wanted 2.5): every digest carried the demand of all daemons, also where no limit is set; cache events were polled without callers; rounds came every 0.25 s.

--- a/ferrydock/membership/_state.py
+++ b/ferrydock/membership/_state.py
@@ -1,5 +1,6 @@
 """What a daemon knows together with its peers, and the summaries of the other halls."""
 
+import random
 from dataclasses import dataclass, field
 
 from ..hall import Attestation, AttestationBook
@@ -18,7 +19,8 @@
 
 SUMMARY_CONTACTS = 16
 SUMMARY_TTL_S = 10.0
-DEMAND_TTL_S = 10.0
+DEMAND_TTL_S = 30.0
+DEMANDS_IN_DIGEST = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,8 @@
         The table in force.
     book : AttestationBook
         Which replicas are whole.
+    random_source : random.Random
+        Draws what of the neighbours' demand goes into a digest.
     """
 
     __slots__ = (
@@ -114,13 +118,21 @@
         "keeper",
         "members",
         "placement",
+        "random_source",
         "store_away",
     )
 
-    def __init__(self, own: DaemonInfo, keeper: TableKeeper, book: AttestationBook):
+    def __init__(
+        self,
+        own: DaemonInfo,
+        keeper: TableKeeper,
+        book: AttestationBook,
+        random_source: random.Random,
+    ):
         self.members = MemberTable(own)
         self.keeper = keeper
         self.book = book
+        self.random_source = random_source
         self.placement = HallPlacement(own.hall)
         self.controller: ControllerNews | None = None
         self.halls: dict[str, HallSummary] = {}
@@ -165,6 +177,17 @@
         if known is None or news.made_s > known.made_s:
             self.demands[news.name] = news
 
+    def demands_to_tell(self, random_source: random.Random) -> list[DemandNews]:
+        """Return this daemon's own demand and a sample of its neighbours'.
+
+        A sample keeps digests small in a large hall; news then takes some rounds longer.
+        """
+        own = self.demands.get(self.members.own.name)
+        others = [n for n in self.demands.values() if n.rates_per_s and n is not own]
+        if len(others) > DEMANDS_IN_DIGEST:
+            others = random_source.sample(others, DEMANDS_IN_DIGEST)
+        return [own, *others] if own is not None and own.rates_per_s else others
+
     def offer_attestations(self, statements: tuple[Attestation, ...]) -> None:
         """Take statements that replicas are whole."""
         for statement in statements:
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -45,6 +45,7 @@
 FIRST_LOOK_S = 0.6
 RETRY_STORE_S = 1.0
 EVENT_POLLS_PER_S = 8.0
+EVENTS_OF_INTEREST_S = 30.0
 TIDY_S = 10.0
 RATE_LOOK_S = 10.0
 RANK_DELAY_S = 1.5
@@ -104,7 +105,7 @@
         own = DaemonInfo(self.name, settings.hall, settings.peer_advertise, "")
         self.keeper = TableKeeper(self._on_table)
         self.attestations = AttestationBook(ttl_s=2.0)
-        self.state = SharedState(own, self.keeper, self.attestations)
+        self.state = SharedState(own, self.keeper, self.attestations, self.random_source)
         self.state.listen_placement(self._on_placement)
         self.repository = TableRepository(store, clock, self.random_source)
         self.watcher = TableWatcher(self.repository, self.keeper, clock)
@@ -394,13 +395,15 @@
             return
         now_s = self.clock.now_s()
         self.limits.update(view, now_s, self.neighbourhood(), len(view.halls) or 1)
-        rates = self.limits.demands()
+        rates = self.limits.demands(view)
         self.state.offer_demand(DemandNews(self.name, now_s, rates))
 
     async def _poll_cache_events(self) -> None:
-        """Ask the replicas in turn what their prefix caches hold, at a bounded rate."""
+        """Ask the replicas in use what their prefix caches hold, in turn, at a bounded rate."""
         while True:
-            replicas = list(self.state.placement.replicas.values())
+            recorded = self.state.placement.replicas.values()
+            since_s = self.clock.now_s() - EVENTS_OF_INTEREST_S
+            replicas = [r for r in recorded if self.route_book.used_since(r.replica_id, since_s)]
             for replica in replicas:
                 after = self.route_book.last_sequence(replica.replica_id)
                 news = await self.control.cache_events(replica.head.url, after)
--- a/ferrydock/routing/_book.py
+++ b/ferrydock/routing/_book.py
@@ -34,6 +34,7 @@
     flights: set[Flight] = field(default_factory=set)
     first_token_s: float = 0.0
     measured_s: float = 0.0
+    sent_s: float = float("-inf")
     blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
     incarnation: str = ""
     sequence: int = 0
@@ -113,6 +114,7 @@
         memory = self._memory(replica.replica_id)
         flight = Flight(replica.replica_id, now_s)
         memory.flights.add(flight)
+        memory.sent_s = now_s
         self._remember_blocks(memory, blocks)
         return flight
 
@@ -133,6 +135,10 @@
         """Return how many requests of this daemon are at a replica."""
         return len(self._memory(replica_id).flights)
 
+    def used_since(self, replica_id: str, since_s: float) -> bool:
+        """Return whether this daemon has sent the replica anything since `since_s`."""
+        return self._memory(replica_id).sent_s >= since_s
+
     def _remember_blocks(self, memory: _Memory, blocks: tuple[int, ...]) -> None:
         for block in blocks:
             memory.blocks[block] = None
--- a/ferrydock/table/_view.py
+++ b/ferrydock/table/_view.py
@@ -3,6 +3,8 @@
 import fnmatch
 from dataclasses import dataclass, field
 
+UNLIMITED = 1_000_000
+
 __all__ = ["Model", "Share", "Site", "TableView", "Target", "Team"]
 
 
@@ -77,6 +79,11 @@
     concurrency: int
     priority: int
 
+    @property
+    def limited(self) -> bool:
+        """Whether any limit is set below the highest that the table allows."""
+        return self.requests_per_s < UNLIMITED or self.concurrency < UNLIMITED
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
--- a/ferrydock/teams/_limits.py
+++ b/ferrydock/teams/_limits.py
@@ -133,9 +133,14 @@
         use.arrivals = 0.0
         use.arrivals_s = now_s
 
-    def demands(self) -> dict[str, float]:
-        """Return the requests a second that callers bring here, by row of ``shares``."""
-        return {name: use.demand_per_s for name, use in self._uses.items() if use.demand_per_s > 0}
+    def demands(self, view: TableView) -> dict[str, float]:
+        """Return the requests a second that callers bring here, by limited row of ``shares``."""
+        limited = {name for name, share in view.shares.items() if share.limited}
+        return {
+            name: use.demand_per_s
+            for name, use in self._uses.items()
+            if use.demand_per_s > 0 and name in limited
+        }
 
     def part_of(self, share: str) -> float:
         """Return this daemon's part of a limit, 0 to 1."""
