Tell other halls' news only while it is new; let the state machine catch a missing fence

Cause: digests still carried four halls' summaries each time (5 to 12 KB/s). The state machine passed with the fence skipped: a walk through by hand showed that its invariant fails as meant, but the chain (form, cut off, hand over, double the old orders, probe) was too long to be drawn.

Ruled out: a wrong invariant, and the mutated copy not being the one imported.

Change: summaries are relayed for a second after they were taken, and taken anew only if they say something new or are 3 s newer; rounds every 0.5 s; the hand-over is one rule.

--- a/ferrydock/hall/tests/test_machine.py
+++ b/ferrydock/hall/tests/test_machine.py
@@ -131,13 +131,16 @@
             for replica in daemon.placement.replicas.values():
                 daemon.control.repeat_orders(replica.generation)
             await asyncio.sleep(0)
+            await daemon.probe()
 
         self.run(deliver())
 
     @rule(member=st.integers(0, 3))
     def hand_over(self, member):
         """The first daemon is cut off while the second one repairs the hall without a member."""
-        first, second = self.world.daemons[:2]
+        first = self.world.daemons[0]
+        if not first.whole():
+            self.settle(0, 12)
         if not first.whole():
             return
         box = self.world.fleet.boxes[first.whole()[0].boxes[member]]
--- a/ferrydock/membership/_digest.py
+++ b/ferrydock/membership/_digest.py
@@ -42,15 +42,13 @@
         sender=own.name,
         hall=own.hall,
         table_revision=state.keeper.revision,
-        lineage=state.keeper.lineage,
     )
     if to_hall == own.hall:
         _add_home_news(digest, state, now_s, everything)
     else:
         _pack_hall(digest.halls.add(), state.own_summary(now_s), now_s)
-    for summary in state.halls.values():
-        if summary.hall != to_hall:
-            _pack_hall(digest.halls.add(), summary, now_s)
+    for summary in state.summaries_to_tell(now_s, to_hall, everything):
+        _pack_hall(digest.halls.add(), summary, now_s)
     return digest
 
 
@@ -92,7 +90,7 @@
     if digest.hall == state.hall:
         _apply_home_news(state, digest, now_s, sent_s)
     for packed in digest.halls:
-        state.offer_summary(_unpack_hall(packed, sent_s))
+        state.offer_summary(_unpack_hall(packed, sent_s), now_s)
     newer_table = digest.table_revision > state.keeper.revision or (
         digest.table_revision > 0 and not state.keeper.loaded
     )
--- a/ferrydock/membership/_gossip.py
+++ b/ferrydock/membership/_gossip.py
@@ -17,9 +17,9 @@
 __all__ = ["Gossip"]
 
 _LOG = logging.getLogger("ferrydock.membership")
-ROUND_S = 0.4
-SEED_ROUNDS = 5
-BRIDGE_ROUNDS = 3
+ROUND_S = 0.5
+SEED_ROUNDS = 4
+BRIDGE_ROUNDS = 4
 BRIDGES_PER_HALL = 2
 SUMMARY_FRESH_S = 10.0
 PAUSE_NOTICED_S = 1.5
--- a/ferrydock/membership/_state.py
+++ b/ferrydock/membership/_state.py
@@ -18,7 +18,8 @@
 ]
 
 SUMMARY_CONTACTS = 16
-SUMMARY_TTL_S = 10.0
+SUMMARY_RENEWED_S = 3.0
+RUMOUR_S = 1.0
 DEMAND_TTL_S = 30.0
 DEMANDS_IN_DIGEST = 5
 
@@ -84,6 +85,16 @@
     serving: int
     demands: dict[str, float] = field(default_factory=dict)
 
+    def same_news(self, other: "HallSummary") -> bool:
+        """Return whether both say the same, but for load, demand and the daemons they name."""
+        return (
+            self.daemons == other.daemons
+            and self.lowest_revision == other.lowest_revision
+            and self.controller == other.controller
+            and self.store_away == other.store_away
+            and (self.wanted, self.serving) == (other.wanted, other.serving)
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class DemandNews:
@@ -111,6 +122,7 @@
 
     __slots__ = (
         "_placement_listeners",
+        "_summary_taken_s",
         "book",
         "controller",
         "demands",
@@ -136,6 +148,7 @@
         self.placement = HallPlacement(own.hall)
         self.controller: ControllerNews | None = None
         self.halls: dict[str, HallSummary] = {}
+        self._summary_taken_s: dict[str, float] = {}
         self.demands: dict[str, DemandNews] = {}
         self.store_away = False
         self._placement_listeners = []
@@ -165,11 +178,26 @@
         if known is None or (news.term, news.renewed_s) > (known.term, known.renewed_s):
             self.controller = news
 
-    def offer_summary(self, summary: HallSummary) -> None:
-        """Take the summary of another hall if it is newer."""
+    def offer_summary(self, summary: HallSummary, now_s: float) -> None:
+        """Take the summary of another hall if it says something new, or is much newer."""
         known = self.halls.get(summary.hall)
-        if summary.hall != self.hall and (known is None or summary.made_s > known.made_s):
-            self.halls[summary.hall] = summary
+        if summary.hall == self.hall:
+            return
+        if known is not None:
+            if summary.made_s <= known.made_s:
+                return
+            if summary.same_news(known) and summary.made_s - known.made_s < SUMMARY_RENEWED_S:
+                return
+        self.halls[summary.hall] = summary
+        self._summary_taken_s[summary.hall] = now_s
+
+    def summaries_to_tell(self, now_s: float, to_hall: str, everything: bool) -> list[HallSummary]:
+        """Return the summaries of other halls that were taken lately, or all."""
+        return [
+            summary
+            for hall, summary in self.halls.items()
+            if hall != to_hall and (everything or now_s - self._summary_taken_s[hall] <= RUMOUR_S)
+        ]
 
     def offer_demand(self, news: DemandNews) -> None:
         """Take a neighbour's demand if it is newer."""
