--- a/ferrydock/membership/_exchange.py
+++ b/ferrydock/membership/_exchange.py
@@ -1,5 +1,7 @@
 """Exchanges between daemons over gRPC: digests, and pulls of the table and of the placement."""
 
+from dataclasses import dataclass
+
 import grpc
 import grpc.aio
 import xxhash
@@ -18,7 +20,7 @@
 )
 from ._state import SharedState
 
-__all__ = ["ExchangeClient", "ExchangeServer", "PeerSecurity"]
+__all__ = ["ExchangeClient", "ExchangeServer", "PeerSecurity", "Told"]
 
 SERVICE = "ferrydock.Exchange"
 CALL_TIMEOUT_S = 0.5
@@ -82,6 +84,15 @@
         return grpc.ssl_channel_credentials(authority, key, certificate)
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """Who answered an exchange, and what it has that this daemon lacks."""
+
+    name: str
+    hall: str
+    needs: Needs
+
+
 def _checksum(parts) -> int:
     digest = xxhash.xxh3_64()
     for part in parts:
@@ -200,10 +211,8 @@
         self.received_bytes = 0
         self._channels: dict[str, grpc.aio.Channel] = {}
 
-    async def tell(
-        self, address: str, hall: str, wants_all: bool
-    ) -> tuple[str, Needs] | Unavailable:
-        """Exchange digests with the daemon at `address`; return its name and what it has more."""
+    async def tell(self, address: str, hall: str, wants_all: bool) -> Told | Unavailable:
+        """Exchange digests with the daemon at `address`; return who it is and what it has more."""
         digest = build_digest(self.state, self.clock.now_s(), hall, wants_all)
         digest.wants_all = wants_all
         started_s = self.clock.now_s()
@@ -212,7 +221,7 @@
             return reply
         now_s = self.clock.now_s()
         needs = apply_digest(self.state, reply, now_s, now_s - started_s)
-        return reply.sender, needs
+        return Told(reply.sender, reply.hall, needs)
 
     async def pull_table(self, address: str) -> Offer | Unavailable:
         """Fetch what the daemon at `address` has of the table beyond this one's revision."""
--- a/ferrydock/membership/_gossip.py
+++ b/ferrydock/membership/_gossip.py
@@ -124,7 +124,7 @@
             await self._note_failure(peer, now_s)
             return
         self._failures.pop(peer.name, None)
-        self._fetch(peer.peer_address, outcome[1])
+        self._fetch(peer.peer_address, outcome.needs)
 
     async def _note_failure(self, peer: DaemonInfo, now_s: float) -> None:
         count = self._failures.get(peer.name, 0) + 1
@@ -135,36 +135,27 @@
             await self.client.forget(peer.peer_address)
 
     def _seeds_to_meet(self) -> list[str]:
-        """Return seeds that are not known to be a live daemon."""
+        """Return seeds that are neither a known live daemon nor in another hall."""
         own = self.state.members.own
         live = {m.name for m in self.state.members.live()}
         addresses = {own.peer_address, own.outside_peer_address}
         found = []
         for seed in self.seeds:
-            if seed not in addresses and self._met_seeds.get(seed) not in live:
+            inside = seed not in self.outside
+            if inside and seed not in addresses and self._met_seeds.get(seed) not in live:
                 found.append(seed)
         return self.random_source.sample(found, min(2, len(found)))
 
     async def _meet(self, address: str) -> None:
         """Talk to an address of which only its place is known."""
         hall = self.outside.get(address, "")
-        before = set(self.state.halls)
-        outcome = await self.client.tell(address, hall, wants_all=True)
+        outcome = await self.client.tell(address, hall, wants_all=not hall)
         if isinstance(outcome, Unavailable):
             return
-        name, needs = outcome
-        known = self.state.members.get(name)
-        self._met_seeds[address] = name
-        if known is None and not hall:
-            self._note_outside(address, before)
-        self._fetch(address, needs)
-
-    def _note_outside(self, address: str, before: set[str]) -> None:
-        """Remember which hall an address outside turned out to be in."""
-        for hall, summary in self.state.halls.items():
-            if any(c.peer_address == address for c in summary.contacts) or hall not in before:
-                self.outside[address] = hall
-                return
+        self._met_seeds[address] = outcome.name
+        if outcome.hall != self.state.hall:
+            self.outside[address] = outcome.hall
+        self._fetch(address, outcome.needs)
 
     def _is_bridge(self) -> bool:
         ranked = rendezvous_rank(self.state.members.working(), "bridge/" + self.state.hall)
--- a/ferrydock/membership/_state.py
+++ b/ferrydock/membership/_state.py
@@ -17,7 +17,7 @@
     "SharedState",
 ]
 
-SUMMARY_CONTACTS = 16
+SUMMARY_CONTACTS = 4
 SUMMARY_RENEWED_S = 3.0
 RUMOUR_S = 1.0
 DEMAND_TTL_S = 30.0
--- /dev/null
+++ b/ferrydock/membership/tests/test_membership.py
@@ -0,0 +1,259 @@
+"""Members, digests and pulls: suspicion, refutation, and revisions that only rise."""
+
+import asyncio
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...clock import ManualClock
+from ...engines import Fence
+from ...hall import Attestation, AttestationBook
+from ...outcomes import Unavailable
+from ...placement import HallPlacement, Member, Replica, ReplicaPhase
+from ...table import AcceptedEdit, Change, RowKey, Table, TableCopy, TableKeeper, next_lineage
+from .. import (
+    ControllerNews,
+    DaemonInfo,
+    DemandNews,
+    ExchangeClient,
+    ExchangeServer,
+    Gossip,
+    MemberStatus,
+    MemberTable,
+    SharedState,
+    apply_digest,
+    build_digest,
+)
+
+
+def info(name, **fields):
+    return DaemonInfo(name, "hall-a", f"{name}:1", f"http://{name}", **fields)
+
+
+def state(name, hall="hall-a"):
+    own = DaemonInfo(name, hall, f"{name}:1", f"http://{name}")
+    return SharedState(own, TableKeeper(), AttestationBook(2.0), random.Random(name))
+
+
+def test_suspicion_comes_before_death_and_can_be_refuted():
+    table, other = MemberTable(info("a")), MemberTable(info("b"))
+    table.merge(info("b"), 0.0)
+    table.suspect("b", 1.0)
+    assert [m.name for m in table.live()] == ["a", "b"]
+    assert table.working() == ["a"]
+    suspicion = table.get("b")
+    assert other.merge(suspicion, 1.5)
+    assert other.own.incarnation == 2
+    assert table.merge(other.own, 2.0)
+    assert table.tick(60.0) == []
+    assert table.working() == ["a", "b"]
+
+
+def test_an_unrefuted_suspicion_becomes_death_and_old_news_does_not_revive():
+    table = MemberTable(info("a"))
+    table.merge(info("b"), 0.0)
+    table.suspect("b", 1.0)
+    assert table.tick(4.5) == ["b"]
+    assert not table.merge(info("b"), 5.0)
+    assert table.get("b").status is MemberStatus.DEAD
+    table.tick(1000.0)
+    assert table.get("b") is None
+
+
+def test_after_a_pause_of_its_own_a_daemon_blames_nobody():
+    async def check():
+        clock = ManualClock(100.0)
+        mine = state("a")
+        mine.members.merge(info("b"), 100.0)
+        gossip = Gossip(mine, FailingClient(), clock, random.Random(1), ())
+        await gossip.round()
+        await gossip.round()
+        assert mine.members.get("b").status is MemberStatus.SUSPECT
+        clock.advance(60.0)
+        await gossip.round()
+        assert mine.members.get("b").status is not MemberStatus.DEAD
+
+    asyncio.run(check())
+
+
+class FailingClient:
+    """Reaches nobody."""
+
+    async def tell(self, address, hall, wants_all):
+        return Unavailable("nobody there")
+
+    async def forget(self, address):
+        return None
+
+
+@given(st.permutations(range(6)))
+def test_news_in_any_order_leads_to_the_same_end(order):
+    news = [
+        info("b"),
+        info("b", status=MemberStatus.SUSPECT),
+        info("b", incarnation=2),
+        info("b", incarnation=2, update=1, stopping=True),
+        info("b", incarnation=2, update=2, status=MemberStatus.LEFT),
+        info("b", incarnation=1, status=MemberStatus.DEAD),
+    ]
+    table = MemberTable(info("a"))
+    table.merge(info("b"), 0.0)
+    for index in order:
+        table.merge(news[index], 0.0)
+    assert table.get("b").status is MemberStatus.LEFT
+
+
+# Digests --------------------------------------------------------------------------------------
+
+
+def placement():
+    members = tuple(Member(f"b{i}", f"b{i}", "x") for i in range(4))
+    replica = Replica("r", "draft", "1", Fence(1, 0, 2), members, 8, ReplicaPhase.SERVING)
+    return HallPlacement("hall-a", Fence(1, 0, 3), {"r": replica})
+
+
+def exchange(sender, receiver, now_s=10.0, transit_s=0.0):
+    digest = build_digest(sender, now_s, receiver.hall, True)
+    digest = type(digest).FromString(digest.SerializeToString())
+    return apply_digest(receiver, digest, now_s, transit_s)
+
+
+def test_a_statement_never_grows_younger_on_its_way():
+    one, two = state("a"), state("b")
+    for each in (one, two):
+        each.offer_placement(placement())
+    one.book.accept(Attestation("r", Fence(1, 0, 2), 9.0, 3, 1))
+    exchange(one, two, 10.0, transit_s=0.25)
+    got = two.book.get("r")
+    assert 8.7 <= got.probed_s <= 8.75
+    assert (got.running, got.waiting) == (3, 1)
+    exchange(two, one, 10.0)
+    assert one.book.get("r").probed_s == 9.0
+
+
+def test_statements_on_another_record_are_not_taken():
+    one, two = state("a"), state("b")
+    one.offer_placement(placement())
+    one.book.accept(Attestation("r", Fence(1, 0, 2), 9.0))
+    needs = exchange(one, two)
+    assert needs.placement
+    assert two.book.get("r") is None
+
+
+def test_controller_demand_and_revisions_travel():
+    one, two = state("a"), state("b")
+    one.members.merge(info("b"), 0.0)
+    two.members.merge(info("a"), 0.0)
+    one.offer_controller(ControllerNews("a", 7, 8.0))
+    one.offer_demand(DemandNews("a", 9.5, {"s": 12.0}))
+    one.keeper.offer_copy(TableCopy(Table({}, 4), "f" * 16, ()))
+    needs = exchange(one, two)
+    assert needs.table
+    assert two.controller == ControllerNews("a", 7, 8.0)
+    assert two.demands["a"].rates_per_s == {"s": 12.0}
+    assert two.members.revision_of("a") == 4
+
+
+def test_other_halls_get_a_summary_and_nothing_else():
+    one, two = state("a"), state("z", "hall-b")
+    one.offer_placement(placement())
+    one.book.accept(Attestation("r", Fence(1, 0, 2), 9.0))
+    digest = build_digest(one, 10.0, "hall-b", True)
+    assert len(digest.members) == 0
+    exchange(one, two)
+    assert two.halls["hall-a"].serving == 1
+    assert two.halls["hall-a"].contacts[0].name == "a"
+
+
+def test_a_digest_of_a_large_hall_stays_small():
+    one = state("a")
+    for number in range(75):
+        one.members.merge(info(f"daemon-{number:04d}"), 0.0)
+    replicas = {}
+    for number in range(36):
+        members = tuple(Member(f"{number}-{i}", "u", "x") for i in range(4))
+        name = f"hall-a-r100-{number}"
+        generation = Fence(100, 0, number + 1)
+        replicas[name] = Replica(name, "draft", "1", generation, members, 8, ReplicaPhase.SERVING)
+        one.book.accept(Attestation(name, generation, 99.9, 5, 0))
+    one.offer_placement(HallPlacement("hall-a", Fence(100, 0, 99), replicas))
+    for number in range(75):
+        one.offer_demand(DemandNews(f"daemon-{number:04d}", 99.0, {"lanyu-draft": 3.0}))
+    size = len(build_digest(one, 100.0, "hall-a", False).SerializeToString())
+    assert size <= 420
+
+
+# Propagation ----------------------------------------------------------------------------------
+
+
+def edits(count):
+    found, lineage = [], "0" * 16
+    key = RowKey("halls", "hall-a")
+    for number in range(count):
+        changes = (Change(key, "region", f"r{number}"),)
+        lineage = next_lineage(lineage, f"edit{number:05d}", changes)
+        found.append(AcceptedEdit(number + 1, f"edit{number:05d}", lineage, "", 0.0, changes, ()))
+    return found
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3), st.booleans()), max_size=60))
+def test_in_any_order_of_loss_no_revision_falls_and_the_reachable_reach_the_last(steps):
+    states = [state(f"d{i}") for i in range(4)]
+    for each in states:
+        each.keeper.offer_copy(TableCopy(Table({}), "0" * 16, ()))
+    accepted = edits(5)
+    revisions = [0, 0, 0, 0]
+
+    def pull(taker, giver):
+        newer = giver.keeper.history.since(taker.keeper.revision)
+        if newer is None:
+            taker.keeper.offer_copy(giver.keeper.copy())
+        else:
+            taker.keeper.offer_edits(newer)
+
+    for number, (one, two, lost) in enumerate(steps):
+        if number % 7 == 0 and accepted:
+            states[one].keeper.offer_edits([accepted[0]])
+            if states[one].keeper.revision >= accepted[0].revision:
+                accepted.pop(0)
+        if not lost and exchange(states[one], states[two]).table:
+            pull(states[two], states[one])
+        now = [s.keeper.revision for s in states]
+        assert all(a >= b for a, b in zip(now, revisions, strict=True))
+        revisions = now
+    highest = max(states, key=lambda s: s.keeper.revision)
+    for each in states:
+        if exchange(highest, each).table:
+            pull(each, highest)
+    assert {s.keeper.revision for s in states} == {highest.keeper.revision}
+
+
+def test_over_grpc_a_newcomer_gets_the_whole_table_and_then_only_what_is_new():
+    async def check():
+        clock = ManualClock(10.0)
+        old, new = state("a"), state("b")
+        old.keeper.offer_copy(TableCopy(Table({}), "0" * 16, ()))
+        accepted = edits(3)
+        old.keeper.offer_edits(accepted[:2])
+        old.offer_placement(placement())
+        server = ExchangeServer(old, clock, lambda sender, needs: None)
+        port = await server.start("127.0.0.1:0")
+        client = ExchangeClient(new, clock)
+        address = f"127.0.0.1:{port}"
+        told = await client.tell(address, "hall-a", True)
+        assert (told.name, told.hall) == ("a", "hall-a")
+        assert (told.needs.table, told.needs.placement) == (True, True)
+        await client.pull_table(address)
+        assert new.keeper.revision == 2
+        old.keeper.offer_edits(accepted)
+        received = client.received_bytes
+        await client.pull_table(address)
+        assert new.keeper.revision == 3
+        assert client.received_bytes - received < 400
+        assert await client.pull_placement(address) is True
+        await client.close()
+        await server.close()
+        assert isinstance(await ExchangeClient(new, clock).tell(address, "", True), Unavailable)
+
+    asyncio.run(check())
--- /dev/null
+++ b/ferrydock/routing/tests/test_routing.py
@@ -0,0 +1,111 @@
+"""Checks that every routing policy passes, and what a daemon remembers of replicas."""
+
+import random
+
+import pytest
+
+from ...engines import CacheEvent, CacheEvents, Fence
+from ...hall import Attestation, AttestationBook
+from ...placement import HallPlacement, Member, Replica, ReplicaPhase
+from ...table import RowKey, Table
+from .. import Candidate, RouteBook, RouteRequest, make_routing_policy, routing_policies
+
+
+def replica(name, slots=10, phase=ReplicaPhase.SERVING, number=1):
+    members = tuple(Member(f"{name}-{i}", f"{name}-{i}", "x") for i in range(4))
+    return Replica(name, "draft", "1", Fence(1, 0, number), members, slots, phase)
+
+
+def candidate(name, load=0, own=0, cached=0, first_s=0.0):
+    return Candidate(replica(name), load, 0, own, cached, first_s)
+
+
+REQUEST = RouteRequest("draft", tuple(range(20)))
+
+
+@pytest.fixture(params=routing_policies())
+def policy(request):
+    return make_routing_policy(request.param, random.Random(1))
+
+
+def test_none_of_none_and_one_of_one(policy):
+    only = candidate("a", load=99)
+    assert policy.choose([], REQUEST) is None
+    assert policy.choose([only], REQUEST) is only
+
+
+def test_equal_replicas_are_all_used(policy):
+    found = {
+        policy.choose([candidate("a"), candidate("b"), candidate("c")], REQUEST).replica.replica_id
+        for _ in range(60)
+    }
+    assert found == {"a", "b", "c"}
+
+
+def affinity():
+    return make_routing_policy("prefix_affinity", random.Random(1))
+
+
+def test_a_cached_prefix_attracts_but_not_to_an_overloaded_replica():
+    warm, cold = candidate("warm", load=3, cached=20), candidate("cold", load=3)
+    assert affinity().choose([warm, cold], REQUEST) is warm
+    hot, cold = candidate("hot", load=40, cached=20), candidate("cold", load=2)
+    assert affinity().choose([hot, cold], REQUEST) is cold
+
+
+def test_a_slow_replica_is_found_by_its_own_latency():
+    slow, usual = candidate("slow", first_s=3.0), candidate("usual", first_s=0.2)
+    third = candidate("third", first_s=0.2)
+    chosen = {affinity().choose([slow, usual, third], REQUEST).replica.replica_id for _ in range(9)}
+    assert "slow" not in chosen
+
+
+def test_own_requests_correct_a_report_that_is_late():
+    late = Candidate(replica("late"), 0, 30, 30)
+    free = Candidate(replica("free"), 2, 0, 0)
+    assert affinity().choose([late, free], REQUEST) is free
+
+
+VIEW = Table({RowKey("models", "draft"): {}}, 1).view()
+
+
+def test_only_serving_attested_replicas_get_work():
+    book = AttestationBook(2.0)
+    routes = RouteBook(book)
+    good, draining = replica("good"), replica("draining", phase=ReplicaPhase.DRAINING, number=2)
+    unknown = replica("unknown", number=3)
+    placement = HallPlacement(
+        "h", Fence(1, 0, 4), {r.replica_id: r for r in (good, draining, unknown)}
+    )
+    for known in (good, draining):
+        book.accept(Attestation(known.replica_id, known.generation, 10.0))
+    assert routes.serving(placement, VIEW, "draft", 11.0) == [good]
+    assert routes.serving(placement, VIEW, "draft", 12.1) == []
+
+
+def test_a_box_that_operators_mark_as_leaving_takes_its_replica_out_at_once():
+    book = AttestationBook(2.0)
+    good = replica("good")
+    book.accept(Attestation("good", good.generation, 10.0))
+    cells = {"kind": "model_engine", "boxes": "good-2", "leaving": "true"}
+    view = Table({RowKey("models", "draft"): {}, RowKey("targets", "t"): cells}, 2).view()
+    placement = HallPlacement("h", Fence(1, 0, 4), {"good": good})
+    assert RouteBook(book).serving(placement, VIEW, "draft", 10.5) == [good]
+    assert RouteBook(book).serving(placement, view, "draft", 10.5) == []
+
+
+def test_events_with_gaps_and_of_a_new_cache():
+    routes = RouteBook(AttestationBook(2.0))
+    good = replica("good")
+
+    def cached(blocks):
+        return routes.candidates([good], blocks, 0.0)[0].cached_blocks
+
+    routes.take_events("good", CacheEvents("c1", (CacheEvent(1, True, (1, 2, 3)),)))
+    assert cached((1, 2, 3, 4)) == 3
+    routes.take_events("good", CacheEvents("c1", (CacheEvent(5, False, (2,)),)))
+    assert cached((1, 2, 3, 4)) == 1
+    routes.take_events("good", CacheEvents("c1", (CacheEvent(4, True, (2,)),)))
+    assert cached((1, 2, 3, 4)) == 1, "an event that comes late again changes nothing"
+    routes.take_events("good", CacheEvents("c2", ()))
+    assert cached((1, 2, 3, 4)) == 0
