--- a/ferrydock/gateway/_callers.py
+++ b/ferrydock/gateway/_callers.py
@@ -18,12 +18,20 @@
         The table in force.
     bootstrap_digests : tuple of str
         Operator keys by the settings, for a table that names none yet.
+    refused_digests : frozenset of str
+        Keys that count for nothing even if the table names them.
     """
 
-    __slots__ = ("_teams", "_teams_revision", "bootstrap_digests", "keeper")
+    __slots__ = ("_teams", "_teams_revision", "bootstrap_digests", "keeper", "refused_digests")
 
-    def __init__(self, keeper: TableKeeper, bootstrap_digests: tuple[str, ...]):
+    def __init__(
+        self,
+        keeper: TableKeeper,
+        bootstrap_digests: tuple[str, ...],
+        refused_digests: frozenset[str] = frozenset(),
+    ):
         self.keeper = keeper
+        self.refused_digests = refused_digests
         self.bootstrap_digests = bootstrap_digests
         self._teams: dict[str, str | None] = {}
         self._teams_revision = -1
@@ -39,13 +47,16 @@
             self._teams_revision = view.revision
         digest = digest_key(key)
         if digest not in self._teams:
-            self._teams[digest] = team_of_key(view, key)
+            refused = digest in self.refused_digests
+            self._teams[digest] = None if refused else team_of_key(view, key)
         return self._teams[digest]
 
     def is_operator(self, request: web.Request) -> bool:
         """Return whether an operator calls."""
         key = _bearer(request)
-        return bool(key) and is_operator_key(self.keeper.view, key, self.bootstrap_digests)
+        if not key or digest_key(key) in self.refused_digests:
+            return False
+        return is_operator_key(self.keeper.view, key, self.bootstrap_digests)
 
 
 def _bearer(request: web.Request) -> str:
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -151,7 +151,8 @@
             self.random_source,
         )
         self.claims = ClaimBook(self.platform.store, clock, 86400.0, self.name)
-        self.callers = Callers(self.keeper, settings.operator_key_digests)
+        refused = frozenset() if settings.store == "embedded" else DEMO_DIGESTS
+        self.callers = Callers(self.keeper, settings.operator_key_digests, refused)
         self.spill = Spill(self.state, clock)
         self.models = ModelRoutes(
             state=self.state,
@@ -428,7 +429,7 @@
 
 
 def _warn_of_demo_keys(view: TableView) -> None:
-    """Complain of keys that everybody knows."""
+    """Complain of keys that everybody knows; they are refused all the same."""
     digests = set(view.site.operator_key_digests)
     for team in view.teams.values():
         digests.update(team.key_digests)
--- a/ferrydock/node/_settings.py
+++ b/ferrydock/node/_settings.py
@@ -7,6 +7,7 @@
 
 from absl import flags
 
+from ..demo_keys import DEMO_DIGESTS
 from ..outcomes import Fault, Invalid
 
 __all__ = ["Settings", "define_flags", "read_settings"]
@@ -161,22 +162,30 @@
     return Settings(**given)
 
 
+_FILE_GROUPS = (
+    ("tls_certificate", "tls_key"),
+    ("peer_certificate", "peer_key", "peer_authority"),
+)
+
+
 def _combination_faults(given: Mapping) -> list[Fault]:
+    """Return what is wrong with settings that are good one by one."""
     faults = []
-    if given["store"] == "etcd" and not given["store_urls"]:
-        faults.append(Fault("--store_urls", "'' is not allowed with --store=etcd; allowed: a list"))
-    if given["store"] == "etcd" and given["embedded"]:
-        faults.append(Fault("--embedded", "True is not allowed with a real store; use --store"))
-    if given["store"] == "embedded" and not given["embedded"]:
+    embedded = given["embedded"]
+    if embedded and (given["store"] != "embedded" or given["store_urls"]):
+        faults.append(Fault("--embedded", "True is not allowed with a real store; allowed: False"))
+    if not embedded and given["store"] == "embedded":
         faults.append(Fault("--store", "'embedded' is allowed with --embedded only"))
-    if not given["embedded"] and not given["box_list_url"]:
+    if given["store"] == "etcd" and not given["store_urls"]:
+        faults.append(Fault("--store_urls", f"'' is not allowed; allowed: {_URL_WORDS}"))
+    if not embedded and not given["box_list_url"]:
         faults.append(Fault("--box_list_url", f"'' is not allowed; allowed: {_URL_WORDS}"))
-    for group in (
-        ("tls_certificate", "tls_key"),
-        ("peer_certificate", "peer_key", "peer_authority"),
-    ):
+    if not embedded and DEMO_DIGESTS.intersection(given["operator_key_digests"]):
+        faults.append(Fault("--operator_key_digests", "the demo key is allowed embedded only"))
+    for group in _FILE_GROUPS:
         filled = [name for name in group if given[name]]
         if filled and len(filled) != len(group):
             missing = next(name for name in group if not given[name])
-            faults.append(Fault(f"--{missing}", f"'' is not allowed with --{filled[0]}"))
+            problem = f"'' is not allowed with --{filled[0]}; allowed: a file that exists"
+            faults.append(Fault(f"--{missing}", problem))
     return faults
--- /dev/null
+++ b/ferrydock/node/tests/test_settings.py
@@ -0,0 +1,88 @@
+"""Settings: every bad one is named with flag, value and what is allowed."""
+
+import pytest
+from absl import flags
+
+from ...demo_keys import DEMO_DIGESTS
+from ...environment import apply_environment
+from ...outcomes import Invalid
+from .. import Settings, define_flags, read_settings
+
+GOOD = (
+    "--hall=hall-a",
+    "--store_urls=http://10.0.0.1:2379,http://10.0.0.2:2379",
+    "--box_list_url=http://10.0.0.3:80",
+)
+
+
+def read(*arguments, environment=None):
+    values = flags.FlagValues()
+    original, flags.FLAGS = flags.FLAGS, values
+    try:
+        define_flags_in(values)
+    finally:
+        flags.FLAGS = original
+    values(["ferrydockd", *arguments])
+    wrong = apply_environment(values, environment or {})
+    return wrong or read_settings(values)
+
+
+def define_flags_in(values):
+    """Define the daemon's flags in a set of their own."""
+    originals = {n: getattr(flags, n) for n in NAMES}
+    try:
+        for name, original in originals.items():
+            setattr(flags, name, into(original, values))
+        define_flags()
+    finally:
+        for name, original in originals.items():
+            setattr(flags, name, original)
+
+
+NAMES = ("DEFINE_string", "DEFINE_list", "DEFINE_float", "DEFINE_bool", "DEFINE_integer")
+
+
+def into(define, values):
+    return lambda *args, **more: define(*args, flag_values=values, **more)
+
+
+def test_good_settings_are_read():
+    settings = read(*GOOD, "--peers=10.0.0.4:7170")
+    assert isinstance(settings, Settings)
+    assert settings.peers == ("10.0.0.4:7170",)
+    assert settings.stop_longest_s is None
+
+
+def test_every_flag_is_also_read_from_the_environment():
+    settings = read(*GOOD, environment={"FERRYDOCK_LISTEN": "10.0.0.9:80"})
+    assert settings.listen == "10.0.0.9:80"
+    given = read(*GOOD, "--listen=10.0.0.8:80", environment={"FERRYDOCK_LISTEN": "10.0.0.9:80"})
+    assert given.listen == "10.0.0.8:80"
+
+
+@pytest.mark.parametrize(
+    ("argument", "flag"),
+    [
+        ("--hall=a b", "--hall"),
+        ("--listen=somewhere:80", "--listen"),
+        ("--peers=10.0.0.1", "--peers"),
+        ("--store=postgres", "--store"),
+        ("--store_urls=ftp://x", "--store_urls"),
+        ("--log_level=loud", "--log_level"),
+        ("--stop_readiness_s=-3", "--stop_readiness_s"),
+        ("--embedded", "--embedded"),
+        ("--tls_key=/nowhere", "--tls_key"),
+        (f"--operator_key_digests={min(DEMO_DIGESTS)}", "--operator_key_digests"),
+    ],
+)
+def test_a_bad_setting_is_named(argument, flag):
+    refused = read(*GOOD, argument)
+    assert isinstance(refused, Invalid)
+    assert any(fault.place == flag for fault in refused.faults)
+    assert all("allowed" in fault.problem for fault in refused.faults)
+
+
+def test_the_embedded_mode_needs_nothing_else():
+    settings = read("--embedded")
+    assert settings.store == "embedded"
+    assert settings.hall
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,6 +3,8 @@
 
 import json
 import signal
+import subprocess
+import sys
 import threading
 import urllib.error
 import urllib.request
@@ -152,3 +154,105 @@
     assert len({json.dumps(body) for _, body in answers}) == 1
     with urllib.request.urlopen(site.standins.url + "/counts") as response:
         assert json.loads(response.read())["executions"] == {"pupil-7": 1}
+
+
+def run_daemon(*arguments):
+    return subprocess.run(
+        [sys.executable, "-m", "ferrydock.daemon", *arguments], capture_output=True, text=True
+    )
+
+
+def test_a_bad_setting_ends_with_2_and_one_line():
+    for arguments, words in (
+        (["--embedded", "--listen=nowhere"], ("--listen", "nowhere", "IP:PORT")),
+        (["--embedded", "--store=etcd"], ("--embedded",)),
+        (["--no_such_flag"], ("no_such_flag",)),
+    ):
+        done = run_daemon(*arguments)
+        assert done.returncode == 2
+        lines = done.stderr.strip().splitlines()
+        assert len(lines) == 1
+        assert all(word in lines[0] for word in words)
+    assert run_daemon("--embedded", "--check_settings").returncode == 0
+
+
+def test_the_command_line_says_what_became_of_an_edit(make_site, tmp_path):
+    site = make_site("hall-a")
+    daemon = site.daemon("hall-a")
+    fill_table(daemon, ["hall-a"])
+    bad = cli(daemon, "table", "set", "site", "site", "lease_ttl_s=soon", "settle_s=-1")
+    assert bad.returncode == 2
+    assert "site/site/lease_ttl_s" in bad.stderr and "site/site/settle_s" in bad.stderr
+    old = cli(daemon, "table", "set", "models", "draft", "priority=3", "--expect_revision=1")
+    assert old.returncode == 3
+    assert "models/draft/priority" in old.stderr
+    folder = tmp_path / "site"
+    assert cli(daemon, "table", "export", str(folder)).returncode == 0
+    assert cli(daemon, "table", "set", "models", "draft", "priority=7").returncode == 0
+    text = (folder / "models.csv").read_text()
+    (folder / "models.csv").write_text(text.replace("100000000", "200000000"))
+    dry = cli(daemon, "table", "apply", str(folder), "--dry_run")
+    assert (dry.returncode, "nothing written" in dry.stdout) == (0, True)
+    assert cli(daemon, "table", "apply", str(folder)).returncode == 0
+    assert cli(daemon, "table", "get", "models", "draft", "priority").stdout == "7\n"
+    assert cli(daemon, "table", "get", "models", "draft", "weight_bytes").stdout == "200000000\n"
+    fault(site, fault="store", down=True)
+    away = cli(daemon, "table", "set", "models", "draft", "priority=2")
+    assert away.returncode == 5
+    assert "unreachable" in away.stderr
+    wrong_key = cli(daemon, "status", key="wrong")
+    assert wrong_key.returncode != 0
+    daemon.kill()
+    assert cli(daemon, "table", "show").returncode == 5
+    assert cli(daemon, "no", "such").returncode == 2
+    assert cli(daemon, "table", "set", "--help").returncode == 0
+
+
+def test_an_edit_made_while_the_store_loses_the_answer_is_done_once(make_site):
+    site = make_site("hall-a")
+    daemon = site.daemon("hall-a")
+    fill_table(daemon, ["hall-a"])
+    before = status(daemon)["revision"]
+    fault(site, fault="store", lose_answers=1)
+    assert cli(daemon, "table", "set", "models", "draft", "priority=9").returncode == 0
+    assert status(daemon)["revision"] == before + 1
+
+
+def test_a_hall_serves_through_an_outage_of_store_and_box_list(make_site):
+    site = make_site("hall-a")
+    daemon = site.daemon("hall-a")
+    fill_table(daemon, ["hall-a"])
+    wait_until(lambda: serving(daemon), "a replica serves")
+    fault(site, fault="store", down=True)
+    fault(site, fault="box_list", down=True)
+    wait_until(lambda: "acting_isolated" in daemon.log(), "the hall acts without the store")
+    before = serving(daemon)[0]
+    code, _ = post(daemon, "/v1/chat/completions", chat("still here"))
+    assert code == 200
+    code, answer = post(daemon, "/v1/chat/completions", chat("filing"), **{"Idempotency-Key": "f1"})
+    assert (code, answer["error"]["run"]) == (503, "not_run")
+    fault(site, fault="kill", box=before["boxes"][2])
+    wait_until(
+        lambda: [r for r in serving(daemon) if r["generation"] != before["generation"]],
+        "the replica is repaired without the store",
+    )
+    fault(site, fault="store", down=False)
+    wait_until(lambda: status(daemon)["controller_mode"] == "controller", "the hall has rejoined")
+    assert len(serving(daemon)) == 1
+
+
+def test_daemons_are_replaced_one_after_another_and_nothing_is_lost(make_site):
+    site = make_site("hall-a")
+    old = [site.daemon("hall-a") for _ in range(2)]
+    fill_table(old[0], ["hall-a"])
+    wait_until(lambda: serving(old[1]), "a replica serves")
+    revision = status(old[0])["revision"]
+    for daemon in old:
+        fresh = site.daemon("hall-a")
+        wait_until(lambda d=fresh: serving(d), "the newcomer knows the replica")
+        daemon.signal(signal.SIGTERM)
+        assert daemon.popen.wait() == 0
+    last = site.daemons[-1]
+    assert status(last)["revision"] == revision
+    code, _ = post(last, "/v1/chat/completions", chat("after the replacement"))
+    assert code == 200
