--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,106 @@
+"""At most once: seeded histories of crashes, lost answers, duplicates and outages."""
+
+import argparse
+import asyncio
+import random
+import sys
+
+from ferrydock.clock import ManualClock
+from ferrydock.platform import MemoryStore
+from ferrydock.requests import Claim, ClaimBook, ClaimEnd, ClaimUnwritten
+from ferrydock.standins import FaultyStore
+
+from ._report import print_check, print_row
+
+NAME = "claims"
+TRIES = 10
+KEYS = 3
+
+
+class History:
+    """One history, and the naive reference that counts what really ran."""
+
+    def __init__(self, seed: int):
+        self.source = random.Random(seed)
+        self.memory = MemoryStore(ManualClock())
+        self.runs: dict[str, int] = {}
+        self.doubled = 0
+        self.false_not_run = 0
+        self.wrong_answers = 0
+        self.answered = 0
+
+    async def play(self) -> None:
+        """Let callers send and send again through daemons that fail in all ways."""
+        for _ in range(TRIES):
+            await self._one_try(f"k{self.source.randrange(KEYS)}")
+        self.doubled = sum(count > 1 for count in self.runs.values())
+
+    async def _one_try(self, key: str) -> None:
+        source = self.source
+        store = FaultyStore(self.memory)
+        store.down = source.random() < 0.1
+        store.lose_answers = source.choice((0, 0, 1))
+        store.lose_writes = source.choice((0, 0, 0, 1, 9))
+        daemon = ClaimBook(store, ManualClock(), 3600.0, "d")
+        runs_before = self.runs.get(key, 0)
+        found = await daemon.open("team", key, 0.0)
+        fate = source.random()
+        if isinstance(found, Claim):
+            if fate > 0.15:
+                self.runs[key] = runs_before + 1
+            if fate > 0.3:
+                store.lose_writes = 0
+                await daemon.end(found, 200, "text/plain", key.encode())
+        elif isinstance(found, ClaimEnd):
+            self.answered += 1
+            self.wrong_answers += found.body != key.encode()
+        elif isinstance(found, ClaimUnwritten):
+            self.false_not_run += self.runs.get(key, 0) != runs_before
+        if source.random() < 0.5:
+            await store.deliver_late()
+
+
+async def play_all(count: int) -> dict[str, int]:
+    """Play seeded histories and add up what went wrong."""
+    total = {"doubled": 0, "false_not_run": 0, "wrong_answers": 0, "answered": 0, "runs": 0}
+    for seed in range(count):
+        history = History(seed)
+        await history.play()
+        total["runs"] += sum(history.runs.values())
+        for name in ("doubled", "false_not_run", "wrong_answers", "answered"):
+            total[name] += getattr(history, name)
+    return total
+
+
+async def writes_per_thousand(rate_per_s: float, seconds: float) -> float:
+    """Return store transactions per thousand claims that come at a steady rate to one daemon."""
+    memory = MemoryStore()
+    book = ClaimBook(FaultyStore(memory), memory.clock, 3600.0, "d")
+    count = max(20, int(rate_per_s * seconds))
+
+    async def one(number: int) -> None:
+        await asyncio.sleep(number / rate_per_s)
+        claim = await book.open("team", f"k{number}", memory.clock.now_s() + 5)
+        await book.end(claim, 200, "text/plain", b"x")
+
+    await asyncio.gather(*(one(number) for number in range(count)))
+    return book.group_writes / count * 1000
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="fewer histories")
+    arguments = parser.parse_args()
+    count = 500 if arguments.quick else 10000
+    total = asyncio.run(play_all(count))
+    print_row(NAME, histories=count, **total)
+    for rate_per_s in (1, 10, 100, 1000):
+        writes = asyncio.run(writes_per_thousand(rate_per_s, 3.0))
+        print_row(NAME, claims_per_s=rate_per_s, writes_per_thousand=writes)
+    for figure in ("doubled", "false_not_run", "wrong_answers"):
+        print_check(NAME, figure, total[figure], "==0")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
