--- a/benchmarks/_engines.py
+++ b/benchmarks/_engines.py
@@ -201,7 +201,7 @@
     def _route(self, arrival: Arrival, now_s: float, outcome: Outcome) -> None:
         book = self.books[arrival.daemon]
         alive = [r for r, e in zip(self.replicas, self.engines, strict=True) if not e.dead]
-        candidates = book.candidates(alive, arrival.blocks, now_s)
+        candidates = book.candidates(alive, arrival.blocks, now_s, len(self.books))
         request = RouteRequest("draft", arrival.blocks)
         chosen = self.policies[arrival.daemon].choose(candidates, request)
         flight = book.sent(chosen.replica, arrival.blocks, now_s)
--- a/ferrydock/hall/_controller.py
+++ b/ferrydock/hall/_controller.py
@@ -15,6 +15,7 @@
 from ..placement import (
     AddressedOrder,
     HallPlacement,
+    ObservedBox,
     PlacementInput,
     PlacementPolicy,
     adopt,
@@ -157,7 +158,7 @@
         """Return replica-seconds short and box-seconds stranded, seen while in control."""
         return self._short_replica_s, self._stranded_box_s
 
-    def _note_shortage(self, view: TableView) -> None:
+    def _note_shortage(self, view: TableView, boxes: dict[str, ObservedBox]) -> None:
         """Add up what was short since the last round."""
         now_s = self.clock.now_s()
         since_s, self._noted_s = self._noted_s, now_s
@@ -166,7 +167,7 @@
         replicas = self.placement.replicas.values()
         whole = [r for r in replicas if self.observer.book.whole(r, now_s)]
         wanted = sum(m.replicas_in(self.hall) for m in view.models.values())
-        present = sum(1 for seen in self.observer.boxes(view).values() if seen.present)
+        present = sum(1 for seen in boxes.values() if seen.present)
         busy = sum(len(r.members) for r in whole)
         self._short_replica_s += max(0, wanted - len(whole)) * (now_s - since_s)
         self._stranded_box_s += max(0, present - busy) * (now_s - since_s)
@@ -192,8 +193,6 @@
             await self._act_isolated(view)
         else:
             self.mode = ControllerMode.FOLLOWER
-        if self.mode is not ControllerMode.FOLLOWER:
-            self._note_shortage(view)
 
     async def stand_down(self) -> None:
         """Give the lease back, as part of a planned stop."""
@@ -261,11 +260,13 @@
             return
         self.mode = ControllerMode.CONTROLLER
         await self.observer.refresh(self.placement)
-        plan = self._decide(view, isolated=False)
+        boxes = self.observer.boxes(view)
+        plan = self._decide(view, boxes, isolated=False)
         if plan is not self.placement and not await self._write(plan):
             return
         if self.lease.valid:
-            await self._send_orders(view, checking_only=False)
+            await self._send_orders(view, boxes, checking_only=False)
+        self._note_shortage(view, boxes)
 
     async def _take_over(self, view: TableView) -> bool:
         """Read the record and bring it in line with what runs, under the new term."""
@@ -344,10 +345,12 @@
             self.mode = ControllerMode.ISOLATED
             self._put_in_force(adopted)
         await self.observer.refresh(self.placement)
-        plan = self._decide(view, isolated=True)
+        boxes = self.observer.boxes(view)
+        plan = self._decide(view, boxes, isolated=True)
         if plan is not self.placement:
             self._put_in_force(plan)
-        await self._send_orders(view, checking_only=True)
+        await self._send_orders(view, boxes, checking_only=True)
+        self._note_shortage(view, boxes)
 
     def _ballot_tail(self) -> int:
         """Return a number that tells this daemon's ballots from those of its neighbours."""
@@ -355,13 +358,15 @@
 
     # Both ---------------------------------------------------------------------------------
 
-    def _decide(self, view: TableView, isolated: bool) -> HallPlacement:
+    def _decide(
+        self, view: TableView, boxes: dict[str, ObservedBox], isolated: bool
+    ) -> HallPlacement:
         self.counters.plans += 1
         plan = self.policy.plan(
             PlacementInput(
                 placement=self.placement,
                 view=view,
-                boxes=self.observer.boxes(view),
+                boxes=boxes,
                 drained=self.observer.drained(self.placement, DRAIN_QUIET_S),
                 rate_bytes_per_s=self.rate_bytes_per_s,
                 isolated=isolated,
@@ -372,10 +377,12 @@
         self.reasons = {k: why for k, why in self.reasons.items() if k in kept}
         return plan.placement
 
-    async def _send_orders(self, view: TableView, checking_only: bool) -> None:
+    async def _send_orders(
+        self, view: TableView, boxes: dict[str, ObservedBox], checking_only: bool
+    ) -> None:
         orders = [
             order
-            for order in pending_orders(self.placement, view, self.observer.boxes(view))
+            for order in pending_orders(self.placement, view, boxes)
             if not checking_only or view.checks_orders(order.box)
         ]
         for start in range(0, len(orders), ORDERS_AT_ONCE):
--- a/ferrydock/requests/_admission.py
+++ b/ferrydock/requests/_admission.py
@@ -68,7 +68,8 @@
         now_s = self.clock.now_s()
         serving = self.book.serving(self.state.placement, view, request.model, now_s)
         open_to_it = [r for r in serving if r.generation not in excluded]
-        candidates = self.book.candidates(open_to_it, request.blocks, now_s)
+        daemons = max(1, len(self.state.members.working()))
+        candidates = self.book.candidates(open_to_it, request.blocks, now_s, daemons)
         with_room = [c for c in candidates if c.load < c.replica.slots * ROOM_OVER_SLOTS]
         route = RouteRequest(request.model, request.blocks, request.priority)
         return self.policy.choose(with_room, route)
--- a/ferrydock/routing/_book.py
+++ b/ferrydock/routing/_book.py
@@ -78,12 +78,30 @@
                 self._serving.setdefault(replica.model, []).append(replica)
 
     def candidates(
-        self, replicas: Iterable[Replica], blocks: tuple[int, ...], now_s: float
+        self,
+        replicas: Iterable[Replica],
+        blocks: tuple[int, ...],
+        now_s: float,
+        daemons: int = 1,
     ) -> list[Candidate]:
-        """Return what is known of `replicas`, for a prompt with these blocks."""
-        return [self._candidate(replica, blocks, now_s) for replica in replicas]
-
-    def _candidate(self, replica: Replica, blocks: tuple[int, ...], now_s: float) -> Candidate:
+        """Return what is known of `replicas`, for a prompt with these blocks.
+
+        Parameters
+        ----------
+        replicas : iterable of Replica
+            Replicas that may get work.
+        blocks : tuple of int
+            Chained hashes of the prompt's blocks.
+        now_s : float
+            The present time.
+        daemons : int, default=1
+            Daemons that send to the same replicas.
+        """
+        return [self._candidate(replica, blocks, now_s, daemons) for replica in replicas]
+
+    def _candidate(
+        self, replica: Replica, blocks: tuple[int, ...], now_s: float, daemons: int
+    ) -> Candidate:
         memory = self._memory(replica.replica_id)
         statement = self.attestations.get(replica.replica_id)
         reported = statement.running + statement.waiting if statement is not None else 0
@@ -93,7 +111,8 @@
         if now_s - memory.measured_s > LATENCY_FORGET_S:
             latency_s = 0.0
         cached = sum(1 for _ in takewhile(memory.blocks.__contains__, blocks))
-        return Candidate(replica, reported, since, len(memory.flights), cached, latency_s)
+        own = len(memory.flights)
+        return Candidate(replica, reported, since, own, cached, latency_s, daemons)
 
     def _memory(self, replica_id: str) -> _Memory:
         memory = self._memories.get(replica_id)
--- a/ferrydock/routing/_candidate.py
+++ b/ferrydock/routing/_candidate.py
@@ -25,6 +25,8 @@
         Leading blocks of the prompt that its cache is believed to hold.
     first_token_s : float
         Its usual time to the first token as this daemon measured it; 0 if unknown.
+    daemons : int
+        Daemons that send to the same replicas.
     """
 
     replica: Replica
@@ -33,6 +35,18 @@
     own_in_flight: int
     cached_blocks: int = 0
     first_token_s: float = 0.0
+    daemons: int = 1
+
+    @property
+    def balance(self) -> float:
+        """Estimate of the load that does not draw all daemons to the same replica.
+
+        The report is late and the same for all daemons. Their own requests are known at once and
+        differ; times the number of daemons they are an estimate of their own. The mean of both
+        follows the truth and keeps daemons from running together.
+        """
+        reported = self.reported_load + self.sent_since
+        return 0.5 * reported + 0.5 * self.daemons * self.own_in_flight
 
     @property
     def load(self) -> int:
--- a/ferrydock/routing/_policies.py
+++ b/ferrydock/routing/_policies.py
@@ -92,7 +92,7 @@
         Draws the candidates that are compared.
     step_s : float, default=0.02
         Time of one batch step; a full replica makes a request wait for several.
-    block_s : float, default=0.003
+    block_s : float, default=0.0025
         Time to work off one prompt block that is not cached.
     service_steps : float, default=150.0
         Steps that a request usually stays.
@@ -105,8 +105,8 @@
 
     Notes
     -----
-    Reported load is late and the same for all daemons, so that all would run to the same
-    replica. Hence ties within one step are drawn at random.
+    Load is `Candidate.balance`: reported load alone is late and the same for all daemons, so
+    that all would run to the same replica. Ties are drawn at random.
     """
 
     __slots__ = (
@@ -125,7 +125,7 @@
         self,
         random_source: random.Random,
         step_s: float = 0.02,
-        block_s: float = 0.003,
+        block_s: float = 0.0025,
         service_steps: float = 150.0,
         load_factor: float = 1.25,
         slow_factor: float = 2.0,
@@ -150,13 +150,16 @@
             return candidates[0]
         mean_load = sum(self._load(c) for c in candidates) / len(candidates)
         usual_s = self._usual_first_token_s(candidates)
-        costs = [self._cost_s(c, request, mean_load, usual_s) for c in candidates]
-        best = min(costs)
-        near = [c for c, cost in zip(candidates, costs, strict=True) if cost <= best + self.step_s]
-        return self.random_source.choice(near)
+        best, best_rank = None, None
+        for candidate in candidates:
+            cost_s = self._cost_s(candidate, request, mean_load, usual_s)
+            rank = (cost_s, self.random_source.random())
+            if best_rank is None or rank < best_rank:
+                best, best_rank = candidate, rank
+        return best
 
-    def _load(self, candidate: Candidate) -> int:
-        return candidate.load if self.use_load else candidate.own_in_flight
+    def _load(self, candidate: Candidate) -> float:
+        return candidate.balance if self.use_load else candidate.own_in_flight
 
     def _usual_first_token_s(self, candidates: Sequence[Candidate]) -> float:
         known = sorted(c.first_token_s for c in candidates if c.first_token_s > 0)
@@ -168,7 +171,7 @@
         """Return the expected time to the first token."""
         load = self._load(candidate)
         slots = candidate.replica.slots
-        over = max(0, load + 1 - slots)
+        over = max(0.0, load + 1 - slots)
         wait_s = over * self.service_steps * self.step_s / slots
         crowding_s = self.step_s * load / slots
         cached = candidate.cached_blocks if self.use_cache else 0
