--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-import ssl
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -36,6 +35,7 @@
 from ._burn_report import burn_fields
 from ._settings import Settings
 from ._status import status_fields
+from ._tls import CallerTls
 
 __all__ = ["Node", "Platform"]
 
@@ -50,6 +50,7 @@
 EVENTS_OF_INTEREST_S = 30.0
 TIDY_S = 10.0
 RATE_LOOK_S = 10.0
+CERTIFICATE_LOOK_S = 10.0
 RANK_DELAY_S = 1.5
 DEFAULT_PROBE_S = 0.5
 
@@ -196,7 +197,8 @@
         settings = self.settings
         port = await self.exchange_server.start(settings.peer_listen, self.security)
         peer_address = f"{settings.peer_listen.rsplit(':', 1)[0]}:{port}"
-        tls = _caller_tls(settings)
+        self.caller_tls = CallerTls(settings.tls_certificate, settings.tls_key)
+        tls = self.caller_tls.context
         address = await self.gateway.start(settings.listen, tls)
         scheme = "https" if tls is not None else "http"
         outside = settings.outside_advertise
@@ -228,6 +230,7 @@
         self._spawn(self._every(TIDY_S, self.claims.tidy))
         self._spawn(self._every(RATE_LOOK_S, self._look_at_rate))
         self._spawn(self._poll_cache_events())
+        self._spawn(self._every(CERTIFICATE_LOOK_S, self._look_at_certificate))
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -371,6 +374,9 @@
         ]
         await self.prober.probe(placement, mine)
 
+    async def _look_at_certificate(self) -> None:
+        self.caller_tls.renew()
+
     async def _look_at_rate(self) -> None:
         if self.controller.mode is ControllerMode.FOLLOWER:
             return
@@ -426,14 +432,6 @@
     return PeerSecurity(settings.peer_certificate, settings.peer_key, settings.peer_authority)
 
 
-def _caller_tls(settings: Settings) -> ssl.SSLContext | None:
-    if not settings.tls_certificate:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
-    return context
-
-
 def _warn_of_demo_keys(view: TableView) -> None:
     """Complain of keys that everybody knows; they are refused all the same."""
     digests = set(view.site.operator_key_digests)
--- a/ferrydock/routing/_book.py
+++ b/ferrydock/routing/_book.py
@@ -15,6 +15,7 @@
 
 LATENCY_WEIGHT = 0.2
 LATENCY_FORGET_S = 30.0
+LEAST_MEASUREMENTS = 6
 KNOWN_BLOCKS = 8192
 LOAD_REPORT_LAG_S = 1.0
 
@@ -34,6 +35,7 @@
     flights: set[Flight] = field(default_factory=set)
     first_token_s: float = 0.0
     measured_s: float = 0.0
+    measurements: int = 0
     sent_s: float = float("-inf")
     blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
     incarnation: str = ""
@@ -108,7 +110,8 @@
         seen_s = statement.probed_s - LOAD_REPORT_LAG_S if statement is not None else 0.0
         since = sum(1 for flight in memory.flights if flight.sent_s > seen_s)
         latency_s = memory.first_token_s
-        if now_s - memory.measured_s > LATENCY_FORGET_S:
+        stale = now_s - memory.measured_s > LATENCY_FORGET_S
+        if stale or memory.measurements < LEAST_MEASUREMENTS:
             latency_s = 0.0
         cached = sum(1 for _ in takewhile(memory.blocks.__contains__, blocks))
         own = len(memory.flights)
@@ -145,6 +148,7 @@
         weight = LATENCY_WEIGHT if fresh else 1.0
         memory.first_token_s += weight * (took_s - memory.first_token_s)
         memory.measured_s = now_s
+        memory.measurements = memory.measurements + 1 if fresh else 1
 
     def ended(self, flight: Flight) -> None:
         """Note that a request is no longer at its replica."""
--- a/ferrydock/routing/_policies.py
+++ b/ferrydock/routing/_policies.py
@@ -98,7 +98,7 @@
         Steps that a request usually stays.
     load_factor : float, default=1.25
         A replica loaded beyond this times the mean does not attract by its cache.
-    slow_factor : float, default=2.0
+    slow_factor : float, default=4.0
         A replica this much slower than the median is judged by its own latency.
     use_load, use_cache, use_latency : bool, default=True
         Switch an ingredient off.
@@ -128,7 +128,7 @@
         block_s: float = 0.0025,
         service_steps: float = 150.0,
         load_factor: float = 1.25,
-        slow_factor: float = 2.0,
+        slow_factor: float = 4.0,
         use_load: bool = True,
         use_cache: bool = True,
         use_latency: bool = True,
--- a/ferrydock/table/_columns.py
+++ b/ferrydock/table/_columns.py
@@ -165,7 +165,7 @@
         _float("probe_interval_s", "0.5", 0.05, 5, "Pause between two probes of a replica."),
         _float("lease_ttl_s", "5", 1, 60, "Time to live of a hall controller's lease."),
         _float("settle_s", "3", 0, 300, "Extra wait before a box that checks no orders moves."),
-        _float("member_wait_s", "4", 0, 3600, "Least wait for a missing box before a repair."),
+        _float("member_wait_s", "1", 0, 3600, "Least wait for a missing box before a repair."),
         _int("concurrent_loads", "4", 1, 1000, "Replicas of a hall that may load at a time."),
         _float("claim_retention_s", "86400", 60, 2592000, "How long a claim is remembered."),
         _float("queue_wait_s", "2", 0, 120, "Longest wait of a request for a free replica."),
