Split the placement policy by its jobs; end drains whose cause is gone

A replica that drained to make room was not dissolved, since only surplus and outdated ones were; one whose leaving mark was taken back stayed out of service.

'cannibalise' is called donors.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -23,7 +23,7 @@
 KELENN = replace(TODAY, downtime_weight=1.0, stranded_weight=10.0)
 # A hall of the fleet: 144 boxes in 9 fabric domains, 34 replicas; the letter's rates, a fifth.
 FLEET = Setting(9, 16, 4, 34, 2.4, 30.0, 30.0, 20.0, 0.02)
-PARTS = ("wait", "prepare_spares", "swap", "cannibalise", "move")
+PARTS = ("wait", "prepare_spares", "swap", "donors", "move")
 
 
 def compare(label: str, setting: Setting, days: float, **parameters) -> tuple[float, float]:
--- a/ferrydock/placement/_draft.py
+++ b/ferrydock/placement/_draft.py
@@ -8,7 +8,7 @@
 from ._policy import PlacementInput, Plan
 from ._record import HallPlacement, Member, Prepare, Replica, ReplicaPhase
 
-__all__ = ["Draft"]
+__all__ = ["Draft", "prefer_holders"]
 
 
 class Draft:
@@ -143,3 +143,28 @@
         for replica in self.replicas.values():
             counts[replica.model] = counts.get(replica.model, 0) + 1
         return counts
+
+    def domain_of(self, replica: Replica) -> str | None:
+        """Return the fabric domain of a replica, as far as one of its boxes is known."""
+        for box in replica.boxes:
+            seen = self.given.boxes.get(box)
+            if seen is not None:
+                return seen.box.fabric_domain
+        return None
+
+    def may_load(self, model: Model, boxes: list[ObservedBox]) -> bool:
+        """Return whether the weight store has room for what `boxes` would load."""
+        if all(seen.holds(model.name, model.version) for seen in boxes):
+            return True
+        forming = [r for r in self.replicas.values() if r.phase is ReplicaPhase.FORMING]
+        loading = sum(1 for replica in forming if not self._holds_all(replica))
+        return loading < self.given.view.site.concurrent_loads
+
+    def _holds_all(self, replica: Replica) -> bool:
+        seen = [self.given.boxes.get(box) for box in replica.boxes]
+        return all(s and s.holds(replica.model, replica.version) for s in seen)
+
+
+def prefer_holders(boxes: Iterable[ObservedBox], model: Model) -> list[ObservedBox]:
+    """Return `boxes` with those first that hold the model's weights already."""
+    return sorted(boxes, key=lambda s: (not s.holds(model.name, model.version), s.box.name))
--- a/ferrydock/placement/_upkeep.py
+++ b/ferrydock/placement/_upkeep.py
@@ -1,12 +1,11 @@
 """What every policy does first: note what boxes have done, and take away what nobody wants."""
 
 from ..engines import Fence
-from ..table import Model
 from ._draft import Draft
 from ._observed import ObservedBox
 from ._record import Replica, ReplicaPhase
 
-__all__ = ["keep_books", "remove_surplus"]
+__all__ = ["is_outdated", "is_surplus", "keep_books", "remove_surplus"]
 
 
 def keep_books(draft: Draft) -> None:
@@ -36,17 +35,26 @@
             draft.release(box)
 
 
+def is_surplus(draft: Draft, replica: Replica) -> bool:
+    """Return whether the table asks for fewer replicas, and this is the one to give up."""
+    model = draft.given.view.models.get(replica.model)
+    wanted = 0 if model is None else model.replicas_in(draft.given.placement.hall)
+    mine = [r for r in draft.replicas.values() if r.model == replica.model]
+    return len(mine) > wanted and replica is _least_useful(mine)
+
+
+def is_outdated(draft: Draft, replica: Replica) -> bool:
+    """Return whether the table names another version of the model, or no such model."""
+    model = draft.given.view.models.get(replica.model)
+    return model is None or replica.version != model.version
+
+
 def remove_surplus(draft: Draft) -> None:
     """Drain replicas that the table no longer asks for, and dissolve those that are drained."""
-    hall = draft.given.placement.hall
-    models = draft.given.view.models
     for replica in list(draft.replicas.values()):
-        model = models.get(replica.model)
-        wanted = 0 if model is None else model.replicas_in(hall)
-        mine = [r for r in draft.replicas.values() if r.model == replica.model]
-        surplus = len(mine) > wanted and replica is _least_useful(mine)
+        surplus = is_surplus(draft, replica)
         if replica.phase is ReplicaPhase.DRAINING and replica.replica_id in draft.given.drained:
-            if surplus or _outdated(replica, model):
+            if surplus or is_outdated(draft, replica):
                 draft.explain(replica.replica_id, "drained, and no longer wanted: dissolved")
                 draft.dissolve(replica)
         elif surplus and replica.phase is ReplicaPhase.SERVING:
@@ -57,10 +65,6 @@
             draft.dissolve(replica)
 
 
-def _outdated(replica: Replica, model: Model | None) -> bool:
-    return model is None or replica.version != model.version
-
-
 def _least_useful(replicas: list[Replica]) -> Replica:
     """Return the replica to give up first: one that drains, then one that forms, then any."""
     order = {ReplicaPhase.DRAINING: 0, ReplicaPhase.FORMING: 1, ReplicaPhase.SERVING: 2}
--- a/ferrydock/placement/tests/test_policies.py
+++ b/ferrydock/placement/tests/test_policies.py
@@ -227,6 +227,22 @@
     both = view_of(low, ("high", {"replicas_per_hall": "1", "priority": "8"}))
     draining = policy.plan(given(placement, both, boxes)).placement
     assert [r.phase for r in draining.replicas.values()] == [ReplicaPhase.DRAINING]
+    names = list(draining.replicas)
+    done, _ = settle(policy, both, boxes, draining, drained=names)
+    assert [r.model for r in serving(done)] == ["high"]
+    back = policy.plan(given(draining, view_of(low), boxes)).placement
+    assert [r.phase for r in back.replicas.values()] == [ReplicaPhase.SERVING]
+
+
+def test_a_replica_whose_leaving_mark_is_taken_back_serves_again():
+    view = view_of(("draft", {"replicas_per_hall": "1"}))
+    policy = cost_based()
+    placement, boxes = settle(policy, view, hall(1, 5))
+    box = serving(placement)[0].boxes[0]
+    marked = {**boxes, box: changed(boxes[box], leaving=True)}
+    draining = policy.plan(given(placement, view, marked)).placement
+    assert serving(draining) == []
+    assert len(serving(policy.plan(given(draining, view, boxes)).placement)) == 1
 
 
 def test_the_objective_weights_decide_whether_a_big_replica_takes_a_box():
