--- a/ferrydock/daemon.py
+++ b/ferrydock/daemon.py
@@ -29,6 +29,7 @@
 
 _LOG = logging.getLogger("ferrydock.daemon")
 UNKNOWN_RATE_BYTES_PER_S = 1e9
+EXIT_BROKEN = 1
 EXIT_BAD_SETTING = 2
 
 
@@ -66,14 +67,25 @@
     )
 
 
-async def _run_until_stopped(service: NodeService) -> None:
-    """Wait for a signal, then stop as planned. A second signal changes nothing."""
+async def _run_until_stopped(service: NodeService) -> int:
+    """Wait for a signal, then stop as planned; a second signal changes nothing.
+
+    A broken invariant ends the process at once. Returns the exit status.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await stop.wait()
+    failed = service.node.rounds.failed
+    waits = [asyncio.ensure_future(event.wait()) for event in (stop, failed)]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    if failed.is_set():
+        await service.node.close()
+        return EXIT_BROKEN
     await service.node.stop()
+    return 0
 
 
 def _fail(problem: str) -> int:
@@ -119,9 +131,9 @@
     with aiomisc.entrypoint(
         service, log_config=False, pool_size=2, loop_factory=uvloop.new_event_loop
     ) as loop:
-        loop.run_until_complete(_run_until_stopped(service))
-    log_event(_LOG, logging.INFO, "exit", status=0)
-    return 0
+        status = loop.run_until_complete(_run_until_stopped(service))
+    log_event(_LOG, logging.INFO, "exit", status=status)
+    return status
 
 
 if __name__ == "__main__":
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -4,17 +4,15 @@
 import logging
 import random
 import uuid
-from collections.abc import Awaitable, Callable
 
 from ..clock import Clock, SystemClock
 from ..demo_keys import DEMO_DIGESTS
 from ..engines import make_engine_control
 from ..gateway import Callers, Gateway, ModelRoutes, OperatorRoutes, ServiceRoutes, Spill
-from ..hall import AttestationBook, ControllerMode, HallController, HallObserver, Prober
+from ..hall import AttestationBook, HallController, HallObserver, Prober
 from ..logs import log_event
 from ..membership import (
     BurnGatherer,
-    ControllerNews,
     DaemonInfo,
     DemandNews,
     ExchangeClient,
@@ -24,7 +22,6 @@
     SharedState,
     rendezvous_rank,
 )
-from ..outcomes import Unavailable
 from ..placement import AbsenceModel, HallPlacement, make_placement_policy
 from ..platform import BoxList, Store, WeightStore
 from ..reports import Recorder, make_statsd
@@ -43,6 +40,7 @@
 from ..table import TableKeeper, TableRepository, TableView, TableWatcher
 from ..teams import LimitBook, Neighbourhood
 from ._burn_report import burn_fields
+from ._rounds import Rounds
 from ._settings import Settings
 from ._status import status_fields
 from ._tls import CallerTls
@@ -50,19 +48,6 @@
 __all__ = ["Node", "Platform"]
 
 _LOG = logging.getLogger("ferrydock.node")
-CONTROL_ROUND_S = 0.5
-LIMIT_ROUND_S = 0.5
-STAND_IN_LOOK_S = 4.0
-WATCH_STALLED_S = 4.0
-FIRST_LOOK_S = 0.6
-RETRY_STORE_S = 1.0
-EVENT_POLLS_PER_S = 8.0
-EVENTS_OF_INTEREST_S = 30.0
-TIDY_S = 10.0
-RATE_LOOK_S = 10.0
-CERTIFICATE_LOOK_S = 10.0
-RANK_DELAY_S = 1.5
-DEFAULT_PROBE_S = 0.5
 
 
 class Platform:
@@ -108,8 +93,8 @@
         self.clock = clock or SystemClock()
         self.random_source = random_source or random.Random(settings.seed or None)
         self.name = f"{settings.hall}-{uuid.UUID(int=self.random_source.getrandbits(128)).hex[:8]}"
-        self._tasks: list[asyncio.Task] = []
-        self._started_s = self.clock.now_s()
+        self.rounds = Rounds(self)
+        self.started_s = self.clock.now_s()
         self.security = _peer_security(settings)
         self._make_parts()
 
@@ -224,7 +209,7 @@
             outside_peer_address=settings.outside_peer_advertise,
             outside_url=f"{scheme}://{outside}" if outside else "",
         )
-        self._begin_loops()
+        self.rounds.begin()
         log_event(
             _LOG,
             logging.INFO,
@@ -235,36 +220,6 @@
             name=self.name,
         )
 
-    def _begin_loops(self) -> None:
-        self._spawn(self.gossip.run())
-        self._spawn(self.dispatcher.watch())
-        self._spawn(self._follow_store())
-        self._spawn(self._every(CONTROL_ROUND_S, self._control_round))
-        self._spawn(self._probe_rounds())
-        self._spawn(self._every(LIMIT_ROUND_S, self._limit_round))
-        self._spawn(self._every(TIDY_S, self.claims.tidy))
-        self._spawn(self._every(RATE_LOOK_S, self._look_at_rate))
-        self._spawn(self._poll_cache_events())
-        self._spawn(self._every(CERTIFICATE_LOOK_S, self._look_at_certificate))
-
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._on_loop_end)
-        self._tasks.append(task)
-
-    def _on_loop_end(self, task: asyncio.Task) -> None:
-        """A loop never ends by itself: an error in one is a broken invariant."""
-        if not task.cancelled() and task.exception() is not None:
-            log_event(_LOG, logging.CRITICAL, "loop_failed", why=repr(task.exception()))
-            asyncio.get_running_loop().call_exception_handler(
-                {"message": "a loop of the daemon failed", "exception": task.exception()}
-            )
-
-    async def _every(self, pause_s: float, step: Callable[[], Awaitable]) -> None:
-        while True:
-            await step()
-            await asyncio.sleep(pause_s * (0.75 + 0.5 * self.random_source.random()))
-
     async def stop(self) -> None:
         """Planned stop: nothing in flight is cut off."""
         settings = self.settings
@@ -286,9 +241,7 @@
 
     async def close(self) -> None:
         """End at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.rounds.end()
         await self.gateway.close()
         await self.gossip.close()
         await self.exchange_server.close()
@@ -310,26 +263,10 @@
         self.claims.retention_s = view.site.claim_retention_s
         self.dispatcher.budget.ratio = view.site.retry_budget_ratio
         self.services.budget.ratio = view.site.retry_budget_ratio
-        self._update_limits()
+        self.update_limits()
         if self.settings.store != "embedded":
             _warn_of_demo_keys(view)
 
-    async def _follow_store(self) -> None:
-        """Watch the store if that falls to this daemon; else look now and then."""
-        await asyncio.sleep(FIRST_LOOK_S * self.random_source.random())
-        while True:
-            if not self.keeper.loaded:
-                await self.watcher.look()
-            rank = self._rank("watch/" + self.settings.hall)
-            if rank == 0:
-                await self.watcher.follow(WATCH_STALLED_S)
-                await asyncio.sleep(RETRY_STORE_S * (0.5 + self.random_source.random()))
-            elif rank == 1:
-                await asyncio.sleep(STAND_IN_LOOK_S * (0.75 + 0.5 * self.random_source.random()))
-                await self.watcher.look()
-            else:
-                await asyncio.sleep(RETRY_STORE_S)
-
     def _claim_address(self) -> str | None:
         """Return the address of the daemon that writes this hall's claims, or None for this one."""
         working = self.state.members.working()
@@ -340,12 +277,7 @@
         chosen = rendezvous_rank(working, "claims/" + self.settings.hall)[0]
         return None if chosen == self.name else self.state.members.get(chosen).peer_address
 
-    def _rank(self, task: str) -> int:
-        """Return the place of this daemon among those that could take a task; 0 takes it."""
-        ranked = rendezvous_rank(self.state.members.working(), task)
-        return ranked.index(self.name) if self.name in ranked else len(ranked)
-
-    # The hall -----------------------------------------------------------------------------
+    # What the parts tell each other --------------------------------------------------------
 
     def _publish(self, placement: HallPlacement) -> None:
         if self.state.offer_placement(placement):
@@ -355,60 +287,6 @@
         self.controller.learn(placement)
         self.route_book.keep_only(placement)
 
-    async def _control_round(self) -> None:
-        view = self.keeper.view
-        if view is None or self.gateway.stopping:
-            return
-        rank = self._rank("controller/" + self.settings.hall)
-        await self.controller.step(view, self._is_candidate(view, rank), rank == 0)
-        held = self.controller.lease.held
-        if self.controller.mode is ControllerMode.CONTROLLER and held is not None:
-            renewed_s = held.valid_until_s - view.site.lease_ttl_s
-            self.state.offer_controller(ControllerNews(self.name, held.term, renewed_s))
-        self.state.store_away = self.controller.store_away
-
-    def _is_candidate(self, view: TableView, rank: int) -> bool:
-        """Return whether to try for the lease: nobody is known to hold it, and it is our turn."""
-        now_s = self.clock.now_s()
-        news = self.state.controller
-        free_since_s = self._started_s
-        if news is not None:
-            free_since_s = news.renewed_s + view.site.lease_ttl_s
-            if news.name not in self.state.members.working():
-                free_since_s = news.renewed_s
-        return now_s >= free_since_s + rank * RANK_DELAY_S
-
-    async def _probe_rounds(self) -> None:
-        while True:
-            started_s = self.clock.now_s()
-            await self._probe_round()
-            view = self.keeper.view
-            pause_s = view.site.probe_interval_s if view is not None else DEFAULT_PROBE_S
-            took_s = self.clock.now_s() - started_s
-            jitter = 0.9 + 0.2 * self.random_source.random()
-            await asyncio.sleep(max(0.02, pause_s * jitter - took_s))
-
-    async def _probe_round(self) -> None:
-        """Probe the replicas that fall to this daemon."""
-        placement = self.state.placement
-        working = self.state.members.working()
-        mine = [
-            replica_id
-            for replica_id in placement.replicas
-            if rendezvous_rank(working, replica_id)[:1] == [self.name] or not working
-        ]
-        await self.prober.probe(placement, mine)
-
-    async def _look_at_certificate(self) -> None:
-        self.caller_tls.renew()
-
-    async def _look_at_rate(self) -> None:
-        if self.controller.mode is ControllerMode.FOLLOWER:
-            return
-        rate = await self.platform.weight_store.rate()
-        if not isinstance(rate, Unavailable):
-            self.controller.rate_bytes_per_s = rate.rate_bytes_per_s
-
     # Requests -----------------------------------------------------------------------------
 
     def neighbourhood(self) -> Neighbourhood:
@@ -424,10 +302,7 @@
         live = len(self.state.members.live())
         return Neighbourhood(self.settings.hall, self.name, daemons, live, halls)
 
-    async def _limit_round(self) -> None:
-        self._update_limits()
-
-    def _update_limits(self) -> None:
+    def update_limits(self) -> None:
         view = self.keeper.view
         if view is None:
             return
@@ -436,20 +311,6 @@
         rates = self.limits.demands(view)
         self.state.offer_demand(DemandNews(self.name, now_s, rates))
 
-    async def _poll_cache_events(self) -> None:
-        """Ask the replicas in use what their prefix caches hold, in turn, at a bounded rate."""
-        while True:
-            recorded = self.state.placement.replicas.values()
-            since_s = self.clock.now_s() - EVENTS_OF_INTEREST_S
-            replicas = [r for r in recorded if self.route_book.used_since(r.replica_id, since_s)]
-            for replica in replicas:
-                after = self.route_book.last_sequence(replica.replica_id)
-                news = await self.control.cache_events(replica.head.url, after)
-                if not isinstance(news, Unavailable):
-                    self.route_book.take_events(replica.replica_id, news)
-                await asyncio.sleep(1 / EVENT_POLLS_PER_S)
-            await asyncio.sleep(max(0.0, 1.0 - len(replicas) / EVENT_POLLS_PER_S))
-
 
 def _peer_security(settings: Settings) -> PeerSecurity | None:
     if not settings.peer_certificate:
