Send gauges; count an engine's own errors as broken; remove what nothing used

Cause: the newcomer's read and a search for dead code: six unused names, no gauges beside counters, the deadline was lost on the way to another hall, and an engine's 500 was passed on as if the request had surely run.

Change: as said; 'status' shows region, age of the store's answer, parts of limits and refused connections.

--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -88,6 +88,10 @@
         self.address = f"{bound[0]}:{bound[1]}"
         return self.address
 
+    def connection_counts(self) -> dict[str, int]:
+        """Return how many connections were refused, and how many never said anything."""
+        return {"refused": self._guard.refused, "timed_out": self._guard.timed_out}
+
     async def stop_listening(self) -> None:
         """Take no new connections; those that are open go on."""
         self.stopping = True
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -12,6 +12,13 @@
 __all__ = ["HOP_HEADER", "Spill"]
 
 HOP_HEADER = "X-Ferrydock-Hop"
+_PASSED_ON = (
+    "Authorization",
+    "Content-Type",
+    "Idempotency-Key",
+    "X-Not-Repeatable",
+    "X-Deadline-S",
+)
 SUMMARY_FRESH_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 TRIES = 2
@@ -81,11 +88,7 @@
             self._session = aiohttp.ClientSession(
                 timeout=timeout, connector=connector, cookie_jar=aiohttp.DummyCookieJar()
             )
-        headers = {
-            name: request.headers[name]
-            for name in ("Authorization", "Content-Type", "Idempotency-Key", "X-Not-Repeatable")
-            if name in request.headers
-        }
+        headers = {name: request.headers[name] for name in _PASSED_ON if name in request.headers}
         headers[HOP_HEADER] = str(wanted.hops + 1)
         try:
             response = await self._session.post(
--- a/ferrydock/hall/_controller.py
+++ b/ferrydock/hall/_controller.py
@@ -32,7 +32,6 @@
 _LOG = logging.getLogger("ferrydock.hall")
 DRAIN_QUIET_S = 3.0
 ORDERS_AT_ONCE = 64
-STORE_RETRY_S = 1.0
 BALLOT_STEP = 1 << 16
 NOTE_GAP_S = 5.0
 
@@ -86,7 +85,6 @@
         "_acts_until_refused",
         "_noted_s",
         "_short_replica_s",
-        "_silent_since_s",
         "_store_failed_s",
         "_stored",
         "_stranded_box_s",
@@ -136,7 +134,6 @@
         self.counters = _Counters()
         self._stored: StoredPlacement | None = None
         self._store_failed_s: float | None = None
-        self._silent_since_s: float | None = None
         self._acts_until_refused = True
         self._noted_s: float | None = None
         self._short_replica_s = 0.0
--- a/ferrydock/hall/_observer.py
+++ b/ferrydock/hall/_observer.py
@@ -20,7 +20,6 @@
 
 QUIET_PROBE_S = 2.0
 PROBES_AT_ONCE = 64
-LEAVING_RELAPSE_S = 600.0
 
 
 @dataclass(slots=True)
@@ -34,7 +33,6 @@
     idle_since_s: float | None = None
     asked_s: float = -1e9
     listed: bool = True
-    seen_silent: bool = False
 
 
 class HallObserver:
--- a/ferrydock/node/_rounds.py
+++ b/ferrydock/node/_rounds.py
@@ -24,6 +24,7 @@
 TIDY_S = 10.0
 RATE_LOOK_S = 10.0
 CERTIFICATE_LOOK_S = 10.0
+METRICS_S = 10.0
 RANK_DELAY_S = 1.5
 DEFAULT_PROBE_S = 0.5
 
@@ -77,6 +78,7 @@
         self._spawn(self._every(TIDY_S, node.claims.tidy))
         self._spawn(self._every(RATE_LOOK_S, self._look_at_rate))
         self._spawn(self._poll_cache_events())
+        self._spawn(self._every(METRICS_S, self._send_gauges))
         self._spawn(self._every(CERTIFICATE_LOOK_S, self._look_at_certificate))
 
     async def _every(self, pause_s: float, step: Callable[[], Awaitable]) -> None:
@@ -156,6 +158,19 @@
         ]
         await node.prober.probe(placement, mine)
 
+    async def _send_gauges(self) -> None:
+        """Send what is not counted by events."""
+        node = self.node
+        summary = node.state.own_summary(node.clock.now_s())
+        node.recorder.gauge("hall.daemons", summary.daemons)
+        node.recorder.gauge("hall.replicas_wanted", summary.wanted)
+        node.recorder.gauge("hall.replicas_serving", summary.serving)
+        node.recorder.gauge("table.revision", node.keeper.revision)
+        node.recorder.gauge("store.away", int(node.state.store_away))
+        node.recorder.gauge("requests.in_flight", node.gateway.in_flight)
+        for model, length in node.gate.queue_lengths().items():
+            node.recorder.gauge(f"queue.{model}", length)
+
     async def _look_at_certificate(self) -> None:
         self.node.caller_tls.renew()
 
--- a/ferrydock/node/_status.py
+++ b/ferrydock/node/_status.py
@@ -18,17 +18,24 @@
         "hall": node.settings.hall,
         "revision": node.keeper.revision,
         "lineage": node.keeper.lineage,
+        "region": node.settings.region,
         "store": str(node.watcher.sight),
+        "store_answered_ago_s": _ago(node.watcher.answered_s, now_s),
         "controller": own.controller,
         "controller_mode": str(node.controller.mode),
         "halls": halls,
         "members": _members(node),
         "replicas": _replicas(node, now_s),
         "waiting": _waiting(node),
+        "limit_parts": {name: round(node.limits.part_of(name), 4) for name in node.limits.names()},
         "counters": _counters(node),
     }
 
 
+def _ago(at_s: float | None, now_s: float) -> float | None:
+    return None if at_s is None else round(now_s - at_s, 2)
+
+
 def _hall_fields(summary, now_s: float) -> dict:
     return {
         "hall": summary.hall,
@@ -115,4 +122,6 @@
         "claim_writes": node.claim_writer.groups,
         "retries": node.dispatcher.budget.spent,
         "in_flight": node.gateway.in_flight,
+        "box_list_reads": node.observer.list_reads,
+        "connections": node.gateway.connection_counts(),
     }
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -24,7 +24,8 @@
 ]
 
 CONNECT_TIMEOUT_S = 1.0
-_NOT_SENT = ("User-Agent", "Accept", "Accept-Encoding")
+FIRST_SERVER_ERROR = 500
+_LEFT_OUT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,14 +144,14 @@
                 connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=20),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=timeout,
-                skip_auto_headers=_NOT_SENT,
+                skip_auto_headers=_LEFT_OUT_HEADERS,
                 auto_decompress=False,
             )
             self._fresh = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0, force_close=True),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=timeout,
-                skip_auto_headers=_NOT_SENT,
+                skip_auto_headers=_LEFT_OUT_HEADERS,
                 auto_decompress=False,
             )
         return self._kept if repeatable else self._fresh
@@ -261,6 +262,8 @@
             refusal = _refusal(response.status, body)
             if refusal is not None:
                 return refusal
+        if response.status >= FIRST_SERVER_ERROR:
+            return Broken(f"the engine answered with status {response.status}")
         content_type = response.headers.get("Content-Type", "application/json")
         return Answered(response.status, content_type, body)
 
--- a/ferrydock/requests/_lifecycle.py
+++ b/ferrydock/requests/_lifecycle.py
@@ -48,12 +48,11 @@
     (<Run.UNKNOWN: 'unknown'>, False)
     """
 
-    __slots__ = ("_doubt", "_ran", "dispatches", "phase", "repeatable")
+    __slots__ = ("_doubt", "_ran", "phase", "repeatable")
 
     def __init__(self, repeatable: bool):
         self.repeatable = repeatable
         self.phase = RequestPhase.ACCEPTED
-        self.dispatches = 0
         self._doubt = False
         self._ran = False
 
@@ -85,7 +84,6 @@
         if not self.may_run_again:
             raise AssertionError("a request that is not repeatable would be sent twice")
         self._move(RequestPhase.DISPATCHED)
-        self.dispatches += 1
 
     def take_back(self) -> None:
         """The target said that it did not run it, or no byte had left."""
--- a/ferrydock/requests/_model_request.py
+++ b/ferrydock/requests/_model_request.py
@@ -51,7 +51,6 @@
     key: str
     deadline_s: float
     hops: int = 0
-    authorization: str = ""
 
     @property
     def cost(self) -> float:
--- a/ferrydock/standins/_site.py
+++ b/ferrydock/standins/_site.py
@@ -170,6 +170,9 @@
                 "store_calls": dict(self.etcd.calls),
                 "runs": self.fleet.runs,
                 "executions": dict(self.service.executions),
+                "weight_bytes_read": self.weights.read_bytes,
+                "prompt_blocks": self.fleet.prompt_blocks,
+                "reused_blocks": self.fleet.reused_blocks,
             }
         )
 
--- a/ferrydock/teams/_limits.py
+++ b/ferrydock/teams/_limits.py
@@ -142,6 +142,10 @@
             if use.demand_per_s > 0 and name in limited
         }
 
+    def names(self) -> list[str]:
+        """Return the rows of ``shares`` that were used here."""
+        return sorted(self._uses)
+
     def part_of(self, share: str) -> float:
         """Return this daemon's part of a limit, 0 to 1."""
         use = self._uses.get(share)
