--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -11,12 +11,16 @@
 NAME = "control_cost"
 OTHER_HALLS = 4
 SIZES = {9: 4, 38: 18, 76: 36}
+LARGE_HALL = 76
+LARGE_HALL_TTL_S = "3"  # as docs/CAPACITY.md advises: a statement takes some rounds to reach all
 
 
 def measure(size: int, replicas: int, seconds: float) -> dict[str, float]:
     """Return the cost of one daemon in a hall of `size`."""
     sizes = {HALL: size} | {f"hall-{i}": 1 for i in range(1, OTHER_HALLS + 1)}
     fleet = Fleet(sizes, replicas)
+    if size >= LARGE_HALL:
+        fleet.edit([["site", "site", "attestation_ttl_s", LARGE_HALL_TTL_S]])
     try:
         fleet.wait_serving(replicas)
         time.sleep(6)
@@ -42,6 +46,7 @@
             "sent_bytes_per_s_worst": max(sent),
             "probes_per_s": statistics.mean(probes),
             "store_calls_per_s_all_halls": calls / took_s,
+            "whole_share": whole_share(fleet),
             "memory_in_use": memory_share(),
         }
         print_row(NAME, **row)
@@ -50,6 +55,15 @@
         fleet.end()
 
 
+def whole_share(fleet: Fleet) -> float:
+    """Return the part of the replicas that a daemon of the hall sees as whole, on average."""
+    shares = []
+    for daemon in fleet.daemons[HALL]:
+        replicas = fleet.status(daemon)["replicas"]
+        shares.append(sum(r["whole"] for r in replicas) / max(1, len(replicas)))
+    return statistics.mean(shares)
+
+
 def _counters(fleet: Fleet, daemon) -> dict:
     return fleet.status(daemon)["counters"]
 
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -91,7 +91,8 @@
         self.platform = platform
         self.clock = clock or SystemClock()
         self.random_source = random_source or random.Random(settings.seed or None)
-        self.name = f"{settings.hall}-{uuid.UUID(int=self.random_source.getrandbits(128)).hex[:8]}"
+        # Never from the seed: two daemons must not have the same name.
+        self.name = f"{settings.hall}-{uuid.uuid4().hex[:8]}"
         self.rounds = Rounds(self)
         self.started_s = self.clock.now_s()
         self.security = _peer_security(settings)
--- a/ferrydock/node/_settings.py
+++ b/ferrydock/node/_settings.py
@@ -8,6 +8,7 @@
 from absl import flags
 
 from ..demo_keys import DEMO_DIGESTS
+from ..engines import engine_kinds
 from ..outcomes import Fault, Invalid
 
 __all__ = ["Settings", "define_flags", "read_settings"]
@@ -133,6 +134,7 @@
     "most_connections": (_within(1, 100000), "1 to 100000"),
     "first_request_s": (_within(0.1, 600), "0.1 to 600"),
     "body_timeout_s": (_within(0.1, 3600), "0.1 to 3600"),
+    "engine": (lambda text: text in engine_kinds(), ", ".join(engine_kinds())),
     "tls_certificate": (_file_or_empty, "a file that exists, or empty"),
     "tls_key": (_file_or_empty, "a file that exists, or empty"),
     "peer_certificate": (_file_or_empty, "a file that exists, or empty"),
--- a/ferrydock/node/tests/test_settings.py
+++ b/ferrydock/node/tests/test_settings.py
@@ -69,6 +69,7 @@
         ("--store=postgres", "--store"),
         ("--store_urls=ftp://x", "--store_urls"),
         ("--log_level=loud", "--log_level"),
+        ("--engine=steam", "--engine"),
         ("--stop_readiness_s=-3", "--stop_readiness_s"),
         ("--embedded", "--embedded"),
         ("--tls_key=/nowhere", "--tls_key"),
