Take a caller's leaving at the very end for what it is

Cause: reading the whole change once more: a caller who closes while the last bytes or another hall's answer are written made aiohttp log a traceback as of a fault of the server.

Change: such an error ends in one line of the log; in the wrapper of all handlers, not in each of them.

Measured: the new test fails before and passes after; 18 tests of the gateway.

--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -18,6 +18,7 @@
 LARGEST_BODY_BYTES = 4 * 2**20
 LONGEST_HEAD_BYTES = 16384
 DRAIN_LOOK_S = 0.05
+CALLER_LEFT_STATUS = 499  # nobody reads it; the usual status for that
 
 
 class Gateway:
@@ -140,6 +141,9 @@
                 return error_response(413, "body_too_large", "the body is larger than allowed")
             except web.HTTPException as error:
                 return error_response(error.status, "bad_request", error.reason)
+            except ConnectionError:
+                log_event(_LOG, logging.INFO, "caller_left", path=request.path)
+                return web.Response(status=CALLER_LEFT_STATUS)
             except (ValueError, UnicodeError) as error:
                 log_event(_LOG, logging.WARNING, "bad_request", why=error, path=request.path)
                 return error_response(400, "bad_request", "the request cannot be read")
--- a/ferrydock/gateway/tests/test_gateway.py
+++ b/ferrydock/gateway/tests/test_gateway.py
@@ -385,6 +385,22 @@
         assert (status, fields["error"]["code"]) == (404, "no_such_path")
 
 
+def test_a_caller_who_leaves_at_the_very_end_is_no_error(gateway):
+    loop, _, node, _ = gateway
+
+    async def handler(request):
+        raise ConnectionResetError("the caller has closed")
+
+    class Request:
+        protocol = None
+        path = "/v1/completions"
+
+    before = node.gateway.in_flight
+    response = loop.run_until_complete(node.gateway._bounded(handler)(Request()))
+    assert response.status == 499
+    assert node.gateway.in_flight == before
+
+
 def test_the_clock_does_not_go_back():
     clock = SystemClock()
     times = [clock.now_s() for _ in range(100)]
