Make candidates and the list of working members cheaper

Change: candidates are plain slotted classes, the list of working members is remembered until somebody's state changes.

--- a/ferrydock/membership/_members.py
+++ b/ferrydock/membership/_members.py
@@ -122,7 +122,7 @@
         The daemon that keeps this table.
     """
 
-    __slots__ = ("_changed_s", "_live", "_members", "_reached", "_suspected_s", "own")
+    __slots__ = ("_changed_s", "_live", "_members", "_reached", "_suspected_s", "_working", "own")
 
     def __init__(self, own: DaemonInfo):
         self.own = own
@@ -131,6 +131,7 @@
         self._suspected_s: dict[str, float] = {}
         self._reached: dict[str, int] = {}
         self._live: list[DaemonInfo] | None = None
+        self._working: list[str] | None = None
 
     def merge(self, news: DaemonInfo, now_s: float) -> bool:
         """Take news of a daemon; return whether it was new."""
@@ -160,6 +161,7 @@
     def _set(self, info: DaemonInfo, now_s: float) -> None:
         self._members[info.name] = info
         self._live = None
+        self._working = None
         self._changed_s[info.name] = now_s
         if info.status is MemberStatus.SUSPECT:
             self._suspected_s[info.name] = now_s
@@ -215,7 +217,10 @@
 
     def working(self) -> list[str]:
         """Return the names of the daemons that take on tasks: alive and not stopping."""
-        return [m.name for m in self.live() if m.status is MemberStatus.ALIVE and not m.stopping]
+        if self._working is None:
+            alive = [m for m in self.live() if m.status is MemberStatus.ALIVE]
+            self._working = [m.name for m in alive if not m.stopping]
+        return self._working
 
     def rumours(self, now_s: float) -> tuple[DaemonInfo, ...]:
         """Return what changed lately."""
--- a/ferrydock/routing/_candidate.py
+++ b/ferrydock/routing/_candidate.py
@@ -1,4 +1,7 @@
-"""What a routing policy sees: the replicas that may take a request, and the request."""
+"""What a routing policy sees: the replicas that may take a request, and the request.
+
+Both are made for each request, so they are not frozen: that would double the time of making them.
+"""
 
 from dataclasses import dataclass
 
@@ -7,7 +10,7 @@
 __all__ = ["Candidate", "RouteRequest"]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False, slots=True)
 class Candidate:
     """A replica that may take the request.
 
@@ -54,7 +57,7 @@
         return max(self.reported_load + self.sent_since, self.own_in_flight)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False, slots=True)
 class RouteRequest:
     """What of a request matters for its way.
 
