Let the shared state use its own random source for demands

Found in the last read of the whole change: demands_to_tell was handed back the random source that the state holds already. No behaviour changes; 83 tests of membership, node, hall and placement pass.

--- a/ferrydock/membership/_digest.py
+++ b/ferrydock/membership/_digest.py
@@ -65,7 +65,7 @@
         digest.controller.name = state.controller.name
         digest.controller.term = state.controller.term
         digest.controller.age_ms = _age_ms(state.controller.renewed_s, now_s)
-    for news in state.demands_to_tell(state.random_source):
+    for news in state.demands_to_tell():
         packed = digest.demands.add(name=news.name, age_ms=_age_ms(news.made_s, now_s))
         for share, rate_per_s in news.rates_per_s.items():
             packed.demands.add(share=share, rate_per_s=rate_per_s)
--- a/ferrydock/membership/_state.py
+++ b/ferrydock/membership/_state.py
@@ -206,7 +206,7 @@
         if known is None or news.made_s > known.made_s:
             self.demands[news.name] = news
 
-    def demands_to_tell(self, random_source: random.Random) -> list[DemandNews]:
+    def demands_to_tell(self) -> list[DemandNews]:
         """Return this daemon's own demand and a sample of its neighbours'.
 
         A sample keeps digests small in a large hall; news then takes some rounds longer.
@@ -214,7 +214,7 @@
         own = self.demands.get(self.members.own.name)
         others = [n for n in self.demands.values() if n.rates_per_s and n is not own]
         if len(others) > DEMANDS_IN_DIGEST:
-            others = random_source.sample(others, DEMANDS_IN_DIGEST)
+            others = self.random_source.sample(others, DEMANDS_IN_DIGEST)
         return [own, *others] if own is not None and own.rates_per_s else others
 
     def offer_attestations(self, statements: tuple[Attestation, ...]) -> None:
