Look at replicas for room one by one, until one has it

Found in the last read of the whole change: in a site of several halls every request first asked whether any replica here has room, and built all candidates for that, before they were built again for the choice. The question now ends at the first replica with room, and the bound stands in one place.

Measured: 50 tests of gateway, requests and routing pass; no timing was taken.

--- a/ferrydock/requests/_admission.py
+++ b/ferrydock/requests/_admission.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..membership import SharedState
 from ..outcomes import NotRun
+from ..placement import Replica
 from ..routing import Candidate, RouteBook, RouteRequest, RoutingPolicy
 from ..teams import FairQueue, Waiting
 from ._model_request import ModelRequest
@@ -70,7 +71,7 @@
         open_to_it = [r for r in serving if r.generation not in excluded]
         daemons = max(1, len(self.state.members.working()))
         candidates = self.book.candidates(open_to_it, request.blocks, now_s, daemons)
-        with_room = [c for c in candidates if c.load < c.replica.slots * ROOM_OVER_SLOTS]
+        with_room = [c for c in candidates if _has_room(c)]
         route = RouteRequest(request.model, request.blocks, request.priority)
         return self.policy.choose(with_room, route)
 
@@ -79,10 +80,11 @@
         view = self.state.keeper.view
         now_s = self.clock.now_s()
         serving = self.book.serving(self.state.placement, view, model, now_s)
-        return any(
-            c.load < c.replica.slots * ROOM_OVER_SLOTS
-            for c in self.book.candidates(serving, (), now_s)
-        )
+        return any(self._replica_has_room(replica, now_s) for replica in serving)
+
+    def _replica_has_room(self, replica: Replica, now_s: float) -> bool:
+        (candidate,) = self.book.candidates((replica,), (), now_s)
+        return _has_room(candidate)
 
     async def choose(
         self, request: ModelRequest, excluded: set, weight: float, wait_s: float
@@ -184,3 +186,8 @@
             for model in list(self._queues):
                 self.wake(model)
             await asyncio.sleep(PUMP_S)
+
+
+def _has_room(candidate: Candidate) -> bool:
+    """Return whether a replica would take one more request without making it wait."""
+    return candidate.load < candidate.replica.slots * ROOM_OVER_SLOTS
