--- a/benchmarks/_replay.py
+++ b/benchmarks/_replay.py
@@ -20,7 +20,7 @@
     make_placement_policy,
     pending_orders,
 )
-from ferrydock.platform import Box
+from ferrydock.store import Box
 from ferrydock.table import RowKey, Table
 
 DETECTION_S = 2.0
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -6,7 +6,6 @@
 import sys
 
 from ferrydock.clock import ManualClock
-from ferrydock.platform import MemoryStore
 from ferrydock.requests import (
     GROUP_WAIT_S,
     RELAYED_WAIT_S,
@@ -17,6 +16,7 @@
     ClaimWriter,
 )
 from ferrydock.standins import FaultyStore
+from ferrydock.store import MemoryStore
 
 from ._report import print_check, print_row
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -20,7 +20,7 @@
     ReplicaPhase,
     make_placement_policy,
 )
-from ferrydock.platform import Box
+from ferrydock.store import Box
 from ferrydock.table import RowKey, Table, TableCopy, TableKeeper
 
 from ._report import print_row
--- /dev/null
+++ b/ferrydock/configuration/_model.py
@@ -0,0 +1,176 @@
+"""A whole configuration as the gateway for routes takes it: routes, services, tenants, limits."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+__all__ = [
+    "BackEnd",
+    "Configuration",
+    "EngineFigures",
+    "IngressLimits",
+    "ModelFigures",
+    "Route",
+    "RouteKind",
+    "ServiceFigures",
+    "Tenant",
+]
+
+
+class RouteKind(StrEnum):
+    """How often a request of a route may run, and what its answer is."""
+
+    REPEATABLE = "repeatable"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+    RESUMABLE_STREAM = "resumable_stream"
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self in (RouteKind.STREAM, RouteKind.RESUMABLE_STREAM)
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request whose end is unknown may be sent again."""
+        return self in (RouteKind.REPEATABLE, RouteKind.RESUMABLE_STREAM)
+
+
+@dataclass(frozen=True, slots=True)
+class BackEnd:
+    """One of the services behind a route, with its weight among them."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go, and within which bounds.
+
+    Attributes
+    ----------
+    first_answer_s, gap_s : float
+        Objectives: time to the first byte of an answer, longest pause between two events.
+    attempts : int
+        Most targets that one request may be sent to.
+    priority : int
+        0 is the most urgent.
+    public : bool
+        Whether a request needs no key.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    back_ends: tuple[BackEnd, ...]
+    time_limit_s: float
+    attempts: int
+    priority: int
+    first_answer_s: float
+    gap_s: float
+    public: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ModelFigures:
+    """A model of a service: how many workers form a replica, and how long that takes.
+
+    Attributes
+    ----------
+    share : float
+        Part of the service's work that the model starts with.
+    pace : float
+        Factor on all times of the engine.
+    load_s, warm_s : float
+        Time to load the weights from their store, and from the worker's host.
+    """
+
+    name: str
+    size: int
+    share: float
+    pace: float
+    load_s: float
+    warm_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFigures:
+    """What is known of the engines of a service.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that a replica works on at a time.
+    kv_tokens : int
+        Tokens that fit a replica's memory.
+    step_s, step_per_request_s, step_per_token_s : float
+        Time of one token step, and what each writing request and each token of context adds.
+    read_tokens_per_s : float
+        Prompt tokens read in a second.
+    read_pair_s : float
+        Time for each pair of a prompt token and one before it.
+    loads_per_s : float
+        Most loads from the weight store that may begin in a second.
+    keeps : int
+        Models that a host keeps.
+    form_s : float
+        Time from the order to open until a replica serves.
+    """
+
+    slots: int
+    kv_tokens: int
+    step_s: float
+    step_per_request_s: float
+    step_per_token_s: float
+    read_tokens_per_s: float
+    read_pair_s: float
+    loads_per_s: float
+    keeps: int
+    form_s: float
+    models: tuple[ModelFigures, ...]
+
+    def model(self, name: str) -> ModelFigures | None:
+        """Return the figures of a model, or None if the service has no such model."""
+        return next((model for model in self.models if model.name == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFigures:
+    """A service behind routes; `engine` is None for a plain one."""
+
+    name: str
+    health_path: str
+    most_connections: int
+    engine: EngineFigures | None
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A holder of keys; `priority` 0 is the most urgent."""
+
+    name: str
+    keys: frozenset[str]
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class IngressLimits:
+    """What a caller may send, and how long it may take or rest."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One whole version. Versions only rise."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceFigures]
+    tenants: tuple[Tenant, ...]
+    limits: IngressLimits = field(default_factory=IngressLimits)
--- a/ferrydock/daemon.py
+++ b/ferrydock/daemon.py
@@ -23,7 +23,7 @@
     read_settings,
 )
 from .outcomes import Invalid
-from .platform import EtcdStore, HttpBoxList, HttpWeightStore, StaticWeightStore
+from .store import EtcdStore, HttpBoxList, HttpWeightStore, StaticWeightStore
 
 __all__ = ["NodeService", "main"]
 
--- a/ferrydock/demo.py
+++ b/ferrydock/demo.py
@@ -15,8 +15,8 @@
 from .demo_keys import DEMO_OPERATOR_KEY, DEMO_TEAM_KEY
 from .logs import configure, format_event
 from .node import Node, Platform, Settings, write_demo_table
-from .platform import EtcdStore, HttpBoxList, HttpWeightStore
 from .standins import EngineProfile, Link, SiteSize, StandInSite
+from .store import EtcdStore, HttpBoxList, HttpWeightStore
 from .table import digest_key
 
 __all__ = ["DemoSite", "run_demo"]
--- /dev/null
+++ b/ferrydock/entry/__init__.py
@@ -0,0 +1,15 @@
+"""The daemon that serves routes: its settings, the deployment around it, its composition."""
+
+from ._node import EntryNode
+from ._registry import Deployment, deployment_kinds, open_deployment, register_deployment
+from ._settings import EntrySettings, check_settings
+
+__all__ = [
+    "Deployment",
+    "EntryNode",
+    "EntrySettings",
+    "check_settings",
+    "deployment_kinds",
+    "open_deployment",
+    "register_deployment",
+]
--- /dev/null
+++ b/ferrydock/entry/_node.py
@@ -0,0 +1,211 @@
+"""A whole daemon that serves routes."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from ..clock import Clock
+from ..configuration import (
+    Configuration,
+    ConfigurationBook,
+    ConfigurationUnchanged,
+    ConfigurationUnreadable,
+)
+from ..forwarding import Forwarder, LoadBook, Placing, RouteGateway, Upstream
+from ..logs import log_event
+from ..outcomes import Invalid, Unavailable
+from ..requests import RetryBudget
+from ..targets import TargetChanges, TargetDirectory
+from ._ready import SideListener
+from ._registry import Deployment
+
+__all__ = ["EntryNode"]
+
+_LOG = logging.getLogger("ferrydock.entry")
+CONFIRM_S = 1.0
+RETRY_STORE_S = 0.4
+READY_GONE_S = 3.2
+STOP_MARGIN_S = 0.8
+FRESHNESS_MARGIN_S = 0.4
+DAEMONS_GUESSED = 16
+TIDY_S = 1.0
+
+
+class EntryNode:
+    """Composes the parts of a daemon and drives its loops.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The world around.
+    clock : Clock
+        For all decisions.
+    """
+
+    def __init__(self, deployment: Deployment, clock: Clock):
+        self.deployment = deployment
+        self.settings = deployment.settings
+        self.clock = clock
+        self.rng = random.Random()
+        self.failed = asyncio.Event()
+        self.book = ConfigurationBook()
+        self.directory = TargetDirectory()
+        self.loads = LoadBook()
+        self.placing = Placing(self.directory, self.loads, self.settings.hall, clock, self.rng)
+        self.upstream = Upstream()
+        self._budgets: dict[str, RetryBudget] = {}
+        self.forwarder = Forwarder(
+            self.placing, self.upstream, self.loads, deployment.dialect, self._budget, clock
+        )
+        self.gateway = RouteGateway(
+            self.book, self.forwarder, deployment.dialect, self._freshness_s, clock, self.rng
+        )
+        self.ready_listener = SideListener(self._answer_ready)
+        self.stopping = False
+        self._tasks: list[asyncio.Task] = []
+        self._store_reached = True
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            part = self.settings.retry_slack / DAEMONS_GUESSED
+            budget = RetryBudget(self.settings.retry_ratio * 0.8, most_saved=part, start=part)
+            self._budgets[service] = budget
+        return budget
+
+    def _freshness_s(self) -> float:
+        return self.settings.freshness_s - FRESHNESS_MARGIN_S
+
+    # Life -----------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Listen, and begin all loops."""
+        await self.ready_listener.start(self.settings.ready_listen)
+        await self.gateway.start(self.settings.listen)
+        self._spawn(self._follow_configuration())
+        self._spawn(self._follow_targets())
+        self._spawn(self._every(TIDY_S, self._tidy))
+        log_event(
+            _LOG,
+            logging.INFO,
+            "started",
+            name=self.settings.name,
+            hall=self.settings.hall,
+            listen=self.settings.listen,
+            store=self.settings.store_address,
+        )
+
+    async def stop(self) -> None:
+        """Planned stop: the balancer learns first, then nothing in flight is cut off."""
+        started_s = self.clock.now_s()
+        last_s = started_s + self.settings.stop_within_s - STOP_MARGIN_S
+        self.stopping = True
+        self.gateway.stopping = True
+        log_event(_LOG, logging.INFO, "stopping", in_flight=self.gateway.in_flight)
+        await asyncio.sleep(min(READY_GONE_S, max(0.0, last_s - started_s)))
+        self.gateway.stop_listening()
+        while self.gateway.in_flight and self.clock.now_s() < last_s:
+            await asyncio.sleep(0.05)
+        log_event(_LOG, logging.INFO, "stopped", in_flight=self.gateway.in_flight)
+        await self.close()
+
+    async def close(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.gateway.close()
+        await self.ready_listener.close()
+        await self.upstream.close()
+        await self.deployment.control.close()
+        await self.deployment.store.close()
+
+    def _spawn(self, coroutine: Awaitable) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        task.add_done_callback(self._on_end)
+        self._tasks.append(task)
+
+    def _on_end(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            log_event(_LOG, logging.CRITICAL, "loop_failed", why=repr(error))
+            logging.getLogger("ferrydock").error("loop failed", exc_info=error)
+            self.failed.set()
+
+    async def _every(self, pause_s: float, step: Callable[[], Awaitable]) -> None:
+        while True:
+            await asyncio.sleep(pause_s * self.rng.uniform(0.85, 1.15))
+            await step()
+
+    def _answer_ready(self, path: str) -> tuple[int, str]:
+        why_not = self._why_not_ready()
+        return (503, why_not) if why_not else (200, "ready\n")
+
+    def _why_not_ready(self) -> str:
+        if self.stopping:
+            return "stopping"
+        if self.book.lookup is None:
+            return "no configuration yet"
+        return "" if self.directory.loaded else "no targets yet"
+
+    # Loops ----------------------------------------------------------------------------------
+
+    def _note_store(self, reached: bool, reason: str = "") -> None:
+        if reached == self._store_reached:
+            return
+        self._store_reached = reached
+        event = "store_regained" if reached else "store_lost"
+        log_event(_LOG, logging.WARNING, event, why=reason or None, version=self.book.version)
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            began_s = self.clock.now_s()
+            found = await self.deployment.configuration_source.read()
+            if isinstance(found, Unavailable):
+                self._note_store(self.book.lookup is None, found.reason)
+                await asyncio.sleep(RETRY_STORE_S * self.rng.uniform(0.75, 1.25))
+                continue
+            self._note_store(True)
+            if isinstance(found, Configuration):
+                self.book.offer(found, began_s)
+                self.placing.wake()
+            elif isinstance(found, ConfigurationUnchanged):
+                self.book.confirm(self.book.version, began_s)
+            elif isinstance(found, ConfigurationUnreadable):
+                log_event(_LOG, logging.ERROR, "configuration_unreadable", why=found.reason)
+            await asyncio.sleep(CONFIRM_S * self.rng.uniform(0.9, 1.1))
+
+    async def _follow_targets(self) -> None:
+        async for changes in self.deployment.target_source.follow():
+            if isinstance(changes, Unavailable):
+                log_event(_LOG, logging.WARNING, "targets_unavailable", why=changes.reason)
+                await asyncio.sleep(RETRY_STORE_S * self.rng.uniform(0.75, 1.25))
+                continue
+            self._take(changes)
+
+    def _take(self, changes: TargetChanges) -> None:
+        if changes.whole:
+            self.directory.replace(changes.entries)
+        for target_id in changes.removed:
+            self.directory.remove(target_id)
+        if not changes.whole:
+            for target in changes.entries:
+                self.directory.put(target)
+        self.placing.wake()
+
+    async def _tidy(self) -> None:
+        listed = self.directory.targets
+        busy = {target_id for target_id, load in self.loads.items() if load.running}
+        self.upstream.forget_others(listed, busy)
+        self.loads.forget_others(listed)
+        self.reread_settings()
+
+    def reread_settings(self) -> None:
+        """Take the settings as they stand now; unreadable ones leave those in force."""
+        after = self.deployment.reread()
+        if isinstance(after, Invalid):
+            log_event(_LOG, logging.ERROR, "settings_unreadable", why=after.reason)
+        elif after != self.settings:
+            self.settings = after
+            log_event(_LOG, logging.INFO, "settings_changed", name=after.name)
--- /dev/null
+++ b/ferrydock/entry/_ready.py
@@ -0,0 +1,39 @@
+"""The listener for the balancer's questions, and the one for figures."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+__all__ = ["SideListener"]
+
+
+class SideListener:
+    """Answers GET at any path with what a function returns.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes the path, returns status and text.
+    """
+
+    __slots__ = ("_runner", "answer")
+
+    def __init__(self, answer: Callable[[str], tuple[int, str]]):
+        self.answer = answer
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, listen: str) -> None:
+        """Begin to listen on ``IP:PORT``."""
+        host, port = listen.rsplit(":", 1)
+        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        status, text = self.answer(request.path)
+        return web.Response(status=status, text=text)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/ferrydock/entry/_registry.py
@@ -0,0 +1,58 @@
+"""Kinds of deployment, each filling the ports of a daemon that serves routes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..configuration import ConfigurationSource
+from ..forwarding import RequestDialect
+from ..outcomes import Invalid
+from ..store import Store
+from ..targets import TargetControl, TargetSource
+from ._settings import EntrySettings
+
+__all__ = ["Deployment", "deployment_kinds", "open_deployment", "register_deployment"]
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Everything outside the daemon.
+
+    Attributes
+    ----------
+    settings : EntrySettings
+        As read.
+    reread : callable
+        Reads the settings again.
+    """
+
+    settings: EntrySettings
+    reread: Callable[[], EntrySettings | Invalid]
+    store: Store
+    configuration_source: ConfigurationSource
+    target_source: TargetSource
+    control: TargetControl
+    dialect: RequestDialect
+
+
+Factory = Callable[[str], Deployment | Invalid]
+_FACTORIES: dict[str, Factory] = {}
+
+
+def register_deployment(name: str) -> Callable[[Factory], Factory]:
+    """Register what opens a kind of deployment from the path of its settings file."""
+
+    def decorate(factory: Factory) -> Factory:
+        _FACTORIES[name] = factory
+        return factory
+
+    return decorate
+
+
+def deployment_kinds() -> tuple[str, ...]:
+    """Return the registered names."""
+    return tuple(sorted(_FACTORIES))
+
+
+def open_deployment(name: str, path: str) -> Deployment | Invalid:
+    """Open the deployment of a registered kind."""
+    return _FACTORIES[name](path)
--- /dev/null
+++ b/ferrydock/entry/_settings.py
@@ -0,0 +1,137 @@
+"""Settings of a daemon that serves routes, checked in one place."""
+
+import ipaddress
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, fields
+
+from ..outcomes import Fault, Invalid
+
+__all__ = ["EntrySettings", "check_settings"]
+
+MOST_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """What one daemon is told at its start.
+
+    Attributes
+    ----------
+    name : str
+        Of this daemon's machine.
+    hall, halls : str, tuple of str
+        Where it stands, and all halls of the site.
+    listen, ready_listen, metrics_listen : str
+        ``IP:PORT`` for callers, for the balancer's questions and for figures.
+    peer_address : str
+        ``IP:PORT`` for other daemons.
+    store_address : str
+        ``IP:PORT`` of the platform's store.
+    freshness_s : float
+        Longest age of the configuration's confirmation for a request with a key.
+    stop_within_s : float
+        Time from the order to stop until the process is killed.
+    retry_ratio, retry_slack, retry_window_s : float
+        Sendings beyond the first of all daemons to a service, within each window: the ratio of
+        its requests plus the slack.
+    stall_s : float
+        After which a replica without one of its members says so by itself.
+    load_window_s, load_overshoot : float
+        Window and factor in which the loads that begin are counted.
+    memory_bytes : int
+        Above which the process is killed.
+    """
+
+    name: str
+    hall: str
+    halls: tuple[str, ...]
+    listen: str
+    ready_listen: str
+    metrics_listen: str
+    peer_address: str
+    store_address: str
+    freshness_s: float
+    stop_within_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    stall_s: float
+    load_window_s: float
+    load_overshoot: float
+    memory_bytes: int
+
+
+def _is_name(value) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= 200
+
+
+def _is_address(value) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) <= MOST_PORT
+
+
+def _is_within(low: float, high: float) -> Callable[[object], bool]:
+    def check(value) -> bool:
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        return is_number and low <= value <= high
+
+    return check
+
+
+def _is_names(value) -> bool:
+    return isinstance(value, tuple) and bool(value) and all(_is_name(name) for name in value)
+
+
+_ADDRESS = (_is_address, "IP:PORT with a port of 1 to 65535")
+_CONSTRAINTS: Mapping[str, tuple[Callable, str]] = {
+    "name": (_is_name, "a text of 1 to 200 signs"),
+    "hall": (_is_name, "a text of 1 to 200 signs"),
+    "halls": (_is_names, "one name or more"),
+    "listen": _ADDRESS,
+    "ready_listen": _ADDRESS,
+    "metrics_listen": _ADDRESS,
+    "peer_address": _ADDRESS,
+    "store_address": _ADDRESS,
+    "freshness_s": (_is_within(0, 86400), "0 to 86400 seconds"),
+    "stop_within_s": (_is_within(0, 86400), "0 to 86400 seconds"),
+    "retry_ratio": (_is_within(0, 1000), "0 to 1000"),
+    "retry_slack": (_is_within(0, 1e9), "0 and more"),
+    "retry_window_s": (_is_within(0.001, 86400), "above 0, to 86400 seconds"),
+    "stall_s": (_is_within(0, 86400), "0 to 86400 seconds"),
+    "load_window_s": (_is_within(0.001, 86400), "above 0, to 86400 seconds"),
+    "load_overshoot": (_is_within(0, 1000), "0 to 1000"),
+    "memory_bytes": (_is_within(1, 1 << 50), "1 and more"),
+}
+
+
+def check_settings(
+    given: Mapping[str, object], shown: Mapping[str, str]
+) -> EntrySettings | Invalid:
+    """Return checked settings, or every fault with the field's name, value and what is allowed.
+
+    Parameters
+    ----------
+    given : mapping
+        Values by the names of `EntrySettings`; a missing one is a fault.
+    shown : mapping
+        Names by which whoever wrote the settings knows the fields.
+    """
+    faults = []
+    for field in fields(EntrySettings):
+        check, allowed = _CONSTRAINTS[field.name]
+        value = given.get(field.name)
+        if not check(value):
+            place = shown.get(field.name, field.name)
+            faults.append(Fault(place, f"{value!r} is not allowed; allowed: {allowed}"))
+    if faults:
+        return Invalid(tuple(faults))
+    if given["hall"] not in given["halls"]:
+        place = shown.get("hall", "hall")
+        return Invalid((Fault(place, f"{given['hall']!r} is none of the site's halls"),))
+    return EntrySettings(**{field.name: given[field.name] for field in fields(EntrySettings)})
--- /dev/null
+++ b/ferrydock/forwarding/__init__.py
@@ -0,0 +1,30 @@
+"""Forwarding of requests along routes, byte for byte, with retries and resumed streams."""
+
+from ._dialect import AnswerSigns, Inbound, Outbound, RequestDialect
+from ._events import NumberedEvents
+from ._exchange import Attempt, AttemptEnd, Exchange
+from ._forwarder import Forwarder
+from ._gateway import RouteGateway
+from ._headers import end_to_end
+from ._load import LoadBook, TargetLoad
+from ._placing import Place, Placing
+from ._upstream import Upstream
+
+__all__ = [
+    "AnswerSigns",
+    "Attempt",
+    "AttemptEnd",
+    "Exchange",
+    "Forwarder",
+    "Inbound",
+    "LoadBook",
+    "NumberedEvents",
+    "Outbound",
+    "Place",
+    "Placing",
+    "RequestDialect",
+    "RouteGateway",
+    "TargetLoad",
+    "Upstream",
+    "end_to_end",
+]
--- /dev/null
+++ b/ferrydock/forwarding/_dialect.py
@@ -0,0 +1,82 @@
+"""The port that reads a caller's headers and writes those for a target."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from multidict import CIMultiDict
+
+__all__ = ["AnswerSigns", "Inbound", "Outbound", "RequestDialect"]
+
+
+@dataclass(frozen=True, slots=True)
+class Inbound:
+    """What a caller's headers say, in the product's own terms.
+
+    Attributes
+    ----------
+    request_id : str
+        Empty if the caller named none.
+    left_s : float or None
+        How long the caller will wait.
+    key : str
+        Empty if none was given.
+    prompt_tokens, answer_tokens : int
+        Size of the prompt and the most tokens of the answer; 0 if not told.
+    last_event_id : int or None
+        The event after which a stream goes on.
+    """
+
+    request_id: str
+    left_s: float | None
+    key: str
+    model: str
+    prompt_tokens: int
+    answer_tokens: int
+    last_event_id: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Outbound:
+    """What a target is told beside the caller's own headers."""
+
+    target_id: str
+    left_s: float
+    tenant: str
+    urgency: int | None
+    last_event_id: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerSigns:
+    """What a target's answer says about the request.
+
+    Attributes
+    ----------
+    not_executed : bool
+        The target promises that the request did not run and will not.
+    request_id : str
+        The request that the answer belongs to; empty if not told.
+    signed : bool
+        Whether the answer is a target's own.
+    blamed : str
+        Id of the target that is at fault for a refusal; empty if not told.
+    """
+
+    not_executed: bool
+    request_id: str
+    signed: bool
+    blamed: str
+
+
+class RequestDialect(Protocol):
+    """Names and formats of headers on both sides."""
+
+    def read(self, headers: Mapping[str, str]) -> Inbound | None:
+        """Return what a request says, or None if its headers cannot be read."""
+
+    def outgoing(self, headers: Iterable[tuple[str, str]], outbound: Outbound) -> CIMultiDict[str]:
+        """Return the headers for a target: the caller's, less those of one connection."""
+
+    def answer(self, status: int, headers: Mapping[str, str]) -> AnswerSigns:
+        """Read a target's answer."""
--- /dev/null
+++ b/ferrydock/forwarding/_exchange.py
@@ -0,0 +1,89 @@
+"""One request of a caller while it is under way."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from ..configuration import Route, ServiceFigures
+from ._dialect import Inbound
+from ._events import NumberedEvents
+
+__all__ = ["Attempt", "AttemptEnd", "Exchange"]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How one attempt ended.
+
+    Attributes
+    ----------
+    whole : bool
+        Whether the caller has its final answer.
+    ran : bool
+        False only where the request certainly did not run at the target.
+    reason : str
+        Snake-case word for the log.
+    offered : bool
+        Whether the target saw the request.
+    status : int
+        Status of the target's answer; 0 if there was none.
+    """
+
+    whole: bool
+    ran: bool
+    reason: str
+    offered: bool = True
+    status: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt that can be interrupted by whoever learns that its replica is broken."""
+
+    replica: tuple[str, int] | None
+    limit: asyncio.Timeout
+    interrupted: str = ""
+
+    def interrupt(self, reason: str) -> None:
+        """End the attempt now."""
+        if not self.interrupted:
+            self.interrupted = reason
+            self.limit.reschedule(asyncio.get_running_loop().time())
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request, what was decided about it, and what its caller has received.
+
+    Attributes
+    ----------
+    until_s : float
+        Local time at which the caller gets its last answer.
+    body : bytes or None
+        The whole body; None where it is passed on as it comes and can be sent only once.
+    tried : set of str
+        Targets that were sent this request.
+    response : web.StreamResponse or None
+        Begun answer.
+    """
+
+    request: web.BaseRequest
+    inbound: Inbound
+    route: Route
+    service: ServiceFigures
+    tenant: str
+    tenant_priority: int
+    started_s: float
+    until_s: float
+    body: bytes | None
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    response: web.StreamResponse | None = None
+    events: NumberedEvents | None = None
+    last_reason: str = ""
+
+    @property
+    def rank(self) -> tuple:
+        """Order among waiting requests; the smallest goes first."""
+        return (self.tenant_priority, self.route.priority, self.until_s)
--- /dev/null
+++ b/ferrydock/forwarding/_forwarder.py
@@ -0,0 +1,348 @@
+"""The life of one forwarded request: attempts, retries, resumption, the final answer."""
+
+import asyncio
+import logging
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..clock import Clock
+from ..logs import log_event
+from ..requests import RetryBudget
+from ._answers import refusal
+from ._dialect import AnswerSigns, Outbound, RequestDialect
+from ._exchange import Attempt, AttemptEnd, Exchange
+from ._headers import end_to_end
+from ._load import LoadBook
+from ._placing import Place, Placing
+from ._upstream import Upstream
+
+__all__ = ["Forwarder"]
+
+_LOG = logging.getLogger("ferrydock.forwarding")
+SHORTEST_ATTEMPT_S = 0.02
+RETRY_AFTER_S = 0.3
+SERVER_ERROR = 500
+HEAD_PIECE_BYTES = 65536
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+_BROKEN = (aiohttp.ClientError, ConnectionError, OSError)
+
+
+class CallerGone(ConnectionError):
+    """The caller's connection ended before its answer did."""
+
+
+class Forwarder:
+    """Sends requests to targets and their answers back.
+
+    Parameters
+    ----------
+    placing : Placing
+        Chooses targets.
+    upstream : Upstream
+        Connections to them.
+    loads : LoadBook
+        What is known of their load and conduct.
+    dialect : RequestDialect
+        Names and formats of headers.
+    budgets : callable
+        Returns the retry budget of a service.
+    """
+
+    __slots__ = ("attempts", "budgets", "clock", "dialect", "loads", "placing", "upstream")
+
+    def __init__(
+        self,
+        placing: Placing,
+        upstream: Upstream,
+        loads: LoadBook,
+        dialect: RequestDialect,
+        budgets,
+        clock: Clock,
+    ):
+        self.placing = placing
+        self.upstream = upstream
+        self.loads = loads
+        self.dialect = dialect
+        self.budgets = budgets
+        self.clock = clock
+        self.attempts: dict[str, set[Attempt]] = {}
+
+    async def forward(self, exchange: Exchange) -> web.StreamResponse:
+        """Serve one request whole, or say what became of it."""
+        budget: RetryBudget = self.budgets(exchange.service.name)
+        budget.first_attempt()
+        unsure = False
+        while True:
+            place = await self.placing.place(exchange, self._patience_s(exchange))
+            if place is None:
+                return self._give_up(exchange, "no_room", unsure)
+            end = await self._attempt(exchange, place)
+            if end.whole:
+                self._log_end(exchange, end, place)
+                return exchange.response
+            unsure = unsure or end.ran
+            exchange.last_reason = end.reason
+            self._log_attempt(exchange, end, place)
+            if not self._may_repeat(exchange, end):
+                return self._give_up(exchange, end.reason, unsure)
+            if not budget.spend():
+                return self._give_up(exchange, "retry_budget", unsure)
+
+    def _may_repeat(self, exchange: Exchange, end: AttemptEnd) -> bool:
+        if end.ran and not exchange.route.kind.is_repeatable:
+            return False
+        if exchange.body is None and end.offered:
+            return False
+        if exchange.response is not None and exchange.events is None:
+            return False
+        if exchange.attempts >= max(exchange.route.attempts, 1):
+            return False
+        return self._left_s(exchange) > SHORTEST_ATTEMPT_S
+
+    def _left_s(self, exchange: Exchange) -> float:
+        return exchange.until_s - self.clock.now_s()
+
+    def _patience_s(self, exchange: Exchange) -> float:
+        """Return how long a request may wait for room."""
+        left_s = self._left_s(exchange)
+        if exchange.attempts:
+            return min(left_s, 1.0)
+        waited_s = self.clock.now_s() - exchange.started_s
+        return min(left_s, exchange.route.first_answer_s - waited_s)
+
+    # One attempt --------------------------------------------------------------------------
+
+    async def _attempt(self, exchange: Exchange, place: Place) -> AttemptEnd:
+        """Send the request to one target and relay what it answers."""
+        target = place.target
+        exchange.attempts += 1
+        exchange.tried.add(target.target_id)
+        loop = asyncio.get_running_loop()
+        limit = asyncio.timeout_at(loop.time() + self._left_s(exchange))
+        attempt = Attempt(place.replica_key, limit)
+        running = self.attempts.setdefault(target.target_id, set())
+        running.add(attempt)
+        try:
+            async with limit:
+                end = await self._send(exchange, place)
+        except TimeoutError:
+            reason = attempt.interrupted or "time_over"
+            end = AttemptEnd(False, True, reason)
+        finally:
+            running.discard(attempt)
+            self.placing.release(place)
+        self._judge(place, end)
+        return end
+
+    def _judge(self, place: Place, end: AttemptEnd) -> None:
+        """Let the end of an attempt tell on its target."""
+        target_id = place.target.target_id
+        if end.whole and end.status < SERVER_ERROR:
+            self.loads.succeeded(target_id)
+        elif end.reason in ("not_sent", "broken", "wrong_answer"):
+            self.loads.failed(target_id, self.clock.now_s(), at_once=end.reason == "not_sent")
+        elif end.reason in ("refused", "error"):
+            self.loads.failed(target_id, self.clock.now_s())
+
+    async def _send(self, exchange: Exchange, place: Place) -> AttemptEnd:
+        request = exchange.request
+        outbound = Outbound(
+            target_id=place.target.target_id,
+            left_s=self._left_s(exchange),
+            tenant=exchange.tenant,
+            urgency=None,
+            last_event_id=exchange.events.last_id if exchange.events else None,
+        )
+        headers = self.dialect.outgoing(request.headers.items(), outbound)
+        body = exchange.body if exchange.body is not None else request.content.iter_any()
+        once = not exchange.route.kind.is_repeatable
+        try:
+            answer = await self.upstream.send(
+                place.target, request.method, request.raw_path, headers, body, once
+            )
+        except _NOT_SENT:
+            return AttemptEnd(False, False, "not_sent", offered=False)
+        except _BROKEN as error:
+            return AttemptEnd(False, True, "broken_" + type(error).__name__)
+        try:
+            return await self._take_answer(exchange, place, answer)
+        except CallerGone:
+            raise
+        except _BROKEN:
+            return AttemptEnd(False, True, "broken")
+        finally:
+            if not answer.content.is_eof() or _is_uploading(answer):
+                answer.close()
+            else:
+                answer.release()
+
+    async def _take_answer(
+        self, exchange: Exchange, place: Place, answer: aiohttp.ClientResponse
+    ) -> AttemptEnd:
+        signs = self.dialect.answer(answer.status, answer.headers)
+        if signs.request_id and signs.request_id != exchange.inbound.request_id:
+            answer.close()
+            return AttemptEnd(False, True, "wrong_answer")
+        if signs.not_executed:
+            return AttemptEnd(False, False, "refused", status=answer.status)
+        self.loads.progressed(place.target.target_id, self.clock.now_s())
+        if self._is_bad(exchange, answer, signs):
+            return AttemptEnd(False, True, "error", status=answer.status)
+        if exchange.route.kind.is_stream and answer.status < 300:
+            return await self._relay_stream(exchange, place, answer)
+        if exchange.response is not None:
+            return AttemptEnd(False, True, "error", status=answer.status)
+        return await self._relay_plain(exchange, answer)
+
+    def _is_bad(
+        self, exchange: Exchange, answer: aiohttp.ClientResponse, signs: AnswerSigns
+    ) -> bool:
+        """Whether an answer is worth another try elsewhere rather than passing it on."""
+        if answer.status < 300 and (not signs.signed or "Content-Encoding" in answer.headers):
+            return True
+        if answer.status < SERVER_ERROR or not exchange.route.kind.is_repeatable:
+            return False
+        more = exchange.attempts < exchange.route.attempts
+        return more and self._left_s(exchange) > exchange.route.first_answer_s / 2
+
+    async def _relay_plain(self, exchange: Exchange, answer: aiohttp.ClientResponse) -> AttemptEnd:
+        """Pass on an answer that is not a stream; it begins once its first bytes are here."""
+        reader = answer.content
+        if answer.content_length is not None and answer.content_length <= HEAD_PIECE_BYTES:
+            body = await answer.read()
+            self._check_ended(answer)
+            exchange.response = web.Response(
+                status=answer.status,
+                reason=answer.reason,
+                headers=_answer_headers(answer),
+                body=body,
+            )
+            return AttemptEnd(True, True, "answered", status=answer.status)
+        response = await self._begin(exchange, answer)
+        async for piece in reader.iter_any():
+            await _write(response, piece)
+        self._check_ended(answer)
+        await _write_end(response)
+        return AttemptEnd(True, True, "answered", status=answer.status)
+
+    async def _relay_stream(
+        self, exchange: Exchange, place: Place, answer: aiohttp.ClientResponse
+    ) -> AttemptEnd:
+        """Pass on whole events as they come."""
+        events = exchange.events
+        events.start_run()
+        target_id = place.target.target_id
+        async for piece in answer.content.iter_any():
+            self.loads.progressed(target_id, self.clock.now_s())
+            whole = events.feed(piece)
+            if whole:
+                if exchange.response is None:
+                    await self._begin(exchange, answer)
+                await _write(exchange.response, whole)
+        self._check_ended(answer)
+        if events.is_torn:
+            return AttemptEnd(False, True, "torn")
+        if exchange.response is None:
+            await self._begin(exchange, answer)
+        await _write_end(exchange.response)
+        return AttemptEnd(True, True, "streamed", status=answer.status)
+
+    def _check_ended(self, answer: aiohttp.ClientResponse) -> None:
+        """Raise if an answer whose end is the connection's ended by a reset."""
+        error = answer._protocol.exception() if answer._protocol is not None else None
+        if isinstance(error, OSError) and not isinstance(error, aiohttp.ServerDisconnectedError):
+            raise aiohttp.ClientPayloadError("the connection was reset")
+
+    async def _begin(
+        self, exchange: Exchange, answer: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        headers = _answer_headers(answer)
+        response = web.StreamResponse(status=answer.status, reason=answer.reason, headers=headers)
+        if "Content-Length" not in headers and answer.status not in (204, 304):
+            response.enable_chunked_encoding()
+        exchange.response = response
+        try:
+            await response.prepare(exchange.request)
+        except ConnectionError as error:
+            raise CallerGone from error
+        return response
+
+    # The final answer without a target's ----------------------------------------------------
+
+    def _give_up(self, exchange: Exchange, reason: str, unsure: bool) -> web.StreamResponse:
+        log_event(
+            _LOG,
+            logging.INFO,
+            "request_failed",
+            request=exchange.inbound.request_id,
+            route=exchange.route.name,
+            why=reason,
+            last=exchange.last_reason or None,
+            may_have_run=unsure,
+            attempts=exchange.attempts,
+            held_ms=(self.clock.now_s() - exchange.started_s) * 1000,
+        )
+        if exchange.response is not None:
+            if exchange.request.transport is not None:
+                exchange.request.transport.abort()
+            return exchange.response
+        over = self._left_s(exchange) <= SHORTEST_ATTEMPT_S
+        if unsure and not (exchange.route.kind.is_repeatable and not over):
+            return refusal(504 if over else 502, reason, None)
+        if unsure:
+            return refusal(502, reason, None)
+        return refusal(503, reason, RETRY_AFTER_S)
+
+    def _log_attempt(self, exchange: Exchange, end: AttemptEnd, place: Place) -> None:
+        log_event(
+            _LOG,
+            logging.INFO,
+            "attempt_failed",
+            request=exchange.inbound.request_id,
+            route=exchange.route.name,
+            target=place.target.target_id,
+            replica=place.replica.name if place.replica else None,
+            why=end.reason,
+            status=end.status or None,
+            ran=end.ran,
+            attempt=exchange.attempts,
+            after_event=exchange.events.last_id if exchange.events else None,
+        )
+
+    def _log_end(self, exchange: Exchange, end: AttemptEnd, place: Place) -> None:
+        log_event(
+            _LOG,
+            logging.DEBUG,
+            "request_done",
+            request=exchange.inbound.request_id,
+            route=exchange.route.name,
+            target=place.target.target_id,
+            status=end.status,
+            attempts=exchange.attempts,
+            took_ms=(self.clock.now_s() - exchange.started_s) * 1000,
+        )
+
+
+def _is_uploading(answer: aiohttp.ClientResponse) -> bool:
+    writer = answer._writer
+    return writer is not None and not writer.done()
+
+
+def _answer_headers(answer: aiohttp.ClientResponse):
+    return CIMultiDict(end_to_end(answer.headers.items()))
+
+
+async def _write(response: web.StreamResponse, piece: bytes) -> None:
+    try:
+        await response.write(piece)
+    except ConnectionError as error:
+        raise CallerGone from error
+
+
+async def _write_end(response: web.StreamResponse) -> None:
+    try:
+        await response.write_eof()
+    except ConnectionError as error:
+        raise CallerGone from error
--- /dev/null
+++ b/ferrydock/forwarding/_placing.py
@@ -0,0 +1,174 @@
+"""Choice of a target for each attempt, and the queue of those for whom there is no room."""
+
+import asyncio
+import heapq
+import itertools
+import random
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..targets import ReplicaView, Target, TargetDirectory
+from ._exchange import Exchange
+from ._load import LoadBook
+
+__all__ = ["Place", "Placing"]
+
+OTHER_HALL_PENALTY = 0.25
+PLAIN_OVERCOMMIT = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where an attempt goes; `replica` is None for a plain service."""
+
+    target: Target
+    replica: ReplicaView | None
+
+    @property
+    def replica_key(self) -> tuple[str, int] | None:
+        """Name and epoch of the replica."""
+        return (self.replica.name, self.replica.epoch) if self.replica else None
+
+
+class Placing:
+    """Chooses targets and queues requests.
+
+    Parameters
+    ----------
+    directory : TargetDirectory
+        Targets and replicas.
+    loads : LoadBook
+        Their loads; a chosen place is counted there at once.
+    hall : str
+        Where this daemon stands; its targets are preferred.
+
+    Attributes
+    ----------
+    broken : set of (str, int)
+        Replicas, by name and epoch, that were found broken.
+    """
+
+    __slots__ = ("_numbers", "_waiting", "broken", "clock", "directory", "hall", "loads", "rng")
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        loads: LoadBook,
+        hall: str,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self.directory = directory
+        self.loads = loads
+        self.hall = hall
+        self.clock = clock
+        self.rng = rng
+        self.broken: set[tuple[str, int]] = set()
+        self._waiting: list[tuple] = []
+        self._numbers = itertools.count()
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._waiting)
+
+    async def place(self, exchange: Exchange, patience_s: float) -> Place | None:
+        """Return a place, counted as taken, or None if none came free in time."""
+        place = None if self._has_rival(exchange) else self._take(exchange)
+        if place is not None or patience_s <= 0:
+            return place
+        future = asyncio.get_running_loop().create_future()
+        entry = (exchange.rank, next(self._numbers), exchange, future)
+        heapq.heappush(self._waiting, entry)
+        try:
+            async with asyncio.timeout(patience_s):
+                return await future
+        except TimeoutError:
+            return None
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.release(future.result())
+            raise
+        finally:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+
+    def _has_rival(self, exchange: Exchange) -> bool:
+        """Whether somebody who waits for the same goes first."""
+        return any(
+            other.service.name == exchange.service.name
+            and other.inbound.model == exchange.inbound.model
+            and rank <= exchange.rank
+            for rank, _, other, _ in self._waiting
+        )
+
+    def release(self, place: Place) -> None:
+        """Give back a place, and let in whoever waits for it."""
+        self.loads.ended(place.target.target_id)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let in those who wait and now have room, first the most urgent."""
+        if not self._waiting:
+            return
+        left = []
+        full: set[tuple[str, str]] = set()
+        for entry in sorted(self._waiting, key=lambda e: e[:2]):
+            exchange, future = entry[2], entry[3]
+            wanted = (exchange.service.name, exchange.inbound.model)
+            place = None
+            if future.done():
+                continue
+            if wanted not in full:
+                place = self._take(exchange)
+            if place is None:
+                full.add(wanted)
+                left.append(entry)
+            else:
+                future.set_result(place)
+        self._waiting = left
+
+    def _take(self, exchange: Exchange) -> Place | None:
+        place = self.choose(exchange)
+        if place is not None:
+            self.loads.began(place.target.target_id, self.clock.now_s())
+        return place
+
+    def choose(self, exchange: Exchange) -> Place | None:
+        """Return the best place with room, or None."""
+        now_s = self.clock.now_s()
+        places = self._places(exchange)
+        fresh = [p for p in places if p.target.target_id not in exchange.tried]
+        sound = [p for p in fresh if not self.loads.is_ejected(p.target.target_id, now_s)]
+        for candidates in (sound, [] if sound else fresh):
+            best = self._least_loaded(exchange, candidates)
+            if best is not None:
+                return best
+        return None
+
+    def _places(self, exchange: Exchange) -> list[Place]:
+        service = exchange.service
+        if service.engine is None:
+            return [Place(target, None) for target in self.directory.of_service(service.name)]
+        model = exchange.inbound.model
+        return [
+            Place(replica.head, replica)
+            for replica in self.directory.replicas(service.name)
+            if replica.model == model and (replica.name, replica.epoch) not in self.broken
+        ]
+
+    def _least_loaded(self, exchange: Exchange, places: list[Place]) -> Place | None:
+        engine = exchange.service.engine
+        best, best_score = None, float("inf")
+        for place in places:
+            slots = engine.slots if engine else place.target.slots * PLAIN_OVERCOMMIT
+            load = self.loads.of(place.target.target_id)
+            if load.total >= slots:
+                continue
+            score = load.total / slots + 0.05 * self.rng.random()
+            if place.target.hall != self.hall:
+                score += OTHER_HALL_PENALTY
+            if score < best_score:
+                best, best_score = place, score
+        return best
--- a/ferrydock/hall/_controller.py
+++ b/ferrydock/hall/_controller.py
@@ -21,7 +21,7 @@
     adopt,
     pending_orders,
 )
-from ..platform import LeaseLost, Store
+from ..store import LeaseLost, Store
 from ..table import TableView
 from ._lease import ControllerLease, HeldLease
 from ._observer import HallObserver
--- a/ferrydock/hall/_lease.py
+++ b/ferrydock/hall/_lease.py
@@ -7,7 +7,7 @@
 
 from ..clock import Clock
 from ..outcomes import Conflict, Unavailable, Unknown
-from ..platform import (
+from ..store import (
     Compare,
     CompareField,
     KeyValue,
--- a/ferrydock/hall/_observer.py
+++ b/ferrydock/hall/_observer.py
@@ -12,7 +12,7 @@
 from ..engines import BoxPhase, BoxState, EngineControl
 from ..outcomes import Unavailable
 from ..placement import Absence, AbsenceModel, HallPlacement, ObservedBox, Replica, ReplicaPhase
-from ..platform import Box, BoxList
+from ..store import Box, BoxList
 from ..table import TableView
 from ._attestation import AttestationBook
 
--- a/ferrydock/hall/_repository.py
+++ b/ferrydock/hall/_repository.py
@@ -4,7 +4,7 @@
 
 from ..outcomes import Conflict, Unavailable, Unknown
 from ..placement import HallPlacement
-from ..platform import Compare, Put, RangeDone, Store, Txn
+from ..store import Compare, Put, RangeDone, Store, Txn
 from ._lease import controller_key
 
 __all__ = ["PlacementRepository", "StoredPlacement", "placement_key"]
--- a/ferrydock/hall/tests/world.py
+++ b/ferrydock/hall/tests/world.py
@@ -5,7 +5,6 @@
 
 from ...clock import ManualClock
 from ...placement import AbsenceModel, HallPlacement, make_placement_policy
-from ...platform import MemoryStore
 from ...standins import (
     EngineProfile,
     FaultyStore,
@@ -14,6 +13,7 @@
     StandInFleet,
     StandInWeightStore,
 )
+from ...store import MemoryStore
 from ...table import RowKey, Table
 from .. import AttestationBook, HallController, HallObserver, Prober
 
--- a/ferrydock/logs.py
+++ b/ferrydock/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 __all__ = ["configure", "format_event", "log_event"]
 
@@ -44,9 +45,9 @@
         logger.log(level, format_event(event, **fields))
 
 
-def configure(level: str) -> None:
-    """Send all events at or above `level` to standard error, one line each."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure(level: str, stream: TextIO | None = None) -> None:
+    """Send all events at or above `level` to `stream`, one line each; None: standard error."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         logging.Formatter("time=%(asctime)s level=%(levelname)s logger=%(name)s %(message)s")
     )
--- a/ferrydock/membership/_claim_relay.py
+++ b/ferrydock/membership/_claim_relay.py
@@ -1,7 +1,7 @@
 """Claims' transactions as messages between daemons."""
 
 from ..outcomes import Unavailable, Unknown
-from ..platform import Compare, CompareField, Delete, KeyValue, Put, Txn, TxnDone
+from ..store import Compare, CompareField, Delete, KeyValue, Put, Txn, TxnDone
 from ._exchange_pb2 import ClaimWrite, ClaimWritten
 
 __all__ = ["pack_claim", "pack_written", "unpack_claim", "unpack_written"]
--- a/ferrydock/membership/_exchange.py
+++ b/ferrydock/membership/_exchange.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..outcomes import Unavailable, Unknown
 from ..placement import HallPlacement
-from ..platform import Txn, TxnDone
+from ..store import Txn, TxnDone
 from ..table import AcceptedEdit, Offer, TableCopy
 from ._claim_relay import pack_claim, pack_written, unpack_claim, unpack_written
 from ._digest import Needs, apply_digest, build_digest
--- a/ferrydock/node/_embedded.py
+++ b/ferrydock/node/_embedded.py
@@ -5,8 +5,8 @@
 from ..clock import Clock
 from ..demo_keys import DEMO_OPERATOR_KEY, DEMO_TEAM_KEY
 from ..outcomes import Invalid
-from ..platform import StaticWeightStore
 from ..standins import EngineProfile, SiteSize, StandInSite
+from ..store import StaticWeightStore
 from ..table import (
     AcceptedEdit,
     Change,
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -22,7 +22,6 @@
     SharedState,
 )
 from ..placement import AbsenceModel, HallPlacement, make_placement_policy
-from ..platform import BoxList, Store, WeightStore
 from ..reports import Recorder, make_statsd
 from ..requests import (
     GROUP_WAIT_S,
@@ -36,6 +35,7 @@
     ReplicaGate,
 )
 from ..routing import RouteBook, make_routing_policy
+from ..store import BoxList, Store, WeightStore
 from ..table import TableKeeper, TableRepository, TableView, TableWatcher
 from ..teams import LimitBook, Neighbourhood
 from ._burn_report import burn_fields
--- a/ferrydock/placement/_observed.py
+++ b/ferrydock/placement/_observed.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 from ..engines import BoxPhase, BoxState
-from ..platform import Box
+from ..store import Box
 
 __all__ = ["Absence", "AbsenceModel", "ObservedBox"]
 
--- a/ferrydock/placement/tests/test_policies.py
+++ b/ferrydock/placement/tests/test_policies.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ...engines import BoxPhase, BoxState, Fence, OrderAction
-from ...platform import Box
+from ...store import Box
 from ...table import RowKey, Table
 from .. import (
     Absence,
--- a/ferrydock/platform/__init__.py
+++ b/ferrydock/platform/__init__.py
@@ -1,47 +1,22 @@
-"""Ports to what the platform gives (store, box list, weight store) and their adapters."""
+"""Adapter to the users' platform: its names, formats and calls. Nothing here decides."""
 
-from ._box_list import Box, BoxList, HttpBoxList, StaticBoxList
-from ._etcd import EtcdStore
-from ._memory import MemoryStore
-from ._store import (
-    Compare,
-    CompareField,
-    Delete,
-    KeyValue,
-    LeaseGranted,
-    LeaseLost,
-    Put,
-    RangeDone,
-    Store,
-    Txn,
-    TxnDone,
-    WatchBatch,
-    prefix_end,
-)
-from ._weight_store import HttpWeightStore, StaticWeightStore, WeightStore, WeightStoreRate
+from ._boot import open_platform, read_boot_file
+from ._configuration import PlatformConfigurationSource, parse_configuration
+from ._control import PlatformTargetControl
+from ._dialect import PlatformDialect
+from ._store import HistoryGone, PlatformStore, Watched
+from ._targets import PlatformTargetSource, parse_target
 
 __all__ = [
-    "Box",
-    "BoxList",
-    "Compare",
-    "CompareField",
-    "Delete",
-    "EtcdStore",
-    "HttpBoxList",
-    "HttpWeightStore",
-    "KeyValue",
-    "LeaseGranted",
-    "LeaseLost",
-    "MemoryStore",
-    "Put",
-    "RangeDone",
-    "StaticBoxList",
-    "StaticWeightStore",
-    "Store",
-    "Txn",
-    "TxnDone",
-    "WatchBatch",
-    "WeightStore",
-    "WeightStoreRate",
-    "prefix_end",
+    "HistoryGone",
+    "PlatformConfigurationSource",
+    "PlatformDialect",
+    "PlatformStore",
+    "PlatformTargetControl",
+    "PlatformTargetSource",
+    "Watched",
+    "open_platform",
+    "parse_configuration",
+    "parse_target",
+    "read_boot_file",
 ]
--- /dev/null
+++ b/ferrydock/platform/_boot.py
@@ -0,0 +1,92 @@
+"""The settings file that the platform lays before a process."""
+
+import orjson
+
+from ..entry import Deployment, EntrySettings, check_settings, register_deployment
+from ..outcomes import Fault, Invalid
+from ._configuration import PlatformConfigurationSource
+from ._control import PlatformTargetControl
+from ._dialect import PlatformDialect
+from ._store import PlatformStore
+from ._targets import PlatformTargetSource
+
+__all__ = ["open_platform", "read_boot_file"]
+
+GATHER_S = 0.1
+_WITHOUT_REVOKING_S = 3600.0
+_FIELDS = {
+    "name": "node-name",
+    "hall": "zone",
+    "halls": "zones",
+    "listen": "listen.frontend",
+    "ready_listen": "listen.ready",
+    "metrics_listen": "listen.control",
+    "peer_address": "internal-ports",
+    "store_address": "platform.address",
+    "freshness_s": "bounds.revoke-ms",
+    "stop_within_s": "bounds.grace-s",
+    "retry_ratio": "bounds.retry-budget-ratio",
+    "retry_slack": "bounds.retry-slack",
+    "retry_window_s": "bounds.retry-window-s",
+    "stall_s": "bounds.stall-ms",
+    "load_window_s": "bounds.ceiling-window-s",
+    "load_overshoot": "bounds.ceiling-overshoot",
+    "memory_bytes": "limits.memory-mb",
+}
+
+
+def read_boot_file(path: str) -> EntrySettings | Invalid:
+    """Return the settings in a file, or what is wrong with it."""
+    try:
+        with open(path, "rb") as file:
+            fields = orjson.loads(file.read())
+    except OSError as error:
+        return Invalid((Fault(path, f"cannot be read: {error.strerror}"),))
+    except ValueError as error:
+        return Invalid((Fault(path, f"is not JSON: {error}"),))
+    if not isinstance(fields, dict):
+        return Invalid((Fault(path, "is not a JSON object"),))
+    return check_settings(_translate(fields), _FIELDS)
+
+
+def _translate(fields: dict) -> dict:
+    """Return the product's settings, as far as the file holds them."""
+    found = {name: _at(fields, place) for name, place in _FIELDS.items()}
+    if isinstance(found["halls"], dict):
+        found["halls"] = tuple(found["halls"])
+    ports = found["peer_address"]
+    if isinstance(ports, list) and ports:
+        found["peer_address"] = f"{fields.get('ip')}:{ports[0]}"
+    if not _at(fields, "bounds.strict-revoke"):
+        found["freshness_s"] = _WITHOUT_REVOKING_S
+    elif isinstance(found["freshness_s"], int | float):
+        found["freshness_s"] /= 1000
+    for name, factor in (("stall_s", 1e-3), ("memory_bytes", 1e6)):
+        if isinstance(found[name], int | float):
+            found[name] *= factor
+    return found
+
+
+def _at(fields: dict, place: str):
+    value = fields
+    for part in place.split("."):
+        value = value.get(part) if isinstance(value, dict) else None
+    return value
+
+
+@register_deployment("platform")
+def open_platform(path: str) -> Deployment | Invalid:
+    """Open the deployment that a settings file tells of."""
+    settings = read_boot_file(path)
+    if isinstance(settings, Invalid):
+        return settings
+    store = PlatformStore(settings.store_address)
+    return Deployment(
+        settings=settings,
+        reread=lambda: read_boot_file(path),
+        store=store,
+        configuration_source=PlatformConfigurationSource(store),
+        target_source=PlatformTargetSource(store, GATHER_S),
+        control=PlatformTargetControl(),
+        dialect=PlatformDialect(),
+    )
--- /dev/null
+++ b/ferrydock/platform/_configuration.py
@@ -0,0 +1,162 @@
+"""The operator's configuration, read from the platform's store."""
+
+from collections.abc import Mapping
+
+import orjson
+
+from ..configuration import (
+    BackEnd,
+    Configuration,
+    ConfigurationUnchanged,
+    ConfigurationUnreadable,
+    EngineFigures,
+    IngressLimits,
+    ModelFigures,
+    Route,
+    RouteKind,
+    ServiceFigures,
+    Tenant,
+)
+from ..outcomes import Unavailable, Unknown
+from ..store import Compare, Txn
+from ._store import PlatformStore
+
+__all__ = ["PlatformConfigurationSource", "parse_configuration"]
+
+_KEY = "op/config"
+_STREAMING = "streaming"
+_SAFE = "safe"
+_USUAL_PRIORITY = 5
+
+
+class PlatformConfigurationSource:
+    """Reads ``op/config`` by a condition on its revision.
+
+    Notes
+    -----
+    A transaction that writes nothing and expects the revision that was read last is answered
+    with a few bytes while nothing has changed, and with the new value otherwise. Unlike a watch
+    it also tells that the value was the newest when the call began.
+    """
+
+    __slots__ = ("_revision", "_store")
+
+    def __init__(self, store: PlatformStore):
+        self._store = store
+        self._revision = 0
+
+    async def read(
+        self,
+    ) -> Configuration | ConfigurationUnchanged | ConfigurationUnreadable | Unavailable:
+        done = await self._store.transact(Txn((Compare(_KEY, self._revision),), (), (_KEY,)))
+        if isinstance(done, Unavailable | Unknown):
+            return Unavailable(done.reason)
+        if done.succeeded:
+            if self._revision == 0:
+                return Unavailable("there is no configuration yet")
+            return ConfigurationUnchanged()
+        item = done.reads[0]
+        if item is None:
+            return ConfigurationUnreadable(f"{_KEY} is not there any more")
+        if item.mod_revision < self._revision:
+            return Unavailable("the store answered with an older revision")
+        try:
+            configuration = parse_configuration(item.value)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            return ConfigurationUnreadable(f"{_KEY}: {type(error).__name__} {error}")
+        self._revision = item.mod_revision
+        return configuration
+
+
+def parse_configuration(value: bytes) -> Configuration:
+    """Return the configuration in a stored value; raises KeyError, TypeError, ValueError."""
+    fields = orjson.loads(value)
+    return Configuration(
+        version=int(fields["version"]),
+        routes=tuple(_route(route) for route in fields["routes"]),
+        services={service["name"]: _service(service) for service in fields["services"]},
+        tenants=tuple(_tenant(tenant) for tenant in fields.get("tenants") or ()),
+        limits=_limits(fields.get("limits") or {}),
+    )
+
+
+def _route(fields: Mapping) -> Route:
+    split = fields.get("backends")
+    if split:
+        back_ends = tuple(BackEnd(part["service"], float(part["weight"])) for part in split)
+    else:
+        back_ends = (BackEnd(fields["service"], 1.0),)
+    return Route(
+        name=fields["name"],
+        host=fields["host"],
+        path_prefix=fields["path-prefix"],
+        kind=_kind(fields),
+        back_ends=back_ends,
+        time_limit_s=fields["timeout-ms"] / 1000,
+        attempts=int(fields.get("max-attempts", 1)),
+        priority=int(fields.get("priority", _USUAL_PRIORITY)),
+        first_answer_s=fields.get("latency-goal-ms", fields["timeout-ms"]) / 1000,
+        gap_s=fields.get("gap-target-ms", 0) / 1000,
+        public=bool(fields.get("public", False)),
+    )
+
+
+def _kind(fields: Mapping) -> RouteKind:
+    if fields["route-type"] == _STREAMING:
+        return RouteKind.RESUMABLE_STREAM if fields.get("resumable") else RouteKind.STREAM
+    return RouteKind.REPEATABLE if fields["route-type"] == _SAFE else RouteKind.AT_MOST_ONCE
+
+
+def _service(fields: Mapping) -> ServiceFigures:
+    engine = fields.get("engine")
+    return ServiceFigures(
+        name=fields["name"],
+        health_path=fields.get("health-path", "/"),
+        most_connections=int(fields.get("max-conns") or 100),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(fields: Mapping) -> EngineFigures:
+    return EngineFigures(
+        slots=int(fields["slots"]),
+        kv_tokens=int(fields["kv-capacity"]),
+        step_s=fields.get("step_ms", 0) / 1000,
+        step_per_request_s=fields.get("per_seq_ms", 0) / 1000,
+        step_per_token_s=fields.get("context_per_k", 0) / 1e6,
+        read_tokens_per_s=float(fields.get("read_per_s") or 1e6),
+        read_pair_s=fields.get("pairs_per_m", 0) / 1e9,
+        loads_per_s=float(fields.get("loads-per-s") or 1e6),
+        keeps=int(fields.get("retains", 1)),
+        form_s=fields.get("form-ms", 0) / 1000,
+        models=tuple(_model(model) for model in fields.get("models") or ()),
+    )
+
+
+def _model(fields: Mapping) -> ModelFigures:
+    return ModelFigures(
+        name=fields["name"],
+        size=int(fields.get("size", 1)),
+        share=float(fields.get("share", 1.0)),
+        pace=float(fields.get("pace", 1.0)),
+        load_s=float(fields.get("load-s", 0)),
+        warm_s=float(fields.get("warmup-s", 0)),
+    )
+
+
+def _tenant(fields: Mapping) -> Tenant:
+    return Tenant(
+        fields["name"],
+        frozenset(fields.get("api-keys") or ()),
+        int(fields.get("priority", _USUAL_PRIORITY)),
+    )
+
+
+def _limits(fields: Mapping) -> IngressLimits:
+    usual = IngressLimits()
+    return IngressLimits(
+        header_bytes=int(fields.get("max-header-bytes", usual.header_bytes)),
+        body_bytes=int(fields.get("max-body-bytes", usual.body_bytes)),
+        header_timeout_s=fields.get("header-timeout-ms", usual.header_timeout_s * 1000) / 1000,
+        idle_timeout_s=fields.get("idle-timeout-ms", usual.idle_timeout_s * 1000) / 1000,
+    )
--- a/ferrydock/requests/_budget.py
+++ b/ferrydock/requests/_budget.py
@@ -17,6 +17,10 @@
     ----------
     ratio : float
         Retries as a part of the first attempts, over time.
+    most_saved : float, default=MOST_SAVED
+        Most retries that may be saved up.
+    start : float, default=START
+        Retries that may be spent before any first attempt.
 
     Examples
     --------
@@ -28,17 +32,18 @@
     (True, False)
     """
 
-    __slots__ = ("_saved", "ratio", "refused", "spent")
+    __slots__ = ("_saved", "most_saved", "ratio", "refused", "spent")
 
-    def __init__(self, ratio: float):
+    def __init__(self, ratio: float, most_saved: float = MOST_SAVED, start: float = START):
         self.ratio = ratio
-        self._saved = START
+        self.most_saved = most_saved
+        self._saved = start
         self.spent = 0
         self.refused = 0
 
     def first_attempt(self) -> None:
         """Note a first attempt."""
-        self._saved = min(MOST_SAVED, self._saved + self.ratio)
+        self._saved = min(self.most_saved, self._saved + self.ratio)
 
     def spend(self) -> bool:
         """Pay for one retry, if there is enough."""
--- a/ferrydock/requests/_claim_writer.py
+++ b/ferrydock/requests/_claim_writer.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from ..outcomes import Unavailable, Unknown
-from ..platform import Store, Txn, TxnDone
+from ..store import Store, Txn, TxnDone
 
 __all__ = [
     "GROUP_WAIT_S",
--- a/ferrydock/requests/_claims.py
+++ b/ferrydock/requests/_claims.py
@@ -20,7 +20,7 @@
 from ..clock import Clock
 from ..logs import log_event
 from ..outcomes import Unavailable
-from ..platform import (
+from ..store import (
     Compare,
     CompareField,
     Delete,
--- a/ferrydock/requests/tests/test_life_and_claims.py
+++ b/ferrydock/requests/tests/test_life_and_claims.py
@@ -15,8 +15,8 @@
     unpack_written,
 )
 from ...outcomes import Run, Unavailable, Unknown
-from ...platform import MemoryStore
 from ...standins import FaultyStore
+from ...store import MemoryStore
 from .. import (
     Claim,
     ClaimBook,
--- a/ferrydock/standins/_etcd.py
+++ b/ferrydock/standins/_etcd.py
@@ -11,7 +11,7 @@
 import orjson
 from aiohttp import web
 
-from ..platform import (
+from ..store import (
     Compare,
     CompareField,
     Delete,
--- a/ferrydock/standins/_local.py
+++ b/ferrydock/standins/_local.py
@@ -11,7 +11,7 @@
     OrderRefused,
 )
 from ..outcomes import Unavailable, Unknown
-from ..platform import (
+from ..store import (
     Box,
     LeaseGranted,
     LeaseLost,
--- a/ferrydock/standins/_site.py
+++ b/ferrydock/standins/_site.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from ..clock import Clock, SystemClock
-from ..platform import Box, MemoryStore
+from ..store import Box, MemoryStore
 from ._engine import EngineProfile, StandInFleet
 from ._engine_http import engine_routes
 from ._etcd import StandInEtcd
--- /dev/null
+++ b/ferrydock/store/__init__.py
@@ -0,0 +1,47 @@
+"""Ports to a key-value service, a box list and a weight store, and their adapters."""
+
+from ._box_list import Box, BoxList, HttpBoxList, StaticBoxList
+from ._etcd import EtcdStore
+from ._memory import MemoryStore
+from ._store import (
+    Compare,
+    CompareField,
+    Delete,
+    KeyValue,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    RangeDone,
+    Store,
+    Txn,
+    TxnDone,
+    WatchBatch,
+    prefix_end,
+)
+from ._weight_store import HttpWeightStore, StaticWeightStore, WeightStore, WeightStoreRate
+
+__all__ = [
+    "Box",
+    "BoxList",
+    "Compare",
+    "CompareField",
+    "Delete",
+    "EtcdStore",
+    "HttpBoxList",
+    "HttpWeightStore",
+    "KeyValue",
+    "LeaseGranted",
+    "LeaseLost",
+    "MemoryStore",
+    "Put",
+    "RangeDone",
+    "StaticBoxList",
+    "StaticWeightStore",
+    "Store",
+    "Txn",
+    "TxnDone",
+    "WatchBatch",
+    "WeightStore",
+    "WeightStoreRate",
+    "prefix_end",
+]
--- a/ferrydock/table/_repository.py
+++ b/ferrydock/table/_repository.py
@@ -19,7 +19,7 @@
 
 from ..clock import Clock
 from ..outcomes import Conflict, Invalid, Unavailable, Unknown
-from ..platform import Compare, Delete, KeyValue, Put, RangeDone, Store, Txn, TxnDone, prefix_end
+from ..store import Compare, Delete, KeyValue, Put, RangeDone, Store, Txn, TxnDone, prefix_end
 from ._history import FIRST_LINEAGE, AcceptedEdit, Edit, History, merge, next_lineage
 from ._table import SCHEMA_VERSION, RowKey, Table
 
--- a/ferrydock/table/_watcher.py
+++ b/ferrydock/table/_watcher.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
-from ..platform import Compare, Put, Store, Txn, TxnDone
+from ..store import Compare, Put, Store, Txn, TxnDone
 from ._history import AcceptedEdit
 from ._keeper import Offer, TableCopy, TableKeeper
 from ._repository import (
--- a/ferrydock/table/tests/test_edits.py
+++ b/ferrydock/table/tests/test_edits.py
@@ -8,8 +8,8 @@
 
 from ...clock import ManualClock
 from ...outcomes import Conflict, Invalid, Unavailable, Unknown
-from ...platform import MemoryStore
 from ...standins import FaultyStore
+from ...store import MemoryStore
 from .. import (
     AcceptedEdit,
     Change,
--- /dev/null
+++ b/ferrydock/targets/_directory.py
@@ -0,0 +1,97 @@
+"""All targets known to this process, and the replicas they form."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ._target import GroupState, Target
+
+__all__ = ["ReplicaView", "TargetDirectory"]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaView:
+    """An open replica, as the reports of its members show it.
+
+    Attributes
+    ----------
+    head : Target
+        Takes its requests.
+    members : tuple of Target
+        Members that are known, head first.
+    """
+
+    name: str
+    epoch: int
+    model: str
+    head: Target
+    members: tuple[Target, ...]
+
+
+class TargetDirectory:
+    """Targets by id, by service, and open replicas by service and model.
+
+    Attributes
+    ----------
+    loaded : bool
+        Whether the source was read once.
+    changes : int
+        Rises with every change.
+    """
+
+    __slots__ = ("_replicas", "changes", "loaded", "targets")
+
+    def __init__(self):
+        self.targets: dict[str, Target] = {}
+        self.loaded = False
+        self.changes = 0
+        self._replicas: dict[str, list[ReplicaView]] | None = None
+
+    def replace(self, targets: Iterable[Target]) -> None:
+        """Take a whole list."""
+        self.targets = {target.target_id: target for target in targets}
+        self.loaded = True
+        self._changed()
+
+    def put(self, target: Target) -> None:
+        """Take one target's entry."""
+        self.targets[target.target_id] = target
+        self._changed()
+
+    def remove(self, target_id: str) -> None:
+        """Forget a target."""
+        if self.targets.pop(target_id, None) is not None:
+            self._changed()
+
+    def _changed(self) -> None:
+        self.changes += 1
+        self._replicas = None
+
+    def of_service(self, service: str) -> list[Target]:
+        """Return the targets of a service that are not leaving."""
+        return [t for t in self.targets.values() if t.service == service and not t.draining]
+
+    def replicas(self, service: str) -> list[ReplicaView]:
+        """Return the open replicas of a service, none of whose known members is leaving."""
+        if self._replicas is None:
+            self._replicas = self._collect()
+        return self._replicas.get(service, [])
+
+    def _collect(self) -> dict[str, list[ReplicaView]]:
+        members: dict[tuple[str, str, int], list[Target]] = {}
+        for target in self.targets.values():
+            if target.membership is not None:
+                key = (target.service, target.membership.replica, target.membership.epoch)
+                members.setdefault(key, []).append(target)
+        found: dict[str, list[ReplicaView]] = {}
+        for (service, name, epoch), group in members.items():
+            group.sort(key=lambda target: target.membership.rank)
+            head = group[0]
+            if head.membership.rank != 0 or head.membership.state is not GroupState.OPEN:
+                continue
+            if any(t.draining or t.membership.state is GroupState.BROKEN for t in group):
+                continue
+            if not head.models:
+                continue
+            view = ReplicaView(name, epoch, head.models[0], head, tuple(group))
+            found.setdefault(service, []).append(view)
+        return found
--- /dev/null
+++ b/ferrydock/targets/_ports.py
@@ -0,0 +1,135 @@
+"""Ports to the list of targets and to the targets' control."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..outcomes import Unavailable, Unknown
+from ._target import Target
+
+__all__ = [
+    "CloseOrder",
+    "JoinOrder",
+    "LeaveOrder",
+    "OpenOrder",
+    "Order",
+    "OrderDone",
+    "OrderRefused",
+    "StageOrder",
+    "TargetChanges",
+    "TargetControl",
+    "TargetReport",
+    "TargetSource",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetChanges:
+    """What became of the list: `whole` replaces all, else entries and removed ids."""
+
+    whole: bool
+    entries: tuple[Target, ...]
+    removed: tuple[str, ...] = ()
+
+
+class TargetSource(Protocol):
+    """Tells which targets there are."""
+
+    def follow(self) -> AsyncIterator[TargetChanges | Unavailable]:
+        """Yield the whole list, then changes; begins anew by itself where history was lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class JoinOrder:
+    """Become a member of a replica; `members` holds target ids, the head first."""
+
+    replica: str
+    epoch: int
+    model: str
+    members: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OpenOrder:
+    """Begin to serve; for a head that is ready."""
+
+    replica: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseOrder:
+    """Stop serving and be ready again; `cut` ends running requests, else they are waited for."""
+
+    replica: str
+    epoch: int
+    cut: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveOrder:
+    """Leave a replica at once."""
+
+    replica: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class StageOrder:
+    """Load a model's weights to the host, beside everything else."""
+
+    model: str
+
+
+Order = JoinOrder | OpenOrder | CloseOrder | LeaveOrder | StageOrder
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDone:
+    """The order was begun, or holds already (`already`)."""
+
+    already: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRefused:
+    """The target did not take the order, and never will take this one.
+
+    Attributes
+    ----------
+    reason : str
+        ``state`` (it does not fit the target's state or its number of orders), ``epoch`` (the
+        target has seen a higher one), ``other_target`` or ``invalid``.
+    """
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target tells of itself when asked."""
+
+    target_id: str | None
+    orders: int
+    busy: bool
+    running: int
+    waiting: int
+    pace: float
+    replica: str | None = None
+    epoch: int = 0
+    state: str | None = None
+
+
+class TargetControl(Protocol):
+    """Gives orders to targets and reads their reports."""
+
+    async def order(
+        self, target: Target, order: Order, expected_orders: int | None
+    ) -> OrderDone | OrderRefused | Unavailable | Unknown:
+        """Give an order. `Unknown`: it may be carried out, now or much later."""
+
+    async def report(self, target: Target, timeout_s: float) -> TargetReport | Unavailable:
+        """Ask a target how it is."""
+
+    async def close(self) -> None:
+        """Give up the connections."""
