Form replicas by one controller a hall, and answer streams

Cause: streams were refused, since no worker was in a group. Ruled out: the heartbeat's number in a worker's entry as its number of orders (every order was refused with 409); it is read from the worker's report, and is 0 for a fresh incarnation. Ruled out: leaving an open head at once (409 as well): it is closed first. Change: groups holds the plan, the orders and the controller; its lease and its placement record lie in the store, and a record's revision is the epoch of the replicas planned by it.

--- a/ferrydock/entry/_node.py
+++ b/ferrydock/entry/_node.py
@@ -12,13 +12,16 @@
     ConfigurationUnchanged,
     ConfigurationUnreadable,
 )
-from ..forwarding import Forwarder, LoadBook, Placing, RouteGateway, Upstream
+from ..forwarding import Forwarder, LoadBook, Placing, RouteGateway, StallWatch, Upstream
+from ..groups import GroupController, OrderDesk
+from ..hall import ControllerLease
 from ..logs import log_event
 from ..outcomes import Invalid, Unavailable
 from ..requests import RetryBudget
 from ..targets import TargetChanges, TargetDirectory
 from ._ready import SideListener
 from ._registry import Deployment
+from ._seats import ControllerSeat
 
 __all__ = ["EntryNode"]
 
@@ -30,6 +33,7 @@
 FRESHNESS_MARGIN_S = 0.4
 DAEMONS_GUESSED = 16
 TIDY_S = 1.0
+STALL_LOOK_S = 0.1
 
 
 class EntryNode:
@@ -61,11 +65,36 @@
         self.gateway = RouteGateway(
             self.book, self.forwarder, deployment.dialect, self._freshness_s, clock, self.rng
         )
+        self.desk = OrderDesk(deployment.control, self.directory, clock)
+        self.stalls = StallWatch(
+            self.forwarder, self.placing, self.loads, deployment.control, clock, self._on_dead
+        )
+        self.controllers = [self._controller(hall) for hall in self.settings.halls]
         self.ready_listener = SideListener(self._answer_ready)
         self.stopping = False
         self._tasks: list[asyncio.Task] = []
         self._store_reached = True
 
+    def _controller(self, hall: str) -> GroupController:
+        settings, store = self.settings, self.deployment.store
+        return GroupController(
+            hall,
+            len(settings.halls),
+            ControllerLease(store, self.clock, hall, settings.name),
+            store,
+            self.book,
+            self.directory,
+            self.desk,
+            self.clock,
+            settings.load_window_s,
+            settings.load_overshoot,
+            lambda key: self.stalls.break_replica(key, "given_up"),
+        )
+
+    def _on_dead(self, target_ids: list[str], reason: str) -> None:
+        for controller in self.controllers:
+            controller.suspect(target_ids, reason)
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -86,6 +115,13 @@
         self._spawn(self._follow_configuration())
         self._spawn(self._follow_targets())
         self._spawn(self._every(TIDY_S, self._tidy))
+        self._spawn(self._every(STALL_LOOK_S, self.stalls.step))
+        for controller in self.controllers:
+            own_hall = controller.hall == self.settings.hall
+            seat = ControllerSeat(
+                controller, own_hall, self.deployment.store, self.clock, self.rng, self._is_stopping
+            )
+            self._spawn(seat.run())
         log_event(
             _LOG,
             logging.INFO,
@@ -138,6 +174,9 @@
             await asyncio.sleep(pause_s * self.rng.uniform(0.85, 1.15))
             await step()
 
+    def _is_stopping(self) -> bool:
+        return self.stopping
+
     def _answer_ready(self, path: str) -> tuple[int, str]:
         why_not = self._why_not_ready()
         return (503, why_not) if why_not else (200, "ready\n")
--- a/ferrydock/forwarding/__init__.py
+++ b/ferrydock/forwarding/__init__.py
@@ -8,6 +8,7 @@
 from ._headers import end_to_end
 from ._load import LoadBook, TargetLoad
 from ._placing import Place, Placing
+from ._stalls import StallWatch
 from ._upstream import Upstream
 
 __all__ = [
@@ -24,6 +25,7 @@
     "Placing",
     "RequestDialect",
     "RouteGateway",
+    "StallWatch",
     "TargetLoad",
     "Upstream",
     "end_to_end",
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from ..configuration import Route, ServiceFigures
+from ..targets import ReplicaView
 from ._dialect import Inbound
 from ._events import NumberedEvents
 
@@ -41,7 +42,7 @@
 class Attempt:
     """An attempt that can be interrupted by whoever learns that its replica is broken."""
 
-    replica: tuple[str, int] | None
+    replica: ReplicaView | None
     limit: asyncio.Timeout
     interrupted: str = ""
 
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -121,7 +121,7 @@
         exchange.tried.add(target.target_id)
         loop = asyncio.get_running_loop()
         limit = asyncio.timeout_at(loop.time() + self._left_s(exchange))
-        attempt = Attempt(place.replica_key, limit)
+        attempt = Attempt(place.replica, limit)
         running = self.attempts.setdefault(target.target_id, set())
         running.add(attempt)
         try:
--- a/ferrydock/forwarding/_placing.py
+++ b/ferrydock/forwarding/_placing.py
@@ -24,11 +24,6 @@
     target: Target
     replica: ReplicaView | None
 
-    @property
-    def replica_key(self) -> tuple[str, int] | None:
-        """Name and epoch of the replica."""
-        return (self.replica.name, self.replica.epoch) if self.replica else None
-
 
 class Placing:
     """Chooses targets and queues requests.
@@ -155,7 +150,7 @@
         return [
             Place(replica.head, replica)
             for replica in self.directory.replicas(service.name)
-            if replica.model == model and (replica.name, replica.epoch) not in self.broken
+            if replica.model == model and replica.key not in self.broken
         ]
 
     def _least_loaded(self, exchange: Exchange, places: list[Place]) -> Place | None:
--- /dev/null
+++ b/ferrydock/forwarding/_stalls.py
@@ -0,0 +1,127 @@
+"""Finding replicas that stand still, sooner than they say so themselves."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..logs import log_event
+from ..outcomes import Unavailable
+from ..targets import ReplicaView, TargetControl
+from ._forwarder import Forwarder
+from ._load import LoadBook
+from ._placing import Placing
+
+__all__ = ["StallWatch"]
+
+_LOG = logging.getLogger("ferrydock.forwarding")
+QUIET_S = 0.35
+STUCK_S = 1.5
+AGAIN_S = 0.5
+REPORT_TIMEOUT_S = 0.3
+
+
+class StallWatch:
+    """Asks the members of a replica from which nothing has come for a while.
+
+    Parameters
+    ----------
+    on_dead : callable
+        Takes the ids of targets that did not answer.
+
+    Notes
+    -----
+    A replica without one of its members takes requests and says nothing. One silent stream may
+    have a slow reader, so silence alone is no verdict: the members are asked, and only one that
+    does not answer, or several streams that stand still for long, decide.
+    """
+
+    __slots__ = (
+        "_asked_s",
+        "_tasks",
+        "clock",
+        "control",
+        "forwarder",
+        "loads",
+        "on_dead",
+        "placing",
+    )
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        placing: Placing,
+        loads: LoadBook,
+        control: TargetControl,
+        clock: Clock,
+        on_dead: Callable[[list[str], str], None],
+    ):
+        self.forwarder = forwarder
+        self.placing = placing
+        self.loads = loads
+        self.control = control
+        self.clock = clock
+        self.on_dead = on_dead
+        self._asked_s: dict[tuple[str, int], float] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def step(self) -> None:
+        """Look for silent replicas, and ask their members."""
+        now_s = self.clock.now_s()
+        for target_id, attempts in self.forwarder.attempts.items():
+            replica = next((a.replica for a in attempts if a.replica is not None), None)
+            if replica is None:
+                continue
+            quiet_s = now_s - self.loads.of(target_id).progress_s
+            asked_s = self._asked_s.get(replica.key, -AGAIN_S)
+            if quiet_s < QUIET_S or now_s - asked_s < AGAIN_S:
+                continue
+            self._asked_s[replica.key] = now_s
+            task = asyncio.get_running_loop().create_task(self._ask(replica, quiet_s))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, replica: ReplicaView, quiet_s: float) -> None:
+        reports = await asyncio.gather(
+            *(self.control.report(member, REPORT_TIMEOUT_S) for member in replica.members)
+        )
+        silent = [
+            member.target_id
+            for member, report in zip(replica.members, reports, strict=True)
+            if isinstance(report, Unavailable)
+        ]
+        still_s = self.clock.now_s() - self.loads.of(replica.head.target_id).progress_s
+        if still_s < QUIET_S:
+            return
+        attempts = len(self.forwarder.attempts.get(replica.head.target_id, ()))
+        stuck = still_s > STUCK_S and attempts > 1
+        log_event(
+            _LOG,
+            logging.INFO,
+            "replica_silent",
+            replica=replica.name,
+            epoch=replica.epoch,
+            quiet_ms=still_s * 1000,
+            attempts=attempts,
+            silent=",".join(silent) or None,
+            stuck=stuck,
+        )
+        if silent:
+            self.on_dead(silent, f"silent in {replica.name}")
+            self.break_replica(replica.key, "member_dead")
+        elif stuck:
+            self.loads.failed(replica.head.target_id, self.clock.now_s(), at_once=True)
+            self.interrupt(replica.key, "stuck")
+
+    def break_replica(self, key: tuple[str, int], reason: str) -> None:
+        """Send nothing more to a replica, and move its streams elsewhere."""
+        if key not in self.placing.broken:
+            self.placing.broken.add(key)
+            self.interrupt(key, reason)
+
+    def interrupt(self, key: tuple[str, int], reason: str) -> None:
+        """End the attempts that run at a replica."""
+        for attempts in self.forwarder.attempts.values():
+            for attempt in list(attempts):
+                if attempt.replica is not None and attempt.replica.key == key:
+                    attempt.interrupt(reason)
--- /dev/null
+++ b/ferrydock/groups/__init__.py
@@ -0,0 +1,22 @@
+"""Replicas as groups of workers: what to form, and the orders that form and dissolve them."""
+
+from ._controller import GroupController, placement_key
+from ._forming import PlannedReplica, dissolve, form
+from ._loads import LoadBudget
+from ._orders import OrderDesk
+from ._plan import Formation, choose_members, next_formation, staging, target_counts
+
+__all__ = [
+    "Formation",
+    "GroupController",
+    "LoadBudget",
+    "OrderDesk",
+    "PlannedReplica",
+    "choose_members",
+    "dissolve",
+    "form",
+    "next_formation",
+    "placement_key",
+    "staging",
+    "target_counts",
+]
--- /dev/null
+++ b/ferrydock/groups/_controller.py
@@ -0,0 +1,436 @@
+"""The controller of a hall's replicas: what it sees, what it decides, what it sets going."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
+
+import orjson
+
+from ..clock import Clock
+from ..configuration import ConfigurationBook, EngineFigures, ModelFigures
+from ..hall import ControllerLease
+from ..logs import log_event
+from ..outcomes import Unavailable, Unknown
+from ..store import Compare, KeyValue, Put, RangeDone, Store, Txn, TxnDone
+from ..targets import GroupState, StageOrder, Target, TargetDirectory
+from ._forming import PlannedReplica, dissolve, form
+from ._loads import LoadBudget
+from ._orders import OrderDesk
+from ._plan import Formation, next_formation, staging
+
+__all__ = ["GroupController", "placement_key"]
+
+_LOG = logging.getLogger("ferrydock.groups")
+STRAY_S = 3.0
+FAILED_PAUSE_S = 3.0
+STAGE_AGAIN_S = 20.0
+SUSPECT_S = 6.0
+EXTRA_LOADS = 3
+
+
+def placement_key(hall: str) -> str:
+    """Return the key of a hall's placement record."""
+    return f"/ferrydock/hall/{hall}/placement"
+
+
+@dataclass(slots=True)
+class _Seen:
+    """A replica as the entries of its members show it."""
+
+    name: str
+    epoch: int
+    members: list[Target]
+
+    @property
+    def key(self) -> tuple[str, int]:
+        return self.name, self.epoch
+
+    @property
+    def head(self) -> Target | None:
+        first = self.members[0]
+        return first if first.membership.rank == 0 else None
+
+    @property
+    def is_open(self) -> bool:
+        return self.head is not None and self.head.membership.state is GroupState.OPEN
+
+    @property
+    def model(self) -> str:
+        return next((t.models[0] for t in self.members if t.models), "")
+
+
+class GroupController:
+    """Forms, repairs and dissolves the replicas of one hall.
+
+    Parameters
+    ----------
+    hall : str
+        Whose workers.
+    lease : ControllerLease
+        Only its holder acts.
+    halls : int
+        How many halls share the bound on loads.
+
+    Notes
+    -----
+    Each plan is written to the hall's placement record first, on condition that the record has
+    not changed. The revision of that write is the epoch of the replicas planned by it, so that a
+    controller that was replaced can never outrank its successor.
+    """
+
+    def __init__(
+        self,
+        hall: str,
+        halls: int,
+        lease: ControllerLease,
+        store: Store,
+        book: ConfigurationBook,
+        directory: TargetDirectory,
+        desk: OrderDesk,
+        clock: Clock,
+        load_window_s: float,
+        load_overshoot: float,
+        on_broken: Callable[[tuple[str, int]], None],
+    ):
+        self.hall = hall
+        self.halls = halls
+        self.lease = lease
+        self.store = store
+        self.book = book
+        self.directory = directory
+        self.desk = desk
+        self.clock = clock
+        self.load_overshoot = load_overshoot
+        self.on_broken = on_broken
+        self.loads = LoadBudget(load_window_s)
+        self.record_revision: int | None = None
+        self._busy: set[str] = set()
+        self._forming: dict[tuple[str, int], PlannedReplica] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._stray_since: dict[tuple[str, int], float] = {}
+        self._paused_until: dict[str, float] = {}
+        self._staged_s: dict[str, float] = {}
+        self._suspects: dict[str, float] = {}
+        self._last_seen: dict[str, Target] = {}
+
+    # What others tell -----------------------------------------------------------------------
+
+    def suspect(self, target_ids: Iterable[str], reason: str) -> None:
+        """Hold targets for dead until their source or time says otherwise."""
+        for target_id in target_ids:
+            if target_id not in self._suspects:
+                log_event(_LOG, logging.WARNING, "target_suspected", target=target_id, why=reason)
+            self._suspects[target_id] = self.clock.now_s() + SUSPECT_S
+
+    def is_suspect(self, target_id: str) -> bool:
+        """Return whether a target is held for dead."""
+        return self._suspects.get(target_id, 0.0) > self.clock.now_s()
+
+    # One round ------------------------------------------------------------------------------
+
+    async def step(self) -> None:
+        """Look at the hall's workers, and set going what is missing."""
+        lookup = self.book.lookup
+        if lookup is None or not self.directory.loaded or not self.lease.valid:
+            return
+        if self.record_revision is None and not await self._read_record():
+            return
+        for service in lookup.configuration.services.values():
+            if service.engine is not None:
+                await self._step_service(service.name, service.engine)
+
+    async def _step_service(self, service: str, engine: EngineFigures) -> None:
+        now_s = self.clock.now_s()
+        workers = [
+            target
+            for target in self.directory.targets.values()
+            if target.service == service and target.hall == self.hall
+        ]
+        self._last_seen.update((target.target_id, target) for target in workers)
+        replicas = self._replicas(workers)
+        for replica in replicas:
+            self._tend(replica, engine, now_s)
+        plans = self._plan(service, workers, replicas, engine, now_s)
+        if plans:
+            await self._begin(plans)
+        self._stage(workers, replicas, engine, now_s)
+
+    def _replicas(self, workers: list[Target]) -> list[_Seen]:
+        found: dict[tuple[str, int], _Seen] = {}
+        for target in workers:
+            place = target.membership
+            if place is not None:
+                seen = found.setdefault(
+                    (place.replica, place.epoch), _Seen(place.replica, place.epoch, [])
+                )
+                seen.members.append(target)
+        for seen in found.values():
+            seen.members.sort(key=lambda target: target.membership.rank)
+        return list(found.values())
+
+    # Replicas that are there ------------------------------------------------------------------
+
+    def _tend(self, replica: _Seen, engine: EngineFigures, now_s: float) -> None:
+        """Dissolve a replica that cannot serve any more."""
+        if replica.key in self._forming or self._is_busy(replica.members):
+            return
+        dead = [t.target_id for t in replica.members if self.is_suspect(t.target_id)]
+        leaving = [t.target_id for t in replica.members if t.draining]
+        figures = engine.model(replica.model)
+        missing = figures is not None and len(replica.members) < figures.size
+        broken = any(t.membership.state is GroupState.BROKEN for t in replica.members)
+        head = replica.head
+        if replica.is_open and not (dead or leaving or missing or broken):
+            self._stray_since.pop(replica.key, None)
+            return
+        if not (dead or leaving or missing or broken) and head is not None and figures:
+            self._adopt(replica, figures)
+            return
+        if not (dead or leaving or missing or broken):
+            since_s = self._stray_since.setdefault(replica.key, now_s)
+            if now_s - since_s < STRAY_S:
+                return
+        why = (
+            "dead" if dead else "broken" if broken else "member_gone" if missing else
+            "leaving" if leaving else "stray"
+        )  # fmt: skip
+        log_event(
+            _LOG,
+            logging.WARNING,
+            "replica_given_up",
+            replica=replica.name,
+            epoch=replica.epoch,
+            model=replica.model,
+            why=why,
+            members=",".join(t.target_id for t in replica.members),
+            dead=",".join(dead) or None,
+        )
+        self.on_broken(replica.key)
+        self._spawn(self._dissolve(replica, set(dead), cut=why != "leaving"))
+
+    def _adopt(self, replica: _Seen, model: ModelFigures) -> None:
+        """Go on with a replica that another controller had begun."""
+        members = tuple(replica.members)
+        plan = PlannedReplica(
+            replica.name, replica.epoch, Formation(model, members, 0, model.load_s)
+        )
+        self._forming[replica.key] = plan
+        self._busy.update(plan.member_ids)
+        log_event(_LOG, logging.INFO, "replica_adopted", replica=replica.name, epoch=replica.epoch)
+        self._spawn(self._form(plan, joined=True))
+
+    async def _dissolve(self, replica: _Seen, dead: set[str], cut: bool) -> None:
+        members = tuple(t for t in replica.members if t.target_id not in dead)
+        if not members:
+            return
+        ids = {target.target_id for target in members}
+        self._busy |= ids
+        try:
+            await dissolve(
+                replica.name, replica.epoch, members, self.desk, self.directory, self.clock, cut
+            )
+        finally:
+            self._busy -= ids
+
+    def _is_busy(self, targets: Iterable[Target]) -> bool:
+        return any(target.target_id in self._busy for target in targets)
+
+    # Replicas that are missing ----------------------------------------------------------------
+
+    def _plan(
+        self,
+        service: str,
+        workers: list[Target],
+        replicas: list[_Seen],
+        engine: EngineFigures,
+        now_s: float,
+    ) -> list[Formation]:
+        plans: list[Formation] = []
+        site = self._site_workers(service, engine)
+        most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
+        loads_left = self.loads.left(most // self.halls, now_s)
+        if not any(t.models or t.staged for t in workers):
+            loads_left = len(workers)  # nothing serves yet: what loads now is not counted
+        domains: dict[str, list[Target]] = {}
+        for worker in workers:
+            domains.setdefault(worker.domain, []).append(worker)
+        for name in sorted(domains):
+            sound = [w for w in domains[name] if not w.draining and not self._is_paused(w, now_s)]
+            idle = [w for w in sound if w.membership is None and w.target_id not in self._busy]
+            counts = self._counts(name, replicas)
+            while True:
+                formation = next_formation(idle, counts, len(sound), engine, site, loads_left)
+                if formation is None:
+                    break
+                plans.append(formation)
+                loads_left -= formation.loads
+                model = formation.model
+                counts[model.name] = counts.get(model.name, 0) + 1
+                site[model.name] = site.get(model.name, 0) + model.size
+                taken = {member.target_id for member in formation.members}
+                idle = [worker for worker in idle if worker.target_id not in taken]
+        return plans
+
+    def _is_paused(self, worker: Target, now_s: float) -> bool:
+        paused = self._paused_until.get(worker.target_id, 0.0) > now_s
+        return paused or self.is_suspect(worker.target_id)
+
+    def _site_workers(self, service: str, engine: EngineFigures) -> dict[str, int]:
+        """Return the workers in open replicas of the whole site by model, and those planned."""
+        found = {model.name: 0 for model in engine.models}
+        for replica in self.directory.replicas(service):
+            if replica.model in found:
+                found[replica.model] += len(replica.members)
+        for plan in self._forming.values():
+            if plan.formation.model.name in found:
+                found[plan.formation.model.name] += plan.formation.model.size
+        return found
+
+    def _counts(self, domain: str, replicas: list[_Seen]) -> dict[str, int]:
+        """Return the replicas of a domain by model, those being formed included."""
+        counts: dict[str, int] = {}
+        for replica in replicas:
+            if replica.key in self._forming or self._is_busy(replica.members):
+                continue
+            if replica.members[0].domain == domain and replica.model:
+                counts[replica.model] = counts.get(replica.model, 0) + 1
+        for plan in self._forming.values():
+            if plan.formation.members[0].domain == domain:
+                name = plan.formation.model.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    async def _begin(self, formations: list[Formation]) -> None:
+        """Write the plans to the record, and form them under the revision of that write."""
+        names = [f"g{uuid.uuid4().hex[:8]}" for _ in formations]
+        rows = [
+            {
+                "name": name,
+                "model": formation.model.name,
+                "members": [member.target_id for member in formation.members],
+            }
+            for name, formation in zip(names, formations, strict=True)
+        ]
+        epoch = await self._write_record(rows)
+        if epoch is None:
+            return
+        for name, formation in zip(names, formations, strict=True):
+            self.loads.begin(formation.loads, self.clock.now_s())
+            plan = PlannedReplica(name, epoch, formation)
+            self._forming[(name, epoch)] = plan
+            self._busy.update(plan.member_ids)
+            self._spawn(self._form(plan))
+
+    async def _form(self, plan: PlannedReplica, joined: bool = False) -> None:
+        try:
+            why = await form(plan, self.desk, self.directory, self.clock, joined)
+            if why:
+                until_s = self.clock.now_s() + FAILED_PAUSE_S
+                for member_id in plan.member_ids:
+                    if member_id in why:
+                        self._paused_until[member_id] = until_s
+        finally:
+            self._forming.pop((plan.name, plan.epoch), None)
+            self._busy.difference_update(plan.member_ids)
+
+    # Spares -----------------------------------------------------------------------------------
+
+    def _stage(
+        self, workers: list[Target], replicas: list[_Seen], engine: EngineFigures, now_s: float
+    ) -> None:
+        """Load weights to the hosts of idle workers, once the domain forms nothing."""
+        in_use: dict[str, dict[str, int]] = {}
+        for replica in replicas:
+            of_domain = in_use.setdefault(replica.members[0].domain, {})
+            of_domain[replica.model] = of_domain.get(replica.model, 0) + len(replica.members)
+        forming = {plan.formation.members[0].domain for plan in self._forming.values()}
+        idle: dict[str, list[Target]] = {}
+        for worker in workers:
+            free = worker.membership is None and worker.target_id not in self._busy
+            if free and not worker.draining and not self._is_paused(worker, now_s):
+                idle.setdefault(worker.domain, []).append(worker)
+        if not any(replica.is_open for replica in replicas):
+            return
+        most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
+        for domain, spares in idle.items():
+            if domain in forming:
+                continue
+            for worker, model in staging(spares, in_use.get(domain, {}), engine):
+                begun_s = self._staged_s.get(worker.target_id, -STAGE_AGAIN_S)
+                if now_s - begun_s < STAGE_AGAIN_S or not self.loads.left(
+                    most // self.halls, now_s
+                ):
+                    continue
+                self._staged_s[worker.target_id] = now_s
+                self.loads.begin(1, now_s)
+                self._spawn(self._stage_one(worker, model.name))
+
+    async def _stage_one(self, worker: Target, model: str) -> None:
+        await self.desk.give(worker, StageOrder(model), 2.0)
+
+    # The record -------------------------------------------------------------------------------
+
+    async def _read_record(self) -> bool:
+        found = await self.store.range(placement_key(self.hall))
+        if not isinstance(found, RangeDone):
+            return False
+        self.record_revision = found.items[0].mod_revision if found.items else 0
+        return True
+
+    async def _write_record(self, rows: list[dict]) -> int | None:
+        """Write the plans; return the revision of the write, or None if it is not ours."""
+        key = placement_key(self.hall)
+        nonce = uuid.uuid4().hex
+        value = orjson.dumps({"holder": self.lease.holder, "nonce": nonce, "replicas": rows})
+        compare = Compare(key, self.record_revision)
+        done = await self.store.transact(Txn((compare,), (Put(key, value),), (key,)))
+        if isinstance(done, Unknown):
+            done = await self._settle(key, value)
+        if isinstance(done, Unavailable):
+            return None
+        if not done.succeeded:
+            item: KeyValue | None = done.reads[0] if done.reads else None
+            self.record_revision = item.mod_revision if item else 0
+            log_event(_LOG, logging.WARNING, "placement_contested", hall=self.hall)
+            return None
+        self.record_revision = done.revision
+        return done.revision if self.lease.valid else None
+
+    async def _settle(self, key: str, value: bytes) -> TxnDone | Unavailable:
+        """Find out whether a write whose answer was lost took effect."""
+        found = await self.store.range(key)
+        if not isinstance(found, RangeDone):
+            self.record_revision = None
+            return Unavailable("the record could not be read back")
+        item = found.items[0] if found.items else None
+        if item is not None and item.value == value:
+            return TxnDone(True, item.mod_revision)
+        # It may still be done later, on its condition: the next write of ours makes it void.
+        return TxnDone(False, found.revision, (item,))
+
+    # Tasks ------------------------------------------------------------------------------------
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_end)
+
+    def _on_end(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(_LOG, logging.ERROR, "control_failed", why=repr(task.exception()))
+
+    def stand_down(self) -> None:
+        """Stop what is under way: the lease is gone."""
+        for task in list(self._tasks):
+            task.cancel()
+        self.record_revision = None
+        self._forming.clear()
+        self._busy.clear()
+
+    @property
+    def busy(self) -> int:
+        """How many replicas are being formed."""
+        return len(self._forming)
--- /dev/null
+++ b/ferrydock/groups/_forming.py
@@ -0,0 +1,210 @@
+"""Forming one replica and dissolving one, step by step."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..logs import log_event
+from ..outcomes import Unavailable, Unknown
+from ..targets import (
+    CloseOrder,
+    GroupState,
+    JoinOrder,
+    LeaveOrder,
+    OpenOrder,
+    OrderDone,
+    OrderRefused,
+    Target,
+    TargetDirectory,
+)
+from ._orders import OrderDesk
+from ._plan import Formation
+
+__all__ = ["PlannedReplica", "dissolve", "form"]
+
+_LOG = logging.getLogger("ferrydock.groups")
+ANSWER_WITHIN_S = 3.0
+READY_SLACK_S = 4.0
+LOOK_S = 0.03
+OPEN_WITHIN_S = 3.0
+CLOSE_WAIT_S = 4.0
+CUT_WAIT_S = 1.5
+LEAVE_WITHIN_S = 1.5
+SHOWN_WITHIN_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedReplica:
+    """A replica with the name and epoch it was given."""
+
+    name: str
+    epoch: int
+    formation: Formation
+
+    @property
+    def member_ids(self) -> tuple[str, ...]:
+        """Ids of the members, the head first."""
+        return tuple(member.target_id for member in self.formation.members)
+
+
+async def form(
+    plan: PlannedReplica,
+    desk: OrderDesk,
+    directory: TargetDirectory,
+    clock: Clock,
+    joined: bool = False,
+) -> str:
+    """Join, wait until all are ready, open; return an empty text or why it came to nothing.
+
+    Parameters
+    ----------
+    joined : bool, default=False
+        Whether the members were told to join before, by another controller.
+    """
+    failed = [] if joined else await _join(plan, desk)
+    why = f"no join: {','.join(failed)}" if failed else await _open(plan, desk, directory, clock)
+    if why:
+        members = plan.formation.members
+        await dissolve(plan.name, plan.epoch, members, desk, directory, clock, cut=True)
+    log_event(
+        _LOG,
+        logging.WARNING if why else logging.INFO,
+        "replica_not_formed" if why else "replica_formed",
+        replica=plan.name,
+        epoch=plan.epoch,
+        model=plan.formation.model.name,
+        members=",".join(plan.member_ids),
+        why=why or None,
+    )
+    return why
+
+
+async def _join(plan: PlannedReplica, desk: OrderDesk) -> list[str]:
+    """Order all members to join; return the ids of those that did not take it."""
+    order = JoinOrder(plan.name, plan.epoch, plan.formation.model.name, plan.member_ids)
+    members = plan.formation.members
+    answers = await asyncio.gather(*(desk.give(m, order, ANSWER_WITHIN_S) for m in members))
+    return [
+        member.target_id
+        for member, answer in zip(members, answers, strict=True)
+        if not isinstance(answer, OrderDone)
+    ]
+
+
+async def _open(
+    plan: PlannedReplica, desk: OrderDesk, directory: TargetDirectory, clock: Clock
+) -> str:
+    until_s = clock.now_s() + plan.formation.ready_s * 10 + READY_SLACK_S
+    while not all(_is_ready(plan, member_id, directory) for member_id in plan.member_ids):
+        gone = [i for i in plan.member_ids if i not in directory.targets]
+        if gone:
+            return f"gone: {','.join(gone)}"
+        if clock.now_s() >= until_s:
+            return "not ready in time"
+        await asyncio.sleep(LOOK_S)
+    order = OpenOrder(plan.name, plan.epoch)
+    until_s = clock.now_s() + OPEN_WITHIN_S
+    while True:
+        answer = await desk.give(plan.formation.members[0], order, ANSWER_WITHIN_S)
+        if isinstance(answer, OrderDone):
+            await _until_open(plan, directory, clock)
+            return ""
+        if not isinstance(answer, OrderRefused) or clock.now_s() >= until_s:
+            return f"no open: {answer.reason}"
+        await asyncio.sleep(LOOK_S * 3)
+
+
+async def _until_open(plan: PlannedReplica, directory: TargetDirectory, clock: Clock) -> None:
+    """Wait until the list of targets shows what the head has answered."""
+    until_s = clock.now_s() + SHOWN_WITHIN_S
+    head_id = plan.member_ids[0]
+    while clock.now_s() < until_s:
+        if _state_of(plan.name, plan.epoch, head_id, directory) is GroupState.OPEN:
+            return
+        await asyncio.sleep(LOOK_S)
+
+
+def _state_of(
+    name: str, epoch: int, member_id: str, directory: TargetDirectory
+) -> GroupState | None:
+    """Return the state of a replica at one member, or None if it is not in it."""
+    target = directory.targets.get(member_id)
+    place = target.membership if target else None
+    if place is None or (place.replica, place.epoch) != (name, epoch):
+        return None
+    return place.state
+
+
+def _is_ready(plan: PlannedReplica, member_id: str, directory: TargetDirectory) -> bool:
+    state = _state_of(plan.name, plan.epoch, member_id, directory)
+    return state in (GroupState.READY, GroupState.OPEN)
+
+
+async def dissolve(
+    name: str,
+    epoch: int,
+    members: tuple[Target, ...],
+    desk: OrderDesk,
+    directory: TargetDirectory,
+    clock: Clock,
+    cut: bool,
+) -> tuple[str, ...]:
+    """End a replica; return the ids of the members that surely left it.
+
+    Parameters
+    ----------
+    members : tuple of Target
+        The head first.
+    cut : bool
+        Whether to end its requests at once; else the head first finishes them.
+
+    Notes
+    -----
+    The head goes first: once it has closed and left, no open order given before can bring it
+    back, and its members are free. A head that does not answer may still stand open; then each
+    member leaves by itself before it may join elsewhere.
+    """
+    head, others = members[0], members[1:]
+    state = _state_of(name, epoch, head.target_id, directory)
+    if state in (GroupState.OPEN, GroupState.CLOSING):
+        await _close(name, epoch, head, desk, directory, clock, cut)
+    order = LeaveOrder(name, epoch)
+    answers = [await desk.give(head, order, LEAVE_WITHIN_S)]
+    answers += await asyncio.gather(*(desk.give(m, order, LEAVE_WITHIN_S) for m in others))
+    left = tuple(
+        member.target_id
+        for member, answer in zip(members, answers, strict=True)
+        if not isinstance(answer, Unavailable | Unknown)
+    )
+    log_event(
+        _LOG,
+        logging.INFO,
+        "replica_dissolved",
+        replica=name,
+        epoch=epoch,
+        cut=cut,
+        left=",".join(left),
+    )
+    return left
+
+
+async def _close(
+    name: str,
+    epoch: int,
+    head: Target,
+    desk: OrderDesk,
+    directory: TargetDirectory,
+    clock: Clock,
+    cut: bool,
+) -> None:
+    """Let an open head end its requests, and wait until it is ready again."""
+    answer = await desk.give(head, CloseOrder(name, epoch, cut), LEAVE_WITHIN_S)
+    if not isinstance(answer, OrderDone):
+        return
+    until_s = clock.now_s() + (CUT_WAIT_S if cut else CLOSE_WAIT_S)
+    serving = (GroupState.OPEN, GroupState.CLOSING)
+    while clock.now_s() < until_s:
+        if _state_of(name, epoch, head.target_id, directory) not in serving:
+            return
+        await asyncio.sleep(LOOK_S)
--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -94,7 +94,6 @@
         domain=str(fields.get("domain", "")),
         staged=tuple(_names(fields.get("staged"))),
         models=tuple(_names(fields.get("models"))),
-        orders=int(fields.get("sequence", 0)),
         membership=parse_membership(fields.get("group")),
     )
 
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -26,6 +26,11 @@
     head: Target
     members: tuple[Target, ...]
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Name and epoch: what tells this replica from any other."""
+        return self.name, self.epoch
+
 
 class TargetDirectory:
     """Targets by id, by service, and open replicas by service and model.
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -1,6 +1,6 @@
 """Targets as their source tells of them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 __all__ = ["GroupState", "Membership", "Target"]
@@ -44,8 +44,6 @@
         Models whose weights lie on its host.
     models : tuple of str
         Models that it holds.
-    orders : int
-        Orders it has taken so far, as far as its source knows.
     membership : Membership or None
         Its place in a replica.
     """
@@ -59,5 +57,9 @@
     domain: str = ""
     staged: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
-    orders: int = 0
-    membership: Membership | None = field(default=None)
+    membership: Membership | None = None
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether it has nothing yet, so that it surely has taken no order."""
+        return not (self.staged or self.models or self.membership)
