Repair replicas from their survivors; test the controller on virtual time

Cause: repairs took 4 s and more: a replica given up was planned anew before its survivors were free (spares staged with the other model were loaded for 12 s), entries that lag made it dissolve twice, and the stale entry of the dead member counted as a replica. A leave that is done counts as an order, so the next order expected a wrong number. Ruled out: the network (orders are answered within 5 ms). Change: survivors that left are idle at once; planning waits for them; a replica counts only while it is there to stay; the lease lasts 1.8 s. Stand-in of the workers in memory, virtual time.

--- a/ferrydock/entry/_node.py
+++ b/ferrydock/entry/_node.py
@@ -92,8 +92,11 @@
         )
 
     def _on_dead(self, target_ids: list[str], reason: str) -> None:
-        for controller in self.controllers:
-            controller.suspect(target_ids, reason)
+        for target_id in target_ids:
+            target = self.directory.targets.get(target_id)
+            for controller in self.controllers:
+                if target is not None and target.hall == controller.hall:
+                    controller.suspect([target_id], reason)
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/ferrydock/entry/_seats.py
+++ b/ferrydock/entry/_seats.py
@@ -15,13 +15,14 @@
 __all__ = ["ControllerSeat"]
 
 _LOG = logging.getLogger("ferrydock.entry")
-LEASE_S = 3.0
-KEEP_EACH_S = 0.9
+LEASE_S = 1.8
+KEEP_EACH_S = 0.5
 ROUND_S = 0.1
-OWN_HALL_JITTER_S = 0.4
+OWN_HALL_JITTER_S = 0.25
 OTHER_HALL_WAIT_S = 6.0
 OTHER_HALL_JITTER_S = 2.0
 LOOK_AGAIN_S = 10.0
+BROKEN_WATCH_S = 0.5
 
 
 class ControllerSeat:
@@ -106,7 +107,7 @@
                         return
         except TimeoutError:
             return
-        await asyncio.sleep(self.rng.uniform(0.3, 0.8))
+        await asyncio.sleep(BROKEN_WATCH_S)
 
     async def _act(self) -> None:
         """Drive the controller while the lease holds."""
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import uuid
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 
@@ -107,13 +108,14 @@
         self.loads = LoadBudget(load_window_s)
         self.record_revision: int | None = None
         self._busy: set[str] = set()
+        self._freeing: Counter[str] = Counter()
         self._forming: dict[tuple[str, int], PlannedReplica] = {}
         self._tasks: set[asyncio.Task] = set()
         self._stray_since: dict[tuple[str, int], float] = {}
         self._paused_until: dict[str, float] = {}
         self._staged_s: dict[str, float] = {}
         self._suspects: dict[str, float] = {}
-        self._last_seen: dict[str, Target] = {}
+        self._left: dict[str, tuple[str, int]] = {}
 
     # What others tell -----------------------------------------------------------------------
 
@@ -148,10 +150,10 @@
             for target in self.directory.targets.values()
             if target.service == service and target.hall == self.hall
         ]
-        self._last_seen.update((target.target_id, target) for target in workers)
-        replicas = self._replicas(workers)
-        for replica in replicas:
-            self._tend(replica, engine, now_s)
+        self._forget(workers)
+        replicas = [
+            replica for replica in self._replicas(workers) if self._tend(replica, engine, now_s)
+        ]
         plans = self._plan(service, workers, replicas, engine, now_s)
         if plans:
             await self._begin(plans)
@@ -161,7 +163,7 @@
         found: dict[tuple[str, int], _Seen] = {}
         for target in workers:
             place = target.membership
-            if place is not None:
+            if place is not None and not self._has_left(target):
                 seen = found.setdefault(
                     (place.replica, place.epoch), _Seen(place.replica, place.epoch, [])
                 )
@@ -172,10 +174,32 @@
 
     # Replicas that are there ------------------------------------------------------------------
 
-    def _tend(self, replica: _Seen, engine: EngineFigures, now_s: float) -> None:
-        """Dissolve a replica that cannot serve any more."""
-        if replica.key in self._forming or self._is_busy(replica.members):
-            return
+    def _has_left(self, target: Target) -> bool:
+        """Whether a target is known to have left the replica that its entry still shows."""
+        place = target.membership
+        return self._left.get(target.target_id) == (place.replica, place.epoch)
+
+    def _is_idle(self, target: Target) -> bool:
+        free = target.membership is None or self._has_left(target)
+        return free and target.target_id not in self._busy
+
+    def _forget(self, workers: list[Target]) -> None:
+        """Drop what the entries of targets have caught up with."""
+        entries = {target.target_id: target for target in workers}
+        for target_id, key in list(self._left.items()):
+            entry = entries.get(target_id)
+            place = entry.membership if entry else None
+            if place is None or (place.replica, place.epoch) != key:
+                del self._left[target_id]
+
+    def _tend(self, replica: _Seen, engine: EngineFigures, now_s: float) -> bool:
+        """Dissolve a replica that cannot serve any more; return whether it is there to stay."""
+        if replica.key in self._forming:
+            return True
+        if self._is_busy(replica.members):
+            return False
+        if all(self.is_suspect(target.target_id) for target in replica.members):
+            return False
         dead = [t.target_id for t in replica.members if self.is_suspect(t.target_id)]
         leaving = [t.target_id for t in replica.members if t.draining]
         figures = engine.model(replica.model)
@@ -184,14 +208,14 @@
         head = replica.head
         if replica.is_open and not (dead or leaving or missing or broken):
             self._stray_since.pop(replica.key, None)
-            return
+            return True
         if not (dead or leaving or missing or broken) and head is not None and figures:
             self._adopt(replica, figures)
-            return
+            return True
         if not (dead or leaving or missing or broken):
             since_s = self._stray_since.setdefault(replica.key, now_s)
             if now_s - since_s < STRAY_S:
-                return
+                return True
         why = (
             "dead" if dead else "broken" if broken else "member_gone" if missing else
             "leaving" if leaving else "stray"
@@ -208,7 +232,11 @@
             dead=",".join(dead) or None,
         )
         self.on_broken(replica.key)
-        self._spawn(self._dissolve(replica, set(dead), cut=why != "leaving"))
+        cut = why != "leaving"
+        if cut:
+            self._freeing[replica.members[0].domain] += 1
+        self._spawn(self._dissolve(replica, set(dead), cut))
+        return False
 
     def _adopt(self, replica: _Seen, model: ModelFigures) -> None:
         """Go on with a replica that another controller had begun."""
@@ -223,16 +251,18 @@
 
     async def _dissolve(self, replica: _Seen, dead: set[str], cut: bool) -> None:
         members = tuple(t for t in replica.members if t.target_id not in dead)
-        if not members:
-            return
         ids = {target.target_id for target in members}
+        domain = replica.members[0].domain
         self._busy |= ids
         try:
-            await dissolve(
+            left = await dissolve(
                 replica.name, replica.epoch, members, self.desk, self.directory, self.clock, cut
             )
+            self._left.update((target_id, replica.key) for target_id in left)
         finally:
             self._busy -= ids
+            if cut:
+                self._freeing[domain] -= 1
 
     def _is_busy(self, targets: Iterable[Target]) -> bool:
         return any(target.target_id in self._busy for target in targets)
@@ -257,8 +287,10 @@
         for worker in workers:
             domains.setdefault(worker.domain, []).append(worker)
         for name in sorted(domains):
+            if self._freeing[name]:
+                continue  # the survivors that are about to be free are ready soonest
             sound = [w for w in domains[name] if not w.draining and not self._is_paused(w, now_s)]
-            idle = [w for w in sound if w.membership is None and w.target_id not in self._busy]
+            idle = [worker for worker in sound if self._is_idle(worker)]
             counts = self._counts(name, replicas)
             while True:
                 formation = next_formation(idle, counts, len(sound), engine, site, loads_left)
@@ -292,7 +324,7 @@
         """Return the replicas of a domain by model, those being formed included."""
         counts: dict[str, int] = {}
         for replica in replicas:
-            if replica.key in self._forming or self._is_busy(replica.members):
+            if replica.key in self._forming:
                 continue
             if replica.members[0].domain == domain and replica.model:
                 counts[replica.model] = counts.get(replica.model, 0) + 1
@@ -348,8 +380,8 @@
         forming = {plan.formation.members[0].domain for plan in self._forming.values()}
         idle: dict[str, list[Target]] = {}
         for worker in workers:
-            free = worker.membership is None and worker.target_id not in self._busy
-            if free and not worker.draining and not self._is_paused(worker, now_s):
+            usable = not worker.draining and not self._is_paused(worker, now_s)
+            if usable and self._is_idle(worker):
                 idle.setdefault(worker.domain, []).append(worker)
         if not any(replica.is_open for replica in replicas):
             return
@@ -429,6 +461,8 @@
         self.record_revision = None
         self._forming.clear()
         self._busy.clear()
+        self._freeing.clear()
+        self._left.clear()
 
     @property
     def busy(self) -> int:
--- a/ferrydock/groups/_forming.py
+++ b/ferrydock/groups/_forming.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..logs import log_event
-from ..outcomes import Unavailable, Unknown
+from ..outcomes import Unavailable
 from ..targets import (
     CloseOrder,
     GroupState,
@@ -27,6 +27,7 @@
 ANSWER_WITHIN_S = 3.0
 READY_SLACK_S = 4.0
 LOOK_S = 0.03
+REPORT_TIMEOUT_S = 0.5
 OPEN_WITHIN_S = 3.0
 CLOSE_WAIT_S = 4.0
 CUT_WAIT_S = 1.5
@@ -169,14 +170,9 @@
     state = _state_of(name, epoch, head.target_id, directory)
     if state in (GroupState.OPEN, GroupState.CLOSING):
         await _close(name, epoch, head, desk, directory, clock, cut)
-    order = LeaveOrder(name, epoch)
-    answers = [await desk.give(head, order, LEAVE_WITHIN_S)]
-    answers += await asyncio.gather(*(desk.give(m, order, LEAVE_WITHIN_S) for m in others))
-    left = tuple(
-        member.target_id
-        for member, answer in zip(members, answers, strict=True)
-        if not isinstance(answer, Unavailable | Unknown)
-    )
+    gone = [await _leave(name, epoch, head, desk)]
+    gone += await asyncio.gather(*(_leave(name, epoch, member, desk) for member in others))
+    left = tuple(m.target_id for m, is_gone in zip(members, gone, strict=True) if is_gone)
     log_event(
         _LOG,
         logging.INFO,
@@ -189,6 +185,18 @@
     return left
 
 
+async def _leave(name: str, epoch: int, member: Target, desk: OrderDesk) -> bool:
+    """Let a member leave; return whether it surely is no member any more."""
+    answer = await desk.give(member, LeaveOrder(name, epoch), LEAVE_WITHIN_S)
+    if isinstance(answer, OrderDone):
+        return True
+    if not isinstance(answer, OrderRefused):
+        return False
+    report = await desk.control.report(member, REPORT_TIMEOUT_S)
+    is_known = not isinstance(report, Unavailable)
+    return is_known and (report.replica, report.epoch) != (name, epoch)
+
+
 async def _close(
     name: str,
     epoch: int,
--- a/ferrydock/groups/_orders.py
+++ b/ferrydock/groups/_orders.py
@@ -7,6 +7,7 @@
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..targets import (
+    LeaveOrder,
     Order,
     OrderDone,
     OrderRefused,
@@ -75,7 +76,8 @@
             expected = await self._expected(target)
             answer = await self._give_once(target, order, expected)
             if isinstance(answer, OrderDone):
-                if not answer.already:
+                acts_at_once = isinstance(order, LeaveOrder)
+                if acts_at_once or not answer.already:
                     self._numbers[target.target_id] = expected + 1
                 return answer
             if isinstance(answer, OrderRefused):
--- a/ferrydock/groups/_plan.py
+++ b/ferrydock/groups/_plan.py
@@ -66,7 +66,7 @@
 
 def ready_in_s(worker: Target, model: ModelFigures) -> float:
     """Return how long a worker takes to be ready for a model."""
-    if model.name in worker.models:
+    if model.name == worker.last_model and model.name in worker.staged:
         return REJOIN_S
     if model.name in worker.staged:
         return model.warm_s
@@ -139,7 +139,7 @@
     covered = {model.name: 0 for model in engine.models}
     bare = []
     for worker in idle:
-        held = [name for name in (*worker.models, *worker.staged) if name in covered]
+        held = [name for name in worker.staged if name in covered]
         if held:
             covered[held[0]] += 1
         else:
--- /dev/null
+++ b/ferrydock/groups/tests/hall.py
@@ -0,0 +1,110 @@
+"""A hall on virtual time: workers in memory, a store in memory, controllers that come and go."""
+
+import asyncio
+import random
+
+from ...configuration import Configuration, ConfigurationBook, ServiceFigures
+from ...hall import ControllerLease
+from ...standins.fleet import Fleet, FleetControl, FleetList, LoopClock
+from ...store import MemoryStore
+from ...targets import TargetDirectory
+from .. import GroupController, OrderDesk
+from .figures import two_models
+
+ROUND_S = 0.1
+LEASE_S = 2.0
+
+
+class Hall:
+    """Workers of one hall, and a controller at a time."""
+
+    def __init__(self, seed, domains=2, workers=10):
+        self.rng = random.Random(seed)
+        self.clock = LoopClock()
+        self.store = MemoryStore(self.clock)
+        self.fleet = Fleet(two_models(), self.rng)
+        self.book = ConfigurationBook()
+        services = {"engines": ServiceFigures("engines", "/", 100, two_models())}
+        self.book.offer(Configuration(1, (), services, ()), 0.0)
+        for domain in range(domains):
+            for number in range(workers):
+                self.fleet.add(f"w{domain}-{number}", "hall-a", f"d{domain}")
+        self.list = FleetList(self.fleet)
+        self.directory = TargetDirectory()
+        self.broken = []
+        self.following = asyncio.ensure_future(self._follow())
+        self.controllers = 0
+        self.task = None
+        self.controller = None
+
+    async def _follow(self):
+        async for changes in self.list.follow():
+            if changes.whole:
+                self.directory.replace(changes.entries)
+            for target_id in changes.removed:
+                self.directory.remove(target_id)
+            for entry in changes.entries:
+                self.directory.put(entry)
+
+    def start_controller(self):
+        """Start a controller that waits for the lease and acts."""
+        self.controllers += 1
+        holder = f"daemon-{self.controllers}"
+        control = FleetControl(self.fleet, self.rng)
+        lease = ControllerLease(self.store, self.clock, "hall-a", holder)
+        self.controller = GroupController(
+            "hall-a",
+            1,
+            lease,
+            self.store,
+            self.book,
+            self.directory,
+            OrderDesk(control, self.directory, self.clock),
+            self.clock,
+            5.0,
+            1.1,
+            self.broken.append,
+        )
+        self.task = asyncio.ensure_future(self._drive(self.controller))
+        return self.controller
+
+    async def _drive(self, controller):
+        try:
+            while True:
+                if not controller.lease.valid:
+                    controller.stand_down()
+                    await controller.lease.acquire(LEASE_S)
+                elif controller.lease.held.valid_until_s - self.clock.now_s() < LEASE_S / 2:
+                    await controller.lease.keep()
+                await controller.step()
+                await asyncio.sleep(ROUND_S)
+        finally:
+            controller.stand_down()
+
+    def kill_controller(self):
+        """End the controller as a kill does: its orders under way may still land."""
+        self.task.cancel()
+
+    def kill_worker(self, worker_id):
+        """Let a worker fall silent, and the controller be told by who noticed."""
+        worker = self.fleet.workers[worker_id]
+        self.fleet.kill(worker_id)
+        self.list.on_silent(worker)
+
+    def models(self):
+        """Return how many replicas of each model serve."""
+        counts = {"large": 0, "small": 0}
+        for head in self.fleet.open_heads():
+            counts[head.model] += 1
+        return counts
+
+    async def until(self, condition, within_s):
+        """Wait for a condition; return how long that took, or None."""
+        began_s = self.clock.now_s()
+        while self.clock.now_s() - began_s < within_s:
+            for head in self.fleet.open_heads():
+                self.fleet.serve(head)
+            if condition():
+                return self.clock.now_s() - began_s
+            await asyncio.sleep(0.02)
+        return None
--- /dev/null
+++ b/ferrydock/groups/tests/test_controller.py
@@ -0,0 +1,127 @@
+"""The controller of a hall's replicas, on virtual time against workers in memory."""
+
+import asyncio
+
+import pytest
+
+from ...standins.fleet import run_virtually
+from .hall import Hall
+
+WHOLE = {"large": 2, "small": 4}
+
+
+def play(scenario, *arguments):
+    """Run a scenario on virtual time."""
+    return run_virtually(scenario(*arguments))
+
+
+async def formed(hall):
+    """Return a hall whose replicas all serve."""
+    hall.start_controller()
+    assert await hall.until(lambda: hall.models() == WHOLE, 60.0) is not None
+    return hall
+
+
+def test_forms_all_replicas_and_stages_spares():
+    async def scenario():
+        hall = await formed(Hall(1))
+        staged = [w for w in hall.fleet.workers.values() if w.membership is None]
+        assert await hall.until(lambda: all(w.staged for w in staged), 30.0) is not None
+        assert len(staged) == 4
+        for domain in ("d0", "d1"):
+            models = {w.staged[0] for w in staged if w.domain == domain}
+            assert models == {"large", "small"}
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
+def test_a_dead_member_is_replaced_by_a_spare_within_three_seconds():
+    async def scenario():
+        hall = await formed(Hall(2))
+        await asyncio.sleep(30.0)
+        head = next(w for w in hall.fleet.open_heads() if w.model == "large")
+        hall.kill_worker(head.members[2])
+        hall.controller.suspect([head.members[2]], "test")
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
+        assert took_s is not None and took_s < 3.0
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
+def test_a_dead_head_is_replaced_too():
+    async def scenario():
+        hall = await formed(Hall(3))
+        await asyncio.sleep(30.0)
+        head = next(w for w in hall.fleet.open_heads() if w.model == "large")
+        hall.kill_worker(head.worker_id)
+        hall.controller.suspect([head.worker_id], "test")
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
+        assert took_s is not None and took_s < 3.0
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
+def test_a_loss_that_nobody_reports_is_seen_when_the_entry_goes():
+    async def scenario():
+        hall = await formed(Hall(4))
+        await asyncio.sleep(30.0)
+        head = next(w for w in hall.fleet.open_heads() if w.model == "small")
+        hall.kill_worker(head.members[1])
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
+        assert took_s is not None and took_s < 7.0
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
+def test_an_open_replica_is_not_opened_again_while_its_entry_lags():
+    async def scenario():
+        hall = Hall(5)
+        hall.list.lag_s = 0.8
+        await formed(hall)
+        desk = hall.controller.desk
+        await asyncio.sleep(10.0)
+        forming = 20 - 4 + 6 + 4
+        assert desk.given <= forming + 2
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_late_and_doubled_orders_break_no_rule(seed):
+    async def scenario():
+        hall = Hall(100 + seed)
+        hall.fleet.faults.late_share = 0.35
+        hall.start_controller()
+        await hall.until(lambda: False, 40.0)
+        victims = [h for h in hall.fleet.open_heads() if h.model == "large"][:1]
+        for head in victims:
+            hall.kill_worker(head.members[1])
+            hall.controller.suspect([head.members[1]], "test")
+        await hall.until(lambda: False, 20.0)
+        hall.fleet.faults.late_share = 0.0
+        took_s = await hall.until(lambda: sum(hall.models().values()) >= 5, 60.0)
+        assert hall.fleet.violations == []
+        assert took_s is not None
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_controller_killed_while_forming_is_taken_over(seed):
+    async def scenario():
+        hall = Hall(200 + seed)
+        hall.fleet.faults.late_share = 0.15
+        hall.start_controller()
+        await hall.until(lambda: False, hall.rng.uniform(0.2, 20.0))
+        hall.kill_controller()
+        await hall.until(lambda: False, hall.rng.uniform(0.0, 3.0))
+        hall.start_controller()
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 120.0)
+        assert hall.fleet.violations == []
+        assert took_s is not None
+
+    play(scenario)
--- /dev/null
+++ b/ferrydock/standins/fleet/_virtual.py
@@ -0,0 +1,69 @@
+"""An event loop whose time jumps to the next timer: seconds of waiting take no time at all."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any
+
+from ...clock import Clock
+
+__all__ = ["LoopClock", "VirtualLoop", "run_virtually"]
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Never waits: a wait moves the loop's time instead."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout=None):
+        ready = super().select(0)
+        if not ready:
+            if timeout is None:
+                raise RuntimeError("nothing is left to happen: the test waits for ever")
+            self.now_s += max(0.0, timeout)
+        return ready
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop on virtual time, for work without sockets.
+
+    Examples
+    --------
+    >>> run_virtually(asyncio.sleep(3600, "done"))
+    'done'
+    """
+
+    def __init__(self):
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+        self._clock_resolution = 1e-6
+
+    def time(self) -> float:
+        """Return virtual seconds since the loop was made."""
+        return self._jumping.now_s
+
+
+class LoopClock(Clock):
+    """The clock of the running loop."""
+
+    __slots__ = ()
+
+    def now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall_s(self) -> float:
+        return self.now_s()
+
+
+def run_virtually(work: Coroutine) -> Any:
+    """Run a coroutine on virtual time, cancel what it left running, and return its result."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
--- /dev/null
+++ b/ferrydock/standins/fleet/_workers.py
@@ -0,0 +1,360 @@
+"""Model workers in memory: groups, staging, late orders, deaths, and the rules they judge by."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ...configuration import EngineFigures, ModelFigures
+from ...targets import (
+    CloseOrder,
+    GroupState,
+    JoinOrder,
+    LeaveOrder,
+    Membership,
+    OpenOrder,
+    Order,
+    OrderDone,
+    OrderRefused,
+    StageOrder,
+    Target,
+)
+
+__all__ = ["Fleet", "FleetFaults", "Violation", "Worker"]
+
+REJOIN_S = 0.2
+SERVING = (GroupState.OPEN, GroupState.CLOSING)
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A rule that was broken: ``partial`` or ``two``."""
+
+    rule: str
+    worker: str
+    detail: str
+
+
+@dataclass(slots=True)
+class FleetFaults:
+    """What goes wrong with orders.
+
+    Attributes
+    ----------
+    late_share : float
+        Part of the orders that are left unanswered and carried out later.
+    late_from_s, late_to_s : float
+        How much later.
+    """
+
+    late_share: float = 0.0
+    late_from_s: float = 2.0
+    late_to_s: float = 12.0
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """One incarnation of a model worker.
+
+    Attributes
+    ----------
+    alive, cut_from_store : bool
+        Whether it answers at all; whether its entry can be written.
+    was_ready : set
+        ``(name, epoch, members)`` under which it was ready once.
+    loads : int
+        Loads from the weight store that it began.
+    """
+
+    worker_id: str
+    address: str
+    hall: str
+    domain: str
+    service: str
+    engine: EngineFigures
+    alive: bool = True
+    cut_from_store: bool = False
+    draining: bool = False
+    orders: int = 0
+    top_epoch: int = 0
+    last_model: str = ""
+    staged: list[str] = field(default_factory=list)
+    staging_until_s: float = 0.0
+    membership: Membership | None = None
+    members: tuple[str, ...] = ()
+    model: str = ""
+    was_ready: set = field(default_factory=set)
+    stopped_s: float | None = None
+    running: int = 0
+    loads: int = 0
+
+    @property
+    def entry(self) -> Target:
+        """What the list of targets shows of it."""
+        return Target(
+            target_id=self.worker_id,
+            service=self.service,
+            address=self.address,
+            hall=self.hall,
+            slots=self.engine.slots,
+            draining=self.draining,
+            domain=self.domain,
+            staged=tuple(self.staged),
+            models=(self.model,) if self.model and self.membership else (),
+            membership=self.membership,
+        )
+
+    @property
+    def group_key(self) -> tuple[str, int] | None:
+        """Name and epoch of its group."""
+        place = self.membership
+        return (place.replica, place.epoch) if place else None
+
+
+class Fleet:
+    """All workers of a service, and the judge of what is done with them.
+
+    Parameters
+    ----------
+    engine : EngineFigures
+        Models, sizes, times.
+    rng : random.Random
+        Draws faults.
+    stall_s : float
+        After which a group without one of its members breaks.
+    on_change : callable
+        Takes a worker whose entry has changed.
+    """
+
+    def __init__(
+        self,
+        engine: EngineFigures,
+        rng: random.Random,
+        stall_s: float = 6.0,
+        on_change: Callable[[Worker], None] = lambda worker: None,
+    ):
+        self.engine = engine
+        self.rng = rng
+        self.stall_s = stall_s
+        self.on_change = on_change
+        self.faults = FleetFaults()
+        self.workers: dict[str, Worker] = {}
+        self.violations: list[Violation] = []
+
+    def add(
+        self, worker_id: str, hall: str, domain: str, service: str = "engines", address: str = ""
+    ) -> Worker:
+        """Start an empty worker."""
+        worker = Worker(
+            worker_id=worker_id,
+            address=address or "127.0.0.1:1",
+            hall=hall,
+            domain=domain,
+            service=service,
+            engine=self.engine,
+        )
+        self.workers[worker_id] = worker
+        self.on_change(worker)
+        return worker
+
+    def kill(self, worker_id: str) -> None:
+        """Let a worker fall silent for good; its group stands still."""
+        worker = self.workers[worker_id]
+        worker.alive = False
+        self._check_still(worker.group_key)
+
+    def now_s(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    # Orders -----------------------------------------------------------------------------------
+
+    def order(
+        self, worker: Worker, order: Order, expected: int | None
+    ) -> OrderDone | OrderRefused | None:
+        """Take an order, or leave it without an answer (None)."""
+        if not worker.alive:
+            return None
+        if self.rng.random() < self.faults.late_share:
+            delay_s = self.rng.uniform(self.faults.late_from_s, self.faults.late_to_s)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.carry_out, worker, order, expected)
+            return None
+        return self.carry_out(worker, order, expected)
+
+    def carry_out(
+        self, worker: Worker, order: Order, expected: int | None
+    ) -> OrderDone | OrderRefused | None:
+        """Do what an order says, if it still fits."""
+        if not worker.alive:
+            return None
+        if expected is not None and expected != worker.orders:
+            return OrderRefused("state")
+        match order:
+            case JoinOrder():
+                answer = self._join(worker, order)
+            case OpenOrder():
+                answer = self._open(worker, order)
+            case CloseOrder():
+                answer = self._close(worker, order)
+            case LeaveOrder():
+                answer = self._leave(worker, order)
+            case StageOrder():
+                answer = self._stage(worker, order)
+        if isinstance(answer, OrderDone) and not answer.already:
+            worker.orders += 1
+        if isinstance(answer, OrderDone):
+            self.on_change(worker)
+        if isinstance(order, LeaveOrder) and isinstance(answer, OrderDone):
+            return OrderDone(already=True)  # it acts at once, and counts all the same
+        return answer
+
+    def _join(self, worker: Worker, order: JoinOrder) -> OrderDone | OrderRefused:
+        if order.epoch < worker.top_epoch:
+            return OrderRefused("epoch")
+        key = (order.replica, order.epoch)
+        if worker.group_key == key:
+            same = worker.members == order.members
+            return OrderDone(already=True) if same else OrderRefused("epoch")
+        self._judge_leaving(worker)
+        before = worker.group_key
+        model = self.engine.model(order.model)
+        ready_s = self._ready_in_s(worker, model)
+        rank = order.members.index(worker.worker_id)
+        worker.top_epoch = order.epoch
+        worker.membership = Membership(order.replica, order.epoch, rank, GroupState.JOINING)
+        worker.members = order.members
+        worker.model = model.name
+        worker.last_model = model.name
+        loop = asyncio.get_running_loop()
+        loop.call_later(ready_s, self._become_ready, worker, key)
+        self._check_still(before)
+        return OrderDone(already=False)
+
+    def _judge_leaving(self, worker: Worker) -> None:
+        """Note a worker that joins elsewhere while its group's head serves or stands still."""
+        place = worker.membership
+        if place is None:
+            return
+        head = self.workers.get(worker.members[0])
+        if head is None or not head.alive or head.group_key != worker.group_key:
+            return
+        if head.membership.state in SERVING:
+            detail = f"{worker.group_key} is {head.membership.state.value}"
+            self.violations.append(Violation("two", worker.worker_id, detail))
+
+    def _ready_in_s(self, worker: Worker, model: ModelFigures) -> float:
+        staging_s = max(0.0, worker.staging_until_s - self.now_s())
+        if worker.last_model == model.name and model.name in worker.staged:
+            return REJOIN_S
+        if model.name in worker.staged:
+            return staging_s + model.warm_s
+        self._load(worker, model)
+        return model.load_s
+
+    def _load(self, worker: Worker, model: ModelFigures) -> None:
+        worker.loads += 1
+        worker.staging_until_s = self.now_s() + model.load_s
+        worker.staged = [model.name, *worker.staged][: self.engine.keeps]
+
+    def _become_ready(self, worker: Worker, key: tuple[str, int]) -> None:
+        if worker.alive and worker.group_key == key:
+            self._set_state(worker, GroupState.READY)
+            worker.was_ready.add((*key, worker.members))
+
+    def _set_state(self, worker: Worker, state: GroupState) -> None:
+        place = worker.membership
+        worker.membership = Membership(place.replica, place.epoch, place.rank, state)
+        self.on_change(worker)
+
+    def _open(self, worker: Worker, order: OpenOrder) -> OrderDone | OrderRefused:
+        place = worker.membership
+        if worker.group_key != (order.replica, order.epoch) or place.rank != 0:
+            return OrderRefused("state")
+        if place.state is not GroupState.READY:
+            return OrderRefused("state")
+        self._set_state(worker, GroupState.OPEN)
+        worker.stopped_s = None
+        return OrderDone(already=False)
+
+    def _close(self, worker: Worker, order: CloseOrder) -> OrderDone | OrderRefused:
+        if worker.group_key != (order.replica, order.epoch):
+            return OrderRefused("state")
+        if worker.membership.state is not GroupState.OPEN:
+            return OrderRefused("state")
+        self._set_state(worker, GroupState.CLOSING)
+        delay_s = 0.01 if order.cut else 1.0
+        key = worker.group_key
+        asyncio.get_running_loop().call_later(delay_s, self._closed, worker, key)
+        return OrderDone(already=False)
+
+    def _closed(self, worker: Worker, key: tuple[str, int]) -> None:
+        if worker.group_key == key and worker.membership.state is GroupState.CLOSING:
+            self._set_state(worker, GroupState.READY)
+
+    def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone | OrderRefused:
+        key = (order.replica, order.epoch)
+        if worker.group_key != key or worker.membership.state in SERVING:
+            return OrderRefused("state")
+        worker.membership = None
+        worker.members = ()
+        self._check_still(key)
+        return OrderDone(already=False)
+
+    def _stage(self, worker: Worker, order: StageOrder) -> OrderDone | OrderRefused:
+        if order.model in worker.staged:
+            return OrderDone(already=True)
+        self._load(worker, self.engine.model(order.model))
+        return OrderDone(already=False)
+
+    # Groups -----------------------------------------------------------------------------------
+
+    def whole(self, head: Worker) -> bool:
+        """Whether every member of a head's group lives and stands behind it."""
+        return all(
+            (member := self.workers.get(member_id)) is not None
+            and member.alive
+            and member.group_key == head.group_key
+            for member_id in head.members
+        )
+
+    def _check_still(self, key: tuple[str, int] | None) -> None:
+        """Let a group that lost a member break after a while."""
+        for worker in self.workers.values():
+            if key is None or worker.group_key != key or worker.membership.rank != 0:
+                continue
+            if worker.membership.state in SERVING and not self.whole(worker):
+                asyncio.get_running_loop().call_later(self.stall_s, self._break, worker, key)
+
+    def _break(self, head: Worker, key: tuple[str, int]) -> None:
+        if head.alive and head.group_key == key and not self.whole(head):
+            self._set_state(head, GroupState.BROKEN)
+
+    def serve(self, head: Worker) -> bool:
+        """Judge a request that reaches a head; return whether it runs now."""
+        place = head.membership
+        if not head.alive or place is None or place.state is not GroupState.OPEN:
+            return False
+        size = self.engine.model(head.model).size
+        if len(head.members) != size:
+            self._partial(head, f"{len(head.members)} of {size} members")
+        for member_id in head.members:
+            member = self.workers.get(member_id)
+            if member is None or (*head.group_key, head.members) not in member.was_ready:
+                self._partial(head, f"{member_id} was never ready")
+        return self.whole(head)
+
+    def _partial(self, head: Worker, detail: str) -> None:
+        self.violations.append(Violation("partial", head.worker_id, f"{head.group_key} {detail}"))
+
+    def open_heads(self) -> list[Worker]:
+        """Return the heads of groups that are open and whole."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.alive
+            and worker.membership is not None
+            and worker.membership.rank == 0
+            and worker.membership.state is GroupState.OPEN
+            and self.whole(worker)
+        ]
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -1,7 +1,7 @@
 """All targets known to this process, and the replicas they form."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ._target import GroupState, Target
 
@@ -53,15 +53,22 @@
 
     def replace(self, targets: Iterable[Target]) -> None:
         """Take a whole list."""
-        self.targets = {target.target_id: target for target in targets}
+        self.targets = {target.target_id: self._remembering(target) for target in targets}
         self.loaded = True
         self._changed()
 
     def put(self, target: Target) -> None:
         """Take one target's entry."""
-        self.targets[target.target_id] = target
+        self.targets[target.target_id] = self._remembering(target)
         self._changed()
 
+    def _remembering(self, target: Target) -> Target:
+        """Return an entry that still knows the model of the target's latest replica."""
+        if target.models:
+            return replace(target, last_model=target.models[0])
+        before = self.targets.get(target.target_id)
+        return replace(target, last_model=before.last_model) if before else target
+
     def remove(self, target_id: str) -> None:
         """Forget a target."""
         if self.targets.pop(target_id, None) is not None:
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -44,6 +44,8 @@
         Models whose weights lie on its host.
     models : tuple of str
         Models that it holds.
+    last_model : str
+        Model of its latest replica since its start, as far as this process has seen.
     membership : Membership or None
         Its place in a replica.
     """
@@ -57,6 +59,7 @@
     domain: str = ""
     staged: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
+    last_model: str = ""
     membership: Membership | None = None
 
     @property
