--- a/ferrydock/groups/__init__.py
+++ b/ferrydock/groups/__init__.py
@@ -4,7 +4,14 @@
 from ._forming import PlannedReplica, dissolve, form
 from ._loads import LoadBudget
 from ._orders import OrderDesk
-from ._plan import Formation, choose_members, next_formation, staging, target_counts
+from ._plan import (
+    Formation,
+    choose_members,
+    domain_shares,
+    next_formation,
+    staging,
+    target_counts,
+)
 
 __all__ = [
     "Formation",
@@ -14,6 +21,7 @@
     "PlannedReplica",
     "choose_members",
     "dissolve",
+    "domain_shares",
     "form",
     "next_formation",
     "placement_key",
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -19,7 +19,7 @@
 from ._forming import PlannedReplica, dissolve, form
 from ._loads import LoadBudget
 from ._orders import OrderDesk
-from ._plan import Formation, next_formation, staging
+from ._plan import Formation, domain_shares, next_formation, staging
 
 __all__ = ["GroupController", "placement_key"]
 
@@ -116,6 +116,7 @@
         self._staged_s: dict[str, float] = {}
         self._suspects: dict[str, float] = {}
         self._left: dict[str, tuple[str, int]] = {}
+        self._domains: set[str] = set()
 
     # What others tell -----------------------------------------------------------------------
 
@@ -279,13 +280,13 @@
     ) -> list[Formation]:
         plans: list[Formation] = []
         site = self._site_workers(service, engine)
-        most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
-        loads_left = self.loads.left(most // self.halls, now_s)
+        loads_left = self._loads_left(engine, now_s)
         if not any(t.models or t.staged for t in workers):
             loads_left = len(workers)  # nothing serves yet: what loads now is not counted
         domains: dict[str, list[Target]] = {}
         for worker in workers:
             domains.setdefault(worker.domain, []).append(worker)
+        shares = self._shares(domains, engine)
         for name in sorted(domains):
             if self._freeing[name]:
                 continue  # the survivors that are about to be free are ready soonest
@@ -293,7 +294,9 @@
             idle = [worker for worker in sound if self._is_idle(worker)]
             counts = self._counts(name, replicas)
             while True:
-                formation = next_formation(idle, counts, len(sound), engine, site, loads_left)
+                formation = next_formation(
+                    idle, counts, len(sound), engine, shares[name], site, loads_left
+                )
                 if formation is None:
                     break
                 plans.append(formation)
@@ -305,6 +308,17 @@
                 idle = [worker for worker in idle if worker.target_id not in taken]
         return plans
 
+    def _loads_left(self, engine: EngineFigures, now_s: float) -> int:
+        """Return how many loads from the weight store may begin now: the hall's part."""
+        most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
+        return self.loads.left(most // self.halls, now_s)
+
+    def _shares(self, domains: Iterable[str], engine: EngineFigures) -> dict[str, dict[str, float]]:
+        """Return the models' shares in each domain; a domain once seen keeps its place."""
+        self._domains.update(domains)
+        order = sorted(self._domains)
+        return dict(zip(order, domain_shares(len(order), engine), strict=True))
+
     def _is_paused(self, worker: Target, now_s: float) -> bool:
         paused = self._paused_until.get(worker.target_id, 0.0) > now_s
         return paused or self.is_suspect(worker.target_id)
@@ -385,15 +399,13 @@
                 idle.setdefault(worker.domain, []).append(worker)
         if not any(replica.is_open for replica in replicas):
             return
-        most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
+        shares = self._shares(idle, engine)
         for domain, spares in idle.items():
             if domain in forming:
                 continue
-            for worker, model in staging(spares, in_use.get(domain, {}), engine):
+            for worker, model in staging(spares, in_use.get(domain, {}), engine, shares[domain]):
                 begun_s = self._staged_s.get(worker.target_id, -STAGE_AGAIN_S)
-                if now_s - begun_s < STAGE_AGAIN_S or not self.loads.left(
-                    most // self.halls, now_s
-                ):
+                if now_s - begun_s < STAGE_AGAIN_S or not self._loads_left(engine, now_s):
                     continue
                 self._staged_s[worker.target_id] = now_s
                 self.loads.begin(1, now_s)
--- a/ferrydock/groups/_plan.py
+++ b/ferrydock/groups/_plan.py
@@ -13,12 +13,14 @@
     "SPARE_PART",
     "Formation",
     "choose_members",
+    "domain_shares",
     "next_formation",
     "staging",
     "target_counts",
 ]
 
 SPARE_PART = 0.2
+WHOLE_DOMAIN = 0.75
 REJOIN_S = 0.2
 
 
@@ -32,7 +34,47 @@
     ready_s: float
 
 
-def target_counts(workers: int, engine: EngineFigures) -> dict[str, int]:
+def domain_shares(domains: int, engine: EngineFigures) -> list[dict[str, float]]:
+    """Return the share of each model in each domain of a hall, the domains in a fixed order.
+
+    Parameters
+    ----------
+    domains : int
+        Domains of the hall, all taken for equally large.
+    engine : EngineFigures
+        Models and their shares of the whole.
+
+    Notes
+    -----
+    A domain is given to one model where that model has work for most of it: then every spare
+    and every survivor there has the weights that the next repair needs. What is left over is
+    mixed.
+
+    Examples
+    --------
+    >>> from ferrydock.groups.tests.figures import two_models
+    >>> domain_shares(2, two_models())
+    [{'large': 1.0, 'small': 0.0}, {'large': 0.0, 'small': 1.0}]
+    >>> domain_shares(1, two_models())
+    [{'large': 0.5, 'small': 0.5}]
+    """
+    total = sum(model.share for model in engine.models) or 1.0
+    needs = {model.name: model.share / total * domains for model in engine.models}
+    shares = []
+    for _ in range(domains):
+        name = max(needs, key=needs.get)
+        if needs[name] >= WHOLE_DOMAIN or len(needs) == 1:
+            shares.append({other: float(other == name) for other in needs})
+            needs[name] -= 1.0
+        else:
+            left = sum(max(0.0, need) for need in needs.values()) or 1.0
+            shares.append({other: max(0.0, need) / left for other, need in needs.items()})
+    return shares
+
+
+def target_counts(
+    workers: int, engine: EngineFigures, shares: Mapping[str, float]
+) -> dict[str, int]:
     """Return how many replicas of each model a domain of `workers` should hold.
 
     Parameters
@@ -40,7 +82,9 @@
     workers : int
         Sound workers of the domain, idle or not.
     engine : EngineFigures
-        Sizes and shares of the models.
+        Sizes of the models.
+    shares : mapping of str to float
+        Part of the domain that each model should have.
 
     Notes
     -----
@@ -50,16 +94,18 @@
     Examples
     --------
     >>> from ferrydock.groups.tests.figures import two_models
-    >>> [tuple(target_counts(n, two_models()).values()) for n in (10, 9, 8, 7, 6, 5, 4, 3, 1)]
+    >>> halves = {"large": 0.5, "small": 0.5}
+    >>> sizes = (10, 9, 8, 7, 6, 5, 4, 3, 1)
+    >>> [tuple(target_counts(size, two_models(), halves).values()) for size in sizes]
     [(1, 2), (1, 2), (1, 1), (1, 1), (1, 0), (1, 0), (1, 0), (0, 1), (0, 0)]
     """
     counts = {model.name: 0 for model in engine.models}
     left = workers - int(workers * SPARE_PART)
     while True:
-        fitting = [model for model in engine.models if model.size <= left and model.share > 0]
+        fitting = [m for m in engine.models if m.size <= left and shares.get(m.name, 0) > 0]
         if not fitting:
             return counts
-        model = min(fitting, key=lambda m: ((counts[m.name]) * m.size / m.share, -m.size))
+        model = min(fitting, key=lambda m: (counts[m.name] * m.size / shares[m.name], -m.size))
         counts[model.name] += 1
         left -= model.size
 
@@ -89,6 +135,7 @@
     counts: Mapping[str, int],
     workers: int,
     engine: EngineFigures,
+    shares: Mapping[str, float],
     site_workers: Mapping[str, int],
     loads_left: int,
 ) -> Formation | None:
@@ -102,12 +149,14 @@
         Replicas of the domain by model, those being formed included.
     workers : int
         Sound workers of the domain.
+    shares : mapping of str to float
+        Part of the domain that each model should have.
     site_workers : mapping of str to int
         Workers of the whole site by model; decides between two models that both lack replicas.
     loads_left : int
         Loads from the weight store that may begin now.
     """
-    wanted = target_counts(workers, engine)
+    wanted = target_counts(workers, engine, shares)
     found = []
     for model in engine.models:
         if counts.get(model.name, 0) >= wanted[model.name]:
@@ -121,7 +170,10 @@
 
 
 def staging(
-    idle: Sequence[Target], workers: Mapping[str, int], engine: EngineFigures
+    idle: Sequence[Target],
+    workers: Mapping[str, int],
+    engine: EngineFigures,
+    shares: Mapping[str, float],
 ) -> list[tuple[Target, ModelFigures]]:
     """Return which idle workers should load which model to their host.
 
@@ -131,6 +183,8 @@
         Spares of one domain.
     workers : mapping of str to int
         Workers of the domain in replicas, by model.
+    shares : mapping of str to float
+        Part of the domain that each model should have.
 
     Notes
     -----
@@ -146,7 +200,12 @@
             bare.append(worker)
     orders = []
     for worker in bare:
-        model = max(engine.models, key=lambda m: workers.get(m.name, 0) / (1 + 2 * covered[m.name]))
+        model = max(
+            engine.models,
+            key=lambda m: (
+                (shares.get(m.name, 0) + workers.get(m.name, 0)) / (1 + 2 * covered[m.name])
+            ),
+        )
         covered[model.name] += 1
         orders.append((worker, model))
     return orders
