--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -27,6 +27,7 @@
 STRAY_S = 3.0
 FAILED_PAUSE_S = 3.0
 STAGE_AGAIN_S = 20.0
+DOMAINS_SETTLE_S = 0.5
 SUSPECT_S = 6.0
 EXTRA_LOADS = 3
 
@@ -117,6 +118,8 @@
         self._suspects: dict[str, float] = {}
         self._left: dict[str, tuple[str, int]] = {}
         self._domains: set[str] = set()
+        self._domains_known = 0
+        self._domains_since_s = 0.0
 
     # What others tell -----------------------------------------------------------------------
 
@@ -287,6 +290,8 @@
         for worker in workers:
             domains.setdefault(worker.domain, []).append(worker)
         shares = self._shares(domains, engine)
+        if not self._are_domains_settled(now_s):
+            return plans
         for name in sorted(domains):
             if self._freeing[name]:
                 continue  # the survivors that are about to be free are ready soonest
@@ -313,6 +318,13 @@
         most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
         return self.loads.left(most // self.halls, now_s)
 
+    def _are_domains_settled(self, now_s: float) -> bool:
+        """Whether no domain has shown up lately: their number decides who gets which model."""
+        if len(self._domains) != self._domains_known:
+            self._domains_known = len(self._domains)
+            self._domains_since_s = now_s
+        return now_s - self._domains_since_s >= DOMAINS_SETTLE_S
+
     def _shares(self, domains: Iterable[str], engine: EngineFigures) -> dict[str, dict[str, float]]:
         """Return the models' shares in each domain; a domain once seen keeps its place."""
         self._domains.update(domains)
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -35,6 +35,19 @@
     play(scenario)
 
 
+def test_workers_that_show_up_one_by_one_do_not_decide_the_mix():
+    async def scenario():
+        hall = Hall(6, domains=0)
+        hall.start_controller()
+        for number in range(10):
+            for domain in ("d1", "d0"):  # the last domain shows up first
+                hall.fleet.add(f"{domain}-{number}", "hall-a", domain)
+                await asyncio.sleep(0.05)
+        assert await hall.until(lambda: hall.models() == WHOLE, 60.0) is not None
+
+    play(scenario)
+
+
 def test_a_dead_member_is_replaced_by_a_spare_within_three_seconds():
     async def scenario():
         hall = await formed(Hall(2))
