--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -27,7 +27,7 @@
 STRAY_S = 3.0
 FAILED_PAUSE_S = 3.0
 STAGE_AGAIN_S = 20.0
-DOMAINS_SETTLE_S = 0.5
+SETTLE_S = 0.5
 SUSPECT_S = 6.0
 EXTRA_LOADS = 3
 
@@ -118,8 +118,8 @@
         self._suspects: dict[str, float] = {}
         self._left: dict[str, tuple[str, int]] = {}
         self._domains: set[str] = set()
-        self._domains_known = 0
-        self._domains_since_s = 0.0
+        self._workers_known = 0
+        self._workers_since_s = 0.0
 
     # What others tell -----------------------------------------------------------------------
 
@@ -290,7 +290,7 @@
         for worker in workers:
             domains.setdefault(worker.domain, []).append(worker)
         shares = self._shares(domains, engine)
-        if not self._are_domains_settled(now_s):
+        if not self._is_settled(workers, now_s):
             return plans
         for name in sorted(domains):
             if self._freeing[name]:
@@ -318,12 +318,18 @@
         most = int(engine.loads_per_s * self.loads.window_s * self.load_overshoot + EXTRA_LOADS)
         return self.loads.left(most // self.halls, now_s)
 
-    def _are_domains_settled(self, now_s: float) -> bool:
-        """Whether no domain has shown up lately: their number decides who gets which model."""
-        if len(self._domains) != self._domains_known:
-            self._domains_known = len(self._domains)
-            self._domains_since_s = now_s
-        return now_s - self._domains_since_s >= DOMAINS_SETTLE_S
+    def _is_settled(self, workers: list[Target], now_s: float) -> bool:
+        """Whether the hall's workers are all here, as far as can be told.
+
+        The number of domains decides which model has which, so the first plan waits until no
+        worker has shown up for a moment. It does not wait once one of them has had an order.
+        """
+        if not all(worker.is_fresh for worker in workers):
+            return True
+        if len(workers) != self._workers_known:
+            self._workers_known = len(workers)
+            self._workers_since_s = now_s
+        return now_s - self._workers_since_s >= SETTLE_S
 
     def _shares(self, domains: Iterable[str], engine: EngineFigures) -> dict[str, dict[str, float]]:
         """Return the models' shares in each domain; a domain once seen keeps its place."""
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -39,10 +39,10 @@
     async def scenario():
         hall = Hall(6, domains=0)
         hall.start_controller()
-        for number in range(10):
-            for domain in ("d1", "d0"):  # the last domain shows up first
+        for domain in ("d1", "d0"):  # the last domain shows up first, the other long after
+            for number in range(10):
                 hall.fleet.add(f"{domain}-{number}", "hall-a", domain)
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(0.2)
         assert await hall.until(lambda: hall.models() == WHOLE, 60.0) is not None
 
     play(scenario)
