Test forwarding against scripted targets; end kept connections on a planned stop

Ruled out: the wait for requests in flight (it held to the grace). Change: a streamed answer ends its connection too while the daemon stops; resting connections end when the listener does. Small answers are passed on only once whole, so that one without a length that ends in a reset can be asked for again.

--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller while it is under way."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -67,6 +68,8 @@
         Targets that were sent this request.
     response : web.StreamResponse or None
         Begun answer.
+    last_on_connection : callable
+        Whether the connection is to end with this answer.
     """
 
     request: web.BaseRequest
@@ -78,6 +81,7 @@
     started_s: float
     until_s: float
     body: bytes | None
+    last_on_connection: Callable[[], bool] = lambda: False
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
     response: web.StreamResponse | None = None
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -24,7 +24,7 @@
 SHORTEST_ATTEMPT_S = 0.02
 RETRY_AFTER_S = 0.3
 SERVER_ERROR = 500
-HEAD_PIECE_BYTES = 65536
+HELD_BYTES = 65536
 _NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _BROKEN = (aiohttp.ClientError, ConnectionError, OSError)
 
@@ -208,20 +208,30 @@
         return more and self._left_s(exchange) > exchange.route.first_answer_s / 2
 
     async def _relay_plain(self, exchange: Exchange, answer: aiohttp.ClientResponse) -> AttemptEnd:
-        """Pass on an answer that is not a stream; it begins once its first bytes are here."""
-        reader = answer.content
-        if answer.content_length is not None and answer.content_length <= HEAD_PIECE_BYTES:
-            body = await answer.read()
-            self._check_ended(answer)
-            exchange.response = web.Response(
-                status=answer.status,
-                reason=answer.reason,
-                headers=_answer_headers(answer),
-                body=body,
-            )
-            return AttemptEnd(True, True, "answered", status=answer.status)
+        """Pass on an answer that is not a stream; a small one only once it is whole."""
+        pieces, size = [], 0
+        pending = answer.content.iter_any()
+        async for piece in pending:
+            pieces.append(piece)
+            size += len(piece)
+            if size > HELD_BYTES:
+                return await self._relay_large(exchange, answer, b"".join(pieces), pending)
+        self._check_ended(answer)
+        exchange.response = web.Response(
+            status=answer.status,
+            reason=answer.reason,
+            headers=_answer_headers(answer),
+            body=b"".join(pieces),
+        )
+        return AttemptEnd(True, True, "answered", status=answer.status)
+
+    async def _relay_large(
+        self, exchange: Exchange, answer: aiohttp.ClientResponse, first: bytes, pending
+    ) -> AttemptEnd:
+        """Pass on an answer that is too large to hold, as it comes."""
         response = await self._begin(exchange, answer)
-        async for piece in reader.iter_any():
+        await _write(response, first)
+        async for piece in pending:
             await _write(response, piece)
         self._check_ended(answer)
         await _write_end(response)
@@ -262,6 +272,8 @@
         response = web.StreamResponse(status=answer.status, reason=answer.reason, headers=headers)
         if "Content-Length" not in headers and answer.status not in (204, 304):
             response.enable_chunked_encoding()
+        if exchange.last_on_connection():
+            response.force_close()
         exchange.response = response
         try:
             await response.prepare(exchange.request)
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable
 
 from aiohttp import web
@@ -43,7 +44,9 @@
 
     __slots__ = (
         "_server",
+        "_busy",
         "_sockets",
+        "address",
         "book",
         "clock",
         "dialect",
@@ -71,6 +74,8 @@
         self.rng = rng
         self.stopping = False
         self.in_flight = 0
+        self.address = ""
+        self._busy: Counter = Counter()
         self._server: web.Server | None = None
         self._sockets: asyncio.Server | None = None
 
@@ -89,11 +94,17 @@
         self._sockets = await asyncio.get_running_loop().create_server(
             self._server, host, int(port), backlog=1024
         )
+        bound = self._sockets.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Take no new connections, and end those that rest."""
         if self._sockets is not None:
             self._sockets.close()
+        if self._server is not None:
+            for connection in self._server.connections:
+                if connection not in self._busy:
+                    connection.force_close()
 
     async def close(self) -> None:
         """Close what is left."""
@@ -105,12 +116,17 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
+        connection = request.protocol
+        self._busy[connection] += 1
         try:
             response = await self._serve(request)
         except (CallerGone, ConnectionError):
             return web.Response(status=CLOSED_STATUS)
         finally:
             self.in_flight -= 1
+            self._busy[connection] -= 1
+            if not self._busy[connection]:
+                del self._busy[connection]
         if self.stopping and not response.prepared:
             response.force_close()
         return response
@@ -172,6 +188,7 @@
             started_s=now_s,
             until_s=now_s + left_s,
             body=body,
+            last_on_connection=lambda: self.stopping,
             events=NumberedEvents(inbound.last_event_id) if is_stream else None,
         )
         return await self.forwarder.forward(exchange)
--- /dev/null
+++ b/ferrydock/forwarding/tests/rig.py
@@ -0,0 +1,196 @@
+"""A gateway before scripted targets that speak raw bytes on loopback sockets."""
+
+import asyncio
+import random
+import socket
+import struct
+
+from ...clock import SystemClock
+from ...configuration import (
+    BackEnd,
+    Configuration,
+    ConfigurationBook,
+    Route,
+    RouteKind,
+    ServiceFigures,
+    Tenant,
+)
+from ...platform import PlatformDialect
+from ...requests import RetryBudget
+from ...targets import Target, TargetDirectory
+from .. import Forwarder, LoadBook, Placing, RouteGateway, Upstream
+
+_AT_ONCE = struct.pack("ii", 1, 0)
+HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+
+
+def route(name="r", kind=RouteKind.REPEATABLE, prefix="/a/", **changes):
+    """Return a route to the service ``plain``."""
+    fields = {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": prefix,
+        "kind": kind,
+        "back_ends": (BackEnd("plain", 1.0),),
+        "time_limit_s": 2.0,
+        "attempts": 2,
+        "priority": 1,
+        "first_answer_s": 0.5,
+        "gap_s": 0.3,
+        "public": True,
+    }
+    return Route(**{**fields, **changes})
+
+
+def whole(body=b"ok", extra=b""):
+    """Return a whole answer with a length."""
+    return HEAD + extra + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+class ScriptedTarget:
+    """Plays one script for each connection, in order; the last one again and again.
+
+    A script takes (rig, request bytes, writer). What it returns is written; None ends it.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.connections = 0
+        self.server = None
+        self.address = ""
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                request = await read_request(reader)
+                self.requests.append(request)
+                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+                if await script(self, request, writer) is None:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    def close(self):
+        self.server.close()
+
+
+async def read_request(reader):
+    """Return one request: its head, and the body if it tells its length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    return head + await reader.readexactly(length)
+
+
+def attempt_id(request):
+    """Return the id that a request carries."""
+    for line in request.split(b"\r\n"):
+        if line.lower().startswith(b"x-attempt-id:"):
+            return line.split(b":")[1].strip()
+    return b""
+
+
+def answers(data, keep=True):
+    """Return a script that writes bytes; it keeps the connection if told to."""
+
+    async def script(target, request, writer):
+        writer.write(data)
+        await writer.drain()
+        return True if keep else None
+
+    return script
+
+
+def resets(data=b""):
+    """Return a script that writes bytes and resets the connection."""
+
+    async def script(target, request, writer):
+        if data:
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _AT_ONCE)
+        writer.transport.abort()
+
+    return script
+
+
+class Rig:
+    """A gateway, its parts, and a caller."""
+
+    def __init__(self, routes, targets, tenants=(), confirmed=True):
+        self.targets = targets
+        self.clock = SystemClock()
+        self.book = ConfigurationBook()
+        self.configuration = Configuration(
+            1, tuple(routes), {"plain": ServiceFigures("plain", "/", 10, None)}, tuple(tenants)
+        )
+        self.confirmed = confirmed
+        self.directory = TargetDirectory()
+        self.loads = LoadBook()
+        self.budget = RetryBudget(1.0)
+        rng = random.Random(1)
+        self.placing = Placing(self.directory, self.loads, "hall-a", self.clock, rng)
+        self.upstream = Upstream()
+        self.forwarder = Forwarder(
+            self.placing,
+            self.upstream,
+            self.loads,
+            PlatformDialect(),
+            lambda service: self.budget,
+            self.clock,
+        )
+        self.gateway = RouteGateway(
+            self.book, self.forwarder, PlatformDialect(), lambda: 5.0, self.clock, rng
+        )
+
+    async def __aenter__(self):
+        self.book.offer(self.configuration, self.clock.now_s() if self.confirmed else None)
+        for number, target in enumerate(self.targets):
+            await target.start()
+            entry = Target(f"t{number}", "plain", target.address, "hall-a", 6)
+            self.directory.put(entry)
+        await self.gateway.start("127.0.0.1:0")
+        return self
+
+    async def __aexit__(self, *error):
+        await self.gateway.close()
+        await self.upstream.close()
+        for target in self.targets:
+            target.close()
+
+    async def raw(self, data, until_closed=True, timeout_s=5.0):
+        """Send bytes as a caller and return all that comes back."""
+        host, port = self.gateway.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        async with asyncio.timeout(timeout_s):
+            got = await reader.read(-1 if until_closed else 65536)
+        writer.close()
+        return got
+
+    async def ask(self, method="GET", path="/a/x", headers=(), body=b"", **options):
+        """Send one request on a connection of its own, and return the answer's bytes."""
+        lines = [f"{method} {path} HTTP/1.1", "Host: h.example", "X-Attempt-Id: a1"]
+        lines += ["Connection: close", *headers]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        return await self.raw("\r\n".join(lines).encode() + b"\r\n\r\n" + body, **options)
+
+
+def play(scenario):
+    """Run a scenario to its end."""
+    return asyncio.run(scenario())
+
+
+TENANTS = (Tenant("acme", frozenset({"k1"}), 5),)
--- /dev/null
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -0,0 +1,326 @@
+"""What the gateway does with answers of every kind, whole and broken."""
+
+import asyncio
+
+import pytest
+
+from ...configuration import Configuration, RouteKind
+from .rig import HEAD, TENANTS, Rig, ScriptedTarget, answers, attempt_id, play, resets, route, whole
+
+NOT_EXECUTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+ONCE = RouteKind.AT_MOST_ONCE
+STREAM = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def events(*numbers):
+    return b"".join(chunk(event(number)) for number in numbers)
+
+
+def body_of(answer):
+    """Return the body of a chunked answer, and whether it ended whole."""
+    head, _, rest = answer.partition(b"\r\n\r\n")
+    body = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        length = int(size or b"0", 16)
+        if length == 0:
+            return body, size == b"0"
+        body += rest[:length]
+        rest = rest[length + 2 :]
+    return body, False
+
+
+def test_method_path_query_body_and_answer_pass_unchanged():
+    async def scenario():
+        target = ScriptedTarget(answers(whole(b"\x00\xffbytes")))
+        async with Rig([route()], [target]) as rig:
+            path = "/a/x%2Fy/%C3%A9?q=%20a+b&&c"
+            got = await rig.ask("POST", path, ("X-Own: 1", "X-Own: 2"), b"a\r\nb")
+        request = target.requests[0]
+        assert request.startswith(f"POST {path} HTTP/1.1\r\n".encode())
+        assert request.endswith(b"\r\n\r\na\r\nb")
+        assert request.count(b"X-Own: ") == 2
+        assert b"Accept-Encoding" not in request and b"User-Agent" not in request
+        assert b"Content-Type" not in request
+        assert got.startswith(b"HTTP/1.1 200 OK") and got.endswith(b"\x00\xffbytes")
+        assert b"X-Server-Stamp: s" in got
+
+    play(scenario)
+
+
+def test_headers_of_one_connection_and_the_key_stay_here():
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        headers = (
+            "Connection: X-Hop",
+            "X-Hop: 1",
+            "Authorization: Bearer k1",
+            "X-Tenant: forged",
+            "TE: trailers",
+        )
+        async with Rig([route(public=False)], [target], TENANTS) as rig:
+            await rig.ask(headers=headers)
+        request = target.requests[0].lower()
+        assert b"x-hop" not in request and b"authorization" not in request
+        assert b"k1" not in request and b"forged" not in request
+        assert b"x-tenant: acme" in request and b"te: trailers" not in request
+
+    play(scenario)
+
+
+def test_a_key_needs_a_configuration_known_to_be_current():
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        private = [route(public=False), route("open", prefix="/open/")]
+        key = ("Authorization: Bearer k1",)
+        async with Rig(private, [target], TENANTS, confirmed=False) as rig:
+            assert (await rig.ask(headers=key)).startswith(b"HTTP/1.1 503")
+            assert (await rig.ask(path="/open/x")).startswith(b"HTTP/1.1 200")
+            rig.book.confirm(1, rig.clock.now_s())
+            assert (await rig.ask(headers=key)).startswith(b"HTTP/1.1 200")
+            assert (await rig.ask(headers=("Authorization: Bearer no",))).startswith(
+                b"HTTP/1.1 401"
+            )
+            rig.book.offer(Configuration(2, tuple(private), {}, TENANTS), None)
+            assert (await rig.ask(headers=key)).startswith(b"HTTP/1.1 503")
+
+    play(scenario)
+
+
+def test_without_a_configuration_everything_is_503_and_without_a_route_404():
+    async def scenario():
+        async with Rig([route()], []) as rig:
+            assert (await rig.ask(path="/none/x")).startswith(b"HTTP/1.1 404")
+            rig.book.lookup = None
+            assert (await rig.ask()).startswith(b"HTTP/1.1 503")
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.REPEATABLE, ONCE])
+def test_what_a_target_says_it_did_not_run_goes_elsewhere(kind):
+    async def scenario():
+        shed = ScriptedTarget(answers(NOT_EXECUTED))
+        good = ScriptedTarget(answers(whole()))
+        async with Rig([route(kind=kind)], [shed, good]) as rig:
+            for _ in range(4):
+                assert (await rig.ask()).startswith(b"HTTP/1.1 200")
+        assert len(good.requests) == 4
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.REPEATABLE, ONCE])
+def test_a_dead_port_costs_nothing_that_ran(kind):
+    async def scenario():
+        dead, good = ScriptedTarget(answers(whole())), ScriptedTarget(answers(whole()))
+        async with Rig([route(kind=kind)], [dead, good]) as rig:
+            dead.close()
+            await asyncio.sleep(0.01)
+            for _ in range(3):
+                assert (await rig.ask()).startswith(b"HTTP/1.1 200")
+        assert dead.requests == []
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        resets(),
+        answers(b"", keep=False),
+        resets(HEAD + b"Content-Length: 10\r\n\r\nhalf"),
+        answers(HEAD + b"Content-Length: 10\r\n\r\nhalf", keep=False),
+        answers(b"no answer at all\r\n\r\n", keep=False),
+        answers(whole(b"other", b"X-Attempt-Id: b2\r\n")),
+        answers(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        answers(whole(b"ok", b"Content-Encoding: gzip\r\n")),
+        resets(HEAD + b"\r\nunframed"),
+    ],
+    ids=[
+        "reset",
+        "closed",
+        "torn",
+        "short",
+        "garbage",
+        "foreign",
+        "unsigned",
+        "encoded",
+        "unframed",
+    ],
+)
+def test_a_broken_answer_is_asked_for_again_only_where_that_is_allowed(broken):
+    async def scenario():
+        bad = ScriptedTarget(broken)
+        async with Rig([route(kind=ONCE)], [bad]) as rig:
+            got = await rig.ask("POST", body=b"x")
+            assert got[:12] in (b"HTTP/1.1 502", b"HTTP/1.1 504")
+            assert b"X-Server-Stamp" not in got
+        assert len(bad.requests) == 1
+        bad, good = ScriptedTarget(broken), ScriptedTarget(answers(whole()))
+        async with Rig([route()], [bad, good]) as rig:
+            for _ in range(4):
+                assert (await rig.ask()).startswith(b"HTTP/1.1 200")
+
+    play(scenario)
+
+
+def test_a_failure_of_a_target_passes_with_its_signature():
+    async def scenario():
+        error = b"HTTP/1.1 500 Oh\r\nX-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad"
+        target = ScriptedTarget(answers(error))
+        async with Rig([route(kind=ONCE)], [target]) as rig:
+            got = await rig.ask()
+        assert got.startswith(b"HTTP/1.1 500") and got.endswith(b"bad")
+        assert len(target.requests) == 1
+
+    play(scenario)
+
+
+def test_an_answer_left_over_is_not_taken_for_the_next():
+    async def scenario():
+        def own(extra):
+            async def script(target, request, writer):
+                header = b"X-Attempt-Id: " + attempt_id(request) + b"\r\n"
+                writer.write(whole(b"mine", header) + extra)
+                await writer.drain()
+                return True
+
+            return script
+
+        stray = whole(b"stray", b"X-Attempt-Id: old\r\n")
+        target = ScriptedTarget(own(stray), own(b""))
+        async with Rig([route()], [target]) as rig:
+            for _ in range(3):
+                got = await rig.ask()
+                assert got.endswith(b"mine")
+
+    play(scenario)
+
+
+def test_a_torn_stream_goes_on_elsewhere_after_its_last_whole_event():
+    async def scenario():
+        torn = resets(STREAM + events(1, 2) + chunk(b"id: 3\nda"))
+        rest = answers(STREAM + events(3, 4) + b"0\r\n\r\n")
+        targets = [ScriptedTarget(torn, rest), ScriptedTarget(torn, rest)]
+        kind = RouteKind.RESUMABLE_STREAM
+        async with Rig([route(kind=kind)], targets) as rig:
+            # whichever target comes first tears; the other one must go on
+            targets[1].scripts = targets[0].scripts
+            body, ended = body_of(await rig.ask("POST", body=b"prompt"))
+        assert ended and body == b"".join(event(number) for number in (1, 2, 3, 4))
+        requests = targets[0].requests + targets[1].requests
+        assert sum(b"Last-Event-Id: 2" in request for request in requests) == 1
+
+    play(scenario)
+
+
+def test_a_torn_stream_that_cannot_be_resumed_never_looks_whole():
+    async def scenario():
+        torn = resets(STREAM + events(1, 2) + chunk(b"id: 3\nda"))
+        targets = [ScriptedTarget(torn), ScriptedTarget(torn)]
+        async with Rig([route(kind=RouteKind.STREAM)], targets) as rig:
+            body, ended = body_of(await rig.ask("POST", body=b"prompt"))
+        assert not ended and body == event(1) + event(2)
+        assert len(targets[0].requests + targets[1].requests) == 1
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_ends_the_work():
+    async def scenario():
+        left = asyncio.Event()
+
+        async def slow(target, request, writer):
+            writer.write(STREAM + events(1))
+            await writer.drain()
+            await writer.wait_closed()
+
+        async def watch(target, request, writer):
+            writer.write(STREAM + events(1))
+            for number in range(2, 200):
+                await asyncio.sleep(0.02)
+                writer.write(events(number))
+                if writer.transport.is_closing():
+                    left.set()
+                    return
+                await writer.drain()
+
+        target = ScriptedTarget(watch)
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], [target]) as rig:
+            host, port = rig.gateway.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\r\n")
+            await reader.readuntil(b"piece 1")
+            writer.close()
+            async with asyncio.timeout(2):
+                await left.wait()
+            await asyncio.sleep(0.05)
+            assert rig.loads.of("t0").running == 0
+        assert len(target.requests) == 1
+
+    play(scenario)
+
+
+def test_the_time_limit_ends_a_request_and_tells_whether_it_may_have_run():
+    async def scenario():
+        async def silent(target, request, writer):
+            await asyncio.sleep(5)
+
+        limits = {"time_limit_s": 0.3}
+        async with Rig([route(kind=ONCE, **limits)], [ScriptedTarget(silent)]) as rig:
+            assert (await rig.ask()).startswith(b"HTTP/1.1 504")
+        async with Rig([route(kind=ONCE, **limits)], []) as rig:
+            got = await rig.ask()
+            assert got.startswith(b"HTTP/1.1 503") and b"Retry-After: " in got
+
+    play(scenario)
+
+
+def test_a_stopping_gateway_ends_each_connection_with_its_answer():
+    async def scenario():
+        stream = answers(STREAM + events(1) + b"0\r\n\r\n")
+        target = ScriptedTarget(stream)
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], [target]) as rig:
+            rig.gateway.stopping = True
+            got = await rig.raw(b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\r\n")
+        assert b"Connection: close" in got
+
+    play(scenario)
+
+
+def test_a_resting_connection_ends_once_nobody_is_listened_to():
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        async with Rig([route()], [target]) as rig:
+            host, port = rig.gateway.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\r\n")
+            await reader.readuntil(b"ok")
+            rig.gateway.stop_listening()
+            async with asyncio.timeout(2):
+                assert await reader.read() == b""
+            writer.close()
+
+    play(scenario)
+
+
+def test_retries_stay_within_the_budget():
+    async def scenario():
+        targets = [ScriptedTarget(answers(NOT_EXECUTED)) for _ in range(2)]
+        async with Rig([route()], targets) as rig:
+            rig.budget.ratio = 0.1
+            for _ in range(30):
+                await rig.ask()
+        arrivals = sum(len(target.requests) for target in targets)
+        assert arrivals <= 30 + 5 + 3
+
+    play(scenario)
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -27,7 +27,7 @@
 STRAY_S = 3.0
 FAILED_PAUSE_S = 3.0
 STAGE_AGAIN_S = 20.0
-SETTLE_S = 0.5
+SETTLE_S = 0.4
 SUSPECT_S = 6.0
 EXTRA_LOADS = 3
 
@@ -322,12 +322,13 @@
         """Whether the hall's workers are all here, as far as can be told.
 
         The number of domains decides which model has which, so the first plan waits until no
-        worker has shown up for a moment. It does not wait once one of them has had an order.
+        worker has shown up anywhere for a moment. It does not wait once one of the hall's has
+        had an order.
         """
         if not all(worker.is_fresh for worker in workers):
             return True
-        if len(workers) != self._workers_known:
-            self._workers_known = len(workers)
+        if len(self.directory.targets) != self._workers_known:
+            self._workers_known = len(self.directory.targets)
             self._workers_since_s = now_s
         return now_s - self._workers_since_s >= SETTLE_S
 
