Stand-in of the platform by its protocol; end resting connections without losing a read request

Change: connections first take no more requests, and are closed a moment later unless one is under way. The stand-in speaks the store's and the workers' protocol with their faults; daemons are tested on it: whole path, changes, outages, dead members, take-over, dropped history.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -24,6 +24,7 @@
 KEPT_BODY_BYTES = 262144
 UNCONFIRMED_RETRY_S = 0.5
 CLOSED_STATUS = 499
+ONE_MOMENT_S = 0.05
 DEFAULT_DEADLINE_S = 30.0
 
 
@@ -103,8 +104,13 @@
             self._sockets.close()
         if self._server is not None:
             for connection in self._server.connections:
-                if connection not in self._busy:
-                    connection.force_close()
+                connection.close()  # takes no request from now on; one that is read goes on
+            asyncio.get_running_loop().call_later(ONE_MOMENT_S, self._end_resting)
+
+    def _end_resting(self) -> None:
+        for connection in self._server.connections:
+            if connection not in self._busy:
+                connection.force_close()
 
     async def close(self) -> None:
         """Close what is left."""
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -313,6 +313,27 @@
     play(scenario)
 
 
+def test_a_request_that_is_read_as_the_listener_ends_is_answered():
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        async with Rig([route()], [target]) as rig:
+            host, port = rig.gateway.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            request = b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\r\n"
+            writer.write(request)
+            await reader.readuntil(b"ok")
+            rig.gateway.stopping = True
+            connection = next(iter(rig.gateway._server.connections))
+            connection.data_received(request)  # read, and not yet handed to anybody
+            rig.gateway.stop_listening()
+            async with asyncio.timeout(2):
+                got = await reader.read()
+            assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got
+            writer.close()
+
+    play(scenario)
+
+
 def test_retries_stay_within_the_budget():
     async def scenario():
         targets = [ScriptedTarget(answers(NOT_EXECUTED)) for _ in range(2)]
--- /dev/null
+++ b/ferrydock/platform/tests/test_site.py
@@ -0,0 +1,263 @@
+"""Daemons on the stand-in of the platform, by its protocol, on loopback."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from ...clock import SystemClock
+from ...entry import EntryNode
+from ...outcomes import Invalid
+from ...standins.fleet import FleetSite
+from .. import open_platform
+
+FORMED_S = 15.0
+
+
+def free_ports(count):
+    """Return ports that nobody listens on just now."""
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind(("127.0.0.1", 0))
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
+
+
+class Site:
+    """A stand-in site and the daemons before it."""
+
+    def __init__(self, folder, halls=("hall-a",), domain_size=6):
+        self.folder = folder
+        self.site = FleetSite(halls, domain_size=domain_size)
+        self.nodes = []
+
+    async def __aenter__(self):
+        await self.site.start()
+        return self
+
+    async def __aexit__(self, *error):
+        for node in self.nodes:
+            await node.close()
+        await self.site.close()
+
+    async def daemon(self, name, hall="hall-a", store=None):
+        """Start a daemon of its own settings file."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.site.settings(name, hall, free_ports(4), store)))
+        deployment = open_platform(str(path))
+        assert not isinstance(deployment, Invalid), deployment
+        node = EntryNode(deployment, SystemClock())
+        await node.start()
+        self.nodes.append(node)
+        return node
+
+    async def until(self, condition, within_s=FORMED_S):
+        """Wait for a condition."""
+        async with asyncio.timeout(within_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    def formed(self, replicas):
+        """Return whether so many replicas serve, and the daemons know it."""
+        heads = len(self.site.fleet.open_heads())
+        return heads >= replicas and all(
+            len(node.directory.replicas("engines")) >= replicas for node in self.nodes
+        )
+
+    def no_rule_is_broken(self):
+        """Check what the workers judge."""
+        assert self.site.fleet.violations == []
+        assert self.site.record.keys_seen == 0
+
+
+async def ask(node, path, key="key-acme", model="", request_id=None, timeout_s=6.0):
+    """Send one request; return status, head and body bytes."""
+    host, port = node.gateway.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    request_id = request_id or f"{random.getrandbits(64):016x}"
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: 4000\r\nX-Model: {model}\r\nContent-Length: 2\r\nConnection: close\r\n"
+    )
+    if key:
+        head += f"Authorization: Bearer {key}\r\n"
+    writer.write(head.encode() + b"\r\nhi")
+    async with asyncio.timeout(timeout_s):
+        raw = await reader.read(-1)
+    writer.close()
+    head, _, body = raw.partition(b"\r\n\r\n")
+    return int(head.split()[1]), head, body
+
+
+def play(scenario):
+    asyncio.run(scenario())
+
+
+def test_the_whole_path_from_the_store_to_a_stream(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            node = await site.daemon("one")
+            status, _, _ = await ask(node, "/look/x")
+            assert status == 503
+            site.site.write_configuration()
+            await site.until(lambda: site.formed(3))
+            for model in ("large", "small"):
+                status, head, body = await ask(node, "/write/x", model=model)
+                assert status == 200 and b"X-Server-Stamp" in head
+                assert body.count(b"id: ") == 10
+            assert (await ask(node, "/look/x"))[0] == 200
+            assert (await ask(node, "/look/x", key="no"))[0] == 401
+            assert (await ask(node, "/open/x", key=""))[0] == 200
+            assert (await ask(node, "/none/x"))[0] == 404
+            site.no_rule_is_broken()
+            assert set(site.site.record.tenants.values()) == {"acme", ""}
+
+    play(scenario)
+
+
+def test_a_change_of_the_configuration_is_in_force_and_never_reverts(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            node = await site.daemon("one")
+            version = site.site.write_configuration()
+            await site.until(lambda: node.book.version == version)
+            await site.until(lambda: node.directory.loaded)
+            kept = [{"name": "bolt", "api-keys": ["key-bolt"]}]
+            version = site.site.write_configuration(tenants=kept)
+            await site.until(lambda: node.book.version == version, 3.0)
+            assert (await ask(node, "/look/x"))[0] == 401
+            assert (await ask(node, "/look/x", key="key-bolt"))[0] == 200
+            site.site.store.put("op/config", b"not json")
+            await asyncio.sleep(1.5)
+            assert node.book.version == version
+            assert (await ask(node, "/look/x", key="key-bolt"))[0] == 200
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("down", ["busy", "many", "reset", "silent"])
+def test_without_the_store_keyed_requests_end_before_the_bound(tmp_path, down):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            node = await site.daemon("one")
+            version = site.site.write_configuration()
+            await site.until(lambda: node.book.version == version and node.directory.loaded)
+            node.settings = node.settings.__class__(
+                **{
+                    name: getattr(node.settings, name) if name != "freshness_s" else 2.0
+                    for name in node.settings.__slots__
+                }
+            )
+            node.deployment.reread = lambda: node.settings
+            site.site.stores[0].faults.down = down
+            assert (await ask(node, "/look/x"))[0] == 200
+            await asyncio.sleep(2.2)
+            assert (await ask(node, "/look/x"))[0] == 503
+            assert (await ask(node, "/open/x", key=""))[0] == 200
+            site.site.stores[0].faults.down = ""
+            await site.until(lambda: node.book.age_s(node.clock.now_s()) < 1.0, 5.0)
+            assert (await ask(node, "/look/x"))[0] == 200
+
+    play(scenario)
+
+
+def test_a_dead_member_costs_no_stream(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            node = await site.daemon("one")
+            site.site.write_configuration()
+            await site.until(lambda: site.formed(3))
+            for face in site.site.faces.values():
+                face.event_s = 0.1
+            streams = [
+                asyncio.ensure_future(ask(node, "/write/x", model="small", timeout_s=10))
+                for _ in range(6)
+            ]
+            await asyncio.sleep(0.4)
+            busy = [h for h in site.site.fleet.open_heads() if h.running and h.model == "small"]
+            site.site.kill_worker(busy[0].members[1])
+            for status, _, body in await asyncio.gather(*streams):
+                assert status == 200
+                numbers = [line for line in body.split(b"\n") if line.startswith(b"id: ")]
+                assert numbers == [b"id: %d" % n for n in range(1, 11)]
+            site.no_rule_is_broken()
+
+    play(scenario)
+
+
+def test_another_daemon_takes_over_and_repairs(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            first = await site.daemon("one")
+            site.site.write_configuration()
+            await site.until(lambda: site.formed(3))
+            await site.daemon("two")
+            await first.close()
+            site.nodes.remove(first)
+            head = site.site.fleet.open_heads()[0]
+            site.site.kill_worker(head.members[-1])
+            await site.until(lambda: not site.formed(3))
+            await site.until(lambda: site.formed(3))
+            site.no_rule_is_broken()
+
+    play(scenario)
+
+
+def test_history_that_is_dropped_loses_no_change(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            node = await site.daemon("one")
+            site.site.write_configuration()
+            await site.until(lambda: node.directory.loaded)
+            face = site.site.stores[0]
+            face.faults.down = "reset"
+            await asyncio.sleep(0.3)
+            site.site.drain_worker("hall-a-plain")
+            face.forget_history()
+            face.faults.down = ""
+            await site.until(lambda: node.directory.targets["hall-a-plain"].draining, 5.0)
+            assert (await ask(node, "/look/x"))[0] == 503
+
+    play(scenario)
+
+
+def test_lost_answers_of_the_store_do_not_stop_the_forming(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            site.site.stores[0].faults.lost_share = 0.3
+            site.site.stores[0].faults.refused_share = 0.1
+            await site.daemon("one")
+            site.site.write_configuration()
+            await site.until(lambda: site.formed(3), 40.0)
+            site.no_rule_is_broken()
+
+    play(scenario)
+
+
+def test_bad_settings_are_named(tmp_path):
+    site = FleetSite(("hall-a",))
+    site.stores.append(type("Face", (), {"address": "127.0.0.1:1"})())
+    good = site.settings("one", "hall-a", [1, 2, 3, 4])
+    path = tmp_path / "boot.json"
+
+    def faults(**changes):
+        path.write_text(json.dumps({**good, **changes}))
+        opened = open_platform(str(path))
+        return opened.reason if isinstance(opened, Invalid) else ""
+
+    assert faults() == ""
+    assert faults(unknown={"a": 1}) == ""
+    listen = {**good["listen"], "frontend": "127.0.0.1:99999"}
+    assert "listen.frontend" in faults(listen=listen) and "99999" in faults(listen=listen)
+    assert "platform.address" in faults(platform={})
+    assert "bounds.grace-s" in faults(bounds={**good["bounds"], "grace-s": -1})
+    assert "bounds.retry-slack" in faults(bounds={**good["bounds"], "retry-slack": "x"})
+    assert "zone" in faults(zone="nowhere")
+    path.write_text("{")
+    assert "not JSON" in open_platform(str(path)).reason
+    assert "cannot be read" in open_platform(str(tmp_path / "none")).reason
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -1,7 +1,10 @@
 """Stand-in of a platform with groups of workers: in memory, and by its published protocol."""
 
 from ._ports import FleetControl, FleetList
+from ._site import FleetSite, small_engine
+from ._store_http import StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
+from ._worker_http import RunRecord, WorkerFace
 from ._workers import Fleet, FleetFaults, Violation, Worker
 
 __all__ = [
@@ -9,9 +12,15 @@
     "FleetControl",
     "FleetFaults",
     "FleetList",
+    "FleetSite",
     "LoopClock",
+    "RunRecord",
+    "StoreFace",
+    "StoreFaults",
     "VirtualLoop",
     "Violation",
     "Worker",
+    "WorkerFace",
     "run_virtually",
+    "small_engine",
 ]
--- /dev/null
+++ b/ferrydock/standins/fleet/_site.py
@@ -0,0 +1,276 @@
+"""A whole stand-in site on loopback: store, workers, an operator, settings for daemons."""
+
+import asyncio
+import json
+import random
+from pathlib import Path
+
+import orjson
+
+from ...clock import SystemClock
+from ...configuration import EngineFigures, ModelFigures
+from ...store import MemoryStore
+from ._store_http import StoreFace
+from ._worker_http import RunRecord, WorkerFace, entry_group, entry_models
+from ._workers import Fleet, Worker
+
+__all__ = ["FleetSite", "small_engine"]
+
+HEARTBEAT_S = 0.4
+ENGINE_SERVICE = "engines"
+PLAIN_SERVICE = "records"
+
+
+def small_engine() -> EngineFigures:
+    """Return an engine whose replicas form within a moment."""
+    return EngineFigures(
+        slots=8,
+        kv_tokens=100000,
+        step_s=0.004,
+        step_per_request_s=0.0001,
+        step_per_token_s=1e-8,
+        read_tokens_per_s=50000.0,
+        read_pair_s=1e-10,
+        loads_per_s=100.0,
+        keeps=1,
+        form_s=0.05,
+        models=(
+            ModelFigures("large", 4, 0.5, 1.0, 0.6, 0.2),
+            ModelFigures("small", 2, 0.5, 0.6, 0.4, 0.1),
+        ),
+    )
+
+
+class FleetSite:
+    """Store, workers and operator in one process.
+
+    Parameters
+    ----------
+    halls : tuple of str
+        Each with two domains of ten workers and one plain worker.
+    seed : int
+        Draws faults.
+    """
+
+    def __init__(self, halls: tuple[str, ...], seed: int = 1, domain_size: int = 10):
+        self.halls = halls
+        self.rng = random.Random(seed)
+        self.domain_size = domain_size
+        self.store = MemoryStore(SystemClock())
+        self.engine = small_engine()
+        self.fleet = Fleet(self.engine, self.rng, stall_s=2.0, on_change=self._write_entry)
+        self.record = RunRecord()
+        self.faces: dict[str, WorkerFace] = {}
+        self.stores: list[StoreFace] = []
+        self.version = 0
+        self.plain: dict[str, Worker] = {}
+
+    async def start(self) -> None:
+        """Start the store and all workers; no configuration is written yet."""
+        await self.open_store()
+        for hall in self.halls:
+            for domain in range(2):
+                for number in range(self.domain_size):
+                    await self.add_worker(f"{hall}-{domain}-{number}", hall, f"{hall}-d{domain}")
+            await self.add_plain(f"{hall}-plain", hall)
+
+    async def open_store(self) -> StoreFace:
+        """Open one more address of the store, with faults of its own."""
+        face = StoreFace(self.store, self.rng)
+        await face.start()
+        self.stores.append(face)
+        return face
+
+    async def add_worker(self, worker_id: str, hall: str, domain: str) -> Worker:
+        """Start an empty model worker."""
+        worker = Worker(worker_id, "", hall, domain, ENGINE_SERVICE, self.engine)
+        face = WorkerFace(worker, self.fleet, self.record)
+        self.faces[worker_id] = face
+        await face.start()
+        self.fleet.workers[worker_id] = worker
+        self._write_entry(worker)
+        return worker
+
+    async def add_plain(self, worker_id: str, hall: str) -> Worker:
+        """Start a worker of the plain service."""
+        worker = Worker(worker_id, "", hall, "", PLAIN_SERVICE, self.engine)
+        face = WorkerFace(worker, None, self.record)
+        self.faces[worker_id] = face
+        await face.start()
+        self.plain[worker_id] = worker
+        self._write_entry(worker)
+        return worker
+
+    def kill_worker(self, worker_id: str) -> None:
+        """Let a worker fall silent for good."""
+        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker.alive = False
+        if worker_id in self.fleet.workers:
+            self.fleet.kill(worker_id)
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_S, self._remove_entry, worker)
+
+    def drain_worker(self, worker_id: str) -> None:
+        """Let a worker say that it will leave."""
+        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker.draining = True
+        self._write_entry(worker)
+
+    def _write_entry(self, worker: Worker) -> None:
+        fields = {
+            "service": worker.service,
+            "address": worker.address,
+            "zone": worker.hall,
+            "version": "v1",
+            "slots": worker.engine.slots,
+            "state": "draining" if worker.draining else "ready",
+            "sequence": 1,
+            "cold-remaining-ms": 0,
+        }
+        if worker.service == ENGINE_SERVICE:
+            fields |= {
+                "phase": "colocated",
+                "models": entry_models(worker),
+                "domain": worker.domain,
+                "staged": worker.staged,
+                "group": entry_group(worker),
+            }
+        self._put(f"servers/{worker.worker_id}", orjson.dumps(fields))
+
+    def _remove_entry(self, worker: Worker) -> None:
+        self.store.remove(f"servers/{worker.worker_id}")
+
+    def _put(self, key: str, value: bytes) -> None:
+        self.store.put(key, value)
+
+    # The operator -----------------------------------------------------------------------------
+
+    def write_configuration(self, **changes) -> int:
+        """Write a configuration with `changes` at its top level; return its version."""
+        self.version += 3
+        fields = {**self.configuration(), **changes, "version": self.version}
+        self._put("op/config", orjson.dumps(fields))
+        return self.version
+
+    def configuration(self) -> dict:
+        """Return the usual configuration, in the platform's words."""
+        return {
+            "version": self.version,
+            "routes": [
+                _route("stream", "/write/", ENGINE_SERVICE, **_STREAM),
+                _route("lookup", "/look/", PLAIN_SERVICE, **{"route-type": "safe"}),
+                _route("file", "/file/", PLAIN_SERVICE, **{"route-type": "unsafe"}),
+                _route("open", "/open/", PLAIN_SERVICE, **{"route-type": "safe", "public": True}),
+            ],
+            "services": [
+                {
+                    "name": ENGINE_SERVICE,
+                    "health-path": "/healthz",
+                    "max-conns": 300,
+                    "engine": _engine_fields(self.engine),
+                },
+                {"name": PLAIN_SERVICE, "health-path": "/healthz", "max-conns": 100},
+            ],
+            "tenants": [
+                {"name": "acme", "api-keys": ["key-acme"]},
+                {"name": "bolt", "api-keys": ["key-bolt"]},
+            ],
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1048576,
+                "header-timeout-ms": 3000,
+                "idle-timeout-ms": 20000,
+            },
+        }
+
+    # Settings of daemons ----------------------------------------------------------------------
+
+    def settings(
+        self, name: str, hall: str, ports: list[int], store: StoreFace | None = None
+    ) -> dict:
+        """Return the settings of a daemon that listens on four given ports."""
+        front, ready, control, internal = ports
+        return {
+            "node-name": name,
+            "role": "entry",
+            "ip": "127.0.0.1",
+            "zone": hall,
+            "zones": dict.fromkeys(self.halls, "region"),
+            "listen": {
+                "frontend": f"127.0.0.1:{front}",
+                "ready": f"127.0.0.1:{ready}",
+                "control": f"127.0.0.1:{control}",
+            },
+            "internal-ports": [internal, internal],
+            "limits": {"memory-mb": 300},
+            "bounds": {
+                "grace-s": 8,
+                "strict-revoke": True,
+                "revoke-ms": 5000,
+                "retry-budget-ratio": 0.2,
+                "retry-window-s": 10,
+                "retry-slack": 100,
+                "stall-ms": 2000,
+                "ceiling-window-s": 5,
+                "ceiling-overshoot": 1.1,
+            },
+            "platform": {"address": (store or self.stores[0]).address},
+        }
+
+    def write_settings(self, path: Path, name: str, hall: str, ports: list[int]) -> None:
+        """Write a daemon's settings file."""
+        path.write_text(json.dumps(self.settings(name, hall, ports)))
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await asyncio.gather(*(face.close() for face in (*self.faces.values(), *self.stores)))
+
+
+_STREAM = {
+    "route-type": "streaming",
+    "resumable": True,
+    "gap-target-ms": 300,
+    "latency-goal-ms": 400,
+}
+
+
+def _route(name: str, prefix: str, service: str, **changes) -> dict:
+    return {
+        "name": name,
+        "host": "site.example",
+        "path-prefix": prefix,
+        "service": service,
+        "route-type": "safe",
+        "timeout-ms": 4000,
+        "latency-goal-ms": 500,
+        "priority": 1,
+        "max-attempts": 2,
+        "public": False,
+        **changes,
+    }
+
+
+def _engine_fields(engine: EngineFigures) -> dict:
+    return {
+        "slots": engine.slots,
+        "kv-capacity": engine.kv_tokens,
+        "step_ms": engine.step_s * 1000,
+        "per_seq_ms": engine.step_per_request_s * 1000,
+        "context_per_k": engine.step_per_token_s * 1e6,
+        "read_per_s": engine.read_tokens_per_s,
+        "pairs_per_m": engine.read_pair_s * 1e9,
+        "loads-per-s": engine.loads_per_s,
+        "retains": engine.keeps,
+        "form-ms": engine.form_s * 1000,
+        "models": [
+            {
+                "name": model.name,
+                "size": model.size,
+                "share": model.share,
+                "pace": model.pace,
+                "load-s": model.load_s,
+                "warmup-s": model.warm_s,
+            }
+            for model in engine.models
+        ],
+    }
--- a/ferrydock/store/_memory.py
+++ b/ferrydock/store/_memory.py
@@ -68,6 +68,20 @@
         self._history.clear()
         self._notify()
 
+    def put(self, key: str, value: bytes) -> int:
+        """Write a key without a condition, as another writer does; return the revision."""
+        changes: dict[str, bytes | None] = {}
+        self._apply_write(Put(key, value), self._revision + 1, changes)
+        self._commit(changes)
+        return self._revision
+
+    def remove(self, key: str) -> int:
+        """Remove a key without a condition; return the revision."""
+        if key in self._keys:
+            del self._keys[key]
+            self._commit({key: None})
+        return self._revision
+
     async def range(self, key: str, range_end: str = "") -> RangeDone:
         self.expire_leases()
         return RangeDone(self._read(key, range_end), self._revision)
