--- a/ferrydock/entry/_node.py
+++ b/ferrydock/entry/_node.py
@@ -33,7 +33,9 @@
 FRESHNESS_MARGIN_S = 0.4
 DAEMONS_GUESSED = 16
 TIDY_S = 1.0
-STALL_LOOK_S = 0.1
+STALL_LOOK_S = 0.05
+GATHER_CONTROLLER_S = 0.08
+GATHER_S = 0.3
 
 
 class EntryNode:
@@ -236,7 +238,13 @@
                 self.directory.put(target)
         self.placing.wake()
 
+    async def _set_pace(self) -> None:
+        """Let a controller hear of its targets at once, and the others in larger batches."""
+        controls = any(controller.lease.valid for controller in self.controllers)
+        self.deployment.target_source.gather_s = GATHER_CONTROLLER_S if controls else GATHER_S
+
     async def _tidy(self) -> None:
+        await self._set_pace()
         listed = self.directory.targets
         busy = {target_id for target_id, load in self.loads.items() if load.running}
         self.upstream.forget_others(listed, busy)
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -15,10 +15,11 @@
 __all__ = ["StallWatch"]
 
 _LOG = logging.getLogger("ferrydock.forwarding")
-QUIET_S = 0.35
+QUIET_S = 0.2
+QUIET_ALONE_S = 0.35
 STUCK_S = 1.5
-AGAIN_S = 0.5
-REPORT_TIMEOUT_S = 0.3
+AGAIN_S = 0.4
+REPORT_TIMEOUT_S = 0.12
 
 
 class StallWatch:
@@ -74,7 +75,8 @@
                 continue
             quiet_s = now_s - self.loads.of(target_id).progress_s
             asked_s = self._asked_s.get(replica.key, -AGAIN_S)
-            if quiet_s < QUIET_S or now_s - asked_s < AGAIN_S:
+            bearable_s = QUIET_S if len(attempts) > 1 else QUIET_ALONE_S
+            if quiet_s < bearable_s or now_s - asked_s < AGAIN_S:
                 continue
             self._asked_s[replica.key] = now_s
             task = asyncio.get_running_loop().create_task(self._ask(replica, quiet_s))
--- a/ferrydock/forwarding/_upstream.py
+++ b/ferrydock/forwarding/_upstream.py
@@ -12,7 +12,7 @@
 
 TCP_USER_TIMEOUT_MS = 3000
 IDLE_S = 4.0
-CONNECT_S = 0.4
+CONNECT_S = 0.15
 LARGEST_HEAD_BYTES = 65536
 _NO_AUTOMATIC = frozenset({"User-Agent", "Content-Type", "Accept", "Accept-Encoding"})
 
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -33,7 +33,15 @@
 
 
 class TargetSource(Protocol):
-    """Tells which targets there are."""
+    """Tells which targets there are.
+
+    Attributes
+    ----------
+    gather_s : float
+        How long changes may be gathered before they are told together.
+    """
+
+    gather_s: float
 
     def follow(self) -> AsyncIterator[TargetChanges | Unavailable]:
         """Yield the whole list, then changes; begins anew by itself where history was lost."""
