--- a/ferrydock/entry/_node.py
+++ b/ferrydock/entry/_node.py
@@ -34,6 +34,7 @@
 DAEMONS_GUESSED = 16
 TIDY_S = 1.0
 STALL_LOOK_S = 0.05
+PACE_S = 0.1
 GATHER_CONTROLLER_S = 0.08
 GATHER_S = 0.3
 
@@ -121,6 +122,7 @@
         self._spawn(self._follow_targets())
         self._spawn(self._every(TIDY_S, self._tidy))
         self._spawn(self._every(STALL_LOOK_S, self.stalls.step))
+        self._spawn(self._every(PACE_S, self._set_pace))
         for controller in self.controllers:
             own_hall = controller.hall == self.settings.hall
             seat = ControllerSeat(
@@ -239,12 +241,11 @@
         self.placing.wake()
 
     async def _set_pace(self) -> None:
-        """Let a controller hear of its targets at once, and the others in larger batches."""
-        controls = any(controller.lease.valid for controller in self.controllers)
-        self.deployment.target_source.gather_s = GATHER_CONTROLLER_S if controls else GATHER_S
+        """Let a controller at work hear of its targets at once, and others in larger batches."""
+        acts = any(controller.is_acting for controller in self.controllers)
+        self.deployment.target_source.gather_s = GATHER_CONTROLLER_S if acts else GATHER_S
 
     async def _tidy(self) -> None:
-        await self._set_pace()
         listed = self.directory.targets
         busy = {target_id for target_id, load in self.loads.items() if load.running}
         self.upstream.forget_others(listed, busy)
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -496,6 +496,6 @@
         self._left.clear()
 
     @property
-    def busy(self) -> int:
-        """How many replicas are being formed."""
-        return len(self._forming)
+    def is_acting(self) -> bool:
+        """Whether it controls, and replicas are being formed or dissolved."""
+        return self.lease.valid and bool(self._tasks)
