Keep replicas whose entries go while their members live; spares only where they are cheap

And with 8 of 10 workers left a domain of replicas of four kept one and four spares. Ruled out: the cut itself (requests of its daemons are not owed by then). Change: members without an entry are asked for a report; the replica stays while they answer that they belong to it. A fifth stays spare only where that costs at most a quarter of the capacity. Tests: both fail before.

--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -28,6 +28,9 @@
 FAILED_PAUSE_S = 3.0
 STAGE_AGAIN_S = 20.0
 SETTLE_S = 0.4
+ASK_AGAIN_S = 1.0
+ANSWER_COUNTS_S = 1.5
+REPORT_TIMEOUT_S = 0.3
 SUSPECT_S = 6.0
 EXTRA_LOADS = 3
 
@@ -117,6 +120,9 @@
         self._staged_s: dict[str, float] = {}
         self._suspects: dict[str, float] = {}
         self._left: dict[str, tuple[str, int]] = {}
+        self._whole: dict[tuple[str, int], tuple[Target, ...]] = {}
+        self._asked: dict[tuple[str, int], tuple[float, float]] = {}
+        self._asking: set[tuple[str, int]] = set()
         self._domains: set[str] = set()
         self._workers_known = 0
         self._workers_since_s = 0.0
@@ -204,10 +210,13 @@
             return False
         if all(self.is_suspect(target.target_id) for target in replica.members):
             return False
+        self._remember(replica, engine)
         dead = [t.target_id for t in replica.members if self.is_suspect(t.target_id)]
         leaving = [t.target_id for t in replica.members if t.draining]
         figures = engine.model(replica.model)
         missing = figures is not None and len(replica.members) < figures.size
+        if missing and not (dead or leaving) and self._are_missing_alive(replica, now_s):
+            return True
         broken = any(t.membership.state is GroupState.BROKEN for t in replica.members)
         head = replica.head
         if replica.is_open and not (dead or leaving or missing or broken):
@@ -242,6 +251,54 @@
         self._spawn(self._dissolve(replica, set(dead), cut))
         return False
 
+    def _remember(self, replica: _Seen, engine: EngineFigures) -> None:
+        """Keep who is in a replica, for when an entry goes whose target may well live."""
+        figures = engine.model(replica.model)
+        if figures is not None and len(replica.members) == figures.size:
+            self._whole[replica.key] = tuple(replica.members)
+
+    def _are_missing_alive(self, replica: _Seen, now_s: float) -> bool:
+        """Whether the members without an entry still answer, or have yet to be asked.
+
+        Entries go in numbers while the store is cut off or comes back. A replica is whole as
+        long as its members say that they belong to it.
+        """
+        key = replica.key
+        if key not in self._whole or replica.head is None:
+            return False
+        alive_s, asked_s = self._asked.get(key, (now_s, -ASK_AGAIN_S))
+        if key not in self._asking and now_s - asked_s >= ASK_AGAIN_S:
+            self._asking.add(key)
+            self._asked[key] = (alive_s, now_s)
+            self._spawn(self._ask_missing(replica))
+        return now_s - alive_s <= ANSWER_COUNTS_S
+
+    async def _ask_missing(self, replica: _Seen) -> None:
+        present = {target.target_id for target in replica.members}
+        missing = [t for t in self._whole[replica.key] if t.target_id not in present]
+        try:
+            reports = await asyncio.gather(
+                *(self.desk.control.report(target, REPORT_TIMEOUT_S) for target in missing)
+            )
+        finally:
+            self._asking.discard(replica.key)
+        now_s = self.clock.now_s()
+        alive = all(
+            not isinstance(report, Unavailable) and (report.replica, report.epoch) == replica.key
+            for report in reports
+        )
+        alive_s = now_s if alive else now_s - 2 * ANSWER_COUNTS_S
+        self._asked[replica.key] = (alive_s, now_s)
+        log_event(
+            _LOG,
+            logging.WARNING,
+            "members_missing",
+            replica=replica.name,
+            epoch=replica.epoch,
+            missing=",".join(target.target_id for target in missing),
+            alive=alive,
+        )
+
     def _adopt(self, replica: _Seen, model: ModelFigures) -> None:
         """Go on with a replica that another controller had begun."""
         members = tuple(replica.members)
--- a/ferrydock/groups/_plan.py
+++ b/ferrydock/groups/_plan.py
@@ -21,6 +21,7 @@
 
 SPARE_PART = 0.2
 WHOLE_DOMAIN = 0.75
+MOST_FOR_SPARES = 0.75
 REJOIN_S = 0.2
 
 
@@ -88,8 +89,8 @@
 
     Notes
     -----
-    Workers go to the model that has the fewest for its share, as long as a fifth of the domain
-    stays idle as spares.
+    Workers go to the model that has the fewest for its share. A fifth of the domain stays idle
+    as spares, unless that costs more than a quarter of what it could serve with.
 
     Examples
     --------
@@ -97,10 +98,26 @@
     >>> halves = {"large": 0.5, "small": 0.5}
     >>> sizes = (10, 9, 8, 7, 6, 5, 4, 3, 1)
     >>> [tuple(target_counts(size, two_models(), halves).values()) for size in sizes]
-    [(1, 2), (1, 2), (1, 1), (1, 1), (1, 0), (1, 0), (1, 0), (0, 1), (0, 0)]
+    [(1, 2), (1, 2), (1, 1), (1, 1), (1, 1), (1, 0), (1, 0), (0, 1), (0, 0)]
+    >>> large, small = {"large": 1.0, "small": 0.0}, {"large": 0.0, "small": 1.0}
+    >>> [target_counts(size, two_models(), large)["large"] for size in (10, 8, 7)]
+    [2, 2, 1]
+    >>> [target_counts(size, two_models(), small)["small"] for size in (10, 8, 6, 5)]
+    [4, 3, 3, 2]
     """
+    sparing = _fill(workers - int(workers * SPARE_PART), engine, shares)
+    using_all = _fill(workers, engine, shares)
+    enough = MOST_FOR_SPARES * _workers_in(using_all, engine)
+    return sparing if _workers_in(sparing, engine) >= enough else using_all
+
+
+def _workers_in(counts: Mapping[str, int], engine: EngineFigures) -> int:
+    return sum(counts[model.name] * model.size for model in engine.models)
+
+
+def _fill(left: int, engine: EngineFigures, shares: Mapping[str, float]) -> dict[str, int]:
+    """Return the replicas that `left` workers form."""
     counts = {model.name: 0 for model in engine.models}
-    left = workers - int(workers * SPARE_PART)
     while True:
         fitting = [m for m in engine.models if m.size <= left and shares.get(m.name, 0) > 0]
         if not fitting:
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -89,6 +89,37 @@
     play(scenario)
 
 
+def test_entries_that_go_and_come_back_dissolve_nothing_that_lives():
+    async def scenario():
+        hall = await formed(Hall(7))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        for worker_id in list(hall.directory.targets):
+            hall.directory.remove(worker_id)
+        for worker in hall.fleet.workers.values():
+            await asyncio.sleep(0.1)
+            hall.list._on_change(worker)
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        assert hall.broken == []
+
+    play(scenario)
+
+
+def test_two_losses_in_one_domain_leave_as_many_replicas_as_fit():
+    async def scenario():
+        hall = await formed(Hall(8))
+        await asyncio.sleep(30.0)
+        for head in [h for h in hall.fleet.open_heads() if h.model == "large"]:
+            hall.kill_worker(head.members[1])
+            hall.controller.suspect([head.members[1]], "test")
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
+        assert took_s is not None and took_s < 3.0
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
 def test_an_open_replica_is_not_opened_again_while_its_entry_lags():
     async def scenario():
         hall = Hall(5)
