A controller new to its seat dissolves nothing whose members live

Change: the list of targets remembers who was ever in a replica; the members without an entry are asked. Test: fails before.

--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -120,7 +120,6 @@
         self._staged_s: dict[str, float] = {}
         self._suspects: dict[str, float] = {}
         self._left: dict[str, tuple[str, int]] = {}
-        self._whole: dict[tuple[str, int], tuple[Target, ...]] = {}
         self._asked: dict[tuple[str, int], tuple[float, float]] = {}
         self._asking: set[tuple[str, int]] = set()
         self._domains: set[str] = set()
@@ -210,15 +209,15 @@
             return False
         if all(self.is_suspect(target.target_id) for target in replica.members):
             return False
-        self._remember(replica, engine)
         dead = [t.target_id for t in replica.members if self.is_suspect(t.target_id)]
         leaving = [t.target_id for t in replica.members if t.draining]
         figures = engine.model(replica.model)
+        head = replica.head
         missing = figures is not None and len(replica.members) < figures.size
-        if missing and not (dead or leaving) and self._are_missing_alive(replica, now_s):
+        may_wait = missing and not (dead or leaving) and head is not None
+        if may_wait and self._are_missing_alive(replica, figures, now_s):
             return True
         broken = any(t.membership.state is GroupState.BROKEN for t in replica.members)
-        head = replica.head
         if replica.is_open and not (dead or leaving or missing or broken):
             self._stray_since.pop(replica.key, None)
             return True
@@ -251,21 +250,16 @@
         self._spawn(self._dissolve(replica, set(dead), cut))
         return False
 
-    def _remember(self, replica: _Seen, engine: EngineFigures) -> None:
-        """Keep who is in a replica, for when an entry goes whose target may well live."""
-        figures = engine.model(replica.model)
-        if figures is not None and len(replica.members) == figures.size:
-            self._whole[replica.key] = tuple(replica.members)
-
-    def _are_missing_alive(self, replica: _Seen, now_s: float) -> bool:
+    def _are_missing_alive(self, replica: _Seen, model: ModelFigures, now_s: float) -> bool:
         """Whether the members without an entry still answer, or have yet to be asked.
 
         Entries go in numbers while the store is cut off or comes back. A replica is whole as
         long as its members say that they belong to it.
         """
         key = replica.key
-        if key not in self._whole or replica.head is None:
-            return False
+        if len(self.directory.members_ever(key)) < model.size:
+            first_s = self._stray_since.setdefault(key, now_s)
+            return now_s - first_s < STRAY_S
         alive_s, asked_s = self._asked.get(key, (now_s, -ASK_AGAIN_S))
         if key not in self._asking and now_s - asked_s >= ASK_AGAIN_S:
             self._asking.add(key)
@@ -275,7 +269,8 @@
 
     async def _ask_missing(self, replica: _Seen) -> None:
         present = {target.target_id for target in replica.members}
-        missing = [t for t in self._whole[replica.key] if t.target_id not in present]
+        known = self.directory.members_ever(replica.key)
+        missing = [target for target in known if target.target_id not in present]
         try:
             reports = await asyncio.gather(
                 *(self.desk.control.report(target, REPORT_TIMEOUT_S) for target in missing)
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -106,6 +106,24 @@
     play(scenario)
 
 
+def test_a_controller_that_is_new_to_the_seat_dissolves_nothing_that_lives():
+    async def scenario():
+        hall = await formed(Hall(9))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        hall.kill_controller()
+        for worker_id in list(hall.directory.targets):
+            hall.directory.remove(worker_id)
+        hall.start_controller()
+        for worker in hall.fleet.workers.values():
+            await asyncio.sleep(0.1)
+            hall.list._on_change(worker)
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+
+    play(scenario)
+
+
 def test_two_losses_in_one_domain_leave_as_many_replicas_as_fit():
     async def scenario():
         hall = await formed(Hall(8))
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -7,6 +7,8 @@
 
 __all__ = ["ReplicaView", "TargetDirectory"]
 
+REPLICAS_REMEMBERED = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicaView:
@@ -43,12 +45,13 @@
         Rises with every change.
     """
 
-    __slots__ = ("_replicas", "changes", "loaded", "targets")
+    __slots__ = ("_members", "_replicas", "changes", "loaded", "targets")
 
     def __init__(self):
         self.targets: dict[str, Target] = {}
         self.loaded = False
         self.changes = 0
+        self._members: dict[tuple[str, int], dict[str, Target]] = {}
         self._replicas: dict[str, list[ReplicaView]] | None = None
 
     def replace(self, targets: Iterable[Target]) -> None:
@@ -64,11 +67,25 @@
 
     def _remembering(self, target: Target) -> Target:
         """Return an entry that still knows the model of the target's latest replica."""
+        if target.membership is not None:
+            self._note_member(target)
         if target.models:
             return replace(target, last_model=target.models[0])
         before = self.targets.get(target.target_id)
         return replace(target, last_model=before.last_model) if before else target
 
+    def _note_member(self, target: Target) -> None:
+        key = (target.membership.replica, target.membership.epoch)
+        if key not in self._members:
+            self._members[key] = {}
+            if len(self._members) > REPLICAS_REMEMBERED:
+                del self._members[next(iter(self._members))]
+        self._members[key][target.target_id] = target
+
+    def members_ever(self, key: tuple[str, int]) -> tuple[Target, ...]:
+        """Return all targets ever seen in a replica, also those whose entry is gone."""
+        return tuple(self._members.get(key, {}).values())
+
     def remove(self, target_id: str) -> None:
         """Forget a target."""
         if self.targets.pop(target_id, None) is not None:
