--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -75,7 +75,9 @@
     def read(self, headers: Mapping[str, str]) -> Inbound | None:
         """Return what a request says, or None if its headers cannot be read."""
 
-    def outgoing(self, headers: Iterable[tuple[str, str]], outbound: Outbound) -> CIMultiDict[str]:
+    def outgoing(
+        self, headers: Iterable[tuple[str, str]], inbound: Inbound, outbound: Outbound
+    ) -> CIMultiDict[str]:
         """Return the headers for a target: the caller's, less those of one connection."""
 
     def answer(self, status: int, headers: Mapping[str, str]) -> AnswerSigns:
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -155,7 +155,7 @@
             urgency=None,
             last_event_id=exchange.events.last_id if exchange.events else None,
         )
-        headers = self.dialect.outgoing(request.headers.items(), outbound)
+        headers = self.dialect.outgoing(request.headers.items(), exchange.inbound, outbound)
         body = exchange.body if exchange.body is not None else request.content.iter_any()
         once = not exchange.route.kind.is_repeatable
         try:
--- a/ferrydock/gateway/__init__.py
+++ b/ferrydock/gateway/__init__.py
@@ -5,10 +5,16 @@
 from ._errors import error_response, not_run_response
 from ._models import ModelRoutes
 from ._operators import OperatorRoutes
+from ._route_dialect import OwnDialect
+from ._routes import TableRoutes, configuration_of, targets_of
 from ._services import ServiceRoutes
 from ._spill import Spill
 
 __all__ = [
+    "OwnDialect",
+    "TableRoutes",
+    "configuration_of",
+    "targets_of",
     "Callers",
     "Gateway",
     "ModelRoutes",
--- /dev/null
+++ b/ferrydock/gateway/_route_dialect.py
@@ -0,0 +1,65 @@
+"""ferrydock's own headers on routes."""
+
+import uuid
+from collections.abc import Iterable, Mapping
+
+from multidict import CIMultiDict
+
+from ..forwarding import AnswerSigns, Inbound, Outbound, end_to_end
+from ..table import digest_key
+
+__all__ = ["OwnDialect"]
+
+_BEARER = "Bearer "
+_SET_HERE = frozenset({"authorization", "x-team", "x-request-id", "x-request-timeout-ms"})
+MISDIRECTED = 421
+
+
+class OwnDialect:
+    """Reads and writes the headers that ``docs/operators/table.md`` names for routes.
+
+    Notes
+    -----
+    A key is known by its digest only, as in the table. A service that says ``X-Not-Run`` promises
+    that the request did not run.
+    """
+
+    __slots__ = ()
+
+    def read(self, headers: Mapping[str, str]) -> Inbound | None:
+        try:
+            timeout = headers.get("X-Request-Timeout-Ms")
+            after = headers.get("Last-Event-Id")
+            key = headers.get("Authorization", "")
+            token = key[len(_BEARER) :].strip() if key.startswith(_BEARER) else ""
+            return Inbound(
+                request_id=headers.get("X-Request-Id") or uuid.uuid4().hex,
+                left_s=float(timeout) / 1000 if timeout else None,
+                key=digest_key(token) if token else "",
+                model="",
+                prompt_tokens=0,
+                answer_tokens=0,
+                last_event_id=int(after) if after else None,
+            )
+        except ValueError:
+            return None
+
+    def outgoing(
+        self, headers: Iterable[tuple[str, str]], inbound: Inbound, outbound: Outbound
+    ) -> CIMultiDict[str]:
+        kept = CIMultiDict(pair for pair in end_to_end(headers) if pair[0].lower() not in _SET_HERE)
+        kept["X-Request-Id"] = inbound.request_id
+        kept["X-Request-Timeout-Ms"] = str(max(1, int(outbound.left_s * 1000)))
+        if outbound.tenant:
+            kept["X-Team"] = outbound.tenant
+        if outbound.last_event_id is not None:
+            kept["Last-Event-Id"] = str(outbound.last_event_id)
+        return kept
+
+    def answer(self, status: int, headers: Mapping[str, str]) -> AnswerSigns:
+        return AnswerSigns(
+            not_executed="X-Not-Run" in headers or status == MISDIRECTED,
+            request_id=headers.get("X-Request-Id", ""),
+            signed=True,
+            blamed="",
+        )
--- /dev/null
+++ b/ferrydock/gateway/_routes.py
@@ -0,0 +1,121 @@
+"""The routes of the operators' table, served on a listener of their own."""
+
+import random
+
+from ..clock import Clock
+from ..configuration import (
+    BackEnd,
+    Configuration,
+    ConfigurationBook,
+    Route,
+    RouteKind,
+    ServiceFigures,
+    Tenant,
+)
+from ..forwarding import Forwarder, LoadBook, Placing, RouteGateway, Upstream
+from ..requests import RetryBudget
+from ..table import TableView
+from ..targets import Target, TargetDirectory
+from ._route_dialect import OwnDialect
+
+__all__ = ["TableRoutes", "configuration_of", "targets_of"]
+
+ALWAYS_FRESH_S = float("inf")
+SLOTS_OF_A_SERVICE = 256
+USUAL_PRIORITY = 5
+HIGHEST_PRIORITY = 9
+
+
+def configuration_of(view: TableView) -> Configuration:
+    """Return the routes, services and teams of a table as one configuration."""
+    routes = tuple(
+        Route(
+            name=row.name,
+            host=row.host,
+            path_prefix=row.path_prefix,
+            kind=RouteKind(row.kind),
+            back_ends=tuple(BackEnd(service, weight) for service, weight in row.back_ends),
+            time_limit_s=row.time_limit_ms / 1000,
+            attempts=row.attempts,
+            priority=HIGHEST_PRIORITY - row.priority,
+            first_answer_s=row.first_answer_objective_ms / 1000,
+            gap_s=row.gap_objective_ms / 1000,
+            public=row.public,
+        )
+        for row in view.routes.values()
+    )
+    services = {
+        target.name: ServiceFigures(target.name, "/", SLOTS_OF_A_SERVICE, None)
+        for target in view.targets.values()
+        if target.kind == "plain_service"
+    }
+    tenants = tuple(
+        Tenant(team.name, frozenset(team.key_digests), USUAL_PRIORITY)
+        for team in view.teams.values()
+        if team.enabled
+    )
+    return Configuration(view.revision, routes, services, tenants)
+
+
+def targets_of(view: TableView) -> list[Target]:
+    """Return the addresses of all plain services as targets."""
+    return [
+        Target(
+            target_id=f"{row.name}@{url}",
+            service=row.name,
+            address=url.split("://", 1)[1].split("/", 1)[0],
+            hall=row.hall,
+            slots=SLOTS_OF_A_SERVICE,
+            draining=row.leaving,
+        )
+        for row in view.targets.values()
+        if row.kind == "plain_service"
+        for url in row.urls
+    ]
+
+
+class TableRoutes:
+    """A gateway for the routes of the table.
+
+    Parameters
+    ----------
+    hall : str
+        Whose targets are preferred.
+    """
+
+    __slots__ = ("_budgets", "book", "directory", "gateway", "ratio", "upstream")
+
+    def __init__(self, hall: str, clock: Clock, rng: random.Random):
+        self.book = ConfigurationBook()
+        self.directory = TargetDirectory()
+        self.upstream = Upstream()
+        self.ratio = 0.1
+        self._budgets: dict[str, RetryBudget] = {}
+        loads = LoadBook()
+        placing = Placing(self.directory, loads, hall, clock, rng)
+        dialect = OwnDialect()
+        forwarder = Forwarder(placing, self.upstream, loads, dialect, self._budget, clock)
+        self.gateway = RouteGateway(
+            self.book, forwarder, dialect, lambda: ALWAYS_FRESH_S, clock, rng
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.setdefault(service, RetryBudget(self.ratio))
+        budget.ratio = self.ratio
+        return budget
+
+    def take(self, view: TableView, now_s: float) -> None:
+        """Put a revision of the table in force."""
+        self.ratio = view.site.retry_budget_ratio
+        self.directory.replace(targets_of(view))
+        self.book.offer(configuration_of(view), now_s)
+
+    async def start(self, listen: str) -> str:
+        """Begin to listen; return the address."""
+        await self.gateway.start(listen)
+        return self.gateway.address
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self.gateway.close()
+        await self.upstream.close()
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -8,7 +8,15 @@
 from ..clock import Clock, SystemClock
 from ..demo_keys import DEMO_DIGESTS
 from ..engines import make_engine_control
-from ..gateway import Callers, Gateway, ModelRoutes, OperatorRoutes, ServiceRoutes, Spill
+from ..gateway import (
+    Callers,
+    Gateway,
+    ModelRoutes,
+    OperatorRoutes,
+    ServiceRoutes,
+    Spill,
+    TableRoutes,
+)
 from ..hall import AttestationBook, HallController, HallObserver, Prober
 from ..logs import log_event
 from ..membership import (
@@ -186,6 +194,7 @@
             clock=clock,
         )
         routes = [*self.models.routes(), *self.services.routes(), *self.operators.routes()]
+        self.table_routes = TableRoutes(settings.hall, clock, self.random_source)
         self.gateway = Gateway(
             routes, self.why_not_ready, settings.most_connections, settings.first_request_s
         )
@@ -209,6 +218,9 @@
             outside_peer_address=settings.outside_peer_advertise,
             outside_url=f"{scheme}://{outside}" if outside else "",
         )
+        route_address = ""
+        if settings.route_listen:
+            route_address = await self.table_routes.start(settings.route_listen)
         self.rounds.begin()
         log_event(
             _LOG,
@@ -216,6 +228,7 @@
             "ready",
             listen=address,
             peer_listen=peer_address,
+            route_listen=route_address or None,
             hall=settings.hall,
             name=self.name,
         )
@@ -225,10 +238,12 @@
         settings = self.settings
         log_event(_LOG, logging.INFO, "stopping", in_flight=self.busy())
         self.gateway.stopping = True
+        self.table_routes.gateway.stopping = True
         self.state.members.change_own(self.clock.now_s(), stopping=True)
         await self.controller.stand_down()
         await asyncio.sleep(settings.stop_readiness_s)
         await self.gateway.stop_listening()
+        self.table_routes.gateway.stop_listening()
         drained = await self.gateway.drain(settings.stop_longest_s, self.busy)
         log_event(_LOG, logging.INFO, "drained", whole=drained, in_flight=self.busy())
         await self.gossip.leave()
@@ -237,12 +252,14 @@
 
     def busy(self) -> int:
         """Return how much is under way: requests, and filings whose caller has left."""
-        return self.gateway.in_flight + self.models.unfinished + self.services.unfinished
+        unfinished = self.models.unfinished + self.services.unfinished
+        return self.gateway.in_flight + self.table_routes.gateway.in_flight + unfinished
 
     async def close(self) -> None:
         """End at once."""
         await self.rounds.end()
         await self.gateway.close()
+        await self.table_routes.close()
         await self.gossip.close()
         await self.exchange_server.close()
         await self.exchange_client.close()
@@ -259,6 +276,7 @@
     # The table ----------------------------------------------------------------------------
 
     def _on_table(self, view: TableView) -> None:
+        self.table_routes.take(view, self.clock.now_s())
         self.attestations.ttl_s = view.site.attestation_ttl_s
         self.claims.retention_s = view.site.claim_retention_s
         self.dispatcher.budget.ratio = view.site.retry_budget_ratio
--- a/ferrydock/node/_settings.py
+++ b/ferrydock/node/_settings.py
@@ -18,6 +18,8 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _LEVELS = ("debug", "info", "warning", "error")
+MOST_PORT = 65535
+MOST_OCTET = 255
 _STORES = ("embedded", "etcd")
 
 
@@ -29,6 +31,7 @@
     region: str
     listen: str
     peer_listen: str
+    route_listen: str
     advertise: str
     peer_advertise: str
     outside_advertise: str
@@ -63,6 +66,7 @@
     text("region", "", "Region in which the hall stands.")
     text("listen", "127.0.0.1:7070", "IP:PORT for callers and operators; port 0 takes a free one.")
     text("peer_listen", "127.0.0.1:0", "IP:PORT for other daemons; port 0 takes a free one.")
+    text("route_listen", "", "IP:PORT for callers of the table's routes; empty: none.")
     text("advertise", "", "IP:PORT at which others in the hall reach --listen; empty: as bound.")
     text("peer_advertise", "", "The same for --peer_listen.")
     text("outside_advertise", "", "IP:PORT at which other halls reach --listen.")
@@ -98,6 +102,26 @@
     return check
 
 
+def _is_address(text: str) -> bool:
+    """Whether a text is IP:PORT, each number within its range."""
+    if not _ADDRESS.fullmatch(text):
+        return False
+    host, _, port = text.rpartition(":")
+    return int(port) <= MOST_PORT and all(int(part) <= MOST_OCTET for part in host.split("."))
+
+
+def _is_address_or_empty(text: str) -> bool:
+    return not text or _is_address(text)
+
+
+def _is_url(text: str) -> bool:
+    return _URL.fullmatch(text) is not None and _is_address(text.split("/")[2])
+
+
+def _is_url_or_empty(text: str) -> bool:
+    return not text or _is_url(text)
+
+
 def _all(check: Callable[[str], bool]) -> Callable[[list[str]], bool]:
     return lambda texts: all(check(text) for text in texts)
 
@@ -115,18 +139,19 @@
 _CONSTRAINTS: dict[str, tuple[Callable, str]] = {
     "hall": (_matches(_NAME), "a name of letters, digits, '.', '_' and '-'"),
     "region": (_matches(_NAME, empty=True), "a name, or empty"),
-    "listen": (_matches(_ADDRESS), _ADDRESS_WORDS),
-    "peer_listen": (_matches(_ADDRESS), _ADDRESS_WORDS),
-    "advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
-    "peer_advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
-    "outside_advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
-    "outside_peer_advertise": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
-    "peers": (_all(_matches(_ADDRESS)), _ADDRESS_WORDS + ", set apart by commas"),
+    "listen": (_is_address, _ADDRESS_WORDS),
+    "peer_listen": (_is_address, _ADDRESS_WORDS),
+    "route_listen": (_is_address_or_empty, _ADDRESS_WORDS + ", or empty"),
+    "advertise": (_is_address_or_empty, _ADDRESS_WORDS + ", or empty"),
+    "peer_advertise": (_is_address_or_empty, _ADDRESS_WORDS + ", or empty"),
+    "outside_advertise": (_is_address_or_empty, _ADDRESS_WORDS + ", or empty"),
+    "outside_peer_advertise": (_is_address_or_empty, _ADDRESS_WORDS + ", or empty"),
+    "peers": (_all(_is_address), _ADDRESS_WORDS + ", set apart by commas"),
     "store": (lambda text: text in _STORES, "embedded or etcd"),
-    "store_urls": (_all(_matches(_URL)), _URL_WORDS + ", set apart by commas"),
-    "box_list_url": (_matches(_URL, empty=True), _URL_WORDS),
-    "weight_store_url": (_matches(_URL, empty=True), _URL_WORDS + ", or empty"),
-    "statsd": (_matches(_ADDRESS, empty=True), _ADDRESS_WORDS + ", or empty"),
+    "store_urls": (_all(_is_url), _URL_WORDS + ", set apart by commas"),
+    "box_list_url": (_is_url_or_empty, _URL_WORDS),
+    "weight_store_url": (_is_url_or_empty, _URL_WORDS + ", or empty"),
+    "statsd": (_is_address_or_empty, _ADDRESS_WORDS + ", or empty"),
     "log_level": (lambda text: text in _LEVELS, ", ".join(_LEVELS)),
     "operator_key_digests": (_all(_matches(_DIGEST)), "SHA-256 in hexadecimal"),
     "stop_readiness_s": (_within(0, 3600), "0 to 3600"),
--- a/ferrydock/node/tests/test_settings.py
+++ b/ferrydock/node/tests/test_settings.py
@@ -87,3 +87,20 @@
     settings = read("--embedded")
     assert settings.store == "embedded"
     assert settings.hall
+
+
+@pytest.mark.parametrize(
+    "flag",
+    [
+        "--listen=127.0.0.1:99999",
+        "--listen=127.0.0.256:80",
+        "--route_listen=127.0.0.1:65536",
+        "--peers=127.0.0.1:70000",
+        "--statsd=127.0.0.1:65536",
+        "--box_list_url=http://10.0.0.3:65536",
+    ],
+)
+def test_a_port_or_number_out_of_range_is_named(flag):
+    settings = read(*GOOD, flag)
+    assert isinstance(settings, Invalid)
+    assert flag.split("=")[0] in settings.reason
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -37,7 +37,9 @@
         except ValueError:
             return None
 
-    def outgoing(self, headers: Iterable[tuple[str, str]], outbound: Outbound) -> CIMultiDict[str]:
+    def outgoing(
+        self, headers: Iterable[tuple[str, str]], inbound: Inbound, outbound: Outbound
+    ) -> CIMultiDict[str]:
         kept = CIMultiDict(pair for pair in end_to_end(headers) if pair[0].lower() not in _SET_HERE)
         kept["X-Deadline-Ms"] = str(max(1, int(outbound.left_s * 1000)))
         kept["X-Expect-Instance"] = outbound.target_id
--- a/ferrydock/table/_columns.py
+++ b/ferrydock/table/_columns.py
@@ -9,6 +9,8 @@
 _ROW_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,62}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _URL = re.compile(r"https?://(\d{1,3}\.){3}\d{1,3}:\d{1,5}(/[A-Za-z0-9._/-]*)?")
+_WEIGHTED = re.compile(r"([A-Za-z0-9][A-Za-z0-9._:-]{0,62})(?:=(\d{1,9}(?:\.\d{1,6})?))?")
+_PREFIX = re.compile(r"/(?:[!-~]*/)?")
 _TRUE_WORDS = {"true": True, "yes": True, "1": True, "false": False, "no": False, "0": False}
 _LONGEST_TEXT = 4096
 
@@ -23,7 +25,8 @@
         Name, with its unit as a suffix.
     kind : str
         ``int``, ``float``, ``bool``, ``text``, ``names`` (words set apart by blanks),
-        ``digests`` (SHA-256 in hexadecimal) or ``urls`` (by IP number).
+        ``digests`` (SHA-256 in hexadecimal), ``urls`` (by IP number), ``weights`` (services with
+        their weights) or ``prefix`` (of a path).
     default : str or None
         Text that stands in an absent cell; None where the cell must be filled.
     doc : str
@@ -61,6 +64,8 @@
 
 
 _ALLOWED = {
+    "weights": "names of services, each with =WEIGHT or alone, set apart by blanks",
+    "prefix": "a path that begins and ends with a slash",
     "bool": "true or false",
     "text": "any text",
     "names": "names set apart by blanks",
@@ -105,6 +110,24 @@
     return parse
 
 
+def _parse_weights(column: Column, text: str) -> tuple[tuple[str, float], ...]:
+    pairs = []
+    for word in text.split():
+        found = _WEIGHTED.fullmatch(word)
+        if not found or (found[2] is not None and not float(found[2]) > 0):
+            raise ValueError(f"{word!r} does not fit: {column.allowed}, weights above 0")
+        pairs.append((found[1], float(found[2] or 1)))
+    if not pairs:
+        raise ValueError(f"must be filled: {column.allowed}")
+    return tuple(pairs)
+
+
+def _parse_prefix(column: Column, text: str) -> str:
+    if not _PREFIX.fullmatch(text):
+        raise ValueError(f"{text!r} is not {column.allowed}")
+    return text
+
+
 _PARSERS: dict[str, Callable] = {
     "int": _parse_number,
     "float": _parse_number,
@@ -112,6 +135,8 @@
     "text": _parse_text,
     "names": _words_matching(re.compile(r"[A-Za-z0-9._:*?-]{1,63}")),
     "digests": _words_matching(_DIGEST),
+    "prefix": _parse_prefix,
+    "weights": _parse_weights,
     "urls": _words_matching(_URL),
 }
 
@@ -244,6 +269,29 @@
     ),
 )
 
+_ROUTES = Sheet(
+    "routes",
+    "where requests of one host and path prefix go; the longest prefix wins",
+    (
+        Column("host", "text", None, "Host that callers name."),
+        Column("path_prefix", "prefix", "/", "Beginning of the path."),
+        Column("back_ends", "weights", None, "Plain services behind it, rows of `targets`."),
+        Column(
+            "kind",
+            "text",
+            "at_most_once",
+            "How often a request may run, and what its answer is.",
+            choices=("repeatable", "at_most_once", "stream", "resumable_stream"),
+        ),
+        _int("time_limit_ms", "30000", 1, 3600000, "Longest time that a request is held."),
+        _int("attempts", "2", 1, 10, "Most targets that one request is sent to."),
+        _int("priority", "5", 0, 9, "Priority in queues; 9 is the highest."),
+        _int("first_answer_objective_ms", "1000", 1, 600000, "Objective: first byte of an answer."),
+        _int("gap_objective_ms", "300", 1, 600000, "Objective: longest gap between two events."),
+        Column("public", "bool", "false", "Whether a request needs no key."),
+    ),
+)
+
 SHEETS: dict[str, Sheet] = {
-    sheet.name: sheet for sheet in (_SITE, _HALLS, _MODELS, _TEAMS, _SHARES, _TARGETS)
+    sheet.name: sheet for sheet in (_SITE, _HALLS, _MODELS, _TEAMS, _SHARES, _TARGETS, _ROUTES)
 }
--- a/ferrydock/table/_table.py
+++ b/ferrydock/table/_table.py
@@ -1,5 +1,6 @@
 """The table aggregate: rows of text cells under a revision, and the rules a whole table obeys."""
 
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
 __all__ = ["SCHEMA_VERSION", "Change", "RowKey", "Table"]
 
 SCHEMA_VERSION = 1
+_PLAIN_URL = re.compile(r"http://(\d{1,3}\.){3}\d{1,3}:\d{1,5}/?")
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -176,6 +178,29 @@
         for hall in table.text(key, "halls").split():
             if RowKey("halls", hall) not in table.rows:
                 faults.append(Fault(f"{key}/halls", f"there is no row {hall!r} in 'halls'"))
+    return faults + _route_faults(table)
+
+
+def _route_faults(table: Table) -> list[Fault]:
+    """Check that routes do not hide each other, and that their back ends can be reached."""
+    faults = []
+    places: dict[tuple[str, str], str] = {}
+    for key in sorted(k for k in table.rows if k.sheet == "routes"):
+        place = (table.text(key, "host").strip(), table.text(key, "path_prefix").strip())
+        other = places.setdefault(place, key.row)
+        if other != key.row:
+            faults.append(Fault(str(key), f"row {other!r} is for the same host and prefix"))
+        for word in table.text(key, "back_ends").split():
+            name = word.partition("=")[0]
+            target = RowKey("targets", name)
+            place = f"{key}/back_ends"
+            if target not in table.rows:
+                faults.append(Fault(place, f"there is no row {name!r} in 'targets'"))
+            elif table.text(target, "kind").strip() != "plain_service":
+                faults.append(Fault(place, f"{name!r} is not a plain service"))
+            elif not all(map(_PLAIN_URL.fullmatch, table.text(target, "urls").split())):
+                problem = f"addresses of {name!r} must be http://IP:PORT without a path"
+                faults.append(Fault(place, problem))
     return faults
 
 
--- a/ferrydock/table/_view.py
+++ b/ferrydock/table/_view.py
@@ -5,7 +5,7 @@
 
 UNLIMITED = 1_000_000
 
-__all__ = ["Model", "Share", "Site", "TableView", "Target", "Team"]
+__all__ = ["Model", "RouteRow", "Share", "Site", "TableView", "Target", "Team"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +108,23 @@
         return any(fnmatch.fnmatchcase(box, pattern) for pattern in self.boxes)
 
 
+@dataclass(frozen=True, slots=True)
+class RouteRow:
+    """A row of sheet ``routes``."""
+
+    name: str
+    host: str
+    path_prefix: str
+    back_ends: tuple[tuple[str, float], ...]
+    kind: str
+    time_limit_ms: int
+    attempts: int
+    priority: int
+    first_answer_objective_ms: int
+    gap_objective_ms: int
+    public: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TableView:
     """All typed rows of one revision."""
@@ -119,6 +136,7 @@
     teams: dict[str, Team] = field(default_factory=dict)
     shares: dict[str, Share] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
+    routes: dict[str, RouteRow] = field(default_factory=dict)
 
     def share_of(self, team: str, model: str) -> Share | None:
         """Return the row of `shares` for the pair, or None."""
@@ -150,4 +168,5 @@
     "teams": Team,
     "shares": Share,
     "targets": Target,
+    "routes": RouteRow,
 }
