Bounded logs that never wait, counters and histograms on the metrics address

Cause: a reader of standard output that stops would have stopped the daemon; an on-call engineer had no figures. Change: lines are bounded in rate and in bytes held, what is left out is counted and said; each request ends in one line with what decided it; prometheus_client keeps counters and histograms with bounded labels.

--- a/ferrydock/entry/_node.py
+++ b/ferrydock/entry/_node.py
@@ -15,9 +15,10 @@
 from ..forwarding import Forwarder, LoadBook, Placing, RouteGateway, StallWatch, Upstream
 from ..groups import GroupController, OrderDesk
 from ..hall import ControllerLease
-from ..logs import log_event
+from ..logs import BoundedHandler, log_event
 from ..outcomes import Invalid, Unavailable
 from ..relay import RelayClient, RelayServer
+from ..reports import RouteMetrics
 from ..requests import RetryBudget
 from ..targets import TargetDirectory
 from ._ready import SideListener
@@ -36,6 +37,7 @@
 TIDY_S = 1.0
 STALL_LOOK_S = 0.05
 PACE_S = 0.1
+METRICS_PATH = "/metrics"
 RELAYED_LOOK_S = 0.1
 STORE_AWAY_S = 2.2
 GATHER_CONTROLLER_S = 0.08
@@ -64,9 +66,16 @@
         self.loads = LoadBook()
         self.placing = Placing(self.directory, self.loads, self.settings.hall, clock, self.rng)
         self.upstream = Upstream()
+        self.metrics = RouteMetrics()
         self._budgets: dict[str, RetryBudget] = {}
         self.forwarder = Forwarder(
-            self.placing, self.upstream, self.loads, deployment.dialect, self._budget, clock
+            self.placing,
+            self.upstream,
+            self.loads,
+            deployment.dialect,
+            self._budget,
+            clock,
+            self.metrics,
         )
         self.gateway = RouteGateway(
             self.book, self.forwarder, deployment.dialect, self._freshness_s, clock, self.rng
@@ -83,6 +92,7 @@
         own = self.settings.halls.index(self.settings.hall)
         self.own_seat: OwnHallSeat = self.seats[own]
         self.ready_listener = SideListener(self._answer_ready)
+        self.metrics_listener = SideListener(self._answer_metrics)
         self.stopping = False
         self._tasks: list[asyncio.Task] = []
         self._store_reached = True
@@ -102,6 +112,7 @@
             settings.load_window_s,
             settings.load_overshoot,
             lambda key: self.stalls.break_replica(key, "given_up"),
+            self.metrics,
         )
 
     def _seat(self, controller: GroupController) -> OwnHallSeat | OtherHallSeat:
@@ -138,6 +149,7 @@
     async def start(self) -> None:
         """Listen, and begin all loops."""
         await self.ready_listener.start(self.settings.ready_listen)
+        await self.metrics_listener.start(self.settings.metrics_listen)
         await self.gateway.start(self.settings.listen)
         self._spawn(self._follow_configuration())
         self._spawn(self._follow_targets())
@@ -179,6 +191,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.gateway.close()
         await self.ready_listener.close()
+        await self.metrics_listener.close()
         await self.relay_client.close()
         await self.relay_server.close()
         await self.upstream.close()
@@ -209,6 +222,39 @@
         why_not = self._why_not_ready()
         return (503, why_not) if why_not else (200, "ready\n")
 
+    def _answer_metrics(self, path: str) -> tuple[int, str]:
+        if path != METRICS_PATH:
+            return 404, f"there is only {METRICS_PATH}\n"
+        self._set_gauges()
+        return 200, self.metrics.text().decode()
+
+    def _set_gauges(self) -> None:
+        """Bring up to date what is not counted by events."""
+        metrics = self.metrics
+        replicas = [
+            replica.model
+            for service in self._engine_services()
+            for replica in self.directory.replicas(service)
+        ]
+        metrics.set_replicas(replicas)
+        metrics.targets.set(len(self.directory.targets))
+        metrics.in_flight.set(self.gateway.in_flight)
+        metrics.waiting.set(self.placing.waiting)
+        metrics.version.set(self.book.version)
+        metrics.age.set(self.book.age_s(self.clock.now_s()))
+        for service, budget in self._budgets.items():
+            metrics.budget_left.labels(service).set(budget.left)
+        for result, calls in self.deployment.store_calls.items():
+            metrics.store_calls.labels(result).set(calls)
+        handlers = [h for h in logging.getLogger().handlers if isinstance(h, BoundedHandler)]
+        metrics.log_lines_left_out.set(sum(handler.left_out for handler in handlers))
+
+    def _engine_services(self) -> list[str]:
+        if self.book.lookup is None:
+            return []
+        services = self.book.lookup.configuration.services.values()
+        return [service.name for service in services if service.engine is not None]
+
     def _why_not_ready(self) -> str:
         if self.stopping:
             return "stopping"
--- a/ferrydock/entry/_registry.py
+++ b/ferrydock/entry/_registry.py
@@ -1,6 +1,6 @@
 """Kinds of deployment, each filling the ports of a daemon that serves routes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from ..configuration import ConfigurationSource
@@ -23,11 +23,14 @@
         As read.
     reread : callable
         Reads the settings again.
+    store_calls : mapping of str to int
+        Calls made of the store so far, by kind and result.
     """
 
     settings: EntrySettings
     reread: Callable[[], EntrySettings | Invalid]
     store: Store
+    store_calls: Mapping[str, int]
     configuration_source: ConfigurationSource
     target_source: TargetSource
     control: TargetControl
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -68,6 +68,10 @@
         Targets that were sent this request.
     response : web.StreamResponse or None
         Begun answer.
+    first_s : float or None
+        Time from the request to the first bytes of its answer.
+    longest_gap_s, queued_s : float
+        Longest pause between two events; time waited for room.
     last_on_connection : callable
         Whether the connection is to end with this answer.
     """
@@ -86,6 +90,9 @@
     attempts: int = 0
     response: web.StreamResponse | None = None
     events: NumberedEvents | None = None
+    first_s: float | None = None
+    longest_gap_s: float = 0.0
+    queued_s: float = 0.0
     last_reason: str = ""
 
     @property
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from ..logs import log_event
+from ..reports import RouteMetrics
 from ..requests import RetryBudget
 from ._answers import refusal
 from ._dialect import AnswerSigns, Outbound, RequestDialect
@@ -48,9 +49,20 @@
         Names and formats of headers.
     budgets : callable
         Returns the retry budget of a service.
+    metrics : RouteMetrics, optional
+        What is counted.
     """
 
-    __slots__ = ("attempts", "budgets", "clock", "dialect", "loads", "placing", "upstream")
+    __slots__ = (
+        "attempts",
+        "budgets",
+        "clock",
+        "dialect",
+        "loads",
+        "metrics",
+        "placing",
+        "upstream",
+    )
 
     def __init__(
         self,
@@ -60,7 +72,9 @@
         dialect: RequestDialect,
         budgets,
         clock: Clock,
+        metrics: RouteMetrics | None = None,
     ):
+        self.metrics = metrics or RouteMetrics()
         self.placing = placing
         self.upstream = upstream
         self.loads = loads
@@ -75,7 +89,9 @@
         budget.first_attempt()
         unsure = False
         while True:
+            asked_s = self.clock.now_s()
             place = await self.placing.place(exchange, self._patience_s(exchange))
+            exchange.queued_s += self.clock.now_s() - asked_s
             if place is None:
                 return self._give_up(exchange, "no_room", unsure)
             end = await self._attempt(exchange, place)
@@ -138,6 +154,7 @@
 
     def _judge(self, place: Place, end: AttemptEnd) -> None:
         """Let the end of an attempt tell on its target."""
+        self.metrics.attempts.labels("whole" if end.whole else end.reason).inc()
         target_id = place.target.target_id
         if end.whole and end.status < SERVER_ERROR:
             self.loads.succeeded(target_id)
@@ -217,6 +234,7 @@
             if size > HELD_BYTES:
                 return await self._relay_large(exchange, answer, b"".join(pieces), pending)
         self._check_ended(answer)
+        exchange.first_s = self.clock.now_s() - exchange.started_s
         exchange.response = web.Response(
             status=answer.status,
             reason=answer.reason,
@@ -244,8 +262,13 @@
         events = exchange.events
         events.start_run()
         target_id = place.target.target_id
+        before_s = self.clock.now_s() if events.count else None
         async for piece in answer.content.iter_any():
-            self.loads.progressed(target_id, self.clock.now_s())
+            now_s = self.clock.now_s()
+            self.loads.progressed(target_id, now_s)
+            if before_s is not None:
+                exchange.longest_gap_s = max(exchange.longest_gap_s, now_s - before_s)
+            before_s = now_s
             whole = events.feed(piece)
             if whole:
                 if exchange.response is None:
@@ -272,6 +295,7 @@
         response = web.StreamResponse(status=answer.status, reason=answer.reason, headers=headers)
         if "Content-Length" not in headers and answer.status not in (204, 304):
             response.enable_chunked_encoding()
+        exchange.first_s = self.clock.now_s() - exchange.started_s
         if exchange.last_on_connection():
             response.force_close()
         exchange.response = response
@@ -284,6 +308,8 @@
     # The final answer without a target's ----------------------------------------------------
 
     def _give_up(self, exchange: Exchange, reason: str, unsure: bool) -> web.StreamResponse:
+        outcome = "cut" if exchange.response is not None else "unsure" if unsure else "refused"
+        self._count(exchange, outcome)
         log_event(
             _LOG,
             logging.INFO,
@@ -292,7 +318,11 @@
             route=exchange.route.name,
             why=reason,
             last=exchange.last_reason or None,
+            outcome=outcome,
             may_have_run=unsure,
+            queued_ms=exchange.queued_s * 1000,
+            open_replicas=self.placing.open_places(exchange),
+            waiting=self.placing.waiting,
             attempts=exchange.attempts,
             held_ms=(self.clock.now_s() - exchange.started_s) * 1000,
         )
@@ -307,6 +337,13 @@
             return refusal(502, reason, None)
         return refusal(503, reason, RETRY_AFTER_S)
 
+    def _count(self, exchange: Exchange, outcome: str) -> None:
+        kind = exchange.route.kind
+        self.metrics.ended(exchange.route.name, kind.value, outcome, exchange.first_s)
+        self.metrics.queue_wait.observe(exchange.queued_s)
+        if kind.is_stream and exchange.first_s is not None:
+            self.metrics.longest_gap.observe(exchange.longest_gap_s)
+
     def _log_attempt(self, exchange: Exchange, end: AttemptEnd, place: Place) -> None:
         log_event(
             _LOG,
@@ -324,15 +361,20 @@
         )
 
     def _log_end(self, exchange: Exchange, end: AttemptEnd, place: Place) -> None:
+        self._count(exchange, "done" if end.status < SERVER_ERROR else "target_error")
         log_event(
             _LOG,
-            logging.DEBUG,
+            logging.INFO,
             "request_done",
             request=exchange.inbound.request_id,
             route=exchange.route.name,
             target=place.target.target_id,
             status=end.status,
             attempts=exchange.attempts,
+            replica=place.replica.name if place.replica else None,
+            queued_ms=exchange.queued_s * 1000,
+            first_ms=exchange.first_s * 1000 if exchange.first_s is not None else None,
+            gap_ms=exchange.longest_gap_s * 1000 or None,
             took_ms=(self.clock.now_s() - exchange.started_s) * 1000,
         )
 
--- a/ferrydock/forwarding/_placing.py
+++ b/ferrydock/forwarding/_placing.py
@@ -130,6 +130,10 @@
             self.loads.began(place.target.target_id, self.clock.now_s())
         return place
 
+    def open_places(self, exchange: Exchange) -> int:
+        """Return at how many places a request could be served, full ones included."""
+        return len(self._places(exchange))
+
     def choose(self, exchange: Exchange) -> Place | None:
         """Return the best place with room, or None."""
         now_s = self.clock.now_s()
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -14,6 +14,7 @@
 from ..hall import ControllerLease
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
+from ..reports import RouteMetrics
 from ..store import Compare, KeyValue, Put, RangeDone, Store, Txn, TxnDone
 from ..targets import GroupState, StageOrder, Target, TargetDirectory
 from ._forming import PlannedReplica, dissolve, form
@@ -98,7 +99,9 @@
         load_window_s: float,
         load_overshoot: float,
         on_broken: Callable[[tuple[str, int]], None],
+        metrics: RouteMetrics | None = None,
     ):
+        self.metrics = metrics or RouteMetrics()
         self.hall = hall
         self.halls = halls
         self.lease = lease
@@ -243,6 +246,7 @@
             members=",".join(t.target_id for t in replica.members),
             dead=",".join(dead) or None,
         )
+        self.metrics.repairs.labels(why).inc()
         self.on_broken(replica.key)
         cut = why != "leaving"
         if cut:
@@ -441,8 +445,11 @@
             self._spawn(self._form(plan))
 
     async def _form(self, plan: PlannedReplica, joined: bool = False) -> None:
+        began_s = self.clock.now_s()
         try:
             why = await form(plan, self.desk, self.directory, self.clock, joined)
+            took_s = self.clock.now_s() - began_s
+            self.metrics.forming.labels("failed" if why else "open").observe(took_s)
             if why:
                 until_s = self.clock.now_s() + FAILED_PAUSE_S
                 for member_id in plan.member_ids:
--- a/ferrydock/platform/_boot.py
+++ b/ferrydock/platform/_boot.py
@@ -85,6 +85,7 @@
         settings=settings,
         reread=lambda: read_boot_file(path),
         store=store,
+        store_calls=store.calls,
         configuration_source=PlatformConfigurationSource(store),
         target_source=PlatformTargetSource(store, GATHER_S),
         control=PlatformTargetControl(),
--- /dev/null
+++ b/ferrydock/reports/_route_metrics.py
@@ -0,0 +1,133 @@
+"""Counters and histograms of a daemon that serves routes, in the usual text form."""
+
+from collections.abc import Iterable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+__all__ = ["RouteMetrics"]
+
+MOST_LABELS = 60
+OTHER = "other"
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0)
+
+
+class _BoundedNames:
+    """Lets a number of names through as they are, and calls all later ones ``other``."""
+
+    __slots__ = ("_known",)
+
+    def __init__(self):
+        self._known: set[str] = set()
+
+    def __call__(self, name: str) -> str:
+        if name in self._known:
+            return name
+        if len(self._known) >= MOST_LABELS:
+            return OTHER
+        self._known.add(name)
+        return name
+
+
+class RouteMetrics:
+    """What a daemon counts.
+
+    Notes
+    -----
+    Routes come and go by the hundred, so only the first `MOST_LABELS` that are used get a label
+    of their own.
+
+    Examples
+    --------
+    >>> metrics = RouteMetrics()
+    >>> metrics.ended("r", "stream", "done", 0.2)
+    >>> b'ferrydock_requests_total{kind="stream",outcome="done",route="r"} 1.0' in metrics.text()
+    True
+    """
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        registry = self.registry
+        self._routes = _BoundedNames()
+        self.requests = Counter(
+            "ferrydock_requests",
+            "Requests that have ended.",
+            ("route", "kind", "outcome"),
+            registry=registry,
+        )
+        self.first_answer = Histogram(
+            "ferrydock_first_answer_seconds",
+            "Time from a request to the first bytes of its answer.",
+            ("kind",),
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.longest_gap = Histogram(
+            "ferrydock_longest_gap_seconds",
+            "Longest pause between two events of a stream.",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.queue_wait = Histogram(
+            "ferrydock_queue_wait_seconds",
+            "Time that a request waited for room at a target.",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "ferrydock_attempts", "Attempts that have ended.", ("result",), registry=registry
+        )
+        self.budget_left = Gauge(
+            "ferrydock_retry_budget_left",
+            "Retries that may be spent now.",
+            ("service",),
+            registry=registry,
+        )
+        self.replicas = Gauge(
+            "ferrydock_replicas", "Open replicas known here.", ("model",), registry=registry
+        )
+        self.targets = Gauge("ferrydock_targets", "Targets known here.", registry=registry)
+        self.in_flight = Gauge("ferrydock_in_flight", "Requests under way.", registry=registry)
+        self.waiting = Gauge("ferrydock_waiting", "Requests that wait for room.", registry=registry)
+        self.repairs = Counter(
+            "ferrydock_repairs", "Replicas given up.", ("cause",), registry=registry
+        )
+        self.forming = Histogram(
+            "ferrydock_forming_seconds",
+            "Time from the plan of a replica until it is open.",
+            ("result",),
+            buckets=(0.5, 1, 2, 3, 5, 10, 20, 40),
+            registry=registry,
+        )
+        self.version = Gauge(
+            "ferrydock_configuration_version", "Version in force.", registry=registry
+        )
+        self.age = Gauge(
+            "ferrydock_configuration_age_seconds",
+            "How long ago the version in force was surely the newest.",
+            registry=registry,
+        )
+        self.store_calls = Gauge(
+            "ferrydock_store_calls",
+            "Calls of the platform's store so far.",
+            ("result",),
+            registry=registry,
+        )
+        self.log_lines_left_out = Gauge(
+            "ferrydock_log_lines_left_out", "Log lines left out of late.", registry=registry
+        )
+
+    def ended(self, route: str, kind: str, outcome: str, first_s: float | None) -> None:
+        """Note a request's end; `first_s` is None if the caller got no answer of a target's."""
+        self.requests.labels(self._routes(route), kind, outcome).inc()
+        if first_s is not None:
+            self.first_answer.labels(kind).observe(first_s)
+
+    def set_replicas(self, models: Iterable[str]) -> None:
+        """Note which replicas are open, by the models they serve."""
+        self.replicas.clear()
+        for model in models:
+            self.replicas.labels(model).inc()
+
+    def text(self) -> bytes:
+        """Return all figures in the text form."""
+        return generate_latest(self.registry)
--- a/ferrydock/requests/_budget.py
+++ b/ferrydock/requests/_budget.py
@@ -41,6 +41,11 @@
         self.spent = 0
         self.refused = 0
 
+    @property
+    def left(self) -> float:
+        """Retries that may be spent now."""
+        return self._saved
+
     def first_attempt(self) -> None:
         """Note a first attempt."""
         self._saved = min(self.most_saved, self._saved + self.ratio)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,68 @@
+"""Logs are bounded, and a reader that stops reading costs lines only."""
+
+import logging
+import os
+
+from ferrydock.logs import BoundedHandler, format_event, log_event, parse_event
+
+
+def logger_to(descriptor, **bounds):
+    """Return a logger of its own that writes to a descriptor, and its handler."""
+    handler = BoundedHandler(descriptor, **bounds)
+    logger = logging.Logger("test", logging.INFO)
+    logger.addHandler(handler)
+    return logger, handler
+
+
+def read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b""
+    try:
+        while piece := os.read(descriptor, 65536):
+            data += piece
+    except BlockingIOError:
+        pass
+    return data.decode().splitlines()
+
+
+def test_a_reader_that_stops_costs_lines_and_no_time():
+    reader, writer = os.pipe()
+    logger, handler = logger_to(writer, lines_per_s=1e9, lines_at_once=1e9, held_bytes=4096)
+    for number in range(20000):
+        log_event(logger, logging.INFO, "something", number=number)
+    assert handler.left_out > 10000
+    assert handler._waiting_bytes <= 4096 + 200
+    read_all(reader)
+    handler.flush()
+    log_event(logger, logging.INFO, "after")
+    handler.flush()
+    lines = read_all(reader)
+    assert any("event=log_lines_left_out count=" in line for line in lines)
+    assert "event=after" in lines[-1]
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_is_no_error():
+    reader, writer = os.pipe()
+    os.close(reader)
+    logger, _ = logger_to(writer)
+    for _ in range(3):
+        log_event(logger, logging.INFO, "nobody_reads")
+    os.close(writer)
+
+
+def test_lines_above_the_rate_are_counted():
+    reader, writer = os.pipe()
+    logger, handler = logger_to(writer, lines_per_s=0.0, lines_at_once=5)
+    for number in range(9):
+        log_event(logger, logging.INFO, "often", number=number)
+    assert len(read_all(reader)) == 5
+    assert handler.left_out == 4
+    os.close(reader)
+    os.close(writer)
+
+
+def test_what_is_written_is_read_back():
+    fields = {"why": 'a "quoted"\tword', "request": "r1", "empty": ""}
+    assert parse_event(format_event("x", **fields)) == {"event": "x", **fields}
