--- a/ferrydock/cli/_main.py
+++ b/ferrydock/cli/_main.py
@@ -11,7 +11,7 @@
 
 from ..demo_keys import DEMO_OPERATOR_KEY, DEMO_TEAM_KEY
 from ..environment import apply_environment
-from . import _demo, _report, _request, _status, _table  # noqa: F401  each registers its verbs
+from . import _demo, _emulate, _explain, _report, _request, _status, _table  # noqa: F401  each registers its verbs
 from ._client import OperatorClient
 from ._verbs import Context, ExitStatus, Verb, find_verb, say, verbs
 
@@ -27,6 +27,9 @@
     flags.DEFINE_float("timeout_s", 30.0, "Longest wait.", 0.0, 86400.0)
     flags.DEFINE_bool("json", False, "Print JSON.")
     flags.DEFINE_string("explain", "", "Replica whose last decision to explain.")
+    flags.DEFINE_string("replica", "", "Replica whose story to tell.")
+    flags.DEFINE_string("report", "", "Where to write the page of an emulation.")
+    flags.DEFINE_string("against", "", "Result file of an earlier emulation, to compare with.")
     flags.DEFINE_string("team_key", DEMO_TEAM_KEY, "Key of the team that sends a request.")
     flags.DEFINE_string("key", "", "Idempotency key: the request runs at most once.")
     flags.DEFINE_string("format", "text", "Form of a report: text, json or html.")
--- /dev/null
+++ b/ferrydock/emulator/__init__.py
@@ -0,0 +1,29 @@
+"""An emulated platform with daemons as processes, callers and troubles, and its report."""
+
+from ._experiment import (
+    KINDS,
+    Experiment,
+    Load,
+    Trouble,
+    draw_troubles,
+    read_experiment,
+)
+from ._load import Call, Callers
+from ._page import figures, page
+from ._run import PROMISES, Emulation, Result
+
+__all__ = [
+    "KINDS",
+    "PROMISES",
+    "Call",
+    "Callers",
+    "Emulation",
+    "Experiment",
+    "Load",
+    "Result",
+    "Trouble",
+    "draw_troubles",
+    "figures",
+    "page",
+    "read_experiment",
+]
--- /dev/null
+++ b/ferrydock/emulator/_experiment.py
@@ -0,0 +1,174 @@
+"""The file that tells an emulation what to play, checked field by field."""
+
+import random
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..outcomes import Fault, Invalid
+
+__all__ = ["KINDS", "Experiment", "Load", "Trouble", "draw_troubles", "read_experiment"]
+
+KINDS = {
+    "worker_dead": "model workers fall silent for good, members of replicas first",
+    "rack_dead": "all model workers of one domain fall silent for good",
+    "worker_leaving": "model workers say that they will leave",
+    "orders_late": "orders to workers are left unanswered and carried out later",
+    "store_down": "the store gives no answer (how: silent, busy, many, reset)",
+    "store_lost": "answers of the store to writes are lost",
+    "history_lost": "the store forgets its history",
+    "daemon_killed": "daemons are killed and start again",
+    "daemon_frozen": "daemons stand still and go on",
+    "daemon_stopped": "daemons are stopped as planned and start again",
+    "configuration": "the operator writes a configuration",
+}
+_HOWS = ("silent", "busy", "many", "reset")
+_CLASSES = ("write-large", "write-small", "look", "file")
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests a second, and the part of each class."""
+
+    requests_per_s: float
+    mix: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """Something that goes wrong at a time, for a while."""
+
+    at_s: float
+    kind: str
+    count: int = 1
+    for_s: float = 2.0
+    hall: str = ""
+    how: str = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """What to play.
+
+    Attributes
+    ----------
+    length_s : float
+        How long requests are sent.
+    settle_s : float
+        Time after the load for what is under way, and for the final check.
+    """
+
+    name: str
+    seed: int
+    length_s: float
+    halls: tuple[str, ...]
+    daemons_per_hall: int
+    domain_size: int
+    load: Load
+    troubles: tuple[Trouble, ...]
+    settle_s: float = 6.0
+
+
+def _number(place, fields, name, default, low, high, faults, whole=False):
+    value = fields.get(name, default)
+    right_type = isinstance(value, int) or (isinstance(value, float) and not whole)
+    if not right_type or isinstance(value, bool) or not low <= value <= high:
+        noun = "a whole number" if whole else "a number"
+        faults.append(Fault(f"{place}{name}", f"{value!r} is not {noun} from {low} to {high}"))
+        return default
+    return value
+
+
+def _unknown(place: str, fields: Mapping, known: tuple[str, ...], faults: list[Fault]) -> None:
+    for name in fields:
+        if name not in known:
+            faults.append(Fault(f"{place}{name}", f"is not known; known: {', '.join(known)}"))
+
+
+def read_experiment(text: str) -> Experiment | Invalid:
+    """Return the experiment in a TOML text, or every fault with its field."""
+    try:
+        fields = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Invalid((Fault("file", f"is not TOML: {error}"),))
+    faults: list[Fault] = []
+    known = ("name", "seed", "length_s", "halls", "daemons_per_hall", "domain_size", "settle_s")
+    _unknown("", fields, (*known, "load", "trouble"), faults)
+    halls = fields.get("halls", ["hall-a"])
+    if not (isinstance(halls, list) and halls and all(isinstance(h, str) and h for h in halls)):
+        faults.append(Fault("halls", f"{halls!r} is not a list of names"))
+        halls = ["hall-a"]
+    experiment = Experiment(
+        name=str(fields.get("name", "experiment")),
+        seed=_number("", fields, "seed", 1, 0, 2**31, faults, whole=True),
+        length_s=_number("", fields, "length_s", 8.0, 1, 600, faults),
+        halls=tuple(halls),
+        daemons_per_hall=_number("", fields, "daemons_per_hall", 1, 1, 8, faults, whole=True),
+        domain_size=_number("", fields, "domain_size", 10, 4, 40, faults, whole=True),
+        load=_load(fields.get("load", {}), faults),
+        troubles=_troubles(fields.get("trouble", []), tuple(halls), faults),
+        settle_s=_number("", fields, "settle_s", 6.0, 0, 120, faults),
+    )
+    return Invalid(tuple(faults)) if faults else experiment
+
+
+def _load(fields, faults: list[Fault]) -> Load:
+    if not isinstance(fields, dict):
+        faults.append(Fault("load", "is not a table"))
+        fields = {}
+    _unknown("load.", fields, ("requests_per_s", "mix"), faults)
+    rate = _number("load.", fields, "requests_per_s", 20.0, 0.1, 500, faults)
+    mix = fields.get("mix", dict.fromkeys(_CLASSES, 1.0))
+    if not isinstance(mix, dict) or not mix:
+        faults.append(Fault("load.mix", f"{mix!r} is not a table of classes"))
+        mix = dict.fromkeys(_CLASSES, 1.0)
+    _unknown("load.mix.", mix, _CLASSES, faults)
+    for name in mix:
+        _number("load.mix.", mix, name, 1.0, 0, 1e6, faults)
+    return Load(rate, mix)
+
+
+def _troubles(entries, halls: tuple[str, ...], faults: list[Fault]) -> tuple[Trouble, ...]:
+    if not isinstance(entries, list):
+        faults.append(Fault("trouble", "is not a list of tables: write [[trouble]]"))
+        return ()
+    found = []
+    for number, fields in enumerate(entries):
+        place = f"trouble[{number}]."
+        _unknown(place, fields, ("at_s", "kind", "count", "for_s", "hall", "how"), faults)
+        kind = fields.get("kind")
+        if kind not in KINDS:
+            faults.append(Fault(f"{place}kind", f"{kind!r} is none of {', '.join(KINDS)}"))
+        hall = fields.get("hall", "")
+        if hall and hall not in halls:
+            faults.append(Fault(f"{place}hall", f"{hall!r} is none of the halls"))
+        how = fields.get("how", "silent")
+        if how not in _HOWS:
+            faults.append(Fault(f"{place}how", f"{how!r} is none of {', '.join(_HOWS)}"))
+        found.append(
+            Trouble(
+                at_s=_number(place, fields, "at_s", 1.0, 0, 600, faults),
+                kind=str(kind),
+                count=_number(place, fields, "count", 1, 1, 100, faults, whole=True),
+                for_s=_number(place, fields, "for_s", 2.0, 0.1, 120, faults),
+                hall=hall,
+                how=how,
+            )
+        )
+    return tuple(found)
+
+
+def draw_troubles(seed: int, length_s: float, halls: tuple[str, ...], count: int) -> list[Trouble]:
+    """Return troubles that come in series and overlap, as a seed draws them."""
+    rng = random.Random(seed)
+    drawn = []
+    while len(drawn) < count:
+        kind = rng.choice(list(KINDS))
+        at_s = rng.uniform(0.3, max(0.4, length_s - 1.5))
+        for _ in range(rng.choice((1, 1, 2, 3))):
+            for_s = rng.uniform(0.4, 3.0)
+            hall = rng.choice(("", *halls))
+            how = rng.choice(_HOWS)
+            drawn.append(Trouble(at_s, kind, rng.choice((1, 1, 2)), for_s, hall, how))
+            at_s = min(length_s, at_s + rng.uniform(0.05, 1.5))
+    return sorted(drawn[:count], key=lambda trouble: trouble.at_s)
--- /dev/null
+++ b/ferrydock/emulator/_load.py
@@ -0,0 +1,157 @@
+"""Callers of an emulation: they keep connections open, and note what they received."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+__all__ = ["Call", "Callers"]
+
+ANSWER_TIMEOUT_S = 8.0
+DEADLINE_MS = 5000
+EVENTS = 10
+_PATHS = {
+    "write-large": ("/write/x", "large"),
+    "write-small": ("/write/x", "small"),
+    "look": ("/look/x", ""),
+    "file": ("/file/x", ""),
+}
+
+
+@dataclass(slots=True)
+class Call:
+    """One request as its caller saw it.
+
+    Attributes
+    ----------
+    status : int
+        0 if no answer's head came.
+    whole : bool
+        Whether the answer ended as an answer does.
+    fault : str
+        What was wrong with a success; empty if nothing.
+    """
+
+    request_id: str
+    kind: str
+    at_s: float
+    daemon: str
+    status: int = 0
+    whole: bool = False
+    took_s: float = 0.0
+    first_s: float | None = None
+    fault: str = ""
+    numbers: list[int] = field(default_factory=list)
+
+    @property
+    def outcome(self) -> str:
+        """In a word."""
+        if self.status == 0:
+            return "no_answer"
+        if not self.whole:
+            return "cut"
+        return "served" if self.status == 200 else str(self.status)
+
+
+class Callers:
+    """Sends requests to daemons over connections that stay open until they are gone.
+
+    Parameters
+    ----------
+    addresses : callable
+        Returns the addresses of daemons that take callers, by name.
+    """
+
+    def __init__(self, addresses, rng: random.Random, now_s):
+        self.addresses = addresses
+        self.rng = rng
+        self.now_s = now_s
+        self.calls: list[Call] = []
+        self._idle: dict[str, list] = {}
+
+    async def call(self, kind: str) -> None:
+        """Send one request and note its end."""
+        ready = self.addresses()
+        if not ready:
+            return
+        daemon = self.rng.choice(sorted(ready))
+        call = Call(f"{self.rng.getrandbits(64):016x}", kind, self.now_s(), daemon)
+        self.calls.append(call)
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self._exchange(call, daemon, ready[daemon])
+        except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
+            pass
+        call.took_s = self.now_s() - call.at_s
+
+    async def _exchange(self, call: Call, daemon: str, address: str) -> None:
+        reader, writer = await self._connection(daemon, address)
+        keep = False
+        try:
+            writer.write(_request(call))
+            head = await reader.readuntil(b"\r\n\r\n")
+            call.status = int(head.split()[1])
+            call.first_s = self.now_s() - call.at_s
+            body = await _read_body(reader, head, call)
+            call.whole = True
+            self._check(call, body)
+            keep = b"connection: close" not in head.lower()
+        finally:
+            if keep:
+                self._idle.setdefault(daemon, []).append((reader, writer))
+            else:
+                writer.close()
+
+    async def _connection(self, daemon: str, address: str):
+        idle = self._idle.get(daemon, [])
+        while idle:
+            reader, writer = idle.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+        host, port = address.split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    def _check(self, call: Call, body: bytes) -> None:
+        if call.status != 200:
+            return
+        if call.kind.startswith("write"):
+            if call.numbers != list(range(1, EVENTS + 1)):
+                call.fault = f"events {call.numbers}"
+        elif body != b"whole:hi":
+            call.fault = f"body {body[:40]!r}"
+
+    async def close(self) -> None:
+        """Close the connections that rest."""
+        for pairs in self._idle.values():
+            for _, writer in pairs:
+                writer.close()
+
+
+def _request(call: Call) -> bytes:
+    path, model = _PATHS[call.kind]
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {call.request_id}\r\n"
+        f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Model: {model}\r\nContent-Length: 2\r\n"
+        "Authorization: Bearer key-acme\r\n\r\nhi"
+    ).encode()
+
+
+async def _read_body(reader, head: bytes, call: Call) -> bytes:
+    lowered = head.lower()
+    if b"transfer-encoding: chunked" in lowered:
+        return await _read_chunks(reader, call)
+    for line in lowered.split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return await reader.readexactly(int(line.split(b":")[1]))
+    return b""
+
+
+async def _read_chunks(reader, call: Call) -> bytes:
+    body = b""
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+        data = await reader.readexactly(size + 2)
+        if size == 0:
+            return body
+        body += data[:-2]
+        lines = body.split(b"\n")
+        call.numbers = [int(line[4:]) for line in lines if line.startswith(b"id: ")]
--- /dev/null
+++ b/ferrydock/emulator/_processes.py
@@ -0,0 +1,103 @@
+"""Daemons of an emulation as processes of their own."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+__all__ = ["DaemonProcess", "free_ports"]
+
+ENDED_WITHIN_S = 12.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that nobody listens on just now."""
+    opened = [socket.socket() for _ in range(count)]
+    for one in opened:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in opened]
+    for one in opened:
+        one.close()
+    return ports
+
+
+class DaemonProcess:
+    """One daemon, started, hurt and stopped from outside.
+
+    Parameters
+    ----------
+    name, hall : str
+        Of the daemon.
+    settings : dict
+        Written to its settings file.
+    folder : Path
+        Where the settings and the log lie.
+    """
+
+    def __init__(self, name: str, hall: str, settings: dict, folder: Path):
+        self.name = name
+        self.hall = hall
+        self.settings = settings
+        self.log_path = folder / f"{name}.log"
+        self.settings_path = folder / f"{name}.json"
+        self.settings_path.write_text(json.dumps(settings))
+        self.process: asyncio.subprocess.Process | None = None
+        self.starts = 0
+        self.own_ends: list[int] = []
+        self.is_hurt = False
+
+    @property
+    def address(self) -> str:
+        """Where it takes callers."""
+        return self.settings["listen"]["frontend"]
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.starts += 1
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ferrydock.route_daemon",
+                f"--settings={self.settings_path}",
+                stdout=log,
+                stderr=log,
+                cwd=Path(__file__).resolve().parents[2],
+            )
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process is there."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process is there."""
+        if self.runs:
+            self.process.send_signal(number)
+
+    async def end(self) -> None:
+        """Wait until the process is gone; kill it if it takes too long."""
+        if self.process is None:
+            return
+        try:
+            async with asyncio.timeout(ENDED_WITHIN_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+    def note_own_end(self) -> None:
+        """Note an end that nobody ordered."""
+        if self.process is not None and self.process.returncode is not None and not self.is_hurt:
+            self.own_ends.append(self.process.returncode)
+
+    def resident_bytes(self) -> int:
+        """Return the memory of the process; 0 if it is gone."""
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except (OSError, AttributeError, IndexError):
+            return 0
+        return pages * os.sysconf("SC_PAGE_SIZE")
--- /dev/null
+++ b/ferrydock/emulator/_run.py
@@ -0,0 +1,327 @@
+"""Playing an experiment: a stand-in site, daemons as processes, callers, troubles."""
+
+import asyncio
+import random
+import signal
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..standins.fleet import FleetSite
+from ._experiment import Experiment, Trouble
+from ._load import Call, Callers
+from ._processes import DaemonProcess, free_ports
+
+__all__ = ["Emulation", "Result"]
+
+FORMED_WITHIN_S = 30.0
+LOOK_S = 0.05
+RESTART_AFTER_S = 0.3
+MOST_KILLED_PER_DOMAIN = 0.4
+PROMISES = (
+    "no replica serves while a member is missing, no worker is in two",
+    "an answer that looks whole is whole, and its own",
+    "a request that may run once runs once at most",
+    "a refusal means that the request did not run",
+    "no key reaches a worker, and each request is its tenant's",
+    "no daemon ends by itself",
+    "replicas are formed again after the troubles",
+)
+
+
+@dataclass(slots=True)
+class Result:
+    """What an emulation brought.
+
+    Attributes
+    ----------
+    broken : list of str
+        Promises that did not hold, each with what was seen.
+    troubles : list of str
+        What was done, and when.
+    """
+
+    name: str
+    seed: int
+    calls: list[Call] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    troubles: list[str] = field(default_factory=list)
+    memory_bytes: int = 0
+    store_calls: dict[str, int] = field(default_factory=dict)
+    replicas_at_end: int = 0
+
+
+class Emulation:
+    """One run of an experiment.
+
+    Parameters
+    ----------
+    experiment : Experiment
+        What to play.
+    folder : Path or None
+        Where settings and logs are kept; None for a folder that goes with the run.
+    """
+
+    def __init__(self, experiment: Experiment, folder: Path | None = None):
+        self.experiment = experiment
+        self.rng = random.Random(experiment.seed)
+        self.site = FleetSite(experiment.halls, experiment.seed, experiment.domain_size)
+        self.daemons: list[DaemonProcess] = []
+        self.result = Result(experiment.name, experiment.seed)
+        self._own_folder = tempfile.TemporaryDirectory() if folder is None else None
+        self.folder = folder or Path(self._own_folder.name)
+        self._began_s = 0.0
+        self._tasks: set[asyncio.Task] = set()
+
+    def now_s(self) -> float:
+        """Return seconds since the load began."""
+        return asyncio.get_running_loop().time() - self._began_s
+
+    async def run(self) -> Result:
+        """Play the whole experiment."""
+        try:
+            await self._start()
+            callers = Callers(self._addresses, random.Random(self.experiment.seed), self.now_s)
+            self.result.calls = callers.calls
+            await asyncio.gather(self._send(callers), self._hurt(), self._watch())
+            await asyncio.gather(*self._tasks)
+            await self._until_formed(self.experiment.settle_s + FORMED_WITHIN_S)
+            self._judge()
+            await callers.close()
+        finally:
+            await self._stop()
+        return self.result
+
+    # Beginning and end ------------------------------------------------------------------------
+
+    async def _start(self) -> None:
+        experiment = self.experiment
+        await self.site.start()
+        for hall in experiment.halls:
+            for number in range(experiment.daemons_per_hall):
+                name = f"{hall}-daemon-{number}"
+                store = await self.site.open_store()
+                settings = self.site.settings(name, hall, free_ports(4), store)
+                daemon = DaemonProcess(name, hall, settings, self.folder)
+                self.daemons.append(daemon)
+                await daemon.start()
+        self.site.write_configuration()
+        await self._until_formed(FORMED_WITHIN_S)
+        self._began_s = asyncio.get_running_loop().time()
+
+    def _wanted_replicas(self) -> int:
+        """Return how many replicas each hall should hold at the least."""
+        return 2 * len(self.experiment.halls)
+
+    async def _until_formed(self, within_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + within_s
+        while len(self.site.fleet.open_heads()) < self._wanted_replicas():
+            if loop.time() > until_s:
+                break
+            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(0.5)
+
+    async def _stop(self) -> None:
+        for daemon in self.daemons:
+            daemon.is_hurt = True
+            daemon.signal(signal.SIGCONT)
+            daemon.signal(signal.SIGKILL)
+        await asyncio.gather(*(daemon.end() for daemon in self.daemons))
+        await self.site.close()
+        if self._own_folder is not None:
+            self._own_folder.cleanup()
+
+    # Load -------------------------------------------------------------------------------------
+
+    def _addresses(self) -> dict[str, str]:
+        return {d.name: d.address for d in self.daemons if d.runs and not d.is_hurt}
+
+    async def _send(self, callers: Callers) -> None:
+        load = self.experiment.load
+        rng = random.Random(self.experiment.seed + 1)
+        kinds, weights = list(load.mix), list(load.mix.values())
+        calls: set[asyncio.Task] = set()
+        while self.now_s() < self.experiment.length_s:
+            kind = rng.choices(kinds, weights)[0]
+            task = asyncio.ensure_future(callers.call(kind))
+            calls.add(task)
+            task.add_done_callback(calls.discard)
+            await asyncio.sleep(rng.expovariate(load.requests_per_s))
+        await asyncio.gather(*calls)
+
+    async def _watch(self) -> None:
+        """Start again what has ended, and note how much memory is used."""
+        while self.now_s() < self.experiment.length_s:
+            for daemon in self.daemons:
+                if daemon.process is not None and not daemon.runs and not daemon.is_hurt:
+                    daemon.note_own_end()
+                    await daemon.start()
+                self.result.memory_bytes = max(self.result.memory_bytes, daemon.resident_bytes())
+            await asyncio.sleep(0.2)
+
+    # Troubles ---------------------------------------------------------------------------------
+
+    async def _hurt(self) -> None:
+        for trouble in sorted(self.experiment.troubles, key=lambda t: t.at_s):
+            await asyncio.sleep(max(0.0, trouble.at_s - self.now_s()))
+            task = asyncio.ensure_future(self._do(trouble))
+            self._tasks.add(task)
+
+    async def _do(self, trouble: Trouble) -> None:
+        action = getattr(self, f"_{trouble.kind}")
+        done = await action(trouble)
+        self.result.troubles.append(f"{trouble.at_s:.2f} s {trouble.kind} {done}".strip())
+
+    def _workers(self, trouble: Trouble) -> list:
+        """Return workers that may be lost: members first, and never too many of a domain."""
+        lost: dict[str, int] = {}
+        for worker in self.site.fleet.workers.values():
+            if not worker.alive or worker.draining:
+                lost[worker.domain] = lost.get(worker.domain, 0) + 1
+        most = int(self.experiment.domain_size * MOST_KILLED_PER_DOMAIN)
+        fitting = [
+            worker
+            for worker in self.site.fleet.workers.values()
+            if worker.alive
+            and not worker.draining
+            and lost.get(worker.domain, 0) < most
+            and trouble.hall in ("", worker.hall)
+        ]
+        self.rng.shuffle(fitting)
+        return sorted(fitting, key=lambda worker: worker.membership is None)[: trouble.count]
+
+    async def _worker_dead(self, trouble: Trouble) -> str:
+        chosen = self._workers(trouble)
+        for worker in chosen:
+            self.site.kill_worker(worker.worker_id)
+        return ",".join(worker.worker_id for worker in chosen)
+
+    async def _rack_dead(self, trouble: Trouble) -> str:
+        domains = {w.domain for w in self.site.fleet.workers.values() if w.alive}
+        whole = sorted(
+            d
+            for d in domains
+            if all(w.alive for w in self.site.fleet.workers.values() if w.domain == d)
+            and (not trouble.hall or d.startswith(trouble.hall))
+        )
+        if len(whole) < 2:
+            return "left out: too few domains are whole"
+        domain = self.rng.choice(whole)
+        for worker in list(self.site.fleet.workers.values()):
+            if worker.domain == domain:
+                self.site.kill_worker(worker.worker_id)
+        return domain
+
+    async def _worker_leaving(self, trouble: Trouble) -> str:
+        chosen = self._workers(trouble)
+        for worker in chosen:
+            self.site.drain_worker(worker.worker_id)
+        return ",".join(worker.worker_id for worker in chosen)
+
+    async def _orders_late(self, trouble: Trouble) -> str:
+        faults = self.site.fleet.faults
+        faults.late_share, faults.late_from_s, faults.late_to_s = 0.35, 0.5, 3.0
+        await asyncio.sleep(trouble.for_s)
+        faults.late_share = 0.0
+        return f"for {trouble.for_s:.1f} s"
+
+    def _stores(self, trouble: Trouble) -> list:
+        faces = [
+            face
+            for face, daemon in zip(self.site.stores[1:], self.daemons, strict=True)
+            if trouble.hall in ("", daemon.hall)
+        ]
+        return faces
+
+    async def _store_down(self, trouble: Trouble) -> str:
+        faces = self._stores(trouble)
+        for face in faces:
+            face.faults.down = trouble.how
+        await asyncio.sleep(trouble.for_s)
+        for face in faces:
+            face.faults.down = ""
+        return f"{trouble.how} for {trouble.for_s:.1f} s {trouble.hall}"
+
+    async def _store_lost(self, trouble: Trouble) -> str:
+        faces = self._stores(trouble)
+        for face in faces:
+            face.faults.lost_share = 0.4
+        await asyncio.sleep(trouble.for_s)
+        for face in faces:
+            face.faults.lost_share = 0.0
+        return f"for {trouble.for_s:.1f} s"
+
+    async def _history_lost(self, trouble: Trouble) -> str:
+        for face in self.site.stores:
+            face.forget_history()
+        return ""
+
+    def _daemons(self, trouble: Trouble) -> list[DaemonProcess]:
+        fitting = [
+            d for d in self.daemons if d.runs and not d.is_hurt and trouble.hall in ("", d.hall)
+        ]
+        self.rng.shuffle(fitting)
+        return fitting[: trouble.count]
+
+    async def _daemon_killed(self, trouble: Trouble) -> str:
+        return await self._end_daemons(trouble, signal.SIGKILL)
+
+    async def _daemon_stopped(self, trouble: Trouble) -> str:
+        return await self._end_daemons(trouble, signal.SIGTERM)
+
+    async def _end_daemons(self, trouble: Trouble, number: signal.Signals) -> str:
+        chosen = self._daemons(trouble)
+        for daemon in chosen:
+            daemon.is_hurt = True
+            daemon.signal(number)
+        await asyncio.gather(*(daemon.end() for daemon in chosen))
+        await asyncio.sleep(RESTART_AFTER_S)
+        for daemon in chosen:
+            await daemon.start()
+        await asyncio.sleep(1.0)
+        for daemon in chosen:
+            daemon.is_hurt = False
+        return ",".join(daemon.name for daemon in chosen)
+
+    async def _daemon_frozen(self, trouble: Trouble) -> str:
+        chosen = self._daemons(trouble)
+        for daemon in chosen:
+            daemon.is_hurt = True
+            daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(trouble.for_s)
+        for daemon in chosen:
+            daemon.signal(signal.SIGCONT)
+            daemon.is_hurt = False
+        return ",".join(daemon.name for daemon in chosen) + f" for {trouble.for_s:.1f} s"
+
+    async def _configuration(self, trouble: Trouble) -> str:
+        return f"version {self.site.write_configuration()}"
+
+    # Promises ---------------------------------------------------------------------------------
+
+    def _judge(self) -> None:
+        result, record = self.result, self.site.record
+        broken = result.broken
+        broken += [f"{v.rule}: {v.worker} {v.detail}" for v in self.site.fleet.violations]
+        for call in result.calls:
+            runs = record.runs.get(call.request_id, 0)
+            if call.fault:
+                broken.append(f"answer: {call.request_id} {call.kind} {call.fault}")
+            if call.kind == "file" and runs > 1:
+                broken.append(f"once: {call.request_id} ran {runs} times")
+            if call.kind == "file" and call.status in (429, 503, 408, 421) and runs:
+                broken.append(f"refusal: {call.request_id} got {call.status} and ran")
+        if record.keys_seen:
+            broken.append(f"key: {record.keys_seen} requests brought a key to a worker")
+        strangers = {name for name in record.tenants.values() if name != "acme"}
+        if strangers:
+            broken.append(f"tenant: requests ran for {sorted(strangers)}")
+        for daemon in self.daemons:
+            broken += [f"own end: {daemon.name} with status {s}" for s in daemon.own_ends]
+        result.replicas_at_end = len(self.site.fleet.open_heads())
+        if result.replicas_at_end < self._wanted_replicas():
+            broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
+        for face in self.site.stores:
+            for kind, count in face.calls.items():
+                result.store_calls[kind] = result.store_calls.get(kind, 0) + count
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -24,7 +24,7 @@
 
 __all__ = ["HistoryGone", "PlatformStore", "Watched"]
 
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
 LONGEST_WAIT_MS = 20000
 WAIT_SLACK_S = 1.5
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,93 @@
+"""Emulations with daemons as processes: examples, injected failures explained, a short soak."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from benchmarks.soak import soak_experiment
+from ferrydock.cli._explain import _gather, tell_replica, tell_request
+from ferrydock.emulator import Emulation, figures, page, read_experiment
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def play(experiment, folder):
+    return asyncio.run(Emulation(experiment, folder).run())
+
+
+def example(name):
+    return read_experiment((ROOT / "examples" / f"{name}.toml").read_text())
+
+
+def lines_of(folder):
+    return _gather([str(path) for path in folder.glob("*.log")])
+
+
+def requests_with(told, **wanted):
+    """Return the ids of requests with a line that has all the wanted values."""
+    return [
+        line.fields["request"]
+        for line in told
+        if "request" in line.fields
+        and all(line.fields.get(name) == value for name, value in wanted.items())
+    ]
+
+
+def test_a_calm_day_is_served(tmp_path):
+    result = play(example("calm-day"), tmp_path)
+    assert result.broken == []
+    assert figures(result)["served_part"] > 0.95
+    assert "<svg" in page(result, figures(result))
+
+
+def test_a_store_outage_is_explained(tmp_path):
+    result = play(example("store-outage"), tmp_path)
+    assert result.broken == []
+    told = lines_of(tmp_path)
+    refused = requests_with(told, event="request_refused")
+    assert refused
+    story = tell_request(refused[0], told)
+    assert story.cause.startswith("configuration_unconfirmed")
+    assert any(line.fields["event"] == "store_lost" for line in told)
+
+
+def test_a_lost_rack_is_explained(tmp_path):
+    result = play(example("lost-rack"), tmp_path)
+    assert result.broken == []
+    told = lines_of(tmp_path)
+    given_up = [line for line in told if line.fields["event"] == "replica_silent"]
+    assert given_up
+    story = tell_replica(given_up[0].fields["replica"], told)
+    assert story.lines
+    moved = requests_with(told, event="attempt_failed", why="member_dead")
+    if moved:
+        assert "was silent" in tell_request(moved[0], told).cause
+
+
+def test_an_overload_is_explained(tmp_path):
+    text = """
+    name = "overload"
+    length_s = 4
+    domain_size = 4
+    [load]
+    requests_per_s = 200
+    mix = { write-large = 1 }
+    """
+    result = play(read_experiment(text), tmp_path)
+    assert result.broken == []
+    told = lines_of(tmp_path)
+    refused = requests_with(told, event="request_failed", why="no_room")
+    assert refused
+    assert tell_request(refused[0], told).cause.startswith("no_room")
+
+
+def soak_seeds():
+    lines = (ROOT / "tests" / "soak_seeds.txt").read_text().splitlines()
+    return [int(line) for line in lines if line and not line.startswith("#")]
+
+
+@pytest.mark.parametrize("seed", soak_seeds())
+def test_soak(seed, tmp_path):
+    result = play(soak_experiment(seed), tmp_path)
+    assert result.broken == [], result.troubles
