Emulator: ports that outgoing connections cannot take; explain requests that were moved

Ruled out: two starts at once (one process only). Change: ports below that range; a daemon that cannot listen says so in one line and ends.

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -105,10 +105,18 @@
         return Story((), None, f"no line names the request {request_id!r}")
     last = ends[-1] if ends else own[-1]
     if last.fields["event"] == "request_done":
-        return Story(tuple(own), last, "it was answered")
+        after = f", after {_reason_of(failed[-1])}" if failed else ""
+        return _with_replicas(
+            own, everything, failed[-1] if failed else last, "it was answered" + after
+        )
     deciding = failed[-1] if failed and last.fields.get("may_have_run") == "True" else last
     if last.fields.get("why") == "no_room" and failed:
         deciding = failed[-1]
+    return _with_replicas(own, everything, deciding, _reason_of(deciding))
+
+
+def _with_replicas(own: list[Told], everything: list[Told], deciding: Told, cause: str) -> Story:
+    """Return a story that also tells what was found out about the deciding line's replica."""
     replica = deciding.fields.get("replica")
     around = [
         line
@@ -117,7 +125,6 @@
         and line.fields.get("replica") == replica
         and line.fields["event"] in ("replica_silent", "replica_given_up")
     ]
-    cause = _reason_of(deciding)
     silent = next((line for line in around if line.fields.get("silent")), None)
     if silent is not None:
         cause += f"; target {silent.fields['silent']} of replica {replica} was silent"
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -10,6 +10,7 @@
 )
 from ._load import Call, Callers
 from ._page import figures, page
+from ._processes import free_ports
 from ._run import PROMISES, Emulation, Result
 
 __all__ = [
@@ -24,6 +25,7 @@
     "Trouble",
     "draw_troubles",
     "figures",
+    "free_ports",
     "page",
     "read_experiment",
 ]
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -11,16 +12,25 @@
 __all__ = ["DaemonProcess", "free_ports"]
 
 ENDED_WITHIN_S = 12.0
+PORTS = (20000, 31999)
+_SOURCE = random.Random()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on just now."""
-    opened = [socket.socket() for _ in range(count)]
-    for one in opened:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in opened]
-    for one in opened:
-        one.close()
+    """Return ports of the loopback address that nobody listens on just now.
+
+    They lie below the range from which the system takes ports for outgoing connections: a daemon
+    that starts again must find its own still free.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _SOURCE.randint(*PORTS)
+        with socket.socket() as opened:
+            try:
+                opened.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
--- a/ferrydock/emulator/tests/test_experiments.py
+++ b/ferrydock/emulator/tests/test_experiments.py
@@ -5,9 +5,15 @@
 from ...outcomes import Invalid
 from .. import draw_troubles, read_experiment
 
-GOOD = (
-    'name = "x"\nseed = 3\n[load]\nrequests_per_s = 5\n[[trouble]]\nat_s = 1\nkind = "rack_dead"\n'
-)
+GOOD = """
+name = "x"
+seed = 3
+[load]
+requests_per_s = 5
+[[trouble]]
+at_s = 1
+kind = "rack_dead"
+"""
 
 
 def test_a_good_file_is_read():
--- a/ferrydock/platform/tests/test_site.py
+++ b/ferrydock/platform/tests/test_site.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ...clock import SystemClock
+from ...emulator import free_ports
 from ...entry import EntryNode
 from ...outcomes import Invalid
 from ...standins.fleet import FleetSite
@@ -16,19 +17,6 @@
 REPLICAS = 4
 
 
-def free_ports(count):
-    """Return ports that nobody listens on just now."""
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind(("127.0.0.1", 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
-
-
 class Site:
     """A stand-in site and the daemons before it."""
 
--- a/ferrydock/route_daemon.py
+++ b/ferrydock/route_daemon.py
@@ -113,10 +113,14 @@
 def _serve(deployment: Deployment) -> int:
     service = RouteService(deployment=deployment)
     gc.freeze()
-    with aiomisc.entrypoint(
-        service, log_config=False, pool_size=2, loop_factory=uvloop.new_event_loop
-    ) as loop:
-        status = loop.run_until_complete(_run_until_stopped(service.node))
+    try:
+        with aiomisc.entrypoint(
+            service, log_config=False, pool_size=2, loop_factory=uvloop.new_event_loop
+        ) as loop:
+            status = loop.run_until_complete(_run_until_stopped(service.node))
+    except OSError as error:
+        log_event(_LOG, logging.CRITICAL, "cannot_listen", why=error)
+        return EXIT_BROKEN
     log_event(_LOG, logging.INFO, "exit", status=status)
     return status
 
