--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -29,6 +29,7 @@
     "configuration_unconfirmed": "the configuration was not known to be current, so no key counts",
     "unknown_key": "no tenant of the configuration in force holds the key",
     "dead": "a member did not answer any more",
+    "all_dead": "none of its members answered any more",
     "member_gone": "the entry of a member is gone and it does not answer",
     "leaving": "a member said that it will leave",
     "stray": "nobody opened the replica",
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -125,6 +125,7 @@
         self._left: dict[str, tuple[str, int]] = {}
         self._asked: dict[tuple[str, int], tuple[float, float]] = {}
         self._asking: set[tuple[str, int]] = set()
+        self._lost: set[tuple[str, int]] = set()
         self._domains: set[str] = set()
         self._workers_known = 0
         self._workers_since_s = 0.0
@@ -211,6 +212,7 @@
         if self._is_busy(replica.members):
             return False
         if all(self.is_suspect(target.target_id) for target in replica.members):
+            self._note_lost(replica)
             return False
         dead = [t.target_id for t in replica.members if self.is_suspect(t.target_id)]
         leaving = [t.target_id for t in replica.members if t.draining]
@@ -298,6 +300,24 @@
             alive=alive,
         )
 
+    def _note_lost(self, replica: _Seen) -> None:
+        """Say once that all members of a replica are gone: there is nothing to dissolve."""
+        if replica.key in self._lost:
+            return
+        self._lost.add(replica.key)
+        log_event(
+            _LOG,
+            logging.WARNING,
+            "replica_given_up",
+            replica=replica.name,
+            epoch=replica.epoch,
+            model=replica.model,
+            why="all_dead",
+            members=",".join(target.target_id for target in replica.members),
+        )
+        self.metrics.repairs.labels("all_dead").inc()
+        self.on_broken(replica.key)
+
     def _adopt(self, replica: _Seen, model: ModelFigures) -> None:
         """Go on with a replica that another controller had begun."""
         members = tuple(replica.members)
@@ -553,6 +573,7 @@
         self._busy.clear()
         self._freeing.clear()
         self._left.clear()
+        self._lost.clear()
 
     @property
     def is_acting(self) -> bool:
