Daemons of a hall tell each other of broken replicas

Change: a follower's question names the replicas it found broken, the controller asks their members itself and answers with those it holds for broken; a new one ends a held question.

--- a/ferrydock/entry/_node.py
+++ b/ferrydock/entry/_node.py
@@ -17,7 +17,7 @@
 from ..hall import ControllerLease
 from ..logs import BoundedHandler, log_event
 from ..outcomes import Invalid, Unavailable
-from ..relay import RelayClient, RelayServer
+from ..relay import BrokenReplicas, RelayClient, RelayServer
 from ..reports import RouteMetrics
 from ..requests import RetryBudget
 from ..targets import TargetDirectory
@@ -82,11 +82,20 @@
         )
         self.desk = OrderDesk(deployment.control, self.directory, clock)
         self.stalls = StallWatch(
-            self.forwarder, self.placing, self.loads, deployment.control, clock, self._on_dead
+            self.forwarder,
+            self.placing,
+            self.loads,
+            deployment.control,
+            clock,
+            self._on_dead,
+            lambda key: self.broken.note(key, clock.now_s()),
+        )
+        self.broken = BrokenReplicas(self._on_told_broken)
+        self.relay_server = RelayServer(
+            self.book, self.directory, self._reads_store, clock, self.broken
         )
-        self.relay_server = RelayServer(self.book, self.directory, self._reads_store, clock)
         decode = deployment.configuration_source.decode
-        self.relay_client = RelayClient(self.book, self.directory, decode, clock)
+        self.relay_client = RelayClient(self.book, self.directory, decode, clock, self.broken)
         self.controllers = [self._controller(hall) for hall in self.settings.halls]
         self.seats = [self._seat(controller) for controller in self.controllers]
         own = self.settings.halls.index(self.settings.hall)
@@ -126,6 +135,20 @@
         age_s = self.book.age_s(self.clock.now_s())
         return self.own_seat.lease.valid and age_s < STORE_AWAY_S
 
+    def _on_told_broken(self, key: tuple[str, int]) -> None:
+        """Take another daemon's word that a replica is broken.
+
+        A follower takes its controller's word. The controller asks the members itself: whoever
+        told it may be cut off from them.
+        """
+        if not self.own_seat.lease.valid:
+            self.stalls.break_replica(key, "told")
+            return
+        for service in self._engine_services():
+            for replica in self.directory.replicas(service):
+                if replica.key == key:
+                    self.stalls.check_replica(replica)
+
     def _on_dead(self, target_ids: list[str], reason: str) -> None:
         for target_id in target_ids:
             target = self.directory.targets.get(target_id)
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from ..clock import Clock
 from ..logs import log_event
@@ -29,6 +29,8 @@
     ----------
     on_dead : callable
         Takes the ids of targets that did not answer.
+    on_broken : callable
+        Takes name and epoch of a replica that is held for broken from now on.
 
     Notes
     -----
@@ -44,6 +46,7 @@
         "control",
         "forwarder",
         "loads",
+        "on_broken",
         "on_dead",
         "placing",
     )
@@ -56,7 +59,9 @@
         control: TargetControl,
         clock: Clock,
         on_dead: Callable[[list[str], str], None],
+        on_broken: Callable[[tuple[str, int]], None] = lambda key: None,
     ):
+        self.on_broken = on_broken
         self.forwarder = forwarder
         self.placing = placing
         self.loads = loads
@@ -79,11 +84,9 @@
             if quiet_s < bearable_s or now_s - asked_s < AGAIN_S:
                 continue
             self._asked_s[replica.key] = now_s
-            task = asyncio.get_running_loop().create_task(self._ask(replica, quiet_s))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._ask(replica))
 
-    async def _ask(self, replica: ReplicaView, quiet_s: float) -> None:
+    async def _ask(self, replica: ReplicaView, is_told: bool = False) -> None:
         reports = await asyncio.gather(
             *(self.control.report(member, REPORT_TIMEOUT_S) for member in replica.members)
         )
@@ -93,10 +96,10 @@
             if isinstance(report, Unavailable)
         ]
         still_s = self.clock.now_s() - self.loads.of(replica.head.target_id).progress_s
-        if still_s < QUIET_S:
+        if still_s < QUIET_S and not is_told:
             return
         attempts = len(self.forwarder.attempts.get(replica.head.target_id, ()))
-        stuck = still_s > STUCK_S and attempts > 1
+        stuck = still_s > STUCK_S and attempts > 1 and not is_told
         log_event(
             _LOG,
             logging.INFO,
@@ -115,11 +118,26 @@
             self.loads.failed(replica.head.target_id, self.clock.now_s(), at_once=True)
             self.interrupt(replica.key, "stuck")
 
+    def check_replica(self, replica: ReplicaView) -> None:
+        """Ask the members of a replica that another daemon holds for broken."""
+        now_s = self.clock.now_s()
+        asked_s = self._asked_s.get(replica.key, -AGAIN_S)
+        if replica.key in self.placing.broken or now_s - asked_s < AGAIN_S:
+            return
+        self._asked_s[replica.key] = now_s
+        self._spawn(self._ask(replica, is_told=True))
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def break_replica(self, key: tuple[str, int], reason: str) -> None:
         """Send nothing more to a replica, and move its streams elsewhere."""
         if key not in self.placing.broken:
             self.placing.broken.add(key)
             self.interrupt(key, reason)
+            self.on_broken(key)
 
     def interrupt(self, key: tuple[str, int], reason: str) -> None:
         """End the attempts that run at a replica."""
--- a/ferrydock/relay/__init__.py
+++ b/ferrydock/relay/__init__.py
@@ -1,10 +1,12 @@
 """One daemon of a hall reads the store; the others follow it, with the age of what it knows."""
 
+from ._broken import BrokenReplicas
 from ._client import RelayClient
 from ._messages import NewsAnswer, NewsRequest, decode_answer, decode_request, encode
 from ._server import RelayServer
 
 __all__ = [
+    "BrokenReplicas",
     "NewsAnswer",
     "NewsRequest",
     "RelayClient",
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -10,6 +10,7 @@
 from ..configuration import Configuration, ConfigurationBook, ConfigurationUnreadable
 from ..logs import log_event
 from ..targets import TargetChanges, TargetDirectory
+from ._broken import BrokenReplicas
 from ._messages import NewsAnswer, NewsRequest, decode_answer, encode
 from ._server import METHOD, OPTIONS
 
@@ -36,6 +37,8 @@
         What is filled.
     decode : callable
         Reads an encoded configuration.
+    broken : BrokenReplicas, optional
+        What is known of broken replicas.
 
     Notes
     -----
@@ -50,6 +53,7 @@
         "_channel",
         "_life",
         "book",
+        "broken",
         "clock",
         "decode",
         "directory",
@@ -61,7 +65,9 @@
         directory: TargetDirectory,
         decode: Callable[[bytes], Configuration | ConfigurationUnreadable],
         clock: Clock,
+        broken: BrokenReplicas | None = None,
     ):
+        self.broken = broken or BrokenReplicas()
         self.book = book
         self.directory = directory
         self.decode = decode
@@ -75,7 +81,12 @@
     async def pull(self, address: str) -> bool:
         """Ask once; return whether the answer was good enough to need no store."""
         await self._connect(address)
-        request = NewsRequest(self._life, self._change, self.book.version)
+        request = NewsRequest(
+            self._life,
+            self._change,
+            self.book.version,
+            self.broken.lately(self.clock.now_s()),
+        )
         sent_s = self.clock.now_s()
         try:
             data = await self._call(encode(request), timeout=ANSWER_TIMEOUT_S)
@@ -111,6 +122,7 @@
             self.book.confirm(answer.version, sent_s - answer.age_s)
         if not answer.serves:
             return False
+        self.broken.hear(answer.broken)
         if answer.revision < self.directory.revision:
             return False  # what this daemon has read itself is newer
         self._life, self._change = answer.life, answer.change
--- a/ferrydock/relay/_messages.py
+++ b/ferrydock/relay/_messages.py
@@ -21,11 +21,14 @@
         Last change of that list it has taken.
     version : int
         Version of its configuration.
+    broken : tuple of (str, int)
+        Replicas, by name and epoch, that it found broken lately.
     """
 
     life: str
     change: int
     version: int
+    broken: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,8 @@
         Its encoded value; empty where the follower has it.
     age_s : float or None
         How long ago that version was surely the newest, as of this answer.
+    broken : tuple of (str, int)
+        Replicas that the answering daemon holds for broken.
     """
 
     serves: bool
@@ -58,6 +63,7 @@
     version: int
     configuration: str
     age_s: float | None
+    broken: tuple[tuple[str, int], ...] = ()
 
 
 def encode(message: NewsRequest | NewsAnswer) -> bytes:
@@ -67,7 +73,8 @@
 
 def decode_request(data: bytes) -> NewsRequest:
     """Return a request; raises ValueError, TypeError."""
-    return NewsRequest(**orjson.loads(data))
+    fields = orjson.loads(data)
+    return NewsRequest(**{**fields, "broken": _keys(fields.get("broken", ()))})
 
 
 def decode_answer(data: bytes) -> NewsAnswer:
@@ -84,9 +91,14 @@
     fields = orjson.loads(data)
     fields["entries"] = tuple(_target(entry) for entry in fields["entries"])
     fields["removed"] = tuple(fields["removed"])
+    fields["broken"] = _keys(fields.get("broken", ()))
     return NewsAnswer(**fields)
 
 
+def _keys(pairs) -> tuple[tuple[str, int], ...]:
+    return tuple((str(name), int(epoch)) for name, epoch in pairs)
+
+
 def _target(fields: dict) -> Target:
     place = fields["membership"]
     if place is not None:
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..configuration import ConfigurationBook
 from ..targets import TargetDirectory
+from ._broken import BrokenReplicas
 from ._messages import NewsAnswer, decode_request, encode
 
 __all__ = ["METHOD", "OPTIONS", "RelayServer"]
@@ -36,9 +37,11 @@
         What is told.
     reads_store : callable
         Whether this daemon reads the store itself and lately reached it.
+    broken : BrokenReplicas, optional
+        What is known of broken replicas.
     """
 
-    __slots__ = ("_server", "book", "clock", "directory", "life", "reads_store")
+    __slots__ = ("_server", "book", "broken", "clock", "directory", "life", "reads_store")
 
     def __init__(
         self,
@@ -46,7 +49,9 @@
         directory: TargetDirectory,
         reads_store: Callable[[], bool],
         clock: Clock,
+        broken: BrokenReplicas | None = None,
     ):
+        self.broken = broken or BrokenReplicas()
         self.book = book
         self.directory = directory
         self.reads_store = reads_store
@@ -74,8 +79,15 @@
             request = decode_request(data)
         except (ValueError, TypeError) as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        self.broken.hear(request.broken)
+        known_broken = self.broken.count
         until_s = self.clock.now_s() + HOLD_S
-        while self._is_known(request) and self.clock.now_s() < until_s and self.reads_store():
+        while (
+            self._is_known(request)
+            and self.broken.count == known_broken
+            and self.clock.now_s() < until_s
+            and self.reads_store()
+        ):
             await asyncio.sleep(LOOK_S)
         return encode(self.answer(request))
 
@@ -110,4 +122,5 @@
             version=book.version,
             configuration=configuration.encoded.decode() if lacks else "",
             age_s=age_s if age_s != float("inf") else None,
+            broken=self.broken.lately(self.clock.now_s()),
         )
--- a/ferrydock/relay/tests/test_relay.py
+++ b/ferrydock/relay/tests/test_relay.py
@@ -112,3 +112,21 @@
     other = pair.server.answer(NewsRequest("other", 1, -1))
     assert other.whole and len(other.entries) == 2
     assert isinstance(other, NewsAnswer)
+
+
+def test_broken_replicas_are_told_both_ways_and_end_a_held_question():
+    async def scenario():
+        async with Pair() as pair:
+            heard, heard_back = [], []
+            pair.server.broken.on_told = heard.append
+            pair.client.broken.on_told = heard_back.append
+            assert await pair.client.pull(pair.address)
+            pair.client.broken.note(("g1", 3), pair.follower_clock.now_s())
+            pulling = asyncio.ensure_future(pair.client.pull(pair.address))
+            await asyncio.sleep(0.1)
+            assert heard == [("g1", 3)]
+            pair.server.broken.note(("g2", 4), pair.clock.now_s())  # the clock stands still
+            assert await asyncio.wait_for(pulling, 2.0)
+            assert heard_back == [("g2", 4)]
+
+    play(scenario)
