Learn a number of orders that was counted too high

The domain formed no replica of four any more. Change: after a refusal any number that the target reports and that differs is taken. Test: fails before.

--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -110,8 +110,13 @@
         self._began_s = asyncio.get_running_loop().time()
 
     def _wanted_replicas(self) -> int:
-        """Return how many replicas each hall should hold at the least."""
-        return 2 * len(self.experiment.halls)
+        """Return how many replicas should serve at the least: one in each domain that can."""
+        usable: dict[str, int] = {}
+        for worker in self.site.fleet.workers.values():
+            if worker.alive and not worker.draining:
+                usable[worker.domain] = usable.get(worker.domain, 0) + 1
+        largest = max(model.size for model in self.site.engine.models)
+        return sum(count >= largest for count in usable.values())
 
     async def _until_formed(self, within_s: float) -> None:
         loop = asyncio.get_running_loop()
--- a/ferrydock/groups/_orders.py
+++ b/ferrydock/groups/_orders.py
@@ -100,10 +100,13 @@
         return answer
 
     async def _learn(self, target: Target, expected: int) -> bool:
-        """Read a target's number of orders; return whether it is above the one expected."""
+        """Read a target's number of orders; return whether it is another than the one expected.
+
+        It may be lower: an order that held already counts with some targets and not with others.
+        """
         await asyncio.sleep(REPORT_LAG_S)
         report = await self.control.report(target, REPORT_TIMEOUT_S)
-        if isinstance(report, Unavailable) or report.orders <= expected:
+        if isinstance(report, Unavailable) or report.orders == expected:
             return False
         self._numbers[target.target_id] = report.orders
         return True
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -138,6 +138,22 @@
     play(scenario)
 
 
+def test_a_number_of_orders_that_was_counted_too_high_is_put_right():
+    async def scenario():
+        hall = await formed(Hall(10))
+        await asyncio.sleep(30.0)
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        for worker in hall.fleet.workers.values():
+            hall.controller.desk._numbers[worker.worker_id] = worker.orders + 1
+        hall.kill_worker(head.members[1])
+        hall.controller.suspect([head.members[1]], "test")
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
+        assert took_s is not None and took_s < 4.0
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
 def test_an_open_replica_is_not_opened_again_while_its_entry_lags():
     async def scenario():
         hall = Hall(5)
