--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -4,10 +4,13 @@
 import random
 from dataclasses import dataclass, field
 
+from ..standins.fleet import request_bytes
+
 __all__ = ["Call", "Callers"]
 
 ANSWER_TIMEOUT_S = 8.0
 DEADLINE_MS = 5000
+KEY = "key-acme"
 EVENTS = 10
 _PATHS = {
     "write-large": ("/write/x", "large"),
@@ -128,11 +131,7 @@
 
 def _request(call: Call) -> bytes:
     path, model = _PATHS[call.kind]
-    return (
-        f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {call.request_id}\r\n"
-        f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Model: {model}\r\nContent-Length: 2\r\n"
-        "Authorization: Bearer key-acme\r\n\r\nhi"
-    ).encode()
+    return request_bytes(path, call.request_id, DEADLINE_MS, model, KEY, b"hi")
 
 
 async def _read_body(reader, head: bytes, call: Call) -> bytes:
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -16,6 +16,7 @@
 
 FORMED_WITHIN_S = 30.0
 LOOK_S = 0.05
+SHOWN_EVERYWHERE_S = 1.2
 RESTART_AFTER_S = 0.3
 MOST_KILLED_PER_DOMAIN = 0.4
 PROMISES = (
@@ -125,7 +126,7 @@
             if loop.time() > until_s:
                 break
             await asyncio.sleep(LOOK_S)
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(SHOWN_EVERYWHERE_S)
 
     async def _stop(self) -> None:
         for daemon in self.daemons:
--- a/ferrydock/groups/__init__.py
+++ b/ferrydock/groups/__init__.py
@@ -1,6 +1,6 @@
 """Replicas as groups of workers: what to form, and the orders that form and dissolve them."""
 
-from ._controller import GroupController, placement_key
+from ._controller import GroupController
 from ._forming import PlannedReplica, dissolve, form
 from ._loads import LoadBudget
 from ._orders import OrderDesk
@@ -12,12 +12,14 @@
     staging,
     target_counts,
 )
+from ._record import PlacementRecord, placement_key
 
 __all__ = [
     "Formation",
     "GroupController",
     "LoadBudget",
     "OrderDesk",
+    "PlacementRecord",
     "PlannedReplica",
     "choose_members",
     "dissolve",
--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -5,24 +5,23 @@
 import uuid
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass
-
-import orjson
 
 from ..clock import Clock
 from ..configuration import ConfigurationBook, EngineFigures, ModelFigures
 from ..hall import ControllerLease
 from ..logs import log_event
-from ..outcomes import Unavailable, Unknown
+from ..outcomes import Unavailable
 from ..reports import RouteMetrics
-from ..store import Compare, KeyValue, Put, RangeDone, Store, Txn, TxnDone
+from ..store import Store
 from ..targets import GroupState, StageOrder, Target, TargetDirectory
 from ._forming import PlannedReplica, dissolve, form
 from ._loads import LoadBudget
 from ._orders import OrderDesk
 from ._plan import Formation, domain_shares, next_formation, staging
+from ._record import PlacementRecord
+from ._seen import SeenReplica, seen_replicas
 
-__all__ = ["GroupController", "placement_key"]
+__all__ = ["GroupController"]
 
 _LOG = logging.getLogger("ferrydock.groups")
 STRAY_S = 3.0
@@ -36,37 +35,6 @@
 EXTRA_LOADS = 3
 
 
-def placement_key(hall: str) -> str:
-    """Return the key of a hall's placement record."""
-    return f"/ferrydock/hall/{hall}/placement"
-
-
-@dataclass(slots=True)
-class _Seen:
-    """A replica as the entries of its members show it."""
-
-    name: str
-    epoch: int
-    members: list[Target]
-
-    @property
-    def key(self) -> tuple[str, int]:
-        return self.name, self.epoch
-
-    @property
-    def head(self) -> Target | None:
-        first = self.members[0]
-        return first if first.membership.rank == 0 else None
-
-    @property
-    def is_open(self) -> bool:
-        return self.head is not None and self.head.membership.state is GroupState.OPEN
-
-    @property
-    def model(self) -> str:
-        return next((t.models[0] for t in self.members if t.models), "")
-
-
 class GroupController:
     """Forms, repairs and dissolves the replicas of one hall.
 
@@ -81,9 +49,8 @@
 
     Notes
     -----
-    Each plan is written to the hall's placement record first, on condition that the record has
-    not changed. The revision of that write is the epoch of the replicas planned by it, so that a
-    controller that was replaced can never outrank its successor.
+    Each plan is written to the hall's placement record first; the revision of that write is the
+    epoch of the replicas planned by it.
     """
 
     def __init__(
@@ -105,7 +72,6 @@
         self.hall = hall
         self.halls = halls
         self.lease = lease
-        self.store = store
         self.book = book
         self.directory = directory
         self.desk = desk
@@ -113,7 +79,7 @@
         self.load_overshoot = load_overshoot
         self.on_broken = on_broken
         self.loads = LoadBudget(load_window_s)
-        self.record_revision: int | None = None
+        self.record = PlacementRecord(store, hall, lease.holder)
         self._busy: set[str] = set()
         self._freeing: Counter[str] = Counter()
         self._forming: dict[tuple[str, int], PlannedReplica] = {}
@@ -150,7 +116,7 @@
         lookup = self.book.lookup
         if lookup is None or not self.directory.loaded or not self.lease.valid:
             return
-        if self.record_revision is None and not await self._read_record():
+        if not await self.record.read():
             return
         for service in lookup.configuration.services.values():
             if service.engine is not None:
@@ -165,28 +131,21 @@
         ]
         self._forget(workers)
         replicas = [
-            replica for replica in self._replicas(workers) if self._tend(replica, engine, now_s)
+            replica
+            for replica in seen_replicas(self._members(workers))
+            if self._tend(replica, engine, now_s)
         ]
         plans = self._plan(service, workers, replicas, engine, now_s)
         if plans:
             await self._begin(plans)
         self._stage(workers, replicas, engine, now_s)
 
-    def _replicas(self, workers: list[Target]) -> list[_Seen]:
-        found: dict[tuple[str, int], _Seen] = {}
-        for target in workers:
-            place = target.membership
-            if place is not None and not self._has_left(target):
-                seen = found.setdefault(
-                    (place.replica, place.epoch), _Seen(place.replica, place.epoch, [])
-                )
-                seen.members.append(target)
-        for seen in found.values():
-            seen.members.sort(key=lambda target: target.membership.rank)
-        return list(found.values())
-
     # Replicas that are there ------------------------------------------------------------------
 
+    def _members(self, workers: list[Target]) -> list[Target]:
+        """Return the workers that belong to a replica."""
+        return [w for w in workers if w.membership is not None and not self._has_left(w)]
+
     def _has_left(self, target: Target) -> bool:
         """Whether a target is known to have left the replica that its entry still shows."""
         place = target.membership
@@ -205,7 +164,7 @@
             if place is None or (place.replica, place.epoch) != key:
                 del self._left[target_id]
 
-    def _tend(self, replica: _Seen, engine: EngineFigures, now_s: float) -> bool:
+    def _tend(self, replica: SeenReplica, engine: EngineFigures, now_s: float) -> bool:
         """Dissolve a replica that cannot serve any more; return whether it is there to stay."""
         if replica.key in self._forming:
             return True
@@ -256,7 +215,7 @@
         self._spawn(self._dissolve(replica, set(dead), cut))
         return False
 
-    def _are_missing_alive(self, replica: _Seen, model: ModelFigures, now_s: float) -> bool:
+    def _are_missing_alive(self, replica: SeenReplica, model: ModelFigures, now_s: float) -> bool:
         """Whether the members without an entry still answer, or have yet to be asked.
 
         Entries go in numbers while the store is cut off or comes back. A replica is whole as
@@ -273,7 +232,7 @@
             self._spawn(self._ask_missing(replica))
         return now_s - alive_s <= ANSWER_COUNTS_S
 
-    async def _ask_missing(self, replica: _Seen) -> None:
+    async def _ask_missing(self, replica: SeenReplica) -> None:
         present = {target.target_id for target in replica.members}
         known = self.directory.members_ever(replica.key)
         missing = [target for target in known if target.target_id not in present]
@@ -300,7 +259,7 @@
             alive=alive,
         )
 
-    def _note_lost(self, replica: _Seen) -> None:
+    def _note_lost(self, replica: SeenReplica) -> None:
         """Say once that all members of a replica are gone: there is nothing to dissolve."""
         if replica.key in self._lost:
             return
@@ -318,7 +277,7 @@
         self.metrics.repairs.labels("all_dead").inc()
         self.on_broken(replica.key)
 
-    def _adopt(self, replica: _Seen, model: ModelFigures) -> None:
+    def _adopt(self, replica: SeenReplica, model: ModelFigures) -> None:
         """Go on with a replica that another controller had begun."""
         members = tuple(replica.members)
         plan = PlannedReplica(
@@ -329,7 +288,7 @@
         log_event(_LOG, logging.INFO, "replica_adopted", replica=replica.name, epoch=replica.epoch)
         self._spawn(self._form(plan, joined=True))
 
-    async def _dissolve(self, replica: _Seen, dead: set[str], cut: bool) -> None:
+    async def _dissolve(self, replica: SeenReplica, dead: set[str], cut: bool) -> None:
         members = tuple(t for t in replica.members if t.target_id not in dead)
         ids = {target.target_id for target in members}
         domain = replica.members[0].domain
@@ -353,7 +312,7 @@
         self,
         service: str,
         workers: list[Target],
-        replicas: list[_Seen],
+        replicas: list[SeenReplica],
         engine: EngineFigures,
         now_s: float,
     ) -> list[Formation]:
@@ -429,7 +388,7 @@
                 found[plan.formation.model.name] += plan.formation.model.size
         return found
 
-    def _counts(self, domain: str, replicas: list[_Seen]) -> dict[str, int]:
+    def _counts(self, domain: str, replicas: list[SeenReplica]) -> dict[str, int]:
         """Return the replicas of a domain by model, those being formed included."""
         counts: dict[str, int] = {}
         for replica in replicas:
@@ -445,19 +404,11 @@
 
     async def _begin(self, formations: list[Formation]) -> None:
         """Write the plans to the record, and form them under the revision of that write."""
-        names = [f"g{uuid.uuid4().hex[:8]}" for _ in formations]
-        rows = [
-            {
-                "name": name,
-                "model": formation.model.name,
-                "members": [member.target_id for member in formation.members],
-            }
-            for name, formation in zip(names, formations, strict=True)
-        ]
-        epoch = await self._write_record(rows)
-        if epoch is None:
+        plans = {f"g{uuid.uuid4().hex[:8]}": formation for formation in formations}
+        epoch = await self.record.write(plans)
+        if epoch is None or not self.lease.valid:
             return
-        for name, formation in zip(names, formations, strict=True):
+        for name, formation in plans.items():
             self.loads.begin(formation.loads, self.clock.now_s())
             plan = PlannedReplica(name, epoch, formation)
             self._forming[(name, epoch)] = plan
@@ -482,7 +433,11 @@
     # Spares -----------------------------------------------------------------------------------
 
     def _stage(
-        self, workers: list[Target], replicas: list[_Seen], engine: EngineFigures, now_s: float
+        self,
+        workers: list[Target],
+        replicas: list[SeenReplica],
+        engine: EngineFigures,
+        now_s: float,
     ) -> None:
         """Load weights to the hosts of idle workers, once the domain forms nothing."""
         in_use: dict[str, dict[str, int]] = {}
@@ -512,46 +467,6 @@
     async def _stage_one(self, worker: Target, model: str) -> None:
         await self.desk.give(worker, StageOrder(model), 2.0)
 
-    # The record -------------------------------------------------------------------------------
-
-    async def _read_record(self) -> bool:
-        found = await self.store.range(placement_key(self.hall))
-        if not isinstance(found, RangeDone):
-            return False
-        self.record_revision = found.items[0].mod_revision if found.items else 0
-        return True
-
-    async def _write_record(self, rows: list[dict]) -> int | None:
-        """Write the plans; return the revision of the write, or None if it is not ours."""
-        key = placement_key(self.hall)
-        nonce = uuid.uuid4().hex
-        value = orjson.dumps({"holder": self.lease.holder, "nonce": nonce, "replicas": rows})
-        compare = Compare(key, self.record_revision)
-        done = await self.store.transact(Txn((compare,), (Put(key, value),), (key,)))
-        if isinstance(done, Unknown):
-            done = await self._settle(key, value)
-        if isinstance(done, Unavailable):
-            return None
-        if not done.succeeded:
-            item: KeyValue | None = done.reads[0] if done.reads else None
-            self.record_revision = item.mod_revision if item else 0
-            log_event(_LOG, logging.WARNING, "placement_contested", hall=self.hall)
-            return None
-        self.record_revision = done.revision
-        return done.revision if self.lease.valid else None
-
-    async def _settle(self, key: str, value: bytes) -> TxnDone | Unavailable:
-        """Find out whether a write whose answer was lost took effect."""
-        found = await self.store.range(key)
-        if not isinstance(found, RangeDone):
-            self.record_revision = None
-            return Unavailable("the record could not be read back")
-        item = found.items[0] if found.items else None
-        if item is not None and item.value == value:
-            return TxnDone(True, item.mod_revision)
-        # It may still be done later, on its condition: the next write of ours makes it void.
-        return TxnDone(False, found.revision, (item,))
-
     # Tasks ------------------------------------------------------------------------------------
 
     def _spawn(self, work: Coroutine) -> None:
@@ -568,7 +483,7 @@
         """Stop what is under way: the lease is gone."""
         for task in list(self._tasks):
             task.cancel()
-        self.record_revision = None
+        self.record.forget()
         self._forming.clear()
         self._busy.clear()
         self._freeing.clear()
--- /dev/null
+++ b/ferrydock/groups/_record.py
@@ -0,0 +1,104 @@
+"""A hall's placement record in the store: what was planned, and the epochs that follow from it."""
+
+import logging
+import uuid
+
+import orjson
+
+from ..logs import log_event
+from ..outcomes import Unavailable, Unknown
+from ..store import Compare, Put, RangeDone, Store, Txn, TxnDone
+from ._plan import Formation
+
+__all__ = ["PlacementRecord", "placement_key"]
+
+_LOG = logging.getLogger("ferrydock.groups")
+
+
+def placement_key(hall: str) -> str:
+    """Return the key of a hall's placement record."""
+    return f"/ferrydock/hall/{hall}/placement"
+
+
+class PlacementRecord:
+    """Writes plans on condition that nobody else has written since.
+
+    Parameters
+    ----------
+    store : Store
+        Keeps the record.
+    hall, holder : str
+        Whose record; who writes.
+
+    Notes
+    -----
+    The revision of a write is the epoch of the replicas planned by it. Revisions only rise, so a
+    controller that was replaced can never outrank its successor.
+    """
+
+    __slots__ = ("_revision", "hall", "holder", "store")
+
+    def __init__(self, store: Store, hall: str, holder: str):
+        self.store = store
+        self.hall = hall
+        self.holder = holder
+        self._revision: int | None = None
+
+    def forget(self) -> None:
+        """Read the record anew before the next write."""
+        self._revision = None
+
+    async def read(self) -> bool:
+        """Find out how the record stands; return whether that is known."""
+        if self._revision is not None:
+            return True
+        found = await self.store.range(placement_key(self.hall))
+        if not isinstance(found, RangeDone):
+            return False
+        self._revision = found.items[0].mod_revision if found.items else 0
+        return True
+
+    async def write(self, plans: dict[str, Formation]) -> int | None:
+        """Write plans by the names of their replicas.
+
+        Returns
+        -------
+        int or None
+            The revision of the write; None if it surely is not in force.
+        """
+        key = placement_key(self.hall)
+        rows = [
+            {
+                "name": name,
+                "model": formation.model.name,
+                "members": [member.target_id for member in formation.members],
+            }
+            for name, formation in plans.items()
+        ]
+        fields = {"holder": self.holder, "nonce": uuid.uuid4().hex, "replicas": rows}
+        value = orjson.dumps(fields)
+        txn = Txn((Compare(key, self._revision),), (Put(key, value),), (key,))
+        done = await self.store.transact(txn)
+        if isinstance(done, Unknown):
+            done = await self._settle(key, value)
+        if isinstance(done, Unavailable):
+            return None
+        if not done.succeeded:
+            item = done.reads[0] if done.reads else None
+            self._revision = item.mod_revision if item else 0
+            log_event(_LOG, logging.WARNING, "placement_contested", hall=self.hall)
+            return None
+        self._revision = done.revision
+        return done.revision
+
+    async def _settle(self, key: str, value: bytes) -> TxnDone | Unavailable:
+        """Find out whether a write whose answer was lost took effect."""
+        found = await self.store.range(key)
+        if not isinstance(found, RangeDone):
+            self._revision = None
+            return Unavailable("the record could not be read back")
+        item = found.items[0] if found.items else None
+        if item is not None and item.value == value:
+            return TxnDone(True, item.mod_revision)
+        # It may still be done later, on its condition: the next write of ours makes it void.
+        return TxnDone(False, found.revision, (item,))
--- /dev/null
+++ b/ferrydock/groups/_seen.py
@@ -0,0 +1,50 @@
+"""Replicas as the entries of their members show them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..targets import GroupState, Target
+
+__all__ = ["SeenReplica", "seen_replicas"]
+
+
+@dataclass(slots=True)
+class SeenReplica:
+    """One replica; `members` are those with an entry, by rank."""
+
+    name: str
+    epoch: int
+    members: list[Target]
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Name and epoch."""
+        return self.name, self.epoch
+
+    @property
+    def head(self) -> Target | None:
+        """The member that takes its requests, if it has an entry."""
+        first = self.members[0]
+        return first if first.membership.rank == 0 else None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its head says that it serves."""
+        return self.head is not None and self.head.membership.state is GroupState.OPEN
+
+    @property
+    def model(self) -> str:
+        """What it serves; empty if no member tells."""
+        return next((t.models[0] for t in self.members if t.models), "")
+
+
+def seen_replicas(members: Iterable[Target]) -> list[SeenReplica]:
+    """Return the replicas that targets with a membership form."""
+    found: dict[tuple[str, int], SeenReplica] = {}
+    for target in members:
+        place = target.membership
+        key = (place.replica, place.epoch)
+        found.setdefault(key, SeenReplica(*key, [])).members.append(target)
+    for seen in found.values():
+        seen.members.sort(key=lambda target: target.membership.rank)
+    return list(found.values())
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Stand-in of a platform with groups of workers: in memory, and by its published protocol."""
 
+from ._caller import request_bytes
 from ._ports import FleetControl, FleetList
 from ._site import FleetSite, small_engine
 from ._store_http import StoreFace, StoreFaults
@@ -21,6 +22,7 @@
     "Violation",
     "Worker",
     "WorkerFace",
+    "request_bytes",
     "run_virtually",
     "small_engine",
 ]
--- /dev/null
+++ b/ferrydock/standins/fleet/_caller.py
@@ -0,0 +1,21 @@
+"""A caller's request in the platform's words."""
+
+__all__ = ["request_bytes"]
+
+
+def request_bytes(
+    path: str, request_id: str, deadline_ms: int, model: str, key: str, body: bytes
+) -> bytes:
+    """Return one request on a connection that stays open.
+
+    Examples
+    --------
+    >>> request_bytes("/a/", "r", 10, "", "k", b"hi").endswith(b"hi")
+    True
+    """
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\nX-Model: {model}\r\nContent-Length: {len(body)}\r\n"
+        f"Authorization: Bearer {key}\r\n\r\n"
+    )
+    return head.encode() + body
