Answer 431 and 413 for what is too large, 400 for what is no request; demo routes

Cause: aiohttp answered its own 400 with a traceback for heads beyond its bound; the configured bound of heads was not checked. Tests: seven kinds of unreadable requests reach no target.

--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -5,6 +5,7 @@
     Experiment,
     Load,
     Trouble,
+    demo_experiment,
     draw_troubles,
     read_experiment,
 )
@@ -23,6 +24,7 @@
     "Load",
     "Result",
     "Trouble",
+    "demo_experiment",
     "draw_troubles",
     "figures",
     "free_ports",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -7,7 +7,15 @@
 
 from ..outcomes import Fault, Invalid
 
-__all__ = ["KINDS", "Experiment", "Load", "Trouble", "draw_troubles", "read_experiment"]
+__all__ = [
+    "KINDS",
+    "Experiment",
+    "Load",
+    "Trouble",
+    "demo_experiment",
+    "draw_troubles",
+    "read_experiment",
+]
 
 KINDS = {
     "worker_dead": "model workers fall silent for good, members of replicas first",
@@ -158,6 +166,20 @@
     return tuple(found)
 
 
+def demo_experiment() -> Experiment:
+    """Return what the demonstration plays: two halls, a worker and a daemon lost on the way."""
+    return Experiment(
+        name="demonstration",
+        seed=7,
+        length_s=7.0,
+        halls=("hall-a", "hall-b"),
+        daemons_per_hall=1,
+        domain_size=6,
+        load=Load(20.0, dict.fromkeys(_CLASSES, 1.0)),
+        troubles=(Trouble(2.0, "worker_dead"), Trouble(3.5, "daemon_killed")),
+    )
+
+
 def draw_troubles(seed: int, length_s: float, halls: tuple[str, ...], count: int) -> list[Trouble]:
     """Return troubles that come in series and overlap, as a seed draws them."""
     rng = random.Random(seed)
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -16,6 +16,7 @@
 from ._events import NumberedEvents
 from ._exchange import Exchange
 from ._forwarder import CallerGone, Forwarder
+from ._listener import HEADERS_TOO_LARGE, Listener
 
 __all__ = ["RouteGateway"]
 
@@ -25,6 +26,7 @@
 UNCONFIRMED_RETRY_S = 0.5
 CLOSED_STATUS = 499
 ONE_MOMENT_S = 0.05
+REQUEST_LINE_REST_BYTES = 12
 DEFAULT_DEADLINE_S = 30.0
 
 
@@ -83,7 +85,7 @@
     async def start(self, listen: str) -> None:
         """Begin to listen on ``IP:PORT``."""
         host, port = listen.rsplit(":", 1)
-        self._server = web.Server(
+        self._server = Listener(
             self._handle,
             handler_cancellation=True,
             access_log=None,
@@ -142,6 +144,8 @@
         lookup = self.book.lookup
         if lookup is None:
             return refusal(503, "no_configuration", UNCONFIRMED_RETRY_S)
+        if _head_bytes(request) > lookup.configuration.limits.header_bytes:
+            return refusal(HEADERS_TOO_LARGE, "headers_too_large", None, close=True)
         inbound = self.dialect.read(request.headers)
         if inbound is None:
             return refusal(400, "bad_request", None)
@@ -221,6 +225,12 @@
 _TOO_LARGE = object()
 
 
+def _head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of a request's head, as it was sent."""
+    line = len(request.method) + len(request.raw_path) + REQUEST_LINE_REST_BYTES
+    return line + sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+
+
 async def _read_small(request: web.BaseRequest, length: int | None, most_bytes: int):
     """Return a body that is small enough to keep, None for a longer one, `_TOO_LARGE` beyond."""
     if not request.can_read_body:
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -334,6 +334,47 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /a/x HTTP/1.1\r\nHost h.example\r\n\r\n", b"400"),
+        (
+            b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: soon\r\n\r\n", b"400"),
+        (b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX: " + b"x" * 20000 + b"\r\n\r\n", b"431"),
+        (b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX: " + b"x" * 80000 + b"\r\n\r\n", b"431"),
+        (b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n", b"413"),
+    ],
+    ids=["nonsense", "header", "both_lengths", "deadline", "long_head", "longer_head", "long_body"],
+)
+def test_what_is_no_request_reaches_no_target(data, status):
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        async with Rig([route()], [target]) as rig:
+            got = await rig.raw(data, until_closed=False)
+        assert got.split()[1] == status
+        assert target.requests == []
+
+    play(scenario)
+
+
+def test_a_chunked_body_that_grows_too_large_is_refused():
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        async with Rig([route()], [target]) as rig:
+            head = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+            data = head + chunk(b"x" * 65536) * 80
+            got = await rig.raw(data, until_closed=False)
+        assert got.split()[1] == b"413"
+        assert target.requests == []
+
+    play(scenario)
+
+
 def test_retries_stay_within_the_budget():
     async def scenario():
         targets = [ScriptedTarget(answers(NOT_EXECUTED)) for _ in range(2)]
