--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -17,8 +17,7 @@
 from ._forming import PlannedReplica, dissolve, form
 from ._loads import LoadBudget
 from ._orders import OrderDesk
-from ._plan import Formation, choose_members, domain_shares, next_formation, staging
-from ._rebalancing import DomainView, Move, choose_move
+from ._plan import Formation, domain_shares, next_formation, staging
 from ._record import PlacementRecord
 from ._seen import SeenReplica, seen_replicas
 
@@ -32,9 +31,6 @@
 ASK_AGAIN_S = 1.0
 ANSWER_COUNTS_S = 1.5
 REPORT_TIMEOUT_S = 0.3
-SHORT_FOR_S = 2.5
-MOVE_WAIT_FACTOR = 2.0
-ROUND_S = 0.1
 SUSPECT_S = 6.0
 EXTRA_LOADS = 3
 
@@ -96,9 +92,6 @@
         self._asked: dict[tuple[str, int], tuple[float, float]] = {}
         self._asking: set[tuple[str, int]] = set()
         self._lost: set[tuple[str, int]] = set()
-        self._short_since_s: float | None = None
-        self._is_moving = False
-        self._reserved: set[str] = set()
         self._domains: set[str] = set()
         self._workers_known = 0
         self._workers_since_s = 0.0
@@ -146,7 +139,6 @@
         if plans:
             await self._begin(plans)
         self._stage(workers, replicas, engine, now_s)
-        self._rebalance(service, workers, replicas, engine, now_s)
 
     # Replicas that are there ------------------------------------------------------------------
 
@@ -160,12 +152,8 @@
         return self._left.get(target.target_id) == (place.replica, place.epoch)
 
     def _is_idle(self, target: Target) -> bool:
-        held = target.target_id in self._busy or target.target_id in self._reserved
-        return self._is_out(target) and not held
-
-    def _is_out(self, target: Target) -> bool:
-        """Whether a target belongs to no replica."""
-        return target.membership is None or self._has_left(target)
+        free = target.membership is None or self._has_left(target)
+        return free and target.target_id not in self._busy
 
     def _forget(self, workers: list[Target]) -> None:
         """Drop what the entries of targets have caught up with."""
@@ -479,89 +467,6 @@
     async def _stage_one(self, worker: Target, model: str) -> None:
         await self.desk.give(worker, StageOrder(model), 2.0)
 
-    # Between models ---------------------------------------------------------------------------
-
-    def _rebalance(
-        self,
-        service: str,
-        workers: list[Target],
-        replicas: list[SeenReplica],
-        engine: EngineFigures,
-        now_s: float,
-    ) -> None:
-        """Move workers to a model that has been short for a while and cannot be repaired."""
-        if self._is_moving or self._forming:
-            return
-        domains = [
-            DomainView(
-                name,
-                [w for w in workers if w.domain == name and self._is_free(w, now_s)],
-                [r for r in replicas if r.members[0].domain == name],
-            )
-            for name in sorted({worker.domain for worker in workers})
-        ]
-        move = choose_move(domains, engine, self._site_workers(service, engine))
-        if move is None or self._loads_left(engine, now_s) < move.model.size:
-            self._short_since_s = None if move is None else self._short_since_s
-            return
-        if self._short_since_s is None:
-            self._short_since_s = now_s
-        if now_s - self._short_since_s < SHORT_FOR_S:
-            return
-        self._short_since_s = None
-        self._is_moving = True
-        self._spawn(self._move(move))
-
-    def _is_free(self, worker: Target, now_s: float) -> bool:
-        usable = not worker.draining and not self._is_paused(worker, now_s)
-        return usable and self._is_idle(worker)
-
-    async def _move(self, move: Move) -> None:
-        """Load the weights beside everything else, then end the replicas and form the other."""
-        log_event(
-            _LOG,
-            logging.WARNING,
-            "workers_moved",
-            domain=move.domain,
-            model=move.model.name,
-            workers=",".join(worker.target_id for worker in move.workers),
-            replicas=",".join(replica.name for replica in move.replicas) or None,
-        )
-        self._reserved = {worker.target_id for worker in move.workers}
-        try:
-            if not await self._hold_weights(move):
-                return
-            for replica in move.replicas:
-                self.on_broken(replica.key)
-                await self._dissolve(replica, set(), cut=False)
-            await self._form_moved(move)
-        finally:
-            self._reserved = set()
-            self._is_moving = False
-
-    async def _hold_weights(self, move: Move) -> bool:
-        """Let all workers of a move load the weights; return whether they have them."""
-        lacking = [w for w in move.workers if move.model.name not in w.staged]
-        self.loads.begin(len(lacking), self.clock.now_s())
-        order = StageOrder(move.model.name)
-        await asyncio.gather(*(self.desk.give(worker, order, 2.0) for worker in lacking))
-        until_s = self.clock.now_s() + MOVE_WAIT_FACTOR * move.model.load_s
-        while self.clock.now_s() < until_s:
-            entries = [self.directory.targets.get(w.target_id) for w in move.workers]
-            if any(e is None or self.is_suspect(e.target_id) for e in entries):
-                return False
-            if all(move.model.name in entry.staged for entry in entries):
-                return True
-            await asyncio.sleep(ROUND_S)
-        return False
-
-    async def _form_moved(self, move: Move) -> None:
-        entries = [self.directory.targets.get(w.target_id) for w in move.workers]
-        idle = [e for e in entries if e is not None and self._is_out(e) and not e.draining]
-        formation = choose_members(idle, move.model)
-        if formation is not None and self.lease.valid:
-            await self._begin([formation])
-
     # Tasks ------------------------------------------------------------------------------------
 
     def _spawn(self, work: Coroutine) -> None:
@@ -584,8 +489,6 @@
         self._freeing.clear()
         self._left.clear()
         self._lost.clear()
-        self._is_moving = False
-        self._reserved = set()
 
     @property
     def is_acting(self) -> bool:
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -154,38 +154,6 @@
     play(scenario)
 
 
-def test_workers_move_to_a_model_that_lost_too_many():
-    async def scenario():
-        hall = await formed(Hall(11))
-        await asyncio.sleep(30.0)
-        for worker_id in [w for w in hall.fleet.workers if w.startswith("w0-")]:
-            hall.kill_worker(worker_id)
-        took_s = await hall.until(lambda: hall.models()["large"] >= 1, 60.0)
-        assert took_s is not None and took_s < 35.0
-        assert hall.models()["small"] >= 2
-        assert hall.fleet.violations == []
-
-    play(scenario)
-
-
-def test_a_move_in_which_a_worker_dies_harms_nothing():
-    async def scenario():
-        hall = await formed(Hall(12))
-        await asyncio.sleep(30.0)
-        for worker_id in [w for w in hall.fleet.workers if w.startswith("w0-")]:
-            hall.kill_worker(worker_id)
-        assert await hall.until(lambda: hall.controller._reserved, 30.0) is not None
-        await asyncio.sleep(3.0)
-        moving = sorted(hall.controller._reserved)
-        hall.kill_worker(moving[0])
-        hall.controller.suspect([moving[0]], "test")
-        await hall.until(lambda: False, 60.0)
-        assert hall.models()["small"] >= 2
-        assert hall.fleet.violations == []
-
-    play(scenario)
-
-
 def test_an_open_replica_is_not_opened_again_while_its_entry_lags():
     async def scenario():
         hall = Hall(5)
