--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ...configuration import Configuration, RouteKind
+from ...targets import Target
 from .rig import HEAD, TENANTS, Rig, ScriptedTarget, answers, attempt_id, play, resets, route, whole
 
 NOT_EXECUTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -118,6 +119,45 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("kind", [RouteKind.REPEATABLE, ONCE])
+def test_an_address_that_another_target_has_now_runs_nothing(kind):
+    async def scenario():
+        async def other(target, request, writer):
+            expected = b"x-expect-instance: t0" in request.lower()
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: new\r\n"
+                b"Content-Length: 0\r\n\r\n"
+                if expected
+                else whole(b"stranger")
+            )
+            await writer.drain()
+            return True
+
+        reused, good = ScriptedTarget(other), ScriptedTarget(answers(whole(b"own")))
+        async with Rig([route(kind=kind)], [reused, good]) as rig:
+            for _ in range(4):
+                got = await rig.ask("POST", body=b"x")
+                assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"own")
+        assert len(good.requests) == 4
+
+    play(scenario)
+
+
+def test_a_connection_belongs_to_one_incarnation():
+    async def scenario():
+        target = ScriptedTarget(answers(whole()))
+        async with Rig([route()], [target]) as rig:
+            await rig.ask()
+            rig.directory.remove("t0")
+            entry = Target("t9", "plain", target.address, "hall-a", 6)
+            rig.directory.put(entry)  # the same address, another life
+            await rig.ask()
+        assert target.connections == 2
+        assert b"X-Expect-Instance: t9" in target.requests[1]
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("kind", [RouteKind.REPEATABLE, ONCE])
 def test_a_dead_port_costs_nothing_that_ran(kind):
     async def scenario():
