Let a replica whose member leaves end its requests before it closes

Ruled out: the change of the configuration beside it (the request's route was not touched). Change: only what is cut is told as broken. Test: fails before.

--- a/ferrydock/groups/_controller.py
+++ b/ferrydock/groups/_controller.py
@@ -208,9 +208,9 @@
             dead=",".join(dead) or None,
         )
         self.metrics.repairs.labels(why).inc()
-        self.on_broken(replica.key)
         cut = why != "leaving"
         if cut:
+            self.on_broken(replica.key)
             self._freeing[replica.members[0].domain] += 1
         self._spawn(self._dissolve(replica, set(dead), cut))
         return False
--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -154,6 +154,22 @@
     play(scenario)
 
 
+def test_a_replica_whose_member_leaves_ends_its_requests_first():
+    async def scenario():
+        hall = await formed(Hall(13))
+        await asyncio.sleep(30.0)
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        leaving = hall.fleet.workers[head.members[1]]
+        leaving.draining = True
+        hall.list._on_change(leaving)
+        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
+        assert took_s is not None
+        assert hall.broken == []  # nothing that runs was broken off
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
 def test_an_open_replica_is_not_opened_again_while_its_entry_lags():
     async def scenario():
         hall = Hall(5)
