--- a/ferrydock/groups/tests/test_controller.py
+++ b/ferrydock/groups/tests/test_controller.py
@@ -162,8 +162,8 @@
         leaving = hall.fleet.workers[head.members[1]]
         leaving.draining = True
         hall.list._on_change(leaving)
-        took_s = await hall.until(lambda: hall.models() == WHOLE, 20.0)
-        assert took_s is not None
+        assert await hall.until(lambda: leaving.membership is None, 20.0) is not None
+        assert await hall.until(lambda: hall.models() == WHOLE, 20.0) is not None
         assert hall.broken == []  # nothing that runs was broken off
         assert hall.fleet.violations == []
 
