--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -9,15 +9,21 @@
 import sys
 from pathlib import Path
 
-__all__ = ["DaemonProcess", "free_ports"]
+__all__ = ["DaemonProcess", "free_ports", "loopback_address"]
 
 ENDED_WITHIN_S = 12.0
 PORTS = (20000, 31999)
 _SOURCE = random.Random()
+_GIVEN: set[tuple[str, int]] = set()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on just now.
+def loopback_address() -> str:
+    """Return an address of the loopback range that other emulations hardly use as well."""
+    return f"127.{_SOURCE.randint(1, 254)}.{_SOURCE.randint(1, 254)}.{_SOURCE.randint(1, 254)}"
+
+
+def free_ports(count: int, address: str = "127.0.0.1") -> list[int]:
+    """Return ports of an address that nobody listens on just now, none of them twice.
 
     They lie below the range from which the system takes ports for outgoing connections: a daemon
     that starts again must find its own still free.
@@ -25,11 +31,14 @@
     ports: list[int] = []
     while len(ports) < count:
         port = _SOURCE.randint(*PORTS)
+        if (address, port) in _GIVEN:
+            continue
         with socket.socket() as opened:
             try:
-                opened.bind(("127.0.0.1", port))
+                opened.bind((address, port))
             except OSError:
                 continue
+        _GIVEN.add((address, port))
         ports.append(port)
     return ports
 
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -10,7 +10,7 @@
 from ..standins.fleet import FleetSite
 from ._experiment import Experiment, Trouble
 from ._load import Call, Callers
-from ._processes import DaemonProcess, free_ports
+from ._processes import DaemonProcess, free_ports, loopback_address
 
 __all__ = ["Emulation", "Result"]
 
@@ -67,6 +67,7 @@
         self.experiment = experiment
         self.rng = random.Random(experiment.seed)
         self.site = FleetSite(experiment.halls, experiment.seed, experiment.domain_size)
+        self.address = loopback_address()
         self.daemons: list[DaemonProcess] = []
         self.result = Result(experiment.name, experiment.seed)
         self._own_folder = tempfile.TemporaryDirectory() if folder is None else None
@@ -102,7 +103,8 @@
             for number in range(experiment.daemons_per_hall):
                 name = f"{hall}-daemon-{number}"
                 store = await self.site.open_store()
-                settings = self.site.settings(name, hall, free_ports(4), store)
+                ports = free_ports(4, self.address)
+                settings = self.site.settings(name, hall, ports, store, self.address)
                 daemon = DaemonProcess(name, hall, settings, self.folder)
                 self.daemons.append(daemon)
                 await daemon.start()
--- a/ferrydock/emulator/tests/test_experiments.py
+++ b/ferrydock/emulator/tests/test_experiments.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ...outcomes import Invalid
-from .. import draw_troubles, read_experiment
+from .. import draw_troubles, free_ports, read_experiment
 
 GOOD = """
 name = "x"
@@ -49,3 +49,8 @@
     first = draw_troubles(5, 20.0, ("a", "b"), 8)
     assert first == draw_troubles(5, 20.0, ("a", "b"), 8)
     assert first != draw_troubles(6, 20.0, ("a", "b"), 8)
+
+
+def test_no_port_of_an_address_is_given_twice():
+    ports = [port for _ in range(40) for port in free_ports(4)]
+    assert len(set(ports)) == len(ports)
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -186,20 +186,25 @@
     # Settings of daemons ----------------------------------------------------------------------
 
     def settings(
-        self, name: str, hall: str, ports: list[int], store: StoreFace | None = None
+        self,
+        name: str,
+        hall: str,
+        ports: list[int],
+        store: StoreFace | None = None,
+        address: str = "127.0.0.1",
     ) -> dict:
         """Return the settings of a daemon that listens on four given ports."""
         front, ready, control, internal = ports
         return {
             "node-name": name,
             "role": "entry",
-            "ip": "127.0.0.1",
+            "ip": address,
             "zone": hall,
             "zones": dict.fromkeys(self.halls, "region"),
             "listen": {
-                "frontend": f"127.0.0.1:{front}",
-                "ready": f"127.0.0.1:{ready}",
-                "control": f"127.0.0.1:{control}",
+                "frontend": f"{address}:{front}",
+                "ready": f"{address}:{ready}",
+                "control": f"{address}:{control}",
             },
             "internal-ports": [internal, internal],
             "limits": {"memory-mb": 300},
