--- a/ferrydock/demo.py
+++ b/ferrydock/demo.py
@@ -284,7 +284,7 @@
 
 def _in_flight(node: Node) -> int:
     replicas = node.state.placement.replicas
-    return sum(node.route_book.own_in_flight(replica_id) for replica_id in replicas)
+    return sum(node.replica_loads.own_in_flight(replica_id) for replica_id in replicas)
 
 
 def _generations(node: Node) -> set:
