--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -59,6 +59,8 @@
 async def main() -> int:
     """Play all seeds, some at a time; return the exit status."""
     values = flags.FLAGS
+    if values.quick:
+        values.seeds = 2
     folder = Path(values.failures)
     room = asyncio.Semaphore(values.at_once)
     failed = []
@@ -74,6 +76,7 @@
 
 
 if __name__ == "__main__":
+    flags.DEFINE_bool("quick", False, "Play two seeds only.")
     flags.DEFINE_integer("first", 1, "First seed.", 0)
     flags.DEFINE_integer("seeds", 50, "How many seeds.", 1)
     flags.DEFINE_integer("at_once", 3, "Emulations at a time.", 1, 16)
--- a/ferrydock/cli/_verbs.py
+++ b/ferrydock/cli/_verbs.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from absl.flags import FlagValues
+
 from ._client import OperatorClient
 
 __all__ = ["Context", "ExitStatus", "Verb", "find_verb", "register_verb", "say", "verbs"]
@@ -42,12 +44,12 @@
     ----------
     client : OperatorClient
         Speaks to the daemon.
-    flags : object
+    flags : FlagValues
         Parsed flags.
     """
 
     client: OperatorClient
-    flags: object
+    flags: FlagValues
 
 
 @dataclass(frozen=True, slots=True)
--- a/ferrydock/daemon.py
+++ b/ferrydock/daemon.py
@@ -29,7 +29,7 @@
     run_service,
     run_until_stopped,
 )
-from .store import EtcdStore, HttpBoxList, HttpWeightStore, StaticWeightStore
+from .store import EtcdStore, HttpBoxList, HttpWeightStore, StaticWeightStore, WeightStore
 
 __all__ = ["NodeService", "main"]
 
@@ -56,7 +56,9 @@
         """Compose the node and start it, as aiomisc asks."""
         clock = SystemClock()
         if self.settings.embedded:
-            platform = await embedded_platform(self.settings.hall, clock, self.settings.seed)
+            platform: Platform = await embedded_platform(
+                self.settings.hall, clock, self.settings.seed
+            )
         else:
             platform = _platform(self.settings)
         self.node = Node(self.settings, platform, clock)
@@ -71,7 +73,7 @@
 
 
 def _platform(settings: Settings) -> Platform:
-    weight_store = StaticWeightStore(UNKNOWN_RATE_BYTES_PER_S)
+    weight_store: WeightStore = StaticWeightStore(UNKNOWN_RATE_BYTES_PER_S)
     if settings.weight_store_url:
         weight_store = HttpWeightStore(settings.weight_store_url)
     return Platform(
--- a/ferrydock/demo.py
+++ b/ferrydock/demo.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import aiohttp
 import orjson
@@ -51,13 +52,13 @@
         self.site = StandInSite(SiteSize(halls=halls), EngineProfile(step_s=0.005))
         self.nodes: dict[str, Node] = {}
         self.peer_links: dict[str, Link] = {}
-        self.platform_link: Link | None = None
 
     async def start(self) -> None:
         """Start the stand-ins and write the table, then start the daemons."""
         await self.site.start()
         host, port = self.site.url.removeprefix("http://").split(":")
-        self.platform_link = await Link(host, int(port)).start()
+        self.platform_link = Link(host, int(port))
+        await self.platform_link.start()
         for hall in self.halls:
             await self._start_node(hall)
         repository = self.nodes[self.halls[0]].repository
@@ -105,7 +106,7 @@
 
 
 def _settings(hall: str, peer_listen: str, outside: str, seeds: tuple[str, ...]) -> Settings:
-    values = dict.fromkeys(Settings.__slots__, "")
+    values: dict[str, Any] = dict.fromkeys(Settings.__slots__, "")
     values.update(
         hall=hall,
         listen="127.0.0.1:0",
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -11,7 +11,7 @@
 )
 from ._load import Call, Callers
 from ._page import figures, page
-from ._processes import free_ports
+from ._processes import free_ports, loopback_address
 from ._run import PROMISES, Emulation, Result
 
 __all__ = [
@@ -28,6 +28,7 @@
     "draw_troubles",
     "figures",
     "free_ports",
+    "loopback_address",
     "page",
     "read_experiment",
 ]
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -183,7 +183,7 @@
 def draw_troubles(seed: int, length_s: float, halls: tuple[str, ...], count: int) -> list[Trouble]:
     """Return troubles that come in series and overlap, as a seed draws them."""
     rng = random.Random(seed)
-    drawn = []
+    drawn: list[Trouble] = []
     while len(drawn) < count:
         kind = rng.choice(list(KINDS))
         at_s = rng.uniform(0.3, max(0.4, length_s - 1.5))
--- a/ferrydock/emulator/_page.py
+++ b/ferrydock/emulator/_page.py
@@ -46,14 +46,14 @@
 
 def _plot(calls: list[Call], length_s: float) -> str:
     """Return an SVG of stacked outcomes over time."""
-    slices = [Counter() for _ in range(SLICES)]
+    slices: list[Counter[str]] = [Counter() for _ in range(SLICES)]
     for call in calls:
         place = min(SLICES - 1, int(call.at_s / length_s * SLICES))
         slices[place][call.outcome] += 1
     most = max((sum(one.values()) for one in slices), default=1) or 1
     bars = []
     for number, counts in enumerate(slices):
-        top = HEIGHT
+        top = float(HEIGHT)
         for outcome, count in sorted(counts.items(), key=lambda pair: pair[0] != "served"):
             high = count / most * HEIGHT
             top -= high
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -92,7 +92,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process is there."""
-        if self.runs:
+        if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
     async def end(self) -> None:
@@ -113,8 +113,10 @@
 
     def resident_bytes(self) -> int:
         """Return the memory of the process; 0 if it is gone."""
+        if self.process is None:
+            return 0
         try:
             pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
-        except (OSError, AttributeError, IndexError):
+        except (OSError, IndexError):
             return 0
         return pages * os.sysconf("SC_PAGE_SIZE")
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from ..invariants import existing
 from ..standins.fleet import FleetSite
 from ._experiment import Experiment, Trouble
 from ._load import Call, Callers
@@ -73,7 +74,9 @@
         self.daemons: list[DaemonProcess] = []
         self.result = Result(experiment.name, experiment.seed)
         self._own_folder = tempfile.TemporaryDirectory() if folder is None else None
-        self.folder = folder or Path(self._own_folder.name)
+        self.folder = (
+            Path(self._own_folder.name) if self._own_folder else existing(folder, "folder")
+        )
         self._began_s = 0.0
         self._tasks: set[asyncio.Task] = set()
 
--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from ..clock import Clock
+from ..invariants import existing
 from ._exchange import AttemptEnd, AttemptReason, CallerGone, Exchange
 from ._headers import end_to_end
 from ._target_loads import TargetLoads
@@ -74,7 +75,7 @@
         A torn event is held back: if the stream breaks off there, it goes on elsewhere after the
         last whole event, and the caller sees none twice.
         """
-        events = exchange.events
+        events = existing(exchange.events, "the event counter of a stream")
         events.start_run()
         before_s = self.clock.now_s() if events.count else None
         async for piece in answer.content.iter_any():
@@ -87,13 +88,13 @@
             if whole:
                 if exchange.response is None:
                     await self._begin(exchange, answer)
-                await _write(exchange.response, whole)
+                await _write(existing(exchange.response, "the begun answer"), whole)
         _check_ended(answer)
         if events.is_torn:
             return AttemptEnd(False, True, AttemptReason.TORN)
         if exchange.response is None:
             await self._begin(exchange, answer)
-        await _write_end(exchange.response)
+        await _write_end(existing(exchange.response, "the begun answer"))
         return AttemptEnd(True, True, AttemptReason.STREAMED, status=answer.status)
 
     async def _begin(
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..invariants import existing
 from ..requests import RetryBudget
 from ._attempts import AttemptRunner
 from ._exchange import Exchange
@@ -55,7 +56,7 @@
             end = await self.attempts.run(exchange, endpoint)
             if end.whole:
                 self._log.done(exchange, end, endpoint, self._held_s(exchange))
-                return exchange.response
+                return existing(exchange.response, "the whole answer")
             may_have_run = may_have_run or end.ran
             exchange.last_reason = end.reason
             self._log.attempt_failed(exchange, end, endpoint)
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -20,13 +20,14 @@
     Team,
     WeightedService,
 )
+from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Invalid
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
 from ._exchange import CallerGone, Exchange
 from ._forwarder import Forwarder
-from ._listener import HEADERS_TOO_LARGE, CallerConnection, Listener
+from ._listener import HEADERS_TOO_LARGE, Listener, caller_connection
 from ._refusal import SERVICE_UNAVAILABLE, refusal
 
 __all__ = ["RouteGateway"]
@@ -163,7 +164,7 @@
             asyncio.get_running_loop().call_later(CLOSE_RESTING_DELAY_S, self._close_resting)
 
     def _close_resting(self) -> None:
-        for connection in self._server.connections:
+        for connection in existing(self._server, "the listener").caller_connections():
             if not connection.requests:
                 connection.force_close()
 
@@ -171,7 +172,9 @@
         """End callers' connections that send or rest longer than the configuration allows."""
         if self.current.lookup is not None:
             limits = self.current.lookup.configuration.limits
-            self._server.enforce(limits.header_timeout_s, limits.idle_timeout_s)
+            existing(self._server, "the listener").enforce(
+                limits.header_timeout_s, limits.idle_timeout_s
+            )
 
     async def close(self) -> None:
         """Close what is left."""
@@ -183,7 +186,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
-        connection: CallerConnection = request.protocol
+        connection = caller_connection(request)
         connection.begin_request()
         try:
             response = await self._serve(request)
@@ -213,11 +216,12 @@
         route = lookup.route(request.headers.get("Host", ""), request.raw_path)
         if route is None:
             return refusal(NOT_FOUND, "no_route", None)
-        team = None
+        team: Team | None = None
         if lookup.has_teams and not route.public:
-            team = self._team_of(inbound, lookup, route, now_s)
-            if isinstance(team, web.Response):
-                return team
+            found = self._team_of(inbound, lookup, route, now_s)
+            if isinstance(found, web.Response):
+                return found
+            team = found
         return await self._forward(request, inbound, lookup, route, team, now_s)
 
     def _team_of(
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -9,11 +9,12 @@
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 
+from ..invariants import BrokenInvariant
 from ..logs import log_event
 from ._refusal import refusal
 from ._target_loads import SERVER_ERROR
 
-__all__ = ["HEADERS_TOO_LARGE", "CallerConnection", "Listener"]
+__all__ = ["HEADERS_TOO_LARGE", "CallerConnection", "Listener", "caller_connection"]
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
@@ -99,14 +100,25 @@
         return refusal(status, reason, None, close=True)
 
 
+def caller_connection(request: web.BaseRequest) -> CallerConnection:
+    """Return the connection that a request came on; only `Listener` makes them."""
+    if not isinstance(request.protocol, CallerConnection):
+        raise BrokenInvariant(f"a request came on a {type(request.protocol).__name__}")
+    return request.protocol
+
+
 class Listener(web.Server):
     """Makes the protocol of each new connection."""
 
     def __call__(self) -> CallerConnection:
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
+    def caller_connections(self) -> list[CallerConnection]:
+        """Return the connections that are open."""
+        return [each for each in self.connections if isinstance(each, CallerConnection)]
+
     def enforce(self, header_timeout_s: float, idle_timeout_s: float) -> None:
         """End the connections whose head takes, or that rest, too long."""
         now_s = self._loop.time()
-        for connection in list(self.connections):
+        for connection in self.caller_connections():
             connection.enforce(now_s, header_timeout_s, idle_timeout_s)
--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Run
 from ._connections import ConnectionGuard
@@ -92,7 +93,9 @@
         """Begin to listen on ``IP:PORT``; return what was bound."""
         await self._runner.setup()
         max_connections, first_request_s = self._guard_settings
-        self._guard = ConnectionGuard(self._runner.server, max_connections, first_request_s)
+        self._guard = ConnectionGuard(
+            existing(self._runner.server, "the server"), max_connections, first_request_s
+        )
         host, port = listen.rsplit(":", 1)
         self._server = await asyncio.get_running_loop().create_server(
             self._guard, host, int(port), ssl=tls, backlog=LISTEN_BACKLOG
@@ -103,7 +106,8 @@
 
     def connection_counts(self) -> dict[str, int]:
         """Return how many connections were refused, and how many sent no request in time."""
-        return {"refused": self._guard.refused, "timed_out": self._guard.timed_out}
+        guard = existing(self._guard, "the connection guard")
+        return {"refused": guard.refused, "timed_out": guard.timed_out}
 
     async def stop_listening(self) -> None:
         """Take no new connections; those that are open go on."""
@@ -142,7 +146,7 @@
         """
 
         async def _handle(request: web.Request) -> web.StreamResponse:
-            self._guard.note(request.protocol)
+            existing(self._guard, "the connection guard").note(request.protocol)
             self.in_flight += 1
             try:
                 response = await handler(request)
--- a/ferrydock/gateway/_connections.py
+++ b/ferrydock/gateway/_connections.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from ..invariants import BrokenInvariant
+
 __all__ = ["ConnectionGuard"]
 
 _FULL_HEAD = (
@@ -24,6 +26,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Answer at once, and close."""
+        if not isinstance(transport, asyncio.Transport):
+            raise BrokenInvariant(f"a listener gave a {type(transport).__name__}")
         transport.write(_FULL_HEAD % len(_FULL_BODY) + _FULL_BODY)
         transport.close()
 
--- a/ferrydock/gateway/_operators.py
+++ b/ferrydock/gateway/_operators.py
@@ -97,7 +97,7 @@
         if wanted is not None:
             if not wanted.isdigit():
                 return error_response(400, "invalid", "revision: must be a whole number")
-            table = self.keeper.history.table_at(table, int(wanted))
+            table = self.keeper.history.table_at(self.keeper.table, int(wanted))
         if table is None:
             return error_response(409, "conflict", f"revision {wanted} is not kept any more")
         rows = [[k.sheet, k.row, dict(cells)] for k, cells in sorted(table.rows.items())]
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import NotRun, Run
 from ..requests import DEFAULT_RETRY_RATIO, Answered, Claim, ClaimStore, RequestLife, RetryBudget
@@ -107,7 +108,7 @@
         if team is None:
             return error_response(401, "unauthorised", "the bearer key belongs to no enabled team")
         name = request.match_info["name"]
-        target = self.keeper.view.plain_service(name)
+        target = existing(self.keeper.view, "the table in force").plain_service(name)
         if target is None:
             return error_response(404, "no_such_service", f"there is no service {name}")
         if target.leaving:
--- a/ferrydock/gateway/_stream_caller.py
+++ b/ferrydock/gateway/_stream_caller.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..invariants import existing
 from ..outcomes import NotRun, Run
 from ..requests import CallerLeft, GaveUp, ModelRequest, error_event
 from ._errors import error_body
@@ -73,18 +74,18 @@
     async def write(self, events: bytes) -> None:
         """Send whole events."""
         if self.on_first is not None:
-            self._note_first()
+            self._note_first(self.on_first)
         if self._kept is not None:
             self._kept.append(events)
         if self.left:
             return
         try:
-            await self.response.write(events)
+            await self._begun().write(events)
         except ConnectionError:
             self._lost()
 
-    def _note_first(self) -> None:
-        on_first, self.on_first = self.on_first, None
+    def _note_first(self, on_first: Callable[[], None]) -> None:
+        self.on_first = None
         on_first()
         if self.first_s is None:
             self.first_s = self.clock.now_s()
@@ -102,14 +103,17 @@
     async def finish(self) -> web.StreamResponse:
         """End a whole stream."""
         if not self.left:
-            await self.response.write_eof()
-        return self.response
+            await self._begun().write_eof()
+        return self._begun()
 
     async def fail(self, outcome: NotRun | GaveUp) -> web.StreamResponse:
         """End a stream that cannot be completed with an event that says so."""
         run = Run.UNKNOWN if self.first_s is not None else outcome.run
         error = error_body("stream_broken", outcome.reason, run, self._wanted.repeatable)
         if not self.left:
-            await self.response.write(error_event(error))
-            await self.response.write_eof()
-        return self.response
+            await self._begun().write(error_event(error))
+            await self._begun().write_eof()
+        return self._begun()
+
+    def _begun(self) -> web.StreamResponse:
+        return existing(self.response, "the begun answer")
--- a/ferrydock/hall/_controller.py
+++ b/ferrydock/hall/_controller.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..engines import EngineControl, OrderRefused
+from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Conflict, Unavailable, Unknown
 from ..placement import (
@@ -276,7 +277,7 @@
         await self.observer.refresh(known, list_interval_s=0.0)
         if not self.lease.valid:
             return False
-        held = self.lease.held
+        held = existing(self.lease.held, "the lease")
         adopted = adopt(known, self.observer.boxes(view), held.term)
         self._stored = stored
         log_event(
@@ -294,7 +295,9 @@
         if not self.lease.valid:
             return False
         self.counters.writes += 1
-        outcome = await self.repository.write(placement, self._stored, self.lease.held.term)
+        stored = existing(self._stored, "the record that was read")
+        held = existing(self.lease.held, "the lease")
+        outcome = await self.repository.write(placement, stored, held.term)
         if isinstance(outcome, StoredPlacement):
             self._stored = outcome
             self._put_in_force(placement)
--- a/ferrydock/hall/_observer.py
+++ b/ferrydock/hall/_observer.py
@@ -139,7 +139,9 @@
             statement = self.attestations.get(replica.replica_id)
             for member in replica.members:
                 sighting = self._sightings.get(member.box)
-                if sighting is not None and statement.probed_s > sighting.heard_s:
+                if sighting is None or statement is None:
+                    continue
+                if statement.probed_s > sighting.heard_s:
                     state = _attested_state(replica, member.box, member.incarnation, sighting)
                     self._note(sighting, state, statement.probed_s)
 
@@ -227,7 +229,7 @@
             sighting = self._sightings.get(replica.head.box)
             state = sighting.state if sighting is not None else None
             idle = state is not None and state.running == 0 and state.waiting == 0
-            if not idle or sighting.silent_since_s is not None:
+            if sighting is None or not idle or sighting.silent_since_s is not None:
                 self._drain_quiet[replica_id] = now_s
             elif now_s - self._drain_quiet.setdefault(replica_id, now_s) >= quiet_s:
                 found.add(replica_id)
--- a/ferrydock/logs.py
+++ b/ferrydock/logs.py
@@ -181,9 +181,10 @@
     handler: logging.Handler = logging.StreamHandler(stream)
     with contextlib.suppress(OSError, ValueError, AttributeError):
         handler = BoundedHandler(stream.fileno())
-    handler.setFormatter(logging.Formatter(_LINE))
-    handler.formatter.default_time_format = "%Y-%m-%dT%H:%M:%S"
-    handler.formatter.default_msec_format = "%s.%03d"
+    formatter = logging.Formatter(_LINE)
+    formatter.default_time_format = "%Y-%m-%dT%H:%M:%S"
+    formatter.default_msec_format = "%s.%03d"
+    handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
--- a/ferrydock/membership/_claim_relay.py
+++ b/ferrydock/membership/_claim_relay.py
@@ -1,5 +1,6 @@
 """Claims' transactions as messages between daemons."""
 
+from ..invariants import BrokenInvariant
 from ..outcomes import Unavailable, Unknown
 from ..store import Compare, CompareField, Delete, KeyValue, Put, Txn, TxnDone
 from ._exchange_pb2 import ClaimWrite, ClaimWritten
@@ -20,9 +21,11 @@
     )
     if isinstance(write, Delete):
         packed.remove = True
-    else:
+    elif isinstance(write, Put):
         packed.value = write.value
         packed.lease_id = write.lease_id
+    else:
+        raise BrokenInvariant(f"a claim is written by a {type(write).__name__}")
     return packed
 
 
--- a/ferrydock/membership/_digest.py
+++ b/ferrydock/membership/_digest.py
@@ -114,9 +114,9 @@
         state.offer_controller(
             ControllerNews(digest.controller.name, digest.controller.term, renewed_s)
         )
-    for packed in digest.demands:
-        rates = {d.share: d.rate_per_s for d in packed.demands}
-        state.offer_demand(DemandNews(packed.name, sent_s - packed.age_ms / 1000, rates))
+    for demand in digest.demands:
+        rates = {d.share: d.rate_per_s for d in demand.demands}
+        state.offer_demand(DemandNews(demand.name, sent_s - demand.age_ms / 1000, rates))
 
 
 def _age_ms(at_s: float, now_s: float) -> int:
@@ -164,11 +164,14 @@
     for replica_id in sorted(state.placement.replicas):
         replica = state.placement.replicas[replica_id]
         statement = state.attestations.get(replica_id)
-        known = statement is not None and statement.generation == replica.generation
-        age = _age_steps(now_s - statement.probed_s) if known else NO_STATEMENT
-        ages.append(age)
-        running.append(min(statement.running, MOST_IN_BYTE) if known else 0)
-        waiting.append(min(statement.waiting, MOST_IN_BYTE) if known else 0)
+        if statement is None or statement.generation != replica.generation:
+            ages.append(NO_STATEMENT)
+            running.append(0)
+            waiting.append(0)
+            continue
+        ages.append(_age_steps(now_s - statement.probed_s))
+        running.append(min(statement.running, MOST_IN_BYTE))
+        waiting.append(min(statement.waiting, MOST_IN_BYTE))
     if any(age != NO_STATEMENT for age in ages):
         _pack_fence(digest.attestations.record, state.placement.fence)
         digest.attestations.ages = bytes(ages)
--- a/ferrydock/membership/_exchange.py
+++ b/ferrydock/membership/_exchange.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from pathlib import Path
+from typing import TypeVar
 
 import grpc
 import grpc.aio
 import xxhash
+from google.protobuf.message import Message
 
 from ..clock import Clock
 from ..outcomes import Unavailable, Unknown
@@ -29,6 +32,8 @@
 
 __all__ = ["ExchangeClient", "ExchangeServer", "PeerSecurity", "Told"]
 
+Reply = TypeVar("Reply", bound=Message)
+
 SERVICE = "ferrydock.Exchange"
 CALL_TIMEOUT_S = 0.5
 PULL_TIMEOUT_S = 5.0
@@ -66,11 +71,11 @@
         self.authority_path = authority_path
 
     def _read(self) -> tuple[bytes, bytes, bytes]:
-        parts = []
-        for path in (self.key_path, self.certificate_path, self.authority_path):
-            with open(path, "rb") as file:
-                parts.append(file.read())
-        return tuple(parts)
+        key, certificate, authority = (
+            Path(path).read_bytes()
+            for path in (self.key_path, self.certificate_path, self.authority_path)
+        )
+        return key, certificate, authority
 
     def server_credentials(self) -> grpc.ServerCredentials:
         """Return credentials that admit only peers with a certificate of the authority."""
@@ -326,10 +331,12 @@
             self._channels[address] = channel
         return channel
 
-    async def _call(self, address: str, method: str, request, reply_type, timeout_s: float):
+    async def _call(
+        self, address: str, method: str, request: Message, reply_type: type[Reply], timeout_s: float
+    ) -> Reply | Unavailable:
         try:
             channel = self._channel(address)
-            call = channel.unary_unary(
+            call: grpc.aio.UnaryUnaryMultiCallable[Message, Reply] = channel.unary_unary(
                 f"/{SERVICE}/{method}",
                 request_serializer=lambda message: message.SerializeToString(),
                 response_deserializer=reply_type.FromString,
--- a/ferrydock/membership/_state.py
+++ b/ferrydock/membership/_state.py
@@ -1,9 +1,11 @@
 """What a daemon knows together with its peers, and the summaries of the other halls."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..hall import Attestation, Attestations
+from ..invariants import existing
 from ..placement import HallPlacement, ReplicaPhase
 from ..table import TableKeeper, TableView
 from ._members import DaemonInfo, MemberTable
@@ -152,7 +154,7 @@
         self._summary_taken_s: dict[str, float] = {}
         self.demands: dict[str, DemandNews] = {}
         self.store_away = False
-        self._placement_listeners = []
+        self._placement_listeners: list[Callable[[HallPlacement], None]] = []
 
     @property
     def hall(self) -> str:
@@ -260,7 +262,7 @@
             serving = replica.phase is ReplicaPhase.SERVING
             if not serving or not self.attestations.whole(replica, now_s):
                 continue
-            statement = self.attestations.get(replica.replica_id)
+            statement = existing(self.attestations.get(replica.replica_id), "its attestation")
             load = loads.setdefault(replica.model, [0, 0, 0])
             load[0] += 1
             load[1] += replica.slots
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -18,6 +18,7 @@
     TableRoutes,
 )
 from ..hall import Attestations, HallController, HallObserver, Prober
+from ..invariants import existing
 from ..logs import log_event
 from ..membership import (
     BurnGatherer,
@@ -287,7 +288,9 @@
             return None
         self.claim_writer.wait_s = RELAYED_WAIT_S
         chosen = self.rounds.responsibilities.order(working, "claims/" + self.settings.hall)[0]
-        return None if chosen == self.name else self.state.members.get(chosen).peer_address
+        if chosen == self.name:
+            return None
+        return existing(self.state.members.get(chosen), chosen).peer_address
 
     # What the parts tell each other --------------------------------------------------------
 
--- a/ferrydock/node/_settings.py
+++ b/ferrydock/node/_settings.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from absl import flags
 
@@ -171,7 +172,7 @@
 def read_settings(values: flags.FlagValues) -> Settings | Invalid:
     """Return the settings within parsed flags, or every fault with flag, value and what is
     allowed."""
-    given = {name: values[name].value for name in Settings.__slots__}
+    given: dict[str, Any] = {name: values[name].value for name in Settings.__slots__}
     if given["embedded"]:
         given["hall"] = given["hall"] or "hall-a"
         if not values["store"].present:
--- a/ferrydock/node/_tls.py
+++ b/ferrydock/node/_tls.py
@@ -4,6 +4,7 @@
 import os
 import ssl
 
+from ..invariants import existing
 from ..logs import log_event
 
 __all__ = ["CallerTls"]
@@ -37,12 +38,11 @@
             self._read()
 
     def _changed_ns(self) -> tuple[int, int]:
-        paths = (self.certificate_path, self.key_path)
-        return tuple(os.stat(path).st_mtime_ns for path in paths)
+        return os.stat(self.certificate_path).st_mtime_ns, os.stat(self.key_path).st_mtime_ns
 
     def _read(self) -> None:
         self._read_ns = self._changed_ns()
-        self.context.load_cert_chain(self.certificate_path, self.key_path)
+        existing(self.context, "the context").load_cert_chain(self.certificate_path, self.key_path)
 
     def renew(self) -> bool:
         """Read the files again if they have changed; return whether they were taken.
--- a/ferrydock/placement/_adopt.py
+++ b/ferrydock/placement/_adopt.py
@@ -45,7 +45,7 @@
         replicas[running.replica_id] = running
     taken = {box for r in replicas.values() for box in r.boxes}
     highest = max(
-        (seen.state.fence for seen in boxes.values() if seen.state is not None),
+        (seen.known_state.fence for seen in boxes.values() if seen.state is not None),
         default=placement.fence,
     )
     start = Fence(term, ballot, 0)
@@ -64,16 +64,22 @@
 def _running_replicas(boxes: Mapping[str, ObservedBox]) -> list[Replica]:
     groups: dict[tuple[str, Fence], list[ObservedBox]] = {}
     for seen in boxes.values():
-        if seen.present and seen.state.replica_id and seen.state.phase is BoxPhase.READY:
-            groups.setdefault((seen.state.replica_id, seen.state.fence), []).append(seen)
+        if (
+            seen.present
+            and seen.known_state.replica_id
+            and seen.known_state.phase is BoxPhase.READY
+        ):
+            groups.setdefault((seen.known_state.replica_id, seen.known_state.fence), []).append(
+                seen
+            )
     found = []
     for (replica_id, generation), group in sorted(groups.items(), key=lambda g: g[0][1]):
-        state = group[0].state
+        state = group[0].known_state
         by_name = {seen.box.name: seen for seen in group}
         if set(by_name) != set(state.members):
             continue
         members = tuple(
-            Member(name, by_name[name].box.url, by_name[name].state.incarnation)
+            Member(name, by_name[name].box.url, by_name[name].known_state.incarnation)
             for name in state.members
         )
         found.append(
--- a/ferrydock/placement/_cost_based.py
+++ b/ferrydock/placement/_cost_based.py
@@ -129,7 +129,7 @@
                 continue
             if replica.phase is ReplicaPhase.SERVING:
                 draft.set_phase(replica, ReplicaPhase.DRAINING)
-            spares = draft.free().get(draft.domain_of(replica), [])
+            spares = draft.free_in(draft.domain_of(replica))
             chosen = prefer_holders(spares, model)[: len(health.leaving)]
             unprepared = [s for s in chosen if not s.holds(model.name, model.version)]
             prepare_boxes(draft, unprepared, model)
@@ -195,7 +195,8 @@
             if other is None or other.priority >= model.priority:
                 continue
             domain = draft.domain_of(replica)
-            if len(free.get(domain, ())) + len(replica.members) < model.boxes_per_replica:
+            in_domain = free.get(domain, ()) if domain is not None else ()
+            if len(in_domain) + len(replica.members) < model.boxes_per_replica:
                 continue
             rank = (other.priority, len(replica.members), replica.replica_id)
             best = rank if best is None else min(best, rank)
--- a/ferrydock/placement/_draft.py
+++ b/ferrydock/placement/_draft.py
@@ -57,7 +57,7 @@
         fence = self.next_fence()
         name = replica_id or f"{self.given.placement.hall}-r{fence.term}-{fence.order}"
         members = tuple(
-            Member(seen.box.name, seen.box.url, seen.state.incarnation) for seen in boxes
+            Member(seen.box.name, seen.box.url, seen.known_state.incarnation) for seen in boxes
         )
         replica = Replica(
             name,
@@ -125,6 +125,10 @@
                 found.setdefault(seen.box.fabric_domain, []).append(seen)
         return found
 
+    def free_in(self, domain: str | None) -> list[ObservedBox]:
+        """Return the boxes of one domain that may join a replica; none for no domain."""
+        return self.free().get(domain, []) if domain is not None else []
+
     def may_move(self, seen: ObservedBox) -> bool:
         """Return whether an order may give the box to a replica.
 
--- a/ferrydock/placement/_health.py
+++ b/ferrydock/placement/_health.py
@@ -72,12 +72,15 @@
 
 
 def _is_lost(replica: Replica, member: Member, seen: ObservedBox) -> bool:
-    return seen.state.incarnation != member.incarnation or seen.state.fence > replica.generation
+    return (
+        seen.known_state.incarnation != member.incarnation
+        or seen.known_state.fence > replica.generation
+    )
 
 
 def _is_ready(replica: Replica, seen: ObservedBox) -> bool:
     return (
-        seen.state.replica_id == replica.replica_id
-        and seen.state.fence == replica.generation
-        and seen.state.phase is BoxPhase.READY
+        seen.known_state.replica_id == replica.replica_id
+        and seen.known_state.fence == replica.generation
+        and seen.known_state.phase is BoxPhase.READY
     )
--- a/ferrydock/placement/_observed.py
+++ b/ferrydock/placement/_observed.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from ..engines import BoxPhase, BoxState
+from ..invariants import existing
 from ..store import Box
 
 __all__ = ["Absence", "AbsenceModel", "ObservedBox"]
@@ -41,6 +42,11 @@
     checks_orders: bool = True
     idle_s: float = 0.0
 
+    @property
+    def known_state(self) -> BoxState:
+        """What the box last said; only for a box that has spoken."""
+        return existing(self.state, f"the state of {self.box.name}")
+
     @property
     def present(self) -> bool:
         """Whether the box answers."""
@@ -49,7 +55,11 @@
     @property
     def idle(self) -> bool:
         """Whether the box answers and takes part in nothing."""
-        return self.present and self.state.phase is BoxPhase.IDLE and not self.state.replica_id
+        return self.present and self._takes_no_part()
+
+    def _takes_no_part(self) -> bool:
+        state = self.known_state
+        return state.phase is BoxPhase.IDLE and not state.replica_id
 
     def holds(self, model: str, version: str) -> bool:
         """Return whether the weights are on the box already."""
--- a/ferrydock/placement/_orders.py
+++ b/ferrydock/placement/_orders.py
@@ -33,11 +33,11 @@
         orders += _load_orders(replica, view, boxes)
     for box, fence in placement.releases.items():
         seen = boxes.get(box)
-        if seen is not None and seen.present and seen.state.fence < fence:
+        if seen is not None and seen.present and seen.known_state.fence < fence:
             orders.append(AddressedOrder(box, seen.box.url, Order(fence, OrderAction.RELEASE)))
     for box, prepare in placement.prepares.items():
         seen = boxes.get(box)
-        if seen is not None and seen.idle and seen.state.fence < prepare.fence:
+        if seen is not None and seen.idle and seen.known_state.fence < prepare.fence:
             model = view.models.get(prepare.model)
             if model is None:
                 continue
@@ -70,8 +70,8 @@
     found = []
     for member in replica.members:
         seen = boxes.get(member.box)
-        if seen is None or not seen.present or seen.state.incarnation != member.incarnation:
+        if seen is None or not seen.present or seen.known_state.incarnation != member.incarnation:
             continue
-        if seen.state.fence < replica.generation:
+        if seen.known_state.fence < replica.generation:
             found.append(AddressedOrder(member.box, member.url, order))
     return found
--- a/ferrydock/placement/_upkeep.py
+++ b/ferrydock/placement/_upkeep.py
@@ -15,11 +15,11 @@
         _settle_release(draft, box, fence, boxes.get(box))
     for box, prepare in list(draft.prepares.items()):
         seen = boxes.get(box)
-        if seen is None or not seen.idle or seen.leaving or seen.state.fence > prepare.fence:
+        if seen is None or not seen.idle or seen.leaving or seen.known_state.fence > prepare.fence:
             draft.drop_prepare(box)
     taken = draft.taken()
     for name, seen in boxes.items():
-        stray = seen.present and seen.state.replica_id and name not in taken
+        stray = seen.present and seen.known_state.replica_id and name not in taken
         if stray and name not in draft.releases:
             draft.release(name)
 
@@ -28,10 +28,10 @@
     """Confirm a release that was carried out; repeat one that something later overtook."""
     if seen is None or (not seen.listed and not seen.present):
         draft.confirm_release(box)
-    elif seen.present and seen.state.fence >= fence:
+    elif seen.present and seen.known_state.fence >= fence:
         if seen.idle:
             draft.confirm_release(box)
-        elif seen.state.fence > fence:
+        elif seen.known_state.fence > fence:
             draft.release(box)
 
 
--- a/ferrydock/platform/_boot.py
+++ b/ferrydock/platform/_boot.py
@@ -90,7 +90,7 @@
 
 def _at(fields: dict, place: str):
     """Return the value at a dotted place, or None."""
-    value = fields
+    value: object = fields
     for part in place.split("."):
         value = value.get(part) if isinstance(value, dict) else None
     return value
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncGenerator, Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -179,7 +179,7 @@
             return answer
         return LeaseLost(lease_id)
 
-    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+    async def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
         """Yield changes from a revision on; ends when a call fails or the history is gone."""
         since = from_revision - 1
         while True:
--- a/ferrydock/platform/_store_messages.py
+++ b/ferrydock/platform/_store_messages.py
@@ -83,7 +83,7 @@
 def decode_page(fields: object) -> RangePage:
     """Return a page of a range."""
     items = tuple(_item(entry) for entry in required(fields, "entries", list))
-    is_last = not fields.get("truncated") or not items
+    is_last = not optional(fields, "truncated", bool, False) or not items
     return RangePage(items, required(fields, "store-revision", int), is_last)
 
 
@@ -154,12 +154,12 @@
         value=base64.b64decode(required(entry, "value", str)),
         create_revision=required(entry, "created", int),
         mod_revision=required(entry, "revision", int),
-        lease_id=entry.get("lease", 0),
+        lease_id=optional(entry, "lease", int, 0),
     )
 
 
 def _change(event: object) -> tuple[str, bytes | None]:
     key = required(event, "key", str)
-    if event.get("tombstone"):
+    if optional(event, "tombstone", bool, False):
         return key, None
     return key, base64.b64decode(required(event, "value", str))
--- a/ferrydock/relay/_peers.py
+++ b/ferrydock/relay/_peers.py
@@ -10,6 +10,7 @@
 import grpc
 import grpc.aio
 
+from ..invariants import existing
 from ..logs import log_event
 
 __all__ = ["OPTIONS", "SERVICE", "PeerCalls", "PeerMethod"]
@@ -53,6 +54,11 @@
 )
 
 
+def _as_it_is(data: bytes) -> bytes:
+    """Return a message whose bytes the caller packs and unpacks itself."""
+    return data
+
+
 class PeerCalls:
     """Makes calls to other daemons."""
 
@@ -70,12 +76,13 @@
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
             self._channels[address] = channel
         try:
-            answer = await channel.unary_unary(f"/{SERVICE}/{method}")(data, timeout=timeout_s)
+            ask = channel.unary_unary(f"/{SERVICE}/{method}", _as_it_is, _as_it_is)
+            answer = await ask(data, timeout=timeout_s)
         except (grpc.aio.AioRpcError, grpc.aio.UsageError, OSError) as error:
             await self._note_failure(address, method, error)
             return None
         except asyncio.CancelledError:
-            if asyncio.current_task().cancelling():
+            if existing(asyncio.current_task(), "the current task").cancelling():
                 raise
             # Another call has closed the connection under this one.
             log_event(
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -14,6 +14,7 @@
 
 from ..clock import Clock
 from ..configuration import CurrentConfiguration
+from ..invariants import BrokenInvariant
 from ..targets import TargetDirectory
 from ._broken_replicas import BrokenReplicas
 from ._daemon_counter import DaemonCounter
@@ -44,6 +45,7 @@
             return await method(data)
         except (ValueError, TypeError) as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            raise BrokenInvariant("abort() always raises") from error
 
     return handle
 
@@ -103,7 +105,7 @@
             More calls to serve. One that raises ValueError or TypeError could not decode its data.
         """
         self._server = grpc.aio.server(options=OPTIONS)
-        handlers = {
+        handlers: dict[str, grpc.RpcMethodHandler] = {
             name: grpc.unary_unary_rpc_method_handler(_answering(method))
             for name, method in {NEWS: self._news, **methods}.items()
         }
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -12,6 +12,7 @@
 from ..clock import Clock
 from ..configuration import CurrentConfiguration, EngineSpec, ModelSpec
 from ..hall import ControllerLease
+from ..invariants import existing
 from ..logs import log_event
 from ..reports import RouteMetrics
 from ..store import Store
@@ -112,7 +113,7 @@
         if not await self.record.read():
             return
         for service in self.current.engine_services():
-            await self._step_service(service.name, service.engine)
+            await self._step_service(service.name, existing(service.engine, "the engine"))
 
     async def _step_service(self, service: str, engine: EngineSpec) -> None:
         targets = [
@@ -136,7 +137,7 @@
         result = self.health_check.judge(replica, engine)
         match result.verdict:
             case Verdict.ADOPT:
-                self._adopt(replica, engine.model(replica.model))
+                self._adopt(replica, existing(engine.model(replica.model), replica.model))
             case Verdict.GIVE_UP:
                 self._give_up(replica, result)
             case Verdict.ALL_DEAD:
--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -226,7 +226,7 @@
             gone = [i for i, target in targets.items() if target is None]
             if gone:
                 return f"gone: {','.join(gone)}"
-            leaving = [i for i, target in targets.items() if target.draining]
+            leaving = [i for i, target in targets.items() if target is not None and target.draining]
             if leaving:
                 return f"leaving: {','.join(leaving)}"
             if self.clock.now_s() >= until_s:
@@ -276,8 +276,9 @@
         if not isinstance(outcome, OrderRefused):
             return False
         report = await self.orders.control.report(member, REPORT_TIMEOUT_S)
-        is_known = not isinstance(report, Unavailable)
-        return is_known and (report.replica, report.epoch) != key
+        if isinstance(report, Unavailable):
+            return False
+        return (report.replica, report.epoch) != key
 
     async def _close(self, key: tuple[str, int], head: Target, cut: bool) -> None:
         """Let an open head end its requests, and wait until it serves no more."""
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -125,7 +125,7 @@
         model = engine.model(replica.model)
         why = _why_not_whole(replica, model, bool(dead))
         may_live = why is GiveUpReason.MEMBER_GONE and replica.head and not replica.is_leaving
-        if may_live and self._are_missing_alive(replica, model, now_s):
+        if model is not None and may_live and self._are_missing_alive(replica, model, now_s):
             return HealthResult(Verdict.STAYS)
         if why:
             return HealthResult(Verdict.GIVE_UP, why, dead)
@@ -198,7 +198,7 @@
     """Return why a replica cannot serve any more; `GiveUpReason.NONE` if it can."""
     if has_dead:
         return GiveUpReason.DEAD
-    if any(t.membership.state is ReplicaState.BROKEN for t in replica.members):
+    if any(t.joined.state is ReplicaState.BROKEN for t in replica.members):
         return GiveUpReason.BROKEN
     if model is not None and len(replica.members) < model.size:
         return GiveUpReason.MEMBER_GONE
--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -116,18 +116,19 @@
             if isinstance(expected, OrderRefused):
                 self._log(target, order, None, expected)
                 return expected
+            outcome: OrderOutcome
             if isinstance(expected, Unavailable):
                 outcome = expected
             else:
                 outcome = await self._send_once(target, order, expected)
-            if isinstance(outcome, OrderDone):
-                self._note_done(target, order, expected, outcome)
-                return outcome
-            if isinstance(outcome, OrderRefused):
-                if not await self._may_resend(target, order, expected, outcome):
+                if isinstance(outcome, OrderDone):
+                    self._note_done(target, order, expected, outcome)
                     return outcome
-            elif isinstance(outcome, Unknown):
-                unknown = outcome
+                if isinstance(outcome, OrderRefused):
+                    if not await self._may_resend(target, order, expected, outcome):
+                        return outcome
+                elif isinstance(outcome, Unknown):
+                    unknown = outcome
             if self.clock.now_s() + RESEND_PAUSE_S >= until_s:
                 return unknown or outcome
             await asyncio.sleep(RESEND_PAUSE_S)
@@ -160,12 +161,12 @@
 
         An order that held already counts as none, but a leave always counts.
         """
-        is_leave = isinstance(order, LeaveOrder)
-        orders = expected + 1 if is_leave or not done.already else expected
+        counts = isinstance(order, LeaveOrder) or not done.already
+        orders = expected + 1 if counts else expected
         replica = self._known[target.target_id].replica
         if isinstance(order, JoinOrder):
             replica = (order.replica, order.epoch)
-        elif is_leave and replica == (order.replica, order.epoch):
+        elif isinstance(order, LeaveOrder) and replica == (order.replica, order.epoch):
             replica = None
         self._known[target.target_id] = KnownOrders(orders, replica)
 
--- a/ferrydock/replicas/_plan.py
+++ b/ferrydock/replicas/_plan.py
@@ -114,7 +114,7 @@
     needs = {model.name: model.share / total * domains for model in engine.models}
     shares = []
     for _ in range(domains):
-        name = max(needs, key=needs.get)
+        name = max(needs, key=lambda model: needs[model])
         if needs[name] >= WHOLE_DOMAIN_FRACTION or len(needs) == 1:
             shares.append({other: float(other == name) for other in needs})
             needs[name] -= 1.0
--- a/ferrydock/replicas/_record.py
+++ b/ferrydock/replicas/_record.py
@@ -10,6 +10,7 @@
 import orjson
 
 from ..hall import placement_key
+from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..store import Compare, Put, RangeDone, Store, Txn, TxnDone
@@ -69,7 +70,8 @@
         """
         key = placement_key(self.hall)
         value = self._encode(plans)
-        txn = Txn((Compare(key, self._revision),), (Put(key, value),), (key,))
+        read = existing(self._revision, "the revision of the record that was read")
+        txn = Txn((Compare(key, read),), (Put(key, value),), (key,))
         done = await self.store.transact(txn)
         if isinstance(done, Unknown):
             done = await self._settle(key, value)
--- a/ferrydock/requests/_admission.py
+++ b/ferrydock/requests/_admission.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..clock import Clock
+from ..invariants import existing
 from ..membership import SharedState
 from ..outcomes import NotRun
 from ..placement import Replica
@@ -69,7 +70,7 @@
         self.policy = policy
         self.clock = clock
         self.service_s: dict[str, float] = {}
-        self._queues: dict[str, FairQueue] = {}
+        self._queues: dict[str, FairQueue[_QueuedRequest]] = {}
         self._pump: asyncio.Task | None = None
 
     def waiting(self, model: str) -> int:
@@ -83,9 +84,8 @@
 
     def choose_now(self, request: ModelRequest, excluded: set) -> Candidate | None:
         """Return a replica with room, or None."""
-        view = self.state.keeper.view
         now_s = self.clock.now_s()
-        serving = self.loads.serving(self.state.placement, view, request.model, now_s)
+        serving = self._serving(request.model, now_s)
         open_to_it = [r for r in serving if r.generation not in excluded]
         daemons = max(1, len(self.state.members.working()))
         candidates = self.loads.candidates(open_to_it, request.blocks, now_s, daemons)
@@ -95,11 +95,17 @@
 
     def has_room(self, model: str) -> bool:
         """Return whether a request for `model` would find a replica here without waiting."""
-        view = self.state.keeper.view
         now_s = self.clock.now_s()
-        serving = self.loads.serving(self.state.placement, view, model, now_s)
+        serving = self._serving(model, now_s)
         return any(self._replica_has_room(replica, now_s) for replica in serving)
 
+    def _serving(self, model: str, now_s: float) -> list[Replica]:
+        """Return the replicas that may get work; none before the first table is read."""
+        view = self.state.keeper.view
+        if view is None:
+            return []
+        return self.loads.serving(self.state.placement, view, model, now_s)
+
     def _replica_has_room(self, replica: Replica, now_s: float) -> bool:
         (candidate,) = self.loads.candidates((replica,), (), now_s)
         return _has_room(candidate)
@@ -145,8 +151,8 @@
         finally:
             queue.remove(waiting)
 
-    def _shed(self, waiting: Waiting) -> None:
-        queued = waiting.wake
+    def _shed(self, waiting: Waiting[_QueuedRequest]) -> None:
+        queued = existing(waiting.wake, "the queued request")
         if not queued.chosen.done():
             queued.chosen.set_result(
                 self._not_run(queued.request, "overloaded", "shed for a higher priority")
@@ -171,9 +177,8 @@
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_s))
 
     def _slots(self, model: str) -> int:
-        view = self.state.keeper.view
         now_s = self.clock.now_s()
-        serving = self.loads.serving(self.state.placement, view, model, now_s)
+        serving = self._serving(model, now_s)
         return sum(replica.slots for replica in serving)
 
     def note_service(self, model: str, took_s: float) -> None:
@@ -187,7 +192,7 @@
         if queue is None:
             return
         while (waiting := queue.peek()) is not None:
-            queued = waiting.wake
+            queued = existing(waiting.wake, "the queued request")
             if queued.chosen.done():
                 queue.remove(waiting)
                 continue
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -13,6 +13,7 @@
 import orjson
 
 from ..http_client import open_session
+from ..invariants import existing
 from ..placement import Replica
 from ._events import EventRelay
 from ._model_request import ModelRequest
@@ -155,7 +156,7 @@
         if self._kept is None:
             self._kept = _open_session(KEEP_IDLE_S)
             self._single_use = _open_session(None)
-        return self._kept if repeatable else self._single_use
+        return existing(self._kept if repeatable else self._single_use, "the session")
 
     async def close(self) -> None:
         """Close the connections."""
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -13,6 +13,7 @@
 
 from ..clock import Clock
 from ..engines import EngineControl
+from ..invariants import existing
 from ..logs import log_event
 from ..membership import SharedState
 from ..outcomes import NotRun, Run
@@ -254,7 +255,7 @@
                 return stop
 
     async def _choose(self) -> Candidate | NotRun:
-        wait_s = self.executor.state.keeper.view.site.queue_wait_s
+        wait_s = existing(self.executor.state.keeper.view, "the table in force").site.queue_wait_s
         if self.relay.events:
             wait_s = max(wait_s, CONTINUE_WAIT_S)
         return await self.executor.gate.choose(self.request, self.excluded, self.weight, wait_s)
--- a/ferrydock/route_daemon/__main__.py
+++ b/ferrydock/route_daemon/__main__.py
@@ -14,6 +14,7 @@
 from .. import logs
 from .. import platform as _platform  # noqa: F401  registers the users' platform as a deployment
 from ..clock import SystemClock
+from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Invalid
 from ..startup import (
@@ -81,15 +82,16 @@
     problem = parse_flags(values, arguments, os.environ)
     if problem:
         return refuse_to_start(problem)
-    if not values["settings"].value:
+    settings: str = values["settings"].value or ""
+    if not settings:
         return refuse_to_start("--settings: '' is not allowed; allowed: the path of a file")
-    deployment = open_deployment(values["deployment"].value, values["settings"].value)
+    deployment = open_deployment(existing(values["deployment"].value, "--deployment"), settings)
     if isinstance(deployment, Invalid):
         return refuse_to_start(deployment.reason)
     if values["check_settings"].value:
         print("ferrydockd: the settings are good")
         return 0
-    logs.configure(values["log_level"].value, sys.stdout)
+    logs.configure(existing(values["log_level"].value, "--log_level"), sys.stdout)
     return _serve(deployment)
 
 
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import random
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from ..clock import Clock
@@ -115,7 +116,7 @@
             self._task.cancel()
 
 
-class HallLeadership:
+class HallLeadership(ABC):
     """The lease of one hall, and the hall's controller, which acts while it is held.
 
     Parameters
@@ -207,6 +208,10 @@
         if self.lease.valid:
             await self.lease.give_back()
 
+    @abstractmethod
+    async def run(self) -> None:
+        """Take the hall, or follow its leader, until the daemon stops."""
+
 
 class OwnHallLeadership(HallLeadership):
     """Leadership of the daemon's own hall: taken if it is free, else its leader is followed.
--- a/ferrydock/route_daemon/_settings.py
+++ b/ferrydock/route_daemon/_settings.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, fields
+from typing import Any
 
 from ..logs import log_event
 from ..outcomes import Fault, Invalid
@@ -125,7 +126,7 @@
 
 
 def check_settings(
-    given: Mapping[str, object], shown: Mapping[str, str]
+    given: Mapping[str, Any], shown: Mapping[str, str]
 ) -> RouteDaemonSettings | Invalid:
     """Return checked settings, or every fault with the field's name, value and what is allowed.
 
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -64,6 +64,6 @@
     """Return how many requests a target may have at a time.
 
     A replica answers as fast as an idle one until its slots are taken, and up to six times later
-    beyond (docs/design/dispatch.md), so it never gets more than its slots.
+    beyond (docs/design/scheduling.md), so it never gets more than its slots.
     """
     return service.engine.slots if service.engine else target.slots * PLAIN_OVERCOMMIT
--- a/ferrydock/scheduling/_scheduler.py
+++ b/ferrydock/scheduling/_scheduler.py
@@ -36,7 +36,7 @@
     Notes
     -----
     No replica gets more requests than its slots; a request that finds all slots taken waits here.
-    Why one daemon decides for all: docs/design/dispatch.md.
+    Why one daemon decides for all: docs/design/scheduling.md.
     """
 
     __slots__ = ("_queue", "catalog", "clock", "counts", "hall", "rng", "services")
@@ -91,6 +91,8 @@
     def _take(self, request: SlotRequest, endpoints: list[Endpoint]) -> SlotReply | None:
         """Return a slot of the least loaded endpoint, counted as taken; None if all are full."""
         service = self.services(request.service)
+        if service is None:
+            return None
         candidates = [
             Candidate(
                 endpoint,
--- a/ferrydock/scheduling/_waiting_queue.py
+++ b/ferrydock/scheduling/_waiting_queue.py
@@ -18,12 +18,12 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Waiter:
+class _Waiter(Generic[Request]):
     """One request in the queue; `key` is its rank and the number of its arrival."""
 
     key: tuple
     needs: Hashable
-    request: object
+    request: Request
     future: asyncio.Future
 
     @property
@@ -42,7 +42,7 @@
     __slots__ = ("_numbers", "_waiters")
 
     def __init__(self):
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[_Waiter[Request]] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
--- a/ferrydock/standins/_engine_http.py
+++ b/ferrydock/standins/_engine_http.py
@@ -108,7 +108,9 @@
         body = orjson.loads(await request.read())
         request_id = request.headers["X-Request-Id"]
         offset = int(request.headers.get("X-Resume-Offset", "0"))
-        job = box.jobs.get(request_id) if "X-Resume-Offset" in request.headers else None
+        job: EngineJob | EngineRefusal | None = (
+            box.jobs.get(request_id) if "X-Resume-Offset" in request.headers else None
+        )
         if job is None and "X-Resume-Offset" in request.headers:
             return _json({"error": {"code": "unknown_request"}}, status=404)
         if job is None:
--- a/ferrydock/standins/_link.py
+++ b/ferrydock/standins/_link.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from ..invariants import existing
+
 __all__ = ["Link"]
 
 _PIECE_BYTES = 65536
@@ -34,7 +36,7 @@
     @property
     def address(self) -> str:
         """``IP:PORT`` to connect to."""
-        host, port = self._server.sockets[0].getsockname()[:2]
+        host, port = existing(self._server, "the listener").sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
     async def start(self) -> "Link":
@@ -55,7 +57,7 @@
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
-        self._server.close()
+        existing(self._server, "the listener").close()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/ferrydock/standins/_plain.py
+++ b/ferrydock/standins/_plain.py
@@ -6,6 +6,8 @@
 import orjson
 from aiohttp import web
 
+from ..invariants import existing
+
 __all__ = ["StandInService"]
 
 
@@ -46,15 +48,16 @@
         text = await request.text()
         if self.cut_before_run > 0:
             self.cut_before_run -= 1
-            request.transport.abort()
+            existing(request.transport, "the connection").abort()
             return web.Response(status=503)
-        name = request.headers.get("Idempotency-Key") or request.headers.get("X-Request-Id", "")
+        given = request.headers
+        name = given.get("Idempotency-Key") or given.get("X-Request-Id") or ""
         self.executions[name] += 1
         self.records.append(text)
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.cut_after_run > 0:
             self.cut_after_run -= 1
-            request.transport.abort()
+            existing(request.transport, "the connection").abort()
         body = orjson.dumps({"filed": len(self.records) - 1})
         return web.Response(body=body, status=201, content_type="application/json")
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -8,6 +8,7 @@
 import orjson
 from aiohttp import web
 
+from ...invariants import existing
 from ...store import (
     Compare,
     Delete,
@@ -115,7 +116,7 @@
         if down == "silent":
             await asyncio.sleep(60)
         if down == "reset":
-            request.transport.abort()
+            existing(request.transport, "the connection").abort()
         if down in ("silent", "reset"):
             return web.Response(status=503)
         if down:
--- a/ferrydock/store/_etcd.py
+++ b/ferrydock/store/_etcd.py
@@ -6,7 +6,7 @@
 
 import base64
 import itertools
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncGenerator, Sequence
 
 import aiohttp
 import orjson
@@ -148,7 +148,7 @@
         answer = await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
         return LeaseLost(lease_id) if isinstance(answer, dict) else answer
 
-    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+    async def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
         request = {
             "create_request": {
                 "key": encode_text(prefix),
@@ -178,13 +178,14 @@
         return self._session
 
     async def _call(self, path: str, body: dict) -> dict | Unavailable | Unknown:
-        outcome: Unavailable | Unknown = Unavailable("no address of the store is set")
+        outcome = Unavailable("no address of the store is set")
         for offset in range(len(self.urls)):
             index = (self._preferred + offset) % len(self.urls)
-            outcome = await self._call_one(self.urls[index] + path, body)
-            if not isinstance(outcome, Unavailable):
+            answer = await self._call_one(self.urls[index] + path, body)
+            if not isinstance(answer, Unavailable):
                 self._preferred = index
-                return outcome
+                return answer
+            outcome = answer
         self._preferred = (self._preferred + 1) % max(1, len(self.urls))
         return outcome
 
--- a/ferrydock/store/_memory.py
+++ b/ferrydock/store/_memory.py
@@ -1,7 +1,7 @@
 """A key-value service in memory: the embedded default, and the core of the stand-in."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
 from sortedcontainers import SortedDict
@@ -112,7 +112,7 @@
         self._drop_lease(lease_id)
         return LeaseLost(lease_id)
 
-    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+    async def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
         seen = from_revision - 1
         while True:
             changed = self._changed  # taken first: a change during a yield must not be missed
--- a/ferrydock/store/_store.py
+++ b/ferrydock/store/_store.py
@@ -1,6 +1,6 @@
 """The port to the platform's key-value service, and the values that pass through it."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -155,7 +155,7 @@
     async def revoke_lease(self, lease_id: int) -> LeaseLost | Unavailable | Unknown:
         """End a lease and remove the keys bound to it."""
 
-    def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+    def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
         """Yield changes under `prefix` from `from_revision` on; ends when the stream breaks."""
 
     async def close(self) -> None:
--- a/ferrydock/table/_columns.py
+++ b/ferrydock/table/_columns.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..invariants import existing
+
 __all__ = ["SHEETS", "Column", "Sheet", "is_row_name"]
 
 _ROW_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,62}")
@@ -80,7 +82,7 @@
         value = convert(text)
     except ValueError:
         raise ValueError(f"{text!r} is not {column.allowed}") from None
-    if not column.minimum <= value <= column.maximum:
+    if not existing(column.minimum, "minimum") <= value <= existing(column.maximum, "maximum"):
         raise ValueError(f"{text!r} is not {column.allowed}")
     return value
 
--- a/ferrydock/table/_keeper.py
+++ b/ferrydock/table/_keeper.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from ..invariants import BrokenInvariant
 from ..logs import log_event
 from ..outcomes import Invalid
 from ._history import FIRST_LINEAGE, AcceptedEdit, History, next_lineage
@@ -136,10 +137,13 @@
         return Offer.TAKEN
 
     def _announce(self) -> None:
-        self.view = self.table.view()
+        view = self.table.view()
+        if isinstance(view, Invalid):
+            raise BrokenInvariant(f"a table was taken unread: {view.reason}")
+        self.view = view
         log_event(_LOG, logging.INFO, "table_in_force", revision=self.revision)
         for listener in self._listeners:
-            listener(self.view)
+            listener(view)
 
     def _diverged(self, lineage: str) -> Offer:
         log_event(
@@ -155,7 +159,6 @@
     def _invalid(self, table: Table) -> Offer:
         """Refuse rows that this version cannot read, and stay on the table in force."""
         view = table.view()
-        log_event(
-            _LOG, logging.ERROR, "table_not_readable", revision=table.revision, why=view.reason
-        )
+        why = view.reason if isinstance(view, Invalid) else "readable"
+        log_event(_LOG, logging.ERROR, "table_not_readable", revision=table.revision, why=why)
         return Offer.INVALID
--- a/ferrydock/table/_table.py
+++ b/ferrydock/table/_table.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from ..invariants import existing
 from ..outcomes import Fault, Invalid
 from ._columns import SHEETS, Sheet, is_row_name
 from ._view import ROW_TYPES, TableView
@@ -84,6 +85,10 @@
         declared = SHEETS[key.sheet].column(column) if key.sheet in SHEETS else None
         return declared.default if declared else None
 
+    def filled(self, key: RowKey, column: str) -> str:
+        """Return the text of a cell whose column every row fills, itself or by its default."""
+        return existing(self.text(key, column), f"{key}/{column}")
+
     def changed(self, changes: Iterable[Change], revision: int) -> "Table":
         """Return the table after `changes`, under `revision`."""
         rows = {key: dict(cells) for key, cells in self.rows.items()}
@@ -160,22 +165,22 @@
     faults = []
     pairs: dict[tuple[str, str], str] = {}
     for key in sorted(k for k in table.rows if k.sheet == "shares"):
-        pair = []
+        pair: list[str] = []
         for column, sheet in (("team", "teams"), ("model", "models")):
-            name = table.text(key, column).strip()
+            name = table.filled(key, column).strip()
             pair.append(name)
             if RowKey(sheet, name) not in table.rows:
                 faults.append(Fault(f"{key}/{column}", f"there is no row {name!r} in {sheet!r}"))
-        other = pairs.setdefault(tuple(pair), key.row)
+        other = pairs.setdefault((pair[0], pair[1]), key.row)
         if other != key.row:
             faults.append(Fault(str(key), f"row {other!r} is for the same team and model"))
     for key in sorted(k for k in table.rows if k.sheet == "targets"):
-        plain = table.text(key, "kind").strip() == "plain_service"
+        plain = table.filled(key, "kind").strip() == "plain_service"
         needed = "urls" if plain else "boxes"
-        if not table.text(key, needed).strip():
+        if not table.filled(key, needed).strip():
             faults.append(Fault(f"{key}/{needed}", "must be filled for this kind of target"))
     for key in sorted(k for k in table.rows if k.sheet == "models"):
-        for hall in table.text(key, "halls").split():
+        for hall in table.filled(key, "halls").split():
             if RowKey("halls", hall) not in table.rows:
                 faults.append(Fault(f"{key}/halls", f"there is no row {hall!r} in 'halls'"))
     return faults + _route_faults(table)
@@ -186,21 +191,21 @@
     faults = []
     places: dict[tuple[str, str], str] = {}
     for key in sorted(k for k in table.rows if k.sheet == "routes"):
-        place = (table.text(key, "host").strip(), table.text(key, "path_prefix").strip())
+        place = (table.filled(key, "host").strip(), table.filled(key, "path_prefix").strip())
         other = places.setdefault(place, key.row)
         if other != key.row:
             faults.append(Fault(str(key), f"row {other!r} is for the same host and prefix"))
-        for word in table.text(key, "back_ends").split():
+        for word in table.filled(key, "back_ends").split():
             name = word.partition("=")[0]
             target = RowKey("targets", name)
-            place = f"{key}/back_ends"
+            cell = f"{key}/back_ends"
             if target not in table.rows:
-                faults.append(Fault(place, f"there is no row {name!r} in 'targets'"))
-            elif table.text(target, "kind").strip() != "plain_service":
-                faults.append(Fault(place, f"{name!r} is not a plain service"))
-            elif not all(map(_PLAIN_URL.fullmatch, table.text(target, "urls").split())):
+                faults.append(Fault(cell, f"there is no row {name!r} in 'targets'"))
+            elif table.filled(target, "kind").strip() != "plain_service":
+                faults.append(Fault(cell, f"{name!r} is not a plain service"))
+            elif not all(map(_PLAIN_URL.fullmatch, table.filled(target, "urls").split())):
                 problem = f"addresses of {name!r} must be http://IP:PORT without a path"
-                faults.append(Fault(place, problem))
+                faults.append(Fault(cell, problem))
     return faults
 
 
@@ -214,7 +219,9 @@
 
 
 def _typed_row(sheet: Sheet, name: str, cells: Mapping[str, str]):
-    values = {c.name: c.parse(cells.get(c.name, c.default)) for c in sheet.columns}
+    values = {
+        c.name: c.parse(existing(cells.get(c.name, c.default), c.name)) for c in sheet.columns
+    }
     if sheet.only_row is None:
         values["name"] = name
     return ROW_TYPES[sheet.name](**values)
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -119,7 +119,7 @@
         return replace(target, last_model=before.last_model) if before else target
 
     def _note_member(self, target: Target) -> None:
-        key = (target.membership.replica, target.membership.epoch)
+        key = (target.joined.replica, target.joined.epoch)
         if key not in self._members:
             self._members[key] = {}
             if len(self._members) > REPLICAS_REMEMBERED:
@@ -158,11 +158,11 @@
                 by_replica.setdefault(key, []).append(target)
         found: dict[str, list[ReplicaView]] = {}
         for (service, name, epoch), members in by_replica.items():
-            members.sort(key=lambda target: target.membership.rank)
+            members.sort(key=lambda target: target.joined.rank)
             head = members[0]
-            if head.membership.rank != 0 or head.membership.state is not ReplicaState.OPEN:
+            if head.joined.rank != 0 or head.joined.state is not ReplicaState.OPEN:
                 continue
-            if any(t.draining or t.membership.state is ReplicaState.BROKEN for t in members):
+            if any(t.draining or t.joined.state is ReplicaState.BROKEN for t in members):
                 continue
             if not head.models:
                 continue
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ..invariants import existing
+
 __all__ = ["ReplicaState", "Membership", "Target"]
 
 
@@ -74,6 +76,11 @@
     last_model: str = ""
     membership: Membership | None = None
 
+    @property
+    def joined(self) -> Membership:
+        """Its membership; only for a target that has one."""
+        return existing(self.membership, f"the membership of {self.target_id}")
+
     @property
     def is_fresh(self) -> bool:
         """Whether it has nothing yet, so that it has certainly taken no order."""
--- a/ferrydock/teams/_queue.py
+++ b/ferrydock/teams/_queue.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 __all__ = ["FairQueue", "Waiting"]
 
@@ -13,8 +14,11 @@
 DEFAULT_LENGTH = 256
 
 
+Handle = TypeVar("Handle")
+
+
 @dataclass(eq=False, slots=True)
-class Waiting:
+class Waiting(Generic[Handle]):
     """A request in the queue.
 
     Attributes
@@ -29,7 +33,7 @@
         9 goes first.
     deadline_s : float
         Local time after which it need not be served any more.
-    wake : object
+    wake : Handle or None
         The owner's handle, given back with the request.
     """
 
@@ -38,12 +42,12 @@
     cost: float
     priority: int
     deadline_s: float
-    wake: object = None
+    wake: Handle | None = None
     virtual_end: float = field(default=0.0, init=False)
     gone: bool = field(default=False, init=False)
 
 
-class FairQueue:
+class FairQueue(Generic[Handle]):
     """Weighted fair queueing within each priority.
 
     Parameters
@@ -70,7 +74,7 @@
 
     def __init__(self, length: int = DEFAULT_LENGTH):
         self.length = length
-        self._heap: list[tuple[int, float, int, Waiting]] = []
+        self._heap: list[tuple[int, float, int, Waiting[Handle]]] = []
         self._team_end: dict[str, float] = {}
         self._ticket = itertools.count()
         self._virtual = 0.0
@@ -79,7 +83,7 @@
     def __len__(self) -> int:
         return self._size
 
-    def push(self, waiting: Waiting) -> Waiting | None:
+    def push(self, waiting: Waiting[Handle]) -> Waiting[Handle] | None:
         """Add a request; return the one that is shed for it, which may be itself."""
         shed = None
         if self._size >= self.length:
@@ -95,13 +99,13 @@
         self._size += 1
         return shed
 
-    def _lowest(self, newcomer: Waiting) -> Waiting:
+    def _lowest(self, newcomer: Waiting[Handle]) -> Waiting[Handle]:
         """Return the request to shed: of the lowest priority, the one that would be served last."""
         entries = [entry for entry in self._heap if not entry[3].gone]
         last = max(entries)[3]
         return last if last.priority < newcomer.priority else newcomer
 
-    def pop(self, now_s: float) -> Waiting | None:
+    def pop(self, now_s: float) -> Waiting[Handle] | None:
         """Return the next request whose deadline has not passed, or None."""
         while self._heap:
             waiting = heapq.heappop(self._heap)[3]
@@ -117,13 +121,13 @@
             self._virtual = 0.0
         return None
 
-    def peek(self) -> Waiting | None:
+    def peek(self) -> Waiting[Handle] | None:
         """Return the next request without taking it."""
         while self._heap and self._heap[0][3].gone:
             heapq.heappop(self._heap)
         return self._heap[0][3] if self._heap else None
 
-    def remove(self, waiting: Waiting) -> None:
+    def remove(self, waiting: Waiting[Handle]) -> None:
         """Take a request out, wherever it stands."""
         if not waiting.gone:
             waiting.gone = True
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,104 @@
+"""What the pages, examples and docstrings name is there.
+
+Pages that keep history (measurements, incidents) may name what is gone; their links must work.
+"""
+
+import re
+
+import pytest
+
+from .processes import ROOT
+
+PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
+HISTORY = {"MEASUREMENTS.md", "CHANGELOG.md"} | {
+    path.name for path in ROOT.glob("docs/incidents/*.md")
+}
+LIVING = [page for page in PAGES if page.name not in HISTORY] + sorted(ROOT.glob("examples/*"))
+SOURCES = sorted([*ROOT.glob("ferrydock/**/*.py"), *ROOT.glob("benchmarks/*.py")])
+CODE = "\n".join(path.read_text() for path in [*SOURCES, *ROOT.glob("tests/*.py")])
+LINK = re.compile(r"\]\(([^)#\s]+)(?:#[^)]*)?\)")
+CODE_SPAN = re.compile(r"`([^`\n]+)`")
+FILE = re.compile(r"[\w./-]+\.(?:py|md|toml|proto|sh)")
+MODULE = re.compile(r"python -m ([A-Za-z_.]+[A-Za-z_])")
+FLAG = re.compile(r"--([a-z_]{3,})")
+MAKE = re.compile(r"`make ([a-z-]+)`")
+NAME = re.compile(r"_?[a-z]+(?:_[a-z0-9]+)+|[A-Z][a-z]+\w*[a-z]|[A-Z]+_[A-Z_]+")
+EVENT = re.compile(r"^ *(?:->)? *\d\d:\d\d:\d\d\.\d+ \S+ (\w+) ", re.MULTILINE)
+BENCHMARK = re.compile(r"\bbenchmarks\.([a-z_]+)")
+OPTIONS_OF_OTHERS = {"grep", "oneline"}  # of git
+MADE_BY_TOOLS = {"KNOWN-RED.txt"}
+
+
+def name_of(path):
+    return str(path.relative_to(ROOT))
+
+
+@pytest.mark.parametrize("page", PAGES, ids=name_of)
+def test_links_lead_somewhere(page):
+    gone = [link for link in LINK.findall(page.read_text()) if not _is_there(page, link)]
+    assert gone == []
+
+
+def _is_there(page, link):
+    return link.startswith("http") or (page.parent / link).exists()
+
+
+@pytest.mark.parametrize("page", LIVING, ids=name_of)
+def test_named_files_exist(page):
+    gone = [
+        span
+        for span in CODE_SPAN.findall(page.read_text())
+        if FILE.fullmatch(span) and span not in MADE_BY_TOOLS and not _find(page, span)
+    ]
+    assert gone == []
+
+
+def _find(page, name):
+    places = (ROOT, ROOT / "ferrydock", ROOT / "docs", page.parent)
+    return any((place / name).exists() for place in places) or any(
+        ROOT.glob(f"ferrydock/**/{name}")
+    )
+
+
+@pytest.mark.parametrize("page", LIVING, ids=name_of)
+def test_named_commands_exist(page):
+    text = page.read_text()
+    makefile = (ROOT / "Makefile").read_text()
+    assert [target for target in MAKE.findall(text) if f"\n{target}:" not in makefile] == []
+    modules = [name for name in MODULE.findall(text) if not _is_module(name)]
+    assert modules == []
+    flags = {flag for flag in FLAG.findall(text) if f'"{flag}"' not in CODE}
+    assert flags - OPTIONS_OF_OTHERS - set(re.findall(r'"--([a-z_]+)', CODE)) == set()
+
+
+def _is_module(name):
+    if name == "benchmarks.NAME":
+        return True  # stands for each of them
+    path = ROOT / name.replace(".", "/")
+    return path.with_suffix(".py").exists() or (path / "__main__.py").exists()
+
+
+@pytest.mark.parametrize("page", LIVING, ids=name_of)
+def test_named_parts_of_the_code_exist(page):
+    gone = [
+        span
+        for span in CODE_SPAN.findall(page.read_text())
+        if NAME.fullmatch(span) and span not in CODE
+    ]
+    assert gone == []
+
+
+def test_log_events_of_the_operators_page_are_logged():
+    text = (ROOT / "docs/OPERATIONS.md").read_text()
+    events = set(EVENT.findall(text))
+    assert len(events) > 5
+    assert {event for event in events if f'"{event}"' not in CODE} == set()
+
+
+@pytest.mark.parametrize("path", [*LIVING, *SOURCES], ids=name_of)
+def test_named_benchmarks_and_pages_exist(path):
+    text = path.read_text()
+    names = set(BENCHMARK.findall(text))
+    assert {name for name in names if not (ROOT / f"benchmarks/{name}.py").exists()} == set()
+    pages = set(re.findall(r"docs/[\w/.-]+\.md", text))
+    assert {page for page in pages if not (ROOT / page).exists()} == set()
