Plan by weights of targets; mix configured shares with equal parts before there is an observation

Cause: a model's configured share is the share of the work at the start as somebody guessed it. The plan took it for the share of the targets; a guess that was wrong the other way round left one model with a third of the replicas it needed while the other's stood idle. Hypothesis: a guess is better mixed with equal parts. Change: replicas/_model_weights; domains go to the model that holds most of them, so that weights which change a little move little. Safe: with equal shares the plan is what it was (same doctests).

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import uuid
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 
 from ..clock import Clock
 from ..configuration import CurrentConfiguration, EngineSpec, ModelSpec
@@ -54,6 +54,9 @@
         Sends orders to targets; knows the target directory and the clock.
     on_broken : callable
         Takes name and epoch of a replica that was given up.
+    demand : callable, optional
+        Returns the slots that requests for each model of a service fill on the whole site; empty
+        before there is an observation.
 
     Notes
     -----
@@ -70,6 +73,7 @@
         order_sender: OrderSender,
         on_broken: Callable[[tuple[str, int]], None],
         metrics: RouteMetrics | None = None,
+        demand: Callable[[str], Mapping[str, float]] = lambda service: {},
     ):
         self.hall = settings.hall
         self.lease = lease
@@ -81,7 +85,7 @@
         self.metrics = metrics or RouteMetrics()
         self.record = PlacementRecord(store, self.hall, lease.holder)
         self.state = HallState(self.clock)
-        self.planner = HallPlanner(self.state, self.directory, self.clock, settings)
+        self.planner = HallPlanner(self.state, self.directory, self.clock, settings, demand)
         self.health_check = ReplicaHealthCheck(self.state, order_sender, self._spawn)
         self.former = ReplicaFormer(order_sender)
         self._tasks: set[asyncio.Task] = set()
@@ -129,7 +133,7 @@
         formations = self.planner.formations(service, targets, staying, engine)
         if formations:
             await self._begin(formations)
-        for target, model in self.planner.stagings(targets, staying, engine):
+        for target, model in self.planner.stagings(service, targets, staying, engine):
             self._stage(target, model)
 
     def _check(self, replica: ObservedReplica, engine: EngineSpec) -> bool:
--- /dev/null
+++ b/ferrydock/replicas/_model_weights.py
@@ -0,0 +1,120 @@
+"""Rule: which part of the targets each model should have.
+
+Pure but for `SteadyWeights`, which owns the weights in force, in memory.
+"""
+
+from collections.abc import Mapping
+from math import sqrt
+
+from ..configuration import EngineSpec
+
+__all__ = ["SteadyWeights", "model_weights", "replicas_needed"]
+
+# Before there is an observation, the configured shares are mixed with equal parts: they are
+# somebody's guess. With 0.5, a guess of 2 to 1 that was wrong the other way round left 0.95 of a
+# calm day's worth in place of 0.71 (docs/design/capacity.md, round 1).
+EQUAL_PARTS_FRACTION = 0.5
+
+# Replicas of a model beyond its demand: the next loss takes one. Chosen, not measured.
+SPARE_REPLICAS = 1.0
+
+# Demand varies like arrivals that do not know of each other: by its square root. Two of these
+# cover all but a few moments in a hundred. Chosen, not measured.
+VARIANCE_FACTOR = 2.0
+
+# Weights in force change only if one of them is off by this part of itself, and not more often
+# than this: weights take 12 to 16 s to load, so a plan that swings serves nobody. Chosen, not
+# measured.
+MIN_CHANGE_FRACTION = 0.25
+MIN_CHANGE_PAUSE_S = 4.0
+
+
+def replicas_needed(slots_wanted: float, slots: int) -> float:
+    """Return how many replicas of a model a site needs, not rounded.
+
+    Parameters
+    ----------
+    slots_wanted : float
+        Slots that the model's requests fill on average.
+    slots : int
+        Slots of a replica.
+
+    Examples
+    --------
+    >>> replicas_needed(0.0, 10), replicas_needed(25.0, 10)
+    (1.0, 4.5)
+    """
+    return (slots_wanted + VARIANCE_FACTOR * sqrt(slots_wanted)) / slots + SPARE_REPLICAS
+
+
+def model_weights(engine: EngineSpec, slots_wanted: Mapping[str, float]) -> dict[str, float]:
+    """Return the part of the targets that each model should have; together they are 1.
+
+    Parameters
+    ----------
+    slots_wanted : mapping of str to float
+        Slots that each model's requests fill on average, on the whole site; empty before there is
+        an observation. A model that is not in it has had no request.
+
+    Examples
+    --------
+    >>> from ferrydock.replicas.tests.specs import two_models
+    >>> model_weights(two_models(), {})
+    {'large': 0.5, 'small': 0.5}
+    >>> weights = model_weights(two_models(), {"large": 9.0, "small": 36.0})
+    >>> {name: round(weight, 2) for name, weight in weights.items()}
+    {'large': 0.46, 'small': 0.54}
+    """
+    if not slots_wanted:
+        return _prior(engine)
+    targets = {
+        model.name: replicas_needed(slots_wanted.get(model.name, 0.0), engine.slots) * model.size
+        for model in engine.models
+    }
+    total = sum(targets.values())
+    return {name: count / total for name, count in targets.items()}
+
+
+def _prior(engine: EngineSpec) -> dict[str, float]:
+    configured = sum(model.share for model in engine.models) or 1.0
+    equal = EQUAL_PARTS_FRACTION / len(engine.models)
+    mixed = 1.0 - EQUAL_PARTS_FRACTION
+    return {model.name: equal + mixed * model.share / configured for model in engine.models}
+
+
+class SteadyWeights:
+    """Weights that change only for a difference that matters, and not too often.
+
+    Examples
+    --------
+    >>> steady = SteadyWeights()
+    >>> steady.update({"large": 0.5, "small": 0.5}, now_s=0.0)
+    {'large': 0.5, 'small': 0.5}
+    >>> steady.update({"large": 0.45, "small": 0.55}, now_s=9.0)
+    {'large': 0.5, 'small': 0.5}
+    >>> steady.update({"large": 0.3, "small": 0.7}, now_s=9.5)
+    {'large': 0.3, 'small': 0.7}
+    """
+
+    __slots__ = ("_changed_s", "_weights")
+
+    def __init__(self):
+        self._weights: dict[str, float] = {}
+        self._changed_s = 0.0
+
+    def update(self, weights: Mapping[str, float], now_s: float) -> dict[str, float]:
+        """Take new weights if they differ enough; return those in force."""
+        if self._weights.keys() != weights.keys():
+            return self._take(weights, now_s)
+        is_due = now_s - self._changed_s >= MIN_CHANGE_PAUSE_S
+        if is_due and any(self._differs(name, weights[name]) for name in weights):
+            return self._take(weights, now_s)
+        return self._weights
+
+    def _differs(self, name: str, weight: float) -> bool:
+        return abs(weight - self._weights[name]) > MIN_CHANGE_FRACTION * self._weights[name]
+
+    def _take(self, weights: Mapping[str, float], now_s: float) -> dict[str, float]:
+        self._weights = dict(weights)
+        self._changed_s = now_s
+        return self._weights
--- a/ferrydock/replicas/_plan.py
+++ b/ferrydock/replicas/_plan.py
@@ -33,6 +33,9 @@
 # measured.
 WHOLE_DOMAIN_FRACTION = 0.75
 
+# Keeps a model without any weight from dividing by zero; it comes last then.
+MIN_WEIGHT = 1e-6
+
 # How long a target takes to join a replica of the model that it served last, in seconds: the
 # platform's own time.
 REJOIN_S = 0.2
@@ -87,41 +90,48 @@
         self.idle = [target for target in self.idle if target.target_id not in taken]
 
 
-def domain_shares(domains: int, engine: EngineSpec) -> list[dict[str, float]]:
+def domain_shares(
+    weights: Mapping[str, float], held: Sequence[Mapping[str, int]]
+) -> list[dict[str, float]]:
     """Return the share of each model in each domain of a hall, the domains in a fixed order.
 
     Parameters
     ----------
-    domains : int
-        Domains of the hall, all taken for equally large.
-    engine : EngineSpec
-        Models and their shares of the whole.
+    weights : mapping of str to float
+        Part of the hall's targets that each model should have; together they are 1.
+    held : sequence of mapping of str to int
+        Targets that hold a model, by model, of each domain. Domains count as equally large.
 
     Notes
     -----
     A domain is given to one model if that model has work for most of it: then every spare and every
-    survivor there has the weights that the next repair needs. The remaining domains are mixed.
+    survivor there has the weights that the next repair needs. The remaining domains are mixed. A
+    model gets the domain that holds most of it, so that weights which change a little move little.
 
     Examples
     --------
-    >>> from ferrydock.replicas.tests.specs import two_models
-    >>> domain_shares(2, two_models())
+    >>> halves = {"large": 0.5, "small": 0.5}
+    >>> domain_shares(halves, [{}, {}])
     [{'large': 1.0, 'small': 0.0}, {'large': 0.0, 'small': 1.0}]
-    >>> domain_shares(1, two_models())
+    >>> domain_shares(halves, [{}])
     [{'large': 0.5, 'small': 0.5}]
+    >>> domain_shares(halves, [{"small": 6}, {"large": 8}])
+    [{'large': 0.0, 'small': 1.0}, {'large': 1.0, 'small': 0.0}]
     """
-    total = sum(model.share for model in engine.models) or 1.0
-    needs = {model.name: model.share / total * domains for model in engine.models}
-    shares = []
-    for _ in range(domains):
+    needs = {name: weight * len(held) for name, weight in weights.items()}
+    shares: dict[int, dict[str, float]] = {}
+    while len(shares) < len(held):
+        left = [number for number in range(len(held)) if number not in shares]
         name = max(needs, key=lambda model: needs[model])
-        if needs[name] >= WHOLE_DOMAIN_FRACTION or len(needs) == 1:
-            shares.append({other: float(other == name) for other in needs})
-            needs[name] -= 1.0
-        else:
-            left = sum(max(0.0, need) for need in needs.values()) or 1.0
-            shares.append({other: max(0.0, need) / left for other, need in needs.items()})
-    return shares
+        if needs[name] < WHOLE_DOMAIN_FRACTION and len(needs) > 1:
+            wanted = {other: max(0.0, need) for other, need in needs.items()}
+            total = sum(wanted.values()) or 1.0
+            shares.update((n, {m: need / total for m, need in wanted.items()}) for n in left)
+            break
+        number = max(left, key=lambda n: held[n].get(name, 0))
+        shares[number] = {other: float(other == name) for other in needs}
+        needs[name] -= 1.0
+    return [shares[number] for number in range(len(held))]
 
 
 def desired_counts(size: int, engine: EngineSpec, shares: Mapping[str, float]) -> dict[str, int]:
@@ -210,6 +220,7 @@
     domain: DomainState,
     engine: EngineSpec,
     site_targets: Mapping[str, int],
+    weights: Mapping[str, float],
     loads_left: int,
     may_load: bool = True,
     loading: Mapping[str, Loading] = MappingProxyType({}),
@@ -220,7 +231,9 @@
     ----------
     site_targets : mapping of str to int
         Targets of the whole site in replicas, by model. Of two models that both lack replicas, the
-        one with fewer targets for its share goes first.
+        one with fewer targets for its weight goes first.
+    weights : mapping of str to float
+        Part of the targets that each model should have.
     loads_left : int
         Loads from the weight store that may begin now.
     may_load : bool, default=True
@@ -244,6 +257,6 @@
             continue
         if not may_load and formation.ready_s > model.warm_s:
             continue
-        served = site_targets.get(model.name, 0) / model.share
+        served = site_targets.get(model.name, 0) / max(weights[model.name], MIN_WEIGHT)
         options.append((served, formation.ready_s, model.name, formation))
     return min(options, key=lambda option: option[:3])[3] if options else None
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -4,7 +4,8 @@
 changed in number. Decides by `_plan` and `_staging`; orders nothing.
 """
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -12,6 +13,7 @@
 from ..targets import Target, TargetDirectory
 from ._hall_state import HallState
 from ._load_budget import WeightLoadBudget
+from ._model_weights import SteadyWeights, model_weights
 from ._observed import ObservedReplica
 from ._plan import DomainState, Formation, desired_counts, domain_shares, next_formation
 from ._staging import StagingState, choose_stagings
@@ -55,13 +57,18 @@
     ----------
     state : HallState
         What is under way.
+    demand : callable
+        Returns the slots that requests for each model fill on the whole site, for a service; empty
+        before there is an observation.
     """
 
     __slots__ = (
         "_domains",
         "_targets_known",
         "_targets_since_s",
+        "_weights",
         "clock",
+        "demand",
         "directory",
         "loads",
         "settings",
@@ -74,11 +81,14 @@
         directory: TargetDirectory,
         clock: Clock,
         settings: ControllerSettings,
+        demand: Callable[[str], Mapping[str, float]],
     ):
         self.state = state
         self.directory = directory
         self.clock = clock
         self.settings = settings
+        self.demand = demand
+        self._weights: dict[str, SteadyWeights] = {}
         self.loads = WeightLoadBudget(settings.load_window_s)
         self._domains: set[str] = set()
         self._targets_known = 0
@@ -106,7 +116,8 @@
         loads_left = len(targets) if is_first else self._loads_left(engine, now_s)
         loading = self.state.staging.loading(now_s)
         domains = _by_domain(targets)
-        shares = self._shares(domains, engine)
+        weights = self._weights_of(service, engine)
+        shares = self._shares(domains, weights)
         if not self._is_settled(targets, now_s):
             return []
         plans: list[Formation] = []
@@ -116,7 +127,7 @@
                 continue  # the survivors of a broken replica will be idle soon, and ready soonest
             domain = self._domain_state(name, domains[name], replicas, shares[name])
             while formation := next_formation(
-                domain, engine, site_targets, loads_left, is_first, loading
+                domain, engine, site_targets, weights, loads_left, is_first, loading
             ):
                 plans.append(formation)
                 loads_left -= formation.loads
@@ -126,7 +137,11 @@
         return plans
 
     def stagings(
-        self, targets: list[Target], replicas: list[ObservedReplica], engine: EngineSpec
+        self,
+        service: str,
+        targets: list[Target],
+        replicas: list[ObservedReplica],
+        engine: EngineSpec,
     ) -> list[tuple[Target, ModelSpec]]:
         """Return which idle targets shall load what: for missing replicas, then for spares.
 
@@ -136,7 +151,7 @@
         if not any(replica.is_open for replica in replicas):
             return []
         domains = _by_domain(t for t in targets if self._is_usable(t))
-        shares = self._shares(domains, engine)
+        shares = self._shares(domains, self._weights_of(service, engine))
         orders: list[tuple[Target, ModelSpec]] = []
         for name, usable in domains.items():
             domain = self._domain_state(name, usable, replicas, shares[name])
@@ -188,11 +203,20 @@
             self._targets_since_s = now_s
         return now_s - self._targets_since_s >= SETTLE_S
 
-    def _shares(self, domains: Iterable[str], engine: EngineSpec) -> dict[str, dict[str, float]]:
+    def _weights_of(self, service: str, engine: EngineSpec) -> dict[str, float]:
+        """Return the part of the targets that each model should have now."""
+        wanted = model_weights(engine, self.demand(service))
+        steady = self._weights.setdefault(service, SteadyWeights())
+        return steady.update(wanted, self.clock.now_s())
+
+    def _shares(
+        self, domains: Mapping[str, Iterable[Target]], weights: Mapping[str, float]
+    ) -> dict[str, dict[str, float]]:
         """Return the models' shares in each domain; a domain once seen keeps its place."""
         self._domains.update(domains)
         order = sorted(self._domains)
-        return dict(zip(order, domain_shares(len(order), engine), strict=True))
+        held = [_held_models(domains.get(name, ())) for name in order]
+        return dict(zip(order, domain_shares(weights, held), strict=True))
 
     def _site_targets(self, service: str, engine: EngineSpec) -> dict[str, int]:
         """Return the targets in replicas of the whole site by model, those planned included."""
@@ -206,6 +230,11 @@
         return found
 
 
+def _held_models(targets: Iterable[Target]) -> Counter[str]:
+    """Return how many targets hold each model, in a replica or on their host."""
+    return Counter(model for target in targets for model in set(target.models + target.staged))
+
+
 def _by_domain(targets: Iterable[Target]) -> dict[str, list[Target]]:
     domains: dict[str, list[Target]] = {}
     for target in targets:
