Replicas follow the demand: observed by model, planned by weights, turned over when a model is short

Cause: the plan knew configured shares only. Change: scheduling/_demand (slots wanted by model: requests a second times time in a slot), asked of other halls once a second (new call Demand; a leader of an older version answers that it has no such call, which is logged and counts as no report); replicas/_turn_over (a replica of a model that can spare it is drained for one that has been short for 4 s); weights change only while a model is short. Metrics ferrydock_slots_wanted and ferrydock_replicas_planned, log lines plan_changed and replica_turned_over, examples/demand-moves.toml and a test of it, benchmarks/planning. Safe: nothing happens before 2 s of observation; replicas are drained, not cut, one at a time and hall, under the bound on loads; the model's own spare is kept.

--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -34,12 +34,26 @@
 _CLASSES = ("write-large", "write-small", "look", "file")
 
 
+@dataclass(frozen=True, slots=True)
+class MixChange:
+    """A time from which on the classes have other parts."""
+
+    at_s: float
+    mix: Mapping[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Requests a second, and the part of each class."""
+    """Requests a second, the part of each class, and how the parts change."""
 
     requests_per_s: float
     mix: Mapping[str, float]
+    changes: tuple[MixChange, ...] = ()
+
+    def mix_at(self, at_s: float) -> Mapping[str, float]:
+        """Return the part of each class at a time."""
+        past = [change for change in self.changes if change.at_s <= at_s]
+        return max(past, key=lambda change: change.at_s).mix if past else self.mix
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,16 +138,32 @@
     if not isinstance(fields, dict):
         faults.append(Fault("load", "is not a table"))
         fields = {}
-    _unknown("load.", fields, ("requests_per_s", "mix"), faults)
+    _unknown("load.", fields, ("requests_per_s", "mix", "change"), faults)
     rate = _number("load.", fields, "requests_per_s", 20.0, 0.1, 500, faults)
+    mix = _mix("load.", fields, faults)
+    entries = fields.get("change", [])
+    if not isinstance(entries, list):
+        faults.append(Fault("load.change", "is not a list of tables: write [[load.change]]"))
+        entries = []
+    return Load(rate, mix, tuple(_mix_change(n, entry, faults) for n, entry in enumerate(entries)))
+
+
+def _mix_change(number: int, fields: Mapping, faults: list[Fault]) -> MixChange:
+    place = f"load.change[{number}]."
+    _unknown(place, fields, ("at_s", "mix"), faults)
+    at_s = _number(place, fields, "at_s", 1.0, 0, 600, faults)
+    return MixChange(at_s, _mix(place, fields, faults))
+
+
+def _mix(place: str, fields: Mapping, faults: list[Fault]) -> Mapping[str, float]:
     mix = fields.get("mix", dict.fromkeys(_CLASSES, 1.0))
     if not isinstance(mix, dict) or not mix:
-        faults.append(Fault("load.mix", f"{mix!r} is not a table of classes"))
+        faults.append(Fault(f"{place}mix", f"{mix!r} is not a table of classes"))
         mix = dict.fromkeys(_CLASSES, 1.0)
-    _unknown("load.mix.", mix, _CLASSES, faults)
+    _unknown(f"{place}mix.", mix, _CLASSES, faults)
     for name in mix:
-        _number("load.mix.", mix, name, 1.0, 0, 1e6, faults)
-    return Load(rate, mix)
+        _number(f"{place}mix.", mix, name, 1.0, 0, 1e6, faults)
+    return mix
 
 
 def _troubles(entries, halls: tuple[str, ...], faults: list[Fault]) -> tuple[Trouble, ...]:
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -153,10 +153,10 @@
     async def _send(self, callers: Callers) -> None:
         load = self.experiment.load
         rng = random.Random(self.experiment.seed + 1)
-        kinds, weights = list(load.mix), list(load.mix.values())
         calls: set[asyncio.Task] = set()
         while self.now_s() < self.experiment.length_s:
-            kind = rng.choices(kinds, weights)[0]
+            mix = load.mix_at(self.now_s())
+            kind = rng.choices(list(mix), list(mix.values()))[0]
             task = asyncio.ensure_future(callers.call(kind))
             calls.add(task)
             task.add_done_callback(calls.discard)
--- a/ferrydock/replicas/__init__.py
+++ b/ferrydock/replicas/__init__.py
@@ -11,7 +11,9 @@
 
 from ._controller import ControllerSettings, ReplicaController
 from ._forming import PlannedReplica, ReplicaFormer
+from ._hall_state import HallState
 from ._load_budget import WeightLoadBudget
+from ._observed import observed_replicas
 from ._order_sender import OrderSender
 from ._plan import (
     DomainState,
@@ -21,6 +23,7 @@
     domain_shares,
     next_formation,
 )
+from ._planning import HallPlanner
 from ._record import PlacementRecord
 from ._staging import choose_stagings
 
@@ -28,6 +31,8 @@
     "ControllerSettings",
     "DomainState",
     "Formation",
+    "HallPlanner",
+    "HallState",
     "OrderSender",
     "PlacementRecord",
     "PlannedReplica",
@@ -39,4 +44,5 @@
     "desired_counts",
     "domain_shares",
     "next_formation",
+    "observed_replicas",
 ]
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -25,6 +25,7 @@
 from ._plan import Formation
 from ._planning import ControllerSettings, HallPlanner
 from ._record import PlacementRecord
+from ._turn_over import TurnOver
 
 __all__ = ["ControllerSettings", "ReplicaController"]
 
@@ -33,6 +34,9 @@
 # How long an order to stage weights is sent until it is answered. Chosen, not measured.
 STAGE_WITHIN_S = 2.0
 
+# Pause between two looks at the demand, which fades over 5 s. Chosen, not measured.
+FOLLOW_DEMAND_EVERY_S = 0.5
+
 # Hexadecimal digits in the name of a replica: enough that no two of a hall share a name.
 NAME_DIGITS = 8
 
@@ -90,6 +94,8 @@
         self.former = ReplicaFormer(order_sender)
         self._tasks: set[asyncio.Task] = set()
         self._lost: set[tuple[str, int]] = set()
+        self._weights: dict[str, dict[str, float]] = {}
+        self._demand_looked_s: dict[str, float] = {}
 
     @property
     def is_acting(self) -> bool:
@@ -130,12 +136,56 @@
         observed = observed_replicas(members)
         staying = [replica for replica in observed if self._check(replica, engine)]
         self.health_check.forget_others({replica.key for replica in observed})
+        if self._is_demand_due(service):
+            self._follow_demand(service, targets, staying, engine)
         formations = self.planner.formations(service, targets, staying, engine)
         if formations:
             await self._begin(formations)
         for target, model in self.planner.stagings(service, targets, staying, engine):
             self._stage(target, model)
 
+    def _note_plan(self, service: str, targets: list[Target], engine: EngineSpec) -> None:
+        """Put the plan into the metrics, and into the log when the weights change."""
+        wanted = self.planner.demand(service)
+        planned = self.planner.planned_counts(service, targets, engine)
+        self.metrics.set_plan(self.hall, planned, wanted)
+        weights = self.planner.weights(service, engine)
+        if self._weights.get(service) == weights:
+            return
+        self._weights[service] = weights
+        log_event(
+            _LOG,
+            logging.INFO,
+            "plan_changed",
+            hall=self.hall,
+            service=service,
+            slots_wanted=_by_model(wanted) or "not_observed",
+            weights=_by_model(weights),
+            replicas_planned=_by_model(planned),
+        )
+
+    def _is_demand_due(self, service: str) -> bool:
+        now_s = self.clock.now_s()
+        looked_s = self._demand_looked_s.get(service)
+        if looked_s is not None and now_s - looked_s < FOLLOW_DEMAND_EVERY_S:
+            return False
+        self._demand_looked_s[service] = now_s
+        return True
+
+    def _follow_demand(
+        self,
+        service: str,
+        targets: list[Target],
+        staying: list[ObservedReplica],
+        engine: EngineSpec,
+    ) -> None:
+        """Give up a replica that another model needs more; it is taken out of `staying`."""
+        turn_over = self.planner.turn_over(service, targets, staying, engine)
+        if turn_over is not None:
+            self._turn_over(turn_over, service)
+            staying.remove(turn_over.replica)
+        self._note_plan(service, targets, engine)
+
     def _check(self, replica: ObservedReplica, engine: EngineSpec) -> bool:
         """Do what a replica needs; return whether it is there to stay."""
         result = self.health_check.judge(replica, engine)
@@ -153,15 +203,30 @@
     def _give_up(self, replica: ObservedReplica, result: HealthResult) -> None:
         """Dissolve a replica that cannot serve any more.
 
-        Only one whose member is leaving may finish its requests; any other is cut.
+        Only one that is whole may finish its requests: a member is leaving, or its model has
+        replicas to spare. Any other is cut.
         """
         self._log_given_up(replica, result)
-        cut = result.why is not GiveUpReason.LEAVING
+        cut = result.why not in (GiveUpReason.LEAVING, GiveUpReason.SURPLUS)
         if cut:
             self.on_broken(replica.key)
             self.state.freeing[replica.domain] += 1
         self._spawn(self._dissolve(replica, set(result.dead), cut))
 
+    def _turn_over(self, found: TurnOver, service: str) -> None:
+        """Let a replica that nobody needs finish, so that its targets serve another model."""
+        log_event(
+            _LOG,
+            logging.INFO,
+            "replica_turned_over",
+            replica=found.replica.name,
+            epoch=found.replica.epoch,
+            model=found.replica.model,
+            to_model=found.model.name,
+            slots_wanted=_by_model(self.planner.demand(service)),
+        )
+        self._give_up(found.replica, HealthResult(Verdict.GIVE_UP, GiveUpReason.SURPLUS))
+
     def _note_lost(self, replica: ObservedReplica) -> None:
         """Log once that all members of a replica are dead: there is nothing to dissolve."""
         if replica.key not in self._lost:
@@ -260,3 +325,7 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log_event(_LOG, logging.ERROR, "control_failed", why=repr(task.exception()))
+
+
+def _by_model(numbers: Mapping[str, float]) -> str:
+    return ",".join(f"{model}={number:.3g}" for model, number in sorted(numbers.items()))
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from ..clock import Clock
@@ -100,17 +100,18 @@
         """Return whether an order is under way for one of the targets."""
         return any(target.target_id in self.busy for target in targets)
 
-    def counts(self, domain: str, replicas: list[ObservedReplica]) -> dict[str, int]:
-        """Return the replicas of a domain by model, those being formed included."""
-        counts: Counter[str] = Counter()
+    def counts(self, replicas: list[ObservedReplica]) -> defaultdict[str, Counter[str]]:
+        """Return the replicas by domain and model, those being formed included.
+
+        For all domains at once: one domain after the other took half of the time of a round of a
+        hall of 144 targets (`python -m benchmarks.planning`).
+        """
+        counts: defaultdict[str, Counter[str]] = defaultdict(Counter)
         for replica in replicas:
-            if replica.key in self.forming:
-                continue
-            if replica.domain == domain and replica.model:
-                counts[replica.model] += 1
+            if replica.key not in self.forming and replica.model:
+                counts[replica.domain][replica.model] += 1
         for plan in self.forming.values():
-            if plan.formation.members[0].domain == domain:
-                counts[plan.formation.model.name] += 1
+            counts[plan.formation.members[0].domain][plan.formation.model.name] += 1
         return counts
 
     def forget(self, targets: list[Target]) -> None:
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -56,6 +56,7 @@
     BROKEN = "broken"
     MEMBER_GONE = "member_gone"
     LEAVING = "leaving"
+    SURPLUS = "surplus"
     ORPHANED = "stray"
 
 
--- a/ferrydock/replicas/_model_weights.py
+++ b/ferrydock/replicas/_model_weights.py
@@ -29,7 +29,9 @@
 MIN_CHANGE_PAUSE_S = 4.0
 
 
-def replicas_needed(slots_wanted: float, slots: int) -> float:
+def replicas_needed(
+    slots_wanted: float, slots: int, spare_replicas: float = SPARE_REPLICAS
+) -> float:
     """Return how many replicas of a model a site needs, not rounded.
 
     Parameters
@@ -38,13 +40,15 @@
         Slots that the model's requests fill on average.
     slots : int
         Slots of a replica.
+    spare_replicas : float
+        Replicas beyond the demand.
 
     Examples
     --------
     >>> replicas_needed(0.0, 10), replicas_needed(25.0, 10)
     (1.0, 4.5)
     """
-    return (slots_wanted + VARIANCE_FACTOR * sqrt(slots_wanted)) / slots + SPARE_REPLICAS
+    return (slots_wanted + VARIANCE_FACTOR * sqrt(slots_wanted)) / slots + spare_replicas
 
 
 def model_weights(engine: EngineSpec, slots_wanted: Mapping[str, float]) -> dict[str, float]:
@@ -65,8 +69,10 @@
     >>> {name: round(weight, 2) for name, weight in weights.items()}
     {'large': 0.46, 'small': 0.54}
     """
-    if not slots_wanted:
-        return _prior(engine)
+    return _by_demand(engine, slots_wanted) if slots_wanted else _prior(engine)
+
+
+def _by_demand(engine: EngineSpec, slots_wanted: Mapping[str, float]) -> dict[str, float]:
     targets = {
         model.name: replicas_needed(slots_wanted.get(model.name, 0.0), engine.slots) * model.size
         for model in engine.models
@@ -76,15 +82,23 @@
 
 
 def _prior(engine: EngineSpec) -> dict[str, float]:
-    configured = sum(model.share for model in engine.models) or 1.0
-    equal = EQUAL_PARTS_FRACTION / len(engine.models)
-    mixed = 1.0 - EQUAL_PARTS_FRACTION
-    return {model.name: equal + mixed * model.share / configured for model in engine.models}
+    equal = 1.0 / len(engine.models)
+    total = sum(model.share for model in engine.models)
+    configured = {model.name: model.share / total if total else equal for model in engine.models}
+    return {
+        name: EQUAL_PARTS_FRACTION * equal + (1.0 - EQUAL_PARTS_FRACTION) * share
+        for name, share in configured.items()
+    }
 
 
 class SteadyWeights:
     """Weights that change only for a difference that matters, and not too often.
 
+    Attributes
+    ----------
+    weights : dict of str to float
+        Those in force; empty before the first.
+
     Examples
     --------
     >>> steady = SteadyWeights()
@@ -96,25 +110,25 @@
     {'large': 0.3, 'small': 0.7}
     """
 
-    __slots__ = ("_changed_s", "_weights")
+    __slots__ = ("_changed_s", "weights")
 
     def __init__(self):
-        self._weights: dict[str, float] = {}
+        self.weights: dict[str, float] = {}
         self._changed_s = 0.0
 
     def update(self, weights: Mapping[str, float], now_s: float) -> dict[str, float]:
         """Take new weights if they differ enough; return those in force."""
-        if self._weights.keys() != weights.keys():
+        if self.weights.keys() != weights.keys():
             return self._take(weights, now_s)
         is_due = now_s - self._changed_s >= MIN_CHANGE_PAUSE_S
         if is_due and any(self._differs(name, weights[name]) for name in weights):
             return self._take(weights, now_s)
-        return self._weights
+        return self.weights
 
     def _differs(self, name: str, weight: float) -> bool:
-        return abs(weight - self._weights[name]) > MIN_CHANGE_FRACTION * self._weights[name]
+        return abs(weight - self.weights[name]) > MIN_CHANGE_FRACTION * self.weights[name]
 
     def _take(self, weights: Mapping[str, float], now_s: float) -> dict[str, float]:
-        self._weights = dict(weights)
+        self.weights = dict(weights)
         self._changed_s = now_s
-        return self._weights
+        return self.weights
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -17,6 +17,7 @@
 from ._observed import ObservedReplica
 from ._plan import DomainState, Formation, desired_counts, domain_shares, next_formation
 from ._staging import StagingState, choose_stagings
+from ._turn_over import HallSupply, TurnOver, choose_turn_over
 
 __all__ = ["ControllerSettings", "HallPlanner"]
 
@@ -29,6 +30,14 @@
 # own bound is counted so.
 EXTRA_LOADS = 3
 
+# Pause between two replicas that a hall gives up for another model: time for the plan to see what
+# the first one changed. Chosen, not measured.
+TURN_OVER_PAUSE_S = 3.0
+
+# How long a model must have been short before a replica of another is given up for it: a lost
+# member is replaced within 3 s. Chosen, not measured.
+SHORT_FOR_S = 4.0
+
 
 @dataclass(frozen=True, slots=True)
 class ControllerSettings:
@@ -64,8 +73,10 @@
 
     __slots__ = (
         "_domains",
+        "_short_since_s",
         "_targets_known",
         "_targets_since_s",
+        "_turned_over_s",
         "_weights",
         "clock",
         "demand",
@@ -91,6 +102,8 @@
         self._weights: dict[str, SteadyWeights] = {}
         self.loads = WeightLoadBudget(settings.load_window_s)
         self._domains: set[str] = set()
+        self._turned_over_s = 0.0
+        self._short_since_s: dict[tuple[str, str], float] = {}
         self._targets_known = 0
         self._targets_since_s = 0.0
 
@@ -116,16 +129,17 @@
         loads_left = len(targets) if is_first else self._loads_left(engine, now_s)
         loading = self.state.staging.loading(now_s)
         domains = _by_domain(targets)
-        weights = self._weights_of(service, engine)
+        weights = self.weights(service, engine)
         shares = self._shares(domains, weights)
         if not self._is_settled(targets, now_s):
             return []
         plans: list[Formation] = []
+        counts = self.state.counts(replicas)
         site_targets = self._site_targets(service, engine)
         for name in sorted(domains):
             if self.state.freeing[name]:
                 continue  # the survivors of a broken replica will be idle soon, and ready soonest
-            domain = self._domain_state(name, domains[name], replicas, shares[name])
+            domain = self._domain_state(domains[name], counts[name], shares[name])
             while formation := next_formation(
                 domain, engine, site_targets, weights, loads_left, is_first, loading
             ):
@@ -151,10 +165,11 @@
         if not any(replica.is_open for replica in replicas):
             return []
         domains = _by_domain(t for t in targets if self._is_usable(t))
-        shares = self._shares(domains, self._weights_of(service, engine))
+        shares = self._shares(domains, self.weights(service, engine))
         orders: list[tuple[Target, ModelSpec]] = []
+        counts_by_domain = self.state.counts(replicas)
         for name, usable in domains.items():
-            domain = self._domain_state(name, usable, replicas, shares[name])
+            domain = self._domain_state(usable, counts_by_domain[name], shares[name])
             desired = desired_counts(domain.size, engine, domain.shares)
             counts = domain.counts
             missing = {
@@ -170,19 +185,79 @@
             orders += choose_stagings(domain.idle, engine, state)
         return orders[: self._loads_left(engine, now_s)]
 
+    def planned_counts(
+        self, service: str, targets: list[Target], engine: EngineSpec
+    ) -> dict[str, int]:
+        """Return how many replicas of each model the hall should hold now."""
+        usable = _by_domain(t for t in targets if self._is_usable(t))
+        shares = self._shares(usable, self.weights(service, engine))
+        planned: Counter[str] = Counter({model.name: 0 for model in engine.models})
+        for name, members in usable.items():
+            planned.update(desired_counts(len(members), engine, shares[name]))
+        return dict(planned)
+
+    def turn_over(
+        self,
+        service: str,
+        targets: list[Target],
+        replicas: list[ObservedReplica],
+        engine: EngineSpec,
+    ) -> TurnOver | None:
+        """Return the replica to give up for another model now, or None."""
+        now_s = self.clock.now_s()
+        supply = self._supply(service, targets, replicas, engine)
+        self._note_shortage(service, engine, supply, now_s)
+        is_paused = now_s - self._turned_over_s < TURN_OVER_PAUSE_S or self.state.forming
+        if is_paused or not self._is_short(service):
+            return None
+        domains = _by_domain(t for t in targets if self._is_usable(t))
+        shares = self._shares(domains, self.weights(service, engine))
+        counts = self.state.counts(replicas)
+        for name in sorted(domains):
+            if self.state.freeing[name] or self.state.is_busy(domains[name]):
+                continue
+            domain = self._domain_state(domains[name], counts[name], shares[name])
+            serving = [replica for replica in replicas if replica.domain == name]
+            found = choose_turn_over(domain, [r for r in serving if r.is_open], engine, supply)
+            if found is not None:
+                self._turned_over_s = now_s
+                return found
+        return None
+
+    def _note_shortage(
+        self, service: str, engine: EngineSpec, supply: HallSupply, now_s: float
+    ) -> None:
+        """Note since when each model has not been able to serve its demand."""
+        for model in engine.models:
+            if supply.missing(model, engine, 0.0) <= 0:
+                self._short_since_s.pop((service, model.name), None)
+            else:
+                self._short_since_s.setdefault((service, model.name), now_s)
+
+    def _supply(
+        self,
+        service: str,
+        targets: list[Target],
+        replicas: list[ObservedReplica],
+        engine: EngineSpec,
+    ) -> HallSupply:
+        """Return what the hall should serve, by its part of the site's targets, and what it has."""
+        of_site = sum(target.service == service for target in self.directory.targets.values())
+        counts = Counter(replica.model for replica in replicas)
+        return HallSupply(self.demand(service), len(targets) / max(1, of_site), counts)
+
     def _is_usable(self, target: Target) -> bool:
         return not target.draining and not self.state.is_paused(target)
 
     def _domain_state(
         self,
-        name: str,
         targets: Sequence[Target],
-        replicas: list[ObservedReplica],
+        counts: Counter[str],
         shares: dict[str, float],
     ) -> DomainState:
         usable = [target for target in targets if self._is_usable(target)]
         idle = [target for target in usable if self.state.is_idle(target)]
-        return DomainState(len(usable), idle, self.state.counts(name, replicas), shares)
+        return DomainState(len(usable), idle, counts, shares)
 
     def _loads_left(self, engine: EngineSpec, now_s: float) -> int:
         """Return how many loads from the weight store may begin now: the hall's equal part."""
@@ -203,12 +278,23 @@
             self._targets_since_s = now_s
         return now_s - self._targets_since_s >= SETTLE_S
 
-    def _weights_of(self, service: str, engine: EngineSpec) -> dict[str, float]:
-        """Return the part of the targets that each model should have now."""
-        wanted = model_weights(engine, self.demand(service))
+    def weights(self, service: str, engine: EngineSpec) -> dict[str, float]:
+        """Return the part of the targets that each model should have now.
+
+        They change only while a model has been short for some seconds. A better plan that nobody
+        needs would leave idle targets unused until the weights of another model are loaded.
+        """
         steady = self._weights.setdefault(service, SteadyWeights())
+        if steady.weights and not self._is_short(service):
+            return steady.weights
+        wanted = model_weights(engine, self.demand(service))
         return steady.update(wanted, self.clock.now_s())
 
+    def _is_short(self, service: str) -> bool:
+        """Return whether a model has not been able to serve its demand for some seconds."""
+        until_s = self.clock.now_s() - SHORT_FOR_S
+        return any(s <= until_s for (name, _), s in self._short_since_s.items() if name == service)
+
     def _shares(
         self, domains: Mapping[str, Iterable[Target]], weights: Mapping[str, float]
     ) -> dict[str, dict[str, float]]:
--- a/ferrydock/replicas/tests/hall.py
+++ b/ferrydock/replicas/tests/hall.py
@@ -32,6 +32,7 @@
         self.list = FleetList(self.fleet)
         self.directory = TargetDirectory()
         self.broken = []
+        self.demand = {}
         self.following = asyncio.ensure_future(self._follow())
         self.controllers = 0
         self.task = None
@@ -59,6 +60,7 @@
             self.current,
             OrderSender(control, self.directory, self.clock),
             self.broken.append,
+            demand=lambda service: self.demand,
         )
         self.task = asyncio.ensure_future(self._drive(self.controller))
         return self.controller
--- /dev/null
+++ b/ferrydock/replicas/tests/test_demand_plan.py
@@ -0,0 +1,179 @@
+"""Replicas follow the demand: the weights of models, and replicas that are turned over."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from ...configuration import EngineSpec, ModelSpec
+from ...standins.fleet import run_virtually
+from .. import domain_shares
+from .._model_weights import SteadyWeights, model_weights, replicas_needed
+from .._observed import ObservedReplica
+from .._plan import DomainState, desired_counts
+from .._turn_over import HallSupply, choose_turn_over
+from .hall import Hall
+from .specs import two_models, worker
+
+SLOTS = two_models().slots
+
+
+def engine(*models):
+    return EngineSpec(9, 5.0, tuple(ModelSpec(*model, 16.0, 1.6) for model in models))
+
+
+@pytest.mark.parametrize(
+    ("models", "wanted"),
+    [
+        ((("only", 4, 1.0),), {"only": 30.0}),
+        ((("a", 8, 0.5), ("b", 4, 0.3), ("c", 2, 0.2)), {"a": 9.0, "b": 40.0, "c": 3.0}),
+        ((("a", 4, 0.9), ("b", 2, 0.1)), {}),
+        ((("a", 4, 0.0), ("b", 2, 0.0)), {}),
+        ((("a", 4, 0.9), ("b", 2, 0.1)), {"b": 5.0}),
+    ],
+)
+@pytest.mark.parametrize("size", (8, 10, 12, 19))
+def test_every_number_and_size_of_models_gives_a_plan(models, wanted, size):
+    spec = engine(*models)
+    weights = model_weights(spec, wanted)
+    assert abs(sum(weights.values()) - 1.0) < 1e-9
+    assert all(weight > 0 for weight in weights.values())
+    for domains in (1, 2, 3):
+        for shares in domain_shares(weights, [{}] * domains):
+            counts = desired_counts(size, spec, shares)
+            used = sum(counts[model.name] * model.size for model in spec.models)
+            assert 0 < used <= size
+
+
+def test_a_model_that_wants_more_gets_no_fewer_targets():
+    weights = [model_weights(two_models(), {"large": 20.0, "small": s}) for s in range(0, 90, 5)]
+    assert all(a["small"] < b["small"] for a, b in itertools.pairwise(weights))
+
+
+def test_domains_stay_with_the_model_they_hold():
+    for weight in (0.45, 0.5, 0.55):
+        weights = {"large": weight, "small": 1.0 - weight}
+        for first, second in (("large", "small"), ("small", "large")):
+            shares = domain_shares(weights, [{first: 8}, {second: 8}])
+            assert [max(s, key=s.get) for s in shares] == [first, second]
+
+
+def test_demand_that_swings_a_little_changes_no_weights():
+    steady = SteadyWeights()
+    taken = {
+        tuple(
+            steady.update(
+                model_weights(two_models(), {"large": 20.0 + 4.0 * (at % 2), "small": 30.0}), at
+            ).items()
+        )
+        for at in range(200)
+    }
+    assert len(taken) == 1
+
+
+def best_counts(size, spec, supply, weights):
+    """Return the counts that leave least demand without a slot, found by trying all."""
+    options = [range(size // model.size + 1) for model in spec.models]
+    found = []
+    for counts in itertools.product(*options):
+        if sum(c * m.size for c, m in zip(counts, spec.models, strict=True)) > size:
+            continue
+        unserved = sum(
+            max(0.0, supply.slots_wanted[m.name] - c * spec.slots)
+            for c, m in zip(counts, spec.models, strict=True)
+        )
+        found.append(unserved)
+    return min(found)
+
+
+@pytest.mark.parametrize("small", (0.0, 6.0, 12.0, 18.0, 24.0, 30.0))
+@pytest.mark.parametrize("large", (2.0, 9.0, 16.0))
+def test_a_hall_serves_as_much_as_the_best_plan_where_there_is_enough(large, small):
+    spec = two_models()
+    wanted = {"large": large, "small": small}
+    supply = HallSupply(wanted, 1.0, {})
+    weights = model_weights(spec, wanted)
+    if best_counts(16, spec, supply, weights) > 0:
+        return  # too little for any plan: who is served is not for this rule to say
+    shares = domain_shares(weights, [{}, {}])
+    counts = {m.name: 0 for m in spec.models}
+    for share in shares:
+        for name, count in desired_counts(10, spec, share).items():
+            counts[name] += count
+    assert all(counts[name] * spec.slots >= slots for name, slots in wanted.items())
+
+
+def replica(name, model, size):
+    members = [worker(f"{name}-{n}", models=(model,)) for n in range(size)]
+    return ObservedReplica(name, 1, members)
+
+
+def domain(counts, shares=None, idle=()):
+    return DomainState(8, list(idle), dict(counts), shares or {"large": 0.0, "small": 1.0})
+
+
+REPLICAS = [replica("r1", "large", 4), replica("r2", "large", 4)]
+
+
+def test_a_replica_that_nobody_needs_is_turned_over_to_a_model_that_is_short():
+    supply = HallSupply({"large": 2.0, "small": 40.0}, 1.0, {"large": 6.0, "small": 3.0})
+    found = choose_turn_over(domain({"large": 2}), REPLICAS, two_models(), supply)
+    assert (found.replica.name, found.model.name) == ("r2", "small")
+
+
+@pytest.mark.parametrize(
+    ("wanted", "replicas", "why"),
+    [
+        ({}, {"large": 6, "small": 1}, "nothing was observed"),
+        ({"large": 2.0, "small": 10.0}, {"large": 6, "small": 4}, "nobody is short"),
+        ({"large": 40.0, "small": 40.0}, {"large": 6, "small": 3}, "it is needed where it is"),
+    ],
+)
+def test_a_replica_is_not_turned_over(wanted, replicas, why):
+    supply = HallSupply(wanted, 1.0, replicas)
+    assert choose_turn_over(domain({"large": 2}), REPLICAS, two_models(), supply) is None, why
+
+
+def test_idle_targets_are_used_before_a_replica_is_turned_over():
+    supply = HallSupply({"large": 2.0, "small": 40.0}, 1.0, {"large": 6.0, "small": 3.0})
+    idle = [worker("i1"), worker("i2")]
+    assert choose_turn_over(domain({"large": 2}, idle=idle), REPLICAS, two_models(), supply) is None
+
+
+def test_a_hall_follows_demand_that_moves_and_cuts_nothing():
+    async def scenario():
+        hall = Hall(3)
+        hall.demand = {"large": 6.0, "small": 10.0}
+        hall.start_controller()
+        assert await hall.until(lambda: hall.models() == {"large": 2, "small": 4}, 60.0) is not None
+        hall.demand = {"large": 1.0, "small": 45.0}
+        assert await hall.until(lambda: hall.models()["small"] >= 6, 90.0) is not None
+        assert hall.models()["large"] >= 1
+        assert hall.broken == []
+        hall.demand = {"large": 14.0, "small": 6.0}
+        assert await hall.until(lambda: hall.models()["large"] >= 2, 120.0) is not None
+        assert hall.broken == []
+        assert hall.fleet.violations == []
+        await asyncio.sleep(60.0)
+        models = hall.models()
+        await asyncio.sleep(60.0)
+        assert hall.models() == models  # it has come to rest
+
+    run_virtually(scenario())
+
+
+def test_halls_share_a_shortage():
+    wanted = {"large": 2.0, "small": 15.0}  # the site wants 3.5 replicas of small
+    alone = HallSupply(wanted, 1.0, {"large": 3, "small": 2})
+    one_of_three = HallSupply(wanted, 1 / 3, {"large": 3, "small": 2})
+    found = [
+        choose_turn_over(domain({"large": 2, "small": 2}), REPLICAS, two_models(), supply)
+        for supply in (alone, one_of_three)
+    ]
+    assert found[0] is not None
+    assert found[1] is None
+
+
+def test_slots_wanted_cover_variance_and_one_loss():
+    assert replicas_needed(0.0, SLOTS) == 1.0
+    assert replicas_needed(SLOTS * 4.0, SLOTS) > 6.0
--- a/ferrydock/reports/_route_metrics.py
+++ b/ferrydock/reports/_route_metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms of a daemon that serves routes, in the usual text form."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
@@ -85,6 +85,18 @@
         self.replicas = Gauge(
             "ferrydock_replicas", "Open replicas known here.", ("model",), registry=registry
         )
+        self.replicas_planned = Gauge(
+            "ferrydock_replicas_planned",
+            "Replicas that the halls led by this daemon should hold.",
+            ("hall", "model"),
+            registry=registry,
+        )
+        self.slots_wanted = Gauge(
+            "ferrydock_slots_wanted",
+            "Slots that the whole site's requests fill on average, as this daemon's halls plan by.",
+            ("model",),
+            registry=registry,
+        )
         self.targets = Gauge("ferrydock_targets", "Targets known here.", registry=registry)
         self.in_flight = Gauge("ferrydock_in_flight", "Requests under way.", registry=registry)
         self.waiting = Gauge("ferrydock_waiting", "Requests that wait for room.", registry=registry)
@@ -128,6 +140,15 @@
         for model in models:
             self.replicas.labels(model).inc()
 
+    def set_plan(
+        self, hall: str, planned: Mapping[str, int], slots_wanted: Mapping[str, float]
+    ) -> None:
+        """Note the replicas that a hall should hold, and the demand behind it, by model."""
+        for model, count in planned.items():
+            self.replicas_planned.labels(hall, model).set(count)
+        for model, slots in slots_wanted.items():
+            self.slots_wanted.labels(model).set(slots)
+
     def text(self) -> bytes:
         """Return all figures in the text form."""
         return generate_latest(self.registry)
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -26,6 +26,7 @@
 from ..replicas import ControllerSettings, OrderSender, ReplicaController
 from ..reports import RouteMetrics
 from ..scheduling import (
+    DemandMeter,
     EndpointCatalog,
     HallScheduler,
     InFlightCounts,
@@ -119,6 +120,7 @@
         self.directory = TargetDirectory()
         self.catalog = EndpointCatalog(self.directory)
         self.broken = BrokenReplicas()
+        self.demand = DemandMeter(len(self.settings.halls))
         self.daemon_counter = DaemonCounter()
         self.site_daemons = SiteDaemons(self.live_settings, self.daemon_counter, self.clock)
 
@@ -202,6 +204,7 @@
             self.order_sender,
             self.stalls.replica_given_up,
             self.metrics,
+            self._slots_wanted,
         )
         return controller, store, self.clock, self.rng, self.stopping.is_set
 
@@ -215,6 +218,7 @@
             self.current.service,
             self.clock,
             self.rng,
+            self.demand,
         )
         self.scheduler_client = SchedulerClient(
             self.settings.name,
@@ -225,7 +229,7 @@
             self.clock,
         )
         self.selector.scheduler = self.scheduler_client
-        self.remote_halls = RemoteHallPoller(counts, self._remote_leaders, self.clock)
+        self.remote_halls = RemoteHallPoller(counts, self.demand, self._remote_leaders, self.clock)
 
     def _build_upkeep(self) -> None:
         """Readiness, metrics and periodic tidying."""
@@ -247,6 +251,9 @@
     def _leaderships(self) -> list[HallLeadership]:
         return [self.leadership, *self.remote_leaderships]
 
+    def _slots_wanted(self, service: str) -> dict[str, float]:
+        return self.demand.site_slots_wanted(service, self.clock.now_s())
+
     def _max_keyed_age_s(self) -> float:
         return max_keyed_age_s(self.settings.freshness_s)
 
@@ -337,5 +344,8 @@
         """Learn, as this hall's scheduler, what other halls have in flight at its targets."""
         self.scheduler.counts.forget_silent(self.clock.now_s())
         if self.leadership.is_leader:
+            self.scheduler.sample_demand()
             await self.remote_halls.step()
             self.scheduler.assign_free_slots()
+        else:
+            self.demand.forget()
--- a/ferrydock/scheduling/__init__.py
+++ b/ferrydock/scheduling/__init__.py
@@ -11,6 +11,7 @@
 """
 
 from ._client import SchedulerClient
+from ._demand import DemandMeter
 from ._endpoints import Endpoint, EndpointCatalog, max_requests
 from ._in_flight import InFlightCounts
 from ._messages import SlotReply, SlotRequest, decode_reply, decode_request, encode
@@ -30,6 +31,7 @@
     "DAEMON_SELECTION",
     "HALL_SELECTION",
     "Candidate",
+    "DemandMeter",
     "Endpoint",
     "EndpointCatalog",
     "HallScheduler",
--- a/ferrydock/scheduling/_remote_halls.py
+++ b/ferrydock/scheduling/_remote_halls.py
@@ -1,6 +1,7 @@
 """Polling the schedulers of other halls for what their daemons have in flight.
 
-Owns the connections to them. A hall that does not answer keeps its last counts for a while
+Owns the connections to them. Asks for the demand of their halls as well, less often. A hall that
+does not answer keeps its last counts for a while
 (`_in_flight.REMOTE_REPORT_S`).
 """
 
@@ -10,8 +11,9 @@
 
 from ..clock import Clock
 from ..relay import PeerCalls
+from ._demand import DemandMeter
 from ._in_flight import InFlightCounts
-from ._server import RUNNING
+from ._server import DEMAND, RUNNING
 
 __all__ = ["RemoteHallPoller"]
 
@@ -19,6 +21,10 @@
 # (`route_daemon._daemon.POLL_REMOTE_HALLS_EVERY_S`). Chosen, not measured.
 REPLY_TIMEOUT_S = 0.15
 
+# Pause between two questions for the demand of another hall: it fades over 5 s. Chosen, not
+# measured.
+DEMAND_EVERY_S = 1.0
+
 
 class RemoteHallPoller:
     """Keeps the in-flight counts informed of other halls.
@@ -27,26 +33,44 @@
     ----------
     counts : InFlightCounts
         Receives what the other halls report.
+    demand : DemandMeter
+        Receives the demand that they report.
     addresses : callable
         Returns ``IP:PORT`` of the other halls' leaders, by hall.
     """
 
-    __slots__ = ("addresses", "calls", "clock", "counts")
+    __slots__ = ("_demand_asked_s", "addresses", "calls", "clock", "counts", "demand")
 
     def __init__(
-        self, counts: InFlightCounts, addresses: Callable[[], Mapping[str, str]], clock: Clock
+        self,
+        counts: InFlightCounts,
+        demand: DemandMeter,
+        addresses: Callable[[], Mapping[str, str]],
+        clock: Clock,
     ):
         self.counts = counts
+        self.demand = demand
+        self._demand_asked_s = -DEMAND_EVERY_S
         self.addresses = addresses
         self.clock = clock
         self.calls = PeerCalls()
 
     async def step(self) -> None:
-        """Ask each known scheduler once."""
+        """Ask each known scheduler once, and for its demand if that is due."""
+        is_due = self.clock.now_s() - self._demand_asked_s >= DEMAND_EVERY_S
+        if is_due:
+            self._demand_asked_s = self.clock.now_s()
         for hall, address in self.addresses().items():
             data = await self.calls.call(address, RUNNING, b"", REPLY_TIMEOUT_S)
             if data is not None:
                 self.counts.receive_remote(hall, orjson.loads(data), self.clock.now_s())
+            if is_due and data is not None:
+                await self._ask_demand(hall, address)
+
+    async def _ask_demand(self, hall: str, address: str) -> None:
+        data = await self.calls.call(address, DEMAND, b"", REPLY_TIMEOUT_S)
+        if data is not None:
+            self.demand.receive_remote(hall, orjson.loads(data), self.clock.now_s())
 
     async def close(self) -> None:
         """Close the connections."""
--- a/ferrydock/scheduling/_scheduler.py
+++ b/ferrydock/scheduling/_scheduler.py
@@ -6,10 +6,12 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
 
 from ..clock import Clock
 from ..configuration import ServiceSpec
+from ._demand import DemandMeter
 from ._endpoints import Endpoint, EndpointCatalog, max_requests
 from ._in_flight import InFlightCounts
 from ._messages import SlotReply, SlotRequest
@@ -32,6 +34,8 @@
         Whose targets are preferred.
     services : callable
         Returns the spec of a service by its name, or None.
+    demand : DemandMeter, optional
+        Is told of each request for a model; one of its own by default.
 
     Notes
     -----
@@ -39,7 +43,7 @@
     Why one daemon decides for all: docs/design/scheduling.md.
     """
 
-    __slots__ = ("_queue", "catalog", "clock", "counts", "hall", "rng", "services")
+    __slots__ = ("_queue", "catalog", "clock", "counts", "demand", "hall", "rng", "services")
 
     def __init__(
         self,
@@ -49,9 +53,11 @@
         services: Callable[[str], ServiceSpec | None],
         clock: Clock,
         rng: random.Random,
+        demand: DemandMeter | None = None,
     ):
         self.catalog = catalog
         self.counts = counts
+        self.demand = demand or DemandMeter(halls=1)
         self.hall = hall
         self.services = services
         self.clock = clock
@@ -72,6 +78,8 @@
     async def acquire(self, request: SlotRequest) -> SlotReply:
         """Return a slot, at once or within the `hold_s` of the request."""
         self.receive_counts(request)
+        if request.model and request.hold_s <= 0:
+            self.demand.asked(request.service, request.model)
         endpoints = self._endpoints(request)
         if not endpoints:
             return SlotReply("", 0)
@@ -105,9 +113,20 @@
         if chosen is None:
             return None
         target_id = chosen.target.target_id
+        if request.model:
+            self.demand.granted(request.service, request.model)
         grant = self.counts.grant(request.sender, target_id, self.clock.now_s())
         return SlotReply(target_id, len(endpoints), grant)
 
+    def sample_demand(self) -> None:
+        """Take the hall's requests in flight, by model, into the demand."""
+        in_flight: Counter[tuple[str, str]] = Counter()
+        for target_id, count in self.counts.of_hall().items():
+            target = self.catalog.directory.targets.get(target_id)
+            if target is not None and target.models:
+                in_flight[target.service, target.models[0]] += count
+        self.demand.sample(in_flight, self.clock.now_s())
+
     def _endpoints(self, request: SlotRequest) -> list[Endpoint]:
         """Return the endpoints that the sender does not want to avoid."""
         service = self.services(request.service)
--- a/ferrydock/scheduling/_server.py
+++ b/ferrydock/scheduling/_server.py
@@ -2,6 +2,8 @@
 
 ``Place``: a daemon of the hall asks for a slot, or reports what it has in flight.
 ``Running``: another hall's scheduler asks what this hall's daemons have in flight.
+``Demand``: another hall's scheduler asks how many slots this hall's requests want, by service and
+model; the answer is empty before there is an observation.
 """
 
 from collections.abc import Mapping
@@ -12,10 +14,11 @@
 from ._messages import decode_request, encode
 from ._scheduler import HallScheduler
 
-__all__ = ["PLACE", "RUNNING", "scheduler_methods"]
+__all__ = ["DEMAND", "PLACE", "RUNNING", "scheduler_methods"]
 
 PLACE = "Place"
 RUNNING = "Running"
+DEMAND = "Demand"
 
 
 def scheduler_methods(scheduler: HallScheduler) -> Mapping[str, PeerMethod]:
@@ -35,4 +38,7 @@
     async def running(data: bytes) -> bytes:
         return orjson.dumps(scheduler.counts.of_hall())
 
-    return {PLACE: place, RUNNING: running}
+    async def demand(data: bytes) -> bytes:
+        return orjson.dumps(scheduler.demand.hall_slots_wanted(scheduler.clock.now_s()))
+
+    return {PLACE: place, RUNNING: running, DEMAND: demand}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -91,3 +91,24 @@
 def test_soak(seed, tmp_path):
     result = play(soak_experiment(seed), tmp_path)
     assert result.broken == [], result.troubles
+
+
+def served_share(calls, kind, from_s, to_s):
+    """Return the part of the calls of a kind that were served, of those sent in a time."""
+    asked = [call for call in calls if call.kind == kind and from_s <= call.at_s < to_s]
+    return sum(call.outcome == "served" for call in asked) / len(asked)
+
+
+def test_replicas_follow_demand_that_moves_to_another_model(tmp_path):
+    experiment = example("demand-moves")
+    result = play(experiment, tmp_path)
+    assert result.broken == []
+    moved_s = experiment.load.changes[0].at_s
+    # Before the plan followed the demand, 0.80 of the requests of the second half were served; with
+    # it 0.99 of the last third (one run each, 45 requests a second, one hall of 12 targets).
+    assert served_share(result.calls, "write-small", 0.0, moved_s) > 0.95
+    assert served_share(result.calls, "write-large", 17.0, experiment.length_s) > 0.95
+    told = lines_of(tmp_path)
+    turned_over = [line for line in told if line.fields["event"] == "replica_turned_over"]
+    assert {line.fields["to_model"] for line in turned_over} == {"large"}
+    assert "large=" in turned_over[0].fields["slots_wanted"]
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -119,6 +119,8 @@
     "ferrydock_queue_wait_seconds": "histogram",
     "ferrydock_repairs": "counter",
     "ferrydock_replicas": "gauge",
+    "ferrydock_replicas_planned": "gauge",
+    "ferrydock_slots_wanted": "gauge",
     "ferrydock_requests": "counter",
     "ferrydock_retry_budget_left": "gauge",
     "ferrydock_store_calls": "gauge",
@@ -347,6 +349,7 @@
     assert list(placed) == ["target_id", "candidates", "grant"]
     assert placed["target_id"] == "hall-a-plain" and placed["candidates"] == 1
     assert json.loads(await play.call("Running", b"")) == {"hall-a-plain": 1}
+    assert json.loads(await play.call("Demand", b"")) == {}
     seen = b'{"sender":"e2","running":{},"seen":[%d]}' % placed["grant"]
     assert await play.call("Place", seen) == b""
     with pytest.raises(grpc.aio.AioRpcError) as refused:
