--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -12,7 +12,7 @@
 
 _SHOWN_FIRST = ("time", "daemon", "event")
 _HIDDEN = frozenset({"level", "logger"})
-_REQUEST_ENDS = frozenset({"request_done", "request_failed", "request_refused"})
+_REQUEST_ENDS = frozenset({"request_done", "request_failed", "request_refused", "caller_left"})
 _REASONS = {
     "no_room": "no replica or target had room before the time allowed for waiting was over",
     "retry_budget": "the budget for sending again was used up",
@@ -33,6 +33,8 @@
     "member_gone": "the entry of a member is gone and it does not answer",
     "leaving": "a member said that it will leave",
     "stray": "nobody opened the replica",
+    "caller_left": "the caller's connection ended before its answer did",
+    "surplus": "its model could spare it, and its targets serve another model",
 }
 
 
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """What the gateway does with answers of every kind, whole and broken."""
 
 import asyncio
+import logging
 from types import SimpleNamespace
 
 import pytest
@@ -277,7 +278,9 @@
     play(scenario)
 
 
-def test_a_caller_that_leaves_ends_the_work():
+def test_a_caller_that_leaves_ends_the_work(caplog):
+    caplog.set_level(logging.INFO, "ferrydock.forwarding")
+
     async def scenario():
         left = asyncio.Event()
 
@@ -310,6 +313,7 @@
         assert len(target.requests) == 1
 
     play(scenario)
+    assert "event=caller_left" in caplog.text
 
 
 def test_the_time_limit_ends_a_request_and_tells_whether_it_may_have_run():
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -185,6 +185,8 @@
         while True:
             watched = await self.watch_once(prefix, since)
             if not isinstance(watched, WatchBatch):
+                why = watched.reason if isinstance(watched, Unavailable) else "history_gone"
+                log_event(_LOG, logging.INFO, "watch_ended", prefix=prefix, why=why)
                 return  # the caller reads the key again
             since = watched.revision
             if watched.changes:
