A dark domain keeps its model in the plan; a term of leadership begins without old shortages

Cause: a domain whose targets are all silent held nothing, so its model was planned in another domain, whose spares began to load that model's weights. And the planner kept since when a model was short, and the metrics the plan, over terms of leadership. Tests fail before.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -112,7 +112,10 @@
             task.cancel()
         self.record.forget()
         self.state.clear()
+        self.planner.forget()
+        self.metrics.forget_plan(self.hall)
         self._lost.clear()
+        self._weights.clear()
 
     # One round --------------------------------------------------------------------------------
 
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -72,7 +72,7 @@
     """
 
     __slots__ = (
-        "_domains",
+        "_held",
         "_short_since_s",
         "_targets_known",
         "_targets_since_s",
@@ -101,12 +101,17 @@
         self.demand = demand
         self._weights: dict[str, SteadyWeights] = {}
         self.loads = WeightLoadBudget(settings.load_window_s)
-        self._domains: set[str] = set()
+        self._held: dict[str, Counter[str]] = {}
         self._turned_over_s = 0.0
         self._short_since_s: dict[tuple[str, str], float] = {}
         self._targets_known = 0
         self._targets_since_s = 0.0
 
+    def forget(self) -> None:
+        """Drop what was observed in a term of leadership that is over."""
+        self._weights.clear()
+        self._short_since_s.clear()
+
     def formations(
         self,
         service: str,
@@ -298,11 +303,16 @@
     def _shares(
         self, domains: Mapping[str, Iterable[Target]], weights: Mapping[str, float]
     ) -> dict[str, dict[str, float]]:
-        """Return the models' shares in each domain; a domain once seen keeps its place."""
-        self._domains.update(domains)
-        order = sorted(self._domains)
-        held = [_held_models(domains.get(name, ())) for name in order]
-        return dict(zip(order, domain_shares(weights, held), strict=True))
+        """Return the models' shares in each domain.
+
+        A domain once seen keeps its place, and what it held counts while it is dark: its model
+        would else be planned in another domain, where the spares would load its weights.
+        """
+        for name, targets in domains.items():
+            self._held[name] = _held_models(targets) or self._held.get(name, Counter())
+        order = sorted(self._held)
+        shares = domain_shares(weights, [self._held[name] for name in order])
+        return dict(zip(order, shares, strict=True))
 
     def _site_targets(self, service: str, engine: EngineSpec) -> dict[str, int]:
         """Return the targets in replicas of the whole site by model, those planned included."""
--- a/ferrydock/replicas/tests/test_demand_plan.py
+++ b/ferrydock/replicas/tests/test_demand_plan.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from ...clock import ManualClock
 from ...configuration import EngineSpec, ModelSpec
 from ...standins.fleet import run_virtually
-from .. import domain_shares
+from ...targets import TargetDirectory
+from .. import ControllerSettings, HallPlanner, HallState, domain_shares
 from .._model_weights import SteadyWeights, model_weights, replicas_needed
 from .._observed import ObservedReplica
 from .._plan import DomainState, desired_counts
@@ -174,6 +176,51 @@
     assert found[1] is None
 
 
+def planner_of(domains):
+    """Return a planner, and the targets of its hall by domain; the first model is in the last."""
+    directory, clock = TargetDirectory(), ManualClock(100.0)
+    models = ["small"] * (domains - 1) + ["large"]
+    targets = {
+        f"d{number}": [
+            worker(f"w{number}-{n}", f"d{number}", staged=(model,), models=(model,))
+            for n in range(8)
+        ]
+        for number, model in enumerate(models)
+    }
+    for target in (t for members in targets.values() for t in members):
+        directory.put(target)
+    settings = ControllerSettings("hall-a", 1, 5.0, 1.1)
+    demand = {}
+    planner = HallPlanner(HallState(clock), directory, clock, settings, lambda service: demand)
+    return planner, targets, demand, clock
+
+
+def test_a_dark_domain_keeps_its_model():
+    planner, targets, _, _ = planner_of(2)
+    everything = [t for members in targets.values() for t in members]
+    before = planner.planned_counts("engines", everything, two_models())
+    assert before == {"large": 2, "small": 3}
+    # The domain of the large model is gone: the other one goes on with its own.
+    assert planner.planned_counts("engines", targets["d0"], two_models()) == {
+        "large": 0,
+        "small": 3,
+    }
+
+
+def test_a_term_of_leadership_begins_without_the_shortages_of_an_earlier_one():
+    planner, targets, demand, clock = planner_of(2)
+    everything = [t for members in targets.values() for t in members]
+    demand.update({"large": 2.0, "small": 60.0})
+    replicas = [replica("r1", "large", 4), replica("r2", "large", 4)]
+    for _ in range(2):
+        assert planner.turn_over("engines", everything, replicas, two_models()) is None
+        clock.advance(3.0)
+    planner.forget()
+    clock.advance(30.0)
+    assert planner.turn_over("engines", everything, replicas, two_models()) is None
+    assert planner.weights("engines", two_models()) == model_weights(two_models(), demand)
+
+
 def test_slots_wanted_cover_variance_and_one_loss():
     assert replicas_needed(0.0, SLOTS) == 1.0
     assert replicas_needed(SLOTS * 4.0, SLOTS) > 6.0
