--- a/ferrydock/configuration/_current.py
+++ b/ferrydock/configuration/_current.py
@@ -77,9 +77,12 @@
         return self.lookup.configuration.services.get(name) if self.lookup else None
 
     def engine_services(self) -> list[ServiceSpec]:
-        """Return the services whose targets form replicas."""
+        """Return the services whose targets form replicas: those whose engine has models.
+
+        An engine without models is a valid configuration; planning for it would divide by zero.
+        """
         services = self.lookup.configuration.services.values() if self.lookup else ()
-        return [service for service in services if service.engine is not None]
+        return [s for s in services if s.engine is not None and s.engine.models]
 
     def age_s(self, now_s: float) -> float:
         """Return seconds since the configuration was certainly the newest; inf if it never was."""
