The route daemon imports nothing of the other daemon

Cause: a daemon's start is paid in processor time; of 169 modules 67 were the table's daemon's, imported for three things that both share: the hall's lease, the budget of retries, the metrics of routes. They are modules of their own now (hall_lease, retry_budget, route_metrics). Safe: plain moves; wire, keys and metrics are pinned by tests/test_outside.py.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from ..clock import Clock
-from ..reports import RouteMetrics
+from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
 from ..targets import ReplicaView
 from ._answer_relay import AnswerRelay
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -1,7 +1,7 @@
 """The life of one forwarded request: attempts until there is a final answer.
 
 Owns no state between requests. The rules it applies: `_refusal` (how long to wait, what to answer),
-`_retry_rule` (whether to try again), `requests.RetryBudget` (how many retries there may be).
+`_retry_rule` (whether to try again), `retry_budget.RetryBudget` (how many retries there may be).
 """
 
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..invariants import existing
-from ..requests import RetryBudget
+from ..retry_budget import RetryBudget
 from ._attempts import AttemptRunner
 from ._exchange import Exchange
 from ._refusal import SERVICE_UNAVAILABLE, final_status, max_queue_s, refusal, retry_after_s
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -7,7 +7,7 @@
 import logging
 
 from ..logs import log_event
-from ..reports import RouteMetrics
+from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
 from ._exchange import AttemptEnd, Exchange
 from ._target_loads import SERVER_ERROR
--- a/ferrydock/forwarding/_retry_rule.py
+++ b/ferrydock/forwarding/_retry_rule.py
@@ -1,6 +1,6 @@
 """Rule: whether a request that got no final answer from one target may be sent to another.
 
-Pure. The limit on how many retries all daemons send together is apart: `requests.RetryBudget`,
+Pure. The limit on how many retries all daemons send together is apart: `retry_budget.RetryBudget`,
 shared by `route_daemon.RetryShares`.
 """
 
--- a/ferrydock/forwarding/tests/rig.py
+++ b/ferrydock/forwarding/tests/rig.py
@@ -16,8 +16,8 @@
     WeightedService,
 )
 from ...platform import PlatformDialect
-from ...reports import RouteMetrics
-from ...requests import RetryBudget
+from ...retry_budget import RetryBudget
+from ...route_metrics import RouteMetrics
 from ...scheduling import EndpointCatalog
 from ...targets import Target, TargetDirectory
 from .. import (
--- a/ferrydock/gateway/_routes.py
+++ b/ferrydock/gateway/_routes.py
@@ -23,8 +23,8 @@
     TargetLoads,
     Upstream,
 )
-from ..reports import RouteMetrics
-from ..requests import DEFAULT_RETRY_RATIO, RetryBudget
+from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget
+from ..route_metrics import RouteMetrics
 from ..scheduling import EndpointCatalog
 from ..table import TableView
 from ..targets import Target, TargetDirectory
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -16,7 +16,8 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import NotRun, Run
-from ..requests import DEFAULT_RETRY_RATIO, Answered, Claim, ClaimStore, RequestLife, RetryBudget
+from ..requests import Answered, Claim, ClaimStore, RequestLife
+from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget
 from ..table import TableKeeper, Target
 from ._bodies import read_body
 from ._callers import Callers
--- a/ferrydock/hall/_controller.py
+++ b/ferrydock/hall/_controller.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..engines import EngineControl, OrderRefused
+from ..hall_lease import ControllerLease, HeldLease
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Conflict, Unavailable, Unknown
@@ -24,7 +25,6 @@
 )
 from ..store import LeaseLost, Store
 from ..table import TableView
-from ._lease import ControllerLease, HeldLease
 from ._observer import HallObserver
 from ._repository import PlacementRepository, StoredPlacement
 
--- a/ferrydock/hall/_repository.py
+++ b/ferrydock/hall/_repository.py
@@ -2,17 +2,12 @@
 
 from dataclasses import dataclass
 
+from ..hall_lease import controller_key, placement_key
 from ..outcomes import Conflict, Unavailable, Unknown
 from ..placement import HallPlacement
 from ..store import Compare, Put, RangeDone, Store, Txn
-from ._lease import controller_key
 
-__all__ = ["PlacementRepository", "StoredPlacement", "placement_key"]
-
-
-def placement_key(hall: str) -> str:
-    """Return the key of a hall's placement record."""
-    return f"/ferrydock/hall/{hall}/placement"
+__all__ = ["PlacementRepository", "StoredPlacement"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/ferrydock/hall/tests/test_controller.py
+++ b/ferrydock/hall/tests/test_controller.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from ...engines import Fence
+from ...hall_lease import ControllerLease
 from ...outcomes import Conflict
 from ...standins import FaultyStore
-from .. import ControllerLease, ControllerMode, PlacementRepository, StoredPlacement
+from .. import ControllerMode, PlacementRepository, StoredPlacement
 from .world import LEASE_S, TTL_S, World, make_view, run
 
 
--- a/ferrydock/hall/_lease.py
+++ b/ferrydock/hall_lease.py
@@ -1,4 +1,4 @@
-"""The lease that makes a daemon the leader of a hall; used by both programs.
+"""The lease that makes a daemon the leader of a hall, and the hall's keys; used by both programs.
 
 The lease lives in the store; this module owns until when its holder may rely on it. Which daemon
 tries for it, and when, is decided by `route_daemon._leadership` and by `hall.HallController`.
@@ -9,9 +9,9 @@
 
 import orjson
 
-from ..clock import Clock
-from ..outcomes import Conflict, Unavailable, Unknown
-from ..store import (
+from .clock import Clock
+from .outcomes import Conflict, Unavailable, Unknown
+from .store import (
     Compare,
     CompareField,
     KeyValue,
@@ -23,7 +23,13 @@
     Txn,
 )
 
-__all__ = ["ControllerLease", "HeldLease", "controller_address", "controller_key"]
+__all__ = [
+    "ControllerLease",
+    "HeldLease",
+    "controller_address",
+    "controller_key",
+    "placement_key",
+]
 
 # How long before the store could let a lease lapse its holder stops relying on it. Covers the time
 # between a look at the clock and the end of what is done under the lease. Chosen, not measured.
@@ -35,6 +41,11 @@
     return f"/ferrydock/hall/{hall}/controller"
 
 
+def placement_key(hall: str) -> str:
+    """Return the key of a hall's placement record."""
+    return f"/ferrydock/hall/{hall}/placement"
+
+
 @dataclass(frozen=True, slots=True)
 class HeldLease:
     """A lease as its holder knows it.
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -11,10 +11,10 @@
 
 from ..clock import Clock
 from ..configuration import CurrentConfiguration, EngineSpec, ModelSpec
-from ..hall import ControllerLease
+from ..hall_lease import ControllerLease
 from ..invariants import existing
 from ..logs import log_event
-from ..reports import RouteMetrics
+from ..route_metrics import RouteMetrics
 from ..store import Store
 from ..targets import OrderDone, StageOrder, Target, TargetDirectory
 from ._forming import PlannedReplica, ReplicaFormer
--- a/ferrydock/replicas/_record.py
+++ b/ferrydock/replicas/_record.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from ..hall import placement_key
+from ..hall_lease import placement_key
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
--- a/ferrydock/replicas/tests/hall.py
+++ b/ferrydock/replicas/tests/hall.py
@@ -4,7 +4,7 @@
 import random
 
 from ...configuration import Configuration, CurrentConfiguration, ServiceSpec
-from ...hall import ControllerLease
+from ...hall_lease import ControllerLease
 from ...standins.fleet import Fleet, FleetControl, FleetList, LoopClock
 from ...store import MemoryStore
 from ...targets import TargetDirectory
--- a/ferrydock/reports/__init__.py
+++ b/ferrydock/reports/__init__.py
@@ -4,10 +4,8 @@
 from ._page import burn_html, burn_text
 from ._recorder import Recorder, make_statsd
 from ._report import BurnRow, CountedMinute, Objectives, burn_rows, objectives_of
-from ._route_metrics import RouteMetrics
 
 __all__ = [
-    "RouteMetrics",
     "ALERTS",
     "Alert",
     "BurnBook",
--- a/ferrydock/requests/__init__.py
+++ b/ferrydock/requests/__init__.py
@@ -2,14 +2,14 @@
 
 Here stand the rules on admission (`_admission`: a replica with room, a place in the queue, or a
 refusal), on retry and resumption (`_executor`), on what may be said of a request that ended without
-an answer (`_lifecycle`), and on requests that may run only once (`_claims`). `RetryBudget` is also
-used by the route daemon. What does not belong here: HTTP towards callers (`ferrydock.gateway`), the
-choice among replicas with room (`ferrydock.routing`), the teams' shares (`ferrydock.teams`).
+an answer (`_lifecycle`), and on requests that may run only once (`_claims`). The budget of retries
+is shared with the route daemon (`ferrydock.retry_budget`). What does not belong here: HTTP towards
+callers (`ferrydock.gateway`), the choice among replicas with room (`ferrydock.routing`), the teams'
+shares (`ferrydock.teams`).
 """
 
 from ._admission import ReplicaGate
 from ._attempt import Answered, Attempt, Broken, Caller, CallerLeft, EngineClient, Refused, Streamed
-from ._budget import DEFAULT_RETRY_RATIO, RetryBudget, backoff_s
 from ._claim_writer import (
     GROUP_WAIT_S,
     RELAY_FROM_DAEMONS,
@@ -25,7 +25,6 @@
 from ._model_request import ModelRequest, parse_model_request, prompt_blocks
 
 __all__ = [
-    "DEFAULT_RETRY_RATIO",
     "GROUP_WAIT_S",
     "RELAYED_WAIT_S",
     "RELAY_FROM_DAEMONS",
@@ -51,10 +50,8 @@
     "ReplicaGate",
     "RequestLife",
     "RequestPhase",
-    "RetryBudget",
     "Streamed",
     "WritesClaims",
-    "backoff_s",
     "claim_key",
     "error_event",
     "parse_model_request",
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -18,10 +18,10 @@
 from ..membership import SharedState
 from ..outcomes import NotRun, Run
 from ..placement import Replica
+from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget, backoff_s
 from ..routing import Candidate, Flight, ReplicaLoads
 from ._admission import ReplicaGate
 from ._attempt import Answered, Attempt, Broken, Caller, CallerLeft, EngineClient, Refused, Streamed
-from ._budget import DEFAULT_RETRY_RATIO, RetryBudget, backoff_s
 from ._events import EventRelay, text_so_far
 from ._lifecycle import RequestLife
 from ._model_request import ModelRequest
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -20,11 +20,11 @@
     TargetLoads,
     Upstream,
 )
-from ..hall import ControllerLease
+from ..hall_lease import ControllerLease
 from ..logs import log_event
 from ..relay import BrokenReplicas, DaemonCounter, RelayClient, RelayServer
 from ..replicas import ControllerSettings, OrderSender, ReplicaController
-from ..reports import RouteMetrics
+from ..route_metrics import RouteMetrics
 from ..scheduling import (
     DemandMeter,
     EndpointCatalog,
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -6,7 +6,7 @@
 from ..clock import Clock
 from ..forwarding import RouteGateway
 from ..logs import BoundedHandler
-from ..reports import RouteMetrics
+from ..route_metrics import RouteMetrics
 from ..targets import TargetDirectory
 from ._retry_shares import RetryShares
 
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from ..hall import ControllerLease, HeldLease, controller_address, controller_key
+from ..hall_lease import ControllerLease, HeldLease, controller_address, controller_key
 from ..logs import log_event
 from ..outcomes import Conflict, Unavailable
 from ..relay import RelayClient
--- a/ferrydock/route_daemon/_retry_shares.py
+++ b/ferrydock/route_daemon/_retry_shares.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Iterator
 
-from ..requests import RetryBudget
+from ..retry_budget import RetryBudget
 from ._settings import LiveSettings
 
 __all__ = ["RetryShares"]
