Plans are read off when metrics are asked for; a caller that leaves is logged with the other ends

Found on reading the change once more. - The controller pushed its plan into the metrics twice a second, and the metrics kept a list of labels to take it out again. With two services of engines the second wiped the first, and the slots wanted stayed after a daemon had stopped leading. Now the controller keeps the plan (one value in place of a second dict of weights), and the gauges are set from it when they are asked for, as replicas are. - caller_left was a copy of RequestLog's lines in the gateway; it stands there now and is written by the forwarder, which knows how long a request was held. - One time for the look at the demand instead of a dict by service and a method; one comprehension instead of two; DaemonProcess.signal asks `runs` again; benchmarks/dispatch.py as it was (only its layout had changed).

--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -14,12 +14,7 @@
 
 from ferrydock.clock import ManualClock
 from ferrydock.configuration import EngineSpec, ModelSpec, ServiceSpec
-from ferrydock.scheduling import (
-    EndpointCatalog,
-    HallScheduler,
-    InFlightCounts,
-    SlotRequest,
-)
+from ferrydock.scheduling import EndpointCatalog, HallScheduler, InFlightCounts, SlotRequest
 from ferrydock.targets import Membership, ReplicaState, Target, TargetDirectory
 
 from ._report import print_check, print_row
@@ -71,12 +66,7 @@
         directory.replace(self.targets)
         catalog = EndpointCatalog(directory)
         self.scheduler = HallScheduler(
-            catalog,
-            InFlightCounts(),
-            "hall",
-            lambda name: SERVICE,
-            self.clock,
-            self.rng,
+            catalog, InFlightCounts(), "hall", lambda name: SERVICE, self.clock, self.rng
         )
         self.seen = {name: [] for name in self.daemons}
         self.rate_per_s = LOAD * SLOTS * replicas / HOLD_S
--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -78,7 +78,7 @@
         if number % int(FOLLOW_DEMAND_EVERY_S * ROUNDS_PER_S) == 0:
             asked_s = time.process_time()
             planner.turn_over("engines", targets, replicas, spec)
-            planner.planned_counts("engines", targets, spec)
+            planner.plan("engines", targets, spec)
             demand_s += time.process_time() - asked_s
         planner.formations("engines", targets, replicas, spec)
         planner.stagings("engines", targets, replicas, spec)
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -9,6 +9,8 @@
 import sys
 from pathlib import Path
 
+from ..invariants import existing
+
 __all__ = ["DaemonProcess", "free_ports", "loopback_address"]
 
 ENDED_WITHIN_S = 12.0
@@ -92,8 +94,8 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process is there."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+        if self.runs:
+            existing(self.process, "the process").send_signal(number)
 
     async def end(self) -> None:
         """Wait until the process is gone; kill it if it takes too long."""
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 `_retry_rule` (whether to try again), `retry_budget.RetryBudget` (how many retries there may be).
 """
 
+import asyncio
 from collections.abc import Callable
 
 from aiohttp import web
@@ -44,6 +45,14 @@
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse:
         """Serve one request; its answer may have been sent when this returns."""
+        try:
+            return await self._serve(exchange)
+        except (ConnectionError, asyncio.CancelledError) as left:
+            self._log.caller_left(exchange, left, self._held_s(exchange))
+            raise
+
+    async def _serve(self, exchange: Exchange) -> web.StreamResponse:
+        """Make attempts until there is a final answer."""
         budget = self.budgets(exchange.service.name)
         budget.first_attempt()
         may_have_run = False
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -29,7 +29,6 @@
 from ._forwarder import Forwarder
 from ._listener import HEADERS_TOO_LARGE, Listener, caller_connection
 from ._refusal import SERVICE_UNAVAILABLE, refusal
-from ._request_log import MS_PER_S
 
 __all__ = ["RouteGateway"]
 
@@ -277,25 +276,7 @@
             last_on_connection=self._is_stopping,
             events=NumberedEvents(inbound.last_event_id) if route.kind.is_stream else None,
         )
-        try:
-            return await self.forwarder.forward(exchange)
-        except (CallerGone, ConnectionError, asyncio.CancelledError) as left:
-            self._log_caller_left(exchange, left)
-            raise
-
-    def _log_caller_left(self, exchange: Exchange, left: BaseException) -> None:
-        """Log the end of a request whose caller went before its answer was whole."""
-        log_event(
-            _LOG,
-            logging.INFO,
-            "caller_left",
-            request=exchange.inbound.request_id,
-            route=exchange.route.name,
-            why="caller_left",
-            how=type(left).__name__,
-            attempts=exchange.attempts,
-            held_ms=(self.clock.now_s() - exchange.started_s) * MS_PER_S,
-        )
+        return await self.forwarder.forward(exchange)
 
     def _is_stopping(self) -> bool:
         return self.stopping
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -107,6 +107,20 @@
             held_ms=held_s * MS_PER_S,
         )
 
+    def caller_left(self, exchange: Exchange, left: BaseException, held_s: float) -> None:
+        """Log a request whose caller's connection ended before its answer did."""
+        log_event(
+            _LOG,
+            logging.INFO,
+            "caller_left",
+            request=exchange.inbound.request_id,
+            route=exchange.route.name,
+            why="caller_left",
+            how=type(left).__name__,
+            attempts=exchange.attempts,
+            held_ms=held_s * MS_PER_S,
+        )
+
     def _count(self, exchange: Exchange, outcome: str) -> None:
         kind = exchange.route.kind
         self.metrics.ended(exchange.route.name, kind.value, outcome, exchange.first_s)
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -23,7 +23,7 @@
 from ._observed import ObservedReplica, observed_replicas
 from ._order_sender import OrderSender
 from ._plan import Formation
-from ._planning import ControllerSettings, HallPlanner
+from ._planning import ControllerSettings, HallPlan, HallPlanner
 from ._record import PlacementRecord
 from ._turn_over import TurnOver
 
@@ -62,6 +62,11 @@
         Returns the slots that requests for each model of a service fill on the whole site; empty
         before there is an observation.
 
+    Attributes
+    ----------
+    plans : dict of str to HallPlan
+        What the hall should hold, by service; empty while it does not lead.
+
     Notes
     -----
     Each plan is written to the hall's placement record first; the revision of that write is the
@@ -94,8 +99,8 @@
         self.former = ReplicaFormer(order_sender)
         self._tasks: set[asyncio.Task] = set()
         self._lost: set[tuple[str, int]] = set()
-        self._weights: dict[str, dict[str, float]] = {}
-        self._demand_looked_s: dict[str, float] = {}
+        self.plans: dict[str, HallPlan] = {}
+        self._demand_looked_s = -FOLLOW_DEMAND_EVERY_S
 
     @property
     def is_acting(self) -> bool:
@@ -113,9 +118,8 @@
         self.record.forget()
         self.state.clear()
         self.planner.forget()
-        self.metrics.forget_plan(self.hall)
         self._lost.clear()
-        self._weights.clear()
+        self.plans.clear()
 
     # One round --------------------------------------------------------------------------------
 
@@ -125,10 +129,15 @@
             return
         if not await self.record.read():
             return
+        now_s = self.clock.now_s()
+        is_demand_due = now_s - self._demand_looked_s >= FOLLOW_DEMAND_EVERY_S
+        if is_demand_due:
+            self._demand_looked_s = now_s
         for service in self.current.engine_services():
-            await self._step_service(service.name, existing(service.engine, "the engine"))
+            engine = existing(service.engine, "the engine")
+            await self._step_service(service.name, engine, is_demand_due)
 
-    async def _step_service(self, service: str, engine: EngineSpec) -> None:
+    async def _step_service(self, service: str, engine: EngineSpec, is_demand_due: bool) -> None:
         targets = [
             target
             for target in self.directory.targets.values()
@@ -139,7 +148,7 @@
         observed = observed_replicas(members)
         staying = [replica for replica in observed if self._check(replica, engine)]
         self.health_check.forget_others({replica.key for replica in observed})
-        if self._is_demand_due(service):
+        if is_demand_due:
             self._follow_demand(service, targets, staying, engine)
         formations = self.planner.formations(service, targets, staying, engine)
         if formations:
@@ -148,33 +157,22 @@
             self._stage(target, model)
 
     def _note_plan(self, service: str, targets: list[Target], engine: EngineSpec) -> None:
-        """Put the plan into the metrics, and into the log when the weights change."""
-        wanted = self.planner.demand(service)
-        planned = self.planner.planned_counts(service, targets, engine)
-        self.metrics.set_plan(self.hall, planned, wanted)
-        weights = self.planner.weights(service, engine)
-        if self._weights.get(service) == weights:
+        """Keep the plan for the metrics, and log it when the weights change."""
+        before = self.plans.get(service)
+        plan = self.plans[service] = self.planner.plan(service, targets, engine)
+        if before is not None and before.weights == plan.weights:
             return
-        self._weights[service] = weights
         log_event(
             _LOG,
             logging.INFO,
             "plan_changed",
             hall=self.hall,
             service=service,
-            slots_wanted=_by_model(wanted) or "not_observed",
-            weights=_by_model(weights),
-            replicas_planned=_by_model(planned),
+            slots_wanted=_by_model(plan.slots_wanted) or "not_observed",
+            weights=_by_model(plan.weights),
+            replicas_planned=_by_model(plan.replicas),
         )
 
-    def _is_demand_due(self, service: str) -> bool:
-        now_s = self.clock.now_s()
-        looked_s = self._demand_looked_s.get(service)
-        if looked_s is not None and now_s - looked_s < FOLLOW_DEMAND_EVERY_S:
-            return False
-        self._demand_looked_s[service] = now_s
-        return True
-
     def _follow_demand(
         self,
         service: str,
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -19,7 +19,7 @@
 from ._staging import StagingState, choose_stagings
 from ._turn_over import HallSupply, TurnOver, choose_turn_over
 
-__all__ = ["ControllerSettings", "HallPlanner"]
+__all__ = ["ControllerSettings", "HallPlan", "HallPlanner"]
 
 # How long no target may have appeared anywhere before a hall is planned for the first time, in
 # seconds. The number of domains decides which model gets which. Measured in docs/MEASUREMENTS.md,
@@ -59,6 +59,25 @@
     load_overshoot: float
 
 
+@dataclass(frozen=True, slots=True)
+class HallPlan:
+    """What a hall should hold for a service, as operators are told; all by model.
+
+    Attributes
+    ----------
+    slots_wanted : mapping of str to float
+        Slots that requests fill on average, on the whole site; empty before an observation.
+    weights : mapping of str to float
+        Part of the targets that each model should have.
+    replicas : mapping of str to int
+        Replicas that this gives with the targets that can be used now.
+    """
+
+    slots_wanted: Mapping[str, float]
+    weights: Mapping[str, float]
+    replicas: Mapping[str, int]
+
+
 class HallPlanner:
     """Returns the replicas to form and the weights to stage.
 
@@ -190,16 +209,15 @@
             orders += choose_stagings(domain.idle, engine, state)
         return orders[: self._loads_left(engine, now_s)]
 
-    def planned_counts(
-        self, service: str, targets: list[Target], engine: EngineSpec
-    ) -> dict[str, int]:
-        """Return how many replicas of each model the hall should hold now."""
+    def plan(self, service: str, targets: list[Target], engine: EngineSpec) -> HallPlan:
+        """Return what the hall should hold now."""
+        weights = self.weights(service, engine)
         usable = _by_domain(t for t in targets if self._is_usable(t))
-        shares = self._shares(usable, self.weights(service, engine))
+        shares = self._shares(usable, weights)
         planned: Counter[str] = Counter({model.name: 0 for model in engine.models})
         for name, members in usable.items():
             planned.update(desired_counts(len(members), engine, shares[name]))
-        return dict(planned)
+        return HallPlan(self.demand(service), weights, planned)
 
     def turn_over(
         self,
@@ -222,8 +240,8 @@
             if self.state.freeing[name] or self.state.is_busy(domains[name]):
                 continue
             domain = self._domain_state(domains[name], counts[name], shares[name])
-            serving = [replica for replica in replicas if replica.domain == name]
-            found = choose_turn_over(domain, [r for r in serving if r.is_open], engine, supply)
+            serving = [r for r in replicas if r.domain == name and r.is_open]
+            found = choose_turn_over(domain, serving, engine, supply)
             if found is not None:
                 self._turned_over_s = now_s
                 return found
--- a/ferrydock/replicas/tests/test_demand_plan.py
+++ b/ferrydock/replicas/tests/test_demand_plan.py
@@ -198,10 +198,10 @@
 def test_a_dark_domain_keeps_its_model():
     planner, targets, _, _ = planner_of(2)
     everything = [t for members in targets.values() for t in members]
-    before = planner.planned_counts("engines", everything, two_models())
+    before = planner.plan("engines", everything, two_models()).replicas
     assert before == {"large": 2, "small": 3}
     # The domain of the large model is gone: the other one goes on with its own.
-    assert planner.planned_counts("engines", targets["d0"], two_models()) == {
+    assert planner.plan("engines", targets["d0"], two_models()).replicas == {
         "large": 0,
         "small": 3,
     }
--- a/ferrydock/replicas/tests/test_services.py
+++ b/ferrydock/replicas/tests/test_services.py
@@ -23,6 +23,19 @@
     run_virtually(scenario())
 
 
+def test_a_controller_that_leads_no_more_has_no_plan():
+    async def scenario():
+        hall = Hall(3)
+        controller = hall.start_controller()
+        assert await hall.until(lambda: hall.models() == {"large": 2, "small": 4}, 60.0)
+        assert controller.plans["engines"].replicas == {"large": 2, "small": 4}
+        hall.kill_controller()
+        controller.stand_down()
+        assert controller.plans == {}
+
+    run_virtually(scenario())
+
+
 def with_models(*names):
     models = tuple(ModelSpec(name, 2, 0.5, 1.0, 0.2) for name in names)
     return {"engines": ServiceSpec("engines", 100, EngineSpec(9, 5.0, models))}
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -241,7 +241,7 @@
             self.directory,
             self.retry_shares,
             self.deployment.store_calls,
-            self.clock,
+            self.controllers,
         )
         self.ready_listener = StatusListener(readiness.answer)
         self.metrics_listener = StatusListener(self._answer_metrics)
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -1,11 +1,11 @@
 """Metrics that are read off the daemon's state when they are asked for; owns nothing."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
-from ..clock import Clock
 from ..forwarding import RouteGateway
 from ..logs import BoundedHandler
+from ..replicas import ReplicaController
 from ..route_metrics import RouteMetrics
 from ..targets import TargetDirectory
 from ._retry_shares import RetryShares
@@ -20,9 +20,11 @@
     ----------
     store_calls : mapping of str to int
         Calls of the store so far, by kind and result.
+    controllers : sequence of ReplicaController
+        Their plans, of the halls that this daemon leads.
     """
 
-    __slots__ = ("clock", "directory", "gateway", "metrics", "retry_shares", "store_calls")
+    __slots__ = ("controllers", "directory", "gateway", "metrics", "retry_shares", "store_calls")
 
     def __init__(
         self,
@@ -31,14 +33,14 @@
         directory: TargetDirectory,
         retry_shares: RetryShares,
         store_calls: Mapping[str, int],
-        clock: Clock,
+        controllers: Sequence[ReplicaController],
     ):
         self.metrics = metrics
         self.gateway = gateway
         self.directory = directory
         self.retry_shares = retry_shares
         self.store_calls = store_calls
-        self.clock = clock
+        self.controllers = controllers
 
     def text(self) -> str:
         """Return all metrics in the Prometheus text form."""
@@ -46,11 +48,12 @@
         services = current.engine_services()
         replicas = (r for service in services for r in self.directory.replicas(service.name))
         metrics.set_replicas(replica.model for replica in replicas)
+        self._set_plans()
         metrics.targets.set(len(self.directory.targets))
         metrics.in_flight.set(self.gateway.in_flight)
         metrics.waiting.set(self.gateway.forwarder.selector.waiting)
         metrics.version.set(current.version)
-        metrics.age.set(current.age_s(self.clock.now_s()))
+        metrics.age.set(current.age_s(self.gateway.clock.now_s()))
         for service, budget in self.retry_shares.items():
             metrics.budget_left.labels(service).set(budget.left)
         for result, calls in self.store_calls.items():
@@ -58,6 +61,12 @@
         metrics.log_lines_left_out.set(_log_lines_left_out())
         return metrics.text().decode()
 
+    def _set_plans(self) -> None:
+        self.metrics.clear_plans()
+        for controller in self.controllers:
+            for plan in controller.plans.values():
+                self.metrics.add_plan(controller.hall, plan.replicas, plan.slots_wanted)
+
 
 def _log_lines_left_out() -> int:
     handlers = logging.getLogger().handlers
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -42,11 +42,11 @@
     >>> metrics.ended("r", "stream", "done", 0.2)
     >>> b'ferrydock_requests_total{kind="stream",outcome="done",route="r"} 1.0' in metrics.text()
     True
-    >>> metrics.set_plan("hall-a", {"large": 2}, {"large": 11.5})
+    >>> metrics.add_plan("hall-a", {"large": 2}, {"large": 11.5})
     >>> b'ferrydock_replicas_planned{hall="hall-a",model="large"} 2.0' in metrics.text()
     True
-    >>> metrics.forget_plan("hall-a")
-    >>> b"hall-a" in metrics.text()
+    >>> metrics.clear_plans()
+    >>> b'model="large"' in metrics.text()
     False
     """
 
@@ -54,7 +54,6 @@
         self.registry = CollectorRegistry()
         registry = self.registry
         self._routes = _BoundedNames()
-        self._planned: dict[str, list[str]] = {}
         self.requests = Counter(
             "ferrydock_requests",
             "Requests that have ended.",
@@ -147,22 +146,20 @@
         for model in models:
             self.replicas.labels(model).inc()
 
-    def set_plan(
-        self, hall: str, planned: Mapping[str, int], slots_wanted: Mapping[str, float]
+    def clear_plans(self) -> None:
+        """Drop the plans that were noted before."""
+        self.replicas_planned.clear()
+        self.slots_wanted.clear()
+
+    def add_plan(
+        self, hall: str, replicas: Mapping[str, int], slots_wanted: Mapping[str, float]
     ) -> None:
         """Note the replicas that a hall should hold, and the demand behind it, by model."""
-        self.forget_plan(hall)
-        for model, count in planned.items():
+        for model, count in replicas.items():
             self.replicas_planned.labels(hall, model).set(count)
-            self._planned.setdefault(hall, []).append(model)
         for model, slots in slots_wanted.items():
             self.slots_wanted.labels(model).set(slots)
 
-    def forget_plan(self, hall: str) -> None:
-        """Drop the plan of a hall that this daemon does not lead any more."""
-        for model in self._planned.pop(hall, ()):
-            self.replicas_planned.remove(hall, model)
-
     def text(self) -> bytes:
         """Return all figures in the text form."""
         return generate_latest(self.registry)
--- a/ferrydock/scheduling/_remote_halls.py
+++ b/ferrydock/scheduling/_remote_halls.py
@@ -1,8 +1,7 @@
 """Polling the schedulers of other halls for what their daemons have in flight.
 
 Owns the connections to them. Asks for the demand of their halls as well, less often. A hall that
-does not answer keeps its last counts for a while
-(`_in_flight.REMOTE_REPORT_S`).
+does not answer keeps its last counts for a while (`_in_flight.REMOTE_REPORT_S`).
 """
 
 from collections.abc import Callable, Mapping
