A hall that has lost all replicas stages weights again

Cause: weights were staged only while a replica of the hall was open, and members may load by themselves only at the very first start. A hall whose survivors held too few weights, and whose replicas were all gone when new targets came, never formed a replica again.

Change: nothing is staged only while first replicas are formed, or while no target holds or has held weights. Safe: stagings are counted by the bound on loads; a hall that was known before is not taken for a fresh one whose loads are not counted.

--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -148,7 +148,7 @@
             Replicas that are there to stay.
         """
         now_s = self.clock.now_s()
-        is_first = not any(t.models or t.staged for t in targets)
+        is_first = self._is_first(targets)
         # Before the first replica nothing serves yet, and the platform does not count loads.
         loads_left = len(targets) if is_first else self._loads_left(engine, now_s)
         loading = self.state.staging.loading(now_s)
@@ -183,10 +183,12 @@
     ) -> list[tuple[Target, ModelSpec]]:
         """Return which idle targets shall load what: for missing replicas, then for spares.
 
-        Nothing before the first replica is open: the first replicas load by themselves.
+        Nothing while the first replicas are formed: they load by themselves. A hall that has lost
+        all of its replicas stages: its survivors alone may never be enough for another one.
         """
         now_s = self.clock.now_s()
-        if not any(replica.is_open for replica in replicas):
+        is_serving = any(replica.is_open for replica in replicas)
+        if not is_serving and (self.state.forming or self._is_first(targets)):
             return []
         domains = _by_domain(t for t in targets if self._is_usable(t))
         shares = self._shares(domains, self.weights(service, engine))
@@ -292,6 +294,12 @@
         max_loads = int(within_window + EXTRA_LOADS) // settings.halls
         return self.loads.left(max_loads, now_s)
 
+    def _is_first(self, targets: Iterable[Target]) -> bool:
+        """Return whether no target of the hall holds weights, or has held any that is known of."""
+        if any(target.models or target.staged for target in targets):
+            return False
+        return not any(self._held.values())
+
     def _is_settled(self, targets: list[Target], now_s: float) -> bool:
         """Return whether all of the hall's targets have probably appeared.
 
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -392,3 +392,22 @@
 
     with caplog.at_level("INFO"):
         play(scenario)
+
+
+def test_a_hall_that_has_lost_all_replicas_forms_others_from_bare_targets():
+    """The survivors hold too few weights for any replica, and new targets hold none."""
+
+    async def scenario():
+        hall = Hall(9, domains=1, workers=10)
+        hall.start_controller()
+        assert await hall.until(lambda: hall.models() == {"large": 1, "small": 2}, 60.0)
+        await asyncio.sleep(30.0)
+        for worker in list(hall.fleet.workers.values())[1:]:
+            hall.kill_worker(worker.worker_id)
+        await asyncio.sleep(10.0)
+        for number in range(9):
+            hall.fleet.add(f"new-{number}", "hall-a", "d0")
+        assert await hall.until(lambda: sum(hall.models().values()) >= 2, 60.0) is not None
+        assert hall.fleet.violations == []
+
+    play(scenario)
