A retry that leaves targets out no longer holds up the queue of its model

Cause: a waiting request that avoids the targets it has tried (or finds ejected) stands first by its deadline. While the only free slots were at those targets, it counted as 'all are full' for every request behind it, and new ones had to wait although a slot was free: for up to 1 s.

Change: the queue knows what a waiter leaves out; only one that leaves nothing out holds up others. Safe: it is still offered each slot before the requests behind it.

--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -78,7 +78,12 @@
         if endpoint is not None or max_queue_s <= 0:
             return endpoint
         return await self._queue.wait(
-            exchange.rank, needs, exchange, max_queue_s, give_back=self.release
+            exchange.rank,
+            needs,
+            exchange,
+            max_queue_s,
+            leaves_out=tuple(sorted(exchange.tried)),
+            give_back=self.release,
         )
 
     def release(self, endpoint: Endpoint) -> None:
--- a/ferrydock/scheduling/_scheduler.py
+++ b/ferrydock/scheduling/_scheduler.py
@@ -89,7 +89,7 @@
         if not self._queue.must_wait(rank, needs):
             reply = self._take(request, endpoints)
         if reply is None and request.hold_s > 0:
-            reply = await self._queue.wait(rank, needs, request, request.hold_s)
+            reply = await self._queue.wait(rank, needs, request, request.hold_s, request.avoid)
         return reply or SlotReply("", len(endpoints))
 
     def assign_free_slots(self) -> None:
--- a/ferrydock/scheduling/_waiting_queue.py
+++ b/ferrydock/scheduling/_waiting_queue.py
@@ -19,12 +19,21 @@
 
 @dataclass(slots=True, eq=False)
 class _Waiter(Generic[Request]):
-    """One request in the queue; `key` is its rank and the number of its arrival."""
+    """One request in the queue.
+
+    Attributes
+    ----------
+    key : tuple
+        Its rank and the number of its arrival.
+    leaves_out : tuple of str
+        Ids of targets that it does not go to; a slot there may suit others with the same needs.
+    """
 
     key: tuple
     needs: Hashable
     request: Request
     future: asyncio.Future
+    leaves_out: tuple[str, ...]
 
     @property
     def is_assigned(self) -> bool:
@@ -51,9 +60,12 @@
     def must_wait(self, rank: tuple, needs: Hashable) -> bool:
         """Return whether a request with the same needs and no larger rank waits already.
 
-        A new request may not overtake it, even if a slot is free at this moment.
+        A new request may not overtake it, even if a slot is free at this moment. One that leaves
+        targets out does not count: a slot that is still free is one that it cannot use.
         """
-        return any(w.needs == needs and w.key[0] <= rank for w in self._waiters)
+        return any(
+            w.needs == needs and not w.leaves_out and w.key[0] <= rank for w in self._waiters
+        )
 
     async def wait(
         self,
@@ -61,17 +73,20 @@
         needs: Hashable,
         request: Request,
         timeout_s: float,
+        leaves_out: tuple[str, ...] = (),
         give_back: Callable[[Slot], None] = lambda slot: None,
     ) -> Slot | None:
         """Wait for a slot; return None if none came free in time.
 
         Parameters
         ----------
+        leaves_out : tuple of str, optional
+            Ids of targets that the request does not go to, and others with the same needs may.
         give_back : callable, optional
             Gets a slot that was assigned just before the waiting task was cancelled.
         """
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter((rank, next(self._numbers)), needs, request, future)
+        waiter = _Waiter((rank, next(self._numbers)), needs, request, future, leaves_out)
         bisect.insort(self._waiters, waiter, key=lambda w: w.key)
         try:
             async with asyncio.timeout(timeout_s):
@@ -94,15 +109,18 @@
         ----------
         take : callable
             Takes a slot for a request, or returns None if there is no room; then all requests
-            with the same needs go on waiting.
+            with the same needs go on waiting, unless it was one that leaves targets out. A retry
+            that avoids the target it has tried held up all requests for its model for up to 1 s,
+            while slots were free.
         """
-        full: set[Hashable] = set()
+        full: set[tuple[Hashable, tuple[str, ...]]] = set()
         for waiter in list(self._waiters):
-            if waiter.future.done() or waiter.needs in full:
+            wants = (waiter.needs, waiter.leaves_out)
+            if waiter.future.done() or wants in full or (waiter.needs, ()) in full:
                 continue
             slot = take(waiter.request)
             if slot is None:
-                full.add(waiter.needs)
+                full.add(wants)
                 continue
             self._waiters.remove(waiter)
             waiter.future.set_result(slot)
--- a/ferrydock/scheduling/tests/test_scheduler.py
+++ b/ferrydock/scheduling/tests/test_scheduler.py
@@ -283,3 +283,26 @@
             assert await served.client.ask(request) is None
 
     play(scenario)
+
+
+def test_a_retry_that_avoids_the_free_target_holds_up_nobody_else():
+    async def scenario():
+        hall = Hall(head("a"), head("b"))
+        taken = [await hall.ask("d1") for _ in range(2 * SLOTS)]
+        avoiding = asyncio.ensure_future(
+            hall.scheduler.acquire(hall.request("d2", avoid=("a",), left_s=1.0, hold_s=5.0))
+        )
+        waiting = asyncio.ensure_future(
+            hall.scheduler.acquire(hall.request("d3", left_s=4.0, hold_s=5.0))
+        )
+        await asyncio.sleep(0)
+        hall.end("d1", "a")  # the only slot that comes free is one the retry cannot use
+        assert (await asyncio.wait_for(waiting, 1.0)).target_id == "a"
+        taken.remove("a")
+        hall.end("d1", "a")  # and a request that comes now finds it, too
+        assert await hall.ask("d4", left_s=4.0) == "a"
+        assert not avoiding.done()
+        hall.end("d1", "b")
+        assert (await asyncio.wait_for(avoiding, 1.0)).target_id == "b"
+
+    play(scenario)
