--- a/ferrydock/route_daemon/__main__.py
+++ b/ferrydock/route_daemon/__main__.py
@@ -3,7 +3,6 @@
 Owns nothing; flags are read from the command line and from ``FERRYDOCK_...`` variables.
 """
 
-import gc
 import logging
 import os
 import sys
@@ -97,7 +96,6 @@
 
 def _serve(deployment: Deployment) -> int:
     service = RouteService(deployment=deployment)
-    gc.freeze()  # what was imported lives as long as the process; the collector need not look at it
     try:
         status = run_service(service, service.run)
     except OSError as error:
--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -30,6 +31,10 @@
 EXIT_BROKEN = 1
 EXIT_BAD_SETTING = 2
 
+# Allocations between two runs of the garbage collector: the usual of the interpreter, which the
+# package raises while it is imported.
+GC_THRESHOLD = 700
+
 # Threads for calls that block; the daemons make hardly any. Chosen, not measured.
 THREAD_POOL_SIZE = 2
 
@@ -69,6 +74,7 @@
     OSError
         If the service cannot listen.
     """
+    _settle_collector()
     with aiomisc.entrypoint(
         service,
         log_config=False,
@@ -78,6 +84,12 @@
         return loop.run_until_complete(work())
 
 
+def _settle_collector() -> None:
+    """Let the garbage collector run as usual, over what is allocated from now on."""
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+
+
 async def run_until_stopped(
     failed: asyncio.Event,
     stop: Callable[[], Awaitable[None]],
