The daemon's relay is built by a step of its own; pages' check leaves folders out

The check of named things took a folder of compiled files under examples/ for a page: it takes files only, which are all that it checked before.

--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -100,6 +100,7 @@
         self.tasks = PeriodicTasks(self.rng)
         self._build_state()
         self._build_request_path()
+        self._build_relay()
         self._build_leadership()
         self._build_scheduling()
         self._build_upkeep()
@@ -147,8 +148,8 @@
         )
         self.stalls = StallDetector(attempts, self.deployment.control, self.clock)
 
-    def _build_leadership(self) -> None:
-        """Following the store or the hall leader; leading halls and forming their replicas."""
+    def _build_relay(self) -> None:
+        """Asking the hall leader for news, and answering followers while this daemon leads."""
         self.relay_client = RelayClient(
             self.current,
             self.directory,
@@ -166,6 +167,9 @@
             self.broken,
             self.daemon_counter,
         )
+
+    def _build_leadership(self) -> None:
+        """Following the store or the hall leader; leading halls and forming their replicas."""
         self.order_sender = OrderSender(self.deployment.control, self.directory, self.clock)
         self.leadership = OwnHallLeadership(
             *self._leadership_parts(self.settings.hall),
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -13,7 +13,9 @@
 HISTORY = {"MEASUREMENTS.md", "CHANGELOG.md"} | {
     path.name for path in ROOT.glob("docs/incidents/*.md")
 }
-LIVING = [page for page in PAGES if page.name not in HISTORY] + sorted(ROOT.glob("examples/*"))
+LIVING = [page for page in PAGES if page.name not in HISTORY] + sorted(
+    path for path in ROOT.glob("examples/*") if path.is_file()
+)
 SOURCES = sorted([*ROOT.glob("ferrydock/**/*.py"), *ROOT.glob("benchmarks/*.py")])
 CODE = "\n".join(path.read_text() for path in [*SOURCES, *ROOT.glob("tests/*.py")])
 LINK = re.compile(r"\]\(([^)#\s]+)(?:#[^)]*)?\)")
