--- a/ferrydock/forwarding/_admission.py
+++ b/ferrydock/forwarding/_admission.py
@@ -8,9 +8,8 @@
   less the time that a target usually takes to the first bytes. Then it is refused, with a time to
   come back. A caller who comes back is late in any case, and gets what first tries leave.
 - **Why not the oldest first:** returning callers would then displace first tries. Each refusal
-  makes a caller who comes back, so at 1.3 times the capacity after a few seconds nearly every slot
-  goes to an answer that is late. On one day of 68 daemons with a burst of 1.6 two thirds of the
-  answers of its last seconds were late (emulated).
+  makes a caller who comes back. Played at 1.3 times the capacity the answers were worth 0.396 that
+  way and 0.723 this way (`benchmarks.admission`).
 - **Why not by the caller's deadline:** a kind of request whose callers are more patient would stand
   behind every other, also when it is worth more.
 """
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -41,8 +41,8 @@
 
 # Pause between two looks, in seconds, above which this daemon itself stood still: looks come each
 # 0.05 s. What seemed silent in that time may only have been unread, and reports that did not come
-# in time may have come unseen. On a day of 68 daemons, half of them short of processor, members
-# were found silent 4,034 times and suspected 1,696 times, where 18 targets had died (emulated).
+# in time may have come unseen. On a day of 68 daemons, 62 of them on half a core, replicas were
+# found silent 4,034 times and members suspected 1,696 times, where 18 had been crashed (emulated).
 STOOD_STILL_S = 0.15
 
 # Reasons of an interruption, as in log lines and `ferrydock explain`.
--- a/ferrydock/forwarding/tests/overload.py
+++ b/ferrydock/forwarding/tests/overload.py
@@ -23,7 +23,8 @@
 REPLICAS = 5
 LATE_WORTH = 0.25
 # Time to the first bytes: lognormal, median 0.18 s and nine of ten within 0.25 s; time in a slot
-# after that: exponential, 1 s in the mean. As emulated engines show them at full load.
+# after that: exponential, 1 s in the mean. The first is near what emulated engines showed at full
+# load (median 0.2 s, nine of ten within 0.23 s); the second is chosen.
 FIRST_MEDIAN_S, FIRST_SPREAD = 0.18, 0.25
 STREAM_MEAN_S = 1.0
 CAPACITY_PER_S = REPLICAS * SLOTS / (FIRST_MEDIAN_S + STREAM_MEAN_S)
--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -47,8 +47,8 @@
     async def follow(self, since: int | None = None) -> AsyncIterator[TargetChanges | Unavailable]:
         """Yield the whole list, then changes; read the list again where history was dropped.
 
-        A list of 765 workers is some 230 KB; a daemon that lost its leader and knows the list up to
-        a revision asks only for what came after it.
+        A daemon that lost its leader and knows the list up to a revision asks only for what came
+        after it, and not for an entry of each worker.
         """
         revision = since
         while True:
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -34,9 +34,10 @@
 
 # Pause after an answer that brought a configuration, if the one before came less than a second ago,
 # in seconds. While configurations follow each other every 0.1 s each of them is 35 to 150 KB for
-# every follower: with 23 followers 12 of them a second are more than a link of 100 Mbit/s carries,
-# and more than half a core decodes. It adds to the time explained at
-# `configuration.LEADER_MAX_AGE_S`, which has 0.15 s to spare. Chosen, not measured by itself.
+# every follower: 12 a second of 150 KB to 23 followers are 330 Mbit/s, on links of 10 to 100, and
+# one of 914 routes takes 11 ms of a core to put in force (made-up routes, one run). It adds to the
+# time explained at `configuration.LEADER_MAX_AGE_S`, which has 0.15 s to spare. Chosen, not
+# measured by itself.
 BETWEEN_CONFIGURATIONS_S = 0.15
 OFTEN_S = 1.0
 
--- a/ferrydock/relay/_peers.py
+++ b/ferrydock/relay/_peers.py
@@ -34,7 +34,7 @@
 # Time without any answer after which a connection is opened anew, in seconds, from the first call
 # that was not answered: one behind a network cut would stay silent. Counted as time and not as
 # calls, since a daemon makes many at once: three that are late together would close the connection
-# under all others, and opening it costs the peer more than the calls did. Chosen, not measured.
+# under all others. Chosen, not measured.
 RECONNECT_AFTER_S = 0.5
 
 # No port is shared with an older process, and no proxy of the environment is used.
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -186,9 +186,9 @@
     def _changed_for(self, request: NewsRequest) -> tuple[str, ...] | None:
         """Return the ids that changed since what a follower has; None for all.
 
-        After a change of leader all followers ask at once. A whole list of 765 targets is some 300
-        KB and 25 ms of processor for each: 39 of them kept a new leader on half a core busy beyond
-        its lease of 1.8 s, and so did the next (emulated, a hall of 39).
+        After a change of leader all followers ask at once. A whole list of 765 targets is 225 KB
+        and 20 ms of a core for each (made-up targets, one run): for 39 followers 1.5 s on half a
+        core, of a lease of 1.8 s.
         """
         if request.life == self.life:
             return self.directory.changed_since(request.change)
--- a/ferrydock/route_daemon/_leader_choice.py
+++ b/ferrydock/route_daemon/_leader_choice.py
@@ -3,19 +3,18 @@
 Pure but for the random part of a pause. Followed by `_leadership`: a daemon waits before it takes a
 free lease, and a leader on a small machine gives way to a follower on a large one.
 
-A hall leader schedules every request of its hall and answers every follower. With 23 daemons and
-140 requests a second in the hall it used 0.3 to 0.4 of a core in the mean and more than half in a
-burst (emulated, one day each of 68 and 195 daemons). On machines of 0.516 core three of three
-leaders lost their lease within 2 s of the first requests, and their halls' daemons chose targets
-without a scheduler until the next leader was lost in the same way.
+A hall leader schedules every request of its hall and answers every follower. The busiest of 195
+daemons in halls of 39 used 0.36 to 0.41 of a core in the mean of a day (emulated, three plays). On
+machines of 0.516 core three of three leaders lost their lease 1.6, 1.8 and 9.1 s after the first
+requests, and their halls' daemons chose targets without a scheduler (one day of 68 daemons).
 """
 
 import random
 
 __all__ = ["AMPLE_CORES", "is_better_leader", "pause_before_taking_s"]
 
-# Processor with which a daemon leads a hall without being short of it, in cores: about twice what a
-# leader of 39 daemons uses in the mean, so that a burst of twice the traffic fits.
+# Processor with which a daemon leads a hall without being short of it, in cores: above twice the
+# mean of the busiest daemon, so that twice the traffic should fit. Chosen, not measured.
 AMPLE_CORES = 1.0
 
 # Longest additional pause before a daemon on a small machine takes a free lease, in seconds, for a
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -80,8 +80,8 @@
 # What a follower needs at most to act on a change, from the leader's last confirmation on: that
 # bound, and half a second for a call to the store. Where a deployment allows more, a follower waits
 # that much longer for the next leader before it reads the store itself. A leader that is lost is
-# replaced after about 2 s; on a day of 195 daemons whose bound is 4 s their own reading in between
-# made most of 18,066 calls (emulated, one day).
+# replaced after some 2 s. On a day of 195 daemons whose bound is 4 s this and the choice of leaders
+# together saved 2,649 of 18,066 calls (emulated, one play each).
 CHANGE_TAKES_S = 2.5
 
 # Failed questions in a row after which a leader is no longer followed, and the pause between them.
--- a/ferrydock/route_daemon/_retry_shares.py
+++ b/ferrydock/route_daemon/_retry_shares.py
@@ -27,7 +27,7 @@
 
 # Retries that a new process starts with at least, unless its whole share is smaller. Where hundreds
 # of daemons share the slack, the part above is below one: with 68 daemons and a slack of 278 a
-# daemon began with 0.82, and the first stream that it had to move was cut in the middle.
+# daemon began with 0.82; on one day there 141 begun answers were cut for want of a retry.
 MIN_START = 1.0
 
 
--- a/ferrydock/scheduling/_client.py
+++ b/ferrydock/scheduling/_client.py
@@ -24,8 +24,8 @@
 # How long a reply may take, beyond the time that the request may wait in the scheduler's queue. A
 # request that gets no reply is decided here, late by this much, and so are all of this daemon's
 # for `SKIP_AFTER_TIMEOUT_S`, by its own counts alone. Half of the shortest objective for a first
-# answer (0.3 s): a daemon on half a core that decodes a configuration of 800 routes reads no reply
-# for 0.1 s, and with 0.06 s its requests were then placed blindly. Chosen, not measured by itself.
+# answer (0.3 s). Chosen, not measured by itself: in the first 12 s of a day of 68 daemons 214 calls
+# had no reply within 0.06 s, and 68 within this, with smaller and fewer messages besides.
 REPLY_TIMEOUT_S = 0.15
 
 # How long a scheduler that did not reply is not asked again. Chosen, not measured.
