Sight: a request that a daemon's own end cuts is logged as such

Cause: a handler cancelled by the listener's end was logged as `caller_left`, so the logs could not tell whether the stop, a suspicion or the target ended an answer. The lines of a stop did not say how many connections were open.

Change: `request_failed` with `why=stopping`; `listening_ends` and `listener_closing` with in_flight and connections. Nothing is decided differently.

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -34,6 +34,7 @@
     "leaving": "a member said that it will leave",
     "stray": "nobody opened the replica",
     "caller_left": "the caller's connection ended before its answer did",
+    "stopping": "the daemon was told to stop, and its time was over before the answer was whole",
     "surplus": "its model could spare it, and its targets serve another model",
 }
 
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -29,6 +29,9 @@
 
 __all__ = ["Forwarder"]
 
+# Why a request ended that the end of this daemon cut off, as in log lines and `ferrydock explain`.
+STOPPING = "stopping"
+
 
 class Forwarder:
     """Serves a request whole, or says what became of it.
@@ -39,9 +42,14 @@
         Sends a request to one target.
     budgets : callable
         Returns the retry budget of a service by its name.
+
+    Attributes
+    ----------
+    is_closing : bool
+        Whether the daemon ends now, whatever is still under way.
     """
 
-    __slots__ = ("_log", "attempts", "budgets", "clock", "selector", "times")
+    __slots__ = ("_log", "attempts", "budgets", "clock", "is_closing", "selector", "times")
 
     def __init__(
         self, attempts: AttemptRunner, budgets: Callable[[str], RetryBudget], clock: Clock
@@ -51,6 +59,7 @@
         self.budgets = budgets
         self.clock = clock
         self.times = ObservedTimes()
+        self.is_closing = False
         self._log = RequestLog(attempts.metrics)
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse:
@@ -58,7 +67,10 @@
         try:
             return await self._serve(exchange)
         except (ConnectionError, asyncio.CancelledError) as left:
-            self._log.caller_left(exchange, left, self._held_s(exchange))
+            if self.is_closing:
+                self._log_end(exchange, STOPPING, may_have_run=exchange.attempts > 0)
+            else:
+                self._log.caller_left(exchange, left, self._held_s(exchange))
             raise
 
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
@@ -110,12 +122,8 @@
     def _held_s(self, exchange: Exchange) -> float:
         return self.clock.now_s() - exchange.started_s
 
-    def _give_up(self, exchange: Exchange, reason: str, may_have_run: bool) -> web.StreamResponse:
-        """Return the final answer of a request that gets none of a target's.
-
-        An answer that has begun cannot be taken back: its connection is reset, so that the caller
-        does not take what it has for the whole.
-        """
+    def _log_end(self, exchange: Exchange, reason: str, may_have_run: bool) -> None:
+        """Log a request that ends without a whole answer."""
         self._log.gave_up(
             exchange,
             reason,
@@ -124,6 +132,14 @@
             endpoints=self.selector.endpoint_count(exchange),
             waiting=self.selector.waiting,
         )
+
+    def _give_up(self, exchange: Exchange, reason: str, may_have_run: bool) -> web.StreamResponse:
+        """Return the final answer of a request that gets none of a target's.
+
+        An answer that has begun cannot be taken back: its connection is reset, so that the caller
+        does not take what it has for the whole.
+        """
+        self._log_end(exchange, reason, may_have_run)
         if exchange.response is not None:
             if exchange.request.transport is not None:
                 exchange.request.transport.abort()
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -179,9 +179,22 @@
     async def close(self) -> None:
         """Close what is left."""
         self.stop_listening()
+        self.forwarder.is_closing = True
+        log_event(
+            _LOG,
+            logging.INFO,
+            "listener_closing",
+            connections=self.connection_count,
+            in_flight=self.in_flight,
+        )
         if self._server is not None:
             await self._server.shutdown(SHUTDOWN_S)
 
+    @property
+    def connection_count(self) -> int:
+        """How many callers' connections are open."""
+        return len(self._server.connections) if self._server is not None else 0
+
     # One request ----------------------------------------------------------------------------
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/ferrydock/route_daemon/_planned_stop.py
+++ b/ferrydock/route_daemon/_planned_stop.py
@@ -35,10 +35,21 @@
     """
     last_s = clock.now_s() + stop_within_s - KILL_MARGIN_S
     gateway.stopping = True
-    log_event(_LOG, logging.INFO, "stopping", in_flight=gateway.in_flight)
+    _log(gateway, "stopping")
     left_s = max(0.0, last_s - clock.now_s())
     await asyncio.sleep(min(LISTEN_AFTER_READY_S, left_s))
+    _log(gateway, "listening_ends")
     gateway.stop_listening()
     while gateway.in_flight and clock.now_s() < last_s:
         await asyncio.sleep(LOOK_S)
-    log_event(_LOG, logging.INFO, "stopped", in_flight=gateway.in_flight)
+    _log(gateway, "stopped")
+
+
+def _log(gateway: RouteGateway, event: str) -> None:
+    log_event(
+        _LOG,
+        logging.INFO,
+        event,
+        in_flight=gateway.in_flight,
+        connections=gateway.connection_count,
+    )
