A planned stop waits until no caller's connection is left, and ends what is left with a true answer

Cause: 3.2 s after SIGTERM the daemon closed its listener and looked once whether a handler ran. A request that had been read, and whose handler had not begun, was in no count: the daemon closed everything, the handler began all the same, sent the request to a target and was cut by the listener's own grace (0.2 s and 0.2 s more) in the middle of its answer. The same class: a body still on its way was never read after the listener closed (aiohttp's close() drops what comes), and whatever was left at the end was cut without an answer, also requests that had not run.

Ruled out: a suspicion (an interruption needs 0.2 s of silence and 0.12 s of questions; the cut came 0.27 s after the run began, 3.2 + 0.4 s after SIGTERM); the target (it ended 3 ms before the caller's connection, on the daemon's close).

Change: one rule for the end of a daemon, planned_stop.finish_requests: the wait is for connections, not for a count of handlers; what is read after the listener ends is refused as not run (503, Retry-After 0); what is left when the time is over is ended from inside: 503 where it has not run, 502 where it may have, a begun answer visibly cut.

--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -107,6 +107,8 @@
         Time since the caller's first try, when this request came; 0 if it is the first.
     is_late : bool
         Whether its answer cannot be in time any more.
+    may_have_run : bool
+        Whether a target may have run it; while an attempt is under way, True.
     budget : RetryBudget or None
         What a further attempt is paid from; None until the forwarder has taken the request.
     """
@@ -131,6 +133,7 @@
     last_reason: str = ""
     age_s: float = 0.0
     is_late: bool = False
+    may_have_run: bool = False
     budget: RetryBudget | None = None
 
     @property
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..invariants import existing
+from ..planned_stop import DaemonStopping, StopLimit
 from ..retry_budget import RetryBudget
 from ..scheduling import Endpoint
 from ._admission import queue_times
@@ -19,6 +20,7 @@
 from ._observed_times import ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
+    STOPPING,
     final_status,
     max_retry_queue_s,
     refusal,
@@ -29,9 +31,6 @@
 
 __all__ = ["Forwarder"]
 
-# Why a request ended that the end of this daemon cut off, as in log lines and `ferrydock explain`.
-STOPPING = "stopping"
-
 
 class Forwarder:
     """Serves a request whole, or says what became of it.
@@ -45,11 +44,11 @@
 
     Attributes
     ----------
-    is_closing : bool
-        Whether the daemon ends now, whatever is still under way.
+    stop_limit : StopLimit
+        Ends the requests that are left once the daemon's time to stop is over.
     """
 
-    __slots__ = ("_log", "attempts", "budgets", "clock", "is_closing", "selector", "times")
+    __slots__ = ("_log", "attempts", "budgets", "clock", "selector", "stop_limit", "times")
 
     def __init__(
         self, attempts: AttemptRunner, budgets: Callable[[str], RetryBudget], clock: Clock
@@ -59,7 +58,7 @@
         self.budgets = budgets
         self.clock = clock
         self.times = ObservedTimes()
-        self.is_closing = False
+        self.stop_limit = StopLimit()
         self._log = RequestLog(attempts.metrics)
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse:
@@ -67,37 +66,43 @@
         try:
             return await self._serve(exchange)
         except (ConnectionError, asyncio.CancelledError) as left:
-            if self.is_closing:
-                self._log_end(exchange, STOPPING, may_have_run=exchange.attempts > 0)
-            else:
-                self._log.caller_left(exchange, left, self._held_s(exchange))
+            self._log.caller_left(exchange, left, self._held_s(exchange))
             raise
 
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
+        """Serve one request unless this daemon's time to stop ends first."""
+        try:
+            async with self.stop_limit.hold():
+                return await self._attempt_until_final(exchange)
+        except DaemonStopping:
+            return self._give_up(exchange, STOPPING, exchange.may_have_run)
+
+    async def _attempt_until_final(self, exchange: Exchange) -> web.StreamResponse:
         """Make attempts until there is a final answer."""
         budget = self.budgets(exchange.service.name)
         budget.first_attempt()
         exchange.budget = budget
-        may_have_run = False
         while True:
             asked_s = self.clock.now_s()
             endpoint = await self._acquire(exchange, asked_s)
             exchange.queued_s += self.clock.now_s() - asked_s
             if endpoint is None:
-                return self._give_up(exchange, "no_room", may_have_run)
+                return self._give_up(exchange, "no_room", exchange.may_have_run)
+            ran_before = exchange.may_have_run
+            exchange.may_have_run = True  # unless the attempt's end says otherwise
             end = await self.attempts.run(exchange, endpoint)
+            exchange.may_have_run = ran_before or end.ran
             if end.whole:
                 self._note_first_answer(exchange)
                 self._log.done(exchange, end, endpoint, self._held_s(exchange))
                 return existing(exchange.response, "the whole answer")
-            may_have_run = may_have_run or end.ran
             exchange.last_reason = end.reason
             self._log.attempt_failed(exchange, end, endpoint)
             may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
             if not may_retry(exchange, end, self._left_s(exchange), may_go_elsewhere):
-                return self._give_up(exchange, end.reason, may_have_run)
+                return self._give_up(exchange, end.reason, exchange.may_have_run)
             if not budget.spend():
-                return self._give_up(exchange, "retry_budget", may_have_run)
+                return self._give_up(exchange, "retry_budget", exchange.may_have_run)
 
     async def _acquire(self, exchange: Exchange, now_s: float) -> Endpoint | None:
         """Wait for a slot; return None if none came free."""
@@ -146,4 +151,5 @@
             return exchange.response
         status = final_status(may_have_run, self._left_s(exchange))
         is_refused = status == SERVICE_UNAVAILABLE
-        return refusal(status, reason, retry_after_s(self.selector.rng) if is_refused else None)
+        after_s = retry_after_s(reason, self.selector.rng) if is_refused else None
+        return refusal(status, reason, after_s)
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -23,12 +23,13 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Invalid
+from ..planned_stop import DaemonStopping
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
 from ._exchange import CallerGone, Exchange
 from ._forwarder import Forwarder
 from ._listener import HEADERS_TOO_LARGE, Listener, caller_connection
-from ._refusal import SERVICE_UNAVAILABLE, refusal
+from ._refusal import SERVICE_UNAVAILABLE, STOPPING, STOPPING_RETRY_S, refusal
 
 __all__ = ["RouteGateway"]
 
@@ -49,8 +50,8 @@
 # Patience of a caller who does not say how long it waits, in seconds. Chosen, not measured.
 DEFAULT_DEADLINE_S = 30.0
 
-# Pause between ending kept connections politely and closing those that are still open, in seconds:
-# lets a request that was just read begin. Chosen, not measured.
+# Pause between the end of listening and closing connections without a request, in seconds: lets
+# requests that lie unread in the sockets be read, and refused as not run. Chosen, not measured.
 CLOSE_RESTING_DELAY_S = 0.05
 
 # What stands in a request line beside method and path: two spaces, "HTTP/1.1" and the line's end.
@@ -95,6 +96,8 @@
     ----------
     stopping : bool
         Whether each answer ends its connection, since the daemon is about to stop.
+    has_stopped_listening : bool
+        Whether requests that are read from now on are refused.
     in_flight : int
         Requests that have no whole answer yet.
     address : str
@@ -109,6 +112,7 @@
         "current",
         "dialect",
         "forwarder",
+        "has_stopped_listening",
         "in_flight",
         "max_age_s",
         "rng",
@@ -131,6 +135,7 @@
         self.clock = clock
         self.rng = rng
         self.stopping = False
+        self.has_stopped_listening = False
         self.in_flight = 0
         self.address = ""
         self._server: Listener | None = None
@@ -154,19 +159,25 @@
         bound = self._sockets.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
+    def announce_stop(self) -> None:
+        """End each connection with its next answer from now on."""
+        self.stopping = True
+
     def stop_listening(self) -> None:
-        """Take no new connections, and end those without a request."""
+        """Take no new connections; serve what has been read, refuse what is read from now on."""
+        self.has_stopped_listening = True
         if self._sockets is not None:
             self._sockets.close()
         if self._server is not None:
-            for connection in self._server.connections:
-                connection.close()  # takes no further request; one that was read goes on
-            asyncio.get_running_loop().call_later(CLOSE_RESTING_DELAY_S, self._close_resting)
+            for connection in self._server.caller_connections():
+                connection.note_listening_ends()
+            asyncio.get_running_loop().call_later(CLOSE_RESTING_DELAY_S, self.close_resting)
 
-    def _close_resting(self) -> None:
-        for connection in existing(self._server, "the listener").caller_connections():
-            if not connection.requests:
-                connection.force_close()
+    def close_resting(self) -> None:
+        """Close the connections without a request."""
+        if self._server is not None:
+            for connection in self._server.caller_connections():
+                connection.close_resting()
 
     def enforce_timeouts(self) -> None:
         """End callers' connections that send or rest longer than the configuration allows."""
@@ -177,9 +188,12 @@
             )
 
     async def close(self) -> None:
-        """Close what is left."""
+        """End what is left: each request with its true answer, then the connections.
+
+        Cut by the listener's own end, a request that has not run would end without an answer, and
+        its caller could not tell that it may be repeated.
+        """
         self.stop_listening()
-        self.forwarder.is_closing = True
         log_event(
             _LOG,
             logging.INFO,
@@ -187,6 +201,7 @@
             connections=self.connection_count,
             in_flight=self.in_flight,
         )
+        self.forwarder.stop_limit.end()
         if self._server is not None:
             await self._server.shutdown(SHUTDOWN_S)
 
@@ -200,20 +215,27 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
         connection = caller_connection(request)
+        is_taken = connection.is_owed or not self.has_stopped_listening
         connection.begin_request()
         try:
-            response = await self._serve(request)
+            response = await self._serve(request, is_taken)
         except (CallerGone, ConnectionError):
             return web.Response(status=CALLER_LEFT_STATUS)
         finally:
             self.in_flight -= 1
             connection.end_request()
-        if self.stopping and not response.prepared:
+        if self.has_stopped_listening or (self.stopping and not response.prepared):
             response.force_close()
         return response
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Check head, route and key of a request, in this order, and forward it."""
+    async def _serve(self, request: web.BaseRequest, is_taken: bool) -> web.StreamResponse:
+        """Check head, route and key of a request, in this order, and forward it.
+
+        Parameters
+        ----------
+        is_taken : bool
+            Whether it was read before this daemon stopped listening.
+        """
         now_s = self.clock.now_s()
         lookup = self.current.lookup
         if lookup is None:
@@ -229,6 +251,8 @@
         route = lookup.route(request.headers.get("Host", ""), request.raw_path)
         if route is None:
             return refusal(NOT_FOUND, "no_route", None)
+        if not is_taken:
+            return self._refuse_stopping(inbound, route)
         team: Team | None = None
         if lookup.has_teams and not route.public:
             found = self._team_of(inbound, lookup, route, now_s)
@@ -255,6 +279,11 @@
             return refusal(UNAUTHORIZED, "unknown_key", None)
         return team
 
+    def _refuse_stopping(self, inbound: Inbound, route: Route) -> web.Response:
+        """Refuse a request that was not sent to any target, since this daemon stops."""
+        self._log_refused(inbound, route, STOPPING)
+        return refusal(SERVICE_UNAVAILABLE, STOPPING, STOPPING_RETRY_S, close=True)
+
     async def _forward(
         self,
         request: web.BaseRequest,
@@ -273,7 +302,11 @@
         if service is None:
             return refusal(SERVICE_UNAVAILABLE, "no_service", NOT_CONFIGURED_RETRY_S)
         left_s = min(route.time_limit_s, inbound.left_s or DEFAULT_DEADLINE_S)
-        body = await _read_small(request, length, limits)
+        try:
+            async with self.forwarder.stop_limit.hold():
+                body = await _read_small(request, length, limits)
+        except DaemonStopping:
+            return self._refuse_stopping(inbound, route)
         if body is _TOO_LARGE:
             return refusal(BODY_TOO_LARGE, "body_too_large", None, close=True)
         exchange = Exchange(
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -11,6 +11,7 @@
 
 from ..invariants import BrokenInvariant
 from ..logs import log_event
+from ..planned_stop import is_resting
 from ._refusal import refusal
 from ._target_loads import SERVER_ERROR
 
@@ -39,15 +40,19 @@
         Loop time since which nothing is under way.
     head_since_s : float or None
         Loop time at which the first bytes of a head came that is not complete yet.
+    is_owed : bool
+        Whether a request was read before the listener ended whose handler has not begun: it is
+        served, and those that are read after it are not.
     """
 
-    __slots__ = ("head_since_s", "requests", "rests_since_s")
+    __slots__ = ("head_since_s", "is_owed", "requests", "rests_since_s")
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.requests = 0
         self.rests_since_s = self._loop.time()
         self.head_since_s: float | None = None
+        self.is_owed = False
 
     def data_received(self, data: bytes) -> None:
         if not self.requests and self.head_since_s is None:
@@ -58,12 +63,22 @@
         """Note that a head is complete and its request is under way."""
         self.requests += 1
         self.head_since_s = None
+        self.is_owed = False
 
     def end_request(self) -> None:
         """Note that a request's answer is whole."""
         self.requests -= 1
         self.rests_since_s = self._loop.time()
 
+    def note_listening_ends(self) -> None:
+        """Note whether a request has been read whose handler has not begun."""
+        self.is_owed = not self.requests and not is_resting(self)
+
+    def close_resting(self) -> None:
+        """Close the connection if no request has been read that is not answered yet."""
+        if is_resting(self):
+            self.force_close()
+
     def enforce(self, now_s: float, header_timeout_s: float, idle_timeout_s: float) -> None:
         """End the connection if its head takes, or it rests, too long."""
         if self.requests or self.transport is None:
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -11,7 +11,19 @@
 
 from ._exchange import Exchange
 
-__all__ = ["TOO_LATE_S", "final_status", "max_retry_queue_s", "refusal", "retry_after_s"]
+__all__ = [
+    "STOPPING",
+    "STOPPING_RETRY_S",
+    "TOO_LATE_S",
+    "final_status",
+    "max_retry_queue_s",
+    "refusal",
+    "retry_after_s",
+]
+
+# Why a request is refused or ended by a daemon that stops, as in answers, log lines and
+# `ferrydock explain`.
+STOPPING = "stopping"
 
 # Seconds in the queue before a further attempt. The request may have run already, so an answer is
 # worth more patience. Chosen, not measured.
@@ -22,6 +34,10 @@
 # the objective", with a shorter wait than today's.
 RETRY_AFTER_RANGE_S = (0.4, 1.4)
 
+# The same for a caller who met a daemon that stops, in seconds: at once, since its next connection
+# leads to another daemon.
+STOPPING_RETRY_S = 0.0
+
 # A request with less time left gets no further attempt: no target answers in it. Chosen, not
 # measured.
 TOO_LATE_S = 0.02
@@ -54,8 +70,10 @@
     return GATEWAY_TIMEOUT if left_s <= TOO_LATE_S else BAD_GATEWAY
 
 
-def retry_after_s(rng: random.Random) -> float:
-    """Return after how many seconds a refused caller should come back."""
+def retry_after_s(reason: str, rng: random.Random) -> float:
+    """Return after how many seconds a caller who was refused for a reason should come back."""
+    if reason == STOPPING:
+        return STOPPING_RETRY_S
     return rng.uniform(*RETRY_AFTER_RANGE_S)
 
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -22,6 +22,7 @@
 )
 from ..hall_lease import ControllerLease
 from ..logs import log_event
+from ..planned_stop import finish_requests
 from ..relay import BrokenReplicas, DaemonCounter, RelayClient, RelayServer
 from ..replicas import ControllerSettings, OrderSender, ReplicaController
 from ..route_metrics import RouteMetrics
@@ -39,7 +40,6 @@
 from ._gauges import Gauges
 from ._leadership import OFFER, HallLeadership, OwnHallLeadership, RemoteHallLeadership
 from ._periodic import PeriodicTasks
-from ._planned_stop import finish_requests
 from ._readiness import Readiness
 from ._replica_failures import ReplicaFailures
 from ._retry_shares import RetryShares
@@ -73,6 +73,14 @@
 
 METRICS_PATH = "/metrics"
 
+# How long the listener stays open after readiness has dropped. The balancer checks every second and
+# takes a daemon out after two misses; this is one check more, and a little.
+LISTEN_AFTER_READY_S = 3.2
+
+# How long before the process would be killed the requests that are left are ended, so that their
+# answers and the closing of everything else still fit. Chosen, not measured.
+KILL_MARGIN_S = 0.8
+
 
 class RouteDaemon:
     """Composes the parts of a daemon and runs them.
@@ -319,13 +327,14 @@
     async def stop(self) -> None:
         """Stop as planned: readiness drops first, then nothing in flight is cut off."""
         self.stopping.set()
-        await finish_requests(self.gateway, self.settings.stop_within_s, self.clock)
+        within_s = self.settings.stop_within_s - KILL_MARGIN_S
+        await finish_requests([self.gateway], LISTEN_AFTER_READY_S, within_s, self.clock)
         await self.close()
 
     async def close(self) -> None:
-        """End at once."""
-        await self.tasks.close()
+        """End at once; callers' requests first, while everything that serves them still runs."""
         await self.gateway.close()
+        await self.tasks.close()
         await self.ready_listener.close()
         await self.metrics_listener.close()
         await self.scheduler_client.close()
