Signals to a daemon are handled from before it listens

Cause: the handlers were installed after the start of all listeners; until then SIGTERM, SIGINT and SIGHUP ended the process at once, whatever it had taken on.

Change: startup.DaemonSignals is installed on the loop before the service starts, aiomisc's own handlers are off; a SIGHUP during the start is acted on after it. The table's daemon, which SIGHUP ended, logs it and goes on. Signals while the interpreter imports still end it: nothing is taken on by then.

Measured: tests/test_signals.py, 8 cases: all fail on the code before (exit status -15, -1, -2), all pass now.

--- a/ferrydock/daemon.py
+++ b/ferrydock/daemon.py
@@ -23,6 +23,7 @@
 )
 from .outcomes import Invalid
 from .startup import (
+    DaemonSignals,
     asked_for_text,
     parse_flags,
     refuse_to_start,
@@ -67,9 +68,17 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Do nothing: the node was stopped by `run_until_stopped`."""
 
-    async def run(self) -> int:
+    async def run(self, signals: DaemonSignals) -> int:
         """Serve until the daemon is told to stop; return the exit status."""
-        return await run_until_stopped(self.node.rounds.failed, self.node.stop, self.node.close)
+        node = self.node
+        return await run_until_stopped(
+            signals, node.rounds.failed, node.stop, node.close, _pass_over_hangup
+        )
+
+
+def _pass_over_hangup() -> None:
+    """Log a SIGHUP: this daemon's settings are flags, and its table is watched."""
+    log_event(_LOG, logging.INFO, "hangup_passed_over")
 
 
 def _platform(settings: Settings) -> Platform:
--- a/ferrydock/route_daemon/__main__.py
+++ b/ferrydock/route_daemon/__main__.py
@@ -18,6 +18,7 @@
 from ..outcomes import Invalid
 from ..startup import (
     EXIT_BROKEN,
+    DaemonSignals,
     asked_for_text,
     parse_flags,
     refuse_to_start,
@@ -53,11 +54,11 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Do nothing: the daemon was stopped by `run_until_stopped`."""
 
-    async def run(self) -> int:
+    async def run(self, signals: DaemonSignals) -> int:
         """Serve until the daemon is told to stop; return the exit status."""
         daemon = self.daemon
         return await run_until_stopped(
-            daemon.failed, daemon.stop, daemon.close, on_hangup=daemon.reread_settings
+            signals, daemon.failed, daemon.stop, daemon.close, daemon.reread_settings
         )
 
 
--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -21,6 +21,7 @@
 __all__ = [
     "EXIT_BAD_SETTING",
     "EXIT_BROKEN",
+    "DaemonSignals",
     "asked_for_text",
     "parse_flags",
     "refuse_to_start",
@@ -66,7 +67,45 @@
     return EXIT_BAD_SETTING
 
 
-def run_service(service: aiomisc.Service, work: Callable[[], Awaitable[int]]) -> int:
+class DaemonSignals:
+    """Signals to a daemon, noted from before it listens.
+
+    Handlers that are installed once a daemon has started come after its listener: a SIGTERM or
+    SIGHUP in between ended the process at once, with the requests that it had taken on.
+
+    Attributes
+    ----------
+    stopping : asyncio.Event
+        Set by SIGTERM and SIGINT; a second one changes nothing.
+    """
+
+    __slots__ = ("_act_on_hangup", "_hangup_came", "stopping")
+
+    def __init__(self):
+        self.stopping = asyncio.Event()
+        self._act_on_hangup: Callable[[], None] | None = None
+        self._hangup_came = False
+
+    def install(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Handle the signals on a loop, which may not run yet."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._hang_up)
+
+    def on_hangup(self, act: Callable[[], None]) -> None:
+        """Call `act` for each SIGHUP, and for one that came during the start."""
+        self._act_on_hangup = act
+        if self._hangup_came:
+            self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self._act_on_hangup is None:
+            self._hangup_came = True
+        else:
+            self._act_on_hangup()
+
+
+def run_service(service: aiomisc.Service, work: Callable[[DaemonSignals], Awaitable[int]]) -> int:
     """Start a service under aiomisc and uvloop, run `work`, return the exit status it gives.
 
     Raises
@@ -75,13 +114,17 @@
         If the service cannot listen.
     """
     _settle_collector()
-    with aiomisc.entrypoint(
+    entry = aiomisc.entrypoint(
         service,
         log_config=False,
         pool_size=THREAD_POOL_SIZE,
         loop_factory=uvloop.new_event_loop,
-    ) as loop:
-        return loop.run_until_complete(work())
+        catch_signals=(),
+    )
+    signals = DaemonSignals()
+    signals.install(entry.loop)
+    with entry as loop:
+        return loop.run_until_complete(work(signals))
 
 
 def _settle_collector() -> None:
@@ -91,10 +134,11 @@
 
 
 async def run_until_stopped(
+    signals: DaemonSignals,
     failed: asyncio.Event,
     stop: Callable[[], Awaitable[None]],
     close: Callable[[], Awaitable[None]],
-    on_hangup: Callable[[], None] | None = None,
+    on_hangup: Callable[[], None],
 ) -> int:
     """Wait for SIGTERM, SIGINT or a failure; return the exit status.
 
@@ -103,17 +147,12 @@
     failed : asyncio.Event
         Set when an invariant is broken; the daemon then ends at once.
     stop, close : callable
-        End the daemon as planned, and at once. A second signal changes nothing.
-    on_hangup : callable, optional
+        End the daemon as planned, and at once.
+    on_hangup : callable
         Called for SIGHUP.
     """
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    if on_hangup is not None:
-        loop.add_signal_handler(signal.SIGHUP, on_hangup)
-    waits = [asyncio.ensure_future(event.wait()) for event in (stopping, failed)]
+    signals.on_hangup(on_hangup)
+    waits = [asyncio.ensure_future(event.wait()) for event in (signals.stopping, failed)]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     for wait in waits:
         wait.cancel()
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,61 @@
+"""Signals that reach a daemon while it starts, before anything waits for them."""
+
+import subprocess
+import sys
+
+import pytest
+
+LIMIT_S = 60.0
+
+# A daemon of a few lines, which gets signals at a chosen moment of its start.
+PROGRAM = """
+import asyncio, os, signal, sys
+import aiomisc
+from ferrydock.startup import run_service, run_until_stopped
+
+def hurt():
+    for name in sys.argv[2].split(","):
+        os.kill(os.getpid(), signal.Signals[name])
+
+class Service(aiomisc.Service):
+    async def start(self):
+        if sys.argv[1] == "starting":
+            hurt()
+            await asyncio.sleep(0)
+        else:
+            asyncio.get_running_loop().call_soon(hurt)  # as soon as it has started
+
+    async def stop(self, exception=None):
+        pass
+
+async def stop():
+    print("stopped as planned", flush=True)
+
+async def close():
+    print("closed at once", flush=True)
+
+async def run(signals):
+    failed = asyncio.Event()
+    return await run_until_stopped(signals, failed, stop, close, lambda: print("hangup"))
+
+sys.exit(run_service(service := Service(), run))
+"""
+
+
+@pytest.mark.parametrize("moment", ["starting", "started"])
+@pytest.mark.parametrize("signals", ["SIGTERM", "SIGTERM,SIGTERM", "SIGHUP,SIGTERM", "SIGINT"])
+def test_a_daemon_that_is_signalled_while_it_starts_stops_as_planned(moment, signals):
+    """A daemon took requests from the moment it listened, and handled signals only later.
+
+    SIGTERM or SIGINT in between ended the process at once, whatever it had taken on;
+    SIGHUP ended it too. Evidence: exit status -15, -1 and -2 in place of 0.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM, moment, signals],
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+    )
+    assert done.returncode == 0, done.stderr
+    assert "stopped as planned" in done.stdout
+    assert ("hangup" in done.stdout) == ("SIGHUP" in signals)
