A stopping daemon takes callers for 2.5 s, not for 3.2 s

Cause: a request taken between 3.0 and 3.2 s after SIGTERM may run for its 6 to 8 s, is cut at 7.2 s before the process is killed, and is not among those that the platform excuses (sent within 3 s). The balancer is out after two misses, 2 s at most.

Why safe: new connections end at 2 s; what comes later on kept connections is refused as not run, with Retry-After 0, or finds its connection closed, and goes elsewhere.

--- a/ferrydock/platform/tests/test_planned_stop.py
+++ b/ferrydock/platform/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ...forwarding import RouteGateway
+from ...route_daemon._daemon import BALANCER_CHECK_S, BALANCER_MISSES, LISTEN_AFTER_READY_S
 from ...standins.fleet import request_bytes
 from .test_site import REPLICAS, Site, play
 
@@ -53,3 +54,14 @@
             assert got.endswith(b"0\r\n\r\n")
 
     play(scenario)
+
+
+def test_nothing_is_taken_on_that_the_platform_does_not_let_a_stop_cut():
+    """A request sent more than 3 s after SIGTERM must get its answer, however long it takes.
+
+    One that a daemon took on later than that could run beyond the kill, 8 s after SIGTERM.
+    """
+    excused_s = 3.0
+    signal_is_late_s = 0.3  # a daemon that stands still, or is short of processor time
+    assert BALANCER_MISSES * BALANCER_CHECK_S < LISTEN_AFTER_READY_S
+    assert LISTEN_AFTER_READY_S + signal_is_late_s < excused_s
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -73,9 +73,16 @@
 
 METRICS_PATH = "/metrics"
 
-# How long the listener stays open after readiness has dropped. The balancer checks every second and
-# takes a daemon out after two misses; this is one check more, and a little.
-LISTEN_AFTER_READY_S = 3.2
+# The balancer's pause between two readiness checks, and the misses in a row after which it takes a
+# daemon out: both said by the platform.
+BALANCER_CHECK_S = 1.0
+BALANCER_MISSES = 2
+
+# How long the listener stays open after readiness has dropped: until the balancer has taken this
+# daemon out, and half a check more. Not longer: what is taken on late may still be under way when
+# the process is killed, and is then cut, while a caller whose connection is closed or refused goes
+# to another daemon at once. The platform excuses a cut only of requests sent within 3 s of SIGTERM.
+LISTEN_AFTER_READY_S = (BALANCER_MISSES + 0.5) * BALANCER_CHECK_S
 
 # How long before the process would be killed the requests that are left are ended, so that their
 # answers and the closing of everything else still fit. Chosen, not measured.
