--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -34,7 +34,7 @@
     "leaving": "a member said that it will leave",
     "stray": "nobody opened the replica",
     "caller_left": "the caller's connection ended before its answer did",
-    "stopping": "the daemon was told to stop, and its time was over before the answer was whole",
+    "stopping": "the daemon was told to stop, and did not take the request or could not end it",
     "surplus": "its model could spare it, and its targets serve another model",
 }
 
