A daemon that stops follows its hall's next leader to the end, and takes no lease

A follower stopped in its pause before a free lease took it all the same and gave it back.

Change: the follower's loop runs to the end of the daemon; while it stops it takes no lease and offers none, and the address of the leader it was is forgotten.

Why safe: the daemon without a lease has always been a follower; tasks end with the daemon.

Measured: two tests, both failing before (second: it took the lease once), both pass now.

--- a/ferrydock/platform/tests/test_planned_stop.py
+++ b/ferrydock/platform/tests/test_planned_stop.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from ...forwarding import RouteGateway
+from ...hall_lease import ControllerLease
+from ...route_daemon import _leadership
 from ...route_daemon._daemon import BALANCER_CHECK_S, BALANCER_MISSES, LISTEN_AFTER_READY_S
 from ...standins.fleet import request_bytes
-from .test_site import REPLICAS, Site, play
+from .test_site import REPLICAS, Site, ask, play
 
 
 def test_a_request_read_in_the_last_turn_before_listening_ends_is_answered_whole(
@@ -65,3 +67,69 @@
     signal_is_late_s = 0.3  # a daemon that stands still, or is short of processor time
     assert BALANCER_MISSES * BALANCER_CHECK_S < LISTEN_AFTER_READY_S
     assert LISTEN_AFTER_READY_S + signal_is_late_s < excused_s
+
+
+def test_a_leader_that_stops_follows_the_next_one_to_the_end(tmp_path):
+    """A stopping leader's requests were in no scheduler's counts but its own.
+
+    It gave its lease back and went on taking itself for the leader: it assigned slots alone, and
+    the next leader assigned the same slots, for as long as the stop took.
+    """
+
+    async def scenario():
+        async with Site(tmp_path) as site:
+            first = await site.daemon("one")
+            await site.until(lambda: first.leadership.is_leader)
+            second = await site.daemon("two")
+            site.site.write_configuration()
+            await site.until(lambda: site.formed(REPLICAS))
+            for face in site.site.faces.values():
+                face.event_s = 0.1
+            stop = asyncio.ensure_future(first.stop())
+            await site.until(lambda: second.leadership.holds_lease())
+            next_leader = second.settings.peer_address
+            await site.until(lambda: first.scheduler_client.address() == next_leader)
+            assert not first.leadership.is_leader
+            asked = asyncio.ensure_future(ask(first, "/write/x", model="large"))
+            await site.until(lambda: any(second.scheduler.counts.of_hall().values()))
+            assert (await asked)[0] == 200
+            await stop
+            site.nodes.remove(first)
+
+    play(scenario)
+
+
+def test_a_follower_that_stops_takes_no_lease(tmp_path, monkeypatch):
+    """A follower took the free lease after SIGTERM and gave it back at once.
+
+    Its hall saw a leader come and go, and was without one for that long. The order of events: the
+    leader stops; a follower sees the key go and pauses before it takes it; it is stopped too.
+    """
+    pausing, taken = [], []
+
+    def pause_and_note(*arguments):
+        pausing.append(arguments)
+        return 0.5
+
+    async def acquire_and_note(lease, ttl_s, acquire=ControllerLease.acquire):
+        taken.append(lease.address)
+        return await acquire(lease, ttl_s)
+
+    async def scenario():
+        async with Site(tmp_path) as site:
+            first = await site.daemon("one")
+            await site.until(lambda: first.leadership.is_leader)
+            second = await site.daemon("two")
+            site.site.write_configuration()
+            await site.until(lambda: site.formed(REPLICAS))
+            await site.until(lambda: second.scheduler_client.address() != "")
+            monkeypatch.setattr(_leadership, "pause_before_taking_s", pause_and_note)
+            monkeypatch.setattr(ControllerLease, "acquire", acquire_and_note)
+            stops = [asyncio.ensure_future(first.stop())]
+            await site.until(lambda: pausing)
+            stops.append(asyncio.ensure_future(second.stop()))
+            await asyncio.gather(*stops)
+            site.nodes.clear()
+            assert taken == []
+
+    play(scenario)
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -97,6 +97,10 @@
 MAX_STORE_RETRY_FACTOR = 4
 
 
+# Pause of a daemon that stops between two looks at a hall's key while no other daemon has it; the
+# next leader takes it within `TAKE_JITTER_S`. Chosen, not measured.
+STOPPING_LOOK_S = 0.2
+
 # Name of the call on the wire by which a follower offers to lead; the answer is one byte.
 OFFER = "OfferToLead"
 ACCEPTED, DECLINED = b"1", b"0"
@@ -189,7 +193,13 @@
         return self.leader_address
 
     async def _take_and_lead(self) -> None:
-        """Try to take the lease; if that succeeds, lead until it ends."""
+        """Try to take the lease; if that succeeds, lead until it ends.
+
+        A daemon that stops takes none: it would give it back at once, and the hall would be
+        without a leader for that long.
+        """
+        if self.is_stopping():
+            return
         taken = await self.lease.acquire(LEASE_S)
         if isinstance(taken, HeldLease):
             self.leader_address = self.lease.address
@@ -237,10 +247,12 @@
             log_event(_LOG, logging.INFO, "controller_ended", hall=self.controller.hall)
         if self.lease.valid:
             await self.lease.give_back()
+        if self.is_stopping():
+            self.leader_address = ""  # the next one schedules the requests that are left here
 
     @abstractmethod
     async def run(self) -> None:
-        """Take the hall, or follow its leader, until the daemon stops."""
+        """Take the hall, or follow its leader, until the daemon ends."""
 
 
 class OwnHallLeadership(HallLeadership):
@@ -277,10 +289,10 @@
         return not self.lease.valid and self.clock.now_s() < self.relayed_until_s
 
     async def run(self) -> None:
-        """Lead the hall, or follow its leader, until the daemon stops."""
+        """Lead the hall or follow its leader until the daemon ends; while it stops, only follow."""
         failures = 0
         read: RangeDone | Unavailable | None = None
-        while not self.is_stopping():
+        while True:
             read = read or await self.store.range(self.key)
             if isinstance(read, Unavailable):
                 read = None
@@ -304,6 +316,10 @@
         All daemons of a hall find the key free at once; reading it again after a pause saves most
         of them a lease that they could not use. One that the last leader gave way to does not wait.
         """
+        if self.is_stopping():
+            self.leader_address = ""
+            await asyncio.sleep(STOPPING_LOOK_S)
+            return None
         if not self._is_invited:
             cores = self.lease.processor_cores or 0.0
             await asyncio.sleep(pause_before_taking_s(cores, TAKE_JITTER_S, self.rng))
@@ -326,7 +342,7 @@
         factor = 1 if self.is_leader else min(failures, MAX_STORE_RETRY_FACTOR)
         pause_s = self.rng.uniform(*STORE_RETRY_JITTER) * STORE_RETRY_S * factor
         until_s = self.clock.now_s() + pause_s
-        while self.clock.now_s() < until_s and not self.is_stopping():
+        while self.clock.now_s() < until_s:
             await self._follow()
             await asyncio.sleep(FAILED_PULL_PAUSE_S)
 
@@ -334,8 +350,6 @@
         """Ask the leader for news again and again, until it fails."""
         failures = 0
         while self.leader_address and not self.is_leader and failures < FAILED_PULLS:
-            if self.is_stopping():
-                return
             if await self.relay.pull(self.leader_address):
                 failures = 0
                 self.relayed_until_s = self.clock.now_s() + RELAY_VALID_S + self.spare_s
@@ -352,6 +366,8 @@
 
     async def _offer_to_lead(self) -> None:
         """Offer to lead the hall if this daemon can bear it better than its leader."""
+        if self.is_stopping():
+            return
         now_s = self.clock.now_s()
         cores = self.lease.processor_cores or 0.0
         is_due = now_s - self._offered_s >= OFFER_EVERY_S
