A planned stop of the table's daemon refuses what comes too late, waits for connections, and ends what is left with a true answer

Cause: the end of listening closed a socket only; what came on open connections was taken as ever. The stop looked at a count of handlers, once it was zero left its peers over the network, ended its own loops, and let the listener's grace cut what had begun meanwhile. Nobody inside a request knew of the limit: a filing that had not run ended without an answer and with its claim left open, a stream without its error event, an answer that was there waited for a store that was away and was lost.

Change: the rule of the route daemon, planned_stop.finish_requests, over both listeners and the work whose callers have left (gateway/_lasting_work.py). Gateway gets announce_stop, stop_listening, close_resting, connection_count; a request that is read after listening has ended is refused (503 stopping, not_run, Retry-After 0, Connection: close), one that was read before is served, also if its handler had not begun. /healthz and /readyz are answered to the end: a supervisor must not kill a daemon that ends its requests. One StopLimit ends what is left where it is known what is true of it: body, claim, queue, engine, service, other hall, edit. Callers' listeners close before everything that serves them. Two places took a cancellation back that was the stop's: wait_for in the queue, when the replica came in the same turn, and an attempt that was abandoned in the same turn.

The time for a stop still counts from the end of listening (--stop_longest_s), and has no limit by default.

Why safe: a request is said not to have run only where RequestLife says so or nothing was sent; a claim is withdrawn only then; all others keep their claim and are unknown.

--- a/ferrydock/gateway/__init__.py
+++ b/ferrydock/gateway/__init__.py
@@ -8,6 +8,7 @@
 from ._app import Gateway
 from ._callers import Callers
 from ._errors import error_response, not_run_response
+from ._lasting_work import LastingWork
 from ._models import ModelRoutes
 from ._operators import OperatorRoutes
 from ._route_dialect import OwnDialect
@@ -22,6 +23,7 @@
     "targets_of",
     "Callers",
     "Gateway",
+    "LastingWork",
     "ModelRoutes",
     "OperatorRoutes",
     "ServiceRoutes",
--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -13,8 +13,10 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Run
+from ..planned_stop import DaemonStopping, StopLimit
+from ..requests import STOPPING
 from ._connections import ConnectionGuard
-from ._errors import error_response
+from ._errors import error_response, stopping_response
 
 __all__ = ["Gateway"]
 
@@ -24,9 +26,8 @@
 MAX_BODY_BYTES = 4 * 2**20
 MAX_HEAD_BYTES = 16384
 
-# Pause between two looks whether requests are left; connections that may wait to be accepted; how
-# long closing waits for open ones. Chosen, not measured.
-DRAIN_LOOK_S = 0.05
+# Connections that may wait to be accepted; how long closing waits for the answers of requests that
+# the stop limit has ended, and once more after it has cancelled them. Chosen, not measured.
 LISTEN_BACKLOG = 1024
 SHUTDOWN_S = 1.0
 
@@ -47,6 +48,17 @@
         Connections at a time.
     first_request_s : float
         How long a new connection may take to send its first request's head.
+    stop_limit : StopLimit
+        Ends the requests that are left once the daemon's time to stop is over.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether each answer ends its connection, since the daemon is about to stop.
+    has_stopped_listening : bool
+        Whether requests that are read from now on are refused.
+    in_flight : int
+        Requests whose handlers run.
     """
 
     __slots__ = (
@@ -56,8 +68,10 @@
         "_runner",
         "_server",
         "address",
+        "has_stopped_listening",
         "in_flight",
         "ready",
+        "stop_limit",
         "stopping",
     )
 
@@ -67,17 +81,19 @@
         ready: Callable[[], str],
         max_connections: int,
         first_request_s: float,
+        stop_limit: StopLimit,
     ):
         self.ready = ready
+        self.stop_limit = stop_limit
         self.stopping = False
+        self.has_stopped_listening = False
         self.in_flight = 0
         self.address = ""
         self._guard: ConnectionGuard | None = None
         self._server: asyncio.Server | None = None
         self._app = web.Application(client_max_size=MAX_BODY_BYTES)
-        health = [web.get("/healthz", self._healthz), web.get("/readyz", self._readyz)]
         anything_else = web.route("*", "/{path:.*}", self._no_such_path)
-        for route in (*routes, *health, anything_else):
+        for route in (*routes, *self._health_routes(), anything_else):
             self._app.router.add_route(route.method, route.path, self._bounded(route.handler))
         self._runner = web.AppRunner(
             self._app,
@@ -109,50 +125,78 @@
         guard = existing(self._guard, "the connection guard")
         return {"refused": guard.refused, "timed_out": guard.timed_out}
 
-    async def stop_listening(self) -> None:
-        """Take no new connections; those that are open go on."""
+    @property
+    def connection_count(self) -> int:
+        """How many callers' connections are open."""
+        return len(self._guard.server.connections) if self._guard is not None else 0
+
+    def announce_stop(self) -> None:
+        """Be not ready, and end each connection with its next answer, from now on."""
+        self.stopping = True
+
+    def stop_listening(self) -> None:
+        """Take no new connections; serve what has been read, refuse what is read from now on."""
         self.stopping = True
         if self._server is not None:
             self._server.close()
+        if self._guard is not None and not self.has_stopped_listening:
+            self._guard.note_listening_ends()
+        self.has_stopped_listening = True
 
-    async def drain(self, longest_s: float | None, busy: Callable[[], int]) -> bool:
-        """Wait until nothing is under way; return whether nothing is left.
-
-        Parameters
-        ----------
-        longest_s : float or None
-            Longest wait; None waits as long as it takes.
-        busy : callable
-            Returns how much is under way.
-        """
-        loop = asyncio.get_running_loop()
-        until_s = None if longest_s is None else loop.time() + longest_s
-        while busy():
-            if until_s is not None and loop.time() >= until_s:
-                return False
-            await asyncio.sleep(DRAIN_LOOK_S)
-        return True
+    def close_resting(self) -> None:
+        """Close the connections without a request."""
+        if self._guard is not None:
+            self._guard.close_resting()
 
     async def close(self) -> None:
-        """Close what is left."""
-        if self._server is not None:
-            self._server.close()
+        """End what is left: each request with its true answer, then the connections.
+
+        Cut by the listener's own end, a request that has not run would end without an answer, and
+        its caller could not tell that it may be repeated.
+        """
+        self.stop_listening()
+        log_event(
+            _LOG,
+            logging.INFO,
+            "listener_closing",
+            connections=self.connection_count,
+            in_flight=self.in_flight,
+        )
+        self.stop_limit.end()
         await self._runner.cleanup()
 
+    def _health_routes(self) -> list[web.RouteDef]:
+        return [web.get("/healthz", self._healthz), web.get("/readyz", self._readyz)]
+
     def _bounded(self, handler):
         """Return `handler` with its requests counted and its errors answered in JSON.
 
         A wrapper costs less for each request than aiohttp's middlewares do.
         """
+        # A daemon that ends its last requests is alive: its supervisor must not kill it.
+        is_always_served = handler in (self._healthz, self._readyz)
 
         async def _handle(request: web.Request) -> web.StreamResponse:
-            existing(self._guard, "the connection guard").note(request.protocol)
+            guard = existing(self._guard, "the connection guard")
+            is_owed = guard.begin_request(request.protocol)
             self.in_flight += 1
             try:
-                response = await handler(request)
-                if self.stopping and not response.prepared:
-                    response.force_close()
-                return response
+                if self.has_stopped_listening and not (is_owed or is_always_served):
+                    response: web.StreamResponse = _refuse_stopping(request)
+                else:
+                    response = await _serve(request)
+            finally:
+                self.in_flight -= 1
+                guard.end_request(request.protocol)
+            if self.has_stopped_listening or (self.stopping and not response.prepared):
+                response.force_close()
+            return response
+
+        async def _serve(request: web.Request) -> web.StreamResponse:
+            try:
+                return await handler(request)
+            except DaemonStopping:
+                return _refuse_stopping(request)
             except web.HTTPRequestEntityTooLarge:
                 return error_response(413, "body_too_large", "the body is larger than allowed")
             except web.HTTPException as error:
@@ -163,8 +207,6 @@
             except (ValueError, UnicodeError) as error:
                 log_event(_LOG, logging.WARNING, "bad_request", why=error, path=request.path)
                 return error_response(400, "bad_request", "the request cannot be read")
-            finally:
-                self.in_flight -= 1
 
         return _handle
 
@@ -180,3 +222,9 @@
         if why_not:
             return error_response(503, "not_ready", why_not, Run.NOT_RUN)
         return web.Response(text="ready\n")
+
+
+def _refuse_stopping(request: web.Request) -> web.Response:
+    """Refuse a request that was not sent to any target, since this daemon stops."""
+    log_event(_LOG, logging.INFO, "request_refused", path=request.path, why=STOPPING)
+    return stopping_response()
--- a/ferrydock/gateway/_connections.py
+++ b/ferrydock/gateway/_connections.py
@@ -1,6 +1,7 @@
-"""Bounds on connections: how many there may be, and how long one may take to send a request.
+"""Connections of callers: their bounds, and which may still send requests while the daemon stops.
 
-Owns which connections have sent none yet, and counts those that were refused or timed out.
+Owns which connections have sent no request yet and which have one whose handler runs, and counts
+those that were refused or timed out.
 """
 
 import asyncio
@@ -8,6 +9,7 @@
 from aiohttp import web
 
 from ..invariants import BrokenInvariant
+from ..planned_stop import is_resting
 
 __all__ = ["ConnectionGuard"]
 
@@ -45,7 +47,16 @@
         How long a new connection may take to send the head of its first request.
     """
 
-    __slots__ = ("_silent", "first_request_s", "max_connections", "refused", "server", "timed_out")
+    __slots__ = (
+        "_busy",
+        "_owed",
+        "_silent",
+        "first_request_s",
+        "max_connections",
+        "refused",
+        "server",
+        "timed_out",
+    )
 
     def __init__(self, server: web.Server, max_connections: int, first_request_s: float):
         self.server = server
@@ -54,6 +65,8 @@
         self.refused = 0
         self.timed_out = 0
         self._silent: set[asyncio.Protocol] = set()
+        self._busy: set[asyncio.Protocol] = set()
+        self._owed: set[asyncio.Protocol] = set()
 
     def __call__(self) -> asyncio.Protocol:
         if len(self.server.connections) >= self.max_connections:
@@ -73,6 +86,34 @@
             self.timed_out += 1
             transport.close()
 
-    def note(self, protocol) -> None:
-        """Note that a connection has sent a request."""
+    def begin_request(self, protocol) -> bool:
+        """Note that a request's handler begins; return whether it was read before listening ended.
+
+        Always False while the daemon listens.
+        """
         self._silent.discard(protocol)
+        self._busy.add(protocol)
+        is_owed = protocol in self._owed
+        self._owed.discard(protocol)
+        return is_owed
+
+    def end_request(self, protocol) -> None:
+        """Note that a request's handler has ended."""
+        self._busy.discard(protocol)
+
+    def note_listening_ends(self) -> None:
+        """Note on which connections a request has been read whose handler has not begun.
+
+        It is in no count of handlers, and it is served like those that are.
+        """
+        self._owed = {
+            connection
+            for connection in self.server.connections
+            if connection not in self._busy and not is_resting(connection)
+        }
+
+    def close_resting(self) -> None:
+        """Close the connections without a request."""
+        for connection in self.server.connections:
+            if is_resting(connection):
+                connection.force_close()
--- a/ferrydock/gateway/_errors.py
+++ b/ferrydock/gateway/_errors.py
@@ -9,8 +9,18 @@
 from aiohttp import web
 
 from ..outcomes import Invalid, NotRun, Run
+from ..requests import STOPPING, GaveUp
 
-__all__ = ["error_body", "error_response", "invalid_response", "not_run_response"]
+__all__ = [
+    "error_body",
+    "error_response",
+    "gave_up_response",
+    "invalid_response",
+    "not_run_response",
+    "stopping_response",
+]
+
+STOPPING_MESSAGE = "this daemon stops"
 
 # Types that clients know, by HTTP status; others are server errors.
 TOO_MANY_REQUESTS = 429
@@ -69,12 +79,32 @@
 
 def not_run_response(outcome: NotRun) -> web.Response:
     """Return the answer for a request that was certainly not run."""
+    if outcome.reason == STOPPING:
+        return stopping_response()
     message = outcome.message or outcome.reason.replace("_", " ")
     return error_response(
         outcome.status, outcome.reason, message, Run.NOT_RUN, retry_after_s=outcome.retry_after_s
     )
 
 
+def stopping_response() -> web.Response:
+    """Return the answer for a request that was not run since this daemon stops.
+
+    Its caller may come back at once: its next connection leads to another daemon.
+    """
+    response = error_response(503, STOPPING, STOPPING_MESSAGE, Run.NOT_RUN, retry=True)
+    response.headers["Retry-After"] = "0"
+    response.force_close()
+    return response
+
+
+def gave_up_response(outcome: GaveUp, repeatable: bool) -> web.Response:
+    """Return the answer for a request that may have run, and whose answer is lost."""
+    if outcome.reason == STOPPING:
+        return error_response(502, STOPPING, STOPPING_MESSAGE, outcome.run, retry=repeatable)
+    return error_response(502, "lost_contact", outcome.reason, outcome.run, retry=repeatable)
+
+
 def invalid_response(outcome: Invalid) -> web.Response:
     """Return the answer for an input that was refused, with every fault."""
     faults = [{"place": f.place, "problem": f.problem} for f in outcome.faults]
--- a/ferrydock/gateway/_models.py
+++ b/ferrydock/gateway/_models.py
@@ -1,7 +1,7 @@
 """Routes of models: ``/v1/models``, ``/v1/chat/completions`` and ``/v1/completions``.
 
-Owns the count of unfinished requests. A request passes team, body, share and limits, and then runs
-here or, if all replicas here are full, in another hall.
+Stateless. A request passes team, body, share and limits, and then runs here or, if all replicas
+here are full, in another hall.
 """
 
 import asyncio
@@ -35,8 +35,9 @@
 from ..teams import Admission, TeamLimits
 from ._bodies import read_body
 from ._callers import Callers
-from ._claim_answers import CLAIM_DEADLINE_S, claim_response
-from ._errors import error_response, invalid_response, not_run_response
+from ._claim_answers import CLAIM_DEADLINE_S, claim_response, open_claim
+from ._errors import error_response, gave_up_response, invalid_response, not_run_response
+from ._lasting_work import LastingWork
 from ._spill import HOP_HEADER, Spill
 from ._stream_caller import StreamCaller
 
@@ -83,8 +84,8 @@
         For deadlines.
     body_timeout_s : float
         How long a caller may take to send a body.
-    unfinished : int
-        Requests under way, also those whose caller has left.
+    work : LastingWork
+        Runs requests that go on when their caller leaves.
     """
 
     state: SharedState
@@ -96,7 +97,7 @@
     recorder: Recorder
     clock: Clock
     body_timeout_s: float
-    unfinished: int = 0
+    work: LastingWork
 
     def routes(self) -> list[web.RouteDef]:
         """Return the HTTP routes."""
@@ -124,7 +125,7 @@
         team = self.callers.team(request)
         if team is None:
             return _unauthorised()
-        raw = await read_body(request, self.body_timeout_s)
+        raw = await read_body(request, self.body_timeout_s, self.work.stop_limit)
         if raw is None:
             return error_response(408, "body_too_slow", "the body did not come in time")
         wanted = self._parse(request, team, raw)
@@ -176,15 +177,12 @@
         """
         if wanted.repeatable:
             return await self._serve_admitted(request, wanted, share, admission)
-        work = asyncio.get_running_loop().create_task(
-            self._serve_admitted(request, wanted, share, admission)
-        )
+        work = self.work.start(self._serve_admitted(request, wanted, share, admission))
         return await asyncio.shield(work)
 
     async def _serve_admitted(
         self, request: web.Request, wanted: ModelRequest, share: Share, admission: Admission
     ) -> web.StreamResponse:
-        self.unfinished += 1
         try:
             if self._should_spill(wanted):
                 answer = await self.spill.forward(request, wanted)
@@ -192,7 +190,6 @@
                     return answer
             return await self._serve_here(request, wanted, share)
         finally:
-            self.unfinished -= 1
             self.limits.release(admission)
 
     def _should_spill(self, wanted: ModelRequest) -> bool:
@@ -208,7 +205,7 @@
         claim: Claim | None = None
         if wanted.key:
             until_s = min(wanted.deadline_s, self.clock.now_s() + CLAIM_DEADLINE_S)
-            opened = await self.claims.open(wanted.team, wanted.key, until_s)
+            opened = await open_claim(self.claims, self.work, wanted.team, wanted.key, until_s)
             if not isinstance(opened, Claim):
                 return claim_response(opened)
             claim = opened
@@ -221,7 +218,7 @@
             self.recorder.left(wanted)
             return existing(caller.response, "the begun answer")
         if claim is not None:
-            await self._end_claim(claim, outcome, caller)
+            await self.work.record(self._end_claim(claim, outcome, caller))
         self.recorder.ended(wanted, outcome, caller.first_s, started_s, self.clock.now_s())
         return await self._answer(wanted, outcome, caller)
 
@@ -263,9 +260,7 @@
             return await caller.fail(outcome)
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
-        return error_response(
-            502, "lost_contact", outcome.reason, outcome.run, retry=wanted.repeatable
-        )
+        return gave_up_response(outcome, wanted.repeatable)
 
 
 def _unauthorised() -> web.Response:
--- a/ferrydock/gateway/_operators.py
+++ b/ferrydock/gateway/_operators.py
@@ -3,6 +3,7 @@
 Stateless; edits are committed through the table's repository and put in force here at once.
 """
 
+import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -10,7 +11,10 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..logs import log_event
 from ..outcomes import Conflict, Invalid, Unavailable, Unknown
+from ..planned_stop import DaemonStopping, StopLimit
+from ..requests import STOPPING
 from ..table import (
     AcceptedEdit,
     Change,
@@ -22,11 +26,14 @@
     TableWatcher,
     merge,
 )
+from ._bodies import read_body
 from ._callers import Callers
 from ._errors import error_response
 
 __all__ = ["OperatorRoutes"]
 
+_LOG = logging.getLogger("ferrydock.gateway")
+
 # How long an edit may take to be committed, edits that the log shows, and changes of one edit.
 # Chosen, not measured.
 COMMIT_S = 10.0
@@ -60,6 +67,8 @@
         Is called after an edit was accepted.
     clock : Clock
         For deadlines.
+    stop_limit : StopLimit
+        Ends the requests that are left once the daemon's time to stop is over.
     """
 
     keeper: TableKeeper
@@ -70,6 +79,7 @@
     burn: Callable[[dict], Awaitable[dict]]
     on_edit: Callable[[], None]
     clock: Clock
+    stop_limit: StopLimit
 
     def routes(self) -> list[web.RouteDef]:
         """Return the HTTP routes."""
@@ -111,10 +121,11 @@
         return _json(self.status())
 
     async def _get_burn(self, request: web.Request) -> web.Response:
-        return _json(await self.burn(dict(request.query)))
+        async with self.stop_limit.hold():
+            return _json(await self.burn(dict(request.query)))
 
     async def _post_edit(self, request: web.Request) -> web.Response:
-        edit = _parse_edit(await request.read())
+        edit = _parse_edit(await read_body(request, None, self.stop_limit) or b"")
         if isinstance(edit, str):
             return error_response(400, "invalid", edit)
         if request.query.get("dry_run") == "true":
@@ -123,17 +134,39 @@
                 return _json({"outcome": "valid", "revision": self.keeper.revision})
             return _edit_response(merged)
         deadline_s = self.clock.now_s() + COMMIT_S
-        outcome = await self.repository.commit(edit, deadline_s, self.keeper.revision)
+        outcome = await self._commit(edit, deadline_s)
         if isinstance(outcome, AcceptedEdit):
             await self._put_in_force(outcome)
         return _edit_response(outcome)
 
+    async def _commit(self, edit: Edit, deadline_s: float):
+        """Commit an edit unless this daemon's time to stop ends first."""
+        try:
+            async with self.stop_limit.hold():
+                return await self.repository.commit(edit, deadline_s, self.keeper.revision)
+        except DaemonStopping:
+            return Unknown("this daemon stopped before the store's answer")
+
     async def _put_in_force(self, accepted: AcceptedEdit) -> None:
         self.keeper.offer_edits((accepted,))
         if self.keeper.revision < accepted.revision:
-            await self.watcher.look()
+            await self._look(accepted)
         self.on_edit()
 
+    async def _look(self, accepted: AcceptedEdit) -> None:
+        """Read the table up to an edit; an accepted one stays so if this daemon stops meanwhile."""
+        try:
+            async with self.stop_limit.hold():
+                await self.watcher.look()
+        except DaemonStopping:
+            log_event(
+                _LOG,
+                logging.INFO,
+                "edit_not_in_force_here",
+                revision=accepted.revision,
+                why=STOPPING,
+            )
+
 
 def _json(fields: dict, status: int = 200) -> web.Response:
     return web.Response(body=orjson.dumps(fields), status=status, content_type="application/json")
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -16,13 +16,15 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import NotRun, Run
-from ..requests import Answered, Claim, ClaimStore, RequestLife
+from ..planned_stop import DaemonStopping
+from ..requests import STOPPING, Answered, Claim, ClaimStore, GaveUp, RequestLife
 from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget
 from ..table import TableKeeper, Target
 from ._bodies import read_body
 from ._callers import Callers
-from ._claim_answers import CLAIM_DEADLINE_S, claim_response
-from ._errors import error_response, not_run_response
+from ._claim_answers import CLAIM_DEADLINE_S, claim_response, open_claim
+from ._errors import error_response, gave_up_response, not_run_response
+from ._lasting_work import LastingWork
 
 __all__ = ["ServiceRoutes"]
 
@@ -60,6 +62,8 @@
         For time-outs.
     body_timeout_s : float
         How long a caller may take to send a body.
+    work : LastingWork
+        Runs calls that go on when their caller leaves.
     """
 
     __slots__ = (
@@ -72,7 +76,7 @@
         "claims",
         "clock",
         "keeper",
-        "unfinished",
+        "work",
     )
 
     def __init__(
@@ -82,6 +86,7 @@
         claims: ClaimStore,
         clock: Clock,
         body_timeout_s: float,
+        work: LastingWork,
     ):
         self.keeper = keeper
         self.callers = callers
@@ -89,7 +94,7 @@
         self.clock = clock
         self.body_timeout_s = body_timeout_s
         self.budget = RetryBudget(DEFAULT_RETRY_RATIO)
-        self.unfinished = 0
+        self.work = work
         self._in_flight: dict[str, int] = {}
         self._avoid_until_s: dict[str, float] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -114,12 +119,10 @@
             return error_response(404, "no_such_service", f"there is no service {name}")
         if target.leaving:
             return not_run_response(NotRun("leaving", f"{name} is leaving", LEAVING_RETRY_S))
-        body = await read_body(request, self.body_timeout_s)
+        body = await read_body(request, self.body_timeout_s, self.work.stop_limit)
         if body is None:
             return error_response(408, "body_too_slow", "the body did not come in time")
-        work = asyncio.get_running_loop().create_task(self._run(request, team, target, body))
-        self.unfinished += 1
-        work.add_done_callback(self._note_finished)
+        work = self.work.start(self._run(request, team, target, body))
         try:
             return await asyncio.shield(work)
         except asyncio.CancelledError:
@@ -127,27 +130,27 @@
                 work.cancel()
             raise
 
-    def _note_finished(self, work: asyncio.Task) -> None:
-        self.unfinished -= 1
-
     async def _run(
         self, request: web.Request, team: str, target: Target, body: bytes
     ) -> web.Response:
         key = request.headers.get("Idempotency-Key", "")
+        life = RequestLife(request.method in target.repeatable_methods and not key)
         if not key:
-            return self._response(await self._attempt_all(request, target, body, key))
+            outcome = await self._attempt_all(request, target, body, life)
+            return self._response(outcome, life.repeatable)
         until_s = self.clock.now_s() + CLAIM_DEADLINE_S
-        claim = await self.claims.open(team, f"{target.name}/{key}", until_s)
+        claim = await open_claim(self.claims, self.work, team, f"{target.name}/{key}", until_s)
         if not isinstance(claim, Claim):
             return claim_response(claim)
-        outcome = await self._attempt_all(request, target, body, key)
+        outcome = await self._attempt_all(request, target, body, life)
         if isinstance(outcome, Answered):
-            await self.claims.end(claim, outcome.status, outcome.content_type, outcome.body)
+            end = self.claims.end(claim, outcome.status, outcome.content_type, outcome.body)
+            await self.work.record(end)
         elif isinstance(outcome, NotRun):
-            await self.claims.withdraw(claim)
-        return self._response(outcome)
+            await self.work.record(self.claims.withdraw(claim))
+        return self._response(outcome, life.repeatable)
 
-    def _response(self, outcome: Answered | NotRun | RequestLife) -> web.Response:
+    def _response(self, outcome: Answered | NotRun | GaveUp, repeatable: bool) -> web.Response:
         if isinstance(outcome, Answered):
             return web.Response(
                 body=outcome.body,
@@ -156,16 +159,24 @@
             )
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
-        return error_response(
-            502, "lost_contact", "the service did not answer", Run.UNKNOWN, outcome.repeatable
-        )
+        return gave_up_response(outcome, repeatable)
 
     async def _attempt_all(
-        self, request: web.Request, target: Target, body: bytes, key: str
-    ) -> Answered | NotRun | RequestLife:
+        self, request: web.Request, target: Target, body: bytes, life: RequestLife
+    ) -> Answered | NotRun | GaveUp:
+        """Make attempts unless this daemon's time to stop ends first."""
+        try:
+            async with self.work.stop_limit.hold():
+                return await self._attempt_until_final(request, target, body, life)
+        except DaemonStopping:
+            if life.run is Run.NOT_RUN:
+                return NotRun(STOPPING)
+            return GaveUp(STOPPING, Run.UNKNOWN)
+
+    async def _attempt_until_final(
+        self, request: web.Request, target: Target, body: bytes, life: RequestLife
+    ) -> Answered | NotRun | GaveUp:
         """Attempt until there is an answer, or no further attempt is allowed."""
-        repeatable = request.method in target.repeatable_methods and not key
-        life = RequestLife(repeatable)
         self.budget.first_attempt()
         request_id = uuid.uuid4().hex
         tried: set[str] = set()
@@ -197,7 +208,7 @@
                 break
         if life.run is Run.NOT_RUN:
             return NotRun("unreachable", f"{target.name} cannot be reached", UNREACHABLE_RETRY_S)
-        return life
+        return GaveUp("the service did not answer", Run.UNKNOWN)
 
     def _choose(self, target: Target, tried: set[str]) -> str | None:
         """Return the address with the fewest calls of this daemon, avoiding failed ones."""
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -15,8 +15,9 @@
 from ..logs import log_event
 from ..membership import HallSummary, SharedState
 from ..outcomes import NotRun, Run
-from ..requests import EventRelay, ModelRequest, error_event
-from ._errors import error_body, error_response
+from ..planned_stop import DaemonStopping, StopLimit
+from ..requests import STOPPING, EventRelay, GaveUp, ModelRequest, error_event
+from ._errors import error_body, gave_up_response
 
 __all__ = ["HOP_HEADER", "Spill"]
 
@@ -50,13 +51,16 @@
         Summaries of the other halls.
     clock : Clock
         Tells which summaries are recent enough.
+    stop_limit : StopLimit
+        Ends the requests that are left once the daemon's time to stop is over.
     """
 
-    __slots__ = ("_session", "_turn", "clock", "state")
+    __slots__ = ("_session", "_turn", "clock", "state", "stop_limit")
 
-    def __init__(self, state: SharedState, clock: Clock):
+    def __init__(self, state: SharedState, clock: Clock, stop_limit: StopLimit):
         self.state = state
         self.clock = clock
+        self.stop_limit = stop_limit
         self._session: aiohttp.ClientSession | None = None
         self._turn = 0
 
@@ -89,6 +93,8 @@
             `NotRun` if no byte has left, so that the caller may be served in another way.
         """
         for summary in self.halls_with_room(wanted.model)[:MAX_HALLS_TRIED]:
+            if self.stop_limit.is_over:
+                return NotRun(STOPPING)
             self._turn += 1
             contact = summary.contacts[self._turn % len(summary.contacts)]
             answer = await self._forward_to(contact.url, request, wanted)
@@ -106,20 +112,17 @@
         headers = {name: request.headers[name] for name in _PASSED_ON if name in request.headers}
         headers[HOP_HEADER] = str(wanted.hops + 1)
         try:
-            response = await self._session.post(
-                url + wanted.path, data=wanted.body, headers=headers
-            )
+            async with self.stop_limit.hold():
+                response = await self._session.post(
+                    url + wanted.path, data=wanted.body, headers=headers
+                )
+        except DaemonStopping:
+            return _gave_up(STOPPING, wanted)
         except aiohttp.ClientConnectorError as error:
             log_event(_LOG, logging.INFO, "hall_unreachable", url=url, why=error)
             return None
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return error_response(
-                502,
-                "lost_contact",
-                f"another hall did not answer: {type(error).__name__}",
-                Run.UNKNOWN,
-                retry=wanted.repeatable,
-            )
+            return _gave_up(f"another hall did not answer: {type(error).__name__}", wanted)
         try:
             if response.content_type == "text/event-stream":
                 return await self._relay(response, request)
@@ -129,15 +132,12 @@
 
     async def _whole(self, response, wanted: ModelRequest) -> web.Response:
         try:
-            body = await response.read()
+            async with self.stop_limit.hold():
+                body = await response.read()
+        except DaemonStopping:
+            return _gave_up(STOPPING, wanted)
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return error_response(
-                502,
-                "lost_contact",
-                "the answer of another hall broke",
-                Run.UNKNOWN,
-                retry=wanted.repeatable,
-            )
+            return _gave_up("the answer of another hall broke", wanted)
         headers = {"X-Request-Id": wanted.request_id}
         if "Retry-After" in response.headers:
             headers["Retry-After"] = response.headers["Retry-After"]
@@ -152,15 +152,23 @@
         answer = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await answer.prepare(request)
         relay = EventRelay(keep=False)
+        reason = "another hall went away"
         try:
-            async for piece in response.content.iter_any():
-                ready = relay.feed(piece)
-                if ready:
-                    await answer.write(ready)
+            async with self.stop_limit.hold():
+                async for piece in response.content.iter_any():
+                    ready = relay.feed(piece)
+                    if ready:
+                        await answer.write(ready)
+        except DaemonStopping:
+            reason = STOPPING
         except (aiohttp.ClientPayloadError, TimeoutError):
             relay.whole = False
         if not relay.whole:
-            error = error_body("stream_broken", "another hall went away", Run.UNKNOWN, False)
+            error = error_body("stream_broken", reason, Run.UNKNOWN, False)
             await answer.write(error_event(error))
         await answer.write_eof()
         return answer
+
+
+def _gave_up(reason: str, wanted: ModelRequest) -> web.Response:
+    return gave_up_response(GaveUp(reason, Run.UNKNOWN), wanted.repeatable)
--- a/ferrydock/node/_node.py
+++ b/ferrydock/node/_node.py
@@ -11,6 +11,7 @@
 from ..gateway import (
     Callers,
     Gateway,
+    LastingWork,
     ModelRoutes,
     OperatorRoutes,
     ServiceRoutes,
@@ -31,6 +32,7 @@
     SharedState,
 )
 from ..placement import AbsenceModel, HallPlacement, make_placement_policy
+from ..planned_stop import StopLimit, StoppingListener, finish_requests
 from ..reports import Recorder, make_statsd
 from ..requests import (
     GROUP_WAIT_S,
@@ -57,6 +59,10 @@
 
 _LOG = logging.getLogger("ferrydock.node")
 
+# How long the end waits for records of requests that its stop limit has ended. Chosen, not
+# measured.
+RECORDS_WITHIN_S = 1.0
+
 
 class Platform:
     """The platform as one daemon reaches it."""
@@ -142,6 +148,8 @@
 
     def _make_request_path(self) -> None:
         settings, clock = self.settings, self.clock
+        self.stop_limit = StopLimit()
+        self.work = LastingWork(self.stop_limit)
         self.recorder = Recorder(make_statsd(settings.statsd), clock)
         self.burn_gatherer = BurnGatherer(
             self.state, self.recorder, self.exchange_client, self.controller.shortage
@@ -153,7 +161,7 @@
         self.gate = ReplicaGate(self.state, self.replica_loads, policy, clock)
         self.engine_client = EngineClient()
         self.executor = RequestExecutor(
-            self.gate, self.engine_client, self.control, self.random_source
+            self.gate, self.engine_client, self.control, self.random_source, self.stop_limit
         )
         self.claim_writer = ClaimWriter(self.platform.store)
         self.exchange_server.on_claim = self.claim_writer.write
@@ -163,7 +171,7 @@
         self.claims = ClaimStore(self.platform.store, writer, clock, 86400.0, self.name)
         refused = frozenset() if settings.store == "embedded" else DEMO_DIGESTS
         self.callers = Callers(self.keeper, settings.operator_key_digests, refused)
-        self.spill = Spill(self.state, clock)
+        self.spill = Spill(self.state, clock, self.stop_limit)
         self.models = ModelRoutes(
             state=self.state,
             callers=self.callers,
@@ -174,9 +182,10 @@
             recorder=self.recorder,
             clock=clock,
             body_timeout_s=settings.body_timeout_s,
+            work=self.work,
         )
         self.services = ServiceRoutes(
-            self.keeper, self.callers, self.claims, clock, settings.body_timeout_s
+            self.keeper, self.callers, self.claims, clock, settings.body_timeout_s, self.work
         )
         self.operators = OperatorRoutes(
             keeper=self.keeper,
@@ -187,11 +196,16 @@
             burn=lambda query: burn_fields(self, query),
             on_edit=self.gossip.spread,
             clock=clock,
+            stop_limit=self.stop_limit,
         )
         routes = [*self.models.routes(), *self.services.routes(), *self.operators.routes()]
         self.table_routes = TableRoutes(settings.hall, clock, self.random_source)
         self.gateway = Gateway(
-            routes, self.why_not_ready, settings.most_connections, settings.first_request_s
+            routes,
+            self.why_not_ready,
+            settings.most_connections,
+            settings.first_request_s,
+            self.stop_limit,
         )
 
     # Life ---------------------------------------------------------------------------------
@@ -229,32 +243,36 @@
         )
 
     async def stop(self) -> None:
-        """Planned stop: nothing in flight is cut off."""
+        """Stop as planned: readiness drops first, then nothing in flight is cut off."""
         settings = self.settings
-        log_event(_LOG, logging.INFO, "stopping", in_flight=self.busy())
-        self.gateway.stopping = True
-        self.table_routes.gateway.stopping = True
+        listeners: list[StoppingListener] = [self.gateway, self.table_routes.gateway]
+        for listener in listeners:
+            listener.announce_stop()
         self.state.members.change_own(self.clock.now_s(), stopping=True)
         await self.controller.stand_down()
-        await asyncio.sleep(settings.stop_readiness_s)
-        await self.gateway.stop_listening()
-        self.table_routes.gateway.stop_listening()
-        drained = await self.gateway.drain(settings.stop_longest_s, self.busy)
-        log_event(_LOG, logging.INFO, "drained", whole=drained, in_flight=self.busy())
+        within_s = None
+        if settings.stop_longest_s is not None:
+            within_s = settings.stop_readiness_s + settings.stop_longest_s
+        await finish_requests(
+            listeners, settings.stop_readiness_s, within_s, self.clock, lambda: self.work.count
+        )
+        await self._end_requests()
         await self.gossip.leave()
-        await self.close()
-        log_event(_LOG, logging.INFO, "stopped", name=self.name)
-
-    def busy(self) -> int:
-        """Return how much is under way: requests, and filings whose caller has left."""
-        unfinished = self.models.unfinished + self.services.unfinished
-        return self.gateway.in_flight + self.table_routes.gateway.in_flight + unfinished
+        await self._close_parts()
 
     async def close(self) -> None:
-        """End at once."""
+        """End at once; callers' requests first, while everything that serves them still runs."""
+        await self._end_requests()
+        await self._close_parts()
+
+    async def _end_requests(self) -> None:
+        """End what is left with the answers that are true of it, and record them."""
+        await asyncio.gather(self.gateway.close(), self.table_routes.close())
+        await self.work.close(RECORDS_WITHIN_S)
+
+    async def _close_parts(self) -> None:
+        """End what serves requests; none is left."""
         await self.rounds.end()
-        await self.gateway.close()
-        await self.table_routes.close()
         await self.gossip.close()
         await self.exchange_server.close()
         await self.exchange_client.close()
--- a/ferrydock/requests/_admission.py
+++ b/ferrydock/requests/_admission.py
@@ -145,7 +145,10 @@
         if self._pump is None or self._pump.done():
             self._pump = asyncio.get_running_loop().create_task(self._run_pump())
         try:
-            return await asyncio.wait_for(queued.chosen, max(0.0, until_s - now_s))
+            # Not `wait_for`: it loses a cancellation that comes together with the replica, and the
+            # request would be sent after the daemon's time to stop is over.
+            async with asyncio.timeout(max(0.0, until_s - now_s)):
+                return await queued.chosen
         except TimeoutError:
             return self._not_run(request, "no_capacity", "no replica had room in time")
         finally:
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -107,16 +107,18 @@
     `Broken` with that reason.
     """
 
-    __slots__ = ("_task", "reason", "replica")
+    __slots__ = ("_cancelled_before", "_task", "reason", "replica")
 
     def __init__(self, replica: Replica):
         self.replica = replica
         self.reason = ""
         self._task: asyncio.Task | None = None
+        self._cancelled_before = 0
 
     def begin(self) -> None:
         """Name the running task as the one that `abandon` interrupts."""
-        self._task = asyncio.current_task()
+        self._task = existing(asyncio.current_task(), "the running task")
+        self._cancelled_before = self._task.cancelling()
 
     def end(self) -> None:
         """Let `abandon` do nothing from now on."""
@@ -129,11 +131,13 @@
             self._task.cancel()
 
     def was_abandoned(self) -> bool:
-        """Return whether a cancellation came from `abandon`; it is then taken back."""
+        """Return whether a cancellation came from `abandon` only; that one is then taken back.
+
+        If the caller leaves or the daemon's time is over at the same moment, the request ends.
+        """
         if not self.reason or self._task is None:
             return False
-        self._task.uncancel()
-        return True
+        return self._task.uncancel() <= self._cancelled_before
 
 
 class EngineClient:
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -18,6 +18,7 @@
 from ..membership import SharedState
 from ..outcomes import NotRun, Run
 from ..placement import Replica
+from ..planned_stop import DaemonStopping, StopLimit
 from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget, backoff_s
 from ..routing import Candidate, Flight, ReplicaLoads
 from ._admission import ReplicaGate
@@ -26,10 +27,13 @@
 from ._lifecycle import RequestLife
 from ._model_request import ModelRequest
 
-__all__ = ["RequestExecutor", "Ended", "GaveUp"]
+__all__ = ["STOPPING", "RequestExecutor", "Ended", "GaveUp"]
 
 _LOG = logging.getLogger("ferrydock.requests")
 
+# Why a request is ended by a daemon that stops, as in answers and log lines.
+STOPPING = "stopping"
+
 # Replicas that one request may be sent to. The budget limits retries sooner under load. Chosen, not
 # measured.
 MAX_ATTEMPTS = 6
@@ -88,6 +92,8 @@
         Cancels.
     random_source : random.Random
         For the jitter of retries.
+    stop_limit : StopLimit
+        Ends the requests that are left once the daemon's time to stop is over.
     """
 
     __slots__ = (
@@ -101,6 +107,7 @@
         "gate",
         "random_source",
         "state",
+        "stop_limit",
     )
 
     def __init__(
@@ -109,6 +116,7 @@
         client: EngineClient,
         control: EngineControl,
         random_source: random.Random,
+        stop_limit: StopLimit,
     ):
         self.gate = gate
         self.state: SharedState = gate.state
@@ -117,6 +125,7 @@
         self.client = client
         self.control = control
         self.random_source = random_source
+        self.stop_limit = stop_limit
         self.budget = RetryBudget(DEFAULT_RETRY_RATIO)
         self._watched: set[_Watched] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -147,7 +156,10 @@
         """
         run = _Run(self, request, caller, life, weight)
         try:
-            return await run.to_end()
+            async with self.stop_limit.hold():
+                return await run.to_end()
+        except DaemonStopping:
+            return run.end_by_stop()
         except (asyncio.CancelledError, CallerLeft):
             run.cancel_at_engine()
             raise
@@ -266,6 +278,13 @@
             return refusal
         return GaveUp(f"lost contact, and then {refusal.reason}", Run.UNKNOWN)
 
+    def end_by_stop(self) -> NotRun | GaveUp:
+        """End a request that is left when this daemon's time to stop is over."""
+        if self.life.give_up() is Run.NOT_RUN and not self.relay.events:
+            return NotRun(STOPPING)
+        self.cancel_at_engine()
+        return GaveUp(STOPPING, Run.UNKNOWN)
+
     # One replica --------------------------------------------------------------------------
 
     async def _attempt(self, chosen: Candidate) -> Answered | Streamed | Refused | Broken:
@@ -360,6 +379,6 @@
         return True
 
     def cancel_at_engine(self) -> None:
-        """Free the engine's slot: the caller has left."""
+        """Free the engine's slot: nobody takes the answer any more."""
         if self.replica is not None:
             self.executor.cancel_later(self.replica, self.request.request_id)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,7 @@
 """Promises that span processes, over real ones: kill -9, SIGSTOP, SIGTERM. Verdicts wait on
 conditions; the limits only end a run that hangs."""
 
+import http.client
 import json
 import signal
 import subprocess
@@ -133,6 +134,57 @@
     assert text in answer
 
 
+class KeepingCaller(threading.Thread):
+    """Sends requests on a kept connection, on a new one where that ends, until nobody listens."""
+
+    def __init__(self, daemon):
+        super().__init__()
+        self.address = daemon.url.removeprefix("http://")
+        self.answers = []
+        self.unanswered = 0
+
+    def run(self):
+        connection = http.client.HTTPConnection(self.address)
+        while True:
+            try:
+                self.answers.append(self.ask(connection))
+            except ConnectionRefusedError:
+                return
+            except (http.client.RemoteDisconnected, ConnectionError):
+                self.unanswered += 1
+                connection.close()
+
+    def ask(self, connection):
+        headers = {"Authorization": f"Bearer {TEAM_KEY}", "X-Not-Repeatable": "true"}
+        body = json.dumps(chat("a short grievance"))
+        connection.request("POST", "/v1/chat/completions", body, headers)
+        answer = connection.getresponse()
+        return answer.status, json.loads(answer.read())
+
+
+def test_planned_stop_cuts_no_caller_that_keeps_its_connection(make_site):
+    site = make_site("hall-a")
+    daemon = site.daemon("hall-a", "--stop_readiness_s=0.3")
+    fill_table(daemon, ["hall-a"])
+    wait_until(lambda: serving(daemon), "a replica serves")
+    callers = [KeepingCaller(daemon) for _ in range(4)]
+    for caller in callers:
+        caller.start()
+    wait_until(lambda: all(len(c.answers) > 2 for c in callers), "all callers are served")
+    daemon.signal(signal.SIGTERM)
+    assert daemon.popen.wait() == 0
+    for caller in callers:
+        caller.join()
+    answers = [answer for caller in callers for answer in caller.answers]
+    refused = [body["error"] for code, body in answers if code != 200]
+    assert all(error["run"] == "not_run" for error in refused), refused
+    with urllib.request.urlopen(site.standins.url + "/counts") as response:
+        runs = json.loads(response.read())["runs"]
+    # a request whose connection ended without an answer was not taken
+    assert len(runs) == sum(code == 200 for code, _ in answers)
+    assert set(runs.values()) == {1}
+
+
 def test_doubled_filing_over_two_daemons_runs_once(make_site):
     site = make_site("hall-a", "hall-b")
     daemons = [site.daemon(hall) for hall in ("hall-a", "hall-b")]
