Test of a planned stop: send the late request in the turn after listening has ended

Seen once: in 1 of 3 runs of gateway/tests/test_planned_stop.py (beside two other test runs) test_a_request_on_a_kept_connection_after_listening_has_ended_... ended in ConnectionResetError. Cause: the test looked every 50 ms whether the daemon still listens, and 50 ms after the end of listening the daemon closes connections without a request; the request could come after that. The daemon had not read it, so nothing was taken: allowed, and no fault of the daemon. Change: three tests wait for the very turn in which listening ends. What they ask of the daemon is unchanged, and the three stories still fail on the code before the mend.

--- a/ferrydock/gateway/tests/test_planned_stop.py
+++ b/ferrydock/gateway/tests/test_planned_stop.py
@@ -113,8 +113,15 @@
     monkeypatch.setattr(ReplicaGate, "choose", choose_later)
 
 
-def listens(node):
-    return node.gateway._server.is_serving()
+async def listening_ends(node):
+    """Return in the turn after listening has ended.
+
+    What a caller sends then is read before the daemon closes the connections that rest; a later
+    request may meet a connection that is closed already.
+    """
+    async with asyncio.timeout(LIMIT_S):
+        while node.gateway._server.is_serving():
+            await asyncio.sleep(0)
 
 
 def engine(site, replica):
@@ -145,7 +152,7 @@
             busy, head = await begin_stream(site, node)
             head.pause()
             stop = asyncio.ensure_future(node.stop())
-            await holds(lambda: not listens(node))
+            await listening_ends(node)
             kept.send(COMPLETIONS, chat())
             answer = await kept.rest()
             assert answer.startswith(b"HTTP/1.1 503")
@@ -244,7 +251,7 @@
             caller.writer.write(raw[:-5])
             await holds(lambda: node.gateway.in_flight)
             stop = asyncio.ensure_future(node.stop())
-            await holds(lambda: not listens(node))
+            await listening_ends(node)
             caller.writer.write(raw[-5:])
             answer = await caller.rest()
             assert answer.startswith(b"HTTP/1.1 200") and TEXT.encode() in answer
@@ -261,7 +268,7 @@
             busy, head = await begin_stream(site, node)
             head.pause()
             stop = asyncio.ensure_future(node.stop())
-            await holds(lambda: not listens(node))
+            await listening_ends(node)
             supervisor.send("/healthz", None, method="GET")
             answer = await supervisor.rest()
             assert answer.startswith(b"HTTP/1.1 200") and b"Connection: close\r\n" in answer
