A planned stop of the table's daemon logs the records that it could not wait for

Cause: at the limit an answer goes out although the store has not taken the record of its end, and the record is cut half a second later; neither left a line, and an error of a record that failed meanwhile was lost. Why safe: log lines only.

--- a/ferrydock/gateway/_lasting_work.py
+++ b/ferrydock/gateway/_lasting_work.py
@@ -5,13 +5,17 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from ..logs import log_event
 from ..planned_stop import DaemonStopping, StopLimit
 
 __all__ = ["LastingWork"]
 
+_LOG = logging.getLogger("ferrydock.gateway")
+
 Result = TypeVar("Result")
 
 # How long an answer waits for the record of its end once the daemon's time to stop is over, so that
@@ -58,12 +62,18 @@
                 await asyncio.shield(recording)
         except DaemonStopping:
             await asyncio.wait([recording], timeout=RECORD_WAIT_S)
+            if not recording.done():
+                log_event(_LOG, logging.WARNING, "record_late", after_ms=RECORD_WAIT_S * 1000)
+            elif recording.exception() is not None:
+                _LOG.error("a record failed", exc_info=recording.exception())
 
     async def close(self, within_s: float) -> None:
         """Wait for what is under way, and end what takes longer."""
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=within_s)
         left = list(self._tasks)
+        if left:
+            log_event(_LOG, logging.WARNING, "work_cut", count=len(left))
         for task in left:
             task.cancel()
         await asyncio.gather(*left, return_exceptions=True)
--- a/ferrydock/gateway/tests/test_planned_stop.py
+++ b/ferrydock/gateway/tests/test_planned_stop.py
@@ -366,7 +366,7 @@
     run(check)
 
 
-def test_an_answer_at_the_limit_does_not_wait_for_a_store_that_is_away(monkeypatch):
+def test_an_answer_at_the_limit_does_not_wait_for_a_store_that_is_away(monkeypatch, caplog):
     never = asyncio.Event()
 
     async def silent(*_):
@@ -382,6 +382,8 @@
             await node.stop()
             answer = await caller.rest()
             assert answer.startswith(b"HTTP/1.1 200") and TEXT.encode() in answer
+            assert "event=record_late" in caplog.text
+            assert "event=work_cut count=1" in caplog.text
 
     run(check)
 
