--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -91,7 +91,9 @@
             self._limits.discard(limit)
 
     def end(self) -> None:
-        """End all work that is held."""
+        """End all work that is held; once."""
+        if self.is_over:
+            return
         self.is_over = True
         now_s = asyncio.get_running_loop().time()
         for limit in self._limits:
