Tests of the table's daemon at its limit use an answer that takes longer than a pause of the test

Two of them failed once, beside load 42: they look until the engine runs the request and then pause it, and the answer took some 0.3 s. The checks are as before.

--- a/ferrydock/gateway/tests/test_planned_stop.py
+++ b/ferrydock/gateway/tests/test_planned_stop.py
@@ -21,6 +21,10 @@
 from .test_table_routes import ask as ask_route
 
 LIMIT_S = 20.0
+
+# Its answer takes some 3 s: a test that stands still between seeing it run and pausing its engine
+# must not find it whole. One of 0.3 s was, on a machine with 42 processes for 16 cores.
+LONG_TEXT = TEXT * 10
 COMPLETIONS = "/v1/chat/completions"
 
 
@@ -131,7 +135,7 @@
 async def begin_stream(site, node, **headers):
     """Return a caller that has a part of a stream, and the engine that runs it."""
     caller = await Caller.to(node)
-    caller.send(COMPLETIONS, chat(stream=True), **headers)
+    caller.send(COMPLETIONS, chat(stream=True, text=LONG_TEXT), **headers)
     head = engine(site, await in_flight(node))
     await holds(lambda: head.running and head.running[0].emitted > 3)
     return caller, head
@@ -318,7 +322,7 @@
     async def check():
         async with stopping_hall(longest_s=0.1) as (site, node):
             caller = await Caller.to(node)
-            caller.send(COMPLETIONS, chat(), **headers)
+            caller.send(COMPLETIONS, chat(text=LONG_TEXT), **headers)
             head = engine(site, await in_flight(node))
             await holds(lambda: head.running)
             head.pause()
@@ -455,7 +459,7 @@
             await holds(lambda: node.spill.halls_with_room("draft-large"))
             set_stop(node, longest_s=0.1)
             caller = await Caller.to(node)
-            caller.send(COMPLETIONS, chat(stream=stream))
+            caller.send(COMPLETIONS, chat(stream=stream, text=LONG_TEXT))
             head = engine(site, await in_flight(other))
             await holds(lambda: head.running and head.running[0].emitted > 3)
             head.pause()
