A soak of planned stops: callers stay with a daemon until its process is gone

Cause: the soak could not see an answer cut by a planned stop. Its callers left a daemon as soon as it was signalled, and no promise judged the answers under way.

Every daemon gets SIGTERM, in series and overlapping, some again right after their start; SIGTERM and SIGHUP come again during the stop; the daemon stands still (0.1 to 0.3 s) at SIGTERM, as its listening ends and at the end of its grace; configurations, store outages, leaving and lost workers come on top. Callers send on kept connections for as long as they are open, hold streams from before the signal, send in pieces, read slowly, connect anew. As listening ends a daemon often stands still twice, with a moment of 0.2 to 2 ms between in which it reads what came in: a single pause does not do, since the loop's timers run before it reads again.

Promised of a stop: status 0 within the grace; each call a whole answer, a refusal of what did not run by the workers' record, or a closed connection and no run. Exceptions, counted in each line: a worker was at work on it in the last sixth of the grace; a worker that it reached was lost; the request's own 4 s were over; the daemon stood still for more than 0.3 s. A process that gets SIGTERM before it logged its start may end by the signal.

Safe: no change of the daemons. `RunRecord` notes more, and changes nothing.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,7 +1,10 @@
 """Soak: emulations with troubles drawn from a seed, in series and overlapping, one line a seed.
 
-``python -m benchmarks.soak --seeds=50``; a seed that fails is written to ``--failures`` with its
-logs beside it, and belongs into ``tests/soak_seeds.txt``.
+``python -m benchmarks.soak --seeds=50`` plays all kinds of trouble; a seed that fails is written to
+``--failures`` with its logs beside it, and belongs into ``tests/soak_seeds.txt``.
+
+``python -m benchmarks.soak --plays=stops --seeds=50`` plays planned stops of all daemons, with
+callers that stay until the process is gone; its seeds belong into ``tests/soak_stop_seeds.txt``.
 """
 
 import asyncio
@@ -10,11 +13,24 @@
 
 from absl import flags
 
-from ferrydock.emulator import Emulation, Experiment, Load, draw_troubles, figures
+from ferrydock.emulator import (
+    Emulation,
+    Experiment,
+    Load,
+    draw_stops,
+    draw_troubles,
+    figures,
+)
 from ferrydock.logs import format_event
 
 HALLS = ("hall-a", "hall-b")
-LOAD = Load(20.0, {"write-large": 1.0, "write-small": 2.0, "look": 1.0, "file": 2.0})
+_MIX = {"write-large": 1.0, "write-small": 2.0, "look": 1.0, "file": 2.0}
+LOAD = Load(20.0, _MIX)
+
+# Planned stops: what other callers send, a second, and the time within which the stops begin. A
+# daemon must be able to be without a request as its listening ends. Chosen, not measured.
+STOPS_LOAD = Load(6.0, _MIX)
+STOPS_WITHIN_S = 8.0
 
 
 def soak_experiment(seed: int, length_s: float = 14.0, troubles: int = 9) -> Experiment:
@@ -32,11 +48,37 @@
     )
 
 
-async def play(seed: int, folder: Path) -> list[str]:
+def stops_experiment(seed: int) -> Experiment:
+    """Return the planned stops that a seed stands for.
+
+    Every fourth seed has eight daemons in one hall, the others two in each of two halls. An answer
+    takes about 1 s, longer than a daemon that has nothing left takes to close.
+    """
+    is_crowded = seed % 4 == 0
+    halls, count = (HALLS[:1], 8) if is_crowded else (HALLS, 2)
+    daemons = [f"{hall}-daemon-{number}" for hall in halls for number in range(count)]
+    return Experiment(
+        name=f"stops {seed}",
+        seed=seed,
+        length_s=12.0,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=16 if is_crowded else 8,
+        load=STOPS_LOAD,
+        troubles=tuple(draw_stops(seed, daemons, STOPS_WITHIN_S)),
+        settle_s=10.0,
+        event_s=0.1,
+    )
+
+
+PLAYS = {"all": soak_experiment, "stops": stops_experiment}
+
+
+async def play(seed: int, folder: Path, plays: str = "all") -> list[str]:
     """Play one seed; return what was broken."""
     logs = folder / f"seed-{seed}"
     logs.mkdir(parents=True, exist_ok=True)
-    result = await Emulation(soak_experiment(seed), logs).run()
+    result = await Emulation(PLAYS[plays](seed), logs).run()
     found = figures(result)
     print(
         format_event(
@@ -45,13 +87,17 @@
             requests=found["requests"],
             served=float(found["served_part"]),
             replicas=found["replicas_at_end"],
+            stops=len(result.stops) or None,
+            stop_calls=result.stop_calls or None,
+            excused=sum(result.excused.values()) if result.stops else None,
             broken=len(result.broken),
             first=result.broken[0] if result.broken else None,
         ),
         flush=True,
     )
     if result.broken:
-        text = "\n".join((*result.broken, *result.troubles)) + "\n"
+        excused = [f"excused: {why} {count}" for why, count in result.excused.items()]
+        text = "\n".join((*result.broken, *excused, *result.troubles)) + "\n"
         (logs / "broken.txt").write_text(text)
     return result.broken
 
@@ -67,7 +113,7 @@
 
     async def one(seed: int) -> None:
         async with room:
-            if await play(seed, folder):
+            if await play(seed, folder, values.plays):
                 failed.append(seed)
 
     await asyncio.gather(*(one(values.first + n) for n in range(values.seeds)))
@@ -77,6 +123,7 @@
 
 if __name__ == "__main__":
     flags.DEFINE_bool("quick", False, "Play two seeds only.")
+    flags.DEFINE_enum("plays", "all", list(PLAYS), "What is played.")
     flags.DEFINE_integer("first", 1, "First seed.", 0)
     flags.DEFINE_integer("seeds", 50, "How many seeds.", 1)
     flags.DEFINE_integer("at_once", 3, "Emulations at a time.", 1, 16)
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -13,6 +13,15 @@
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
 from ._run import PROMISES, Emulation, Result
+from ._stops import (
+    PlannedStop,
+    Run,
+    draw_stops,
+    excuse_of_call,
+    excuse_of_stop,
+    is_as_promised,
+    judge_end,
+)
 
 __all__ = [
     "KINDS",
@@ -22,12 +31,19 @@
     "Emulation",
     "Experiment",
     "Load",
+    "PlannedStop",
     "Result",
+    "Run",
     "Trouble",
     "demo_experiment",
+    "draw_stops",
     "draw_troubles",
+    "excuse_of_call",
+    "excuse_of_stop",
     "figures",
     "free_ports",
+    "is_as_promised",
+    "judge_end",
     "loopback_address",
     "page",
     "read_experiment",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -17,7 +17,7 @@
     "read_experiment",
 ]
 
-KINDS = {
+_SOAK_KINDS = {
     "worker_dead": "model workers fall silent for good, members of replicas first",
     "rack_dead": "all model workers of one domain fall silent for good",
     "worker_leaving": "model workers say that they will leave",
@@ -30,6 +30,15 @@
     "daemon_stopped": "daemons are stopped as planned and start again",
     "configuration": "the operator writes a configuration",
 }
+# Not drawn by `draw_troubles`: a further kind there would change what every seed stands for.
+_STOP_KINDS = {
+    "stop_watched": "a daemon is stopped as planned `count` times, `for_s` after each start, and "
+    "callers stay with it until its process is gone",
+    "stop_repeated": "daemons that stop get SIGTERM again and again",
+    "stop_hangup": "daemons that stop get SIGHUP again and again",
+    "stop_frozen": "daemons that stop stand still `count` times, for `for_s` in all, and go on",
+}
+KINDS = {**_SOAK_KINDS, **_STOP_KINDS}
 _HOWS = ("silent", "busy", "many", "reset")
 _CLASSES = ("write-large", "write-small", "look", "file")
 
@@ -58,7 +67,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Trouble:
-    """Something that goes wrong at a time, for a while."""
+    """Something that goes wrong at a time, for a while.
+
+    Attributes
+    ----------
+    daemon : str
+        Name of the daemon that is meant; empty for any.
+    """
 
     at_s: float
     kind: str
@@ -66,6 +81,7 @@
     for_s: float = 2.0
     hall: str = ""
     how: str = "silent"
+    daemon: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +90,8 @@
 
     Attributes
     ----------
+    event_s : float
+        Time between two events of a stream.
     length_s : float
         How long requests are sent.
     settle_s : float
@@ -89,6 +107,7 @@
     load: Load
     troubles: tuple[Trouble, ...]
     settle_s: float = 6.0
+    event_s: float = 0.02
 
 
 def _number(place, fields, name, default, low, high, faults, whole=False):
@@ -114,8 +133,8 @@
     except tomllib.TOMLDecodeError as error:
         return Invalid((Fault("file", f"is not TOML: {error}"),))
     faults: list[Fault] = []
-    known = ("name", "seed", "length_s", "halls", "daemons_per_hall", "domain_size", "settle_s")
-    _unknown("", fields, (*known, "load", "trouble"), faults)
+    known = ("name", "seed", "length_s", "halls", "daemons_per_hall", "domain_size")
+    _unknown("", fields, (*known, "settle_s", "event_s", "load", "trouble"), faults)
     halls = fields.get("halls", ["hall-a"])
     if not (isinstance(halls, list) and halls and all(isinstance(h, str) and h for h in halls)):
         faults.append(Fault("halls", f"{halls!r} is not a list of names"))
@@ -130,6 +149,7 @@
         load=_load(fields.get("load", {}), faults),
         troubles=_troubles(fields.get("trouble", []), tuple(halls), faults),
         settle_s=_number("", fields, "settle_s", 6.0, 0, 120, faults),
+        event_s=_number("", fields, "event_s", 0.02, 0, 10, faults),
     )
     return Invalid(tuple(faults)) if faults else experiment
 
@@ -173,7 +193,8 @@
     found = []
     for number, fields in enumerate(entries):
         place = f"trouble[{number}]."
-        _unknown(place, fields, ("at_s", "kind", "count", "for_s", "hall", "how"), faults)
+        known = ("at_s", "kind", "count", "for_s", "hall", "how", "daemon")
+        _unknown(place, fields, known, faults)
         kind = fields.get("kind")
         if kind not in KINDS:
             faults.append(Fault(f"{place}kind", f"{kind!r} is none of {', '.join(KINDS)}"))
@@ -191,6 +212,7 @@
                 for_s=_number(place, fields, "for_s", 2.0, 0.1, 120, faults),
                 hall=hall,
                 how=how,
+                daemon=str(fields.get("daemon", "")),
             )
         )
     return tuple(found)
@@ -215,7 +237,7 @@
     rng = random.Random(seed)
     drawn: list[Trouble] = []
     while len(drawn) < count:
-        kind = rng.choice(list(KINDS))
+        kind = rng.choice(list(_SOAK_KINDS))
         at_s = rng.uniform(0.3, max(0.4, length_s - 1.5))
         for _ in range(rng.choice((1, 1, 2, 3))):
             for_s = rng.uniform(0.4, 3.0)
--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -6,12 +6,14 @@
 
 from ..standins.fleet import request_bytes
 
-__all__ = ["Call", "Callers"]
+__all__ = ["ANSWER_TIMEOUT_S", "Call", "Callers", "receive", "request_of"]
 
 ANSWER_TIMEOUT_S = 8.0
 DEADLINE_MS = 5000
 KEY = "key-acme"
 EVENTS = 10
+# What a caller reads at a time. Chosen, not measured.
+PIECE_BYTES = 16384
 _PATHS = {
     "write-large": ("/write/x", "large"),
     "write-small": ("/write/x", "small"),
@@ -28,6 +30,8 @@
     ----------
     status : int
         0 if no answer's head came.
+    body : bytes
+        What is sent.
     whole : bool
         Whether the answer ended as an answer does.
     fault : str
@@ -38,6 +42,7 @@
     kind: str
     at_s: float
     daemon: str
+    body: bytes = b"hi"
     status: int = 0
     whole: bool = False
     took_s: float = 0.0
@@ -45,6 +50,11 @@
     fault: str = ""
     numbers: list[int] = field(default_factory=list)
 
+    @property
+    def ended_s(self) -> float:
+        """When its caller had its end."""
+        return self.at_s + self.took_s
+
     @property
     def outcome(self) -> str:
         """In a word."""
@@ -90,14 +100,8 @@
         reader, writer = await self._connection(daemon, address)
         keep = False
         try:
-            writer.write(_request(call))
-            head = await reader.readuntil(b"\r\n\r\n")
-            call.status = int(head.split()[1])
-            call.first_s = self.now_s() - call.at_s
-            body = await _read_body(reader, head, call)
-            call.whole = True
-            self._check(call, body)
-            keep = b"connection: close" not in head.lower()
+            writer.write(request_of(call))
+            keep = await receive(call, reader, self.now_s)
         finally:
             if keep:
                 self._idle.setdefault(daemon, []).append((reader, writer))
@@ -113,15 +117,6 @@
         host, port = address.split(":")
         return await asyncio.open_connection(host, int(port))
 
-    def _check(self, call: Call, body: bytes) -> None:
-        if call.status != 200:
-            return
-        if call.kind.startswith("write"):
-            if call.numbers != list(range(1, EVENTS + 1)):
-                call.fault = f"events {call.numbers}"
-        elif body != b"whole:hi":
-            call.fault = f"body {body[:40]!r}"
-
     async def close(self) -> None:
         """Close the connections that rest."""
         for pairs in self._idle.values():
@@ -129,21 +124,62 @@
                 writer.close()
 
 
-def _request(call: Call) -> bytes:
+def request_of(call: Call) -> bytes:
+    """Return the bytes of a call's request."""
     path, model = _PATHS[call.kind]
-    return request_bytes(path, call.request_id, DEADLINE_MS, model, KEY, b"hi")
+    return request_bytes(path, call.request_id, DEADLINE_MS, model, KEY, call.body)
+
+
+async def receive(call: Call, reader, now_s, piece_pause_s: float = 0.0) -> bool:
+    """Read the answer to a call and note it.
 
+    Parameters
+    ----------
+    piece_pause_s : float
+        Pause between two pieces of a long body, for a caller that reads slowly.
 
-async def _read_body(reader, head: bytes, call: Call) -> bytes:
+    Returns
+    -------
+    bool
+        Whether the connection stays open.
+    """
+    head = await reader.readuntil(b"\r\n\r\n")
+    call.status = int(head.split()[1])
+    call.first_s = now_s() - call.at_s
+    body = await _read_body(reader, head, call, piece_pause_s)
+    call.whole = True
+    _check(call, body)
+    return b"connection: close" not in head.lower()
+
+
+def _check(call: Call, body: bytes) -> None:
+    if call.status != 200:
+        return
+    if call.kind.startswith("write"):
+        if call.numbers != list(range(1, EVENTS + 1)):
+            call.fault = f"events {call.numbers}"
+    elif body != b"whole:" + call.body:
+        call.fault = f"body {body[:40]!r}, {len(body)} bytes"
+
+
+async def _read_body(reader, head: bytes, call: Call, piece_pause_s: float) -> bytes:
     lowered = head.lower()
     if b"transfer-encoding: chunked" in lowered:
         return await _read_chunks(reader, call)
     for line in lowered.split(b"\r\n"):
         if line.startswith(b"content-length:"):
-            return await reader.readexactly(int(line.split(b":")[1]))
+            return await _read_pieces(reader, int(line.split(b":")[1]), piece_pause_s)
     return b""
 
 
+async def _read_pieces(reader, size: int, piece_pause_s: float) -> bytes:
+    body = b""
+    while len(body) < size:
+        body += await reader.readexactly(min(PIECE_BYTES, size - len(body)))
+        await asyncio.sleep(piece_pause_s)
+    return body
+
+
 async def _read_chunks(reader, call: Call) -> bytes:
     body = b""
     while True:
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -68,6 +68,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.own_ends: list[int] = []
         self.is_hurt = False
+        self._log_from = 0
 
     @property
     def address(self) -> str:
@@ -77,6 +78,7 @@
     async def start(self) -> None:
         """Start the process."""
         with open(self.log_path, "ab") as log:
+            self._log_from = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -92,6 +94,13 @@
         """Whether the process is there."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the process has logged that it started."""
+        with open(self.log_path, "rb") as log:
+            log.seek(self._log_from)
+            return b"event=started " in log.read()
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process is there."""
         if self.runs:
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -4,6 +4,8 @@
 import random
 import signal
 import tempfile
+import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -12,6 +14,18 @@
 from ._experiment import Experiment, Trouble
 from ._load import Call, Callers
 from ._processes import DaemonProcess, free_ports, loopback_address
+from ._stop_callers import WATCHED_BEFORE_S, StopCallers
+from ._stops import (
+    GRACE_S,
+    PROMISES_NOT_RUN,
+    PlannedStop,
+    Run,
+    describe_broken,
+    excuse_of_call,
+    excuse_of_stop,
+    is_as_promised,
+    judge_end,
+)
 
 __all__ = ["Emulation", "Result"]
 
@@ -20,8 +34,10 @@
 SHOWN_EVERYWHERE_S = 1.2
 RESTART_AFTER_S = 0.3
 MOST_KILLED_PER_DOMAIN = 0.4
-# Statuses that promise that a request did not run.
-PROMISES_NOT_RUN = (429, 503, 408, 421)
+# Pause between two signals to a daemon that stops; and for how long a daemon that stands still
+# twice goes on in between: about as long as it takes to read ten requests. Chosen, not measured.
+SIGNAL_AGAIN_S = 0.02
+GOES_ON_S = (0.0002, 0.002)
 PROMISES = (
     "no replica serves while a member is missing, no worker is in two",
     "an answer that looks whole is whole, and its own",
@@ -30,6 +46,7 @@
     "no key reaches a worker, and each request is its tenant's",
     "no daemon ends by itself",
     "replicas are formed again after the troubles",
+    "a planned stop ends with status 0 within its grace, and cuts no answer",
 )
 
 
@@ -43,6 +60,12 @@
         Promises that did not hold, each with what was seen.
     troubles : list of str
         What was done, and when.
+    stops : list of PlannedStop
+        Stops whose callers stayed to the end.
+    stop_calls : int
+        Requests under way during these stops, each of which was judged.
+    excused : Counter
+        Those of them that fell under an exception of the promise, by its reason.
     """
 
     name: str
@@ -53,6 +76,9 @@
     memory_bytes: int = 0
     store_calls: dict[str, int] = field(default_factory=dict)
     replicas_at_end: int = 0
+    stops: list[PlannedStop] = field(default_factory=list)
+    stop_calls: int = 0
+    excused: Counter[str] = field(default_factory=Counter)
 
 
 class Emulation:
@@ -79,6 +105,7 @@
         )
         self._began_s = 0.0
         self._tasks: set[asyncio.Task] = set()
+        self._stops: dict[str, PlannedStop] = {}
 
     def now_s(self) -> float:
         """Return seconds since the load began."""
@@ -104,6 +131,8 @@
     async def _start(self) -> None:
         experiment = self.experiment
         await self.site.start()
+        for face in self.site.faces.values():
+            face.event_s = experiment.event_s
         for hall in experiment.halls:
             for number in range(experiment.daemons_per_hall):
                 name = f"{hall}-daemon-{number}"
@@ -176,8 +205,8 @@
     # Troubles ---------------------------------------------------------------------------------
 
     async def _hurt(self) -> None:
-        for trouble in sorted(self.experiment.troubles, key=lambda t: t.at_s):
-            await asyncio.sleep(max(0.0, trouble.at_s - self.now_s()))
+        for trouble in sorted(self.experiment.troubles, key=_begins_s):
+            await asyncio.sleep(max(0.0, _begins_s(trouble) - self.now_s()))
             task = asyncio.ensure_future(self._do(trouble))
             self._tasks.add(task)
 
@@ -297,6 +326,81 @@
             daemon.is_hurt = False
         return ",".join(daemon.name for daemon in chosen)
 
+    async def _stop_watched(self, trouble: Trouble) -> str:
+        daemon = next((d for d in self.daemons if d.name == trouble.daemon), None)
+        if daemon is None or daemon.is_hurt or not daemon.runs:
+            return "left out: no such daemon, or it does not run"
+        signal_s = trouble.at_s
+        for _ in range(trouble.count):
+            await self._stop_once(daemon, signal_s)
+            await asyncio.sleep(RESTART_AFTER_S)
+            await daemon.start()
+            signal_s = self.now_s() + trouble.for_s
+        await asyncio.sleep(1.0)
+        daemon.is_hurt = False
+        return f"{daemon.name} {trouble.count} times"
+
+    async def _stop_once(self, daemon: DaemonProcess, signal_s: float) -> None:
+        """Stop a daemon as the platform does, and note its end; its callers stay to the end."""
+        rng = random.Random(f"{self.experiment.seed} {daemon.name} {len(self.result.stops)}")
+        callers = StopCallers(daemon, signal_s, rng, self.now_s, self.result.calls)
+        calling = asyncio.ensure_future(callers.run())
+        await asyncio.sleep(max(0.0, signal_s - self.now_s()))
+        daemon.is_hurt = True
+        stop = PlannedStop(daemon.name, self.now_s(), was_started=daemon.has_started)
+        self.result.stops.append(stop)
+        self._stops[daemon.name] = stop
+        daemon.signal(signal.SIGTERM)
+        process = existing(daemon.process, "the process")
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            stop.was_killed = True
+            daemon.signal(signal.SIGKILL)
+            await process.wait()
+        del self._stops[daemon.name]
+        stop.status, stop.ended_s = process.returncode, self.now_s()
+        await calling
+
+    def _stopping(self, trouble: Trouble) -> list[DaemonProcess]:
+        return [d for d in self.daemons if d.name in self._stops and trouble.daemon in ("", d.name)]
+
+    async def _stop_repeated(self, trouble: Trouble) -> str:
+        return await self._signal_stopping(trouble, signal.SIGTERM)
+
+    async def _stop_hangup(self, trouble: Trouble) -> str:
+        return await self._signal_stopping(trouble, signal.SIGHUP)
+
+    async def _signal_stopping(self, trouble: Trouble, number: signal.Signals) -> str:
+        """Send a signal again and again to daemons that stop."""
+        until_s = self.now_s() + trouble.for_s
+        reached = set()
+        while self.now_s() < until_s:
+            for daemon in self._stopping(trouble):
+                daemon.signal(number)
+                reached.add(daemon.name)
+            await asyncio.sleep(SIGNAL_AGAIN_S)
+        return f"{','.join(sorted(reached))} for {trouble.for_s:.2f} s"
+
+    async def _stop_frozen(self, trouble: Trouble) -> str:
+        frozen = [(daemon, daemon.process) for daemon in self._stopping(trouble)]
+        stops = [self._stops[daemon.name] for daemon, _ in frozen]
+        from_s = self.now_s()
+        for number in range(trouble.count):
+            if number:
+                # Shorter than the loop's timers are exact, hence not a sleep of the loop.
+                time.sleep(self.rng.uniform(*GOES_ON_S))
+            for daemon, _ in frozen:
+                daemon.signal(signal.SIGSTOP)
+            await asyncio.sleep(trouble.for_s / trouble.count)
+            for daemon, process in frozen:
+                if daemon.process is process:
+                    daemon.signal(signal.SIGCONT)
+        for stop in stops:
+            stop.frozen_s = max(stop.frozen_s, self.now_s() - from_s)
+        return f"{','.join(daemon.name for daemon, _ in frozen)} for {trouble.for_s:.2f} s"
+
     async def _daemon_frozen(self, trouble: Trouble) -> str:
         chosen = self._daemons(trouble)
         for daemon in chosen:
@@ -327,6 +431,7 @@
             broken.append(f"tenant: requests ran for {sorted(strangers)}")
         for daemon in self.daemons:
             broken += [f"own end: {daemon.name} with status {s}" for s in daemon.own_ends]
+        self._judge_stops()
         result.replicas_at_end = len(self.site.fleet.open_heads())
         if result.replicas_at_end < self._wanted_replicas():
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -334,6 +439,36 @@
             for kind, count in face.calls.items():
                 result.store_calls[kind] = result.store_calls.get(kind, 0) + count
 
+    def _judge_stops(self) -> None:
+        """Note what is wrong with planned stops, and with the calls that were under way."""
+        result = self.result
+        faults = [judge_end(stop) for stop in result.stops]
+        result.broken += [fault for fault in faults if fault]
+        for call in result.calls:
+            run = self._run_of(call)
+            for stop in result.stops:
+                if stop.covers(call):
+                    result.stop_calls += 1
+                    if not is_as_promised(call, run):
+                        self._judge_broken(call, stop, run)
+
+    def _judge_broken(self, call: Call, stop: PlannedStop, run: Run) -> None:
+        """Count a call that did not end as promised as an exception, or note it."""
+        excuse = excuse_of_stop(stop) or excuse_of_call(call, stop, run)
+        if excuse:
+            self.result.excused[excuse] += 1
+        else:
+            self.result.broken.append(describe_broken(call, stop, run))
+
+    def _run_of(self, call: Call) -> Run:
+        """Return what the workers' record holds of a call."""
+        record, killed_s = self.site.record, self.site.killed_s
+        reached = record.workers.get(call.request_id, ())
+        lost_s = min((killed_s[w] for w in reached if w in killed_s), default=float("inf"))
+        worked_s = record.worked_s.get(call.request_id, float("-inf"))
+        count = record.runs.get(call.request_id, 0)
+        return Run(count, worked_s - self._began_s, lost_s - self._began_s)
+
     def _judge_call(self, call: Call, runs: int) -> None:
         """Note what is wrong with one call, which ran `runs` times at workers."""
         broken = self.result.broken
@@ -343,3 +478,8 @@
             broken.append(f"once: {call.request_id} ran {runs} times")
         if call.kind == "file" and call.status in PROMISES_NOT_RUN and runs:
             broken.append(f"refusal: {call.request_id} got {call.status} and ran")
+
+
+def _begins_s(trouble: Trouble) -> float:
+    """Return when a trouble begins: the callers of a stop come before its signal."""
+    return trouble.at_s - (WATCHED_BEFORE_S if trouble.kind == "stop_watched" else 0.0)
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -40,6 +40,11 @@
         Each with two domains of ten workers and one plain worker.
     seed : int
         Draws faults.
+
+    Attributes
+    ----------
+    killed_s : dict
+        Loop time at which a worker fell silent, by its id.
     """
 
     def __init__(self, halls: tuple[str, ...], seed: int = 1, domain_size: int = 10):
@@ -55,6 +60,7 @@
         self.version = 0
         self.is_first_start = False
         self.plain: dict[str, Worker] = {}
+        self.killed_s: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start the store and all workers; no configuration is written yet."""
@@ -99,6 +105,7 @@
         if worker_id in self.fleet.workers:
             self.fleet.kill(worker_id)
         loop = asyncio.get_running_loop()
+        self.killed_s[worker_id] = loop.time()
         loop.call_later(3 * HEARTBEAT_S, self._remove_entry, worker)
 
     def drain_worker(self, worker_id: str) -> None:
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -28,19 +28,41 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """What the workers of a site have run, by request id."""
+    """What the workers of a site have run, by request id.
+
+    Attributes
+    ----------
+    workers : dict
+        Ids of the workers that a request reached, other members of their replicas included;
+        also those that are silent and run nothing.
+    worked_s : dict
+        Loop time at which a worker last worked on a request.
+    """
 
     runs: dict[str, int] = field(default_factory=dict)
     tenants: dict[str, str] = field(default_factory=dict)
+    workers: dict[str, set[str]] = field(default_factory=dict)
+    worked_s: dict[str, float] = field(default_factory=dict)
     keys_seen: int = 0
 
-    def note(self, request: web.BaseRequest) -> None:
-        """Note a request that begins to run."""
+    def note(self, request: web.BaseRequest, worker: Worker) -> None:
+        """Note a request that begins to run at a worker."""
         request_id = request.headers["X-Attempt-Id"]
+        self.note_arrival(request, worker)
+        self.note_work(request)
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.tenants[request_id] = request.headers.get("X-Tenant", "")
         self.keys_seen += "Authorization" in request.headers
 
+    def note_arrival(self, request: web.BaseRequest, worker: Worker) -> None:
+        """Note that a request has reached a worker."""
+        request_id = request.headers["X-Attempt-Id"]
+        self.workers.setdefault(request_id, set()).update((worker.worker_id, *worker.members))
+
+    def note_work(self, request: web.BaseRequest) -> None:
+        """Note that a request is worked on now."""
+        self.worked_s[request.headers["X-Attempt-Id"]] = asyncio.get_running_loop().time()
+
 
 class WorkerFace:
     """Listens for one worker.
@@ -92,6 +114,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.worker.alive:
+            if "X-Attempt-Id" in request.headers:
+                self.record.note_arrival(request, self.worker)
             await asyncio.sleep(60)
         wanted = request.headers.get("X-Expect-Instance", self.worker.worker_id)
         if wanted != self.worker.worker_id:
@@ -122,8 +146,9 @@
 
     async def _plain(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
-        self.record.note(request)
+        self.record.note(request, self.worker)
         await asyncio.sleep(self.first_s)
+        self.record.note_work(request)
         return web.Response(body=b"whole:" + body, headers=self._signed(request))
 
     async def _stream(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -133,7 +158,7 @@
             return self._refuse(503)
         worker.running += 1
         try:
-            self.record.note(request)
+            self.record.note(request, worker)
             await asyncio.sleep(self.first_s)
             return await self._events(request)
         finally:
@@ -156,6 +181,7 @@
         for number in range(after + 1, self.events + 1):
             await self._until_whole(request, key)
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            self.record.note_work(request)
             await asyncio.sleep(self.event_s)
         await response.write_eof()
         return response
