--- a/ferrydock/route_daemon/__init__.py
+++ b/ferrydock/route_daemon/__init__.py
@@ -8,11 +8,12 @@
 (`ferrydock.platform`). The other program, ``ferrydockd``, is `ferrydock.node`.
 """
 
-from ._daemon import RouteDaemon
+from ._daemon import LISTEN_AFTER_READY_S, RouteDaemon
 from ._deployment import Deployment, deployment_kinds, open_deployment, register_deployment
 from ._settings import LiveSettings, RouteDaemonSettings, check_settings
 
 __all__ = [
+    "LISTEN_AFTER_READY_S",
     "Deployment",
     "LiveSettings",
     "RouteDaemon",
