The test of signals after a stop has an end, and cannot fill the daemon's output

Cause: it sent without a limit and did not read the daemon's output; a daemon that got SIGHUP wrote a line for each until the pipe was full, and neither ended.

Change: at most 5000 signals, 0.5 ms apart; whoever has not ended then is killed, and fails the test.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -3,11 +3,17 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
 LIMIT_S = 60.0
 
+# Pause between two signals to a daemon whose stop is over, and how many it gets at most: it needs
+# some 50 ms to be gone. Fewer than fill the pipe of its output, one line for each. Chosen.
+SIGNAL_AGAIN_S = 0.0005
+MAX_SIGNALS = 5000
+
 # A daemon of a few lines, which gets signals at a chosen moment of its start.
 PROGRAM = """
 import asyncio, os, signal, sys
@@ -68,14 +74,15 @@
 
     The handlers are gone before the process is, and a signal then has its usual effect.
     """
-    daemon = subprocess.Popen(
-        [sys.executable, "-c", PROGRAM, "started", "SIGTERM"],
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-    )
-    assert daemon.stdout.readline() == "stopped as planned\n"
-    while daemon.poll() is None:
-        daemon.send_signal(number)
-    _, errors = daemon.communicate(timeout=LIMIT_S)
-    assert daemon.returncode == 0, errors
+    with subprocess.Popen(
+        [sys.executable, "-c", PROGRAM, "started", "SIGTERM"], stdout=subprocess.PIPE, text=True
+    ) as daemon:
+        assert daemon.stdout.readline() == "stopped as planned\n"
+        for _ in range(MAX_SIGNALS):
+            if daemon.poll() is not None:
+                break
+            daemon.send_signal(number)
+            time.sleep(SIGNAL_AGAIN_S)
+        else:
+            daemon.kill()
+    assert daemon.returncode == 0
