No signal changes the status of a daemon whose stop is over

Cause: the interpreter takes signal handlers away some milliseconds before the process is gone. SIGTERM, SIGHUP or SIGINT that came again then ended a daemon that had stopped well with status -15, -1 or -2.

Change: once the loop has been closed, both daemons ignore these signals. What is ignored stays so until the process is gone.

Why safe: nothing is under way by then, and SIGKILL still ends a process that does not end by itself. A start that fails (cannot listen) is not concerned.

--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -36,6 +36,9 @@
 # package raises while it is imported.
 GC_THRESHOLD = 700
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
+
 # Threads for calls that block; the daemons make hardly any. Chosen, not measured.
 THREAD_POOL_SIZE = 2
 
@@ -88,7 +91,7 @@
 
     def install(self, loop: asyncio.AbstractEventLoop) -> None:
         """Handle the signals on a loop, which may not run yet."""
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._hang_up)
 
@@ -124,7 +127,19 @@
     signals = DaemonSignals()
     signals.install(entry.loop)
     with entry as loop:
-        return loop.run_until_complete(work(signals))
+        status = loop.run_until_complete(work(signals))
+    _ignore_signals()
+    return status
+
+
+def _ignore_signals() -> None:
+    """Let no signal change the status of a process whose work is over.
+
+    The interpreter takes handlers away before the process is gone, and the signal would then end
+    it; it leaves alone what is ignored.
+    """
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _settle_collector() -> None:
