The emulation notes when it stands still itself, and no longer loses the status of a daemon

Cause: one process plays all workers, the store and the callers. If it stands still, daemons see workers that are silent, and nothing in a result told that.

Change: the loop's pauses above 0.1 s are counted in each line of the soak and listed beside a failed seed; they excuse nothing. Signals are sent by the process id.

Why safe: no change of what is played or judged.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -89,6 +89,7 @@
             replicas=found["replicas_at_end"],
             stops=len(result.stops) or None,
             stop_calls=result.stop_calls or None,
+            stood_still=len(result.stood_still) or None,
             excused=sum(result.excused.values()) if result.stops else None,
             broken=len(result.broken),
             first=result.broken[0] if result.broken else None,
@@ -97,7 +98,8 @@
     )
     if result.broken:
         excused = [f"excused: {why} {count}" for why, count in result.excused.items()]
-        text = "\n".join((*result.broken, *excused, *result.troubles)) + "\n"
+        still = [f"emulation stood still: {when}" for when in result.stood_still]
+        text = "\n".join((*result.broken, *excused, *still, *result.troubles)) + "\n"
         (logs / "broken.txt").write_text(text)
     return result.broken
 
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from ..invariants import existing
@@ -102,9 +103,14 @@
             return b"event=started " in log.read()
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal, if the process is there."""
+        """Send a signal, if the process is there.
+
+        Not by the process object of asyncio: it would take the status of a process that has just
+        ended, and the loop would report 255 in its place.
+        """
         if self.runs:
-            existing(self.process, "the process").send_signal(number)
+            with suppress(ProcessLookupError):
+                os.kill(existing(self.process, "the process").pid, number)
 
     async def end(self) -> None:
         """Wait until the process is gone; kill it if it takes too long."""
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -38,6 +38,11 @@
 # twice goes on in between: about as long as it takes to read ten requests. Chosen, not measured.
 SIGNAL_AGAIN_S = 0.02
 GOES_ON_S = (0.0002, 0.002)
+
+# Pause between two looks whether this process stands still, and from which length on it is noted:
+# half of the silence after which a daemon suspects a worker. Chosen, not measured.
+OWN_LOOK_S = 0.02
+OWN_STILL_S = 0.1
 PROMISES = (
     "no replica serves while a member is missing, no worker is in two",
     "an answer that looks whole is whole, and its own",
@@ -60,6 +65,8 @@
         Promises that did not hold, each with what was seen.
     troubles : list of str
         What was done, and when.
+    stood_still : list of str
+        When this process itself stood still, and with it all workers, the store and the callers.
     stops : list of PlannedStop
         Stops whose callers stayed to the end.
     stop_calls : int
@@ -76,6 +83,7 @@
     memory_bytes: int = 0
     store_calls: dict[str, int] = field(default_factory=dict)
     replicas_at_end: int = 0
+    stood_still: list[str] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     stop_calls: int = 0
     excused: Counter[str] = field(default_factory=Counter)
@@ -117,8 +125,10 @@
             await self._start()
             callers = Callers(self._addresses, random.Random(self.experiment.seed), self.now_s)
             self.result.calls = callers.calls
+            watching = asyncio.ensure_future(self._watch_itself())
             await asyncio.gather(self._send(callers), self._hurt(), self._watch())
             await asyncio.gather(*self._tasks)
+            watching.cancel()
             await self._until_formed(self.experiment.settle_s + FORMED_WITHIN_S)
             self._judge()
             await callers.close()
@@ -202,6 +212,16 @@
                 self.result.memory_bytes = max(self.result.memory_bytes, daemon.resident_bytes())
             await asyncio.sleep(0.2)
 
+    async def _watch_itself(self) -> None:
+        """Note when this process stands still, until cancelled."""
+        looked_s = self.now_s()
+        while True:
+            await asyncio.sleep(OWN_LOOK_S)
+            still_s = self.now_s() - looked_s - OWN_LOOK_S
+            if still_s > OWN_STILL_S:
+                self.result.stood_still.append(f"{looked_s:.2f} s for {still_s:.2f} s")
+            looked_s = self.now_s()
+
     # Troubles ---------------------------------------------------------------------------------
 
     async def _hurt(self) -> None:
