--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -14,6 +14,7 @@
 from ._processes import free_ports, loopback_address
 from ._run import PROMISES, Emulation, Result
 from ._stops import (
+    Pause,
     PlannedStop,
     Run,
     draw_stops,
@@ -31,6 +32,7 @@
     "Emulation",
     "Experiment",
     "Load",
+    "Pause",
     "PlannedStop",
     "Result",
     "Run",
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -18,6 +18,7 @@
 from ._stops import (
     GRACE_S,
     PROMISES_NOT_RUN,
+    Pause,
     PlannedStop,
     Run,
     describe_broken,
@@ -65,7 +66,7 @@
         Promises that did not hold, each with what was seen.
     troubles : list of str
         What was done, and when.
-    stood_still : list of str
+    stood_still : list of Pause
         When this process itself stood still, and with it all workers, the store and the callers.
     stops : list of PlannedStop
         Stops whose callers stayed to the end.
@@ -83,7 +84,7 @@
     memory_bytes: int = 0
     store_calls: dict[str, int] = field(default_factory=dict)
     replicas_at_end: int = 0
-    stood_still: list[str] = field(default_factory=list)
+    stood_still: list[Pause] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     stop_calls: int = 0
     excused: Counter[str] = field(default_factory=Counter)
@@ -219,7 +220,7 @@
             await asyncio.sleep(OWN_LOOK_S)
             still_s = self.now_s() - looked_s - OWN_LOOK_S
             if still_s > OWN_STILL_S:
-                self.result.stood_still.append(f"{looked_s:.2f} s for {still_s:.2f} s")
+                self.result.stood_still.append(Pause(looked_s, still_s))
             looked_s = self.now_s()
 
     # Troubles ---------------------------------------------------------------------------------
@@ -474,7 +475,8 @@
 
     def _judge_broken(self, call: Call, stop: PlannedStop, run: Run) -> None:
         """Count a call that did not end as promised as an exception, or note it."""
-        excuse = excuse_of_stop(stop) or excuse_of_call(call, stop, run)
+        still = self.result.stood_still
+        excuse = excuse_of_stop(stop) or excuse_of_call(call, stop, run, still)
         if excuse:
             self.result.excused[excuse] += 1
         else:
--- a/ferrydock/emulator/_stops.py
+++ b/ferrydock/emulator/_stops.py
@@ -21,6 +21,7 @@
 __all__ = [
     "GRACE_S",
     "PROMISES_NOT_RUN",
+    "Pause",
     "PlannedStop",
     "Run",
     "describe_broken",
@@ -47,6 +48,9 @@
 REQUEST_LIMIT_S = 4.0
 LIMIT_TOLERANCE_S = 0.05
 
+# Silence after which a daemon suspects a worker: `forwarding._stalls.QUIET_S`.
+SUSPECTED_AFTER_S = 0.2
+
 # Statuses that promise that a request did not run.
 PROMISES_NOT_RUN = (429, 503, 408, 421)
 
@@ -88,6 +92,19 @@
         return call.daemon == self.daemon and is_in_time
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """A time for which the process stood still that plays the workers."""
+
+    at_s: float
+    for_s: float
+
+    def makes_silent(self, call: Call) -> bool:
+        """Return whether the workers were silent during a call for so long as to be suspected."""
+        is_in_time = self.at_s <= call.ended_s and self.at_s + self.for_s >= call.at_s
+        return is_in_time and self.for_s >= SUSPECTED_AFTER_S
+
+
 @dataclass(frozen=True, slots=True)
 class Run:
     """What the workers' record holds of a request.
@@ -128,7 +145,7 @@
     return f"status: {stop.daemon} stopped at {stop.at_s:.2f} s ended with {stop.status}"
 
 
-def excuse_of_call(call: Call, stop: PlannedStop, run: Run) -> str:
+def excuse_of_call(call: Call, stop: PlannedStop, run: Run, stood_still: Sequence[Pause]) -> str:
     """Return why a request may end in another way than is promised; empty if it may not.
 
     A request whose own time is over is answered with 504, which does not say that it ran.
@@ -139,6 +156,8 @@
         return "its target was lost"
     if call.took_s >= REQUEST_LIMIT_S - LIMIT_TOLERANCE_S:
         return "its own time was over"
+    if any(pause.makes_silent(call) for pause in stood_still):
+        return "all workers stood still"
     return ""
 
 
