--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from ..invariants import existing
@@ -68,6 +69,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.own_ends: list[int] = []
         self.is_hurt = False
+        self._log_from = 0
 
     @property
     def address(self) -> str:
@@ -77,6 +79,7 @@
     async def start(self) -> None:
         """Start the process."""
         with open(self.log_path, "ab") as log:
+            self._log_from = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -92,10 +95,22 @@
         """Whether the process is there."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the process has logged that it started."""
+        with open(self.log_path, "rb") as log:
+            log.seek(self._log_from)
+            return b"event=started " in log.read()
+
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal, if the process is there."""
+        """Send a signal, if the process is there.
+
+        Not by the process object of asyncio: it would take the status of a process that has just
+        ended, and the loop would report 255 in its place.
+        """
         if self.runs:
-            existing(self.process, "the process").send_signal(number)
+            with suppress(ProcessLookupError):
+                os.kill(existing(self.process, "the process").pid, number)
 
     async def end(self) -> None:
         """Wait until the process is gone; kill it if it takes too long."""
