Closing a daemon: its parts close together, and 1.2 s before the kill what is left is ended

Cause: in the soak of stops two daemons whose stop lasted to its end (7.0 and 7.3 s after SIGTERM) were killed while they closed: 0.8 s were left, the parts closed one after the other, and closing took 1.03 s in one of 337 stops. Which part took so long is not traced (one trial shows 0.55 and 0.63 s after everything of ours had closed).

Why safe: 6.8 s after SIGTERM is within the last sixth of the grace of 8 s.

Measured: closing an idle daemon in one process 0.025 s, all of it the relay server.

--- a/ferrydock/platform/tests/test_planned_stop.py
+++ b/ferrydock/platform/tests/test_planned_stop.py
@@ -5,7 +5,12 @@
 from ...forwarding import RouteGateway
 from ...hall_lease import ControllerLease
 from ...route_daemon import _leadership
-from ...route_daemon._daemon import BALANCER_CHECK_S, BALANCER_MISSES, LISTEN_AFTER_READY_S
+from ...route_daemon._daemon import (
+    BALANCER_CHECK_S,
+    BALANCER_MISSES,
+    KILL_MARGIN_S,
+    LISTEN_AFTER_READY_S,
+)
 from ...standins.fleet import request_bytes
 from .test_site import REPLICAS, Site, ask, play
 
@@ -133,3 +138,9 @@
             assert taken == []
 
     play(scenario)
+
+
+def test_what_is_left_is_cut_only_where_the_platform_lets_a_stop_cut_it():
+    grace_s = 8.0
+    closing_took_s = 1.03  # the longest of 337 stops of a soak beside other work
+    assert closing_took_s < KILL_MARGIN_S < grace_s / 6
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -85,8 +85,10 @@
 LISTEN_AFTER_READY_S = (BALANCER_MISSES + 0.5) * BALANCER_CHECK_S
 
 # How long before the process would be killed the requests that are left are ended, so that their
-# answers and the closing of everything else still fit. Chosen, not measured.
-KILL_MARGIN_S = 0.8
+# answers and the closing of everything else still fit: closing takes 0.02 s, and took 1.03 s once
+# in 50 seeds of the soak of stops beside other work. Within the last sixth of the usual grace of
+# 8 s (1.33 s), in which the platform lets a stop cut what a target is still at work on.
+KILL_MARGIN_S = 1.2
 
 
 class RouteDaemon:
@@ -342,15 +344,19 @@
         """End at once; callers' requests first, while everything that serves them still runs."""
         await self.gateway.close()
         await self.tasks.close()
-        await self.ready_listener.close()
-        await self.metrics_listener.close()
-        await self.scheduler_client.close()
-        await self.remote_halls.close()
-        await self.relay_client.close()
-        await self.relay_server.close()
-        await self.upstream.close()
-        await self.deployment.control.close()
-        await self.deployment.store.close()
+        parts = (
+            self.ready_listener,
+            self.metrics_listener,
+            self.scheduler_client,
+            self.remote_halls,
+            self.relay_client,
+            self.relay_server,
+            self.upstream,
+            self.deployment.control,
+            self.deployment.store,
+        )
+        # Together: each may wait for its peers, and all of it has to fit into `KILL_MARGIN_S`.
+        await asyncio.gather(*(part.close() for part in parts))
 
     def reread_settings(self) -> None:
         """Put the settings in force as they stand now."""
