--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,12 +1,19 @@
-"""Signals that reach a daemon while it starts, before anything waits for them."""
+"""Signals that reach a daemon while it starts, before anything waits for them, and as it ends."""
 
+import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
 LIMIT_S = 60.0
 
+# Pause between two signals to a daemon whose stop is over, and how many it gets at most: it needs
+# some 50 ms to be gone. Fewer than fill the pipe of its output, one line for each. Chosen.
+SIGNAL_AGAIN_S = 0.0005
+MAX_SIGNALS = 5000
+
 # A daemon of a few lines, which gets signals at a chosen moment of its start.
 PROGRAM = """
 import asyncio, os, signal, sys
@@ -59,3 +66,23 @@
     assert done.returncode == 0, done.stderr
     assert "stopped as planned" in done.stdout
     assert ("hangup" in done.stdout) == ("SIGHUP" in signals)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_signals_that_come_again_after_the_stop_leave_the_status_0(number):
+    """A soak of planned stops saw daemons that had stopped well end with status -15 and -1.
+
+    The handlers are gone before the process is, and a signal then has its usual effect.
+    """
+    with subprocess.Popen(
+        [sys.executable, "-c", PROGRAM, "started", "SIGTERM"], stdout=subprocess.PIPE, text=True
+    ) as daemon:
+        assert daemon.stdout.readline() == "stopped as planned\n"
+        for _ in range(MAX_SIGNALS):
+            if daemon.poll() is not None:
+                break
+            daemon.send_signal(number)
+            time.sleep(SIGNAL_AGAIN_S)
+        else:
+            daemon.kill()
+    assert daemon.returncode == 0
