--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -45,10 +45,9 @@
     worked_s: dict[str, float] = field(default_factory=dict)
     keys_seen: int = 0
 
-    def note(self, request: web.BaseRequest, worker: Worker) -> None:
+    def note(self, request: web.BaseRequest) -> None:
         """Note a request that begins to run at a worker."""
         request_id = request.headers["X-Attempt-Id"]
-        self.note_arrival(request, worker)
         self.note_work(request)
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.tenants[request_id] = request.headers.get("X-Tenant", "")
@@ -146,7 +145,8 @@
 
     async def _plain(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
-        self.record.note(request, self.worker)
+        self.record.note_arrival(request, self.worker)
+        self.record.note(request)
         await asyncio.sleep(self.first_s)
         self.record.note_work(request)
         return web.Response(body=b"whole:" + body, headers=self._signed(request))
@@ -158,7 +158,8 @@
             return self._refuse(503)
         worker.running += 1
         try:
-            self.record.note(request, worker)
+            self.record.note_arrival(request, worker)
+            self.record.note(request)
             await asyncio.sleep(self.first_s)
             return await self._events(request)
         finally:
