The word of a stop, its time to come back and the log of its steps stand once

On reading the whole change again: STOPPING stood in forwarding and in requests, the time to come back there and as a literal in the table's daemon, the line listener_closing in both gateways; Forwarder kept a log step of its own for one caller and passed on a fact that the exchange holds.

Change: all of it in planned_stop.py; Forwarder reads exchange.may_have_run. No answer, log event or decision changes; the two fields of listener_closing come in the order of the other lines of a stop.

--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -11,7 +11,7 @@
 
 from ..clock import Clock
 from ..invariants import existing
-from ..planned_stop import DaemonStopping, StopLimit
+from ..planned_stop import STOPPING, DaemonStopping, StopLimit
 from ..retry_budget import RetryBudget
 from ..scheduling import Endpoint
 from ._admission import queue_times
@@ -20,7 +20,6 @@
 from ._observed_times import ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
-    STOPPING,
     final_status,
     max_retry_queue_s,
     refusal,
@@ -75,7 +74,7 @@
             async with self.stop_limit.hold():
                 return await self._attempt_until_final(exchange)
         except DaemonStopping:
-            return self._give_up(exchange, STOPPING, exchange.may_have_run)
+            return self._give_up(exchange, STOPPING)
 
     async def _attempt_until_final(self, exchange: Exchange) -> web.StreamResponse:
         """Make attempts until there is a final answer."""
@@ -87,7 +86,7 @@
             endpoint = await self._acquire(exchange, asked_s)
             exchange.queued_s += self.clock.now_s() - asked_s
             if endpoint is None:
-                return self._give_up(exchange, "no_room", exchange.may_have_run)
+                return self._give_up(exchange, "no_room")
             ran_before = exchange.may_have_run
             exchange.may_have_run = True  # unless the attempt's end says otherwise
             end = await self.attempts.run(exchange, endpoint)
@@ -100,9 +99,9 @@
             self._log.attempt_failed(exchange, end, endpoint)
             may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
             if not may_retry(exchange, end, self._left_s(exchange), may_go_elsewhere):
-                return self._give_up(exchange, end.reason, exchange.may_have_run)
+                return self._give_up(exchange, end.reason)
             if not budget.spend():
-                return self._give_up(exchange, "retry_budget", exchange.may_have_run)
+                return self._give_up(exchange, "retry_budget")
 
     async def _acquire(self, exchange: Exchange, now_s: float) -> Endpoint | None:
         """Wait for a slot; return None if none came free."""
@@ -127,29 +126,25 @@
     def _held_s(self, exchange: Exchange) -> float:
         return self.clock.now_s() - exchange.started_s
 
-    def _log_end(self, exchange: Exchange, reason: str, may_have_run: bool) -> None:
-        """Log a request that ends without a whole answer."""
+    def _give_up(self, exchange: Exchange, reason: str) -> web.StreamResponse:
+        """Return the final answer of a request that gets none of a target's.
+
+        An answer that has begun cannot be taken back: its connection is reset, so that the caller
+        does not take what it has for the whole.
+        """
         self._log.gave_up(
             exchange,
             reason,
-            may_have_run,
+            exchange.may_have_run,
             held_s=self._held_s(exchange),
             endpoints=self.selector.endpoint_count(exchange),
             waiting=self.selector.waiting,
         )
-
-    def _give_up(self, exchange: Exchange, reason: str, may_have_run: bool) -> web.StreamResponse:
-        """Return the final answer of a request that gets none of a target's.
-
-        An answer that has begun cannot be taken back: its connection is reset, so that the caller
-        does not take what it has for the whole.
-        """
-        self._log_end(exchange, reason, may_have_run)
         if exchange.response is not None:
             if exchange.request.transport is not None:
                 exchange.request.transport.abort()
             return exchange.response
-        status = final_status(may_have_run, self._left_s(exchange))
+        status = final_status(exchange.may_have_run, self._left_s(exchange))
         is_refused = status == SERVICE_UNAVAILABLE
         after_s = retry_after_s(reason, self.selector.rng) if is_refused else None
         return refusal(status, reason, after_s)
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -23,13 +23,13 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Invalid
-from ..planned_stop import DaemonStopping
+from ..planned_stop import STOPPING, STOPPING_RETRY_S, DaemonStopping, log_listeners
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
 from ._exchange import CallerGone, Exchange
 from ._forwarder import Forwarder
 from ._listener import HEADERS_TOO_LARGE, CallerConnection, Listener, caller_connection
-from ._refusal import SERVICE_UNAVAILABLE, STOPPING, STOPPING_RETRY_S, refusal
+from ._refusal import SERVICE_UNAVAILABLE, refusal
 
 __all__ = ["RouteGateway"]
 
@@ -198,13 +198,7 @@
         its caller could not tell that it may be repeated.
         """
         self.stop_listening()
-        log_event(
-            _LOG,
-            logging.INFO,
-            "listener_closing",
-            connections=self.connection_count,
-            in_flight=self.in_flight,
-        )
+        log_listeners(_LOG, "listener_closing", [self])
         self.forwarder.stop_limit.end()
         if self._server is not None:
             await self._server.shutdown(SHUTDOWN_S)
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -9,11 +9,10 @@
 import orjson
 from aiohttp import web
 
+from ..planned_stop import STOPPING, STOPPING_RETRY_S
 from ._exchange import Exchange
 
 __all__ = [
-    "STOPPING",
-    "STOPPING_RETRY_S",
     "TOO_LATE_S",
     "final_status",
     "max_retry_queue_s",
@@ -21,10 +20,6 @@
     "retry_after_s",
 ]
 
-# Why a request is refused or ended by a daemon that stops, as in answers, log lines and
-# `ferrydock explain`.
-STOPPING = "stopping"
-
 # Seconds in the queue before a further attempt. The request may have run already, so an answer is
 # worth more patience. Chosen, not measured.
 MAX_QUEUE_RETRY_S = 1.0
@@ -34,10 +29,6 @@
 # the objective", with a shorter wait than today's.
 RETRY_AFTER_RANGE_S = (0.4, 1.4)
 
-# The same for a caller who met a daemon that stops, in seconds: at once, since its next connection
-# leads to another daemon.
-STOPPING_RETRY_S = 0.0
-
 # A request with less time left gets no further attempt: no target answers in it. Chosen, not
 # measured.
 TOO_LATE_S = 0.02
--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -13,8 +13,7 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Run
-from ..planned_stop import DaemonStopping, StopLimit
-from ..requests import STOPPING
+from ..planned_stop import STOPPING, DaemonStopping, StopLimit, log_listeners
 from ._connections import ConnectionGuard
 from ._errors import error_response, stopping_response
 
@@ -155,13 +154,7 @@
         its caller could not tell that it may be repeated.
         """
         self.stop_listening()
-        log_event(
-            _LOG,
-            logging.INFO,
-            "listener_closing",
-            connections=self.connection_count,
-            in_flight=self.in_flight,
-        )
+        log_listeners(_LOG, "listener_closing", [self])
         self.stop_limit.end()
         await self._runner.cleanup()
 
--- a/ferrydock/gateway/_errors.py
+++ b/ferrydock/gateway/_errors.py
@@ -9,7 +9,8 @@
 from aiohttp import web
 
 from ..outcomes import Invalid, NotRun, Run
-from ..requests import STOPPING, GaveUp
+from ..planned_stop import STOPPING, STOPPING_RETRY_S
+from ..requests import GaveUp
 
 __all__ = [
     "error_body",
@@ -93,7 +94,7 @@
     Its caller may come back at once: its next connection leads to another daemon.
     """
     response = error_response(503, STOPPING, STOPPING_MESSAGE, Run.NOT_RUN, retry=True)
-    response.headers["Retry-After"] = "0"
+    response.headers["Retry-After"] = f"{STOPPING_RETRY_S:.3g}"
     response.force_close()
     return response
 
--- a/ferrydock/gateway/_operators.py
+++ b/ferrydock/gateway/_operators.py
@@ -13,8 +13,7 @@
 from ..clock import Clock
 from ..logs import log_event
 from ..outcomes import Conflict, Invalid, Unavailable, Unknown
-from ..planned_stop import DaemonStopping, StopLimit
-from ..requests import STOPPING
+from ..planned_stop import STOPPING, DaemonStopping, StopLimit
 from ..table import (
     AcceptedEdit,
     Change,
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -16,8 +16,8 @@
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import NotRun, Run
-from ..planned_stop import DaemonStopping
-from ..requests import STOPPING, Answered, Claim, ClaimStore, GaveUp, RequestLife
+from ..planned_stop import STOPPING, DaemonStopping
+from ..requests import Answered, Claim, ClaimStore, GaveUp, RequestLife
 from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget
 from ..table import TableKeeper, Target
 from ._bodies import read_body
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -15,8 +15,8 @@
 from ..logs import log_event
 from ..membership import HallSummary, SharedState
 from ..outcomes import NotRun, Run
-from ..planned_stop import DaemonStopping, StopLimit
-from ..requests import STOPPING, EventRelay, GaveUp, ModelRequest, error_event
+from ..planned_stop import STOPPING, DaemonStopping, StopLimit
+from ..requests import EventRelay, GaveUp, ModelRequest, error_event
 from ._errors import error_body, gave_up_response
 
 __all__ = ["HOP_HEADER", "Spill"]
--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -24,10 +24,27 @@
 from .clock import Clock
 from .logs import log_event
 
-__all__ = ["DaemonStopping", "StopLimit", "StoppingListener", "finish_requests", "is_resting"]
+__all__ = [
+    "STOPPING",
+    "STOPPING_RETRY_S",
+    "DaemonStopping",
+    "StopLimit",
+    "StoppingListener",
+    "finish_requests",
+    "is_resting",
+    "log_listeners",
+]
 
 _LOG = logging.getLogger("ferrydock.planned_stop")
 
+# Why a request is refused or ended by a daemon that stops, as in answers, log lines and
+# `ferrydock explain`.
+STOPPING = "stopping"
+
+# When a caller may come back who met a daemon that stops, in seconds: at once, since its next
+# connection leads to another daemon.
+STOPPING_RETRY_S = 0.0
+
 # Pause between two looks at the connections that are left: it also lets requests that lie unread
 # in the sockets be read and refused before their connections are closed. Chosen, not measured.
 LOOK_S = 0.05
@@ -157,9 +174,9 @@
     until_s = float("inf") if stop_within_s is None else clock.now_s() + stop_within_s
     for listener in listeners:
         listener.announce_stop()
-    _log("stopping", listeners, unfinished)
+    log_listeners(_LOG, "stopping", listeners, unfinished)
     await asyncio.sleep(max(0.0, min(listen_s, until_s - clock.now_s())))
-    _log("listening_ends", listeners, unfinished)
+    log_listeners(_LOG, "listening_ends", listeners, unfinished)
     for listener in listeners:
         listener.stop_listening()
     is_left = True
@@ -168,7 +185,7 @@
         for listener in listeners:
             listener.close_resting()
         is_left = _left(listeners, unfinished) > 0
-    _log("stopped", listeners, unfinished)
+    log_listeners(_LOG, "stopped", listeners, unfinished)
     return not is_left
 
 
@@ -176,9 +193,15 @@
     return sum(listener.connection_count for listener in listeners) + unfinished()
 
 
-def _log(event: str, listeners: Sequence[StoppingListener], unfinished: Callable[[], int]) -> None:
+def log_listeners(
+    logger: logging.Logger,
+    event: str,
+    listeners: Sequence[StoppingListener],
+    unfinished: Callable[[], int] = lambda: 0,
+) -> None:
+    """Log a step of the end of a daemon, with what is under way at its listeners."""
     log_event(
-        _LOG,
+        logger,
         logging.INFO,
         event,
         in_flight=sum(listener.in_flight for listener in listeners),
--- a/ferrydock/requests/__init__.py
+++ b/ferrydock/requests/__init__.py
@@ -20,7 +20,7 @@
 )
 from ._claims import Claim, ClaimEnd, ClaimStore, ClaimUnfinished, ClaimUnwritten, claim_key
 from ._events import EventRelay, error_event, text_so_far
-from ._executor import STOPPING, Ended, GaveUp, RequestExecutor
+from ._executor import Ended, GaveUp, RequestExecutor
 from ._lifecycle import RequestLife, RequestPhase
 from ._model_request import ModelRequest, parse_model_request, prompt_blocks
 
@@ -28,7 +28,6 @@
     "GROUP_WAIT_S",
     "RELAYED_WAIT_S",
     "RELAY_FROM_DAEMONS",
-    "STOPPING",
     "Answered",
     "Attempt",
     "Broken",
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -18,7 +18,7 @@
 from ..membership import SharedState
 from ..outcomes import NotRun, Run
 from ..placement import Replica
-from ..planned_stop import DaemonStopping, StopLimit
+from ..planned_stop import STOPPING, DaemonStopping, StopLimit
 from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget, backoff_s
 from ..routing import Candidate, Flight, ReplicaLoads
 from ._admission import ReplicaGate
@@ -27,13 +27,10 @@
 from ._lifecycle import RequestLife
 from ._model_request import ModelRequest
 
-__all__ = ["STOPPING", "RequestExecutor", "Ended", "GaveUp"]
+__all__ = ["RequestExecutor", "Ended", "GaveUp"]
 
 _LOG = logging.getLogger("ferrydock.requests")
 
-# Why a request is ended by a daemon that stops, as in answers and log lines.
-STOPPING = "stopping"
-
 # Replicas that one request may be sent to. The budget limits retries sooner under load. Chosen, not
 # measured.
 MAX_ATTEMPTS = 6
