Attempts that may have run tell the identity of their request

Cause: an attempt_failed line named the caller's try, which is new each time, so nobody could see that targets ended one after the other under one and the same request. Change: request_identity names all tries of a request by method, host, path, team and body; of a body that is passed on as it comes by its first 256 KiB and its length, which are read first. Safe: bodies up to 256 KiB were read whole before; a longer one's rest is passed on as it comes. Measured: tests of the forwarding package pass; bodies of 2 B to 700 kB reach the target whole.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
 import aiohttp
 
@@ -158,7 +158,7 @@
             last_event_id=exchange.events.last_id if exchange.events else None,
         )
         headers = self.dialect.outgoing(request.headers.items(), exchange.inbound, outbound)
-        body = exchange.body if exchange.body is not None else request.content.iter_any()
+        body = exchange.body if exchange.body is not None else _body_as_it_comes(exchange)
         once = not exchange.route.kind.is_repeatable
         try:
             answer = await self.upstream.send(
@@ -212,6 +212,13 @@
         return may_retry_server_error(exchange, self._left_s(exchange), may_go_elsewhere)
 
 
+async def _body_as_it_comes(exchange: Exchange) -> AsyncIterator[bytes]:
+    """Yield a body that is not kept: what was read of it, then the rest."""
+    yield exchange.body_start
+    async for piece in exchange.request.content.iter_any():
+        yield piece
+
+
 def _release(answer: aiohttp.ClientResponse) -> None:
     """Keep the connection for the next request, or close it if anything is still on its way.
 
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -91,6 +91,10 @@
         Local time at which the caller's patience or the route's time limit ends.
     body : bytes or None
         The whole body; None where it is passed on as it comes and can be sent only once.
+    body_start : bytes
+        What was read of a body that is passed on as it comes.
+    identity : str
+        Under which all tries of this request are known (`crashes.request_identity`).
     tried : set of str
         Ids of targets that were sent this request.
     response : web.StreamResponse or None
@@ -122,6 +126,8 @@
     started_s: float
     until_s: float
     body: bytes | None
+    body_start: bytes = b""
+    identity: str = ""
     last_on_connection: Callable[[], bool] = lambda: False
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -8,6 +8,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -20,6 +21,7 @@
     Team,
     WeightedService,
 )
+from ..crashes import IDENTIFIED_BODY_BYTES, request_identity
 from ..invariants import existing
 from ..logs import log_event
 from ..outcomes import Invalid
@@ -40,8 +42,9 @@
 MAX_PARSED_HEAD_BYTES = 65536
 
 # A body up to this size is read whole before the first attempt, so that it can be sent again. It
-# bounds the memory of a daemon at full load. Chosen, not measured.
-MAX_KEPT_BODY_BYTES = 262144
+# bounds the memory of a daemon at full load. Of a longer one this much is read before it is passed
+# on, since it tells which request it is. Chosen, not measured.
+MAX_KEPT_BODY_BYTES = IDENTIFIED_BODY_BYTES
 
 # When a caller may come back who met a daemon without a current configuration, in seconds. A store
 # that returns is noticed within about that time. Chosen, not measured.
@@ -310,21 +313,24 @@
         left_s = min(route.time_limit_s, inbound.left_s or DEFAULT_DEADLINE_S)
         try:
             async with self.forwarder.stop_limit.hold():
-                body = await _read_small(request, length, limits)
+                read = await _read_body(request, length, limits)
         except DaemonStopping:
             return self._refuse_stopping(inbound, route)
-        if body is _TOO_LARGE:
+        if read is None:
             return refusal(BODY_TOO_LARGE, "body_too_large", None, close=True)
+        team_name = team.name if team else ""
         exchange = Exchange(
             request=request,
             inbound=inbound,
             route=route,
             service=service,
-            team=team.name if team else "",
+            team=team_name,
             team_priority=team.priority if team else 0,
             started_s=now_s,
             until_s=now_s + left_s,
-            body=body,
+            body=read.data if read.is_whole else None,
+            body_start=b"" if read.is_whole else read.data,
+            identity=_identity(request, team_name, read, length),
             last_on_connection=self._is_stopping,
             events=NumberedEvents(inbound.last_event_id) if route.kind.is_stream else None,
         )
@@ -353,9 +359,6 @@
         )
 
 
-_TOO_LARGE = object()
-
-
 def _head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head, as it was sent."""
     line = len(request.method) + len(request.raw_path) + REQUEST_LINE_REST_BYTES
@@ -363,16 +366,42 @@
     return line + sum(fields)
 
 
-async def _read_small(request: web.BaseRequest, length: int | None, limits: IngressLimits):
-    """Return a body that is small enough to keep, None for a longer one, `_TOO_LARGE` beyond."""
+@dataclass(frozen=True, slots=True)
+class _ReadBody:
+    """What was read of a body before the request is sent on.
+
+    Attributes
+    ----------
+    is_whole : bool
+        Whether it is all of it; else the rest is passed on as it comes.
+    """
+
+    data: bytes
+    is_whole: bool
+
+
+async def _read_body(
+    request: web.BaseRequest, length: int | None, limits: IngressLimits
+) -> _ReadBody | None:
+    """Read a body that is small enough to keep, else its beginning; None if it is too large.
+
+    One that does not tell its length is read whole.
+    """
     if not request.can_read_body:
-        return b""
-    if length is not None and length > MAX_KEPT_BODY_BYTES:
-        return None
+        return _ReadBody(b"", True)
+    is_kept = length is None or length <= MAX_KEPT_BODY_BYTES
     pieces, size = [], 0
     async for piece in request.content.iter_any():
         size += len(piece)
         if size > limits.body_bytes:
-            return _TOO_LARGE
+            return None
         pieces.append(piece)
-    return b"".join(pieces)
+        if not is_kept and size >= MAX_KEPT_BODY_BYTES:
+            break
+    return _ReadBody(b"".join(pieces), is_kept)
+
+
+def _identity(request: web.BaseRequest, team: str, read: _ReadBody, length: int | None) -> str:
+    host = request.headers.get("Host", "")
+    whole_bytes = None if read.is_whole else length
+    return request_identity(request.method, host, request.raw_path, team, read.data, whole_bytes)
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -43,6 +43,7 @@
             ran=end.ran,
             attempt=exchange.attempts,
             after_event=exchange.events.last_id if exchange.events else None,
+            identity=exchange.identity if end.ran else None,
         )
 
     def done(self, exchange: Exchange, end: AttemptEnd, endpoint: Endpoint, took_s: float) -> None:
--- /dev/null
+++ b/ferrydock/forwarding/tests/test_identity.py
@@ -0,0 +1,63 @@
+"""The identity of a request, as a daemon reads its body and logs it."""
+
+import asyncio
+
+import pytest
+
+from .._gateway import MAX_KEPT_BODY_BYTES
+from .rig import Rig, ScriptedTarget, answers, play, resets, route, whole
+
+
+class IdentityLog:
+    """Collects the identities of attempts that failed."""
+
+    def __init__(self, caplog):
+        self.caplog = caplog
+
+    def identities(self):
+        lines = [record.getMessage() for record in self.caplog.records]
+        broken = [line for line in lines if "event=attempt_failed" in line]
+        return [line.split("identity=")[1].split()[0] for line in broken]
+
+
+@pytest.fixture
+def told(caplog):
+    caplog.set_level("INFO", logger="ferrydock.forwarding")
+    return IdentityLog(caplog)
+
+
+@pytest.mark.parametrize("size", [2, MAX_KEPT_BODY_BYTES, MAX_KEPT_BODY_BYTES + 1, 700_000])
+def test_two_tries_have_one_identity_also_where_the_body_is_passed_on_as_it_comes(told, size):
+    async def scenario():
+        target = ScriptedTarget(resets(), resets(), resets(), answers(whole(), keep=False))
+        async with Rig([route(attempts=1)], [target]) as rig:
+            for number, tail in enumerate((b"a", b"a", b"b")):
+                target_body = tail * size
+                await rig.ask("POST", body=target_body, headers=(f"X-Own: {number}",))
+            first, second, third = told.identities()
+            assert first == second != third
+            assert len(target.requests) == 3
+            assert all(len(request) > size for request in target.requests)
+
+    play(scenario)
+
+
+def test_a_body_in_slow_pieces_is_passed_on_whole():
+    async def scenario():
+        target = ScriptedTarget(answers(whole(), keep=False))
+        async with Rig([route()], [target]) as rig:
+            host, port = rig.gateway.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            size = MAX_KEPT_BODY_BYTES + 100_000
+            head = f"POST /a/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: {size}\r\n\r\n"
+            writer.write(head.encode())
+            body = bytes(n % 251 for n in range(size))
+            for at in range(0, size, 50_000):
+                writer.write(body[at : at + 50_000])
+                await writer.drain()
+                await asyncio.sleep(0.005)
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            assert target.requests[0].endswith(body)
+            writer.close()
+
+    play(scenario)
