--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -1,5 +1,6 @@
 """An emulated platform with daemons as processes, callers and troubles, and its report."""
 
+from ._crashing import arrivals_beyond
 from ._experiment import (
     KINDS,
     Experiment,
@@ -25,6 +26,7 @@
 )
 
 __all__ = [
+    "arrivals_beyond",
     "KINDS",
     "PROMISES",
     "Call",
--- /dev/null
+++ b/ferrydock/platform/tests/test_crashing_requests.py
@@ -0,0 +1,153 @@
+"""A request that crashes each target that runs it, and honest ones beside it.
+
+What users saw: one request, sent again and again with the same path, caller and body, ended 25
+targets one after the other, at six daemons of three halls; a tenth of the others was not served.
+
+The order of events: a daemon sends the request to a target, which begins to run it and ends; the
+daemon sees a broken connection and sends the request to the next target some milliseconds later;
+the caller gets 502 and comes back at any daemon, where the request is new.
+
+The cause: what a daemon knew of a request lasted one try at that daemon.
+
+Evidence: with `identity` in the lines of attempts that may have run, all of the ends are of one
+identity, at every daemon, while those of the requests beside it differ from one end to the next.
+"""
+
+import asyncio
+import random
+
+import pytest
+
+from ...emulator import arrivals_beyond
+from ...standins.fleet import CRASHING_BODY
+from .test_site import REPLICAS, Site, ask, play
+
+HALLS = ("hall-a", "hall-b")
+
+# Pause between two tries of the request that crashes, in seconds, and how long it comes.
+REPEAT_S = 0.3
+COMES_FOR_S = 12.0
+
+# What many callers ask for at a time.
+HOT_BODY = b"the same"
+
+# In a small fleet a target is away more often than not; the request meets no target then.
+ROUTES = [("/write/x", "large"), ("/look/x", ""), ("/file/x", "")]
+
+
+async def four_daemons(site):
+    """Start two daemons in each hall and form the replicas; return the daemons."""
+    for number in range(2):
+        for hall in HALLS:
+            await site.daemon(f"{hall}-{number}", hall)
+    site.site.write_configuration()
+    await site.until(lambda: site.formed(2 * REPLICAS))
+    return site.nodes
+
+
+async def ask_again_and_again(nodes, path, model, body, for_s, pause_s=REPEAT_S):
+    """Send one request to one daemon after the other; return the statuses."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + for_s
+    statuses, tries = [], 0
+    while loop.time() < until_s:
+        node = nodes[tries % len(nodes)]
+        tries += 1
+        statuses.append((await ask(node, path, model=model, body=body))[0])
+        await asyncio.sleep(pause_s)
+    return statuses
+
+
+@pytest.mark.parametrize(("path", "model"), ROUTES)
+def test_a_request_that_crashes_its_targets_is_known_at_all_daemons_of_all_halls(
+    tmp_path, path, model
+):
+    async def scenario():
+        async with Site(tmp_path, HALLS) as site:
+            nodes = await four_daemons(site)
+            body = CRASHING_BODY + b" 1"
+            await ask_again_and_again(nodes, path, model, body, COMES_FOR_S)
+            (seen,) = site.site.record.crashing.values()
+            assert len(seen.crashed_s) >= 3
+            assert len(arrivals_beyond(seen)) <= 3
+
+    play(scenario)
+
+
+class HonestCallers:
+    """Callers who send one request, all the same, and one of their own each, many at a time.
+
+    Attributes
+    ----------
+    answers : list of (float, int, bytes, bool)
+        Loop time of each answer's end, its status, what it says, and whether many asked the same.
+    """
+
+    def __init__(self, nodes, every_s):
+        self.nodes = nodes
+        self.every_s = every_s
+        self.answers = []
+
+    async def send_for(self, for_s):
+        """Send two requests of each kind every `every_s`, to one daemon after the other."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + for_s
+        sent, calls = 0, []
+        while loop.time() < until_s:
+            for path, model in (("/write/x", "large"), ("/look/x", "")):
+                for body in (HOT_BODY, b"own %d" % sent):
+                    node = self.nodes[sent % len(self.nodes)]
+                    sent += 1
+                    calls.append(asyncio.ensure_future(self._call(node, path, model, body)))
+            await asyncio.sleep(self.every_s)
+        await asyncio.gather(*calls)
+
+    async def _call(self, node, path, model, body):
+        """Send one request, and again at once if it fails, as some callers do."""
+        for _ in range(3):
+            status, _, told = await ask(node, path, model=model, body=body)
+            ended_s = asyncio.get_running_loop().time()
+            self.answers.append((ended_s, status, told, body == HOT_BODY))
+            if status == 200:
+                return
+
+    def share_served(self, from_s=0.0, is_hot=(True, False)):
+        """Return which share of the answers from a time on was a success."""
+        statuses = [
+            status for ended_s, status, _, hot in self.answers if ended_s > from_s and hot in is_hot
+        ]
+        return sum(status == 200 for status in statuses) / len(statuses)
+
+
+async def crash_again_and_again(site, rng, share, times, pause_s):
+    """Crash a share of all heads and plain targets at one moment, again and again."""
+    for _ in range(times):
+        await asyncio.sleep(pause_s)
+        plain = [worker for worker in site.site.plain.values() if worker.alive]
+        alive = site.site.fleet.open_heads() + plain
+        for worker in rng.sample(alive, max(1, int(len(alive) * share))):
+            site.site.crash_worker(worker)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_honest_requests_stay_served_when_targets_die_in_numbers_under_one_hot_request(
+    tmp_path, seed
+):
+    """Targets that die in numbers are no fault of the request that happens to be at all of them."""
+
+    async def scenario():
+        async with Site(tmp_path, HALLS) as site:
+            nodes = await four_daemons(site)
+            callers = HonestCallers(nodes, every_s=0.15)
+            rng = random.Random(seed)
+            sending = asyncio.ensure_future(callers.send_for(14.0))
+            await crash_again_and_again(site, rng, 0.5, times=8, pause_s=1.0)
+            calm_s = asyncio.get_running_loop().time() + 4.0
+            await sending
+            assert not [told for _, _, told, _ in callers.answers if b"crashes_targets" in told]
+            assert callers.share_served(calm_s) == 1.0
+            of_hot, of_own = (callers.share_served(is_hot=(hot,)) for hot in (True, False))
+            print(f"served of hot {of_hot:.3f}, of own {of_own:.3f}")
+            assert of_hot > of_own - 0.1
+
+    play(scenario)
--- a/ferrydock/platform/tests/test_site.py
+++ b/ferrydock/platform/tests/test_site.py
@@ -83,18 +83,19 @@
         return self.counts.grant(sender, target_id, now_s)
 
 
-async def ask(node, path, key="key-acme", model="", request_id=None, timeout_s=6.0):
+async def ask(node, path, key="key-acme", model="", request_id=None, timeout_s=6.0, body=b"hi"):
     """Send one request; return status, head and body bytes."""
     host, port = node.gateway.address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     request_id = request_id or f"{random.getrandbits(64):016x}"
     head = (
         f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: 4000\r\nX-Model: {model}\r\nContent-Length: 2\r\nConnection: close\r\n"
+        f"X-Deadline-Ms: 4000\r\nX-Model: {model}\r\nContent-Length: {len(body)}\r\n"
+        "Connection: close\r\n"
     )
     if key:
         head += f"Authorization: Bearer {key}\r\n"
-    writer.write(head.encode() + b"\r\nhi")
+    writer.write(head.encode() + b"\r\n" + body)
     async with asyncio.timeout(timeout_s):
         raw = await reader.read(-1)
     writer.close()
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -15,6 +15,12 @@
 __all__ = ["FleetSite", "small_engine"]
 
 HEARTBEAT_S = 0.4
+
+# How long a worker that has crashed is away before it starts again under its id.
+BACK_AFTER_S = (0.5, 2.0)
+
+# Pause before it tries again to listen at an address that another socket has taken meanwhile.
+PORT_TAKEN_S = 0.1
 ENGINE_SERVICE = "engines"
 PLAIN_SERVICE = "records"
 
@@ -61,6 +67,7 @@
         self.is_first_start = False
         self.plain: dict[str, Worker] = {}
         self.killed_s: dict[str, float] = {}
+        self._returns: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Start the store and all workers; no configuration is written yet."""
@@ -81,7 +88,7 @@
     async def add_worker(self, worker_id: str, hall: str, domain: str) -> Worker:
         """Start an empty model worker."""
         worker = Worker(worker_id, "", hall, domain, ENGINE_SERVICE, self.engine)
-        face = WorkerFace(worker, self.fleet, self.record)
+        face = WorkerFace(worker, self.fleet, self.record, on_crash=self.crash_worker)
         self.faces[worker_id] = face
         await face.start()
         self.fleet.workers[worker_id] = worker
@@ -91,7 +98,7 @@
     async def add_plain(self, worker_id: str, hall: str) -> Worker:
         """Start a worker of the plain service."""
         worker = Worker(worker_id, "", hall, "", PLAIN_SERVICE, self.engine)
-        face = WorkerFace(worker, None, self.record)
+        face = WorkerFace(worker, None, self.record, on_crash=self.crash_worker)
         self.faces[worker_id] = face
         await face.start()
         self.plain[worker_id] = worker
@@ -108,6 +115,32 @@
         self.killed_s[worker_id] = loop.time()
         loop.call_later(3 * HEARTBEAT_S, self._remove_entry, worker)
 
+    def crash_worker(self, worker: Worker) -> None:
+        """End the process of a worker; it starts again under the same id some seconds later."""
+        worker.alive = False
+        self.faces[worker.worker_id].crash()
+        if worker.worker_id in self.fleet.workers:
+            self.fleet.kill(worker.worker_id)
+        loop = asyncio.get_running_loop()
+        self.killed_s[worker.worker_id] = loop.time()
+        loop.call_later(3 * HEARTBEAT_S, self._remove_entry_of_dead, worker, worker.born_ms)
+        self._returns.add(loop.create_task(self._start_again(worker)))
+
+    async def _start_again(self, worker: Worker) -> None:
+        await asyncio.sleep(self.rng.uniform(*BACK_AFTER_S))
+        worker.start_again()
+        while True:
+            try:
+                await self.faces[worker.worker_id].start()
+                break
+            except OSError:
+                await asyncio.sleep(PORT_TAKEN_S)
+        self._write_entry(worker)
+
+    def _remove_entry_of_dead(self, worker: Worker, born_ms: int) -> None:
+        if not worker.alive and worker.born_ms == born_ms:
+            self._remove_entry(worker)
+
     def drain_worker(self, worker_id: str) -> None:
         """Let a worker say that it will leave."""
         worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
@@ -123,6 +156,7 @@
             "slots": worker.engine.slots,
             "state": "draining" if worker.draining else "ready",
             "sequence": 1,
+            "born": worker.born_ms,
             "cold-remaining-ms": 0,
         }
         if worker.service == ENGINE_SERVICE:
@@ -223,6 +257,8 @@
 
     async def close(self) -> None:
         """Stop everything."""
+        for returning in self._returns:
+            returning.cancel()
         closing = [face.close() for face in self.faces.values()]
         closing += [store.close() for store in self.stores]
         await asyncio.gather(*closing)
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -1,6 +1,7 @@
 """A worker by its published protocol: requests, streams, orders, reports, health."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import orjson
@@ -18,12 +19,32 @@
 )
 from ._workers import Fleet, Worker
 
-__all__ = ["KV_TOKENS", "RunRecord", "WorkerFace"]
+__all__ = ["CRASHING_BODY", "KV_TOKENS", "CrashingRequest", "RunRecord", "WorkerFace"]
 
 KV_TOKENS = 100000
 
+# A body that begins so crashes each worker that begins to run it.
+CRASHING_BODY = b"crash"
+
 _REFUSAL_STATUS = {"state": 409, "epoch": 412, "invalid": 400}
 _ONE_MOMENT_S = 0.02
+_CLOSE_S = 0.1
+
+
+@dataclass(slots=True)
+class CrashingRequest:
+    """What the workers of a site have seen of one request that crashes them.
+
+    Attributes
+    ----------
+    arrived : list of (float, str)
+        Loop time at which it reached a worker, and the id of the caller's try.
+    crashed_s : list of float
+        Loop times at which a worker ended under it.
+    """
+
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+    crashed_s: list[float] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -37,6 +58,8 @@
         also those that are silent and run nothing.
     worked_s : dict
         Loop time at which a worker last worked on a request.
+    crashing : dict
+        Requests that crash workers, by path, tenant and body.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -44,6 +67,15 @@
     workers: dict[str, set[str]] = field(default_factory=dict)
     worked_s: dict[str, float] = field(default_factory=dict)
     keys_seen: int = 0
+    crashing: dict[tuple[str, str, bytes], CrashingRequest] = field(default_factory=dict)
+
+    def note_crashing(self, request: web.BaseRequest, body: bytes) -> CrashingRequest:
+        """Note that a request which crashes workers has reached one; return what is known of it."""
+        key = (request.raw_path, request.headers.get("X-Tenant", ""), body)
+        seen = self.crashing.setdefault(key, CrashingRequest())
+        now_s = asyncio.get_running_loop().time()
+        seen.arrived.append((now_s, request.headers["X-Attempt-Id"]))
+        return seen
 
     def note(self, request: web.BaseRequest) -> None:
         """Note a request that begins to run at a worker."""
@@ -78,6 +110,10 @@
         Time to the first event, and between two.
     events : int
         Events of a stream.
+    crash_after_s : float
+        Time from the begin of a run of a request that crashes the worker until it does.
+    on_crash : callable
+        Ends the process of the worker; it may be started again.
     """
 
     def __init__(
@@ -88,6 +124,8 @@
         first_s: float = 0.05,
         event_s: float = 0.02,
         events: int = 10,
+        crash_after_s: float = 0.05,
+        on_crash: Callable[[Worker], None] = lambda worker: None,
     ):
         self.worker = worker
         self.fleet = fleet
@@ -95,21 +133,35 @@
         self.first_s = first_s
         self.event_s = event_s
         self.events = events
-        self._runner: web.ServerRunner | None = None
+        self.crash_after_s = crash_after_s
+        self.on_crash = on_crash
+        self._server: web.Server | None = None
+        self._sockets: asyncio.Server | None = None
 
     async def start(self) -> str:
-        """Begin to listen; return the address."""
-        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
-        self.worker.address = "{}:{}".format(*self._runner.addresses[0])
+        """Begin to listen, at the same address after a crash; return the address."""
+        _, _, port = self.worker.address.rpartition(":")
+        self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        self._sockets = await asyncio.get_running_loop().create_server(
+            self._server, "127.0.0.1", int(port or 0)
+        )
+        self.worker.address = "{}:{}".format(*self._sockets.sockets[0].getsockname())
         return self.worker.address
 
+    def crash(self) -> None:
+        """End as a process that crashes: the port is closed, the connections are reset."""
+        if self._sockets is not None:
+            self._sockets.close()
+        for connection in self._server.connections if self._server is not None else ():
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def close(self) -> None:
         """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._sockets is not None:
+            self._sockets.close()
+        if self._server is not None:
+            await self._server.shutdown(_CLOSE_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.worker.alive:
@@ -147,23 +199,39 @@
         body = await request.read()
         self.record.note_arrival(request, self.worker)
         self.record.note(request)
+        await self._crash_under(request, body)
         await asyncio.sleep(self.first_s)
         self.record.note_work(request)
         return web.Response(body=b"whole:" + body, headers=self._signed(request))
 
     async def _stream(self, request: web.BaseRequest) -> web.StreamResponse:
         worker = self.worker
-        await request.read()
+        body = await request.read()
         if worker.running >= worker.engine.slots or not self._serves():
             return self._refuse(503)
         worker.running += 1
+        born_ms = worker.born_ms
         try:
             self.record.note_arrival(request, worker)
             self.record.note(request)
+            await self._crash_under(request, body)
             await asyncio.sleep(self.first_s)
             return await self._events(request)
         finally:
-            worker.running -= 1
+            if worker.born_ms == born_ms:
+                worker.running -= 1
+
+    async def _crash_under(self, request: web.BaseRequest, body: bytes) -> None:
+        """End the worker's process if the request is one that crashes it."""
+        if not body.startswith(CRASHING_BODY):
+            return
+        seen = self.record.note_crashing(request, body)
+        born_ms = self.worker.born_ms
+        await asyncio.sleep(self.crash_after_s)
+        if self.worker.born_ms == born_ms and self.worker.alive:
+            seen.crashed_s.append(asyncio.get_running_loop().time())
+            self.on_crash(self.worker)
+        raise asyncio.CancelledError  # the worker has crashed, and its connections with it
 
     def _serves(self) -> bool:
         place = self.worker.membership
@@ -216,6 +284,7 @@
             "models": entry_models(worker),
             "utilization": False,
             "sequence": worker.orders,
+            "born": worker.born_ms,
             "waiting": 0,
             "running": worker.running,
             "kv-used": 0,
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -56,10 +57,12 @@
 
 @dataclass(slots=True, eq=False)
 class Worker:
-    """One incarnation of a model worker.
+    """A model worker; after a crash it may start again under the same id.
 
     Attributes
     ----------
+    born_ms : int
+        Time of day of its start, in milliseconds.
     alive : bool
         Whether it answers at all.
     was_ready : set
@@ -74,6 +77,7 @@
     domain: str
     service: str
     engine: EngineSpec
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     alive: bool = True
     draining: bool = False
     orders: int = 0
@@ -88,6 +92,20 @@
     running: int = 0
     loads: int = 0
 
+    def start_again(self) -> None:
+        """Begin another life under the same id; only what lies on the host is left."""
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self.alive = True
+        self.draining = False
+        self.orders = 0
+        self.top_epoch = 0
+        self.last_model = ""
+        self.membership = None
+        self.members = ()
+        self.model = ""
+        self.was_ready = set()
+        self.running = 0
+
     @property
     def entry(self) -> Target:
         """What the list of targets shows of it."""
