--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -14,7 +14,14 @@
 
 from ..clock import Clock
 from ._messages import CrashAge, CrashReport
-from ._rule import CRASHES_TO_KNOW, Crash, crashes_in_a_row, is_same_end, refuse_for_s
+from ._rule import (
+    CRASHES_TO_KNOW,
+    Crash,
+    crashes_in_a_row,
+    is_same_end,
+    refuse_for_s,
+    worth_keeping,
+)
 
 __all__ = ["CrashHistory", "CrashListener"]
 
@@ -272,7 +279,7 @@
         known_ids = {crash.crash_id for crash in known}
         answered_s = record.answered_s if record else float("-inf")
         new = [c for c in crashes if c.crash_id not in known_ids and c.ended_s > answered_s]
-        kept = sorted([*known, *new], key=lambda crash: crash.ended_s)[-MAX_CRASHES_KEPT:]
+        kept = worth_keeping([*known, *new], MAX_CRASHES_KEPT)
         if kept == known:
             return False
         record = record or self._remember(identity)
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -8,7 +8,14 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-__all__ = ["CRASHES_TO_KNOW", "Crash", "crashes_in_a_row", "is_same_end", "refuse_for_s"]
+__all__ = [
+    "CRASHES_TO_KNOW",
+    "Crash",
+    "crashes_in_a_row",
+    "is_same_end",
+    "refuse_for_s",
+    "worth_keeping",
+]
 
 # Crashes in a row after which a request is refused. Two happen to honest requests: of 278 attempts
 # that broke in one day on which 60 targets crashed, 46 requests lost two (emulated, one play). The
@@ -43,11 +50,21 @@
     ended_s: float
 
 
-def crashes_in_a_row(crashes: Iterable[Crash]) -> int:
-    """Return how many of the crashes lie one after the other.
+def row_of(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return the crashes that lie one after the other, as many as there can be.
 
     A run that began before another one ended tells nothing more than that one: when many targets
     die at once, a request that many callers send was at several of them.
+    """
+    row: list[Crash] = []
+    for crash in sorted(crashes, key=lambda crash: crash.ended_s):
+        if not row or crash.began_s > row[-1].ended_s:
+            row.append(crash)
+    return row
+
+
+def crashes_in_a_row(crashes: Iterable[Crash]) -> int:
+    """Return how many of the crashes lie one after the other.
 
     Examples
     --------
@@ -57,12 +74,26 @@
     >>> crashes_in_a_row([*at_once, Crash("d:6", "t6", 1.1, 1.2), Crash("e:1", "t7", 1.3, 1.4)])
     3
     """
-    count, last_ended_s = 0, float("-inf")
-    for crash in sorted(crashes, key=lambda crash: crash.ended_s):
-        if crash.began_s > last_ended_s:
-            count += 1
-            last_ended_s = crash.ended_s
-    return count
+    return len(row_of(crashes))
+
+
+def worth_keeping(crashes: Sequence[Crash], limit: int) -> list[Crash]:
+    """Return at most `limit` of the crashes, by their ends: those in a row, then the newest.
+
+    A request of which many tries run at a time has several crashes at each moment; without regard
+    to the row they would push out those of the moments before.
+
+    Examples
+    --------
+    >>> crashes = [Crash(f"d:{n}", "t", float(n // 4), n // 4 + 0.5) for n in range(12)]
+    >>> [crash.crash_id for crash in worth_keeping(crashes, 4)]
+    ['d:0', 'd:4', 'd:8', 'd:11']
+    """
+    by_end = sorted(crashes, key=lambda crash: crash.ended_s)
+    row = row_of(by_end)[-limit:]
+    others = [crash for crash in by_end if crash not in row]
+    newest = others[len(others) - min(len(others), limit - len(row)) :]
+    return sorted([*row, *newest], key=lambda crash: crash.ended_s)
 
 
 def is_same_end(crash: Crash, others: Sequence[Crash]) -> bool:
