--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -1,6 +1,6 @@
 """An emulated platform with daemons as processes, callers and troubles, and its report."""
 
-from ._crashing import arrivals_beyond
+from ._crashing import CONTACT_S, arrivals_beyond
 from ._experiment import (
     KINDS,
     Experiment,
@@ -26,6 +26,7 @@
 )
 
 __all__ = [
+    "CONTACT_S",
     "arrivals_beyond",
     "KINDS",
     "PROMISES",
--- a/ferrydock/platform/tests/test_crashing_requests.py
+++ b/ferrydock/platform/tests/test_crashing_requests.py
@@ -18,7 +18,9 @@
 
 import pytest
 
-from ...emulator import arrivals_beyond
+from ...emulator import CONTACT_S, arrivals_beyond
+from ...relay import PeerCalls
+from ...scheduling._server import RUNNING
 from ...standins.fleet import CRASHING_BODY
 from .test_site import REPLICAS, Site, ask, play
 
@@ -152,3 +154,118 @@
             assert of_hot > of_own - 0.1
 
     play(scenario)
+
+
+IDENTITY = "a request that crashes its targets"
+
+
+def note_three_crashes(node):
+    """Let a daemon see three targets end under one request, one after the other."""
+    now_s = node.clock.now_s()
+    for n in range(3):
+        began_s = now_s - 0.9 + 0.3 * n
+        node.crash_exchange.history.note_crash(IDENTITY, f"t{n}", began_s, began_s + 0.1)
+
+
+def knows(node):
+    return node.crash_exchange.history.refused_for_s(IDENTITY) > 0
+
+
+async def until_all_know(site, nodes, since_s):
+    """Wait until all daemons refuse the request; return how many seconds that took."""
+    await site.until(lambda: all(knows(node) for node in nodes))
+    return asyncio.get_running_loop().time() - since_s
+
+
+def leader_of(nodes, hall):
+    return next(n for n in nodes if n.settings.hall == hall and n.leadership.holds_lease())
+
+
+def follower_of(nodes, hall):
+    return next(n for n in nodes if n.settings.hall == hall and not n.leadership.holds_lease())
+
+
+@pytest.mark.parametrize("dies", ["nobody", "own leader", "other leader", "both leaders"])
+def test_what_one_daemon_sees_all_know_within_three_seconds(tmp_path, dies):
+    """Also where hall leaders, which pass it on, die at that moment."""
+
+    async def scenario():
+        async with Site(tmp_path, HALLS) as site:
+            nodes = await four_daemons(site)
+            await asyncio.sleep(1.5)  # each leader has found the other
+            finder = follower_of(nodes, "hall-a")
+            halls = {"own leader": ["hall-a"], "other leader": ["hall-b"]}
+            dying = [leader_of(nodes, hall) for hall in halls.get(dies, HALLS)]
+            dying = [] if dies == "nobody" else dying
+            since_s = asyncio.get_running_loop().time()
+            note_three_crashes(finder)
+            for node in dying:
+                site.nodes.remove(node)
+            await asyncio.gather(*(node.close() for node in dying))
+            took_s = await until_all_know(site, site.nodes, since_s)
+            print(f"{dies} dies: all know after {took_s:.2f} s")
+            assert took_s < CONTACT_S
+
+    play(scenario)
+
+
+def test_a_daemon_that_starts_is_told_before_it_is_ready_for_long(tmp_path):
+    async def scenario():
+        async with Site(tmp_path, HALLS) as site:
+            nodes = await four_daemons(site)
+            note_three_crashes(leader_of(nodes, "hall-b"))
+            await until_all_know(site, nodes, 0.0)
+            since_s = asyncio.get_running_loop().time()
+            late = await site.daemon("hall-a-late", "hall-a")
+            took_s = await until_all_know(site, [late], since_s)
+            print(f"started: knows after {took_s:.2f} s")
+            assert took_s < 1.5
+
+    play(scenario)
+
+
+def test_after_a_cut_between_halls_all_know(tmp_path, monkeypatch):
+    async def scenario():
+        async with Site(tmp_path, HALLS) as site:
+            nodes = await four_daemons(site)
+            cut = True
+            call = PeerCalls.call
+
+            async def call_unless_cut(calls, address, method, data, timeout_s):
+                if cut and method == RUNNING:
+                    await asyncio.sleep(timeout_s)
+                    return None
+                return await call(calls, address, method, data, timeout_s)
+
+            monkeypatch.setattr(PeerCalls, "call", call_unless_cut)
+            note_three_crashes(follower_of(nodes, "hall-a"))
+            await asyncio.sleep(3.0)
+            halls_that_know = {node.settings.hall for node in nodes if knows(node)}
+            assert halls_that_know == {"hall-a"}
+            cut = False
+            took_s = await until_all_know(site, nodes, asyncio.get_running_loop().time())
+            print(f"after a cut: all know after {took_s:.2f} s")
+            assert took_s < 1.0
+
+    play(scenario)
+
+
+def test_the_requests_beside_one_that_crashes_its_targets_are_served(tmp_path):
+    """Streams that lose their target several times are not taken for the cause."""
+
+    async def scenario():
+        async with Site(tmp_path, HALLS) as site:
+            nodes = await four_daemons(site)
+            callers = HonestCallers(nodes, every_s=0.1)
+            sending = asyncio.ensure_future(callers.send_for(10.0))
+            body = CRASHING_BODY + b" 2"
+            await ask_again_and_again(nodes, "/write/x", "large", body, 8.0, pause_s=0.1)
+            calm_s = asyncio.get_running_loop().time()
+            await sending
+            (seen,) = site.site.record.crashing.values()
+            print(f"{len(seen.crashed_s)} crashes; served {callers.share_served():.3f}")
+            assert len(arrivals_beyond(seen)) <= 3
+            assert not [told for _, _, told, _ in callers.answers if b"crashes_targets" in told]
+            assert callers.share_served(calm_s) == 1.0
+
+    play(scenario)
