Soak of requests that crash their targets, beside all other troubles and planned stops

Callers of such requests stay with a daemon until its process is gone. Two faults of the emulation found on the way: two sets of callers drew the same request ids; two troubles took the same daemon at a time.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -5,6 +5,9 @@
 
 ``python -m benchmarks.soak --plays=stops --seeds=50`` plays planned stops of all daemons, with
 callers that stay until the process is gone; its seeds belong into ``tests/soak_stop_seeds.txt``.
+
+``python -m benchmarks.soak --plays=crashes --seeds=50`` plays requests that crash their targets,
+beside all of that; its seeds belong into ``tests/soak_crash_seeds.txt``.
 """
 
 import asyncio
@@ -17,6 +20,7 @@
     Emulation,
     Experiment,
     Load,
+    draw_crashing,
     draw_stops,
     draw_troubles,
     figures,
@@ -71,7 +75,38 @@
     )
 
 
-PLAYS = {"all": soak_experiment, "stops": stops_experiment}
+def crashes_experiment(seed: int) -> Experiment:
+    """Return the requests that crash their targets that a seed stands for.
+
+    Beside them come all other troubles, and on every third seed planned stops of all daemons. Every
+    tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in each of
+    two halls.
+    """
+    halls, count, domain_size = HALLS, 2, 8
+    if seed % 10 == 0:
+        halls, count, domain_size = (*HALLS, "hall-c"), 8, 12
+    elif seed % 4 == 0:
+        halls, count, domain_size = HALLS[:1], 8, 16
+    length_s = 16.0
+    troubles = draw_troubles(seed, length_s - 4.0, halls, 5)
+    if seed % 3 == 0:
+        daemons = [f"{hall}-daemon-{number}" for hall in halls for number in range(count)]
+        troubles += draw_stops(seed, daemons, STOPS_WITHIN_S)
+    troubles += draw_crashing(seed, length_s, halls)
+    return Experiment(
+        name=f"crashes {seed}",
+        seed=seed,
+        length_s=length_s,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=domain_size,
+        load=LOAD,
+        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
+        settle_s=10.0,
+    )
+
+
+PLAYS = {"all": soak_experiment, "stops": stops_experiment, "crashes": crashes_experiment}
 
 
 async def play(seed: int, folder: Path, plays: str = "all") -> list[str]:
@@ -89,6 +124,8 @@
             replicas=found["replicas_at_end"],
             stops=len(result.stops) or None,
             stop_calls=result.stop_calls or None,
+            crashes=result.crashes or None,
+            beyond=result.beyond if result.crashes else None,
             stood_still=len(result.stood_still) or None,
             excused=sum(result.excused.values()) if result.stops else None,
             broken=len(result.broken),
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -1,6 +1,6 @@
 """An emulated platform with daemons as processes, callers and troubles, and its report."""
 
-from ._crashing import CONTACT_S, arrivals_beyond
+from ._crashing import CONTACT_S, arrivals_beyond, draw_crashing
 from ._experiment import (
     KINDS,
     Experiment,
@@ -42,6 +42,7 @@
     "Trouble",
     "demo_experiment",
     "draw_stops",
+    "draw_crashing",
     "draw_troubles",
     "excuse_of_call",
     "excuse_of_stop",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -38,7 +38,12 @@
     "stop_hangup": "daemons that stop get SIGHUP again and again",
     "stop_frozen": "daemons that stop stand still `count` times, for `for_s` in all, and go on",
 }
-KINDS = {**_SOAK_KINDS, **_STOP_KINDS}
+_CRASH_KINDS = {
+    "crashing_request": "a request that crashes each worker that runs it comes for `for_s`, from "
+    "`count` callers at a time",
+    "workers_crash": "heads of replicas and plain workers crash at one moment, and start again",
+}
+KINDS = {**_SOAK_KINDS, **_STOP_KINDS, **_CRASH_KINDS}
 _HOWS = ("silent", "busy", "many", "reset")
 _CLASSES = ("write-large", "write-small", "look", "file")
 
--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -4,6 +4,8 @@
 import random
 from dataclasses import dataclass, field
 
+import orjson
+
 from ..standins.fleet import request_bytes
 
 __all__ = ["ANSWER_TIMEOUT_S", "Call", "Callers", "receive", "request_of"]
@@ -36,6 +38,8 @@
         Whether the answer ended as an answer does.
     fault : str
         What was wrong with a success; empty if nothing.
+    code : str
+        What a daemon's own refusal says; empty for other answers.
     """
 
     request_id: str
@@ -48,6 +52,7 @@
     took_s: float = 0.0
     first_s: float | None = None
     fault: str = ""
+    code: str = ""
     numbers: list[int] = field(default_factory=list)
 
     @property
@@ -81,13 +86,13 @@
         self.calls: list[Call] = []
         self._idle: dict[str, list] = {}
 
-    async def call(self, kind: str) -> None:
-        """Send one request and note its end."""
+    async def call(self, kind: str, body: bytes = b"hi") -> None:
+        """Send one request to one of the daemons and note its end."""
         ready = self.addresses()
         if not ready:
             return
         daemon = self.rng.choice(sorted(ready))
-        call = Call(f"{self.rng.getrandbits(64):016x}", kind, self.now_s(), daemon)
+        call = Call(f"{self.rng.getrandbits(64):016x}", kind, self.now_s(), daemon, body)
         self.calls.append(call)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -154,6 +159,7 @@
 
 def _check(call: Call, body: bytes) -> None:
     if call.status != 200:
+        call.code = _code_of(body)
         return
     if call.kind.startswith("write"):
         if call.numbers != list(range(1, EVENTS + 1)):
@@ -162,6 +168,14 @@
         call.fault = f"body {body[:40]!r}, {len(body)} bytes"
 
 
+def _code_of(body: bytes) -> str:
+    """Return what a refusal of a daemon's own says; empty for a worker's answer."""
+    try:
+        return str(orjson.loads(body)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 async def _read_body(reader, head: bytes, call: Call, piece_pause_s: float) -> bytes:
     lowered = head.lower()
     if b"transfer-encoding: chunked" in lowered:
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -68,7 +68,8 @@
         self.settings_path.write_text(json.dumps(settings))
         self.process: asyncio.subprocess.Process | None = None
         self.own_ends: list[int] = []
-        self.is_hurt = False
+        self.hurt_times_s: list[tuple[float, float]] = []
+        self._hurt_since_s: float | None = None
         self._log_from = 0
 
     @property
@@ -76,6 +77,26 @@
         """Where it takes callers."""
         return self.settings["listen"]["frontend"]
 
+    @property
+    def is_hurt(self) -> bool:
+        """Whether something is being done to it."""
+        return self._hurt_since_s is not None
+
+    @is_hurt.setter
+    def is_hurt(self, is_hurt: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if is_hurt and self._hurt_since_s is None:
+            self._hurt_since_s = now_s
+        elif not is_hurt and self._hurt_since_s is not None:
+            self.hurt_times_s.append((self._hurt_since_s, now_s))
+            self._hurt_since_s = None
+
+    def was_well(self, at_s: float, for_s: float) -> bool:
+        """Return whether nothing was done to it for so long before a loop time."""
+        since_s = self._hurt_since_s
+        times_s = [*self.hurt_times_s, *([(since_s, at_s)] if since_s is not None else [])]
+        return not any(from_s <= at_s and to_s >= at_s - for_s for from_s, to_s in times_s)
+
     async def start(self) -> None:
         """Start the process."""
         with open(self.log_path, "ab") as log:
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -11,6 +11,13 @@
 
 from ..invariants import existing
 from ..standins.fleet import FleetSite
+from ._crashing import (
+    CONTACT_S,
+    MAX_MORE,
+    CrashingCallers,
+    arrivals_beyond,
+    describe_refused,
+)
 from ._experiment import Experiment, Trouble
 from ._load import Call, Callers
 from ._processes import DaemonProcess, free_ports, loopback_address
@@ -44,6 +51,7 @@
 # half of the silence after which a daemon suspects a worker. Chosen, not measured.
 OWN_LOOK_S = 0.02
 OWN_STILL_S = 0.1
+_OF_THE_STORE = ("store_down", "store_lost", "history_lost")
 PROMISES = (
     "no replica serves while a member is missing, no worker is in two",
     "an answer that looks whole is whole, and its own",
@@ -53,6 +61,7 @@
     "no daemon ends by itself",
     "replicas are formed again after the troubles",
     "a planned stop ends with status 0 within its grace, and cuts no answer",
+    "a request that crashes its targets is kept from them, and no other is",
 )
 
 
@@ -72,6 +81,10 @@
         Stops whose callers stayed to the end.
     stop_calls : int
         Requests under way during these stops, each of which was judged.
+    crashes : int
+        Targets that ended under requests that crash them.
+    beyond : int
+        Most tries in which such a request reached targets although daemons had time to know it.
     excused : Counter
         Those of them that fell under an exception of the promise, by its reason.
     """
@@ -87,6 +100,8 @@
     stood_still: list[Pause] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     stop_calls: int = 0
+    crashes: int = 0
+    beyond: int = 0
     excused: Counter[str] = field(default_factory=Counter)
 
 
@@ -115,6 +130,9 @@
         self._began_s = 0.0
         self._tasks: set[asyncio.Task] = set()
         self._stops: dict[str, PlannedStop] = {}
+        self._to_be_stopped: set[str] = set()
+        self._crashing: CrashingCallers | None = None
+        self._store_hurt_s: list[tuple[float, float]] = []
 
     def now_s(self) -> float:
         """Return seconds since the load began."""
@@ -126,6 +144,10 @@
             await self._start()
             callers = Callers(self._addresses, random.Random(self.experiment.seed), self.now_s)
             self.result.calls = callers.calls
+            own_rng = random.Random(f"crashing {self.experiment.seed}")  # other ids of requests
+            ending = Callers(self._all_addresses, own_rng, self.now_s)
+            ending.calls = callers.calls
+            self._crashing = CrashingCallers(self.experiment.seed, ending, self.now_s)
             watching = asyncio.ensure_future(self._watch_itself())
             await asyncio.gather(self._send(callers), self._hurt(), self._watch())
             await asyncio.gather(*self._tasks)
@@ -133,6 +155,7 @@
             await self._until_formed(self.experiment.settle_s + FORMED_WITHIN_S)
             self._judge()
             await callers.close()
+            await ending.close()
         finally:
             await self._stop()
         return self.result
@@ -190,6 +213,10 @@
     def _addresses(self) -> dict[str, str]:
         return {d.name: d.address for d in self.daemons if d.runs and not d.is_hurt}
 
+    def _all_addresses(self) -> dict[str, str]:
+        """Return the addresses of all daemons whose process is there, also of those that stop."""
+        return {d.name: d.address for d in self.daemons if d.runs}
+
     async def _send(self, callers: Callers) -> None:
         load = self.experiment.load
         rng = random.Random(self.experiment.seed + 1)
@@ -233,7 +260,10 @@
 
     async def _do(self, trouble: Trouble) -> None:
         action = getattr(self, f"_{trouble.kind}")
+        from_s = asyncio.get_running_loop().time()
         done = await action(trouble)
+        if trouble.kind in _OF_THE_STORE:
+            self._store_hurt_s.append((from_s, asyncio.get_running_loop().time()))
         self.result.troubles.append(f"{trouble.at_s:.2f} s {trouble.kind} {done}".strip())
 
     def _workers(self, trouble: Trouble) -> list:
@@ -260,6 +290,19 @@
             self.site.kill_worker(worker.worker_id)
         return ",".join(worker.worker_id for worker in chosen)
 
+    async def _crashing_request(self, trouble: Trouble) -> str:
+        return await existing(self._crashing, "the callers").run(trouble)
+
+    async def _workers_crash(self, trouble: Trouble) -> str:
+        """Crash heads and plain workers at one moment, but not all of either."""
+        heads = [w for w in self.site.fleet.open_heads() if trouble.hall in ("", w.hall)]
+        plain = [w for w in self.site.plain.values() if w.alive and trouble.hall in ("", w.hall)]
+        chosen = self.rng.sample(heads, min(trouble.count, len(heads)))
+        chosen += self.rng.sample(plain, min(1, len(plain)))
+        for worker in chosen:
+            self.site.crash_worker(worker)
+        return ",".join(worker.worker_id for worker in chosen)
+
     async def _rack_dead(self, trouble: Trouble) -> str:
         domains = {w.domain for w in self.site.fleet.workers.values() if w.alive}
         whole = sorted(
@@ -322,7 +365,12 @@
 
     def _daemons(self, trouble: Trouble) -> list[DaemonProcess]:
         fitting = [
-            d for d in self.daemons if d.runs and not d.is_hurt and trouble.hall in ("", d.hall)
+            d
+            for d in self.daemons
+            if d.runs
+            and not d.is_hurt
+            and d.name not in self._to_be_stopped
+            and trouble.hall in ("", d.hall)
         ]
         self.rng.shuffle(fitting)
         return fitting[: trouble.count]
@@ -351,6 +399,7 @@
         daemon = next((d for d in self.daemons if d.name == trouble.daemon), None)
         if daemon is None or daemon.is_hurt or not daemon.runs:
             return "left out: no such daemon, or it does not run"
+        self._to_be_stopped.add(daemon.name)
         signal_s = trouble.at_s
         for _ in range(trouble.count):
             await self._stop_once(daemon, signal_s)
@@ -359,6 +408,7 @@
             signal_s = self.now_s() + trouble.for_s
         await asyncio.sleep(1.0)
         daemon.is_hurt = False
+        self._to_be_stopped.discard(daemon.name)
         return f"{daemon.name} {trouble.count} times"
 
     async def _stop_once(self, daemon: DaemonProcess, signal_s: float) -> None:
@@ -453,6 +503,7 @@
         for daemon in self.daemons:
             broken += [f"own end: {daemon.name} with status {s}" for s in daemon.own_ends]
         self._judge_stops()
+        self._judge_crashing()
         result.replicas_at_end = len(self.site.fleet.open_heads())
         if result.replicas_at_end < self._wanted_replicas():
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -460,6 +511,26 @@
             for kind, count in face.calls.items():
                 result.store_calls[kind] = result.store_calls.get(kind, 0) + count
 
+    def _judge_crashing(self) -> None:
+        """Note requests that went on to targets that they crash, and others refused for it."""
+        result = self.result
+        result.broken += describe_refused(result.calls)
+        daemons = {daemon.name: daemon for daemon in self.daemons}
+        sent_to = {call.request_id: daemons[call.daemon] for call in result.calls}
+
+        def is_well(request_id: str, at_s: float) -> bool:
+            from_s = at_s - CONTACT_S
+            is_stable = not any(a <= at_s and b >= from_s for a, b in self._store_hurt_s)
+            return is_stable and sent_to[request_id].was_well(at_s, CONTACT_S)
+
+        for (path, _, body), seen in self.site.record.crashing.items():
+            beyond = arrivals_beyond(seen, is_well)
+            result.crashes += len(seen.crashed_s)
+            result.beyond = max(result.beyond, len(beyond))
+            if len(beyond) > MAX_MORE:
+                at_s = ", ".join(f"{at_s - self._began_s:.2f}" for at_s in beyond)
+                result.broken.append(f"crashing: {body!r} on {path} went on at {at_s} s")
+
     def _judge_stops(self) -> None:
         """Note what is wrong with planned stops, and with the calls that were under way."""
         result = self.result
@@ -484,9 +555,12 @@
 
     def _run_of(self, call: Call) -> Run:
         """Return what the workers' record holds of a call."""
-        record, killed_s = self.site.record, self.site.killed_s
+        record, killed_s, crashed_s = self.site.record, self.site.killed_s, self.site.crashed_s
         reached = record.workers.get(call.request_id, ())
-        lost_s = min((killed_s[w] for w in reached if w in killed_s), default=float("inf"))
+        lost = [killed_s[w] for w in reached if w in killed_s]
+        sent_s = call.at_s + self._began_s
+        lost += [at_s for w in reached for at_s in crashed_s.get(w, ()) if at_s >= sent_s]
+        lost_s = min(lost, default=float("inf"))
         worked_s = record.worked_s.get(call.request_id, float("-inf"))
         count = record.runs.get(call.request_id, 0)
         return Run(count, worked_s - self._began_s, lost_s - self._began_s)
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -50,7 +50,9 @@
     Attributes
     ----------
     killed_s : dict
-        Loop time at which a worker fell silent, by its id.
+        Loop time at which a worker fell silent for good, by its id.
+    crashed_s : dict
+        Loop times at which a worker's process ended, to start again.
     """
 
     def __init__(self, halls: tuple[str, ...], seed: int = 1, domain_size: int = 10):
@@ -67,6 +69,7 @@
         self.is_first_start = False
         self.plain: dict[str, Worker] = {}
         self.killed_s: dict[str, float] = {}
+        self.crashed_s: dict[str, list[float]] = {}
         self._returns: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -122,7 +125,7 @@
         if worker.worker_id in self.fleet.workers:
             self.fleet.kill(worker.worker_id)
         loop = asyncio.get_running_loop()
-        self.killed_s[worker.worker_id] = loop.time()
+        self.crashed_s.setdefault(worker.worker_id, []).append(loop.time())
         loop.call_later(3 * HEARTBEAT_S, self._remove_entry_of_dead, worker, worker.born_ms)
         self._returns.add(loop.create_task(self._start_again(worker)))
 
