--- a/ferrydock/crashes/__init__.py
+++ b/ferrydock/crashes/__init__.py
@@ -3,16 +3,19 @@
 A request that makes its target crash is sent again by its caller, or by a daemon, and takes the
 next target down. This package tells such requests apart from those that were only beside them:
 `_identity` (which tries are of one request), `_rule` (which crashes count, and for how long a
-request is refused), `_history` (all that was seen), `_exchange` (among daemons).
+request is refused), `_probe` (whether a target has ended), `_history` (all that was seen),
+`_exchange` (among daemons).
 
-What does not belong here: finding out whether a target has ended, refusing and logging
-(`ferrydock.forwarding`), and the calls between daemons (`ferrydock.relay`, `ferrydock.scheduling`).
+What does not belong here: when a target is looked at and what a caller is told
+(`ferrydock.forwarding`, `ferrydock.requests`), and the calls between daemons (`ferrydock.relay`,
+`ferrydock.scheduling`).
 """
 
 from ._exchange import CrashExchange
 from ._history import CrashHistory, CrashListener
 from ._identity import IDENTIFIED_BODY_BYTES, request_identity
 from ._messages import CrashAge, CrashNews, CrashReport, decode_crash_news
+from ._probe import TargetPresence, TargetProbe
 from ._rule import CRASHES_TO_KNOW, Crash
 
 __all__ = [
@@ -25,6 +28,8 @@
     "CrashListener",
     "CrashNews",
     "CrashReport",
+    "TargetPresence",
+    "TargetProbe",
     "decode_crash_news",
     "request_identity",
 ]
--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from ..clock import Clock
+from ._log import CrashLog
 from ._messages import CrashAge, CrashReport
 from ._rule import (
     CRASHES_TO_KNOW,
@@ -64,16 +65,6 @@
         """A request is no longer refused."""
 
 
-class _NoListener:
-    """Passes nothing on."""
-
-    def became_known(self, identity: str, crashes: tuple[Crash, ...], for_s: float) -> None:
-        return None
-
-    def released(self, identity: str, why: str) -> None:
-        return None
-
-
 @dataclass(slots=True)
 class _Record:
     """What is known of one request.
@@ -116,7 +107,7 @@
     clock : Clock
         For all times; those of peers come as ages.
     listener : CrashListener, optional
-        Told when the verdict on a request changes.
+        Told when the verdict on a request changes; by default it is logged.
 
     Attributes
     ----------
@@ -144,7 +135,7 @@
 
     def __init__(self, clock: Clock, listener: CrashListener | None = None):
         self.clock = clock
-        self.listener: CrashListener = listener or _NoListener()
+        self.listener: CrashListener = listener or CrashLog()
         self.life = uuid.uuid4().hex[:12]
         self.changes = 0
         self._numbers = itertools.count(1)
@@ -200,7 +191,7 @@
 
     def _refused_until_s(self, record: _Record) -> float:
         last = max(record.crashes, key=lambda crash: crash.ended_s)
-        is_own = last.crash_id.startswith(self.life)
+        is_own = last.finder == self.life
         factor = 1.0 if is_own else 1.0 + OTHERS_LATER_FRACTION
         return last.ended_s + record.refusal_s * factor
 
--- /dev/null
+++ b/ferrydock/crashes/_log.py
@@ -0,0 +1,36 @@
+"""Log lines on requests as they become known to crash their targets, and as they are released.
+
+Stateless. One line for each change of a verdict, of which there are at most as many as crashes.
+"""
+
+import logging
+
+from ..logs import log_event
+from ._rule import Crash
+
+__all__ = ["CrashLog"]
+
+_LOG = logging.getLogger("ferrydock.crashes")
+
+
+class CrashLog:
+    """Logs verdicts; the listener of a history that has no other."""
+
+    __slots__ = ()
+
+    def became_known(self, identity: str, crashes: tuple[Crash, ...], for_s: float) -> None:
+        """Log that a request is refused from now on."""
+        log_event(
+            _LOG,
+            logging.WARNING,
+            "crashing_request_known",
+            identity=identity,
+            crashes=len(crashes),
+            seen_by_daemons=len({crash.finder for crash in crashes}),
+            targets=",".join(crash.target_id for crash in crashes),
+            refused_for_s=for_s,
+        )
+
+    def released(self, identity: str, why: str) -> None:
+        """Log that a request is no longer refused."""
+        log_event(_LOG, logging.WARNING, "crashing_request_released", identity=identity, why=why)
--- a/ferrydock/forwarding/_target_probe.py
+++ b/ferrydock/crashes/_probe.py
@@ -8,12 +8,10 @@
 import asyncio
 from enum import StrEnum
 
-from ..targets import Target
-
-__all__ = ["TargetProbe", "TargetPresence"]
+__all__ = ["TargetPresence", "TargetProbe"]
 
 # How long a target's port may take to answer. A live host answers within milliseconds. Chosen, not
-# measured; as long as a member of a silent replica has (`_stalls.REPORT_TIMEOUT_S`).
+# measured; as long as a member of a silent replica has (`forwarding._stalls.REPORT_TIMEOUT_S`).
 ANSWER_WITHIN_S = 0.12
 
 # Pauses before a target that said nothing is looked at again: by then a short cut or standstill is
@@ -37,13 +35,13 @@
     def __init__(self):
         self._looks: dict[str, asyncio.Task[TargetPresence]] = {}
 
-    def look(self, target: Target) -> asyncio.Task[TargetPresence]:
-        """Return the look at a target that is under way, or begin one."""
-        look = self._looks.get(target.target_id)
+    def look(self, target_id: str, address: str) -> asyncio.Task[TargetPresence]:
+        """Return the look at a target that is under way, or begin one at its ``IP:PORT``."""
+        look = self._looks.get(target_id)
         if look is None:
-            look = asyncio.get_running_loop().create_task(_look_until_it_answers(target.address))
-            self._looks[target.target_id] = look
-            look.add_done_callback(lambda _: self._looks.pop(target.target_id, None))
+            look = asyncio.get_running_loop().create_task(_look_until_it_answers(address))
+            self._looks[target_id] = look
+            look.add_done_callback(lambda _: self._looks.pop(target_id, None))
         return look
 
     async def close(self) -> None:
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -49,6 +49,11 @@
     began_s: float
     ended_s: float
 
+    @property
+    def finder(self) -> str:
+        """Life of the history whose daemon saw it."""
+        return self.crash_id.partition(":")[0]
+
 
 def row_of(crashes: Iterable[Crash]) -> list[Crash]:
     """Return the crashes that lie one after the other, as many as there can be.
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -8,12 +8,11 @@
 import logging
 
 from ..clock import Clock
-from ..crashes import CRASHES_TO_KNOW, Crash, CrashHistory
+from ..crashes import CRASHES_TO_KNOW, CrashHistory, TargetPresence, TargetProbe
 from ..logs import log_event
 from ..route_metrics import RouteMetrics
 from ..targets import Target, TargetDirectory
 from ._exchange import AttemptEnd, AttemptReason, Exchange
-from ._target_probe import TargetPresence, TargetProbe
 
 __all__ = ["CRASHES_TARGETS", "CrashGuard"]
 
@@ -23,8 +22,8 @@
 CRASHES_TARGETS = "crashes_targets"
 
 # How long a request that may have crashed its third target waits until that is known, in seconds:
-# a little longer than one look takes (`_target_probe.ANSWER_WITHIN_S`). Requests with fewer crashes
-# go on at once. Chosen, not measured.
+# a little longer than one look takes (`crashes._probe.ANSWER_WITHIN_S`). One with fewer crashes
+# goes on at once. Chosen, not measured.
 WAIT_FOR_LOOK_S = 0.15
 
 # Ends of an attempt that say nothing about the target's process: it answered, refused, or had never
@@ -44,7 +43,7 @@
     Parameters
     ----------
     history : CrashHistory
-        What is known of requests, here and at peers. This guard becomes its listener.
+        What is known of requests, here and at peers.
     directory : TargetDirectory
         Tells which targets end as planned.
     metrics : RouteMetrics
@@ -66,7 +65,6 @@
         self.clock = clock
         self.probe = TargetProbe()
         self._findings: set[asyncio.Task] = set()
-        history.listener = self
 
     # One request ----------------------------------------------------------------------------------
 
@@ -121,7 +119,7 @@
     async def _find(
         self, exchange: Exchange, target: Target, began_s: float, ended_s: float
     ) -> None:
-        presence = await self.probe.look(target)
+        presence = await self.probe.look(target.target_id, target.address)
         if presence is not TargetPresence.GONE:
             return
         self.metrics.target_crashes.inc()
@@ -137,26 +135,6 @@
         )
         self.history.note_crash(exchange.identity, target.target_id, began_s, ended_s)
 
-    # Verdicts, of this daemon or after a peer's report ----------------------------------------
-
-    def became_known(self, identity: str, crashes: tuple[Crash, ...], for_s: float) -> None:
-        """Log that a request is refused from now on."""
-        own = sum(crash.crash_id.startswith(self.history.life) for crash in crashes)
-        log_event(
-            _LOG,
-            logging.WARNING,
-            "crashing_request_known",
-            identity=identity,
-            crashes=len(crashes),
-            seen_here=own,
-            targets=",".join(crash.target_id for crash in crashes),
-            refused_for_s=for_s,
-        )
-
-    def released(self, identity: str, why: str) -> None:
-        """Log that a request is no longer refused."""
-        log_event(_LOG, logging.WARNING, "crashing_request_released", identity=identity, why=why)
-
     async def close(self) -> None:
         """End what is under way."""
         findings = list(self._findings)
--- a/ferrydock/forwarding/tests/test_crashes.py
+++ b/ferrydock/forwarding/tests/test_crashes.py
@@ -5,10 +5,9 @@
 import pytest
 
 from ...configuration import RouteKind
+from ...crashes import TargetPresence, TargetProbe, _probe
 from ...targets import Target
-from .. import _target_probe
 from .._crash_guard import WAIT_FOR_LOOK_S
-from .._target_probe import TargetPresence, TargetProbe
 from .rig import Rig, ScriptedTarget, answers, play, resets, route, whole
 
 
@@ -131,9 +130,9 @@
 
     async def scenario():
         probe = TargetProbe()
-        monkeypatch.setattr(_target_probe, "_look_once", look_once)
-        monkeypatch.setattr(_target_probe, "LOOK_AGAIN_S", (0.01, 0.01))
-        looks = [probe.look(Target("t", "plain", "127.0.0.1:1", "h", 1)) for _ in range(3)]
+        monkeypatch.setattr(_probe, "_look_once", look_once)
+        monkeypatch.setattr(_probe, "LOOK_AGAIN_S", (0.01, 0.01))
+        looks = [probe.look("t", "127.0.0.1:1") for _ in range(3)]
         assert {await look for look in looks} == {TargetPresence(verdict)}
         assert left == []
         await probe.close()
@@ -143,11 +142,11 @@
 
 def test_a_request_goes_on_elsewhere_at_once_while_a_silent_target_is_looked_at(monkeypatch):
     async def silent(address):
-        await asyncio.sleep(_target_probe.ANSWER_WITHIN_S)
+        await asyncio.sleep(_probe.ANSWER_WITHIN_S)
         return TargetPresence.SILENT
 
     async def scenario():
-        monkeypatch.setattr(_target_probe, "_look_once", silent)
+        monkeypatch.setattr(_probe, "_look_once", silent)
         async with Rig([route()], [ScriptedTarget(resets(), answers(whole()))] * 1) as rig:
             other = ScriptedTarget(resets(), answers(whole()))
             await other.start()
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -12,6 +12,7 @@
 import orjson
 
 from ..clock import Clock
+from ..crashes import CrashHistory, TargetPresence, TargetProbe, request_identity
 from ..engines import EngineControl
 from ..invariants import existing
 from ..logs import log_event
@@ -38,6 +39,13 @@
 # How often a stream that broke is resumed at the same engine. Chosen, not measured.
 MAX_RESUMES = 2
 
+# How long a broken attempt waits until it is known whether its engine's process has ended: as long
+# as one look takes. A pause follows in any case. Chosen, not measured.
+LOOK_WITHIN_S = 0.15
+
+# Reason of a refusal, in answers and log lines.
+CRASHES_TARGETS = "crashes_targets"
+
 # Pause between two looks whether the replicas of all attempts are whole. Chosen, not measured.
 WATCH_S = 0.25
 
@@ -96,6 +104,8 @@
     __slots__ = (
         "_tasks",
         "_watched",
+        "crashes",
+        "probe",
         "loads",
         "budget",
         "client",
@@ -124,6 +134,8 @@
         self.random_source = random_source
         self.stop_limit = stop_limit
         self.budget = RetryBudget(DEFAULT_RETRY_RATIO)
+        self.crashes = CrashHistory(self.clock)
+        self.probe = TargetProbe()
         self._watched: set[_Watched] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -167,6 +179,7 @@
         """Abandon attempts whose replica has not been whole for too long, until the daemon ends."""
         while True:
             await asyncio.sleep(WATCH_S)
+            self.crashes.tidy()
             self.look_after(self.clock.now_s())
 
     def look_after(self, now_s: float) -> None:
@@ -203,6 +216,7 @@
 
     async def close(self) -> None:
         """Wait for cancellations that are under way."""
+        await self.probe.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
@@ -210,11 +224,13 @@
     """One request on its way."""
 
     __slots__ = (
+        "admitted_s",
         "attempts",
         "body",
         "caller",
         "executor",
         "excluded",
+        "identity",
         "life",
         "relay",
         "replica",
@@ -235,15 +251,21 @@
         self.body: bytes | None = None
         self.replica: Replica | None = None
         self.started_s = executor.clock.now_s()
+        self.admitted_s = self.started_s
+        self.identity = request_identity("POST", "", request.path, request.team, request.body)
 
     async def to_end(self) -> Ended | NotRun | GaveUp:
         """Attempt until there is a whole answer, or no further attempt is allowed."""
+        again_s = self.executor.crashes.admit(self.identity)
+        if again_s > 0:
+            return self._no_replica(NotRun(CRASHES_TARGETS, "it crashed its engines", again_s))
         self.executor.budget.first_attempt()
         while True:
             self.life.queue()
             chosen = await self._choose()
             if isinstance(chosen, NotRun):
                 return self._no_replica(chosen)
+            sent_s = self.executor.clock.now_s()
             outcome = await self._attempt(chosen)
             if isinstance(outcome, Answered | Streamed):
                 return self._finished(outcome, chosen)
@@ -259,10 +281,26 @@
                     replica=chosen.replica.replica_id,
                     why=outcome.reason,
                 )
+                await self._look_for_a_crash(chosen.replica, sent_s)
+                if self.executor.crashes.is_known_since(self.identity, self.admitted_s):
+                    return GaveUp(CRASHES_TARGETS, self.life.give_up())
             stop = await self._before_retry(outcome)
             if stop is not None:
                 return stop
 
+    async def _look_for_a_crash(self, replica: Replica, sent_s: float) -> None:
+        """Note a crash if the process of a replica's head has ended under this request.
+
+        Only what this daemon sees counts here: daemons do not tell each other.
+        """
+        executor = self.executor
+        ended_s = executor.clock.now_s()
+        address = replica.head.url.split("://", 1)[1].split("/", 1)[0]
+        look = executor.probe.look(replica.head.url, address)
+        await asyncio.wait({look}, timeout=LOOK_WITHIN_S)
+        if look.done() and not look.cancelled() and look.result() is TargetPresence.GONE:
+            executor.crashes.note_crash(self.identity, replica.head.url, sent_s, ended_s)
+
     async def _choose(self) -> Candidate | NotRun:
         wait_s = existing(self.executor.state.keeper.view, "the table in force").site.queue_wait_s
         if self.relay.events:
@@ -328,6 +366,7 @@
 
     def _finished(self, outcome: Answered | Streamed, chosen: Candidate) -> Ended:
         self.life.finish()
+        self.executor.crashes.note_answer(self.identity)
         took_s = self.executor.clock.now_s() - self.started_s
         self.executor.gate.note_service(self.request.model, took_s)
         return Ended(outcome, chosen.replica.replica_id)
