--- /dev/null
+++ b/ferrydock/requests/tests/test_crashing_requests.py
@@ -0,0 +1,138 @@
+"""A model request that crashes its engines costs three of them, however often it comes."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from ...clock import ManualClock
+from ...engines import EngineControl
+from ...outcomes import NotRun
+from ...planned_stop import StopLimit
+from .. import Answered, GaveUp, ModelRequest, RequestExecutor, RequestLife
+from .._attempt import Broken
+
+
+class Clock(ManualClock):
+    """A clock that moves a little with every look."""
+
+    def now_s(self):
+        self.advance(0.01)
+        return super().now_s()
+
+
+class Engines:
+    """Fakes of the gate and the client, before engines whose processes end under a request."""
+
+    def __init__(self, port, is_gone=True):
+        self.clock = Clock(100.0)
+        self.port = port
+        self.sent = 0
+        self.answers = False
+        view = SimpleNamespace(site=SimpleNamespace(queue_wait_s=1.0))
+        self.state = SimpleNamespace(
+            keeper=SimpleNamespace(view=view),
+            attestations=SimpleNamespace(whole=lambda replica, now_s: False),
+        )
+        self.loads = SimpleNamespace(
+            sent=lambda *arguments: None,
+            ended=lambda flight: None,
+            first_token=lambda *arguments: None,
+        )
+
+    async def choose(self, request, excluded, weight, wait_s):
+        head = SimpleNamespace(url=f"http://127.0.0.1:{self.port}/e{self.sent}")
+        replica = SimpleNamespace(replica_id=f"r{self.sent}", generation=self.sent, head=head)
+        return SimpleNamespace(replica=replica)
+
+    async def send(self, request, attempt, relay, caller, resume, body):
+        self.sent += 1
+        return Answered(200, "text/plain", b"ok") if self.answers else Broken("reset")
+
+    def wake(self, model):
+        return None
+
+    def note_service(self, model, took_s):
+        return None
+
+
+def executor_before(engines):
+    executor = RequestExecutor(engines, engines, EngineControl, random.Random(1), StopLimit())
+    executor.budget.limit(1000)
+    executor.budget._saved = 1000
+    return executor
+
+
+def request(body=b"hi", repeatable=True):
+    return ModelRequest(
+        "id", "acme", "m", "/v1/completions", body, {}, False, (), 5, repeatable, "", 1e9
+    )
+
+
+async def run(executor, **options):
+    wanted = request(**options)
+    life = RequestLife(wanted.repeatable)
+    return await executor.run(wanted, SimpleNamespace(on_first=None), life, 1.0)
+
+
+@pytest.fixture
+def no_pause(monkeypatch):
+    monkeypatch.setattr("ferrydock.requests._executor.backoff_s", lambda *arguments: 0.0)
+
+
+@pytest.fixture
+def closed_port():
+    async def open_and_close():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        return port
+
+    return asyncio.run(open_and_close())
+
+
+def test_after_three_engines_it_is_refused_and_others_run(no_pause, closed_port):
+    async def check():
+        engines = Engines(closed_port)
+        executor = executor_before(engines)
+        outcome = await run(executor)
+        assert isinstance(outcome, GaveUp) and outcome.reason == "crashes_targets"
+        assert engines.sent == 3
+        refused = await run(executor)
+        assert isinstance(refused, NotRun) and refused.reason == "crashes_targets"
+        assert 50 < refused.retry_after_s <= 60
+        assert engines.sent == 3
+        engines.answers = True
+        assert not isinstance(await run(executor, body=b"other"), NotRun | GaveUp)
+        await executor.close()
+
+    asyncio.run(check())
+
+
+def test_one_that_may_run_once_is_refused_at_its_fourth_try(no_pause, closed_port):
+    async def check():
+        engines = Engines(closed_port)
+        executor = executor_before(engines)
+        for _ in range(3):
+            assert isinstance(await run(executor, repeatable=False), GaveUp)
+        assert isinstance(await run(executor, repeatable=False), NotRun)
+        assert engines.sent == 3
+        await executor.close()
+
+    asyncio.run(check())
+
+
+def test_engines_that_go_on_are_no_crash(no_pause):
+    async def check():
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        engines = Engines(server.sockets[0].getsockname()[1])
+        executor = executor_before(engines)
+        for _ in range(2):
+            outcome = await run(executor)
+            assert isinstance(outcome, GaveUp) and outcome.reason == "reset"
+        assert executor.crashes.remembered_count == 0
+        server.close()
+        await executor.close()
+
+    asyncio.run(check())
