--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -563,7 +563,13 @@
         lost_s = min(lost, default=float("inf"))
         worked_s = record.worked_s.get(call.request_id, float("-inf"))
         count = record.runs.get(call.request_id, 0)
-        return Run(count, worked_s - self._began_s, lost_s - self._began_s)
+        may_be_unread = any(
+            sent_s <= at_s <= call.ended_s + self._began_s
+            for worker_id, crashed in crashed_s.items()
+            if (worker_id in self.site.plain) == (call.kind in ("look", "file"))
+            for at_s in crashed
+        )
+        return Run(count, worked_s - self._began_s, lost_s - self._began_s, may_be_unread)
 
     def _judge_call(self, call: Call, runs: int) -> None:
         """Note what is wrong with one call, which ran `runs` times at workers."""
--- a/ferrydock/emulator/_stops.py
+++ b/ferrydock/emulator/_stops.py
@@ -51,6 +51,9 @@
 # Silence after which a daemon suspects a worker: `forwarding._stalls.QUIET_S`.
 SUSPECTED_AFTER_S = 0.2
 
+# Status of a request that may have run, whose target's answer broke off (RFC 9110).
+BAD_GATEWAY = 502
+
 # Statuses that promise that a request did not run.
 PROMISES_NOT_RUN = (429, 503, 408, 421)
 
@@ -117,11 +120,15 @@
         When a worker last worked on it.
     lost_s : float
         When the first of the workers that it reached fell silent for good; infinite if none did.
+    may_be_unread : bool
+        Whether a worker of its service crashed meanwhile: it may have lain there unread, so that
+        the record does not hold it.
     """
 
     count: int = 0
     worked_s: float = float("-inf")
     lost_s: float = float("inf")
+    may_be_unread: bool = False
 
 
 def excuse_of_stop(stop: PlannedStop) -> str:
@@ -154,6 +161,8 @@
         return "at work at the end of the grace"
     if run.lost_s <= call.ended_s:
         return "its target was lost"
+    if run.may_be_unread and not run.count and call.status == BAD_GATEWAY:
+        return "its target crashed before it had read it"
     if call.took_s >= REQUEST_LIMIT_S - LIMIT_TOLERANCE_S:
         return "its own time was over"
     if any(pause.makes_silent(call) for pause in stood_still):
