Crashes: who is to blame stands in a module of its own; a request is let go when an earlier answer is told of

Found in reading: one refused after three crashes, of which a peer then told that it had been answered before, counted as refused although it needs six. The test failed before.

--- a/ferrydock/crashes/__init__.py
+++ b/ferrydock/crashes/__init__.py
@@ -2,9 +2,9 @@
 
 A request that makes its target crash is sent again by its caller, or by a daemon, and takes the
 next target down. This package tells such requests apart from those that were only beside them:
-`_identity` (which tries are of one request), `_rule` (which crashes count, and for how long a
-request is refused), `_probe` (whether a target has ended), `_history` (all that was seen),
-`_exchange` (among daemons).
+`_identity` (which tries are of one request), `_probe` (whether a target has ended), `_rule` (which
+crashes count, and for how long a request is refused), `_attribution` (which of several is to
+blame), `_history` (all that was seen), `_exchange` (among daemons).
 
 What does not belong here: when a target is looked at and what a caller is told
 (`ferrydock.forwarding`, `ferrydock.requests`), and the calls between daemons (`ferrydock.relay`,
--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -9,21 +9,14 @@
 import uuid
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..clock import Clock
+from ._attribution import rank_sharers, refused_beside, unexplained
 from ._log import CrashLog
-from ._messages import CrashAge, CrashReport
-from ._rule import (
-    Crash,
-    crashes_in_a_row,
-    crashes_needed,
-    is_same_end,
-    refuse_for_s,
-    row_of,
-    worth_keeping,
-)
+from ._messages import CrashReport
+from ._record import RequestRecord
+from ._rule import Crash, crashes_in_a_row, worth_keeping
 
 __all__ = ["CrashHistory", "CrashListener"]
 
@@ -71,51 +64,6 @@
         """A request is no longer refused."""
 
 
-@dataclass(slots=True)
-class _Record:
-    """What is known of one request.
-
-    Attributes
-    ----------
-    answered_id, answered_s : str, float
-        The newest answer that a target gave it whole; crashes before it do not count.
-    shared_rank : int or None
-        Its place among the refused requests that were at all of its crashes; None if there is none.
-    change : int
-        Number of the change of the history that touched it last.
-    is_repeated : bool
-        Whether it has had two crashes in a row.
-    known_s : float or None
-        When it was last found to crash its targets; None if it is not refused.
-    trial_s : float
-        When a try was last let through after a refusal.
-    """
-
-    crashes: list[Crash] = field(default_factory=list)
-    answered_id: str = ""
-    answered_s: float = float("-inf")
-    change: int = 0
-    is_repeated: bool = False
-    shared_rank: int | None = None
-    known_s: float | None = None
-    trial_s: float = float("-inf")
-
-    @property
-    def last_s(self) -> float:
-        """When it was last heard of."""
-        return max((crash.ended_s for crash in self.crashes), default=self.answered_s)
-
-    @property
-    def needed(self) -> int:
-        """How many crashes in a row make it known."""
-        return crashes_needed(bool(self.answered_id))
-
-    @property
-    def refusal_s(self) -> float:
-        """How long it is refused after its last crash, if it is known."""
-        return refuse_for_s(crashes_in_a_row(self.crashes), self.needed, self.shared_rank)
-
-
 class CrashHistory:
     """Crashes and answers of requests, by identity.
 
@@ -169,7 +117,7 @@
         self.changes = 0
         self.last_repeated = 0
         self._numbers = itertools.count(1)
-        self._records: OrderedDict[str, _Record] = OrderedDict()
+        self._records: OrderedDict[str, RequestRecord] = OrderedDict()
         self._known: set[str] = set()
         self._answered_s: OrderedDict[str, float] = OrderedDict()
 
@@ -208,7 +156,7 @@
     def crashes_of(self, identity: str) -> int:
         """Return how many crashes in a row are known of a request."""
         record = self._records.get(identity)
-        return crashes_in_a_row(record.crashes) if record else 0
+        return record.row if record else 0
 
     @property
     def known_count(self) -> int:
@@ -220,7 +168,7 @@
         """How many requests are remembered."""
         return len(self._records)
 
-    def _refused_until_s(self, record: _Record) -> float:
+    def _refused_until_s(self, record: RequestRecord) -> float:
         last = max(record.crashes, key=lambda crash: crash.ended_s)
         is_own = last.finder == self.life
         factor = 1.0 if is_own else 1.0 + OTHERS_LATER_FRACTION
@@ -283,7 +231,7 @@
         )
         changed = [item for item in later if item[1].is_repeated or not repeated_only][::-1]
         now_s = self.clock.now_s()
-        reports = tuple(_report(identity, record, now_s) for identity, record in changed[:limit])
+        reports = tuple(record.report(identity, now_s) for identity, record in changed[:limit])
         up_to = changed[limit - 1][1].change if len(changed) > limit else self.changes
         return reports, up_to
 
@@ -328,32 +276,33 @@
         if not record.answered_id and identity in self._answered_s:
             record.answered_id, record.answered_s = self._new_id(), self._answered_s[identity]
         record.crashes = kept
-        record.is_repeated |= crashes_in_a_row(kept) > 1
+        record.is_repeated |= record.row > 1
         self._changed(identity, record)
         return True
 
     def _take_answer(
-        self, identity: str, record: _Record, answer_id: str, answered_s: float
+        self, identity: str, record: RequestRecord, answer_id: str, answered_s: float
     ) -> None:
         record.answered_id, record.answered_s = answer_id, answered_s
         record.crashes = [crash for crash in record.crashes if crash.ended_s > answered_s]
+        # An answer before its crashes clears none, but one that was answered needs more of them.
         self._changed(identity, record)
-        if record.known_s is not None and crashes_in_a_row(record.crashes) < record.needed:
+        if record.known_s is not None and record.row < record.needed:
             self._release(identity, record, ANSWERED)
 
-    def _changed(self, identity: str, record: _Record) -> None:
+    def _changed(self, identity: str, record: RequestRecord) -> None:
         self.changes += 1
         record.change = self.changes
         if record.is_repeated:
             self.last_repeated = self.changes
         self._records.move_to_end(identity)
 
-    def _remember(self, identity: str) -> _Record:
+    def _remember(self, identity: str) -> RequestRecord:
         """Begin a record; the one that was changed longest ago and is not refused makes room."""
         if len(self._records) >= MAX_REQUESTS:
             unknown = (i for i in self._records if i not in self._known)
             self._forget(next(unknown, next(iter(self._records))))
-        record = self._records[identity] = _Record()
+        record = self._records[identity] = RequestRecord()
         return record
 
     def _forget(self, identity: str) -> None:
@@ -366,69 +315,24 @@
     def _judge(self, identity: str) -> None:
         """Decide on a request of which a crash was learned, and on those it explains."""
         record = self._records[identity]
-        if crashes_in_a_row(record.crashes) < record.needed:
-            return
-        if crashes_in_a_row(self._unexplained(identity)) < record.needed:
+        if record.row < record.needed or not self._is_to_blame(identity):
+            if record.known_s is not None:
+                self._release(identity, record, EXPLAINED)
             return
-        self._note_sharers(identity)
+        rank_sharers(identity, self._records, self._known)
         record.known_s = self.clock.now_s()
         if identity not in self._known:
             self._known.add(identity)
             self.listener.became_known(identity, tuple(record.crashes), record.refusal_s)
-        for other in self._known_beside(identity):
-            if crashes_in_a_row(self._unexplained(other)) < self._records[other].needed:
+        for other in refused_beside(identity, self._records, self._known):
+            if not self._is_to_blame(other):
                 self._release(other, self._records[other], EXPLAINED)
 
-    def _note_sharers(self, identity: str) -> None:
-        """Rank the refused requests that were at all crashes of a request, and the request."""
-        row = row_of(self._records[identity].crashes)
-        sharers = [
-            other
-            for other in self._known_beside(identity)
-            if all(is_same_end(crash, self._records[other].crashes) for crash in row)
-        ]
-        self._records[identity].shared_rank = None
-        if sharers:
-            for rank, sharer in enumerate(sorted([identity, *sharers])):
-                self._records[sharer].shared_rank = rank
-
-    def _known_beside(self, identity: str) -> list[str]:
-        """Return the other refused requests that were at one of a request's targets."""
-        targets = {crash.target_id for crash in self._records[identity].crashes}
-        return [
-            other
-            for other in self._known
-            if other != identity
-            and any(crash.target_id in targets for crash in self._records[other].crashes)
-        ]
-
-    def _unexplained(self, identity: str) -> list[Crash]:
-        """Return the crashes of a request that none with more crashes than it took part in.
-
-        A request that was beside one that crashes its targets, at several of them, is let go.
-        """
-        own = self._records[identity].crashes
-        own_count = crashes_in_a_row(own)
-        explaining = [
-            crash
-            for other in self._known_beside(identity)
-            if self.crashes_of(other) > own_count
-            for crash in self._records[other].crashes
-        ]
-        return [crash for crash in own if not is_same_end(crash, explaining)]
+    def _is_to_blame(self, identity: str) -> bool:
+        own = unexplained(identity, self._records, self._known)
+        return crashes_in_a_row(own) >= self._records[identity].needed
 
-    def _release(self, identity: str, record: _Record, why: str) -> None:
+    def _release(self, identity: str, record: RequestRecord, why: str) -> None:
         record.known_s = None
         self._known.discard(identity)
         self.listener.released(identity, why)
-
-
-def _report(identity: str, record: _Record, now_s: float) -> CrashReport:
-    crashes = tuple(
-        CrashAge(
-            crash.crash_id, crash.target_id, now_s - crash.ended_s, crash.ended_s - crash.began_s
-        )
-        for crash in record.crashes
-    )
-    answered_age_s = now_s - record.answered_s if record.answered_id else None
-    return CrashReport(identity, crashes, record.answered_id, answered_age_s)
--- a/ferrydock/crashes/tests/test_history.py
+++ b/ferrydock/crashes/tests/test_history.py
@@ -151,6 +151,20 @@
     assert daemons.histories[1].admit("r") > 0
 
 
+def test_one_that_is_refused_is_let_go_when_an_answer_before_is_told_of():
+    daemons = Daemons(3)
+    daemons.histories[2].note_answer("r")
+    daemons.advance(1.0)
+    crash_in_a_row(daemons, "r", 3, number=1)
+    assert daemons.histories[1].admit("r") > 0
+    for _ in range(3):
+        daemons.ask_all()
+    assert [history.admit("r") for history in daemons.histories] == [0, 0, 0]
+    assert [history.known_count for history in daemons.histories] == [0, 0, 0]
+    crash_in_a_row(daemons, "r", 3, number=1)
+    assert daemons.histories[1].admit("r") > 0
+
+
 def test_one_that_was_explained_before_is_never_refused(alone):
     daemons, history = alone
     for n in range(4):
