--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from ..clock import Clock
-from ._attribution import rank_sharers, refused_beside, unexplained
+from ._attribution import known_beside, rank_sharers, unexplained
 from ._log import CrashLog
 from ._messages import CrashReport
 from ._record import RequestRecord
@@ -156,7 +156,7 @@
     def crashes_of(self, identity: str) -> int:
         """Return how many crashes in a row are known of a request."""
         record = self._records.get(identity)
-        return record.row if record else 0
+        return record.in_a_row if record else 0
 
     @property
     def known_count(self) -> int:
@@ -276,7 +276,7 @@
         if not record.answered_id and identity in self._answered_s:
             record.answered_id, record.answered_s = self._new_id(), self._answered_s[identity]
         record.crashes = kept
-        record.is_repeated |= record.row > 1
+        record.is_repeated |= record.in_a_row > 1
         self._changed(identity, record)
         return True
 
@@ -287,7 +287,7 @@
         record.crashes = [crash for crash in record.crashes if crash.ended_s > answered_s]
         # An answer before its crashes clears none, but one that was answered needs more of them.
         self._changed(identity, record)
-        if record.known_s is not None and record.row < record.needed:
+        if record.known_s is not None and record.in_a_row < record.needed:
             self._release(identity, record, ANSWERED)
 
     def _changed(self, identity: str, record: RequestRecord) -> None:
@@ -315,7 +315,7 @@
     def _judge(self, identity: str) -> None:
         """Decide on a request of which a crash was learned, and on those it explains."""
         record = self._records[identity]
-        if record.row < record.needed or not self._is_to_blame(identity):
+        if record.in_a_row < record.needed or not self._is_to_blame(identity):
             if record.known_s is not None:
                 self._release(identity, record, EXPLAINED)
             return
@@ -324,7 +324,7 @@
         if identity not in self._known:
             self._known.add(identity)
             self.listener.became_known(identity, tuple(record.crashes), record.refusal_s)
-        for other in refused_beside(identity, self._records, self._known):
+        for other in known_beside(identity, self._records, self._known):
             if not self._is_to_blame(other):
                 self._release(other, self._records[other], EXPLAINED)
 
--- a/ferrydock/crashes/_record.py
+++ b/ferrydock/crashes/_record.py
@@ -39,7 +39,7 @@
     trial_s: float = float("-inf")
 
     @property
-    def row(self) -> int:
+    def in_a_row(self) -> int:
         """How many of its crashes lie one after the other."""
         return crashes_in_a_row(self.crashes)
 
@@ -51,7 +51,7 @@
     @property
     def refusal_s(self) -> float:
         """How long it is refused after its last crash, if it is known."""
-        return refuse_for_s(self.row, self.needed, self.shared_rank)
+        return refuse_for_s(self.in_a_row, self.needed, self.shared_rank)
 
     @property
     def last_s(self) -> float:
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -11,8 +11,8 @@
 __all__ = [
     "CRASHES_TO_KNOW",
     "Crash",
-    "crashes_needed",
     "crashes_in_a_row",
+    "crashes_needed",
     "is_same_end",
     "refuse_for_s",
     "row_of",
