--- a/ferrydock/scheduling/_messages.py
+++ b/ferrydock/scheduling/_messages.py
@@ -139,6 +139,8 @@
     (({'t': 3}, None), ({'running': 3}, None))
     """
     fields = orjson.loads(data)
+    if not isinstance(fields, dict):
+        raise TypeError(f"an answer of another hall is a table, not {type(fields).__name__}")
     running = fields.get("running")
     if not isinstance(running, dict):
         return fields, None
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -366,6 +366,32 @@
     with pytest.raises(grpc.aio.AioRpcError) as refused:
         await play.call("News", b"[")
     assert refused.value.code() is grpc.StatusCode.INVALID_ARGUMENT
+    await check_crash_news(play)
+
+
+async def check_crash_news(play):
+    """What daemons tell each other of requests that crash their targets, along calls that run."""
+    crashes = (
+        b'{"life":"x","change":1,"known_life":"","known_change":0,"reports":[{"identity":"r",'
+        b'"crashes":[{"crash_id":"x:1","target_id":"t","ended_age_s":1.0,"ran_s":0.1},'
+        b'{"crash_id":"x:2","target_id":"u","ended_age_s":0.5,"ran_s":0.1}],'
+        b'"answered_id":"x:3","answered_age_s":9.0}]}'
+    )
+    request = b'{"life":"","change":0,"version":-1,"broken":[],"sender":"e3","crashes":%s}'
+    news = json.loads(await play.call("News", request % crashes))
+    hall = json.loads(await play.call("Running", b'{"crashes":null}'))
+    assert list(hall) == ["running", "crashes"]
+    for told in (news["crashes"], hall["crashes"]):
+        assert list(told) == ["life", "change", "known_life", "known_change", "reports"]
+        (report,) = told["reports"]
+        assert list(report) == ["identity", "crashes", "answered_id", "answered_age_s"]
+        assert (report["identity"], report["answered_id"]) == ("r", "x:3")
+        assert list(report["crashes"][0]) == ["crash_id", "target_id", "ended_age_s", "ran_s"]
+        assert 1.0 <= report["crashes"][0]["ended_age_s"] < 3.0
+    for method, data in (("News", request % b"[]"), ("Running", b"[]")):
+        with pytest.raises(grpc.aio.AioRpcError) as refused:
+            await play.call(method, data)
+        assert refused.value.code() is grpc.StatusCode.INVALID_ARGUMENT
 
 
 async def check_stored_values(store):
