--- a/ferrydock/platform/tests/test_crashing_requests.py
+++ b/ferrydock/platform/tests/test_crashing_requests.py
@@ -92,16 +92,16 @@
         self.answers = []
 
     async def send_for(self, for_s):
-        """Send two requests of each kind every `every_s`, to one daemon after the other."""
+        """Send pairs of one that all send and one of its own, each pair to one daemon, in turn."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + for_s
-        sent, calls = 0, []
+        rounds, calls = 0, []
         while loop.time() < until_s:
-            for path, model in (("/write/x", "large"), ("/look/x", "")):
-                for body in (HOT_BODY, b"own %d" % sent):
-                    node = self.nodes[sent % len(self.nodes)]
-                    sent += 1
+            for number, (path, model) in enumerate((("/write/x", "large"), ("/look/x", ""))):
+                node = self.nodes[(rounds + number) % len(self.nodes)]
+                for body in (HOT_BODY, b"own %d %d" % (rounds, number)):
                     calls.append(asyncio.ensure_future(self._call(node, path, model, body)))
+            rounds += 1
             await asyncio.sleep(self.every_s)
         await asyncio.gather(*calls)
 
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -130,14 +130,16 @@
         self._returns.add(loop.create_task(self._start_again(worker)))
 
     async def _start_again(self, worker: Worker) -> None:
+        """Start a worker's process again; it lives, and may crash again, once its port is open."""
         await asyncio.sleep(self.rng.uniform(*BACK_AFTER_S))
-        worker.start_again()
         while True:
             try:
                 await self.faces[worker.worker_id].start()
                 break
             except OSError:
                 await asyncio.sleep(PORT_TAKEN_S)
+        worker.start_again()
+        self.faces[worker.worker_id].has_crashed = False
         self._write_entry(worker)
 
     def _remove_entry_of_dead(self, worker: Worker, born_ms: int) -> None:
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -137,6 +137,7 @@
         self.on_crash = on_crash
         self._server: web.Server | None = None
         self._sockets: asyncio.Server | None = None
+        self.has_crashed = False
 
     async def start(self) -> str:
         """Begin to listen, at the same address after a crash; return the address."""
@@ -150,6 +151,7 @@
 
     def crash(self) -> None:
         """End as a process that crashes: the port is closed, the connections are reset."""
+        self.has_crashed = True
         if self._sockets is not None:
             self._sockets.close()
         for connection in self._server.connections if self._server is not None else ():
@@ -164,6 +166,10 @@
             await self._server.shutdown(_CLOSE_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if not self.worker.alive and self.has_crashed:
+            # Its port is open again, and the process is not yet there: as a port that is closed.
+            existing(request.transport, "the connection").abort()
+            raise asyncio.CancelledError
         if not self.worker.alive:
             if "X-Attempt-Id" in request.headers:
                 self.record.note_arrival(request, self.worker)
