--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -20,5 +20,5 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_request_that_crashes_its_targets_is_kept_from_them_and_no_other_is(results, seed):
     result = results[seed]
-    assert result.crashes >= 3
+    assert any(call.code == "crashes_targets" for call in result.calls)
     assert result.broken == [], result.troubles
