The reason of a refusal for crashing targets stands once, for both programs and the emulation

It stood in the guard of routes, in the executor of model requests and in the emulation's judge. No behaviour changes; tests of these packages, ruff and mypy pass.

--- a/ferrydock/crashes/__init__.py
+++ b/ferrydock/crashes/__init__.py
@@ -16,9 +16,10 @@
 from ._identity import IDENTIFIED_BODY_BYTES, request_identity
 from ._messages import CrashAge, CrashNews, CrashReport, decode_crash_news
 from ._probe import TargetPresence, TargetProbe
-from ._rule import CRASHES_TO_KNOW, Crash
+from ._rule import CRASHES_TARGETS, CRASHES_TO_KNOW, Crash
 
 __all__ = [
+    "CRASHES_TARGETS",
     "CRASHES_TO_KNOW",
     "IDENTIFIED_BODY_BYTES",
     "Crash",
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "CRASHES_TARGETS",
     "CRASHES_TO_KNOW",
     "Crash",
     "crashes_in_a_row",
@@ -19,6 +20,9 @@
     "worth_keeping",
 ]
 
+# Reason of a refusal for this, in answers and log lines of both programs.
+CRASHES_TARGETS = "crashes_targets"
+
 # Crashes in a row after which a request is refused. Two happen to honest requests: of 278 attempts
 # that broke in one day on which 60 targets crashed, 46 requests lost two (emulated, one play). The
 # platform allows three before it counts.
--- a/ferrydock/emulator/_crashing.py
+++ b/ferrydock/emulator/_crashing.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from ..crashes import CRASHES_TARGETS
 from ..standins.fleet import CRASHING_BODY, CrashingRequest
 from ._experiment import Trouble
 from ._load import Call, Callers
@@ -30,9 +31,6 @@
 CRASHES = 3
 MAX_MORE = 3
 
-# Code of the answer to a request that is refused since it crashes its targets.
-CRASHES_TARGETS = "crashes_targets"
-
 # Pauses between two tries of one caller. Chosen, not measured: from callers that repeat at once to
 # some that wait about as long as the platform's do.
 PAUSES_S = (0.02, 0.2, 0.5)
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -14,13 +14,10 @@
 from ..targets import Target, TargetDirectory
 from ._exchange import AttemptEnd, AttemptReason, Exchange
 
-__all__ = ["CRASHES_TARGETS", "CrashGuard"]
+__all__ = ["CrashGuard"]
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
-# Reason of a refusal, in answers and log lines.
-CRASHES_TARGETS = "crashes_targets"
-
 # How long a request that may have crashed its third target waits until that is known, in seconds:
 # a little longer than one look takes (`crashes._probe.ANSWER_WITHIN_S`). One with fewer crashes
 # goes on at once. Chosen, not measured.
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -11,13 +11,14 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..crashes import CRASHES_TARGETS
 from ..invariants import existing
 from ..planned_stop import STOPPING, DaemonStopping, StopLimit
 from ..retry_budget import RetryBudget
 from ..scheduling import Endpoint
 from ._admission import queue_times
 from ._attempts import AttemptRunner
-from ._crash_guard import CRASHES_TARGETS, CrashGuard
+from ._crash_guard import CrashGuard
 from ._exchange import Exchange
 from ._observed_times import ObservedTimes
 from ._refusal import (
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -8,10 +8,10 @@
 from collections import deque
 
 from ..clock import Clock
+from ..crashes import CRASHES_TARGETS
 from ..logs import log_event
 from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
-from ._crash_guard import CRASHES_TARGETS
 from ._exchange import AttemptEnd, Exchange
 from ._target_loads import SERVER_ERROR
 
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -12,7 +12,7 @@
 import orjson
 
 from ..clock import Clock
-from ..crashes import CrashHistory, TargetPresence, TargetProbe, request_identity
+from ..crashes import CRASHES_TARGETS, CrashHistory, TargetPresence, TargetProbe, request_identity
 from ..engines import EngineControl
 from ..invariants import existing
 from ..logs import log_event
@@ -43,9 +43,6 @@
 # as one look takes. A pause follows in any case. Chosen, not measured.
 LOOK_WITHIN_S = 0.15
 
-# Reason of a refusal, in answers and log lines.
-CRASHES_TARGETS = "crashes_targets"
-
 # Pause between two looks whether the replicas of all attempts are whole. Chosen, not measured.
 WATCH_S = 0.25
 
