Sight: how old the target list is, as a metric and as log lines

Cause: nothing tells a quiet list from a silent connection. Answers of the store name its revision; the configuration's confirmations, twice a second, now tell whether the known list is complete. ferrydock_targets_age_seconds; targets_outdated and targets_current, one line each as the age passes the deployment's bound on changes and is back. No decision reads it yet, and a follower does not know its leader's age yet. Safe: an empty answer of a watch now advances the revision of the list and nothing else.

--- a/ferrydock/configuration/__init__.py
+++ b/ferrydock/configuration/__init__.py
@@ -21,12 +21,18 @@
     Team,
     WeightedService,
 )
-from ._source import ConfigurationSource, ConfigurationUnchanged, ConfigurationUnreadable
+from ._source import (
+    ConfigurationRead,
+    ConfigurationSource,
+    ConfigurationUnchanged,
+    ConfigurationUnreadable,
+)
 
 __all__ = [
     "LEADER_MAX_AGE_S",
     "Configuration",
     "ConfigurationLookup",
+    "ConfigurationRead",
     "ConfigurationSource",
     "ConfigurationUnchanged",
     "ConfigurationUnreadable",
--- a/ferrydock/configuration/_source.py
+++ b/ferrydock/configuration/_source.py
@@ -6,7 +6,12 @@
 from ..outcomes import Unavailable
 from ._model import Configuration
 
-__all__ = ["ConfigurationSource", "ConfigurationUnchanged", "ConfigurationUnreadable"]
+__all__ = [
+    "ConfigurationRead",
+    "ConfigurationSource",
+    "ConfigurationUnchanged",
+    "ConfigurationUnreadable",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,12 +26,25 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """What a call brought.
+
+    Attributes
+    ----------
+    store_revision : int
+        Revision at which the store stood, no earlier than the start of the call; 0 if its answer
+        does not name it. Whoever knows all changes up to it misses nothing.
+    """
+
+    found: Configuration | ConfigurationUnchanged | ConfigurationUnreadable
+    store_revision: int = 0
+
+
 class ConfigurationSource(Protocol):
     """What ferrydock needs of whatever keeps the configuration."""
 
-    async def read(
-        self,
-    ) -> Configuration | ConfigurationUnchanged | ConfigurationUnreadable | Unavailable:
+    async def read(self) -> ConfigurationRead | Unavailable:
         """Read the newest configuration, certainly no older than the start of this call."""
 
     def decode(self, encoded: bytes) -> Configuration | ConfigurationUnreadable:
--- /dev/null
+++ b/ferrydock/freshness/__init__.py
@@ -0,0 +1,15 @@
+"""How old is what a daemon knows, and who notices when it is too old.
+
+Here stand the bounds on the age of each thing that a daemon follows (`_bounds`, the one place for
+them), the rule by which the age of something followed by its changes is known (`_confirmation`),
+and the log lines about it (`_age_alarm`). What does not belong here: reading or relaying anything
+(`ferrydock.route_daemon`, `ferrydock.relay`) and the bound on keys (`ferrydock.configuration`).
+"""
+
+from ._age_alarm import AgeAlarm
+from ._confirmation import Confirmation
+
+__all__ = [
+    "AgeAlarm",
+    "Confirmation",
+]
--- a/ferrydock/platform/_configuration.py
+++ b/ferrydock/platform/_configuration.py
@@ -11,6 +11,7 @@
 
 from ..configuration import (
     Configuration,
+    ConfigurationRead,
     ConfigurationUnchanged,
     ConfigurationUnreadable,
     EngineSpec,
@@ -75,9 +76,7 @@
         self._store = store
         self._revision = 0
 
-    async def read(
-        self,
-    ) -> Configuration | ConfigurationUnchanged | ConfigurationUnreadable | Unavailable:
+    async def read(self) -> ConfigurationRead | Unavailable:
         """Read the newest configuration, certainly no older than the start of this call."""
         done = await self._store.transact(Txn((Compare(_KEY, self._revision),), (), (_KEY,)))
         if isinstance(done, Unavailable | Unknown):
@@ -85,16 +84,17 @@
         if done.succeeded:
             if self._revision == 0:
                 return Unavailable("there is no configuration yet")
-            return ConfigurationUnchanged()
+            return ConfigurationRead(ConfigurationUnchanged(), done.revision)
         item = done.reads[0]
         if item is None:
-            return ConfigurationUnreadable(f"{_KEY} is not there any more")
+            missing = ConfigurationUnreadable(f"{_KEY} is not there any more")
+            return ConfigurationRead(missing, done.revision)
         if item.mod_revision < self._revision:
             return Unavailable("the store answered with an older revision")
         decoded = self.decode(item.value)
         if isinstance(decoded, Configuration):
             self._revision = item.mod_revision
-        return decoded
+        return ConfigurationRead(decoded, done.revision)
 
     def decode(self, encoded: bytes) -> Configuration | ConfigurationUnreadable:
         """Decode a stored value, also one that another daemon passed on."""
--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -64,8 +64,7 @@
             watched = await self._store.watch_once(_PREFIX, revision)
             if isinstance(watched, WatchBatch):
                 revision = watched.revision
-                if watched.changes:
-                    yield _changes(watched)
+                yield _changes(watched)
             elif isinstance(watched, HistoryGone):
                 revision = None
             else:
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -383,6 +383,7 @@
         self.retry_shares.update()
         self.upkeep.tidy()
         self.crash_exchange.history.tidy()
+        self.store_follower.look_at_age()
 
     async def _set_gather_time(self) -> None:
         """Let a daemon that forms replicas learn of its targets soon, others in larger batches."""
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -60,7 +60,9 @@
         metrics.in_flight.set(self.gateway.in_flight)
         metrics.waiting.set(self.gateway.forwarder.selector.waiting)
         metrics.version.set(current.version)
-        metrics.age.set(current.age_s(self.gateway.clock.now_s()))
+        now_s = self.gateway.clock.now_s()
+        metrics.age.set(current.age_s(now_s))
+        metrics.targets_age.set(self.directory.age_s(now_s))
         for service, budget in self.retry_shares.items():
             metrics.budget_left.labels(service).set(budget.left)
         for result, calls in self.store_calls.items():
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -11,10 +11,11 @@
 from ..clock import Clock
 from ..configuration import (
     Configuration,
+    ConfigurationRead,
     ConfigurationUnchanged,
-    ConfigurationUnreadable,
     CurrentConfiguration,
 )
+from ..freshness import AgeAlarm
 from ..logs import log_event
 from ..outcomes import Unavailable
 from ..targets import TargetDirectory
@@ -101,6 +102,7 @@
     """
 
     __slots__ = (
+        "_age_alarm",
         "_is_reached",
         "clock",
         "current",
@@ -127,6 +129,7 @@
         self.clock: Clock = leadership.clock
         self.rng = rng
         self.on_change = on_change
+        self._age_alarm = AgeAlarm("targets")
         self._is_reached = True
 
     async def follow_configuration(self) -> None:
@@ -146,6 +149,7 @@
                 continue
             backoff.reset()
             self._note_store(True)
+            self.directory.confirmation.note_store(read.store_revision, began_s, self.clock.now_s())
             self._take(read, began_s)
             is_leader = self.leadership.lease.valid
             pause_s = LEADER_CONFIRM_EVERY_S if is_leader else CONFIRM_EVERY_S
@@ -182,32 +186,50 @@
                 return
             await asyncio.sleep(RELAYED_LOOK_S / 2)
 
-    def _take(
-        self,
-        read: Configuration | ConfigurationUnchanged | ConfigurationUnreadable,
-        began_s: float,
-    ) -> None:
+    def _take(self, read: ConfigurationRead, began_s: float) -> None:
         """Put what was read in force; `began_s` is when the call began."""
-        if isinstance(read, Configuration):
-            self.current.offer(read, began_s)
+        found = read.found
+        if isinstance(found, Configuration):
+            self.current.offer(found, began_s)
             self.on_change()
-        elif isinstance(read, ConfigurationUnchanged):
+        elif isinstance(found, ConfigurationUnchanged):
             self.current.confirm(self.current.version, began_s)
         else:
-            log_event(_LOG, logging.ERROR, "configuration_unreadable", why=read.reason)
+            log_event(_LOG, logging.ERROR, "configuration_unreadable", why=found.reason)
 
     async def _read_targets(self) -> None:
         """Follow the target source until it ends; the caller starts it again."""
         backoff = StoreBackoff(self.rng)
         known = self.directory.revision if self.directory.loaded else None
+        asked_s = self.clock.now_s()
         async for changes in self.deployment.target_source.follow(known):
             if isinstance(changes, Unavailable):
                 log_event(_LOG, logging.WARNING, "targets_unavailable", why=changes.reason)
                 await asyncio.sleep(self._pause_s(backoff))
+                asked_s = self.clock.now_s()
                 continue
             backoff.reset()
             if changes.revision >= self.directory.revision:
                 self.directory.take(changes)
+                self.directory.confirmation.confirm(asked_s)
+            asked_s = self.clock.now_s()
+
+    def look_at_age(self) -> None:
+        """Log when the target list becomes older than a change may take, and when it is back.
+
+        While the leader relays the list, this daemon does not know its age.
+        """
+        if self.leadership.is_relayed:
+            return
+        now_s = self.clock.now_s()
+        self._age_alarm.look(
+            self.directory.age_s(now_s),
+            self.deployment.settings.change_within_s,
+            now_s,
+            revision=self.directory.revision,
+            store_ahead_s=self.directory.confirmation.ahead_for_s(now_s),
+            is_leader=self.leadership.is_leader,
+        )
 
     def _pause_s(self, backoff: StoreBackoff) -> float:
         """Return how long to leave the store alone after a failure.
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -124,6 +124,11 @@
             registry=registry,
         )
         self.targets = Gauge("ferrydock_targets", "Targets known here.", registry=registry)
+        self.targets_age = Gauge(
+            "ferrydock_targets_age_seconds",
+            "How long ago the target list was surely complete.",
+            registry=registry,
+        )
         self.in_flight = Gauge("ferrydock_in_flight", "Requests under way.", registry=registry)
         self.waiting = Gauge("ferrydock_waiting", "Requests that wait for room.", registry=registry)
         self.repairs = Counter(
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from ..freshness import Confirmation
 from ._ports import TargetChanges
 from ._target import ReplicaState, Target
 
@@ -56,6 +57,8 @@
         Rises with every change.
     revision : int
         Revision of the source that the list corresponds to at least.
+    confirmation : Confirmation
+        Since when the list is certainly complete.
     """
 
     __slots__ = (
@@ -65,6 +68,7 @@
         "_members",
         "_replicas",
         "changes",
+        "confirmation",
         "loaded",
         "revision",
         "targets",
@@ -75,6 +79,7 @@
         self.loaded = False
         self.changes = 0
         self.revision = 0
+        self.confirmation = Confirmation()
         self._changed_ids: deque[str] = deque(maxlen=CHANGES_REMEMBERED)
         # Revision at which each of these was known, at the latest; and the one after which none of
         # them is missing.
@@ -102,6 +107,11 @@
         if not changes.whole:
             for target in changes.entries:
                 self.put(target)
+        self.confirmation.note_known(self.revision)
+
+    def age_s(self, now_s: float) -> float:
+        """Return seconds since the list was certainly complete; infinite if it never was."""
+        return self.confirmation.age_s(now_s)
 
     def changed_since(self, change: int) -> tuple[str, ...] | None:
         """Return the ids that changed after change number `change`; None if it is too long ago."""
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -57,6 +57,9 @@
     def follow(self, since: int | None = None) -> AsyncIterator[TargetChanges | Unavailable]:
         """Yield the whole list, then its changes; the whole list again after history was lost.
 
+        An empty change says that there was none up to its revision. What is yielded was asked for
+        after the one before was taken, and is no older than that.
+
         With `since`, a revision up to which the list is known, only the changes after it.
 
         `Unavailable` for each call that failed; the next is made when the caller goes on.
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -136,6 +136,7 @@
     "ferrydock_store_calls": "gauge",
     "ferrydock_target_crashes": "counter",
     "ferrydock_targets": "gauge",
+    "ferrydock_targets_age_seconds": "gauge",
     "ferrydock_waiting": "gauge",
 }
 
