Reproduced: requests reach leaving targets while a wait for changes is never answered

The store of the fleet stand-in can leave waits under way without an answer for good while later calls are answered, and does so in a silent outage. Emulator: targets that leave in series, silent waits of all daemons or of leaders only, outages for some daemons; a judge of leaving targets, by the platform's bound of 2 s, for daemons to which nothing was done for 3 s.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -6,6 +6,9 @@
 ``python -m benchmarks.soak --plays=stops --seeds=50`` plays planned stops of all daemons, with
 callers that stay until the process is gone; its seeds belong into ``tests/soak_stop_seeds.txt``.
 
+``python -m benchmarks.soak --plays=leaving --seeds=50`` plays targets that leave, one after another,
+beside a store that falls silent; its seeds belong into ``tests/soak_leaving_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=crashes --seeds=50`` plays requests that crash their targets,
 beside all of that; its seeds belong into ``tests/soak_crash_seeds.txt``.
 """
@@ -21,6 +24,7 @@
     Experiment,
     Load,
     draw_crashing,
+    draw_leaving,
     draw_stops,
     draw_troubles,
     figures,
@@ -36,6 +40,10 @@
 STOPS_LOAD = Load(6.0, _MIX)
 STOPS_WITHIN_S = 8.0
 
+# Targets that leave: enough requests for several at each daemon and target in each bound of 2 s.
+# Chosen, not measured.
+LEAVING_LOAD = Load(40.0, _MIX)
+
 
 def soak_experiment(seed: int, length_s: float = 14.0, troubles: int = 9) -> Experiment:
     """Return the experiment that a seed stands for."""
@@ -106,7 +114,37 @@
     )
 
 
-PLAYS = {"all": soak_experiment, "stops": stops_experiment, "crashes": crashes_experiment}
+def leaving_experiment(seed: int) -> Experiment:
+    """Return the leaving targets that a seed stands for.
+
+    Every tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in
+    each of two halls.
+    """
+    halls, count, domain_size = HALLS, 2, 8
+    if seed % 10 == 0:
+        halls, count, domain_size = (*HALLS, "hall-c"), 8, 12
+    elif seed % 4 == 0:
+        halls, count, domain_size = HALLS[:1], 8, 16
+    length_s = 16.0
+    return Experiment(
+        name=f"leaving {seed}",
+        seed=seed,
+        length_s=length_s,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=domain_size,
+        load=LEAVING_LOAD,
+        troubles=tuple(draw_leaving(seed, length_s, halls)),
+        settle_s=10.0,
+    )
+
+
+PLAYS = {
+    "all": soak_experiment,
+    "stops": stops_experiment,
+    "crashes": crashes_experiment,
+    "leaving": leaving_experiment,
+}
 
 
 async def play(seed: int, folder: Path, plays: str = "all") -> list[str]:
@@ -126,6 +164,7 @@
             stop_calls=result.stop_calls or None,
             crashes=result.crashes or None,
             beyond=result.beyond if result.crashes else None,
+            at_leaving=result.at_leaving or None,
             stood_still=len(result.stood_still) or None,
             excused=sum(result.excused.values()) if result.stops else None,
             broken=len(result.broken),
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -10,6 +10,7 @@
     draw_troubles,
     read_experiment,
 )
+from ._leaving import DRAIN_S, draw_leaving, late_arrivals
 from ._load import Call, Callers
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
@@ -27,6 +28,7 @@
 
 __all__ = [
     "CONTACT_S",
+    "DRAIN_S",
     "arrivals_beyond",
     "KINDS",
     "PROMISES",
@@ -41,6 +43,7 @@
     "Run",
     "Trouble",
     "demo_experiment",
+    "draw_leaving",
     "draw_stops",
     "draw_crashing",
     "draw_troubles",
@@ -50,6 +53,7 @@
     "free_ports",
     "is_as_promised",
     "judge_end",
+    "late_arrivals",
     "loopback_address",
     "page",
     "read_experiment",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -43,7 +43,13 @@
     "`count` callers at a time",
     "workers_crash": "heads of replicas and plain workers crash at one moment, and start again",
 }
-KINDS = {**_SOAK_KINDS, **_STOP_KINDS, **_CRASH_KINDS}
+_LEAVING_KINDS = {
+    "target_replaced": "targets that are used say that they leave, and new ones join",
+    "waits_silent": "what daemons wait for at the store is never answered; later calls are",
+    "leader_waits_silent": "the same for the daemons that lead a hall, and for no others",
+    "store_down_for_some": "the store gives `count` daemons no answer (how: as for store_down)",
+}
+KINDS = {**_SOAK_KINDS, **_STOP_KINDS, **_CRASH_KINDS, **_LEAVING_KINDS}
 _HOWS = ("silent", "busy", "many", "reset")
 _CLASSES = ("write-large", "write-small", "look", "file")
 
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -19,6 +19,7 @@
     describe_refused,
 )
 from ._experiment import Experiment, Trouble
+from ._leaving import StoreHurt, describe_late, late_arrivals
 from ._load import Call, Callers
 from ._processes import DaemonProcess, free_ports, loopback_address
 from ._stop_callers import WATCHED_BEFORE_S, StopCallers
@@ -35,6 +36,7 @@
     is_as_promised,
     judge_end,
 )
+from ._troubles import TROUBLES, PlayedParts, stores_of
 
 __all__ = ["Emulation", "Result"]
 
@@ -52,7 +54,8 @@
 # half of the silence after which a daemon suspects a worker. Chosen, not measured.
 OWN_LOOK_S = 0.02
 OWN_STILL_S = 0.1
-_OF_THE_STORE = ("store_down", "store_lost", "history_lost")
+_OF_ALL_STORES = ("store_down", "store_lost", "history_lost")
+_OF_THE_STORE = (*_OF_ALL_STORES, "waits_silent", "leader_waits_silent", "store_down_for_some")
 PROMISES = (
     "no replica serves while a member is missing, no worker is in two",
     "an answer that looks whole is whole, and its own",
@@ -63,6 +66,7 @@
     "replicas are formed again after the troubles",
     "a planned stop ends with status 0 within its grace, and cuts no answer",
     "a request that crashes its targets is kept from them, and no other is",
+    "no request is sent to a target 2 s after its word that it leaves",
 )
 
 
@@ -86,6 +90,8 @@
         Targets that ended under requests that crash them.
     beyond : int
         Most tries in which such a request reached targets although daemons had time to know it.
+    at_leaving : int
+        Requests that reached targets which had said that they leave.
     excused : Counter
         Those of them that fell under an exception of the promise, by its reason.
     """
@@ -103,6 +109,7 @@
     stop_calls: int = 0
     crashes: int = 0
     beyond: int = 0
+    at_leaving: int = 0
     excused: Counter[str] = field(default_factory=Counter)
 
 
@@ -133,7 +140,8 @@
         self._stops: dict[str, PlannedStop] = {}
         self._to_be_stopped: set[str] = set()
         self._crashing: CrashingCallers | None = None
-        self._store_hurt_s: list[tuple[float, float]] = []
+        self._store_hurts: list[StoreHurt] = []
+        self._parts = PlayedParts(self.site, self.daemons, self.rng)
 
     def now_s(self) -> float:
         """Return seconds since the load began."""
@@ -260,11 +268,16 @@
             self._tasks.add(task)
 
     async def _do(self, trouble: Trouble) -> None:
-        action = getattr(self, f"_{trouble.kind}")
         from_s = asyncio.get_running_loop().time()
-        done = await action(trouble)
+        concerned = frozenset(daemon.name for daemon in stores_of(self._parts, trouble))
+        registered = TROUBLES.get(trouble.kind)
+        if registered is not None:
+            done = await registered(self._parts, trouble)
+        else:
+            done = await getattr(self, f"_{trouble.kind}")(trouble)
         if trouble.kind in _OF_THE_STORE:
-            self._store_hurt_s.append((from_s, asyncio.get_running_loop().time()))
+            to_s = asyncio.get_running_loop().time()
+            self._store_hurts.append(StoreHurt(from_s, to_s, concerned))
         self.result.troubles.append(f"{trouble.at_s:.2f} s {trouble.kind} {done}".strip())
 
     def _workers(self, trouble: Trouble) -> list:
@@ -345,6 +358,8 @@
         faces = self._stores(trouble)
         for face in faces:
             face.faults.down = trouble.how
+            if trouble.how == "silent":
+                face.silence_waits()
         await asyncio.sleep(trouble.for_s)
         for face in faces:
             face.faults.down = ""
@@ -505,6 +520,7 @@
             broken += [f"own end: {daemon.name} with status {s}" for s in daemon.own_ends]
         self._judge_stops()
         self._judge_crashing()
+        self._judge_leaving()
         result.replicas_at_end = len(self.site.fleet.open_heads())
         if result.replicas_at_end < self._wanted_replicas():
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -521,7 +537,7 @@
 
         def is_well(request_id: str, at_s: float) -> bool:
             from_s = at_s - CONTACT_S
-            is_stable = not any(a <= at_s and b >= from_s for a, b in self._store_hurt_s)
+            is_stable = not any(h.from_s <= at_s and h.to_s >= from_s for h in self._store_hurts)
             return is_stable and sent_to[request_id].was_well(at_s, CONTACT_S)
 
         for (path, _, body), seen in self.site.record.crashing.items():
@@ -532,6 +548,23 @@
                 at_s = ", ".join(f"{at_s - self._began_s:.2f}" for at_s in beyond)
                 result.broken.append(f"crashing: {body!r} on {path} went on at {at_s} s")
 
+    def _judge_leaving(self) -> None:
+        """Note requests that were sent to targets long after their word that they leave."""
+        result = self.result
+        daemons = {daemon.name: daemon for daemon in self.daemons}
+        sent_to = {call.request_id: daemons[call.daemon] for call in result.calls}
+
+        def is_well(request_id: str, from_s: float, to_s: float) -> bool:
+            daemon = sent_to[request_id]
+            is_hurt = any(hurt.touches(daemon.name, from_s, to_s) for hurt in self._store_hurts)
+            return not is_hurt and daemon.was_well(to_s, to_s - from_s)
+
+        arrivals = self.site.record.at_leaving
+        result.at_leaving = len(arrivals)
+        for late in late_arrivals(arrivals, is_well):
+            daemon = sent_to[late.request_id].name
+            result.broken.append(describe_late(late, daemon, late.at_s - self._began_s))
+
     def _judge_stops(self) -> None:
         """Note what is wrong with planned stops, and with the calls that were under way."""
         result = self.result
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -5,7 +5,7 @@
 from ._site import FleetSite, small_engine
 from ._store_http import StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
-from ._worker_http import CRASHING_BODY, CrashingRequest, RunRecord, WorkerFace
+from ._worker_http import CRASHING_BODY, CrashingRequest, LeavingArrival, RunRecord, WorkerFace
 from ._workers import Fleet, FleetFaults, Violation, Worker
 
 __all__ = [
@@ -16,6 +16,7 @@
     "FleetFaults",
     "FleetList",
     "FleetSite",
+    "LeavingArrival",
     "LoopClock",
     "RunRecord",
     "StoreFace",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -151,6 +151,8 @@
         worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
         worker.draining = True
         self._write_entry(worker)
+        if worker.left_s is None:
+            worker.left_s = asyncio.get_running_loop().time()
 
     def _write_entry(self, worker: Worker) -> None:
         fields = {
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -27,6 +27,9 @@
 LONGEST_WAIT_MS = 30000
 GUARDED = ("op/", "servers/")
 
+# How long a call is left without an answer: longer than any caller waits (21.5 s).
+SILENT_S = 60.0
+
 
 @dataclass(slots=True)
 class StoreFaults:
@@ -68,6 +71,7 @@
         self.calls: dict[str, int] = {}
         self.address = ""
         self._oldest = 0
+        self._silenced = 0
         self._runner: web.AppRunner | None = None
 
     async def start(self, listen: str = "127.0.0.1:0") -> str:
@@ -97,16 +101,27 @@
         """Drop all changes up to now: whoever watches from before gets 410."""
         self._oldest = self.store.revision
 
+    def silence_waits(self) -> None:
+        """Leave the calls that wait now without an answer for good; later calls are answered.
+
+        So it is with a wait over which the store was silent, and with a connection that falls
+        silent without a reset.
+        """
+        self._silenced += 1
+
     def _bounded(self, kind: str, handler):
         async def handle(request: web.Request) -> web.Response:
             self.calls[kind] = self.calls.get(kind, 0) + 1
+            silenced = self._silenced
             refusal = await self._refusal(request)
             if refusal is not None:
                 return refusal
             answer = await handler(request)
             await asyncio.sleep(self.faults.slow_s)
+            if silenced != self._silenced:
+                await asyncio.sleep(SILENT_S)
             if kind == "txn" and self.rng.random() < self.faults.lost_share:
-                await asyncio.sleep(60)
+                await asyncio.sleep(SILENT_S)
             return answer
 
         return handle
@@ -114,7 +129,7 @@
     async def _refusal(self, request: web.Request) -> web.Response | None:
         down = self.faults.down
         if down == "silent":
-            await asyncio.sleep(60)
+            await asyncio.sleep(SILENT_S)
         if down == "reset":
             existing(request.transport, "the connection").abort()
         if down in ("silent", "reset"):
@@ -180,7 +195,7 @@
 
     async def _txn(self, request: web.Request) -> web.Response:
         if self.rng.random() < self.faults.refused_share:
-            await asyncio.sleep(60)
+            await asyncio.sleep(SILENT_S)
         body = orjson.loads(await request.read())
         expected = body.get("expected-revision", ())
         writes, removed = body.get("writes", ()), body.get("remove", ())
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -19,7 +19,14 @@
 )
 from ._workers import Fleet, Worker
 
-__all__ = ["CRASHING_BODY", "KV_TOKENS", "CrashingRequest", "RunRecord", "WorkerFace"]
+__all__ = [
+    "CRASHING_BODY",
+    "KV_TOKENS",
+    "CrashingRequest",
+    "LeavingArrival",
+    "RunRecord",
+    "WorkerFace",
+]
 
 KV_TOKENS = 100000
 
@@ -47,6 +54,24 @@
     crashed_s: list[float] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingArrival:
+    """A request that reached a worker which had said that it leaves.
+
+    Attributes
+    ----------
+    at_s : float
+        Loop time.
+    after_s : float
+        Time since the store had the worker's word.
+    """
+
+    request_id: str
+    worker_id: str
+    at_s: float
+    after_s: float
+
+
 @dataclass(slots=True)
 class RunRecord:
     """What the workers of a site have run, by request id.
@@ -60,6 +85,8 @@
         Loop time at which a worker last worked on a request.
     crashing : dict
         Requests that crash workers, by path, tenant and body.
+    at_leaving : list of LeavingArrival
+        Requests that reached workers which had said that they leave.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -68,6 +95,16 @@
     worked_s: dict[str, float] = field(default_factory=dict)
     keys_seen: int = 0
     crashing: dict[tuple[str, str, bytes], CrashingRequest] = field(default_factory=dict)
+    at_leaving: list[LeavingArrival] = field(default_factory=list)
+
+    def note_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
+        """Note that a request has reached a worker, if that has said that it leaves."""
+        if worker.left_s is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        request_id = request.headers["X-Attempt-Id"]
+        after_s = now_s - worker.left_s
+        self.at_leaving.append(LeavingArrival(request_id, worker.worker_id, now_s, after_s))
 
     def note_crashing(self, request: web.BaseRequest, body: bytes) -> CrashingRequest:
         """Note that a request which crashes workers has reached one; return what is known of it."""
@@ -187,6 +224,7 @@
             return web.Response(status=status, headers={"X-Instance-Id": self.worker.worker_id})
         if "X-Attempt-Id" not in request.headers:
             return self._refuse(400)
+        self.record.note_leaving(request, self.worker)
         if self.fleet is None:
             return await self._plain(request)
         return await self._stream(request)
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -65,6 +65,8 @@
         Time of day of its start, in milliseconds.
     alive : bool
         Whether it answers at all.
+    left_s : float or None
+        Loop time at which the store had its word that it leaves; None if it does not.
     was_ready : set
         ``(name, epoch, members)`` under which it was ready once.
     loads : int
@@ -80,6 +82,7 @@
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     alive: bool = True
     draining: bool = False
+    left_s: float | None = None
     orders: int = 0
     top_epoch: int = 0
     last_model: str = ""
@@ -97,6 +100,7 @@
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.alive = True
         self.draining = False
+        self.left_s = None
         self.orders = 0
         self.top_epoch = 0
         self.last_model = ""
