--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -1,7 +1,7 @@
 """The lease that makes a daemon the leader of a hall, and the hall's keys; used by both programs.
 
 The lease lives in the store; this module owns until when its holder may rely on it. Which daemon
-tries for it, and when, is decided by `route_daemon._leadership` and by `hall.HallController`.
+tries for it, and when, is decided by `route_daemon._own_leadership` and by `hall.HallController`.
 """
 
 import uuid
--- a/ferrydock/platform/tests/test_planned_stop.py
+++ b/ferrydock/platform/tests/test_planned_stop.py
@@ -4,7 +4,7 @@
 
 from ...forwarding import RouteGateway
 from ...hall_lease import ControllerLease
-from ...route_daemon import _leadership
+from ...route_daemon import _own_leadership
 from ...route_daemon._daemon import (
     BALANCER_CHECK_S,
     BALANCER_MISSES,
@@ -128,7 +128,7 @@
             site.site.write_configuration()
             await site.until(lambda: site.formed(REPLICAS))
             await site.until(lambda: second.scheduler_client.address() != "")
-            monkeypatch.setattr(_leadership, "pause_before_taking_s", pause_and_note)
+            monkeypatch.setattr(_own_leadership, "pause_before_taking_s", pause_and_note)
             monkeypatch.setattr(ControllerLease, "acquire", acquire_and_note)
             stops = [asyncio.ensure_future(first.stop())]
             await site.until(lambda: pausing)
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -41,9 +41,11 @@
 from ..targets import TargetDirectory
 from ._deployment import Deployment
 from ._gauges import Gauges
-from ._leadership import OFFER, HallLeadership, OwnHallLeadership, RemoteHallLeadership
+from ._leadership import HallLeadership
+from ._own_leadership import OFFER, OwnHallLeadership
 from ._periodic import PeriodicTasks
 from ._readiness import Readiness
+from ._remote_leadership import RemoteHallLeadership
 from ._replica_failures import ReplicaFailures
 from ._retry_shares import RetryShares
 from ._settings import LiveSettings, RouteDaemonSettings
--- a/ferrydock/route_daemon/_leader_choice.py
+++ b/ferrydock/route_daemon/_leader_choice.py
@@ -1,7 +1,7 @@
 """Rule: which daemon of a hall should lead it, by the processor of its machine.
 
-Pure but for the random part of a pause. Followed by `_leadership`: a daemon waits before it takes a
-free lease, and a leader on a small machine gives way to a follower on a large one.
+Pure but for the random part of a pause. Followed by `_own_leadership`: a daemon waits before it
+takes a free lease, and a leader on a small machine gives way to a follower on a large one.
 
 A hall leader schedules every request of its hall and answers every follower. The busiest of 195
 daemons in halls of 39 used 0.36 to 0.41 of a core in the mean of a day (emulated, three plays). On
--- a/ferrydock/route_daemon/_replica_failures.py
+++ b/ferrydock/route_daemon/_replica_failures.py
@@ -12,7 +12,7 @@
 from ..relay import BrokenReplicas
 from ..replicas import ReplicaController
 from ..targets import ReplicaView, TargetDirectory
-from ._leadership import OwnHallLeadership
+from ._own_leadership import OwnHallLeadership
 
 __all__ = ["ReplicaFailures"]
 
--- a/ferrydock/route_daemon/_site_daemons.py
+++ b/ferrydock/route_daemon/_site_daemons.py
@@ -2,7 +2,7 @@
 
 from ..clock import Clock
 from ..relay import DaemonCounter
-from ._leadership import OwnHallLeadership
+from ._own_leadership import OwnHallLeadership
 from ._settings import LiveSettings
 
 __all__ = ["SiteDaemons"]
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -21,7 +21,7 @@
 from ..outcomes import Unavailable
 from ..targets import TargetChanges, TargetDirectory
 from ._deployment import Deployment
-from ._leadership import OwnHallLeadership
+from ._own_leadership import OwnHallLeadership
 
 __all__ = ["StoreBackoff", "StoreFollower"]
 
