Another hall's leader is known for 6 s at most without a confirmation; ages in virtual time

A leader waited up to 15 s for the end of another hall's key, and longer where its answers ended. Change: the store's revision confirms the key as it confirms the list; once it has not for 6 s, the key is read again. While the store's revision stands still, it is not read again at all. Safe: the known address goes on being used meanwhile.

--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -222,6 +222,7 @@
             self.leadership,
             self.rng,
             self.selector.assign_free_slots,
+            [leadership.confirmation for leadership in self.remote_leaderships],
         )
 
     def _leadership_parts(self, hall: str) -> tuple:
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -117,8 +117,8 @@
             )
             await asyncio.sleep(self.rng.uniform(*FAILED_TAKE_PAUSE_S))
 
-    async def _wait_for_free_key(self, revision: int, longest_s: float) -> bool:
-        """Wait until the leader's key is gone, the watch breaks or `longest_s` is over.
+    async def _wait_for_free_key(self, revision: int, longest_s: float | None) -> bool:
+        """Wait until the leader's key is gone, the watch breaks or `longest_s`, if any, is over.
 
         Returns whether the key is gone.
         """
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ..clock import Clock
 from ..configuration import (
@@ -16,7 +16,7 @@
     ConfigurationUnchanged,
     CurrentConfiguration,
 )
-from ..freshness import UNANSWERED_S, AgeAlarm
+from ..freshness import UNANSWERED_S, AgeAlarm, Confirmation
 from ..logs import log_event
 from ..outcomes import Unavailable
 from ..targets import TargetChanges, TargetDirectory
@@ -100,6 +100,8 @@
         Tells whether the hall leader makes the store unnecessary.
     on_change : callable
         Called after a new configuration.
+    confirmations : sequence of Confirmation
+        Of other things that are followed in the store; each call tells them its revision.
     """
 
     __slots__ = (
@@ -108,6 +110,7 @@
         "_check_from_s",
         "_is_reached",
         "clock",
+        "confirmations",
         "current",
         "deployment",
         "directory",
@@ -124,10 +127,12 @@
         leadership: OwnHallLeadership,
         rng: random.Random,
         on_change: Callable[[], None],
+        confirmations: Sequence[Confirmation] = (),
     ):
         self.deployment = deployment
         self.current = current
         self.directory = directory
+        self.confirmations = (directory.confirmation, *confirmations)
         self.leadership = leadership
         self.clock: Clock = leadership.clock
         self.rng = rng
@@ -154,7 +159,8 @@
                 continue
             backoff.reset()
             self._note_store(True)
-            self.directory.confirmation.note_store(read.store_revision, began_s, self.clock.now_s())
+            for confirmation in self.confirmations:
+                confirmation.note_store(read.store_revision, began_s, self.clock.now_s())
             self._take(read, began_s)
             is_leader = self.leadership.lease.valid
             pause_s = LEADER_CONFIRM_EVERY_S if is_leader else CONFIRM_EVERY_S
--- /dev/null
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -0,0 +1,218 @@
+"""How soon a daemon that reads the store knows a change that its wait is never told of.
+
+In virtual time: the bounds are compared with the times of the whole mechanism, to the millisecond.
+"""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from ...configuration import ConfigurationRead, ConfigurationUnchanged, CurrentConfiguration
+from ...freshness import LEADER_MAX_AGE_S
+from ...outcomes import Unavailable
+from ...standins.fleet import LoopClock, run_virtually
+from ...targets import Target, TargetChanges, TargetDirectory
+from .._store_follower import StoreFollower
+
+# The promise: no request goes to a target so long after the store has its word that it leaves.
+DRAIN_S = 2.0
+CALL_S = 0.02
+SILENT_S = 21.5
+
+
+def target(draining):
+    return Target("t", "s", "127.0.0.1:1", "h", 1, draining)
+
+
+class SilentSource:
+    """A list whose waits for changes are never answered; other calls are, while it is reached."""
+
+    def __init__(self, store):
+        self.store = store
+        self.gather_s = 0.2
+        self.waits = 0
+
+    async def follow(self, since=None):
+        if since is None:
+            await asyncio.sleep(CALL_S)
+            yield TargetChanges(True, (target(False),), (), self.store.revision)
+        while True:
+            self.waits += 1
+            await asyncio.sleep(SILENT_S)
+            yield Unavailable("no answer")
+
+    async def changes_since(self, revision):
+        self.store.checks += 1
+        return await self.store.call(
+            lambda: TargetChanges(
+                False,
+                (target(True),) if self.store.left_revision > revision else (),
+                (),
+                self.store.revision,
+            )
+        )
+
+
+class FakeStore:
+    """The store's revision, and whether it answers."""
+
+    def __init__(self):
+        self.revision = 7
+        self.left_revision = 0
+        self.is_silent = False
+        self.checks = 0
+
+    async def call(self, answer):
+        """Answer a call, or let it run into its time-out."""
+        if self.is_silent:
+            await asyncio.sleep(1.0)
+            return Unavailable("no answer")
+        await asyncio.sleep(CALL_S)
+        return answer()
+
+    async def read(self):
+        return await self.call(lambda: ConfigurationRead(ConfigurationUnchanged(), self.revision))
+
+    def leave(self):
+        """Write that the target leaves."""
+        self.revision += 1
+        self.left_revision = self.revision
+
+    def write_other_key(self):
+        self.revision += 1
+
+
+class Leadership:
+    """That of a daemon which leads its hall, or which reads the store beside a lost leader."""
+
+    def __init__(self, is_leader):
+        self.clock = LoopClock()
+        self.is_leader = is_leader
+        self.is_relayed = False
+        self.lease = SimpleNamespace(valid=is_leader)
+
+
+class Daemon:
+    """The parts of a daemon that follow the store."""
+
+    def __init__(self, is_leader=True, seed=1):
+        self.store = FakeStore()
+        self.source = SilentSource(self.store)
+        self.directory = TargetDirectory()
+        self.leadership = Leadership(is_leader)
+        deployment = SimpleNamespace(
+            configuration_source=self.store,
+            target_source=self.source,
+            settings=SimpleNamespace(is_first_start=False, change_within_s=DRAIN_S),
+        )
+        self.follower = StoreFollower(
+            deployment,
+            CurrentConfiguration(),
+            self.directory,
+            self.leadership,
+            random.Random(seed),
+            lambda: None,
+        )
+
+    @property
+    def knows(self):
+        return self.directory.targets["t"].draining
+
+    async def run(self, scenario):
+        loop = asyncio.get_running_loop()
+        work = [
+            loop.create_task(self.follower.follow_configuration()),
+            loop.create_task(self.follower.follow_targets()),
+        ]
+        await asyncio.sleep(2.0)
+        assert not self.knows
+        await scenario()
+        for task in work:
+            task.cancel()
+
+    async def until_known(self):
+        """Return how long it takes until the target is known to leave."""
+        from_s = asyncio.get_running_loop().time()
+        while not self.knows:
+            await asyncio.sleep(0.001)
+        return asyncio.get_running_loop().time() - from_s
+
+
+@pytest.mark.parametrize("is_leader", [True, False])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_change_that_the_wait_is_not_told_of_is_known_within_the_bound(is_leader, seed):
+    daemon = Daemon(is_leader, seed)
+
+    async def scenario():
+        await asyncio.sleep(random.Random(seed).uniform(0.0, 1.0))
+        daemon.store.leave()
+        assert await daemon.until_known() < DRAIN_S
+        assert daemon.source.waits == 2, "the silent wait is given up for a new one"
+
+    run_virtually(daemon.run(scenario))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_after_an_outage_it_is_known_soon_though_the_wait_from_before_says_nothing(seed):
+    daemon = Daemon(seed=seed)
+
+    async def scenario():
+        daemon.store.is_silent = True
+        await asyncio.sleep(5.0)
+        daemon.store.is_silent = False
+        daemon.store.leave()
+        # A call's time-out, the longest pause of a leader, two calls and the wait's grace.
+        assert await daemon.until_known() < 1.0 + 0.72 + 2 * CALL_S + 0.35 + 0.2
+
+    run_virtually(daemon.run(scenario))
+
+
+def test_a_quiet_list_stays_young_without_a_call():
+    daemon = Daemon()
+    oldest = []
+
+    async def scenario():
+        for _ in range(1000):
+            await asyncio.sleep(0.01)
+            oldest.append(daemon.directory.age_s(daemon.leadership.clock.now_s()))
+        assert max(oldest) < LEADER_MAX_AGE_S
+        assert daemon.store.checks == 0
+        assert daemon.source.waits == 1
+
+    run_virtually(daemon.run(scenario))
+
+
+def test_other_keys_cost_one_call_each_and_leave_the_wait_and_the_leader_alone():
+    daemon = Daemon()
+    oldest = []
+
+    async def scenario():
+        for _ in range(5):
+            daemon.store.write_other_key()
+            for _ in range(300):
+                await asyncio.sleep(0.01)
+                oldest.append(daemon.directory.age_s(daemon.leadership.clock.now_s()))
+        assert max(oldest) < LEADER_MAX_AGE_S
+        assert daemon.store.checks == 5
+        assert daemon.source.waits == 1
+
+    run_virtually(daemon.run(scenario))
+
+
+def test_a_store_that_stays_silent_is_asked_ever_less_and_what_is_known_stays():
+    daemon = Daemon()
+
+    async def scenario():
+        daemon.store.leave()
+        await daemon.until_known()
+        checks = daemon.store.checks
+        daemon.store.write_other_key()
+        daemon.store.is_silent = True
+        await asyncio.sleep(20.0)
+        assert daemon.knows
+        assert daemon.store.checks - checks <= 20 / 1.4 + 1
+        assert daemon.directory.age_s(daemon.leadership.clock.now_s()) > 19.0
+
+    run_virtually(daemon.run(scenario))
