--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -14,7 +14,8 @@
 from ._load import Call, Callers
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
-from ._run import PROMISES, Emulation, Result
+from ._result import PROMISES, Result
+from ._run import Emulation
 from ._stops import (
     Pause,
     PlannedStop,
--- a/ferrydock/emulator/_page.py
+++ b/ferrydock/emulator/_page.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ._load import Call
-from ._run import PROMISES, Result
+from ._result import PROMISES, Result
 
 __all__ = ["figures", "page"]
 
--- /dev/null
+++ b/ferrydock/emulator/_result.py
@@ -0,0 +1,65 @@
+"""What an emulation brought: calls, promises that did not hold, troubles and counts; data only."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from ._load import Call
+from ._stops import Pause, PlannedStop
+
+__all__ = ["PROMISES", "Result"]
+
+PROMISES = (
+    "no replica serves while a member is missing, no worker is in two",
+    "an answer that looks whole is whole, and its own",
+    "a request that may run once runs once at most",
+    "a refusal means that the request did not run",
+    "no key reaches a worker, and each request is its tenant's",
+    "no daemon ends by itself",
+    "replicas are formed again after the troubles",
+    "a planned stop ends with status 0 within its grace, and cuts no answer",
+    "a request that crashes its targets is kept from them, and no other is",
+    "no request is sent to a target 2 s after its word that it leaves",
+)
+
+
+@dataclass(slots=True)
+class Result:
+    """What an emulation brought.
+
+    Attributes
+    ----------
+    broken : list of str
+        Promises that did not hold, each with what was seen.
+    troubles : list of str
+        What was done, and when.
+    stood_still : list of Pause
+        When this process itself stood still, and with it all workers, the store and the callers.
+    stops : list of PlannedStop
+        Stops whose callers stayed to the end.
+    stop_calls : int
+        Requests under way during these stops, each of which was judged.
+    crashes : int
+        Targets that ended under requests that crash them.
+    beyond : int
+        Most tries in which such a request reached targets although daemons had time to know it.
+    at_leaving : int
+        Requests that reached targets which had said that they leave.
+    excused : Counter
+        Those of them that fell under an exception of the promise, by its reason.
+    """
+
+    name: str
+    seed: int
+    calls: list[Call] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    troubles: list[str] = field(default_factory=list)
+    memory_bytes: int = 0
+    store_calls: dict[str, int] = field(default_factory=dict)
+    replicas_at_end: int = 0
+    stood_still: list[Pause] = field(default_factory=list)
+    stops: list[PlannedStop] = field(default_factory=list)
+    stop_calls: int = 0
+    crashes: int = 0
+    beyond: int = 0
+    at_leaving: int = 0
+    excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/tests/test_experiments.py
+++ b/ferrydock/emulator/tests/test_experiments.py
@@ -3,7 +3,19 @@
 import pytest
 
 from ...outcomes import Invalid
-from .. import draw_troubles, free_ports, read_experiment
+from ...standins.fleet import LeavingArrival
+from .. import (
+    CONTACT_S,
+    KINDS,
+    draw_crashing,
+    draw_leaving,
+    draw_troubles,
+    free_ports,
+    late_arrivals,
+    read_experiment,
+)
+from .._leaving import StoreHurt
+from .._troubles import TROUBLES
 
 GOOD = """
 name = "x"
@@ -45,6 +57,42 @@
     assert place in [fault.place for fault in faults.faults]
 
 
+def test_each_kind_of_trouble_has_one_that_plays_it():
+    assert set(TROUBLES) == set(KINDS)
+
+
+@pytest.mark.parametrize("draw", [draw_leaving, draw_crashing])
+def test_series_of_troubles_follow_from_the_seed(draw):
+    first = draw(5, 16.0, ("a", "b"))
+    assert first == draw(5, 16.0, ("a", "b"))
+    assert first != draw(6, 16.0, ("a", "b"))
+
+
+def arrival(after_s, request_id="r"):
+    return LeavingArrival(request_id, "t", 100.0, after_s)
+
+
+def test_an_arrival_at_a_leaving_target_is_late_beyond_the_bound_from_a_daemon_that_is_well():
+    arrivals = [arrival(1.99), arrival(2.01), arrival(9.0, "of a hurt daemon")]
+    late = late_arrivals(arrivals, lambda request_id, from_s, to_s: request_id == "r")
+    assert late == [arrivals[1]]
+
+
+def test_a_daemon_is_judged_from_before_the_targets_word_on():
+    asked = []
+    late_arrivals([arrival(2.5)], lambda *about: asked.append(about))
+    assert asked == [("r", 100.0 - 2.5 - CONTACT_S, 100.0)]
+
+
+@pytest.mark.parametrize(
+    ("daemon", "from_s", "to_s", "is_touched"),
+    [("a", 0.0, 4.9, False), ("a", 0.0, 5.0, True), ("a", 7.1, 9.0, False), ("b", 0.0, 9.0, False)],
+)
+def test_trouble_of_the_store_concerns_those_whose_calls_it_meets(daemon, from_s, to_s, is_touched):
+    hurt = StoreHurt(5.0, 7.0, frozenset("a"))
+    assert hurt.touches(daemon, from_s, to_s) == is_touched
+
+
 def test_troubles_follow_from_the_seed():
     first = draw_troubles(5, 20.0, ("a", "b"), 8)
     assert first == draw_troubles(5, 20.0, ("a", "b"), 8)
