Sight for the soak: how long a worker of the emulation takes to answer, as daemons ask it

Cause: where the emulating process is short of processor time its workers answer late, and daemons rightly take them for dead; the emulation told only when it stood still for 0.1 s and more at a time. No judge reads it yet.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -166,6 +166,7 @@
             beyond=result.beyond if result.crashes else None,
             at_leaving=result.at_leaving or None,
             stood_still=len(result.stood_still) or None,
+            slow_answers=len(result.slow_answers) or None,
             excused=sum(result.excused.values()) if result.stops else None,
             broken=len(result.broken),
             first=result.broken[0] if result.broken else None,
@@ -177,7 +178,11 @@
         still = [
             f"emulation stood still: {p.at_s:.2f} s for {p.for_s:.2f} s" for p in result.stood_still
         ]
-        text = "\n".join((*result.broken, *excused, *still, *result.troubles)) + "\n"
+        slow = [
+            f"a worker was slow to answer: {p.at_s:.2f} s for {p.for_s:.2f} s"
+            for p in result.slow_answers
+        ]
+        text = "\n".join((*result.broken, *excused, *still, *slow, *result.troubles)) + "\n"
         (logs / "broken.txt").write_text(text)
     return result.broken
 
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -34,6 +34,8 @@
         What was done, and when.
     stood_still : list of Pause
         When this process itself stood still, and with it all workers, the store and the callers.
+    slow_answers : list of Pause
+        When a worker took so long to answer a question that a daemon takes it for dead.
     stops : list of PlannedStop
         Stops whose callers stayed to the end.
     stop_calls : int
@@ -57,6 +59,7 @@
     store_calls: dict[str, int] = field(default_factory=dict)
     replicas_at_end: int = 0
     stood_still: list[Pause] = field(default_factory=list)
+    slow_answers: list[Pause] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     stop_calls: int = 0
     crashes: int = 0
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -21,10 +21,10 @@
 from ._judge import Judge
 from ._leaving import StoreHurt
 from ._load import Callers
+from ._own_pace import OwnPace
 from ._processes import DaemonProcess, free_ports, loopback_address
 from ._result import Result
 from ._stop_callers import WATCHED_BEFORE_S
-from ._stops import Pause
 from ._store_troubles import OF_THE_STORE, daemons_concerned
 from ._troubles import TROUBLES, PlayedParts
 
@@ -36,11 +36,6 @@
 LOOK_S = 0.05
 SHOWN_EVERYWHERE_S = 1.2
 
-# Pause between two looks whether this process stands still, and from which length on it is noted:
-# half of the silence after which a daemon suspects a worker. Chosen, not measured.
-OWN_LOOK_S = 0.02
-OWN_STILL_S = 0.1
-
 
 class Emulation:
     """One run of an experiment.
@@ -85,7 +80,10 @@
             ending = Callers(self._all_addresses, own_rng, self.now_s)
             ending.calls = callers.calls
             self._parts.crashing = CrashingCallers(self.experiment.seed, ending, self.now_s)
-            watching = asyncio.ensure_future(self._watch_itself())
+            pace = OwnPace(self.site.engine, self.now_s)
+            self.result.stood_still = pace.stood_still
+            self.result.slow_answers = pace.slow_answers
+            watching = asyncio.ensure_future(pace.run())
             await asyncio.gather(self._send(callers), self._hurt(), self._watch())
             await asyncio.gather(*self._tasks)
             watching.cancel()
@@ -177,16 +175,6 @@
                 self.result.memory_bytes = max(self.result.memory_bytes, daemon.resident_bytes())
             await asyncio.sleep(0.2)
 
-    async def _watch_itself(self) -> None:
-        """Note when this process stands still, until cancelled."""
-        looked_s = self.now_s()
-        while True:
-            await asyncio.sleep(OWN_LOOK_S)
-            still_s = self.now_s() - looked_s - OWN_LOOK_S
-            if still_s > OWN_STILL_S:
-                self.result.stood_still.append(Pause(looked_s, still_s))
-            looked_s = self.now_s()
-
     # Troubles ---------------------------------------------------------------------------------
 
     async def _hurt(self) -> None:
