--- a/ferrydock/membership/_gossip.py
+++ b/ferrydock/membership/_gossip.py
@@ -17,15 +17,33 @@
 __all__ = ["Gossip"]
 
 _LOG = logging.getLogger("ferrydock.membership")
+
+# Pause between two rounds; shorter in halls of so many daemons, where a statement takes more rounds
+# to reach all: with rounds of 0.5 s a hall of 38 saw 0.84 of its replicas as whole
+# (docs/CAPACITY.md). The number of daemons is chosen, not measured.
 ROUND_S = 0.5
-LARGE_HALL = 16
 LARGE_HALL_ROUND_S = 0.3
+LARGE_HALL = 16
+
+# Every how many rounds the configured addresses and the other halls' daemons are met, and how many
+# daemons of a hall do the latter. Chosen, not measured.
 SEED_ROUNDS = 4
 BRIDGE_ROUNDS = 4
 BRIDGES_PER_HALL = 2
+
+# Age from which on another hall's summary is asked for beside the usual meetings. Chosen, not
+# measured.
 SUMMARY_FRESH_S = 15.0
+
+# Pause between two rounds from which on this process stood still itself, so that the silence of its
+# neighbours means nothing. Chosen, not measured.
 PAUSE_NOTICED_S = 1.5
+
+# Every how many rounds a whole digest is asked for, in case one side lost count. Chosen, not
+# measured.
 FULL_ROUNDS = 256
+
+# Daemons that are told at once of something new. Chosen, not measured.
 URGENT_PEERS = 3
 
 
--- a/ferrydock/node/_rounds.py
+++ b/ferrydock/node/_rounds.py
@@ -13,19 +13,40 @@
 __all__ = ["Rounds"]
 
 _LOG = logging.getLogger("ferrydock.node")
+
+# Pauses between two rounds of the hall's controller, and of the limits' shares. Chosen, not measured.
 CONTROL_ROUND_S = 0.5
 LIMIT_ROUND_S = 0.5
-STAND_IN_LOOK_S = 4.0
+
+# How long the wait for edits of the table may be silent before the table's head is read beside it,
+# and the pause between two looks of the daemon that would take over the wait. A wait that is never
+# answered looks like a table without edits; `freshness._bounds` has the list of all such waits.
+# Chosen, not measured.
 WATCH_STALLED_S = 4.0
+STAND_IN_LOOK_S = 4.0
+
+# Longest pause before the first look at the store, so that daemons which start together do not ask
+# at once, and pause after a look that failed. Chosen, not measured.
 FIRST_LOOK_S = 0.6
 RETRY_STORE_S = 1.0
+
+# Questions for engine events a second, over all replicas, and for how long after its last request
+# a model's events are asked for. Chosen, not measured.
 EVENT_POLLS_PER_S = 8.0
 EVENTS_OF_INTEREST_S = 30.0
+
+# Pauses between two rounds of tidying claims, of measuring the rate of claims, of looking at the
+# certificate's file, and of sending gauges. Chosen, not measured.
 TIDY_S = 10.0
 RATE_LOOK_S = 10.0
 CERTIFICATE_LOOK_S = 10.0
 METRICS_S = 10.0
+
+# How much longer each daemon waits than the one before it in rank before it tries for a free lease.
+# Chosen, not measured.
 RANK_DELAY_S = 1.5
+
+# Pause between two probes before there is a table to tell it. Chosen, not measured.
 DEFAULT_PROBE_S = 0.5
 
 
