--- a/ferrydock/node/_rounds.py
+++ b/ferrydock/node/_rounds.py
@@ -14,7 +14,8 @@
 
 _LOG = logging.getLogger("ferrydock.node")
 
-# Pauses between two rounds of the hall's controller, and of the limits' shares. Chosen, not measured.
+# Pauses between two rounds of the hall's controller, and of the limits' shares. Chosen, not
+# measured.
 CONTROL_ROUND_S = 0.5
 LIMIT_ROUND_S = 0.5
 
