Before the first list nothing is asked for beside it

Cause: a daemon that starts knows revision 0, so the store is ahead of it at once; while the first list was read, it was asked for a second time (at a large site 225 KB). Result: the test fails without the guard and passes with it.

--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -192,8 +192,11 @@
         """Return whether the wait for changes of the list has missed some.
 
         They are asked for, and taken, only if the store is ahead of the list for longer than an
-        answer takes. The store's revision also rises by other keys: then there are none.
+        answer takes. The store's revision also rises by other keys: then there are none. Before the
+        first list there is nothing to compare with, and its call has a time-out of its own.
         """
+        if not self.directory.loaded:
+            return False
         now_s = self.clock.now_s()
         ahead_for_s = self.directory.confirmation.ahead_for_s(now_s)
         answer_takes_s = self.deployment.target_source.gather_s + UNANSWERED_S
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -33,10 +33,11 @@
         self.store = store
         self.gather_s = 0.2
         self.waits = 0
+        self.list_takes_s = CALL_S
 
     async def follow(self, since=None):
         if since is None:
-            await asyncio.sleep(CALL_S)
+            await asyncio.sleep(self.list_takes_s)
             yield TargetChanges(True, (target(False),), (), self.store.revision)
         while True:
             self.waits += 1
@@ -184,6 +185,17 @@
     run_virtually(daemon.run(scenario))
 
 
+def test_while_the_first_list_is_read_nothing_is_asked_beside_it():
+    daemon = Daemon()
+    daemon.source.list_takes_s = 1.9
+    daemon.store.revision = 9
+
+    async def scenario():
+        assert daemon.store.checks == 0
+
+    run_virtually(daemon.run(scenario))
+
+
 def test_other_keys_cost_one_call_each_and_leave_the_wait_and_the_leader_alone():
     daemon = Daemon()
     oldest = []
