--- a/ferrydock/freshness/_bounds.py
+++ b/ferrydock/freshness/_bounds.py
@@ -30,11 +30,11 @@
 # docs/MEASUREMENTS.md, routes, "word of the store bounded to 1.1 s".
 LEADER_MAX_AGE_S = 1.1
 
-# How long the store may be known to be ahead of the target list, in seconds beyond the time for
-# which changes are gathered, before the changes are asked for beside the wait for them. The wait
-# has its answer within milliseconds, or 0.07 s later where the store is slow. With 0.55 s between
-# two confirmations and 0.2 s of gathering the list of a leader stays within `LEADER_MAX_AGE_S`
-# while the store's revision rises by other keys: 0.55 + 0.2 + 0.15 + a call. Chosen, not measured.
+# How long a wait may be under way while the store is known to be ahead of the target list, in
+# seconds, before the changes are asked for beside it. The wait has its answer within milliseconds,
+# or 0.07 s later where the store is slow. With 0.55 s between two confirmations and looks every
+# 0.1 s the list of a leader stays within `LEADER_MAX_AGE_S` while the store's revision rises by
+# other keys: 0.55 + 0.15 + 0.1 + a call. Chosen, not measured.
 UNANSWERED_S = 0.15
 
 # Oldest confirmation of another hall's leader, in seconds, before its key is read again beside the
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -106,6 +106,7 @@
 
     __slots__ = (
         "_age_alarm",
+        "_asked_s",
         "_check_backoff",
         "_check_from_s",
         "_is_reached",
@@ -138,6 +139,7 @@
         self.rng = rng
         self.on_change = on_change
         self._age_alarm = AgeAlarm("targets")
+        self._asked_s = float("-inf")
         self._check_backoff = StoreBackoff(rng)
         self._check_from_s = float("-inf")
         self._is_reached = True
@@ -199,8 +201,10 @@
             return False
         now_s = self.clock.now_s()
         ahead_for_s = self.directory.confirmation.ahead_for_s(now_s)
-        answer_takes_s = self.deployment.target_source.gather_s + UNANSWERED_S
-        if ahead_for_s is None or ahead_for_s < answer_takes_s or now_s < self._check_from_s:
+        if ahead_for_s is None or now_s < self._check_from_s:
+            return False
+        waited_s = now_s - self._asked_s - self.deployment.target_source.gather_s
+        if min(ahead_for_s, waited_s) < UNANSWERED_S:
             return False
         known = self.directory.revision
         changes = await self.deployment.target_source.changes_since(known)
@@ -258,16 +262,16 @@
         """Follow the target source until it ends; the caller starts it again."""
         backoff = StoreBackoff(self.rng)
         known = self.directory.revision if self.directory.loaded else None
-        asked_s = self.clock.now_s()
+        self._asked_s = self.clock.now_s()
         async for changes in self.deployment.target_source.follow(known):
             if isinstance(changes, Unavailable):
                 log_event(_LOG, logging.WARNING, "targets_unavailable", why=changes.reason)
                 await asyncio.sleep(self._pause_s(backoff))
-                asked_s = self.clock.now_s()
+                self._asked_s = self.clock.now_s()
                 continue
             backoff.reset()
-            self._take_changes(changes, asked_s)
-            asked_s = self.clock.now_s()
+            self._take_changes(changes, self._asked_s)
+            self._asked_s = self.clock.now_s()
 
     def look_at_age(self) -> None:
         """Log when the target list becomes older than a change may take, and when it is back."""
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -164,8 +164,8 @@
         await asyncio.sleep(5.0)
         daemon.store.is_silent = False
         daemon.store.leave()
-        # A call's time-out, the longest pause of a leader, two calls and the wait's grace.
-        assert await daemon.until_known() < 1.0 + 0.72 + 2 * CALL_S + 0.35 + 0.2
+        # A call's time-out, the longest pause of a leader, two calls, the wait's grace and a look.
+        assert await daemon.until_known() < 1.0 + 0.72 + 2 * CALL_S + 0.15 + 0.1
 
     run_virtually(daemon.run(scenario))
 
