--- a/ferrydock/configuration/_source.py
+++ b/ferrydock/configuration/_source.py
@@ -34,7 +34,7 @@
     ----------
     store_revision : int
         Revision at which the store stood, no earlier than the start of the call; 0 if its answer
-        does not name it. Whoever knows all changes up to it misses nothing.
+        does not name it. A list of all changes up to it is complete as of that start.
     """
 
     found: Configuration | ConfigurationUnchanged | ConfigurationUnreadable
--- a/tests/test_readable.py
+++ b/tests/test_readable.py
@@ -13,6 +13,7 @@
 FINISHED = (
     "configuration",
     "forwarding",
+    "freshness",
     "gateway",
     "platform",
     "relay",
