--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -83,6 +83,15 @@
     )
 
 
+def _sizes(seed: int) -> tuple[tuple[str, ...], int, int]:
+    """Return halls, daemons in each, and workers of a domain: 24 daemons, eight, or four."""
+    if seed % 10 == 0:
+        return (*HALLS, "hall-c"), 8, 12
+    if seed % 4 == 0:
+        return HALLS[:1], 8, 16
+    return HALLS, 2, 8
+
+
 def crashes_experiment(seed: int) -> Experiment:
     """Return the requests that crash their targets that a seed stands for.
 
@@ -90,11 +99,7 @@
     tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in each of
     two halls.
     """
-    halls, count, domain_size = HALLS, 2, 8
-    if seed % 10 == 0:
-        halls, count, domain_size = (*HALLS, "hall-c"), 8, 12
-    elif seed % 4 == 0:
-        halls, count, domain_size = HALLS[:1], 8, 16
+    halls, count, domain_size = _sizes(seed)
     length_s = 16.0
     troubles = draw_troubles(seed, length_s - 4.0, halls, 5)
     if seed % 3 == 0:
@@ -120,11 +125,7 @@
     Every tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in
     each of two halls.
     """
-    halls, count, domain_size = HALLS, 2, 8
-    if seed % 10 == 0:
-        halls, count, domain_size = (*HALLS, "hall-c"), 8, 12
-    elif seed % 4 == 0:
-        halls, count, domain_size = HALLS[:1], 8, 16
+    halls, count, domain_size = _sizes(seed)
     length_s = 16.0
     return Experiment(
         name=f"leaving {seed}",
