The check beside the wait is two functions, named after what they do

A function named like a question asked the store, took what came and logged. No change of behaviour: the same conditions in the same order of effect; the time is read once for all confirmations of one answer.

--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -114,8 +114,9 @@
                 continue
             backoff.reset()
             self._note_store(True)
+            now_s = self.clock.now_s()
             for confirmation in self.confirmations:
-                confirmation.note_store(read.store_revision, began_s, self.clock.now_s())
+                confirmation.note_store(read.store_revision, began_s, now_s)
             self._take(read, began_s)
             is_leader = self.leadership.lease.valid
             pause_s = LEADER_CONFIRM_EVERY_S if is_leader else CONFIRM_EVERY_S
@@ -133,7 +134,8 @@
         await self._wait_for_leader()
         try:
             while True:
-                if reading is not None and (self.leadership.is_relayed or await self._is_silent()):
+                is_relayed = self.leadership.is_relayed
+                if reading is not None and (is_relayed or await self._find_missed_changes()):
                     reading.cancel()
                     reading = None
                 if not self.leadership.is_relayed and (reading is None or reading.done()):
@@ -143,23 +145,28 @@
             if reading is not None:
                 reading.cancel()
 
-    async def _is_silent(self) -> bool:
-        """Return whether the wait for changes of the list has missed some.
+    def _is_overdue(self, now_s: float) -> bool:
+        """Return whether the wait for changes should have been answered by now.
 
-        They are asked for, and taken, only if the store is ahead of the list for longer than an
-        answer takes. The store's revision also rises by other keys: then there are none. Before the
+        That is so if the store is ahead of the list for longer than an answer takes. Before the
         first list there is nothing to compare with, and its call has a time-out of its own.
         """
-        if not self.directory.loaded:
-            return False
-        now_s = self.clock.now_s()
         ahead_for_s = self.directory.confirmation.ahead_for_s(now_s)
-        if ahead_for_s is None or now_s < self._check_from_s:
+        if not self.directory.loaded or ahead_for_s is None or now_s < self._check_from_s:
             return False
         waited_s = now_s - self._asked_s - self.deployment.target_source.gather_s
-        if min(ahead_for_s, waited_s) < UNANSWERED_S:
+        return min(ahead_for_s, waited_s) >= UNANSWERED_S
+
+    async def _find_missed_changes(self) -> bool:
+        """Ask for changes beside an overdue wait, and take them; return whether there were any.
+
+        The store's revision also rises by other keys: then there are none, and the wait goes on.
+        """
+        now_s = self.clock.now_s()
+        if not self._is_overdue(now_s):
             return False
         known = self.directory.revision
+        ahead_for_s = self.directory.confirmation.ahead_for_s(now_s)
         changes = await self.deployment.target_source.changes_since(known)
         if isinstance(changes, Unavailable):
             log_event(_LOG, logging.WARNING, "targets_unavailable", why=changes.reason, beside=True)
