--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -9,6 +9,9 @@
 ``python -m benchmarks.soak --plays=leaving --seeds=50`` plays targets that leave in series, beside
 a store that falls silent; its seeds belong into ``tests/soak_leaving_seeds.txt``.
 
+``python -m benchmarks.soak --plays=eras --seeds=50`` plays a store that comes back older, while
+targets, daemons and configurations change; its seeds belong into ``tests/soak_era_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=crashes --seeds=50`` plays requests that crash their targets,
 beside all of that; its seeds belong into ``tests/soak_crash_seeds.txt``.
 """
@@ -24,6 +27,7 @@
     Experiment,
     Load,
     draw_crashing,
+    draw_eras,
     draw_leaving,
     draw_stops,
     draw_troubles,
@@ -140,11 +144,33 @@
     )
 
 
+def eras_experiment(seed: int) -> Experiment:
+    """Return the store that comes back older that a seed stands for.
+
+    Every tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in
+    each of two halls.
+    """
+    halls, count, domain_size = _sizes(seed)
+    length_s = 22.0
+    return Experiment(
+        name=f"eras {seed}",
+        seed=seed,
+        length_s=length_s,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=domain_size,
+        load=LOAD,
+        troubles=tuple(draw_eras(seed, length_s, halls)),
+        settle_s=10.0,
+    )
+
+
 PLAYS = {
     "all": soak_experiment,
     "stops": stops_experiment,
     "crashes": crashes_experiment,
     "leaving": leaving_experiment,
+    "eras": eras_experiment,
 }
 
 
--- a/ferrydock/configuration/_source.py
+++ b/ferrydock/configuration/_source.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..outcomes import Unavailable
+from ..store import Position
 from ._model import Configuration
 
 __all__ = [
@@ -32,13 +33,16 @@
 
     Attributes
     ----------
-    store_revision : int
-        Revision at which the store stood, no earlier than the start of the call; 0 if its answer
-        does not name it. A list of all changes up to it is complete as of that start.
+    store_position : Position
+        Where the store stood, no earlier than the start of the call; revision 0 if its answer does
+        not name it. A list of all changes up to it is complete as of that start.
+    written : Position
+        Where the value was written; revision 0 if there is none.
     """
 
     found: Configuration | ConfigurationUnchanged | ConfigurationUnreadable
-    store_revision: int = 0
+    store_position: Position = Position()
+    written: Position = Position()
 
 
 class ConfigurationSource(Protocol):
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -1,6 +1,7 @@
 """An emulated platform with daemons as processes, callers and troubles, and its report."""
 
 from ._crashing import CONTACT_S, arrivals_beyond, draw_crashing
+from ._eras import draw_eras
 from ._experiment import (
     KINDS,
     Experiment,
@@ -44,6 +45,7 @@
     "Run",
     "Trouble",
     "demo_experiment",
+    "draw_eras",
     "draw_leaving",
     "draw_stops",
     "draw_crashing",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -49,7 +49,11 @@
     "leader_waits_silent": "the same for the daemons that lead a hall, and for no others",
     "store_down_for_some": "the store gives `count` daemons no answer (how: as for store_down)",
 }
-KINDS = {**_SOAK_KINDS, **_STOP_KINDS, **_CRASH_KINDS, **_LEAVING_KINDS}
+_ERA_KINDS = {
+    "store_older": "the store goes away for a second and comes back as it was `for_s` before (how: "
+    "as for store_down)",
+}
+KINDS = {**_SOAK_KINDS, **_STOP_KINDS, **_CRASH_KINDS, **_LEAVING_KINDS, **_ERA_KINDS}
 _HOWS = ("silent", "busy", "many", "reset")
 _CLASSES = ("write-large", "write-small", "look", "file")
 
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -22,6 +22,13 @@
 
 __all__ = ["Judge"]
 
+# What a daemon says that refuses a request since its configuration is too old.
+UNCONFIRMED = "configuration_unconfirmed"
+
+# How long after trouble a daemon is in touch and has the newest configuration in force: the
+# platform's ``contact-ms`` and ``config-apply-ms`` on the known sites.
+IN_FORCE_S = CONTACT_S + 2.0
+
 
 class Judge:
     """Judges a run that is over.
@@ -56,6 +63,7 @@
         self._judge_stops()
         self._judge_crashing()
         self._judge_leaving()
+        self._judge_unconfirmed()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -100,6 +108,20 @@
             daemon = sent_to[late.request_id].name
             result.broken.append(describe_late(late, daemon, late.at_s - self.began_s))
 
+    def _judge_unconfirmed(self) -> None:
+        """Note requests refused for an old configuration by daemons that were well for long."""
+        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
+        for call in self.parts.result.calls:
+            if call.code != UNCONFIRMED:
+                continue
+            at_s = self.began_s + call.at_s
+            from_s = at_s - IN_FORCE_S
+            is_hurt = any(hurt.touches(call.daemon, from_s, at_s) for hurt in self.store_hurts)
+            if not is_hurt and daemons[call.daemon].was_well(at_s, IN_FORCE_S):
+                self.parts.result.broken.append(
+                    f"unconfirmed: {call.request_id} refused by {call.daemon} at {call.at_s:.2f} s"
+                )
+
     def _judge_stops(self) -> None:
         """Note what is wrong with planned stops, and with the calls that were under way."""
         result = self.parts.result
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -19,6 +19,7 @@
     "a planned stop ends with status 0 within its grace, and cuts no answer",
     "a request that crashes its targets is kept from them, and no other is",
     "no request is sent to a target 2 s after its word that it leaves",
+    "no request is refused for an old configuration by a daemon that reaches the store",
 )
 
 
--- a/ferrydock/emulator/_store_troubles.py
+++ b/ferrydock/emulator/_store_troubles.py
@@ -6,6 +6,7 @@
 import orjson
 
 from ..hall_lease import controller_key
+from ..standins.fleet import WRITTEN_AGAIN_S
 from ._experiment import Trouble
 from ._processes import DaemonProcess
 from ._troubles import PlayedParts, trouble
@@ -20,8 +21,15 @@
     "history_lost",
     "waits_silent",
     "leader_waits_silent",
+    "store_older",
 )
 
+# How long a store is away before it comes back older, and how many changes of keys that no daemon
+# follows it loses: so many that its revision stays below what daemons have seen.
+AWAY_S = 1.0
+OTHER_CHANGES = 200
+OTHER_KEY = "other/key"
+
 # Share of the writing calls whose answers are lost. Chosen, not measured.
 LOST_SHARE = 0.4
 
@@ -29,7 +37,7 @@
 def daemons_concerned(parts: PlayedParts, met: Trouble) -> list[DaemonProcess]:
     """Return the daemons whose calls to the store a trouble concerns; the same at each call."""
     fitting = parts.daemons_of(met.hall)
-    if met.kind == "history_lost":
+    if met.kind in ("history_lost", "store_older"):
         return list(parts.daemons)
     if met.kind == "leader_waits_silent":
         return [daemon for daemon in fitting if daemon.name in _leaders(parts)]
@@ -91,6 +99,27 @@
     return ""
 
 
+@trouble("store_older")
+async def come_back_older(parts: PlayedParts, met: Trouble) -> str:
+    """Let the store come back as it is now, after a while and an outage; all is written again."""
+    copy = parts.site.store.copy()
+    for number in range(OTHER_CHANGES):
+        parts.site.store.put(OTHER_KEY, str(number).encode())
+    await asyncio.sleep(max(0.0, met.for_s - AWAY_S))
+    faces = [parts.store_of(daemon) for daemon in parts.daemons]
+    for face in faces:
+        face.faults.down = met.how
+        if met.how == "silent":
+            face.silence_waits()
+    await asyncio.sleep(AWAY_S)
+    lost = parts.site.store.revision - copy.revision
+    parts.site.come_back_older(copy)
+    for face in faces:
+        face.faults.down = ""
+    await asyncio.sleep(max(WRITTEN_AGAIN_S))
+    return f"{met.how}, {lost} revisions of {met.for_s:.1f} s lost"
+
+
 @trouble("configuration")
 async def write_configuration(parts: PlayedParts, met: Trouble) -> str:
     """Write a configuration as the operator does."""
--- a/ferrydock/emulator/tests/test_experiments.py
+++ b/ferrydock/emulator/tests/test_experiments.py
@@ -8,6 +8,7 @@
     CONTACT_S,
     KINDS,
     draw_crashing,
+    draw_eras,
     draw_leaving,
     draw_troubles,
     free_ports,
@@ -61,7 +62,7 @@
     assert set(TROUBLES) == set(KINDS)
 
 
-@pytest.mark.parametrize("draw", [draw_leaving, draw_crashing])
+@pytest.mark.parametrize("draw", [draw_leaving, draw_crashing, draw_eras])
 def test_series_of_troubles_follow_from_the_seed(draw):
     first = draw(5, 16.0, ("a", "b"))
     assert first == draw(5, 16.0, ("a", "b"))
--- a/ferrydock/freshness/_bounds.py
+++ b/ferrydock/freshness/_bounds.py
@@ -3,10 +3,10 @@
 | followed | from | its age is known by | bound |
 | --- | --- | --- | --- |
 | configuration | store, asked every 0.5 or 1 s | start of the call | `LEADER_MAX_AGE_S` |
-| target list | store, waiting for changes | store's revision in those calls | the same |
+| target list | store, waiting for changes | store's position in those calls | the same |
 | both, at a follower | hall's leader | older age of both, in each answer | the same |
 | own hall's leader | its answers, then the store | each answer | 2 s, then read again |
-| other halls' leaders | store, waiting for changes | store's revision | `REMOTE_LEADER_MAX_AGE_S` |
+| other halls' leaders | store, waiting for changes | store's position | `REMOTE_LEADER_MAX_AGE_S` |
 | other halls' counts | those leaders, every 0.15 s | each answer | 1.5 s |
 | other halls' demand | those leaders, every second | each answer | 5 s |
 | crashing requests | along both of these | each answer | as the answer |
@@ -14,7 +14,8 @@
 | operators' table | store, waiting for changes | a look at its head | 4 s (`ferrydock.node`) |
 
 Beyond its bound nothing is forgotten: what is known goes on being used, and a target that was told
-to leave stays left, since a list of an older revision is never taken. What ends is relying on it: a
+to leave stays left, since a list of an older position is never taken, and of one in a new era no
+entry that is older than what is known. What ends is relying on it: a
 leader says that it does not serve, its followers read the store themselves, and the reader asks
 anew beside the wait that has told it nothing.
 
--- a/ferrydock/freshness/tests/test_freshness.py
+++ b/ferrydock/freshness/tests/test_freshness.py
@@ -4,55 +4,67 @@
 
 import pytest
 
+from ...store import Position
 from .. import AgeAlarm, Confirmation
 
 
 def confirmation(known=7, confirmed_s=1.0):
     made = Confirmation()
-    made.note_known(known)
+    made.note_known(Position(0, known))
     made.confirm(confirmed_s)
     return made
 
 
 def test_a_call_that_names_no_higher_revision_confirms_what_is_known():
     followed = confirmation(known=7, confirmed_s=1.0)
-    followed.note_store(7, began_s=4.0, now_s=4.1)
+    followed.note_store(Position(0, 7), began_s=4.0, now_s=4.1)
     assert followed.age_s(5.0) == 1.0
     assert followed.ahead_for_s(5.0) is None
 
 
 def test_a_call_that_names_a_higher_revision_confirms_nothing_until_the_changes_are_known():
     followed = confirmation(known=7, confirmed_s=1.0)
-    followed.note_store(9, began_s=4.0, now_s=4.5)
-    followed.note_store(11, began_s=5.0, now_s=5.5)
+    followed.note_store(Position(0, 9), began_s=4.0, now_s=4.5)
+    followed.note_store(Position(0, 11), began_s=5.0, now_s=5.5)
     assert followed.age_s(6.0) == 5.0
     assert followed.ahead_for_s(6.0) == 1.5
-    followed.note_known(10)
+    followed.note_known(Position(0, 10))
     assert followed.age_s(6.0) == 2.0, "nothing up to revision 9 is missing, as of 4.0"
     assert followed.ahead_for_s(6.0) == 0.5
-    followed.note_known(11)
+    followed.note_known(Position(0, 11))
     assert followed.age_s(6.0) == 1.0
     assert followed.ahead_for_s(6.0) is None
 
 
 def test_an_answer_that_names_no_revision_and_a_late_one_confirm_nothing():
     followed = confirmation(known=7, confirmed_s=3.0)
-    followed.note_store(0, began_s=4.0, now_s=4.1)
-    followed.note_store(6, began_s=2.0, now_s=4.2)
+    followed.note_store(Position(0, 0), began_s=4.0, now_s=4.1)
+    followed.note_store(Position(0, 6), began_s=2.0, now_s=4.2)
     assert followed.age_s(5.0) == 2.0
 
 
+def test_a_lower_revision_of_a_new_era_confirms_nothing_and_is_ahead():
+    followed = confirmation(known=900, confirmed_s=1.0)
+    followed.note_store(Position(1, 40), began_s=4.0, now_s=4.1)
+    assert followed.age_s(5.0) == 4.0
+    assert followed.ahead_for_s(5.1) == 1.0
+    followed.note_known(Position(1, 40))
+    assert followed.age_s(5.0) == 1.0
+    followed.note_store(Position(0, 900), began_s=4.9, now_s=5.0)
+    assert followed.known == Position(1, 40)
+
+
 def test_what_was_never_confirmed_is_infinitely_old():
     followed = Confirmation()
-    followed.note_store(9, began_s=1.0, now_s=1.0)
+    followed.note_store(Position(0, 9), began_s=1.0, now_s=1.0)
     assert followed.age_s(5.0) == float("inf")
 
 
 def test_what_is_remembered_of_a_store_that_stays_ahead_is_bounded():
     followed = confirmation()
     for number in range(1000):
-        followed.note_store(8 + number, began_s=float(number), now_s=float(number))
-    followed.note_known(10**6)
+        followed.note_store(Position(0, 8 + number), began_s=float(number), now_s=float(number))
+    followed.note_known(Position(0, 10**6))
     assert followed.age_s(1000.0) == 1.0
     assert followed.ahead_for_s(1000.0) is None
 
--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -5,7 +5,7 @@
 """
 
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import orjson
 
@@ -14,9 +14,11 @@
 from .store import (
     Compare,
     CompareField,
+    Delete,
     KeyValue,
     LeaseGranted,
     LeaseLost,
+    Position,
     Put,
     RangeDone,
     Store,
@@ -54,16 +56,23 @@
     Attributes
     ----------
     term : int
-        Store revision at which the controller's key was created: rank of its orders.
+        Rank of the store's position at which the controller's key was created: rank of its
+        orders.
     lease_id : int
         Lease that the key is bound to.
     valid_until_s : float
         Time on the local clock up to which the store cannot have let the lease lapse.
+    era : int
+        Era of the store that all of this belongs to.
+    value : bytes
+        What the holder wrote to the key; no other write is like it.
     """
 
     term: int
     lease_id: int
     valid_until_s: float
+    era: int
+    value: bytes
 
 
 class ControllerLease:
@@ -87,6 +96,9 @@
     -----
     Validity counts from before the call was sent, less a margin. A holder that wakes after a
     pause therefore sees that its time is over before it does anything else.
+
+    A lease is believed only in the era of the store in which it was taken or reclaimed: a store
+    that has come back older may have lost it, and given its id to another daemon.
     """
 
     __slots__ = ("address", "clock", "hall", "held", "holder", "processor_cores", "store")
@@ -111,7 +123,10 @@
     @property
     def valid(self) -> bool:
         """Whether this daemon may act as the leader right now."""
-        return self.held is not None and self.clock.now_s() < self.held.valid_until_s
+        held = self.held
+        if held is None or held.era != self.store.era:
+            return False
+        return self.clock.now_s() < held.valid_until_s
 
     async def acquire(self, ttl_s: float) -> HeldLease | Conflict | Unavailable | Unknown:
         """Try to take the lease; `Conflict` if another daemon holds it."""
@@ -136,9 +151,11 @@
         if isinstance(done, Unknown):
             return await self._read_back(key, value, lease, sent_s)
         if not done.succeeded:
-            await self.store.revoke_lease(lease.lease_id)
+            await self._give_up(lease)
             return Conflict(f"{_holder_of(done.reads[0])} is the controller")
-        return self._hold(done.revision, lease, sent_s)
+        if done.era != lease.era:
+            return await self._take_back(key, done.position)
+        return self._hold(done.position, lease, sent_s, value)
 
     async def _read_back(
         self, key: str, value: bytes, lease: LeaseGranted, sent_s: float
@@ -148,15 +165,55 @@
         if not isinstance(found, RangeDone):
             return Unknown("the answer to the lease was lost and could not be read back")
         if found.items and found.items[0].value == value:
-            return self._hold(found.items[0].create_revision, lease, sent_s)
-        await self.store.revoke_lease(lease.lease_id)
+            created = Position(found.era, found.items[0].create_revision)
+            if found.era != lease.era:
+                return await self._take_back(key, created)
+            return self._hold(created, lease, sent_s, value)
+        await self._give_up(lease)
         return Conflict("the lease was not taken")
 
-    def _hold(self, term: int, lease: LeaseGranted, sent_s: float) -> HeldLease:
+    async def _take_back(self, key: str, created: Position) -> Conflict:
+        """Remove our key, which was bound to the id of a lease that the store has forgotten.
+
+        In the new era that id may be another daemon's, and our key would stand as long as that.
+        """
+        condition = Compare(key, created.revision, CompareField.CREATE_REVISION)
+        await self.store.transact(Txn((condition,), (Delete(key),), (), created.era))
+        return Conflict("the store came back older while the lease was taken")
+
+    async def _give_up(self, lease: LeaseGranted) -> None:
+        """End a lease that came to nothing; one of an older era may be another daemon's now."""
+        if lease.era == self.store.era:
+            await self.store.revoke_lease(lease.lease_id)
+
+    def _hold(
+        self, created: Position, lease: LeaseGranted, sent_s: float, value: bytes
+    ) -> HeldLease:
         until_s = sent_s + lease.ttl_s - CLOCK_MARGIN_S
-        self.held = HeldLease(term, lease.lease_id, until_s)
+        self.held = HeldLease(created.rank(), lease.lease_id, until_s, created.era, value)
         return self.held
 
+    async def reclaim(self) -> bool:
+        """Go on with the lease in a new era of the store, if it certainly never ended.
+
+        That is so if its time, by the last renewal of the older era, is not over, and the key in
+        the new era is still this daemon's and bound to the same lease: then no other daemon can
+        have taken the hall in between. The time is not extended by this.
+        """
+        held = self.held
+        if held is None or held.era == self.store.era:
+            return False
+        found = await self.store.range(controller_key(self.hall))
+        if not isinstance(found, RangeDone) or not found.items:
+            return False
+        item = found.items[0]
+        is_ours = item.value == held.value and item.lease_id == held.lease_id
+        if not is_ours or self.clock.now_s() >= held.valid_until_s:
+            return False
+        term = Position(found.era, item.create_revision).rank()
+        self.held = replace(held, term=term, era=found.era)
+        return self.valid
+
     async def keep(self) -> HeldLease | LeaseLost | Unavailable:
         """Renew the lease; `LeaseLost` if the store has let it lapse."""
         held = self.held
@@ -164,19 +221,22 @@
             return LeaseLost(0)
         sent_s = self.clock.now_s()
         kept = await self.store.keep_lease(held.lease_id)
+        if held.era != self.store.era:
+            # It may be another daemon's lease that was renewed or is gone: see `reclaim`.
+            return Unavailable("the store has come back older")
         if isinstance(kept, LeaseLost):
             self.held = None
             return kept
         if isinstance(kept, Unavailable):
             return kept
         until_s = max(held.valid_until_s, sent_s + kept.ttl_s - CLOCK_MARGIN_S)
-        self.held = HeldLease(held.term, held.lease_id, until_s)
+        self.held = replace(held, valid_until_s=until_s)
         return self.held
 
     async def give_back(self) -> None:
         """End the lease, so that another daemon can take it without waiting."""
         held, self.held = self.held, None
-        if held is not None:
+        if held is not None and held.era == self.store.era:
             await self.store.revoke_lease(held.lease_id)
 
 
--- a/ferrydock/platform/_configuration.py
+++ b/ferrydock/platform/_configuration.py
@@ -1,8 +1,9 @@
 """The operator's configuration, read from the platform's store and decoded.
 
-Owns the revision of the value that was read last. Names of the platform that mislead: a ``tenant``
-is a team, ``unsafe`` is a route whose requests may run once only, ``latency-goal-ms`` is the
-objective for the first byte, ``warmup-s`` loads weights from the worker's own host.
+Owns the position at which the value that was read last was written. Names of the platform that
+mislead: a ``tenant`` is a team, ``unsafe`` is a route whose requests may run once only,
+``latency-goal-ms`` is the objective for the first byte, ``warmup-s`` loads weights from the
+worker's own host.
 """
 
 from collections.abc import Mapping
@@ -24,7 +25,7 @@
     WeightedService,
 )
 from ..outcomes import Unavailable, Unknown
-from ..store import Compare, Txn
+from ..store import Compare, Position, Txn
 from ._decoding import assumed
 from ._store import PlatformStore
 
@@ -68,33 +69,41 @@
     A transaction that writes nothing and expects the revision that was read last is answered with
     a few bytes while nothing has changed, and with the new value otherwise. Unlike a watch it also
     tells that the value was the newest when the call began.
+
+    The condition holds in one era of the store: in the next, the same revision may stand for
+    another value, so the value is read again.
     """
 
-    __slots__ = ("_revision", "_store")
+    __slots__ = ("_position", "_store")
 
     def __init__(self, store: PlatformStore):
         self._store = store
-        self._revision = 0
+        self._position = Position()
 
     async def read(self) -> ConfigurationRead | Unavailable:
         """Read the newest configuration, certainly no older than the start of this call."""
-        done = await self._store.transact(Txn((Compare(_KEY, self._revision),), (), (_KEY,)))
+        if self._position.era != self._store.era:
+            self._position = Position(self._store.era)
+        known = self._position
+        condition = Compare(_KEY, known.revision)
+        done = await self._store.transact(Txn((condition,), (), (_KEY,), known.era))
         if isinstance(done, Unavailable | Unknown):
             return Unavailable(done.reason)
         if done.succeeded:
-            if self._revision == 0:
+            if known.revision == 0:
                 return Unavailable("there is no configuration yet")
-            return ConfigurationRead(ConfigurationUnchanged(), done.revision)
+            return ConfigurationRead(ConfigurationUnchanged(), done.position, known)
         item = done.reads[0]
         if item is None:
             missing = ConfigurationUnreadable(f"{_KEY} is not there any more")
-            return ConfigurationRead(missing, done.revision)
-        if item.mod_revision < self._revision:
+            return ConfigurationRead(missing, done.position)
+        written = Position(done.era, item.mod_revision)
+        if written < known:
             return Unavailable("the store answered with an older revision")
         decoded = self.decode(item.value)
         if isinstance(decoded, Configuration):
-            self._revision = item.mod_revision
-        return ConfigurationRead(decoded, done.revision)
+            self._position = written
+        return ConfigurationRead(decoded, done.position, written)
 
     def decode(self, encoded: bytes) -> Configuration | ConfigurationUnreadable:
         """Decode a stored value, also one that another daemon passed on."""
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -19,12 +19,14 @@
     KeyValue,
     LeaseGranted,
     LeaseLost,
+    Position,
     RangeDone,
     Txn,
     TxnDone,
     WatchBatch,
 )
 from ._store_messages import (
+    RangePage,
     decode_committed,
     decode_kept,
     decode_key,
@@ -67,15 +69,20 @@
 _TURNED_AWAY = (429, 503)
 _JSON = {"Content-Type": "application/json"}
 
+# Header of all the store's answers: how often it has come back from an older copy. A store that
+# does not tell it has one era.
+ERA_HEADER = "Store-Era"
+
 Decoded = TypeVar("Decoded")
 
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """Status and decoded JSON of an answer."""
+    """Status, decoded JSON and era of an answer."""
 
     status: int
     fields: object
+    era: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,14 +102,17 @@
     ----------
     calls : dict of str to int
         Calls made so far, by kind and result.
+    era : int
+        Newest era that an answer has named.
     """
 
-    __slots__ = ("_base", "_session", "calls")
+    __slots__ = ("_base", "_session", "calls", "era")
 
     def __init__(self, address: str):
         self._base = f"http://{address}/v1"
         self._session: aiohttp.ClientSession | None = None
         self.calls: dict[str, int] = {}
+        self.era = 0
 
     # The port ---------------------------------------------------------------------------------
 
@@ -116,12 +126,12 @@
         decode = decode_missing_key if answer.status == NOT_FOUND else decode_key
         if answer.status not in (OK, NOT_FOUND):
             return _unexpected(answer)
-        return _decode(decode, answer)
+        return _decode(decode, answer, answer.era)
 
     async def _read_pages(self, prefix: str) -> RangeDone | Unavailable:
         """Read all pages of a range; the revision is that of the first, so no change is missed."""
         items: list[KeyValue] = []
-        revision: int | None = None
+        first: RangePage | None = None
         while True:
             after_key = items[-1].key if items else None
             answer = await self._call("GET", "/kv-range", page_query(prefix, after_key))
@@ -129,16 +139,20 @@
                 return Unavailable(answer.reason)
             if answer.status != OK:
                 return _unexpected(answer)
-            page = _decode(decode_page, answer)
+            page = _decode(decode_page, answer, answer.era)
             if isinstance(page, Unavailable):
                 return page
+            first = first or page
+            if page.era != first.era:
+                return Unavailable("the store came back older between two pages")
             items += page.items
-            revision = page.revision if revision is None else revision
             if page.is_last:
-                return RangeDone(tuple(items), revision)
+                return RangeDone(tuple(items), first.revision, first.era)
 
     async def transact(self, txn: Txn) -> TxnDone | Unavailable | Unknown:
         """Write on conditions. `Unknown`: it may have been done, or may be done later."""
+        if txn.era is not None and txn.era < self.era:
+            return Unavailable("the conditions were read in an older era of the store")
         answer = await self._call("POST", "/kv-txn", body=encode_txn(txn))
         if isinstance(answer, Unavailable | Unknown):
             return answer
@@ -146,9 +160,11 @@
             revision = _decode(decode_committed, answer)
             if isinstance(revision, Unavailable):
                 return Unknown(revision.reason)
-            return TxnDone(True, revision)
+            if txn.era is not None and txn.era != answer.era:
+                return Unknown("done in an era in which its conditions may hold for other values")
+            return TxnDone(True, revision, era=answer.era)
         if answer.status == CONDITION_FAILED:
-            return _decode(decode_refused, answer, txn.failure_reads)
+            return _decode(decode_refused, answer, txn.failure_reads, answer.era)
         return _unexpected(answer)
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable | Unknown:
@@ -158,7 +174,7 @@
             return answer
         if answer.status != OK:
             return _unexpected(answer)
-        return _decode(decode_lease, answer)
+        return _decode(decode_lease, answer, answer.era)
 
     async def keep_lease(self, lease_id: int) -> LeaseGranted | LeaseLost | Unavailable:
         """Renew a lease."""
@@ -172,7 +188,7 @@
         ttl_s = _decode(decode_kept, answer)
         if isinstance(ttl_s, Unavailable):
             return ttl_s
-        return LeaseGranted(lease_id, ttl_s)
+        return LeaseGranted(lease_id, ttl_s, answer.era)
 
     async def revoke_lease(self, lease_id: int) -> LeaseLost | Unavailable | Unknown:
         """End a lease."""
@@ -181,16 +197,16 @@
             return answer
         return LeaseLost(lease_id)
 
-    async def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
-        """Yield changes from a revision on; ends when a call fails or the history is gone."""
-        since = from_revision - 1
+    async def watch(self, prefix: str, after: Position) -> AsyncGenerator[WatchBatch, None]:
+        """Yield changes after a position; ends when a call fails or the history is gone."""
+        since = after
         while True:
             watched = await self.watch_once(prefix, since)
             if not isinstance(watched, WatchBatch):
                 why = watched.reason if isinstance(watched, Unavailable) else "history_gone"
                 log_event(_LOG, logging.INFO, "watch_ended", prefix=prefix, why=why)
                 return  # the caller reads the key again
-            since = watched.revision
+            since = watched.position
             if watched.changes:
                 yield watched
 
@@ -202,22 +218,25 @@
     # Beyond the port, for the adapter's own sources -------------------------------------------
 
     async def watch_once(
-        self, prefix: str, since: int, wait_ms: int = MAX_WATCH_MS
+        self, prefix: str, since: Position, wait_ms: int = MAX_WATCH_MS
     ) -> WatchBatch | HistoryGone | Unavailable:
-        """Wait for changes under `prefix` after revision `since`, for at most `wait_ms`.
+        """Wait for changes under `prefix` after a position, for at most `wait_ms`.
 
-        With 0 it is a call like any other, which has its answer at once.
+        With 0 it is a call like any other, which has its answer at once. The history of an older
+        era is gone: changes that the store names after the same revision are others.
         """
-        query = watch_query(prefix, since, wait_ms)
+        if since.era < self.era:
+            return HistoryGone()
+        query = watch_query(prefix, since.revision, wait_ms)
         timeout_s = wait_ms / 1000 + WATCH_SLACK_S if wait_ms else CALL_TIMEOUT_S
         answer = await self._call("GET", "/kv-watch", query, timeout_s=timeout_s)
         if isinstance(answer, Unavailable | Unknown):
             return Unavailable(answer.reason)
-        if answer.status == HISTORY_GONE:
+        if answer.status == HISTORY_GONE or answer.era != since.era:
             return HistoryGone()
         if answer.status != OK:
             return _unexpected(answer)
-        return _decode(decode_watch, answer)
+        return _decode(decode_watch, answer, answer.era)
 
     # Calls ------------------------------------------------------------------------------------
 
@@ -258,9 +277,27 @@
             self._count(kind, "unanswered")
             return Unknown(f"no answer of the store: {type(error).__name__}")
         self._count(kind, str(response.status))
+        era = self._read_era(response.headers.get(ERA_HEADER))
+        if era < self.era:
+            return Unknown("an answer of an older era of the store")
         if response.status in _TURNED_AWAY:
             return Unavailable(f"the store answered {response.status}")
-        return _Answer(response.status, fields)
+        return _Answer(response.status, fields, era)
+
+    def note_era(self, era: int) -> None:
+        """Note an era that another daemon has seen: no answer of an older one counts any more."""
+        self.era = max(self.era, era)
+
+    def _read_era(self, told: str | None) -> int:
+        """Return an answer's era, and keep the newest; one that is not told is the newest known."""
+        if told is None:
+            return self.era
+        if not told.isdecimal():
+            log_event(_LOG, logging.ERROR, "store_era_unreadable", header=ERA_HEADER, value=told)
+            return self.era
+        era = int(told)
+        self.note_era(era)
+        return era
 
     def _count(self, kind: str, result: str) -> None:
         name = f"{kind}_{result}"
--- a/ferrydock/platform/_store_messages.py
+++ b/ferrydock/platform/_store_messages.py
@@ -55,21 +55,24 @@
         The store's, when the page was read.
     is_last : bool
         Whether there are no more keys.
+    era : int
+        The store's, when the page was read.
     """
 
     items: tuple[KeyValue, ...]
     revision: int
     is_last: bool
+    era: int
 
 
-def decode_key(fields: object) -> RangeDone:
+def decode_key(fields: object, era: int = 0) -> RangeDone:
     """Return a key that is there; all decoders raise BadMessage."""
-    return RangeDone((_item(fields),), required(fields, "store-revision", int))
+    return RangeDone((_item(fields),), required(fields, "store-revision", int), era)
 
 
-def decode_missing_key(fields: object) -> RangeDone:
+def decode_missing_key(fields: object, era: int = 0) -> RangeDone:
     """Return the answer for a key that is not there; the store's revision may be left out."""
-    return RangeDone((), optional(fields, "store-revision", int, 0))
+    return RangeDone((), optional(fields, "store-revision", int, 0), era)
 
 
 def page_query(prefix: str, after_key: str | None) -> dict[str, str]:
@@ -80,11 +83,11 @@
     return query
 
 
-def decode_page(fields: object) -> RangePage:
+def decode_page(fields: object, era: int = 0) -> RangePage:
     """Return a page of a range."""
     items = tuple(_item(entry) for entry in required(fields, "entries", list))
     is_last = not optional(fields, "truncated", bool, False) or not items
-    return RangePage(items, required(fields, "store-revision", int), is_last)
+    return RangePage(items, required(fields, "store-revision", int), is_last, era)
 
 
 def watch_query(prefix: str, since: int, wait_ms: int) -> dict[str, str]:
@@ -92,11 +95,11 @@
     return {"path-prefix": prefix, "since-revision": str(since), "wait-ms": str(wait_ms)}
 
 
-def decode_watch(fields: object) -> WatchBatch:
+def decode_watch(fields: object, era: int = 0) -> WatchBatch:
     """Return the changes that a watch brought; none if its time was over."""
     revision = required(fields, "store-revision", int)
     events = optional(fields, "events", list, [])
-    return WatchBatch(revision, tuple(_change(event) for event in events))
+    return WatchBatch(revision, tuple(_change(event) for event in events), era)
 
 
 def encode_txn(txn: Txn) -> dict:
@@ -113,7 +116,7 @@
     return required(fields, "revision", int)
 
 
-def decode_refused(fields: object, keys: tuple[str, ...]) -> TxnDone:
+def decode_refused(fields: object, keys: tuple[str, ...], era: int = 0) -> TxnDone:
     """Return a transaction whose condition did not hold, with what stands under `keys`.
 
     Entries and the store's revision may be left out.
@@ -121,7 +124,7 @@
     items = [_item(entry) for entry in optional(fields, "entries", list, [])]
     found = {item.key: item for item in items}
     reads = tuple(found.get(key) for key in keys)
-    return TxnDone(False, optional(fields, "store-revision", int, 0), reads)
+    return TxnDone(False, optional(fields, "store-revision", int, 0), reads, era=era)
 
 
 def encode_lease(ttl_s: float) -> dict:
@@ -129,9 +132,9 @@
     return {"ttl-ms": int(ttl_s * MS_PER_S)}
 
 
-def decode_lease(fields: object) -> LeaseGranted:
+def decode_lease(fields: object, era: int = 0) -> LeaseGranted:
     """Return a lease that was granted."""
-    return LeaseGranted(required(fields, "lease", int), decode_kept(fields))
+    return LeaseGranted(required(fields, "lease", int), decode_kept(fields), era)
 
 
 def decode_kept(fields: object) -> float:
--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -1,6 +1,6 @@
 """The platform's list of workers as a source of targets.
 
-Owns the revision up to which the list was followed, while it is followed. The platform says worker
+Owns the position up to which the list was followed, while it is followed. The platform says worker
 and group where ferrydock says target and replica, and zone where it says hall.
 """
 
@@ -12,7 +12,7 @@
 
 from ..logs import log_event
 from ..outcomes import Unavailable
-from ..store import WatchBatch, prefix_end
+from ..store import Position, WatchBatch, prefix_end
 from ..targets import Membership, ReplicaState, Target, TargetChanges
 from ._decoding import assumed
 from ._store import MAX_WATCH_MS, HistoryGone, PlatformStore
@@ -44,32 +44,34 @@
         self._store = store
         self.gather_s = gather_s
 
-    async def follow(self, since: int | None = None) -> AsyncIterator[TargetChanges | Unavailable]:
+    async def follow(
+        self, since: Position | None = None
+    ) -> AsyncIterator[TargetChanges | Unavailable]:
         """Yield the whole list, then changes; read the list again where history was dropped.
 
-        A daemon that lost its leader and knows the list up to a revision asks only for what came
+        A daemon that lost its leader and knows the list up to a position asks only for what came
         after it, and not for an entry of each worker.
         """
-        revision = since
+        known = since
         found: TargetChanges | HistoryGone | Unavailable
         while True:
-            if revision is None:
+            if known is None:
                 found = await self._whole_list()
             else:
-                found = await self._changes_after(revision, MAX_WATCH_MS)
+                found = await self._changes_after(known, MAX_WATCH_MS)
             if isinstance(found, HistoryGone):
-                revision = None
+                known = None
                 continue
             yield found
             if isinstance(found, TargetChanges):
                 # After an answer and not before the first question: a daemon that has lost its
                 # leader learns 0.4 s sooner what it has missed.
-                revision = found.revision
+                known = found.position
                 await asyncio.sleep(self.gather_s)
 
-    async def changes_since(self, revision: int) -> TargetChanges | Unavailable:
-        """Ask once for what changed after a revision; the whole list if its history is gone."""
-        found = await self._changes_after(revision, 0)
+    async def changes_since(self, known: Position) -> TargetChanges | Unavailable:
+        """Ask once for what changed after a position; the whole list if its history is gone."""
+        found = await self._changes_after(known, 0)
         return await self._whole_list() if isinstance(found, HistoryGone) else found
 
     async def _whole_list(self) -> TargetChanges | Unavailable:
@@ -77,12 +79,12 @@
         if isinstance(listed, Unavailable):
             return listed
         entries = (_read(item.key, item.value) for item in listed.items)
-        return TargetChanges(True, tuple(e for e in entries if e), (), listed.revision)
+        return TargetChanges(True, tuple(e for e in entries if e), (), listed.position)
 
     async def _changes_after(
-        self, revision: int, wait_ms: int
+        self, known: Position, wait_ms: int
     ) -> TargetChanges | HistoryGone | Unavailable:
-        watched = await self._store.watch_once(_PREFIX, revision, wait_ms)
+        watched = await self._store.watch_once(_PREFIX, known, wait_ms)
         return _changes(watched) if isinstance(watched, WatchBatch) else watched
 
 
@@ -99,7 +101,7 @@
         target = _read(key, value)
         if target is not None:
             entries[target_id] = target
-    return TargetChanges(False, tuple(entries.values()), tuple(removed), watched.revision)
+    return TargetChanges(False, tuple(entries.values()), tuple(removed), watched.position)
 
 
 def _read(key: str, value: bytes) -> Target | None:
@@ -132,9 +134,15 @@
         staged=_names(fields.get("staged")),
         models=_names(fields.get("models")),
         membership=parse_membership(fields.get("group")),
+        age_mark=_age_mark(fields),
     )
 
 
+def _age_mark(fields: Mapping) -> tuple[int, int]:
+    """Return a worker's start and the number of its entries since; 0 where it does not say."""
+    return int(fields.get("born") or 0), int(fields.get("sequence") or 0)
+
+
 def parse_membership(fields: Mapping | None) -> Membership | None:
     """Return a worker's place in a group, or None if it belongs to none."""
     if not fields or not fields.get("name"):
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -16,7 +16,7 @@
 from ..targets import TargetChanges, TargetDirectory
 from ._broken_replicas import BrokenReplicas
 from ._daemon_counter import DaemonCounter
-from ._messages import KNOWN_TO, NewsAnswer, NewsRequest, decode_answer, encode
+from ._messages import NewsAnswer, NewsRequest, decode_answer, encode, life_of_position
 from ._peers import PeerCalls
 from ._server import NEWS
 
@@ -56,6 +56,11 @@
         Of this daemon, as the leader counts it.
     crashes : CrashExchange, optional
         Requests that crash their targets, exchanged with the leader.
+    note_era : callable, optional
+        Called with the era of the store in each answer.
+    is_settled : callable, optional
+        Whether that era has settled; until then nothing is confirmed, also to one who asks the
+        store, so a leader that reaches it makes the store unnecessary nevertheless.
 
     Notes
     -----
@@ -76,7 +81,9 @@
         "daemon_counter",
         "decode",
         "directory",
+        "is_settled",
         "name",
+        "note_era",
     )
 
     def __init__(
@@ -89,7 +96,11 @@
         daemon_counter: DaemonCounter | None = None,
         name: str = "",
         crashes: CrashExchange | None = None,
+        note_era: Callable[[int], None] = lambda era: None,
+        is_settled: Callable[[], bool] = lambda: True,
     ):
+        self.note_era = note_era
+        self.is_settled = is_settled
         self.current = current
         self.directory = directory
         self.decode = decode
@@ -112,7 +123,7 @@
         sent_s = self.clock.now_s()
         life = self._life
         if not life and self.directory.loaded:
-            life = f"{KNOWN_TO}{self.directory.revision}"
+            life = life_of_position(self.directory.position)
         request = NewsRequest(
             life,
             self._change,
@@ -145,7 +156,7 @@
         return await self._calls.call(address, method, data, ANSWER_TIMEOUT_S)
 
     async def close(self) -> None:
-        """Close the connection; the next answer brings what changed since the known revision."""
+        """Close the connection; the next answer brings what changed since the known position."""
         self._life = ""
         await self._calls.close()
 
@@ -156,15 +167,17 @@
             return False
         self.broken.receive(answer.broken)
         self.daemon_counter.receive(answer.daemons, sent_s)
-        if answer.revision < self.directory.revision:
+        if answer.position < self.directory.position:
             return False  # what this daemon has read itself is newer
+        self.note_era(answer.era)
         self._life, self._change = answer.life, answer.change
         self.directory.take(
-            TargetChanges(answer.whole, answer.entries, answer.removed, answer.revision)
+            TargetChanges(answer.whole, answer.entries, answer.removed, answer.position)
         )
         if answer.age_s is not None:
             self.directory.confirmation.confirm(sent_s - answer.age_s)
-        return answer.age_s is not None and answer.age_s <= LEADER_MAX_AGE_S
+        is_young = answer.age_s is not None and answer.age_s <= LEADER_MAX_AGE_S
+        return is_young or not self.is_settled()
 
     def _take_configuration(self, answer: NewsAnswer, sent_s: float) -> None:
         if answer.configuration:
--- a/ferrydock/relay/_messages.py
+++ b/ferrydock/relay/_messages.py
@@ -9,20 +9,23 @@
 import orjson
 
 from ..crashes import CrashNews, decode_crash_news
+from ..store import Position
 from ..targets import Membership, ReplicaState, Target
 
 __all__ = [
-    "KNOWN_TO",
     "NewsAnswer",
     "NewsRequest",
     "decode_answer",
     "decode_request",
     "encode",
+    "life_of_position",
+    "position_of_life",
 ]
 
-# Begins a `life` that is a revision. A leader of an older version takes it for the id of another
-# process, and sends the whole list.
+# Begins a `life` that is a position, and separates its era, if it is not 0, from its revision. A
+# leader of an older version takes it for the id of another process, and sends the whole list.
 KNOWN_TO = "@"
+ERA_END = "."
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +36,7 @@
     ----------
     life : str
         Id of the leader's process whose list it follows. Of a follower that comes from another
-        leader: `KNOWN_TO` and the revision up to which it knows the list. Empty for none.
+        leader: the position up to which it knows the list (`life_of_position`). Empty for none.
     change : int
         Last change of that list that it has.
     version : int
@@ -82,6 +85,8 @@
         Daemons of the hall, as the answering one counts them.
     crashes : CrashNews or None
         Requests that crash their targets; left out where there is nothing to tell.
+    era : int
+        Era of the store that `revision` counts in; left out in the first.
     """
 
     serves: bool
@@ -97,6 +102,40 @@
     broken: tuple[tuple[str, int], ...] = ()
     daemons: int = 1
     crashes: CrashNews | None = None
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Where the store stood, to which the list corresponds at least."""
+        return Position(self.era, self.revision)
+
+
+def life_of_position(position: Position) -> str:
+    """Return the `life` of a follower that knows the list up to a position.
+
+    Examples
+    --------
+    >>> life_of_position(Position(0, 7)), life_of_position(Position(2, 7))
+    ('@7', '@2.7')
+    """
+    era = f"{position.era}{ERA_END}" if position.era else ""
+    return f"{KNOWN_TO}{era}{position.revision}"
+
+
+def position_of_life(life: str) -> Position | None:
+    """Return the position in a follower's `life`, or None if it is a process's id.
+
+    Examples
+    --------
+    >>> position_of_life("@2.7"), position_of_life("@7"), position_of_life("0a1b")
+    (Position(era=2, revision=7), Position(era=0, revision=7), None)
+    """
+    if not life.startswith(KNOWN_TO):
+        return None
+    era, _, revision = life.removeprefix(KNOWN_TO).rpartition(ERA_END)
+    if not revision.isdecimal() or not (era or "0").isdecimal():
+        return None
+    return Position(int(era or 0), int(revision))
 
 
 def encode(message: NewsRequest | NewsAnswer) -> bytes:
@@ -104,6 +143,8 @@
     fields = asdict(message)
     if fields["crashes"] is None:
         del fields["crashes"]
+    if not fields.get("era"):
+        fields.pop("era", None)
     return orjson.dumps(fields)
 
 
@@ -148,5 +189,6 @@
         "membership": membership,
         "staged": tuple(fields["staged"]),
         "models": tuple(fields["models"]),
+        "age_mark": tuple(fields.get("age_mark", (0, 0))),
     }
     return Target(**{**fields, **changed})
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -19,7 +19,7 @@
 from ..targets import TargetDirectory
 from ._broken_replicas import BrokenReplicas
 from ._daemon_counter import DaemonCounter
-from ._messages import KNOWN_TO, NewsAnswer, NewsRequest, decode_request, encode
+from ._messages import NewsAnswer, NewsRequest, decode_request, encode, position_of_life
 from ._peers import OPTIONS, SERVICE, PeerMethod
 
 __all__ = ["NEWS", "RelayServer"]
@@ -176,7 +176,8 @@
             whole=is_whole,
             entries=entries,
             removed=removed,
-            revision=self.directory.revision,
+            revision=self.directory.position.revision,
+            era=self.directory.position.era,
             version=self.current.version,
             configuration=self._configuration_for(request),
             age_s=age_s if age_s != float("inf") else None,
@@ -204,10 +205,8 @@
         """
         if request.life == self.life:
             return self.directory.changed_since(request.change)
-        revision = request.life.removeprefix(KNOWN_TO)
-        if request.life.startswith(KNOWN_TO) and revision.isdecimal():
-            return self.directory.changed_after(int(revision))
-        return None
+        known = position_of_life(request.life)
+        return self.directory.changed_after(known) if known is not None else None
 
     def _configuration_for(self, request: NewsRequest) -> str:
         """Return the configuration as it is stored, or "" if the follower has it."""
--- a/ferrydock/relay/tests/test_relay.py
+++ b/ferrydock/relay/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 from ...clock import ManualClock
 from ...configuration import Configuration, ConfigurationUnreadable, CurrentConfiguration
+from ...store import Position
 from ...targets import Target, TargetChanges, TargetDirectory
 from .. import NewsAnswer, NewsRequest, RelayClient, RelayServer
 
@@ -37,7 +38,7 @@
     async def __aenter__(self):
         self.address = await self.server.start("127.0.0.1:0")
         self.directory.replace([target("a"), target("b")])
-        self.directory.revision = 7
+        self.directory.position = Position(0, 7)
         self.directory.confirmation.confirm(999.6)
         self.current.offer(configuration(3), 999.5)
         return self
@@ -56,7 +57,7 @@
         async with Pair() as pair:
             assert await pair.client.pull(pair.address)
             assert set(pair.own_directory.targets) == {"a", "b"}
-            assert pair.own_directory.revision == 7
+            assert pair.own_directory.position == Position(0, 7)
             assert pair.own_book.version == 3
             assert pair.own_book.age_s(5.0) == 0.5
             pair.directory.put(target("a", draining=True))
@@ -83,7 +84,7 @@
     async def scenario():
         async with Pair() as pair:
             pair.own_directory.replace([target("c")])
-            pair.own_directory.revision = 9
+            pair.own_directory.position = Position(0, 9)
             assert not await pair.client.pull(pair.address)
             assert list(pair.own_directory.targets) == ["c"]
 
@@ -183,25 +184,27 @@
 def test_a_follower_of_another_leader_gets_only_what_it_does_not_know():
     async def scenario():
         async with Pair() as pair:
-            pair.directory.take(TargetChanges(True, (target("a"), target("b")), (), 7))
+            pair.directory.take(TargetChanges(True, (target("a"), target("b")), (), Position(0, 7)))
             assert await pair.client.pull(pair.address)
-            pair.directory.take(TargetChanges(False, (target("c"),), ("b",), 9))
+            pair.directory.take(TargetChanges(False, (target("c"),), ("b",), Position(0, 9)))
             # the next leader was a follower too, and numbers its changes differently
             await pair.client.close()
             pair.server.life = "another"
-            answer = pair.server.answer(NewsRequest(f"@{pair.own_directory.revision}", 0, 3))
+            answer = pair.server.answer(
+                NewsRequest(f"@{pair.own_directory.position.revision}", 0, 3)
+            )
             assert not answer.whole
             assert [entry.target_id for entry in answer.entries] == ["c"]
             assert await pair.client.pull(pair.address)
             assert set(pair.own_directory.targets) == {"a", "c"}
-            assert pair.own_directory.revision == 9
+            assert pair.own_directory.position == Position(0, 9)
 
     play(scenario)
 
 
 def test_a_follower_whose_list_is_older_than_the_leaders_changes_gets_the_whole():
     pair = Pair()
-    pair.directory.take(TargetChanges(True, (target("a"),), (), 7))
+    pair.directory.take(TargetChanges(True, (target("a"),), (), Position(0, 7)))
     assert pair.server.answer(NewsRequest("@6", 0, -1)).whole
     assert not pair.server.answer(NewsRequest("@7", 0, -1)).whole
     assert pair.server.answer(NewsRequest("@x", 0, -1)).whole
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -69,8 +69,8 @@
 
     Notes
     -----
-    Each plan is written to the hall's placement record first; the revision of that write is the
-    epoch of the replicas planned by it.
+    Each plan is written to the hall's placement record first; the rank of that write's position is
+    the epoch of the replicas planned by it.
     """
 
     def __init__(
@@ -281,7 +281,7 @@
     # Replicas that are missing ----------------------------------------------------------------
 
     async def _begin(self, formations: list[Formation]) -> None:
-        """Write the plans to the record, and form them under the revision of that write."""
+        """Write the plans to the record, and form them under the epoch of that write."""
         plans = {f"g{uuid.uuid4().hex[:NAME_DIGITS]}": formation for formation in formations}
         epoch = await self.record.write(plans)
         if epoch is None or not self.lease.valid:
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -22,7 +22,7 @@
     TargetLoads,
     Upstream,
 )
-from ..freshness import LEADER_MAX_AGE_S
+from ..freshness import LEADER_MAX_AGE_S, EraSettling
 from ..hall_lease import ControllerLease
 from ..logs import log_event
 from ..planned_stop import finish_requests
@@ -142,6 +142,7 @@
         self.current = CurrentConfiguration()
         self.directory = TargetDirectory()
         self.catalog = EndpointCatalog(self.directory)
+        self.settling = EraSettling(self.deployment.store, self.clock, self.settings.is_first_start)
         self.broken = BrokenReplicas()
         self.crash_exchange = CrashExchange(CrashHistory(self.clock))
         self.demand = DemandMeter(len(self.settings.halls))
@@ -185,6 +186,8 @@
             self.daemon_counter,
             self.settings.name,
             self.crash_exchange,
+            self.deployment.store.note_era,
+            self.settling.is_settled,
         )
         self.relay_server = RelayServer(
             self.current,
@@ -222,6 +225,7 @@
             self.leadership,
             self.rng,
             self.selector.assign_free_slots,
+            self.settling,
             [leadership.confirmation for leadership in self.remote_leaderships],
         )
 
@@ -248,7 +252,7 @@
             self.metrics,
             self._slots_wanted,
         )
-        return controller, store, self.clock, self.rng, self.stopping.is_set
+        return controller, store, self.clock, self.rng, self.stopping.is_set, self.settling
 
     def _build_scheduling(self) -> None:
         """The hall scheduler, used while this daemon leads, and the way to the leader's."""
@@ -305,10 +309,14 @@
         """Return whether this daemon reads the store for its hall and knows what it holds.
 
         The list counts by its own age: a leader whose wait for changes is never answered was
-        believed by its whole hall for up to 21.5 s while it confirmed its configuration.
+        believed by its whole hall for up to 21.5 s while it confirmed its configuration. While a
+        new era of the store settles no daemon can confirm that, so reaching the store is enough:
+        the followers would learn no more there, and all ask at once.
         """
         now_s = self.clock.now_s()
         age_s = max(self.current.age_s(now_s), self.directory.age_s(now_s))
+        if not self.settling.is_settled():
+            age_s = now_s - self.store_follower.reached_s
         return self.leadership.holds_lease() and age_s < LEADER_MAX_AGE_S
 
     def _remote_leaders(self) -> dict[str, str]:
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -14,11 +14,12 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from ..freshness import EraSettling
 from ..hall_lease import ControllerLease, HeldLease, controller_key
 from ..logs import log_event
 from ..outcomes import Conflict
 from ..replicas import ReplicaController
-from ..store import Store
+from ..store import Position, Store
 from ._lease_renewal import LeaseRenewal
 
 __all__ = ["HallLeadership"]
@@ -34,6 +35,9 @@
 CONTROLLER_ROUND_S = 0.1
 ROUND_JITTER = (0.85, 1.15)
 
+# Pause between two looks whether the store's era has settled, without a call.
+SETTLING_LOOK_S = 0.1
+
 # Pause after a watch that ended without telling of the key's end. Chosen, not measured.
 BROKEN_WATCH_PAUSE_S = 0.5
 
@@ -51,6 +55,8 @@
         Acts while the lease is held.
     is_stopping : callable
         Whether this daemon is about to stop: it then gives its lease back.
+    settling : EraSettling
+        Whether the store can be relied on after it came back older.
 
     Attributes
     ----------
@@ -65,6 +71,7 @@
         clock: Clock,
         rng: random.Random,
         is_stopping: Callable[[], bool],
+        settling: EraSettling,
     ):
         self.controller = controller
         self.lease: ControllerLease = controller.lease
@@ -73,6 +80,7 @@
         self.clock = clock
         self.rng = rng
         self.is_stopping = is_stopping
+        self.settling = settling
         self.leader_address = ""
 
     @property
@@ -96,8 +104,11 @@
         """Try to take the lease; if that succeeds, lead until it ends.
 
         A daemon that stops takes none: it would give it back at once, and the hall would be
-        without a leader for that long.
+        without a leader for that long. While the store's era settles none is taken: another daemon
+        may still rely on one of which the store knows nothing any more.
         """
+        while not self.settling.is_settled():
+            await asyncio.sleep(SETTLING_LOOK_S)
         if self.is_stopping():
             return
         taken = await self.lease.acquire(LEASE_S)
@@ -117,14 +128,14 @@
             )
             await asyncio.sleep(self.rng.uniform(*FAILED_TAKE_PAUSE_S))
 
-    async def _wait_for_free_key(self, revision: int, longest_s: float | None) -> bool:
+    async def _wait_for_free_key(self, read: Position, longest_s: float | None) -> bool:
         """Wait until the leader's key is gone, the watch breaks or `longest_s`, if any, is over.
 
-        Returns whether the key is gone.
+        `read` is where it was read. Returns whether the key is gone.
         """
         try:
             async with asyncio.timeout(longest_s):
-                async for batch in self.store.watch(self.key, revision + 1):
+                async for batch in self.store.watch(self.key, read):
                     if any(value is None for _, value in batch.changes):
                         return True
         except TimeoutError:
@@ -132,12 +143,12 @@
         await asyncio.sleep(BROKEN_WATCH_PAUSE_S)
         return False
 
-    async def _wait_for_taken_key(self, revision: int, longest_s: float) -> None:
+    async def _wait_for_taken_key(self, read: Position, longest_s: float) -> None:
         """Wait until a daemon takes the leader's key, or until `longest_s` is over."""
         until_s = self.clock.now_s() + longest_s
         try:
             async with asyncio.timeout(longest_s):
-                async for batch in self.store.watch(self.key, revision + 1):
+                async for batch in self.store.watch(self.key, read):
                     if any(value is not None for _, value in batch.changes):
                         return
         except TimeoutError:
@@ -146,21 +157,32 @@
 
     async def _lead(self) -> None:
         """Drive the controller while the lease holds; give the lease back at a planned stop."""
+        try:
+            await self._act_while_valid()
+            while await self.lease.reclaim():
+                log_event(_LOG, logging.WARNING, "lease_reclaimed", hall=self.controller.hall)
+                await self.lease.keep()  # of its time an outage has left little
+                await self._act_while_valid()
+        finally:
+            log_event(_LOG, logging.INFO, "controller_ended", hall=self.controller.hall)
+        if self.lease.valid:
+            await self.lease.give_back()
+        if self.is_stopping():
+            self.leader_address = ""  # the next one schedules the requests that are left here
+
+    async def _act_while_valid(self) -> None:
+        """Drive the controller until the lease ends, or is not believed in a new era."""
         renewal = LeaseRenewal(self.lease, self.clock)
         try:
             while self.lease.valid and not self.is_stopping() and not self.should_give_way():
                 if not renewal.step():
                     break
-                await self.controller.step()
+                if self.settling.is_settled():
+                    await self.controller.step()
                 await asyncio.sleep(CONTROLLER_ROUND_S * self.rng.uniform(*ROUND_JITTER))
         finally:
             renewal.cancel()
             self.controller.stand_down()
-            log_event(_LOG, logging.INFO, "controller_ended", hall=self.controller.hall)
-        if self.lease.valid:
-            await self.lease.give_back()
-        if self.is_stopping():
-            self.leader_address = ""  # the next one schedules the requests that are left here
 
     @abstractmethod
     async def run(self) -> None:
--- a/ferrydock/route_daemon/_own_leadership.py
+++ b/ferrydock/route_daemon/_own_leadership.py
@@ -116,7 +116,7 @@
         self.leader_address = controller_address(read.items[0].value)
         self._leader_cores = controller_cores(read.items[0].value)
         await self._follow()
-        return await self._wait_for_free_key(read.revision, self.rng.uniform(*OWN_WATCH_S))
+        return await self._wait_for_free_key(read.position, self.rng.uniform(*OWN_WATCH_S))
 
     async def _try_to_lead(self) -> RangeDone | None:
         """Take the free lease, unless another daemon was quicker: then return its key.
--- a/ferrydock/route_daemon/_remote_leadership.py
+++ b/ferrydock/route_daemon/_remote_leadership.py
@@ -10,7 +10,7 @@
 from ..freshness import REMOTE_LEADER_MAX_AGE_S, Confirmation
 from ..hall_lease import controller_address
 from ..outcomes import Unavailable
-from ..store import RangeDone
+from ..store import Position, RangeDone
 from ._leadership import HallLeadership
 
 __all__ = ["RemoteHallLeadership"]
@@ -70,13 +70,13 @@
         read = await self.store.range(self.key)
         if isinstance(read, Unavailable):
             return False  # the store follower logs that the store is lost
-        self.confirmation.note_known(read.revision)
+        self.confirmation.note_known(read.position)
         self.confirmation.confirm(began_s)
         if read.items:
             self.leader_address = controller_address(read.items[0].value)
-            return await self._wait_while_confirmed(read.revision)
+            return await self._wait_while_confirmed(read.position)
         jitter_s = self.rng.uniform(0, REMOTE_TAKE_JITTER_S)
-        await self._wait_for_taken_key(read.revision, REMOTE_TAKE_AFTER_S + jitter_s)
+        await self._wait_for_taken_key(read.position, REMOTE_TAKE_AFTER_S + jitter_s)
         again = await self.store.range(self.key)
         if isinstance(again, RangeDone) and again.items:
             self.leader_address = controller_address(again.items[0].value)
@@ -84,14 +84,14 @@
             await self._take_and_lead()
         return False
 
-    async def _wait_while_confirmed(self, revision: int) -> bool:
+    async def _wait_while_confirmed(self, read: Position) -> bool:
         """Wait until the leader's key is gone; return whether it is, or False to read it again.
 
         A wait that is never answered would leave this daemon with a leader that is gone. The wait
-        ends once the store's revision has not confirmed the key for too long: while that stands
+        ends once the store's position has not confirmed the key for too long: while that stands
         still, the key is known without a call.
         """
-        waiting = asyncio.ensure_future(self._wait_for_free_key(revision, None))
+        waiting = asyncio.ensure_future(self._wait_for_free_key(read, None))
         try:
             while not waiting.done():
                 if self.confirmation.age_s(self.clock.now_s()) > REMOTE_LEADER_MAX_AGE_S:
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -16,9 +16,10 @@
     ConfigurationUnchanged,
     CurrentConfiguration,
 )
-from ..freshness import UNANSWERED_S, AgeAlarm, Confirmation
+from ..freshness import UNANSWERED_S, AgeAlarm, Confirmation, EraSettling
 from ..logs import log_event
 from ..outcomes import Unavailable
+from ..store import Position
 from ..targets import TargetChanges, TargetDirectory
 from ._deployment import Deployment
 from ._own_leadership import OwnHallLeadership
@@ -54,7 +55,14 @@
     on_change : callable
         Called after a new configuration.
     confirmations : sequence of Confirmation
-        Of other things that are followed in the store; each call tells them its revision.
+        Of other things that are followed in the store; each call tells them its position.
+    settling : EraSettling
+        Whether the store can be relied on after it came back older.
+
+    Attributes
+    ----------
+    reached_s : float
+        Local time at which the last call began that read the configuration.
     """
 
     __slots__ = (
@@ -62,7 +70,9 @@
         "_asked_s",
         "_check_backoff",
         "_check_from_s",
+        "_first_in_era",
         "_is_reached",
+        "_read_version",
         "clock",
         "confirmations",
         "current",
@@ -70,7 +80,9 @@
         "directory",
         "leadership",
         "on_change",
+        "reached_s",
         "rng",
+        "settling",
     )
 
     def __init__(
@@ -81,6 +93,7 @@
         leadership: OwnHallLeadership,
         rng: random.Random,
         on_change: Callable[[], None],
+        settling: EraSettling,
         confirmations: Sequence[Confirmation] = (),
     ):
         self.deployment = deployment
@@ -91,11 +104,15 @@
         self.clock: Clock = leadership.clock
         self.rng = rng
         self.on_change = on_change
+        self.settling = settling
+        self.reached_s = float("-inf")
+        self._first_in_era = Position()
         self._age_alarm = AgeAlarm("targets")
         self._asked_s = float("-inf")
         self._check_backoff = StoreBackoff(rng)
         self._check_from_s = float("-inf")
         self._is_reached = True
+        self._read_version = -1
 
     async def follow_configuration(self) -> None:
         """Read and confirm the configuration, until the daemon ends."""
@@ -116,11 +133,19 @@
             self._note_store(True)
             now_s = self.clock.now_s()
             for confirmation in self.confirmations:
-                confirmation.note_store(read.store_revision, began_s, now_s)
+                confirmation.note_store(read.store_position, began_s, now_s)
+            self.settling.look(self.directory.position)
+            self.reached_s = began_s
             self._take(read, began_s)
-            is_leader = self.leadership.lease.valid
-            pause_s = LEADER_CONFIRM_EVERY_S if is_leader else CONFIRM_EVERY_S
-            await asyncio.sleep(pause_s * self.rng.uniform(*CONFIRM_JITTER))
+            await asyncio.sleep(self._until_next_read_s())
+
+    def _until_next_read_s(self) -> float:
+        """Return the pause before the configuration is read again: at once as an era settles."""
+        is_leader = self.leadership.lease.valid
+        pause_s = LEADER_CONFIRM_EVERY_S if is_leader else CONFIRM_EVERY_S
+        pause_s *= self.rng.uniform(*CONFIRM_JITTER)
+        left_s = self.settling.left_s()
+        return min(pause_s, left_s) if left_s > 0 else pause_s
 
     async def follow_targets(self) -> None:
         """Read the target list whenever the hall leader does not relay it.
@@ -129,13 +154,17 @@
         silent for good. Once the store is known to be ahead of the list, the changes are asked for
         beside the wait, and a wait that has missed some is given up. Without this a list stood
         still for up to 21.5 s, and 14 requests of one emulated play reached leaving targets.
+
+        The first list of a new era is read once more when that has settled.
         """
         reading: asyncio.Task | None = None
         await self._wait_for_leader()
         try:
             while True:
+                self.settling.look(self.directory.position)
                 is_relayed = self.leadership.is_relayed
-                if reading is not None and (is_relayed or await self._find_missed_changes()):
+                is_due = is_relayed or self._is_list_due or await self._find_missed_changes()
+                if reading is not None and is_due:
                     reading.cancel()
                     reading = None
                 if not self.leadership.is_relayed and (reading is None or reading.done()):
@@ -145,6 +174,11 @@
             if reading is not None:
                 reading.cancel()
 
+    @property
+    def _is_list_due(self) -> bool:
+        """Whether the whole list is to be read again, since what was kept in it may be gone."""
+        return self.directory.is_provisional and self.settling.is_settled()
+
     def _is_overdue(self, now_s: float) -> bool:
         """Return whether the wait for changes should have been answered by now.
 
@@ -165,7 +199,7 @@
         now_s = self.clock.now_s()
         if not self._is_overdue(now_s):
             return False
-        known = self.directory.revision
+        known = self.directory.position
         ahead_for_s = self.directory.confirmation.ahead_for_s(now_s)
         changes = await self.deployment.target_source.changes_since(known)
         if isinstance(changes, Unavailable):
@@ -180,8 +214,8 @@
             _LOG,
             logging.WARNING,
             "targets_wait_silent",
-            revision=known,
-            store_revision=changes.revision,
+            revision=known.revision,
+            store_revision=changes.position.revision,
             ahead_for_s=ahead_for_s,
             is_leader=self.leadership.is_leader,
         )
@@ -189,7 +223,7 @@
 
     def _take_changes(self, changes: TargetChanges, asked_s: float) -> None:
         """Take changes that were asked for at `asked_s`, unless what is known is newer."""
-        if changes.revision >= self.directory.revision:
+        if changes.position >= self.directory.position:
             self.directory.take(changes)
             self.directory.confirmation.confirm(asked_s)
 
@@ -210,18 +244,31 @@
     def _take(self, read: ConfigurationRead, began_s: float) -> None:
         """Put what was read in force; `began_s` is when the call began."""
         found = read.found
+        confirmed_s = began_s if self._is_newest(read) else None
         if isinstance(found, Configuration):
-            self.current.offer(found, began_s)
+            self._read_version = found.version
+            self.current.offer(found, confirmed_s)
             self.on_change()
         elif isinstance(found, ConfigurationUnchanged):
-            self.current.confirm(self.current.version, began_s)
+            self.current.confirm(self._read_version, confirmed_s)
         else:
             log_event(_LOG, logging.ERROR, "configuration_unreadable", why=found.reason)
 
+    def _is_newest(self, read: ConfigurationRead) -> bool:
+        """Return whether what the store holds is certainly the operator's newest configuration.
+
+        In an era that settles that is so only if it was written in it, after its first answer: an
+        older one may have replaced a newer that the store has lost, with keys that were taken away.
+        """
+        if read.store_position.era != self._first_in_era.era:
+            self._first_in_era = read.store_position
+        return self.settling.is_settled() or read.written > self._first_in_era
+
     async def _read_targets(self) -> None:
         """Follow the target source until it ends; the caller starts it again."""
         backoff = StoreBackoff(self.rng)
-        known = self.directory.revision if self.directory.loaded else None
+        is_known = self.directory.loaded and not self._is_list_due
+        known = self.directory.position if is_known else None
         self._asked_s = self.clock.now_s()
         async for changes in self.deployment.target_source.follow(known):
             if isinstance(changes, Unavailable):
@@ -240,7 +287,7 @@
             self.directory.age_s(now_s),
             self.deployment.settings.change_within_s,
             now_s,
-            revision=self.directory.revision,
+            revision=self.directory.position.revision,
             store_ahead_s=self.directory.confirmation.ahead_for_s(now_s),
             is_leader=self.leadership.is_leader,
             is_relayed=self.leadership.is_relayed,
--- a/ferrydock/route_daemon/tests/test_remote_leadership.py
+++ b/ferrydock/route_daemon/tests/test_remote_leadership.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from ...freshness import REMOTE_LEADER_MAX_AGE_S
+from ...freshness import REMOTE_LEADER_MAX_AGE_S, EraSettling
 from ...hall_lease import controller_key
 from ...standins.fleet import LoopClock, run_virtually
-from ...store import MemoryStore
+from ...store import MemoryStore, Position
 from .._remote_leadership import CONFIRMED_LOOK_S, REMOTE_LOOK_S, RemoteHallLeadership
 
 KEY = controller_key("hall-b")
@@ -26,7 +26,7 @@
         self.reads += 1
         return await super().range(key, range_end)
 
-    async def watch(self, prefix, from_revision):
+    async def watch(self, prefix, after):
         await asyncio.sleep(10**6)
         yield
 
@@ -38,7 +38,13 @@
         store.put(KEY, b'{"address":"127.0.0.1:1"}')
         controller = SimpleNamespace(hall="hall-b", lease=SimpleNamespace(address=""))
         leadership = RemoteHallLeadership(
-            controller, store, clock, random.Random(1), lambda: False, is_candidate=lambda: True
+            controller,
+            store,
+            clock,
+            random.Random(1),
+            lambda: False,
+            EraSettling(store, clock, is_first_start=False),
+            is_candidate=lambda: True,
         )
         running = asyncio.ensure_future(leadership.run())
         confirming = asyncio.ensure_future(confirm(leadership, store, clock))
@@ -55,7 +61,7 @@
     """Tell the store's revision as the calls of a leader do."""
     while True:
         now_s = clock.now_s()
-        leadership.confirmation.note_store(store.revision, now_s, now_s)
+        leadership.confirmation.note_store(Position(0, store.revision), now_s, now_s)
         await asyncio.sleep(0.5)
 
 
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -9,10 +9,16 @@
 
 import pytest
 
-from ...configuration import ConfigurationRead, ConfigurationUnchanged, CurrentConfiguration
-from ...freshness import LEADER_MAX_AGE_S
+from ...configuration import (
+    Configuration,
+    ConfigurationRead,
+    ConfigurationUnchanged,
+    CurrentConfiguration,
+)
+from ...freshness import LEADER_MAX_AGE_S, SETTLE_S, EraSettling
 from ...outcomes import Unavailable
 from ...standins.fleet import LoopClock, run_virtually
+from ...store import MemoryStore, Position
 from ...targets import Target, TargetChanges, TargetDirectory
 from .._store_follower import StoreFollower
 
@@ -38,20 +44,20 @@
     async def follow(self, since=None):
         if since is None:
             await asyncio.sleep(self.list_takes_s)
-            yield TargetChanges(True, (target(False),), (), self.store.revision)
+            yield TargetChanges(True, (target(False),), (), Position(0, self.store.revision))
         while True:
             self.waits += 1
             await asyncio.sleep(SILENT_S)
             yield Unavailable("no answer")
 
-    async def changes_since(self, revision):
+    async def changes_since(self, known):
         self.store.checks += 1
         return await self.store.call(
             lambda: TargetChanges(
                 False,
-                (target(True),) if self.store.left_revision > revision else (),
+                (target(True),) if self.store.left_revision > known.revision else (),
                 (),
-                self.store.revision,
+                Position(0, self.store.revision),
             )
         )
 
@@ -74,7 +80,9 @@
         return answer()
 
     async def read(self):
-        return await self.call(lambda: ConfigurationRead(ConfigurationUnchanged(), self.revision))
+        return await self.call(
+            lambda: ConfigurationRead(ConfigurationUnchanged(), Position(0, self.revision))
+        )
 
     def leave(self):
         """Write that the target leaves."""
@@ -115,6 +123,7 @@
             self.leadership,
             random.Random(seed),
             lambda: None,
+            EraSettling(MemoryStore(), self.leadership.clock, is_first_start=False),
         )
 
     @property
@@ -228,3 +237,98 @@
         assert daemon.directory.age_s(daemon.leadership.clock.now_s()) > 19.0
 
     run_virtually(daemon.run(scenario))
+
+
+class OlderStore(FakeStore):
+    """A store that comes back older, with a configuration that it had replaced before."""
+
+    def __init__(self):
+        super().__init__()
+        self.era = 0
+        self.read_era = 0
+        self.stored = (9, 300)  # version, and the revision at which it was written
+
+    async def read(self):
+        version, written = self.stored
+        is_same = (self.read_era, self.read_version) == (self.era, version)
+        self.read_era, self.read_version = self.era, version
+        found = (
+            ConfigurationUnchanged() if is_same else Configuration(version, (), {}, (), encoded=b"")
+        )
+        at = Position(self.era, self.revision)
+        return await self.call(lambda: ConfigurationRead(found, at, Position(self.era, written)))
+
+    read_version = -1
+
+    def come_back(self, version, written, revision):
+        self.era += 1
+        self.stored, self.revision = (version, written), revision
+
+
+class OlderDaemon(Daemon):
+    """A daemon before such a store."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = self.source.store = OlderStore()
+        self.follower.deployment.configuration_source = self.store
+        self.follower.settling = EraSettling(self.store, self.leadership.clock, False)
+        self.current = self.follower.current
+
+    @property
+    def age_s(self):
+        return self.current.age_s(self.leadership.clock.now_s())
+
+
+def test_an_older_configuration_of_a_new_era_is_neither_put_in_force_nor_confirmed():
+    daemon = OlderDaemon()
+
+    async def scenario():
+        daemon.store.come_back(version=6, written=20, revision=40)
+        await asyncio.sleep(10.0)
+        assert daemon.current.version == 9
+        assert daemon.age_s > 9.0, "the store's older value says nothing of the newer one"
+
+    run_virtually(daemon.run(scenario))
+
+
+def test_what_the_operator_writes_again_is_confirmed_at_once():
+    daemon = OlderDaemon()
+
+    async def scenario():
+        daemon.store.come_back(version=6, written=20, revision=40)
+        await asyncio.sleep(1.0)
+        daemon.store.revision = 42
+        daemon.store.stored = (9, 41)
+        await asyncio.sleep(1.0)
+        assert daemon.age_s < 1.0
+
+    run_virtually(daemon.run(scenario))
+
+
+def test_what_stands_in_the_copy_is_confirmed_only_once_the_era_has_settled():
+    daemon = OlderDaemon()
+
+    async def scenario():
+        daemon.store.come_back(version=9, written=30, revision=40)  # a newer one may be lost
+        await asyncio.sleep(SETTLE_S)
+        assert daemon.age_s > SETTLE_S - 0.1
+        await asyncio.sleep(1.0)
+        assert daemon.age_s < 1.0
+
+    run_virtually(daemon.run(scenario))
+
+
+def test_a_daemon_that_starts_in_a_new_era_trusts_no_key_before_it_has_settled():
+    daemon = OlderDaemon()
+    daemon.store.come_back(version=6, written=20, revision=40)
+    ages = []
+
+    async def scenario():  # begins 2 s after the start
+        ages.append(daemon.age_s)
+        await asyncio.sleep(1.5)
+        ages.append(daemon.age_s)
+
+    run_virtually(daemon.run(scenario))
+    assert ages[0] == float("inf")
+    assert ages[1] < 1.0
--- a/ferrydock/standins/_etcd.py
+++ b/ferrydock/standins/_etcd.py
@@ -18,6 +18,7 @@
     KeyValue,
     LeaseLost,
     MemoryStore,
+    Position,
     Put,
     Txn,
     TxnDone,
@@ -128,7 +129,7 @@
 
     async def _send_events(self, request, response, prefix: str, first: int) -> None:
         """Send what happens below `prefix`, until an outage."""
-        async for batch in self.store.watch(prefix, first):
+        async for batch in self.store.watch(prefix, Position(self.store.era, first - 1)):
             if self.faults.down:
                 return
             if self.faults.silent_watches:
--- a/ferrydock/standins/_local.py
+++ b/ferrydock/standins/_local.py
@@ -16,6 +16,7 @@
     LeaseGranted,
     LeaseLost,
     MemoryStore,
+    Position,
     RangeDone,
     Txn,
     TxnDone,
@@ -162,6 +163,14 @@
         self.late: list[Txn] = []
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """The era of the store behind it."""
+        return self.store.era
+
+    def note_era(self, era: int) -> None:
+        self.store.note_era(era)
+
     async def range(self, key: str, range_end: str = "") -> RangeDone | Unavailable:
         self.calls += 1
         return Unavailable("down") if self.down else await self.store.range(key, range_end)
@@ -198,9 +207,9 @@
         self.calls += 1
         return Unavailable("down") if self.down else await self.store.revoke_lease(lease_id)
 
-    def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchBatch]:
+    def watch(self, prefix: str, after: Position) -> AsyncIterator[WatchBatch]:
         self.calls += 1
-        return self.store.watch(prefix, from_revision)
+        return self.store.watch(prefix, after)
 
     async def close(self) -> None:
         return None
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from ._caller import request_bytes
 from ._ports import FleetControl, FleetList
-from ._site import FleetSite, small_engine
+from ._site import WRITTEN_AGAIN_S, FleetSite, small_engine
 from ._store_http import StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
 from ._worker_http import CRASHING_BODY, CrashingRequest, LeavingArrival, RunRecord, WorkerFace
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CRASHING_BODY",
+    "WRITTEN_AGAIN_S",
     "CrashingRequest",
     "Fleet",
     "FleetControl",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -7,18 +7,21 @@
 
 from ...clock import SystemClock
 from ...configuration import EngineSpec, ModelSpec
-from ...store import MemoryStore
+from ...store import MemoryStore, StoreCopy
 from ._store_http import StoreFace
 from ._worker_http import KV_TOKENS, RunRecord, WorkerFace, entry_group, entry_models
 from ._workers import Fleet, Worker
 
-__all__ = ["FleetSite", "small_engine"]
+__all__ = ["WRITTEN_AGAIN_S", "FleetSite", "small_engine"]
 
 HEARTBEAT_S = 0.4
 
 # How long a worker that has crashed is away before it starts again under its id.
 BACK_AFTER_S = (0.5, 2.0)
 
+# When operator and workers write again what a store has lost that came back older.
+WRITTEN_AGAIN_S = (0.2, 2.0)
+
 # Pause before it tries again to listen at an address that another socket has taken meanwhile.
 PORT_TAKEN_S = 0.1
 ENGINE_SERVICE = "engines"
@@ -71,6 +74,8 @@
         self.killed_s: dict[str, float] = {}
         self.crashed_s: dict[str, list[float]] = {}
         self._returns: set[asyncio.Task] = set()
+        self._own_rng = random.Random(f"store {seed}")
+        self._configuration = b""
 
     async def start(self) -> None:
         """Start the store and all workers; no configuration is written yet."""
@@ -154,7 +159,30 @@
         if worker.left_s is None:
             worker.left_s = asyncio.get_running_loop().time()
 
+    def come_back_older(self, copy: StoreCopy) -> None:
+        """Let the store lose all since a copy was taken; each writer writes again what is gone."""
+        self.store.come_back_older(copy)
+        for face in self.stores:
+            face.forget_history()
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._own_rng.uniform(*WRITTEN_AGAIN_S), self._write_configuration_again)
+        for worker in (*self.fleet.workers.values(), *self.plain.values()):
+            if worker.alive:
+                again_s = self._own_rng.uniform(*WRITTEN_AGAIN_S)
+                loop.call_later(again_s, self._write_entry_again, worker)
+            else:
+                born_ms = worker.born_ms
+                loop.call_later(3 * HEARTBEAT_S, self._remove_entry_of_dead, worker, born_ms)
+
+    def _write_configuration_again(self) -> None:
+        self._put("op/config", self._configuration)
+
+    def _write_entry_again(self, worker: Worker) -> None:
+        if worker.alive:
+            self._write_entry(worker)
+
     def _write_entry(self, worker: Worker) -> None:
+        worker.entries += 1
         fields = {
             "service": worker.service,
             "address": worker.address,
@@ -162,7 +190,7 @@
             "version": "v1",
             "slots": worker.engine.slots,
             "state": "draining" if worker.draining else "ready",
-            "sequence": 1,
+            "sequence": worker.entries,
             "born": worker.born_ms,
             "cold-remaining-ms": 0,
         }
@@ -188,7 +216,8 @@
         """Write a configuration with `changes` at its top level; return its version."""
         self.version += 3
         fields = {**self.configuration(), **changes, "version": self.version}
-        self._put("op/config", orjson.dumps(fields))
+        self._configuration = orjson.dumps(fields)
+        self._put("op/config", self._configuration)
         return self.version
 
     def configuration(self) -> dict:
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -15,6 +15,7 @@
     KeyValue,
     LeaseLost,
     MemoryStore,
+    Position,
     Put,
     Txn,
     WatchBatch,
@@ -27,6 +28,9 @@
 LONGEST_WAIT_MS = 30000
 GUARDED = ("op/", "servers/")
 
+# Header of all answers: how often the store has come back older.
+ERA_HEADER = "Store-Era"
+
 # How long a call is left without an answer: longer than any caller waits (21.5 s).
 SILENT_S = 60.0
 
@@ -77,6 +81,7 @@
     async def start(self, listen: str = "127.0.0.1:0") -> str:
         """Begin to listen; return the address."""
         app = web.Application(client_max_size=4 * 2**20)
+        app.on_response_prepare.append(self._tell_era)
         app.router.add_get("/v1/kv-key", self._bounded("key", self._key))
         app.router.add_get("/v1/kv-range", self._bounded("range", self._range))
         app.router.add_get("/v1/kv-watch", self._bounded("watch", self._watch))
@@ -109,6 +114,9 @@
         """
         self._silenced += 1
 
+    async def _tell_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers[ERA_HEADER] = str(self.store.era)
+
     def _bounded(self, kind: str, handler):
         async def handle(request: web.Request) -> web.Response:
             self.calls[kind] = self.calls.get(kind, 0) + 1
@@ -159,9 +167,12 @@
         prefix = request.query["path-prefix"]
         since = int(request.query["since-revision"])
         wait_s = min(int(request.query["wait-ms"]), LONGEST_WAIT_MS) / 1000
-        if since < self._oldest:
+        era = self.store.era
+        if since < self._oldest or since > self.store.revision:
             return _json({}, 410)
         batches = await self._next_batches(prefix, since, wait_s)
+        if era != self.store.era:
+            return _json({}, 410)
         if not batches:
             return _json({"events": [], "store-revision": self.store.revision})
         events = [
@@ -173,7 +184,7 @@
 
     async def _next_batches(self, prefix: str, since: int, wait_s: float) -> list[WatchBatch]:
         """Return all changes that there are, or the next one if there is none yet."""
-        changes = self.store.watch(prefix, since + 1)
+        changes = self.store.watch(prefix, Position(self.store.era, since))
         found = []
         try:
             async with asyncio.timeout(wait_s):
@@ -181,7 +192,7 @@
             async with asyncio.timeout(0):
                 while True:
                     found.append(await anext(changes))
-        except TimeoutError:
+        except (TimeoutError, StopAsyncIteration):
             return found
         finally:
             await changes.aclose()
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -63,6 +63,8 @@
     ----------
     born_ms : int
         Time of day of its start, in milliseconds.
+    entries : int
+        How often it has written its entry since its start.
     alive : bool
         Whether it answers at all.
     left_s : float or None
@@ -80,6 +82,7 @@
     service: str
     engine: EngineSpec
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
+    entries: int = 0
     alive: bool = True
     draining: bool = False
     left_s: float | None = None
@@ -98,6 +101,7 @@
     def start_again(self) -> None:
         """Begin another life under the same id; only what lies on the host is left."""
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self.entries = 0
         self.alive = True
         self.draining = False
         self.left_s = None
--- a/ferrydock/store/__init__.py
+++ b/ferrydock/store/__init__.py
@@ -2,7 +2,8 @@
 
 from ._box_list import Box, BoxList, HttpBoxList, StaticBoxList
 from ._etcd import EtcdStore
-from ._memory import MemoryStore
+from ._memory import MemoryStore, StoreCopy
+from ._position import Position
 from ._store import (
     Compare,
     CompareField,
@@ -33,11 +34,13 @@
     "LeaseGranted",
     "LeaseLost",
     "MemoryStore",
+    "Position",
     "Put",
     "RangeDone",
     "StaticBoxList",
     "StaticWeightStore",
     "Store",
+    "StoreCopy",
     "Txn",
     "TxnDone",
     "WatchBatch",
--- a/ferrydock/store/_etcd.py
+++ b/ferrydock/store/_etcd.py
@@ -12,6 +12,7 @@
 import orjson
 
 from ..outcomes import Unavailable, Unknown
+from ._position import Position
 from ._store import (
     Delete,
     KeyValue,
@@ -115,6 +116,14 @@
         self._preferred = 0
         self._session: aiohttp.ClientSession | None = None
 
+    @property
+    def era(self) -> int:
+        """Always 0: etcd does not count restorations (docs/design/store-eras.md)."""
+        return 0
+
+    def note_era(self, era: int) -> None:
+        """Do nothing: there is one era."""
+
     async def range(self, key: str, range_end: str = "") -> RangeDone | Unavailable:
         body = {"key": encode_text(key)}
         if range_end:
@@ -148,12 +157,12 @@
         answer = await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
         return LeaseLost(lease_id) if isinstance(answer, dict) else answer
 
-    async def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
+    async def watch(self, prefix: str, after: Position) -> AsyncGenerator[WatchBatch, None]:
         request = {
             "create_request": {
                 "key": encode_text(prefix),
                 "range_end": encode_text(prefix_end(prefix)),
-                "start_revision": str(from_revision),
+                "start_revision": str(after.revision + 1),
             }
         }
         url = self.urls[self._preferred] + "/v3/watch"
--- a/ferrydock/store/_memory.py
+++ b/ferrydock/store/_memory.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sortedcontainers import SortedDict
 
 from ..clock import Clock, SystemClock
+from ._position import Position
 from ._store import (
     Compare,
     CompareField,
@@ -21,7 +22,7 @@
     WatchBatch,
 )
 
-__all__ = ["MemoryStore"]
+__all__ = ["MemoryStore", "StoreCopy"]
 
 _HISTORY_BATCHES = 4096
 
@@ -32,6 +33,16 @@
     expires_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All that a store holds at one moment: keys, leases, and the numbers given out so far."""
+
+    keys: dict[str, KeyValue]
+    leases: dict[int, _Lease]
+    revision: int
+    next_lease: int
+
+
 class MemoryStore:
     """Keys, leases and watches held in one process.
 
@@ -39,9 +50,23 @@
     ----------
     clock : Clock, default=SystemClock()
         Drives the expiry of leases.
+
+    Attributes
+    ----------
+    era : int
+        How often it has come back older by `come_back_older`.
     """
 
-    __slots__ = ("_changed", "_history", "_keys", "_leases", "_next_lease", "_revision", "clock")
+    __slots__ = (
+        "_changed",
+        "_history",
+        "_keys",
+        "_leases",
+        "_next_lease",
+        "_revision",
+        "clock",
+        "era",
+    )
 
     def __init__(self, clock: Clock | None = None):
         self.clock = clock or SystemClock()
@@ -51,6 +76,7 @@
         self._revision = 1
         self._history: list[WatchBatch] = []
         self._changed = asyncio.Event()
+        self.era = 0
 
     @property
     def revision(self) -> int:
@@ -68,6 +94,29 @@
         self._history.clear()
         self._notify()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy for a later `come_back_older`."""
+        leases = {i: replace(lease) for i, lease in self._leases.items()}
+        return StoreCopy(dict(self._keys), leases, self._revision, self._next_lease)
+
+    def come_back_older(self, copy: StoreCopy) -> None:
+        """Go back to a copy in a new era: revisions and leases are given out again.
+
+        Leases of the copy live on for their whole time: they wait while the store is away.
+        """
+        now_s = self.clock.now_s()
+        self._keys = SortedDict(copy.keys)
+        self._leases = {
+            i: _Lease(lease.ttl_s, now_s + lease.ttl_s) for i, lease in copy.leases.items()
+        }
+        self._revision, self._next_lease = copy.revision, copy.next_lease
+        self._history.clear()
+        self.era += 1
+        self._notify()
+
+    def note_era(self, era: int) -> None:
+        """Do nothing: its own era is the newest."""
+
     def put(self, key: str, value: bytes) -> int:
         """Write a key without a condition, as another writer does; return the revision."""
         changes: dict[str, bytes | None] = {}
@@ -84,10 +133,12 @@
 
     async def range(self, key: str, range_end: str = "") -> RangeDone:
         self.expire_leases()
-        return RangeDone(self._read(key, range_end), self._revision)
+        return RangeDone(self._read(key, range_end), self._revision, self.era)
 
     async def transact(self, txn: Txn) -> TxnDone:
         self.expire_leases()
+        if txn.era not in (None, self.era):
+            return self._refused(txn)
         changes: dict[str, bytes | None] = {}
         done = self._apply(txn, self._revision + 1, changes)
         if changes:
@@ -98,7 +149,7 @@
         lease_id = self._next_lease
         self._next_lease += 1
         self._leases[lease_id] = _Lease(ttl_s, self.clock.now_s() + ttl_s)
-        return LeaseGranted(lease_id, ttl_s)
+        return LeaseGranted(lease_id, ttl_s, self.era)
 
     async def keep_lease(self, lease_id: int) -> LeaseGranted | LeaseLost:
         self.expire_leases()
@@ -106,21 +157,21 @@
         if lease is None:
             return LeaseLost(lease_id)
         lease.expires_s = self.clock.now_s() + lease.ttl_s
-        return LeaseGranted(lease_id, lease.ttl_s)
+        return LeaseGranted(lease_id, lease.ttl_s, self.era)
 
     async def revoke_lease(self, lease_id: int) -> LeaseLost:
         self._drop_lease(lease_id)
         return LeaseLost(lease_id)
 
-    async def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
-        seen = from_revision - 1
-        while True:
+    async def watch(self, prefix: str, after: Position) -> AsyncGenerator[WatchBatch, None]:
+        seen = after.revision
+        while self.era == after.era:
             changed = self._changed  # taken first: a change during a yield must not be missed
             for batch in self._batches_after(seen):
                 seen = batch.revision
                 wanted = tuple(c for c in batch.changes if c[0].startswith(prefix))
                 if wanted:
-                    yield WatchBatch(batch.revision, wanted)
+                    yield WatchBatch(batch.revision, wanted, batch.era)
             await changed.wait()
 
     async def close(self) -> None:
@@ -162,8 +213,7 @@
 
     def _apply(self, txn: Txn, revision: int, changes: dict[str, bytes | None]) -> TxnDone:
         if not all(self._holds(compare) for compare in txn.compares):
-            reads = tuple(self._keys.get(key) for key in txn.failure_reads)
-            return TxnDone(False, self._revision, reads)
+            return self._refused(txn)
         nested = []
         for operation in txn.success:
             if isinstance(operation, Txn):
@@ -171,7 +221,11 @@
             else:
                 self._apply_write(operation, revision, changes)
         after = revision if changes else self._revision
-        return TxnDone(True, after, nested=tuple(nested))
+        return TxnDone(True, after, nested=tuple(nested), era=self.era)
+
+    def _refused(self, txn: Txn) -> TxnDone:
+        reads = tuple(self._keys.get(key) for key in txn.failure_reads)
+        return TxnDone(False, self._revision, reads, era=self.era)
 
     def _apply_write(self, write: Put | Delete, revision: int, changes: dict) -> None:
         if isinstance(write, Put):
@@ -188,7 +242,7 @@
 
     def _commit(self, changes: dict[str, bytes | None]) -> None:
         self._revision += 1
-        self._history.append(WatchBatch(self._revision, tuple(changes.items())))
+        self._history.append(WatchBatch(self._revision, tuple(changes.items()), self.era))
         del self._history[:-_HISTORY_BATCHES]
         self._notify()
 
--- a/ferrydock/store/_store.py
+++ b/ferrydock/store/_store.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from ..outcomes import Unavailable, Unknown
+from ._position import Position
 
 __all__ = [
     "Compare",
@@ -26,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyValue:
-    """A stored key. Revisions count the store's changes; `lease_id` 0 means none."""
+    """A stored key. Revisions count the store's changes of an era; `lease_id` 0 means none."""
 
     key: str
     value: bytes
@@ -73,11 +74,18 @@
     """If all `compares` hold, apply `success` at once; else read the keys of `failure_reads`.
 
     `success` may hold transactions of its own: each is decided by its own compares.
+
+    Attributes
+    ----------
+    era : int or None
+        Era in which the revisions of `compares` were read; a store that has left it must not take
+        them for its own. None where they name no revision but 0, or the store has no eras.
     """
 
     compares: tuple[Compare, ...]
     success: tuple["Put | Delete | Txn", ...]
     failure_reads: tuple[str, ...] = ()
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,28 +102,43 @@
         The `failure_reads` in their order; empty where it succeeded.
     nested : tuple of TxnDone
         The outcome of each transaction among `success`, in order.
+    era : int
+        The store's era.
     """
 
     succeeded: bool
     revision: int
     reads: tuple[KeyValue | None, ...] = ()
     nested: tuple["TxnDone", ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The store's position after it."""
+        return Position(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
 class RangeDone:
-    """Keys found, sorted, as they stood at `revision`."""
+    """Keys found, sorted, as they stood at `revision` of `era`."""
 
     items: tuple[KeyValue, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The store's position when they were read."""
+        return Position(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseGranted:
-    """A lease lives for `ttl_s` after the store last heard of it."""
+    """A lease lives for `ttl_s` after the store last heard of it; its id counts in one era."""
 
     lease_id: int
     ttl_s: float
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +154,12 @@
 
     revision: int
     changes: tuple[tuple[str, bytes | None], ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The store's position after them."""
+        return Position(self.era, self.revision)
 
 
 class Store(Protocol):
@@ -138,8 +167,21 @@
 
     A read that fails is `Unavailable`. A write is `Unavailable` only where it surely had no
     effect; once it may have left this process its outcome is `Unknown`.
+
+    Attributes
+    ----------
+    era : int
+        Newest era that any answer has named: how often the store has come back from an older copy.
+        Nothing that was read or written in an earlier one is certain any more, leases included.
     """
 
+    @property
+    def era(self) -> int:
+        """See above."""
+
+    def note_era(self, era: int) -> None:
+        """Note an era of the store that another daemon has seen."""
+
     async def range(self, key: str, range_end: str = "") -> RangeDone | Unavailable:
         """Read `key`, or all keys in ``[key, range_end)``."""
 
@@ -155,8 +197,8 @@
     async def revoke_lease(self, lease_id: int) -> LeaseLost | Unavailable | Unknown:
         """End a lease and remove the keys bound to it."""
 
-    def watch(self, prefix: str, from_revision: int) -> AsyncGenerator[WatchBatch, None]:
-        """Yield changes under `prefix` from `from_revision` on; ends when the stream breaks."""
+    def watch(self, prefix: str, after: Position) -> AsyncGenerator[WatchBatch, None]:
+        """Yield changes under `prefix` after a position; ends when the stream or the era does."""
 
     async def close(self) -> None:
         """Give up the connections."""
--- a/ferrydock/store/tests/test_stores.py
+++ b/ferrydock/store/tests/test_stores.py
@@ -15,6 +15,7 @@
     LeaseGranted,
     LeaseLost,
     MemoryStore,
+    Position,
     Put,
     Txn,
     prefix_end,
@@ -148,7 +149,7 @@
     async def check(bench):
         start = (await bench.store.transact(put("/w/0", b"before"))).revision
         await bench.store.transact(put("/w/1", b"one"))
-        stream = bench.store.watch("/w/", start + 1)
+        stream = bench.store.watch("/w/", Position(0, start))
         first = await anext(stream)
         await bench.store.transact(put("/other", b"x"))
         await bench.store.transact(Txn((), (Delete("/w/1"),)))
--- a/ferrydock/table/_watcher.py
+++ b/ferrydock/table/_watcher.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
-from ..store import Compare, Put, Store, Txn, TxnDone
+from ..store import Compare, Position, Put, Store, Txn, TxnDone
 from ._history import AcceptedEdit
 from ._keeper import Offer, TableCopy, TableKeeper
 from ._repository import (
@@ -151,7 +151,7 @@
         head = await self.repository.read_head()
         if isinstance(head, Unavailable):
             return
-        stream = self.store.watch(HEAD_KEY, head.mod_revision + 1)
+        stream = self.store.watch(HEAD_KEY, Position(self.store.era, head.mod_revision))
         pending: asyncio.Future | None = None
         try:
             while True:
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, replace
 
 from ..freshness import Confirmation
+from ..store import Position
+from ._older_lists import OlderEntries
 from ._ports import TargetChanges
 from ._target import ReplicaState, Target
 
@@ -55,22 +57,27 @@
         Whether the source was read once.
     changes : int
         Rises with every change.
-    revision : int
-        Revision of the source that the list corresponds to at least.
+    position : Position
+        Where the source stood, to which the list corresponds at least.
+    is_provisional : bool
+        Whether the list was first read in a new era of the source: entries that the source has lost
+        are kept in it until the whole list is read once more.
     confirmation : Confirmation
         Since when the list is certainly complete.
     """
 
     __slots__ = (
         "_changed_ids",
-        "_changed_revisions",
+        "_changed_positions",
         "_complete_since",
         "_members",
+        "_older",
         "_replicas",
         "changes",
         "confirmation",
+        "is_provisional",
         "loaded",
-        "revision",
+        "position",
         "targets",
     )
 
@@ -78,13 +85,15 @@
         self.targets: dict[str, Target] = {}
         self.loaded = False
         self.changes = 0
-        self.revision = 0
+        self.position = Position()
+        self.is_provisional = False
         self.confirmation = Confirmation()
+        self._older = OlderEntries()
         self._changed_ids: deque[str] = deque(maxlen=CHANGES_REMEMBERED)
-        # Revision at which each of these was known, at the latest; and the one after which none of
+        # Position at which each of these was known, at the latest; and the one after which none of
         # them is missing.
-        self._changed_revisions: deque[int] = deque(maxlen=CHANGES_REMEMBERED)
-        self._complete_since = 0
+        self._changed_positions: deque[Position] = deque(maxlen=CHANGES_REMEMBERED)
+        self._complete_since = Position()
         self._members: dict[tuple[str, int], dict[str, Target]] = {}
         self._replicas: dict[str, list[ReplicaView]] | None = None
 
@@ -93,21 +102,34 @@
         self.targets = {target.target_id: self._remembering(target) for target in targets}
         self.loaded = True
         self._changed_ids.clear()
-        self._changed_revisions.clear()
-        self._complete_since = self.revision
+        self._changed_positions.clear()
+        self._complete_since = self.position
         self._changed()
 
     def take(self, changes: TargetChanges) -> None:
         """Apply a change that a source reports."""
-        self.revision = max(self.revision, changes.revision)
+        is_new_era = self.loaded and changes.position.era > self.position.era
+        self.position = max(self.position, changes.position)
         if changes.whole:
-            self.replace(changes.entries)
+            self._take_whole(changes, is_new_era)
         for target_id in changes.removed:
             self.remove(target_id)
         if not changes.whole:
             for target in changes.entries:
-                self.put(target)
-        self.confirmation.note_known(self.revision)
+                if self._older.admits(target):
+                    self.put(target)
+        self.confirmation.note_known(self.position)
+
+    def _take_whole(self, changes: TargetChanges, is_new_era: bool) -> None:
+        """Replace the list, but for what is known to be newer than the entries that come."""
+        entries = {target.target_id: target for target in changes.entries}
+        if is_new_era:
+            entries = self._older.merge(self.targets, entries)
+        admitted = [target for target in entries.values() if self._older.admits(target)]
+        for target_id in self.targets.keys() - {target.target_id for target in admitted}:
+            self._older.note_removed(target_id)
+        self.is_provisional = is_new_era
+        self.replace(admitted)
 
     def age_s(self, now_s: float) -> float:
         """Return seconds since the list was certainly complete; infinite if it never was."""
@@ -121,16 +143,16 @@
         recent = list(self._changed_ids)
         return tuple(dict.fromkeys(recent[len(recent) - behind :]))
 
-    def changed_after(self, revision: int) -> tuple[str, ...] | None:
-        """Return the ids that changed after a revision of the source; None if it is too long ago.
+    def changed_after(self, position: Position) -> tuple[str, ...] | None:
+        """Return the ids that changed after a position of the source; None if it is too long ago.
 
         For a daemon that has followed another one: both number their changes differently, but have
-        the revisions of the source in common.
+        the positions of the source in common.
         """
-        if revision < self._complete_since:
+        if position < self._complete_since:
             return None
-        changes = zip(self._changed_revisions, self._changed_ids, strict=True)
-        return tuple(dict.fromkeys(i for at, i in changes if at > revision))
+        changes = zip(self._changed_positions, self._changed_ids, strict=True)
+        return tuple(dict.fromkeys(i for at, i in changes if at > position))
 
     def put(self, target: Target) -> None:
         """Take one target's entry."""
@@ -161,13 +183,14 @@
     def remove(self, target_id: str) -> None:
         """Forget a target."""
         if self.targets.pop(target_id, None) is not None:
+            self._older.note_removed(target_id)
             self._note_changed(target_id)
 
     def _note_changed(self, target_id: str) -> None:
         if len(self._changed_ids) == CHANGES_REMEMBERED:
-            self._complete_since = self._changed_revisions[0]
+            self._complete_since = self._changed_positions[0]
         self._changed_ids.append(target_id)
-        self._changed_revisions.append(self.revision)
+        self._changed_positions.append(self.position)
         self._changed()
 
     def _changed(self) -> None:
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from ..outcomes import Unavailable, Unknown
+from ..store import Position
 from ._target import Target
 
 __all__ = [
@@ -33,14 +34,15 @@
         Whether `entries` is the whole list rather than what changed.
     removed : tuple of str
         Ids of targets that are gone; one that is also in `entries` is back.
-    revision : int
-        Revision of the source that the list corresponds to after this change.
+    position : Position
+        Where the source stood, to which the list corresponds after this change. In a new era the
+        list comes whole.
     """
 
     whole: bool
     entries: tuple[Target, ...]
     removed: tuple[str, ...] = ()
-    revision: int = 0
+    position: Position = Position()
 
 
 class TargetSource(Protocol):
@@ -54,21 +56,21 @@
 
     gather_s: float
 
-    def follow(self, since: int | None = None) -> AsyncIterator[TargetChanges | Unavailable]:
+    def follow(self, since: Position | None = None) -> AsyncIterator[TargetChanges | Unavailable]:
         """Yield the whole list, then its changes; the whole list again after history was lost.
 
-        An empty change says that there was none up to its revision. What is yielded was asked for
+        An empty change says that there was none up to its position. What is yielded was asked for
         after the one before was taken, and is no older than that.
 
-        With `since`, a revision up to which the list is known, only the changes after it.
+        With `since`, a position up to which the list is known, only the changes after it.
 
         The source may be silent for good without an error. Only `changes_since` shows it.
 
         `Unavailable` for each call that failed; the next is made when the caller goes on.
         """
 
-    async def changes_since(self, revision: int) -> TargetChanges | Unavailable:
-        """Ask once, without a wait, for what changed after a revision; whole if that is too old."""
+    async def changes_since(self, known: Position) -> TargetChanges | Unavailable:
+        """Ask once, without a wait, for what changed after a position; whole if that is too old."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -62,6 +62,9 @@
         Model of its latest replica that this process has seen; empty for none.
     membership : Membership or None
         The replica that it belongs to.
+    age_mark : (int, int)
+        Orders the entries of one target by their age, whatever order they are read in: start of
+        its process, by its own clock, and its own count of entries since. Zeros where unknown.
     """
 
     target_id: str
@@ -75,6 +78,7 @@
     models: tuple[str, ...] = ()
     last_model: str = ""
     membership: Membership | None = None
+    age_mark: tuple[int, int] = (0, 0)
 
     @property
     def joined(self) -> Membership:
