Large answers between daemons are compressed, and really so

Cause: the library was asked to compress answers from 8 kB on and did not: a configuration of 366 kB was 367 kB on the wire (counted on loopback), so a leader sent 8.4 MB over 100 Mbit/s for each version, and small machines received it over 10 Mbit/s, where callers wait. Ruled out: the decoding alone (17 ms of half a core, twice a second).

A daemon of an older version cannot read a packed answer and reads the store itself.

--- a/ferrydock/relay/_peers.py
+++ b/ferrydock/relay/_peers.py
@@ -12,6 +12,7 @@
 
 from ..invariants import existing
 from ..logs import log_event
+from ._packing import unpack
 
 __all__ = ["OPTIONS", "SERVICE", "PeerCalls", "PeerMethod"]
 
@@ -93,7 +94,17 @@
             )
             return None
         self._silent_since_s.pop(address, None)
-        return answer
+        return self._unpacked(address, method, answer)
+
+    def _unpacked(self, address: str, method: str, answer: bytes) -> bytes | None:
+        try:
+            return unpack(answer)
+        except ValueError as error:
+            why = str(error)
+            log_event(
+                _LOG, logging.ERROR, "answer_unreadable", address=address, method=method, why=why
+            )
+            return None
 
     async def _note_failure(
         self, address: str, method: str, error: Exception, began_s: float
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -20,6 +20,7 @@
 from ._broken_replicas import BrokenReplicas
 from ._daemon_counter import DaemonCounter
 from ._messages import NewsAnswer, NewsRequest, decode_request, encode, position_of_life
+from ._packing import pack
 from ._peers import OPTIONS, SERVICE, PeerMethod
 
 __all__ = ["NEWS", "RelayServer"]
@@ -34,12 +35,6 @@
 # Pause between two looks for something new while a question is held. Chosen, not measured.
 LOOK_S = 0.05
 
-# Answers from this size on are compressed, in bytes. A configuration of 110 to 900 routes is 35 to
-# 150 KB, and a leader sends it to all daemons of its hall at once, some of them on links of 10
-# Mbit/s, where 150 KB take 0.12 s. 900 made-up routes of 250 KB were compressed to 11 KB in 2.5 ms
-# (zlib, one run). The limit is chosen, not measured: below it the call costs more than the bytes.
-COMPRESS_FROM_BYTES = 8192
-
 # How long calls under way may still take when the server is closed. Chosen, not measured.
 CLOSE_GRACE_S = 0.1
 
@@ -49,10 +44,7 @@
 
     async def handle(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
         try:
-            answer = await method(data)
-            if len(answer) >= COMPRESS_FROM_BYTES:
-                context.set_compression(grpc.Compression.Gzip)
-            return answer
+            return pack(await method(data))
         except (ValueError, TypeError, KeyError) as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
             raise BrokenInvariant("abort() always raises") from error
