--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -60,8 +60,9 @@
 
 # Pauses of the periodic work. Chosen, not measured, unless said otherwise.
 TIDY_EVERY_S = 1.0
-# A quarter of the silence after which a replica's members are asked (`forwarding._stalls.QUIET_S`).
-DETECT_STALLS_EVERY_S = 0.05
+# A quarter of the shortest silence after which a stream goes on elsewhere, for a pause of 200 ms
+# (`forwarding._stalls.move_limit_s`).
+DETECT_STALLS_EVERY_S = 0.025
 SET_GATHER_TIME_EVERY_S = 0.1
 ASSIGN_SLOTS_EVERY_S = 0.1
 # How old the counts of other halls are that the hall scheduler decides by.
@@ -73,6 +74,10 @@
 GATHER_WHILE_CONTROLLING_S = 0.2
 GATHER_S = 0.4
 
+# The same while a new era of the store settles: all targets write again, and without a leader all
+# daemons follow them.
+GATHER_SETTLING_S = 1.0
+
 # Width of the random number of the first grant: large enough that two leaders never use the same.
 FIRST_GRANT_BITS = 40
 
@@ -288,6 +293,7 @@
             self.gateway,
             self.directory,
             self.retry_shares,
+            self.deployment.store,
             self.deployment.store_calls,
             self.controllers,
         )
@@ -406,6 +412,8 @@
         """Let a daemon that forms replicas learn of its targets soon, others in larger batches."""
         is_controlling = any(controller.is_acting for controller in self.controllers)
         gather_s = GATHER_WHILE_CONTROLLING_S if is_controlling else GATHER_S
+        if not self.settling.is_settled():
+            gather_s = GATHER_SETTLING_S
         self.deployment.target_source.gather_s = gather_s
 
     async def _poll_remote_halls(self) -> None:
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -7,6 +7,7 @@
 from ..logs import BoundedHandler
 from ..replicas import ReplicaController
 from ..route_metrics import RouteMetrics
+from ..store import Store
 from ..targets import TargetDirectory
 from ._retry_shares import RetryShares
 
@@ -18,6 +19,8 @@
 
     Parameters
     ----------
+    store : Store
+        Tells its era.
     store_calls : mapping of str to int
         Calls of the store so far, by kind and result.
     controllers : sequence of ReplicaController
@@ -30,6 +33,7 @@
         "gateway",
         "metrics",
         "retry_shares",
+        "store",
         "store_calls",
     )
 
@@ -39,6 +43,7 @@
         gateway: RouteGateway,
         directory: TargetDirectory,
         retry_shares: RetryShares,
+        store: Store,
         store_calls: Mapping[str, int],
         controllers: Sequence[ReplicaController],
     ):
@@ -46,6 +51,7 @@
         self.gateway = gateway
         self.directory = directory
         self.retry_shares = retry_shares
+        self.store = store
         self.store_calls = store_calls
         self.controllers = controllers
 
@@ -62,6 +68,7 @@
         metrics.version.set(current.version)
         now_s = self.gateway.clock.now_s()
         metrics.age.set(current.age_s(now_s))
+        metrics.store_era.set(self.store.era)
         metrics.targets_age.set(self.directory.age_s(now_s))
         for service, budget in self.retry_shares.items():
             metrics.budget_left.labels(service).set(budget.left)
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -104,12 +104,10 @@
         """Try to take the lease; if that succeeds, lead until it ends.
 
         A daemon that stops takes none: it would give it back at once, and the hall would be
-        without a leader for that long. While the store's era settles none is taken: another daemon
-        may still rely on one of which the store knows nothing any more.
+        without a leader for that long. Nor is one taken while the store's era settles: another
+        daemon may still rely on one of which the store knows nothing any more.
         """
-        while not self.settling.is_settled():
-            await asyncio.sleep(SETTLING_LOOK_S)
-        if self.is_stopping():
+        if self.is_stopping() or not self.settling.is_settled():
             return
         taken = await self.lease.acquire(LEASE_S)
         if isinstance(taken, HeldLease):
@@ -170,6 +168,11 @@
         if self.is_stopping():
             self.leader_address = ""  # the next one schedules the requests that are left here
 
+    async def _wait_until_settled(self) -> None:
+        """Wait until the store's era has settled; a free key is looked at again after that."""
+        while not self.settling.is_settled():
+            await asyncio.sleep(SETTLING_LOOK_S)
+
     async def _act_while_valid(self) -> None:
         """Drive the controller until the lease ends, or is not believed in a new era."""
         renewal = LeaseRenewal(self.lease, self.clock)
--- a/ferrydock/route_daemon/_own_leadership.py
+++ b/ferrydock/route_daemon/_own_leadership.py
@@ -128,6 +128,7 @@
             self.leader_address = ""
             await asyncio.sleep(STOPPING_LOOK_S)
             return None
+        await self._wait_until_settled()
         if not self._is_invited:
             cores = self.lease.processor_cores or 0.0
             await asyncio.sleep(pause_before_taking_s(cores, TAKE_JITTER_S, self.rng))
--- a/ferrydock/route_daemon/_remote_leadership.py
+++ b/ferrydock/route_daemon/_remote_leadership.py
@@ -77,6 +77,7 @@
             return await self._wait_while_confirmed(read.position)
         jitter_s = self.rng.uniform(0, REMOTE_TAKE_JITTER_S)
         await self._wait_for_taken_key(read.position, REMOTE_TAKE_AFTER_S + jitter_s)
+        await self._wait_until_settled()
         again = await self.store.range(self.key)
         if isinstance(again, RangeDone) and again.items:
             self.leader_address = controller_address(again.items[0].value)
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -45,6 +45,11 @@
 HEAR_PEER_S = 0.8
 
 
+# How long after an era has settled a hall has a leader that relays the whole list, in seconds: the
+# longest pause before a free lease is taken, and some calls.
+NEXT_LEADER_S = 1.0
+
+
 class StoreFollower:
     """Keeps the current configuration and the target directory up to date from the store.
 
@@ -176,8 +181,13 @@
 
     @property
     def _is_list_due(self) -> bool:
-        """Whether the whole list is to be read again, since what was kept in it may be gone."""
-        return self.directory.is_provisional and self.settling.is_settled()
+        """Whether the whole list is to be read again, since what was kept in it may be gone.
+
+        The leader reads it as soon as the era has settled; the others have it from a leader by
+        then, or read it themselves.
+        """
+        wait_s = 0.0 if self.leadership.is_leader else NEXT_LEADER_S
+        return self.directory.is_provisional and self.settling.left_s() <= -wait_s
 
     def _is_overdue(self, now_s: float) -> bool:
         """Return whether the wait for changes should have been answered by now.
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -129,6 +129,9 @@
             "How long ago the target list was surely complete.",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "ferrydock_store_era", "How often the store has come back older.", registry=registry
+        )
         self.in_flight = Gauge("ferrydock_in_flight", "Requests under way.", registry=registry)
         self.waiting = Gauge("ferrydock_waiting", "Requests that wait for room.", registry=registry)
         self.repairs = Counter(
