--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from absl import flags
@@ -26,6 +27,7 @@
     Emulation,
     Experiment,
     Load,
+    Trouble,
     draw_crashing,
     draw_eras,
     draw_leaving,
@@ -124,43 +126,32 @@
 
 
 def leaving_experiment(seed: int) -> Experiment:
-    """Return the leaving targets that a seed stands for.
-
-    Every tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in
-    each of two halls.
-    """
-    halls, count, domain_size = _sizes(seed)
-    length_s = 16.0
-    return Experiment(
-        name=f"leaving {seed}",
-        seed=seed,
-        length_s=length_s,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=LEAVING_LOAD,
-        troubles=tuple(draw_leaving(seed, length_s, halls)),
-        settle_s=10.0,
-    )
+    """Return the leaving targets that a seed stands for, at one of the `_sizes`."""
+    return _drawn_experiment(f"leaving {seed}", seed, 16.0, LEAVING_LOAD, draw_leaving)
 
 
 def eras_experiment(seed: int) -> Experiment:
-    """Return the store that comes back older that a seed stands for.
+    """Return the store that comes back older that a seed stands for, at one of the `_sizes`."""
+    return _drawn_experiment(f"eras {seed}", seed, 22.0, LOAD, draw_eras)
 
-    Every tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in
-    each of two halls.
-    """
+
+def _drawn_experiment(
+    name: str,
+    seed: int,
+    length_s: float,
+    load: Load,
+    draw: Callable[[int, float, Sequence[str]], list[Trouble]],
+) -> Experiment:
     halls, count, domain_size = _sizes(seed)
-    length_s = 22.0
     return Experiment(
-        name=f"eras {seed}",
+        name=name,
         seed=seed,
         length_s=length_s,
         halls=halls,
         daemons_per_hall=count,
         domain_size=domain_size,
-        load=LOAD,
-        troubles=tuple(draw_eras(seed, length_s, halls)),
+        load=load,
+        troubles=tuple(draw(seed, length_s, halls)),
         settle_s=10.0,
     )
 
--- a/ferrydock/freshness/_settling.py
+++ b/ferrydock/freshness/_settling.py
@@ -2,12 +2,12 @@
 
 Owns since when the store's present era is known, in memory.
 
-Such a store has lost what it acknowledged in the last seconds; whoever wrote it writes it again, at
-a time of its own. Until then an old value in it looks like the newest: a configuration with a key
-that was taken away since, a target as idle that has joined a replica, a hall without the leader
-that holds its lease by its own clock. So for `SETTLE_S` nothing counts as confirmed, no lease is
-taken and no replica is planned, while what is known goes on being used. Answers an outage that is
-rare, whatever the load.
+Such a store has lost what it acknowledged in the last seconds; operator and targets write it again,
+each at a time of its own. Until then an old value in it looks like the newest: a configuration with
+a key that was taken away since, a target as idle that has joined a replica, a hall without the
+leader that holds its lease by its own clock. So for `SETTLE_S` nothing counts as confirmed, no
+lease is taken and no replica is planned, while what is known goes on being used. Answers an outage
+that is rare, whatever the load.
 """
 
 import logging
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -1,14 +1,14 @@
 """Metrics that are read off the daemon's state when they are asked for; owns nothing."""
 
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from ..forwarding import RouteGateway
 from ..logs import BoundedHandler
 from ..replicas import ReplicaController
 from ..route_metrics import RouteMetrics
-from ..store import Store
 from ..targets import TargetDirectory
+from ._deployment import Deployment
 from ._retry_shares import RetryShares
 
 __all__ = ["Gauges"]
@@ -19,22 +19,19 @@
 
     Parameters
     ----------
-    store : Store
-        Tells its era.
-    store_calls : mapping of str to int
-        Calls of the store so far, by kind and result.
+    deployment : Deployment
+        Tells the store's era, and the calls of it so far.
     controllers : sequence of ReplicaController
         Their plans, of the halls that this daemon leads.
     """
 
     __slots__ = (
         "controllers",
+        "deployment",
         "directory",
         "gateway",
         "metrics",
         "retry_shares",
-        "store",
-        "store_calls",
     )
 
     def __init__(
@@ -43,16 +40,14 @@
         gateway: RouteGateway,
         directory: TargetDirectory,
         retry_shares: RetryShares,
-        store: Store,
-        store_calls: Mapping[str, int],
+        deployment: Deployment,
         controllers: Sequence[ReplicaController],
     ):
         self.metrics = metrics
         self.gateway = gateway
         self.directory = directory
         self.retry_shares = retry_shares
-        self.store = store
-        self.store_calls = store_calls
+        self.deployment = deployment
         self.controllers = controllers
 
     def text(self) -> str:
@@ -68,11 +63,11 @@
         metrics.version.set(current.version)
         now_s = self.gateway.clock.now_s()
         metrics.age.set(current.age_s(now_s))
-        metrics.store_era.set(self.store.era)
+        metrics.store_era.set(self.deployment.store.era)
         metrics.targets_age.set(self.directory.age_s(now_s))
         for service, budget in self.retry_shares.items():
             metrics.budget_left.labels(service).set(budget.left)
-        for result, calls in self.store_calls.items():
+        for result, calls in self.deployment.store_calls.items():
             metrics.store_calls.labels(result).set(calls)
         crashes = self.gateway.forwarder.crashes.history
         metrics.crashing_known.set(crashes.known_count)
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -56,13 +56,12 @@
     Parameters
     ----------
     leadership : OwnHallLeadership
-        Tells whether the hall leader makes the store unnecessary.
+        Tells whether the hall leader makes the store unnecessary, and whether the store can be
+        relied on after it came back older.
     on_change : callable
         Called after a new configuration.
     confirmations : sequence of Confirmation
         Of other things that are followed in the store; each call tells them its position.
-    settling : EraSettling
-        Whether the store can be relied on after it came back older.
 
     Attributes
     ----------
@@ -98,7 +97,6 @@
         leadership: OwnHallLeadership,
         rng: random.Random,
         on_change: Callable[[], None],
-        settling: EraSettling,
         confirmations: Sequence[Confirmation] = (),
     ):
         self.deployment = deployment
@@ -109,7 +107,7 @@
         self.clock: Clock = leadership.clock
         self.rng = rng
         self.on_change = on_change
-        self.settling = settling
+        self.settling: EraSettling = leadership.settling
         self.reached_s = float("-inf")
         self._first_in_era = Position()
         self._age_alarm = AgeAlarm("targets")
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -101,6 +101,7 @@
         self.is_leader = is_leader
         self.is_relayed = False
         self.lease = SimpleNamespace(valid=is_leader)
+        self.settling = EraSettling(MemoryStore(), self.clock, is_first_start=False)
 
 
 class Daemon:
@@ -123,7 +124,6 @@
             self.leadership,
             random.Random(seed),
             lambda: None,
-            EraSettling(MemoryStore(), self.leadership.clock, is_first_start=False),
         )
 
     @property
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -134,6 +134,7 @@
     "ferrydock_requests": "counter",
     "ferrydock_retry_budget_left": "gauge",
     "ferrydock_store_calls": "gauge",
+    "ferrydock_store_era": "gauge",
     "ferrydock_target_crashes": "counter",
     "ferrydock_targets": "gauge",
     "ferrydock_targets_age_seconds": "gauge",
@@ -349,7 +350,10 @@
         "models": [],
         "last_model": "",
         "membership": None,
+        "age_mark": entries["hall-a-plain"]["age_mark"],
     }
+    born_ms, count = entries["hall-a-plain"]["age_mark"]
+    assert (born_ms, count) == (play.site.plain["hall-a-plain"].born_ms, 1)
     member = next(entry for entry in news["entries"] if entry["membership"])
     assert list(member) == list(entries["hall-a-plain"])
     assert list(member["membership"]) == ["replica", "epoch", "rank", "state"]
