What one daemon avoids is offered to the others last

Cause: after a member is lost its replica's head goes on taking requests. Ruled out: a report of its own (the request for another slot names the target already).

Change: for 0.6 s what a request for a model avoids gets others only if nothing else has room.

--- a/ferrydock/scheduling/_scheduler.py
+++ b/ferrydock/scheduling/_scheduler.py
@@ -20,6 +20,11 @@
 
 __all__ = ["HallScheduler"]
 
+# How long a target that one daemon avoids is offered last to the others, in seconds: until a
+# verdict on its replica has reached the leader. A daemon notices a lost member by its own answers
+# after 0.15 s, the leader after 0.5 s or more, and ten requests a second would go there meanwhile.
+DOUBT_S = 0.6
+
 
 class HallScheduler:
     """Assigns slots of targets to the requests of all daemons of a hall.
@@ -40,10 +45,22 @@
     Notes
     -----
     No replica gets more requests than its slots; a request that finds all slots taken waits here.
+    What one daemon avoids, since a try there failed or its replica seems broken, is offered to the
+    others only if nothing else has room.
     Why one daemon decides for all: docs/design/scheduling.md.
     """
 
-    __slots__ = ("_queue", "catalog", "clock", "counts", "demand", "hall", "rng", "services")
+    __slots__ = (
+        "_doubted_s",
+        "_queue",
+        "catalog",
+        "clock",
+        "counts",
+        "demand",
+        "hall",
+        "rng",
+        "services",
+    )
 
     def __init__(
         self,
@@ -63,6 +80,7 @@
         self.clock = clock
         self.rng = rng
         self._queue: WaitingQueue[SlotRequest, SlotReply] = WaitingQueue()
+        self._doubted_s: dict[str, float] = {}
 
     @property
     def waiting(self) -> int:
@@ -78,6 +96,7 @@
     async def acquire(self, request: SlotRequest) -> SlotReply:
         """Return a slot, at once or within the `hold_s` of the request."""
         self.receive_counts(request)
+        self._note_doubts(request)
         if request.model and request.hold_s <= 0:
             self.demand.asked(request.service, request.model)
         endpoints = self._endpoints(request)
@@ -106,6 +125,7 @@
                 endpoint,
                 self.counts.total(endpoint.target.target_id),
                 max_requests(service, endpoint.target),
+                self._is_doubtful(endpoint.target.target_id),
             )
             for endpoint in endpoints
         ]
@@ -118,6 +138,18 @@
         grant = self.counts.grant(request.sender, target_id, self.clock.now_s())
         return SlotReply(target_id, len(endpoints), grant)
 
+    def _note_doubts(self, request: SlotRequest) -> None:
+        """Note the targets that the sender of a request for a model avoids."""
+        now_s = self.clock.now_s()
+        if request.model and request.avoid:
+            self._doubted_s = {
+                i: at_s for i, at_s in self._doubted_s.items() if now_s - at_s < DOUBT_S
+            }
+            self._doubted_s.update(dict.fromkeys(request.avoid, now_s))
+
+    def _is_doubtful(self, target_id: str) -> bool:
+        return self.clock.now_s() - self._doubted_s.get(target_id, float("-inf")) < DOUBT_S
+
     def sample_demand(self) -> None:
         """Take the hall's requests in flight, by model, into the demand."""
         in_flight: Counter[tuple[str, str]] = Counter()
--- a/ferrydock/scheduling/_selection.py
+++ b/ferrydock/scheduling/_selection.py
@@ -23,11 +23,14 @@
         Requests that the endpoint has, as far as the chooser counts them.
     slots : float
         Requests that it may have at a time (`max_requests`).
+    is_doubtful : bool
+        Whether a daemon has just taken its requests away from it.
     """
 
     endpoint: Endpoint
     in_flight: int
     slots: float
+    is_doubtful: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,11 +45,15 @@
         Slots of a target in another hall that stay free for that hall.
     tie_break : float
         Largest random addition to a load; spreads requests over equally loaded targets.
+    doubt_penalty : float
+        Added to the load of a doubtful target. Above all that a load can be, it gets a request only
+        if no other target has room.
     """
 
     remote_hall_penalty: float
     remote_hall_reserve: int
     tie_break: float
+    doubt_penalty: float = 2.0
 
 
 # Weights of a daemon that decides alone. It sees only its own requests, so small differences in
@@ -70,7 +77,7 @@
     """Return the endpoint with the smallest load, or None if all are full.
 
     The load is the part of the slots that is taken (0 to 1), plus the penalty of a remote hall,
-    plus a random tie-break.
+    plus the penalty of doubt, plus a random tie-break.
 
     Parameters
     ----------
@@ -104,6 +111,8 @@
         load = candidate.in_flight / candidate.slots + weights.tie_break * rng.random()
         if is_remote:
             load += weights.remote_hall_penalty
+        if candidate.is_doubtful:
+            load += weights.doubt_penalty
         if load < best_load:
             best, best_load = candidate.endpoint, load
     return best
--- a/ferrydock/scheduling/tests/test_scheduler.py
+++ b/ferrydock/scheduling/tests/test_scheduler.py
@@ -19,6 +19,7 @@
     SlotRequest,
     scheduler_methods,
 )
+from .._scheduler import DOUBT_S
 
 ENGINES = ServiceSpec("engines", 300, two_models())
 PLAIN = ServiceSpec("plain", 100, None)
@@ -307,3 +308,28 @@
         assert (await asyncio.wait_for(avoiding, 1.0)).target_id == "b"
 
     play(scenario)
+
+
+def test_what_one_daemon_avoids_is_offered_to_others_only_if_nothing_else_has_room():
+    async def scenario():
+        hall = Hall(head("t0"), head("t1", hall="hall-b"))
+        assert await hall.ask() == "t0"
+        assert await hall.ask(avoid=("t0",)) == "t1"
+        given = [await hall.ask("d2") for _ in range(2 * SLOTS)]
+        assert given[: SLOTS - 2] == ["t1"] * (SLOTS - 2), "but for the slot kept for its own hall"
+        assert "t0" in given[SLOTS - 2 :], "none is refused for a doubt"
+
+    play(scenario)
+
+
+def test_a_doubt_is_over_soon_and_concerns_no_plain_target():
+    async def scenario():
+        hall = Hall(head("t0"), head("t1", hall="hall-b"))
+        await hall.ask(avoid=("t0",))
+        hall.clock.advance(DOUBT_S + 0.01)
+        assert await hall.ask("d2") == "t0"
+        plain = Hall(Target("p0", "plain", "127.0.0.1:1", "hall-a", 9))
+        await plain.ask(service="plain", model="", avoid=("p0",))
+        assert not plain.scheduler._is_doubtful("p0")
+
+    play(scenario)
