Silent streams go on elsewhere while they can still be in time

With 71 daemons nearly every one has one stream or two at a replica.

Change: a stream that is silent for 1.6 times the usual longest pause of its kind goes on elsewhere, if the usual first answer still fits into the pause that its caller bears, as far as the retry budget allows, and unless all replicas are silent to this daemon. Nothing is concluded about the replica: its members are asked, and one request alone needs two unanswered questions. A new request to a silent head no longer hides that it stands still.

--- a/ferrydock/configuration/_model.py
+++ b/ferrydock/configuration/_model.py
@@ -65,6 +65,8 @@
         0 is the most urgent.
     public : bool
         Whether a request needs no key.
+    max_pause_s : float
+        Longest pause between two events with which a stream is still in time; infinite for none.
     """
 
     name: str
@@ -77,6 +79,7 @@
     priority: int
     first_answer_s: float
     public: bool
+    max_pause_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -17,7 +17,7 @@
 from ._dialect import Outbound, RequestDialect
 from ._endpoint_selector import EndpointSelector
 from ._exchange import Attempt, AttemptEnd, AttemptReason, CallerGone, Exchange
-from ._retry_rule import may_interrupt, may_retry_server_error
+from ._retry_rule import may_interrupt, may_retry, may_retry_server_error
 from ._target_loads import SERVER_ERROR, TargetLoads
 from ._upstream import Upstream
 
@@ -107,6 +107,11 @@
         """Return how many attempts run at a target."""
         return len(self._running.get(target_id, ()))
 
+    def begun_at(self, target_id: str) -> list[Exchange]:
+        """Return the requests at a target whose answers have begun."""
+        running = self._running.get(target_id, ())
+        return [a.exchange for a in running if a.exchange.response is not None]
+
     def busy_replicas(self) -> Iterator[tuple[ReplicaView, int]]:
         """Yield each replica in use and the number of attempts at its head."""
         for attempts in self._running.values():
@@ -132,6 +137,25 @@
                     payable += exchange.response is not None
                     attempt.interrupt(reason)
 
+    def move_on(self, key: tuple[str, int], reason: str) -> None:
+        """Let the begun streams at a replica go on elsewhere that certainly can; leave all others.
+
+        For a replica that may be broken: nobody is refused or cut for that.
+        """
+        promised = 0
+        for attempt in [a for attempts in self._running.values() for a in attempts]:
+            exchange = attempt.exchange
+            is_there = attempt.replica is not None and attempt.replica.key == key
+            if not is_there or exchange.response is None:
+                continue
+            if exchange.budget is None or exchange.budget.left < promised + 1:
+                return
+            end = AttemptEnd(False, True, AttemptReason.TIME_OVER)
+            may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
+            if may_retry(exchange, end, self._left_s(exchange), may_go_elsewhere):
+                promised += 1
+                attempt.interrupt(reason)
+
     def _left_s(self, exchange: Exchange) -> float:
         return exchange.until_s - self.clock.now_s()
 
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -146,10 +146,13 @@
         return await self.selector.acquire(exchange, waiting.in_time_s or waiting.late_s)
 
     def _note_first_answer(self, exchange: Exchange) -> None:
-        """Observe the time to the first bytes of a request that its first target answered."""
+        """Observe the times of a request that its first target answered."""
         if exchange.attempts == 1 and exchange.first_s is not None:
             first_s = exchange.first_s - exchange.queued_s
-            self.times.answered(exchange.service.name, exchange.inbound.model, first_s)
+            kind = exchange.service.name, exchange.inbound.model
+            self.times.answered(*kind, first_s)
+            if exchange.longest_gap_s:
+                self.times.streamed(*kind, exchange.longest_gap_s)
 
     def _left_s(self, exchange: Exchange) -> float:
         return exchange.until_s - self.clock.now_s()
--- a/ferrydock/forwarding/_observed_times.py
+++ b/ferrydock/forwarding/_observed_times.py
@@ -1,4 +1,4 @@
-"""What a daemon observes of its requests' times, for `_admission`.
+"""What a daemon observes of its requests' times, for `_admission` and `_stalls`.
 
 Owns the last observations by model and by route, in memory; a new daemon has none.
 """
@@ -18,6 +18,10 @@
 # those that waited as long as allowed be late. Chosen, not measured.
 FIRST_QUANTILE = 0.9
 
+# Part of the streams that show at most the usual longest pause. Not all: a few have stood still
+# with this daemon, or with a reader.
+PAUSE_QUANTILE = 0.95
+
 # Part of the callers of a route that have at most the usual patience on their first try. Callers
 # who came back have less, and up to three in four may have come back; a few have more. Chosen, not
 # measured.
@@ -43,11 +47,20 @@
     [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.7999999999999998, 0.0]
     """
 
-    __slots__ = ("_first_s", "_left_s")
+    __slots__ = ("_first_s", "_left_s", "_pauses_s")
 
     def __init__(self):
         self._first_s: dict[tuple[str, str], deque[float]] = {}
         self._left_s: dict[str, deque[float]] = {}
+        self._pauses_s: dict[tuple[str, str], deque[float]] = {}
+
+    def streamed(self, service: str, model: str, pause_s: float) -> None:
+        """Note the longest pause between two events of a stream that one target brought whole."""
+        self._pauses_s.setdefault((service, model), deque(maxlen=KEPT)).append(pause_s)
+
+    def usual_pause_s(self, service: str, model: str) -> float | None:
+        """Return the longest pause that 19 of 20 streams show; None if unknown."""
+        return _quantile(self._pauses_s.get((service, model), ()), PAUSE_QUANTILE)
 
     def answered(self, service: str, model: str, first_s: float) -> None:
         """Note the time from sending a request to the first bytes of its answer."""
--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -32,6 +32,8 @@
     progress_s : float
         Local time of the last sign of work: an event, an answer, or a request sent to a target
         that had none.
+    answered_s : float
+        Local time of the last of them that came from the target itself.
     failures : int
         Failures in a row.
     ejections : int
@@ -40,6 +42,7 @@
 
     running: int = 0
     progress_s: float = 0.0
+    answered_s: float = float("-inf")
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
@@ -96,7 +99,8 @@
 
     def progressed(self, target_id: str, now_s: float) -> None:
         """Note a sign of work."""
-        self.of(target_id).progress_s = now_s
+        load = self.of(target_id)
+        load.progress_s = load.answered_s = now_s
 
     def succeeded(self, target_id: str) -> None:
         """Note a good answer: earlier failures no longer count."""
--- a/ferrydock/forwarding/tests/test_interruptions.py
+++ b/ferrydock/forwarding/tests/test_interruptions.py
@@ -10,9 +10,17 @@
 from ...outcomes import Unavailable
 from ...retry_budget import RetryBudget
 from ...scheduling import EndpointCatalog
-from ...targets import Membership, ReplicaState, ReplicaView, Target, TargetDirectory
+from ...targets import (
+    Membership,
+    ReplicaState,
+    ReplicaView,
+    Target,
+    TargetDirectory,
+    TargetReport,
+)
 from .. import StallDetector, TargetLoads
 from .._exchange import Exchange
+from .._move_rule import move_limit_s
 from .._refusal import max_retry_queue_s
 from .._retry_rule import may_interrupt
 from .._stalls import MEMBER_DEAD, QUIET_S, STOOD_STILL_S
@@ -22,18 +30,32 @@
 ENGINE = EngineSpec(slots=9, loads_per_s=5.0, models=(ModelSpec("large", 1, 1.0, 16.0, 1.6),))
 KEYS = [("g0", 5), ("g1", 5)]
 
+# What callers bear, and what is usual of targets.
+PAUSE_S = 0.2
+USUAL_PAUSE_S, USUAL_FIRST_S = 0.06, 0.09
+TIMES = SimpleNamespace(
+    usual_pause_s=lambda service, model: USUAL_PAUSE_S,
+    usual_first_s=lambda service, model: USUAL_FIRST_S,
+)
+MOVED_AFTER_S = move_limit_s(PAUSE_S, USUAL_PAUSE_S, USUAL_FIRST_S)
+BEGUN = SimpleNamespace(
+    route=SimpleNamespace(max_pause_s=PAUSE_S),
+    service=SimpleNamespace(name="s"),
+    inbound=SimpleNamespace(model="large"),
+)
+
 
 class ReplicaRig(Rig):
     """A gateway before replicas of one target each."""
 
     def __init__(self, targets, retries):
         kind = RouteKind.RESUMABLE_STREAM
-        super().__init__([route(kind=kind, time_limit_s=8.0)], targets)
+        super().__init__([route(kind=kind, time_limit_s=8.0, max_pause_s=PAUSE_S)], targets)
         service = ServiceSpec("plain", 10, ENGINE)
         self.configuration = Configuration(1, self.configuration.routes, {"plain": service}, ())
         self.budget = RetryBudget(0.0, start=retries)
         self.forwarder.budgets = lambda service: self.budget
-        self.stalls = StallDetector(self.forwarder.attempts, None, self.clock)
+        self.stalls = StallDetector(self.forwarder.attempts, None, self.clock, TIMES)
 
     async def __aenter__(self):
         await super().__aenter__()
@@ -116,6 +138,30 @@
     play(scenario)
 
 
+class AllAnswer:
+    """Control of targets whose members all answer when asked."""
+
+    async def report(self, member, timeout_s):
+        return TargetReport(orders=1)
+
+
+def test_a_stream_that_falls_silent_goes_on_elsewhere_though_its_members_all_answer():
+    async def scenario():
+        resume = asyncio.Event()
+        targets = [ScriptedTarget(pausing(resume)), ScriptedTarget(pausing(resume))]
+        async with ReplicaRig(targets, retries=1.0) as rig:
+            rig.stalls.control = AllAnswer()
+            asked = asyncio.ensure_future(rig.stream())
+            await rig.until(lambda: any(a.count == 2 for a in _events_of(rig)))
+            while sum(len(target.requests) for target in targets) < 2:
+                await rig.stalls.step()
+                await asyncio.sleep(0.005)
+            assert body_of(await asked) == (WHOLE, True)
+            assert rig.budget.left == 0
+
+    play(scenario)
+
+
 def test_of_several_begun_streams_only_as_many_are_moved_as_retries_are_left():
     async def scenario():
         resume = asyncio.Event()
@@ -192,27 +238,32 @@
 class Watched:
     """A replica with one request in flight, as the stall detector sees it."""
 
-    def __init__(self):
+    def __init__(self, running=2, begun=()):
         self.clock = ManualClock(100.0)
         self.asked = 0
+        self.moved = []
+        self.answers = []
         self.pause_while_asked_s = 0.0
         head = Target("t0", "s", "127.0.0.1:1", "h", 9)
         replica = ReplicaView("g0", 5, "large", head, (head,))
-        loads = TargetLoads()
+        self.loads = loads = TargetLoads()
         loads.began("t0", self.clock.now_s())
         attempts = SimpleNamespace(
-            busy_replicas=lambda: [(replica, 2)],
+            busy_replicas=lambda: [(replica, running)],
             loads=loads,
             selector=SimpleNamespace(catalog=EndpointCatalog(TargetDirectory())),
-            running_at=lambda target_id: 2,
+            running_at=lambda target_id: running,
+            begun_at=lambda target_id: begun,
             interrupt=lambda key, reason: None,
+            move_on=lambda key, reason: self.moved.append(key),
         )
-        self.detector = StallDetector(attempts, self, self.clock)
+        self.detector = StallDetector(attempts, self, self.clock, TIMES)
 
     async def report(self, member, timeout_s):
         self.asked += 1
         self.clock.advance(self.pause_while_asked_s)
-        return Unavailable("no answer")
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if self.answers else Unavailable("no answer")
 
     async def look(self, after_s):
         """Let the detector look after a pause, and finish what it began."""
@@ -258,3 +309,63 @@
         assert watched.asked == 1 and not watched.broken
 
     play(scenario)
+
+
+def test_an_answer_under_way_goes_on_elsewhere_before_its_replica_counts_as_broken():
+    async def scenario():
+        watched = Watched(running=1, begun=[BEGUN])
+        for _ in range(int(MOVED_AFTER_S / 0.025) + 2):
+            await watched.look(0.025)
+        assert watched.moved == [("g0", 5)]
+        assert watched.clock.now_s() - 100.025 + USUAL_FIRST_S <= PAUSE_S + 0.025, "in time"
+        assert watched.asked == 2, "one request alone: a second question was not answered either"
+        assert watched.broken == {("g0", 5)}
+
+    play(scenario)
+
+
+def test_one_lost_question_breaks_no_replica_of_one_request():
+    async def scenario():
+        watched = Watched(running=1, begun=[BEGUN])
+        watched.answers = [Unavailable("lost"), TargetReport(orders=1)]
+        for _ in range(int(MOVED_AFTER_S / 0.025) + 2):
+            await watched.look(0.025)
+        assert watched.asked == 2 and not watched.broken
+
+    play(scenario)
+
+
+def test_a_replica_that_goes_on_while_it_is_asked_is_left_alone():
+    async def scenario():
+        watched = Watched()
+
+        async def report(member, timeout_s):
+            watched.clock.advance(0.01)
+            watched.loads.progressed("t0", watched.clock.now_s())
+            await asyncio.sleep(0)
+            return Unavailable("no answer")
+
+        watched.report = report
+        for _ in range(6):
+            await watched.look(0.05)
+        assert not watched.broken
+
+    play(scenario)
+
+
+def test_a_new_request_to_a_silent_replica_does_not_hide_that_it_is_broken():
+    async def scenario():
+        watched = Watched()
+
+        async def report(member, timeout_s):
+            watched.clock.advance(0.01)
+            watched.loads.ended("t0")
+            watched.loads.began("t0", watched.clock.now_s())
+            return Unavailable("no answer")
+
+        watched.report = report
+        for _ in range(6):
+            await watched.look(0.05)
+        assert watched.broken
+
+    play(scenario)
--- a/ferrydock/platform/_configuration.py
+++ b/ferrydock/platform/_configuration.py
@@ -48,7 +48,6 @@
 
 # Numbers that no decision reads. They are still checked, so that a configuration with a bad one is
 # refused as a whole and the version in force stays.
-_UNUSED_ROUTE_NUMBERS = ("gap-target-ms",)
 _UNUSED_ENGINE_NUMBERS = (
     "step_ms",
     "per_seq_ms",
@@ -167,7 +166,6 @@
 
 
 def _route(fields: Mapping) -> Route:
-    _check_unused(fields, _UNUSED_ROUTE_NUMBERS)
     split = fields.get("backends")
     if split:
         services = tuple(WeightedService(part["service"], float(part["weight"])) for part in split)
@@ -185,6 +183,7 @@
         priority=int(assumed("route", fields, "priority", _ASSUMED_PRIORITY)),
         first_answer_s=assumed("route", fields, "latency-goal-ms", time_limit_ms) / MS_PER_S,
         public=bool(fields.get("public", False)),
+        max_pause_s=float(fields.get("gap-target-ms") or float("inf")) / MS_PER_S,
     )
 
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -60,8 +60,8 @@
 
 # Pauses of the periodic work. Chosen, not measured, unless said otherwise.
 TIDY_EVERY_S = 1.0
-# A quarter of the shortest silence after which a stream goes on elsewhere, for a pause of 200 ms
-# (`forwarding._stalls.move_limit_s`).
+# A quarter of the silence after which a stream goes on elsewhere where events come each 30 to 60 ms
+# (`forwarding._move_rule`).
 DETECT_STALLS_EVERY_S = 0.025
 SET_GATHER_TIME_EVERY_S = 0.1
 ASSIGN_SLOTS_EVERY_S = 0.1
@@ -178,7 +178,7 @@
         self.gateway = RouteGateway(
             self.current, forwarder, dialect, self._max_keyed_age_s, self.clock, self.rng
         )
-        self.stalls = StallDetector(attempts, self.deployment.control, self.clock)
+        self.stalls = StallDetector(attempts, self.deployment.control, self.clock, forwarder.times)
 
     def _build_relay(self) -> None:
         """Asking the hall leader for news, and answering followers while this daemon leads."""
@@ -230,7 +230,6 @@
             self.leadership,
             self.rng,
             self.selector.assign_free_slots,
-            self.settling,
             [leadership.confirmation for leadership in self.remote_leaderships],
         )
 
@@ -293,8 +292,7 @@
             self.gateway,
             self.directory,
             self.retry_shares,
-            self.deployment.store,
-            self.deployment.store_calls,
+            self.deployment,
             self.controllers,
         )
         self.ready_listener = StatusListener(readiness.answer)
