The list of a new era is read once more, not again and again

Cause: while the second whole list was being read, the look for whether it is due, ten times a second, gave that reading up and began another.

--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -77,6 +77,7 @@
         "_first_in_era",
         "_is_reached",
         "_read_version",
+        "_reads_whole",
         "clock",
         "confirmations",
         "current",
@@ -116,6 +117,7 @@
         self._check_from_s = float("-inf")
         self._is_reached = True
         self._read_version = -1
+        self._reads_whole = False
 
     async def follow_configuration(self) -> None:
         """Read and confirm the configuration, until the daemon ends."""
@@ -182,8 +184,10 @@
         """Whether the whole list is to be read again, since what was kept in it may be gone.
 
         The leader reads it as soon as the era has settled; the others have it from a leader by
-        then, or read it themselves.
+        then, or read it themselves. Once it is being read, it is due no longer.
         """
+        if self._reads_whole:
+            return False
         wait_s = 0.0 if self.leadership.is_leader else NEXT_LEADER_S
         return self.directory.is_provisional and self.settling.left_s() <= -wait_s
 
@@ -277,6 +281,7 @@
         backoff = StoreBackoff(self.rng)
         is_known = self.directory.loaded and not self._is_list_due
         known = self.directory.position if is_known else None
+        self._reads_whole = known is None
         self._asked_s = self.clock.now_s()
         async for changes in self.deployment.target_source.follow(known):
             if isinstance(changes, Unavailable):
@@ -285,6 +290,7 @@
                 self._asked_s = self.clock.now_s()
                 continue
             backoff.reset()
+            self._reads_whole = False
             self._take_changes(changes, self._asked_s)
             self._asked_s = self.clock.now_s()
 
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -332,3 +332,45 @@
     run_virtually(daemon.run(scenario))
     assert ages[0] == float("inf")
     assert ages[1] < 1.0
+
+
+class OlderList(SilentSource):
+    """A list that takes long, of a store that comes back older; waits end with the era."""
+
+    def __init__(self, store):
+        super().__init__(store)
+        self.lists = 0
+        self.list_takes_s = 0.7
+
+    def whole(self):
+        at = Position(self.store.era, self.store.revision)
+        return TargetChanges(True, (target(False),), (), at)
+
+    async def follow(self, since=None):
+        era = since.era if since is not None else None
+        while True:
+            if era != self.store.era:
+                self.lists += 1
+                await asyncio.sleep(self.list_takes_s)
+                era = self.store.era
+                yield self.whole()
+            await asyncio.sleep(0.1)
+
+    async def changes_since(self, known):
+        return TargetChanges(False, (), (), known)
+
+
+@pytest.mark.parametrize("is_leader", [True, False])
+def test_the_list_of_a_new_era_is_read_twice_however_long_that_takes(is_leader):
+    daemon = OlderDaemon()
+    daemon.leadership.is_leader = is_leader
+    daemon.source = daemon.follower.deployment.target_source = OlderList(daemon.store)
+
+    async def scenario():
+        before = daemon.source.lists
+        daemon.store.come_back(version=9, written=30, revision=40)
+        await asyncio.sleep(SETTLE_S + 5.0)
+        assert daemon.source.lists == before + 2
+        assert not daemon.directory.is_provisional
+
+    run_virtually(daemon.run(scenario))
