Moving and interrupting attempts are one loop; a replica's limit is computed once a look

Read again: move_on repeated the loop, the budget and the retry rule of interrupt, so both use one now. Behaviour is as before.

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -17,7 +17,7 @@
     "no_room": "no replica or target had room before the time allowed for waiting was over",
     "retry_budget": "the budget for sending again was used up",
     "time_over": "the time limit or the caller's deadline was reached",
-    "silent": "nothing came for half of the pause that its caller bears",
+    "silent": "nothing came for longer than healthy streams of its kind pause",
     "member_dead": "a member of the replica did not answer when asked",
     "given_up": "the hall's controller gave the replica up",
     "stuck": "the replica stood still although its members answered",
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 
 import aiohttp
 
@@ -17,7 +17,7 @@
 from ._dialect import Outbound, RequestDialect
 from ._endpoint_selector import EndpointSelector
 from ._exchange import Attempt, AttemptEnd, AttemptReason, CallerGone, Exchange
-from ._retry_rule import may_interrupt, may_retry, may_retry_server_error
+from ._retry_rule import may_interrupt, may_retry_server_error
 from ._target_loads import SERVER_ERROR, TargetLoads
 from ._upstream import Upstream
 
@@ -125,35 +125,30 @@
         Each of them is paid for from the retry budget only as it goes on, so those beyond the
         budget are left where they are.
         """
-        payable = 0
-        for attempts in self._running.values():
-            for attempt in list(attempts):
-                if attempt.replica is None or attempt.replica.key != key:
-                    continue
-                exchange = attempt.exchange
-                left_s = self._left_s(exchange)
-                may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
-                if may_interrupt(exchange, payable, left_s, may_go_elsewhere):
-                    payable += exchange.response is not None
-                    attempt.interrupt(reason)
+        self._interrupt(self._at(key), reason)
 
     def move_on(self, key: tuple[str, int], reason: str) -> None:
         """Let the begun streams at a replica go on elsewhere that certainly can; leave all others.
 
         For a replica that may be broken: nobody is refused or cut for that.
         """
-        promised = 0
-        for attempt in [a for attempts in self._running.values() for a in attempts]:
+        begun = [attempt for attempt in self._at(key) if attempt.exchange.response is not None]
+        self._interrupt(begun, reason)
+
+    def _at(self, key: tuple[str, int]) -> list[Attempt]:
+        """Return the attempts at a replica."""
+        running = (attempt for attempts in self._running.values() for attempt in attempts)
+        return [a for a in running if a.replica is not None and a.replica.key == key]
+
+    def _interrupt(self, attempts: Iterable[Attempt], reason: str) -> None:
+        """Interrupt those of the attempts that may be, within the retry budget."""
+        payable = 0
+        for attempt in attempts:
             exchange = attempt.exchange
-            is_there = attempt.replica is not None and attempt.replica.key == key
-            if not is_there or exchange.response is None:
-                continue
-            if exchange.budget is None or exchange.budget.left < promised + 1:
-                return
-            end = AttemptEnd(False, True, AttemptReason.TIME_OVER)
+            left_s = self._left_s(exchange)
             may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
-            if may_retry(exchange, end, self._left_s(exchange), may_go_elsewhere):
-                promised += 1
+            if may_interrupt(exchange, payable, left_s, may_go_elsewhere):
+                payable += exchange.response is not None
                 attempt.interrupt(reason)
 
     def _left_s(self, exchange: Exchange) -> float:
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -135,16 +135,16 @@
                 self._start_asking(replica, now_s, is_reported=False)
 
     def _move_limit_s(self, replica: ReplicaView) -> float:
-        """Return the smallest limit of the streams under way at a replica."""
-        limits_s = (
-            move_limit_s(
-                exchange.route.max_pause_s,
-                self.times.usual_pause_s(exchange.service.name, exchange.inbound.model),
-                self.times.usual_first_s(exchange.service.name, exchange.inbound.model),
-            )
-            for exchange in self.attempts.begun_at(replica.head.target_id)
+        """Return the smallest limit of the streams under way at a replica: all of one model."""
+        begun = self.attempts.begun_at(replica.head.target_id)
+        if not begun:
+            return float("inf")
+        kind = begun[0].service.name, begun[0].inbound.model
+        return move_limit_s(
+            max(exchange.route.max_pause_s for exchange in begun),
+            self.times.usual_pause_s(*kind),
+            self.times.usual_first_s(*kind),
         )
-        return min(limits_s, default=float("inf"))
 
     def _note_own_pause(self, now_s: float) -> None:
         """Note that this daemon goes on after a pause of its own."""
