Sight for LIMIT: the limit that a target names is read, logged and counted

The logs could not tell that a target had named a limit, when, or which daemon had such an answer. The adapter now decodes Server-Limit of any answer that the asked target wrote; forwarding notes it as the answer comes; target_limited and target_limit_ended, ferrydock_targets_limited and answer_header_unreadable show it. No decision reads it yet, so behaviour is as before.

An answer without a limit ends it only if its request was sent after the limit was heard: an answer that was under way as the target named its limit does not say that it is over.

--- /dev/null
+++ b/ferrydock/backpressure/_rate_limits.py
@@ -0,0 +1,96 @@
+"""The rate limits that targets name in their answers, for as long as they name them.
+
+Owns the newest statement of each target, in memory. It is filled by this daemon's own attempts
+(`forwarding.AnswerNotices`).
+"""
+
+import logging
+from collections.abc import Container
+from dataclasses import dataclass
+
+from ..logs import log_event
+
+__all__ = ["RateLimit", "RateLimits"]
+
+_LOG = logging.getLogger("ferrydock.backpressure")
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """The newest statement of a target about its limit.
+
+    Attributes
+    ----------
+    rate_per_s : float or None
+        Requests a second that it takes from all daemons together; None once it names no limit
+        any more.
+    heard_s : float
+        Local time of the answer that said so.
+    """
+
+    rate_per_s: float | None
+    heard_s: float
+
+
+class RateLimits:
+    """The limits of all targets that have named one.
+
+    Examples
+    --------
+    >>> limits = RateLimits()
+    >>> limits.note("t", 1.5, sent_s=0.0, now_s=0.1)
+    >>> limits.note("t", None, sent_s=0.05, now_s=0.2); limits.rate_per_s("t")
+    1.5
+    >>> limits.note("t", None, sent_s=0.15, now_s=0.3); limits.rate_per_s("t") is None
+    True
+    """
+
+    __slots__ = ("_limits",)
+
+    def __init__(self):
+        self._limits: dict[str, RateLimit] = {}
+
+    def rate_per_s(self, target_id: str) -> float | None:
+        """Return how many requests a second a target takes; None if it has no limit."""
+        limit = self._limits.get(target_id)
+        return limit.rate_per_s if limit else None
+
+    @property
+    def limited_count(self) -> int:
+        """How many targets are under a limit."""
+        return sum(limit.rate_per_s is not None for limit in self._limits.values())
+
+    def note(self, target_id: str, rate_per_s: float | None, sent_s: float, now_s: float) -> None:
+        """Note what an answer says of its target's limit.
+
+        An answer without a limit ends the limit only if its request was sent after the limit was
+        heard: otherwise the target may have written it before it named the limit.
+
+        Parameters
+        ----------
+        rate_per_s : float or None
+            The limit in the answer; None if it names none.
+        sent_s, now_s : float
+            Local times of the request and of its answer.
+        """
+        known = self._limits.get(target_id)
+        if rate_per_s is None and (known is None or sent_s <= known.heard_s):
+            return
+        self._put(target_id, RateLimit(rate_per_s, now_s))
+
+    def forget_others(self, target_ids: Container[str]) -> None:
+        """Drop targets that are not listed."""
+        for target_id in [i for i in self._limits if i not in target_ids]:
+            del self._limits[target_id]
+
+    def _put(self, target_id: str, limit: RateLimit) -> None:
+        before = self.rate_per_s(target_id)
+        self._limits[target_id] = limit
+        if before is None and limit.rate_per_s is not None:
+            log_event(
+                _LOG, logging.INFO, "target_limited", target=target_id, per_s=limit.rate_per_s
+            )
+        elif before is not None and limit.rate_per_s is None:
+            log_event(
+                _LOG, logging.INFO, "target_limit_ended", target=target_id, before_per_s=before
+            )
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -13,6 +13,7 @@
 from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
 from ..targets import ReplicaView
+from ._answer_notices import AnswerNotices
 from ._answer_relay import AnswerRelay
 from ._dialect import Outbound, RequestDialect
 from ._endpoint_selector import EndpointSelector
@@ -60,6 +61,7 @@
         "dialect",
         "loads",
         "metrics",
+        "notices",
         "selector",
         "upstream",
     )
@@ -79,6 +81,7 @@
         self.dialect = dialect
         self.clock = clock
         self.metrics = metrics
+        self.notices = AnswerNotices(selector.catalog, clock)
         self._relay = AnswerRelay(loads, clock)
         self._running: dict[str, set[Attempt]] = {}
 
@@ -179,6 +182,7 @@
         headers = self.dialect.outgoing(request.headers.items(), exchange.inbound, outbound)
         body = exchange.body if exchange.body is not None else _body_as_it_comes(exchange)
         once = not exchange.route.kind.is_repeatable
+        sent_s = self.clock.now_s()
         try:
             answer = await self.upstream.send(
                 endpoint.target, request.method, request.raw_path, headers, body, once
@@ -188,7 +192,7 @@
         except _BROKEN as error:
             return AttemptEnd(False, True, "broken_" + type(error).__name__)
         try:
-            return await self._take_answer(exchange, endpoint, answer)
+            return await self._take_answer(exchange, endpoint, answer, sent_s)
         except CallerGone:
             raise
         except _BROKEN:
@@ -197,7 +201,11 @@
             _release(answer)
 
     async def _take_answer(
-        self, exchange: Exchange, endpoint: Endpoint, answer: aiohttp.ClientResponse
+        self,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        answer: aiohttp.ClientResponse,
+        sent_s: float,
     ) -> AttemptEnd:
         """Look at the head of an answer, and pass the answer on if it is the final one."""
         target_id = endpoint.target.target_id
@@ -205,6 +213,7 @@
         if head.request_id and head.request_id != exchange.inbound.request_id:
             answer.close()  # an answer to an earlier request was left in the connection
             return AttemptEnd(False, True, AttemptReason.WRONG_ANSWER)
+        self.notices.take(target_id, head, sent_s)
         if head.not_executed:
             return AttemptEnd(False, False, AttemptReason.REFUSED, status=answer.status)
         self.loads.progressed(target_id, self.clock.now_s())
--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -9,7 +9,7 @@
 
 from multidict import CIMultiDict
 
-from ..outcomes import Invalid
+from ..outcomes import Fault, Invalid
 
 __all__ = ["AnswerHeaders", "Inbound", "Outbound", "RequestDialect"]
 
@@ -73,11 +73,20 @@
         The request that the answer belongs to; empty if it does not say.
     signed : bool
         Whether the answer was made by a target, and not by something on the way.
+    is_targets_own : bool
+        Whether it was made by the target that was asked, refusals included.
+    rate_limit_per_s : float or None
+        Requests a second that the target takes from all daemons together; None if it names none.
+    faults : tuple of Fault
+        Statements of the target about itself that cannot be read.
     """
 
     not_executed: bool
     request_id: str
     signed: bool
+    is_targets_own: bool = False
+    rate_limit_per_s: float | None = None
+    faults: tuple[Fault, ...] = ()
 
 
 class RequestDialect(Protocol):
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -3,6 +3,7 @@
 Stateless. The platform says tenant for a team.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict
@@ -15,6 +16,10 @@
 # HTTP status (RFC 9110) and units.
 MISDIRECTED = 421
 MS_PER_S = 1000
+
+# Longest text that is read as a number.
+MAX_NUMBER_CHARS = 32
+
 _BEARER = "Bearer "
 
 # A caller's values of these never reach a worker: they are set here, or hold the caller's key.
@@ -66,8 +71,38 @@
 
     def answer(self, status: int, headers: Mapping[str, str]) -> AnswerHeaders:
         """Read the head of a worker's answer; 421 says that another worker has the address now."""
+        is_misdirected = status == MISDIRECTED
+        is_refused = "X-Not-Executed" in headers
+        signed = "X-Server-Stamp" in headers
+        limit = read_number(headers, "Server-Limit")
         return AnswerHeaders(
-            not_executed="X-Not-Executed" in headers or status == MISDIRECTED,
+            not_executed=is_refused or is_misdirected,
             request_id=headers.get("X-Attempt-Id", ""),
-            signed="X-Server-Stamp" in headers,
+            signed=signed,
+            is_targets_own=(signed or is_refused) and not is_misdirected,
+            rate_limit_per_s=None if isinstance(limit, Fault) else limit,
+            faults=(limit,) if isinstance(limit, Fault) else (),
         )
+
+
+def read_number(headers: Mapping[str, str], name: str) -> float | Fault | None:
+    """Return the number in a header; None if it is not there, a fault if it is no amount.
+
+    Examples
+    --------
+    >>> read_number({"Server-Limit": "1.5"}, "Server-Limit")
+    1.5
+    >>> str(read_number({"Server-Limit": "-3"}, "Server-Limit"))
+    "Server-Limit: '-3' is not a finite number of at least 0"
+    """
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text) if len(text) <= MAX_NUMBER_CHARS else math.nan
+    except ValueError:
+        value = math.nan
+    if not 0.0 <= value < math.inf:
+        shown = text[:MAX_NUMBER_CHARS]
+        return Fault(name, f"{shown!r} is not a finite number of at least 0")
+    return value
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -41,6 +41,9 @@
         busy = {target_id for target_id, load in self._loads.items() if load.running}
         self._upstream.forget_others(listed, busy)
         self._loads.forget_others(listed)
+        attempts = self.gateway.forwarder.attempts
+        attempts.notices.forget_others(listed)
+        attempts.selector.catalog.limits.forget_others(listed)
         self.order_sender.forget_others(listed)
         self.gateway.enforce_timeouts()
         self.settings.reread()
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -129,6 +129,11 @@
             "How long ago the target list was surely complete.",
             registry=registry,
         )
+        self.targets_limited = Gauge(
+            "ferrydock_targets_limited",
+            "Targets under a limit that they have named.",
+            registry=registry,
+        )
         self.store_era = Gauge(
             "ferrydock_store_era", "How often the store has come back older.", registry=registry
         )
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -138,6 +138,7 @@
     "ferrydock_target_crashes": "counter",
     "ferrydock_targets": "gauge",
     "ferrydock_targets_age_seconds": "gauge",
+    "ferrydock_targets_limited": "gauge",
     "ferrydock_waiting": "gauge",
 }
 
--- a/tests/test_readable.py
+++ b/tests/test_readable.py
@@ -11,6 +11,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 FINISHED = (
+    "backpressure",
     "configuration",
     "forwarding",
     "freshness",
