--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -14,6 +14,10 @@
 
 ``python -m benchmarks.soak --plays=crashes --seeds=50`` plays requests that crash their targets,
 beside all of that; its seeds belong into ``tests/soak_crash_seeds.txt``.
+
+``python -m benchmarks.soak --plays=limits --seeds=50`` plays targets that name a limit in their
+answers, beside troubles of daemons, targets and the store; its seeds belong into
+``tests/soak_limit_seeds.txt``.
 """
 
 import asyncio
@@ -31,6 +35,7 @@
     draw_crashing,
     draw_eras,
     draw_leaving,
+    draw_limits,
     draw_stops,
     draw_troubles,
     figures,
@@ -135,6 +140,11 @@
     return _drawn_experiment(f"eras {seed}", seed, 22.0, LOAD, draw_eras)
 
 
+def limits_experiment(seed: int) -> Experiment:
+    """Return the targets that name limits that a seed stands for, at one of the `_sizes`."""
+    return _drawn_experiment(f"limits {seed}", seed, 16.0, LEAVING_LOAD, draw_limits)
+
+
 def _drawn_experiment(
     name: str,
     seed: int,
@@ -162,6 +172,7 @@
     "crashes": crashes_experiment,
     "leaving": leaving_experiment,
     "eras": eras_experiment,
+    "limits": limits_experiment,
 }
 
 
@@ -183,6 +194,7 @@
             crashes=result.crashes or None,
             beyond=result.beyond if result.crashes else None,
             at_leaving=result.at_leaving or None,
+            at_limited=result.at_limited or None,
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
             excused=sum(result.excused.values()) if result.stops else None,
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -12,6 +12,7 @@
     read_experiment,
 )
 from ._leaving import DRAIN_S, draw_leaving, late_arrivals
+from ._limits import draw_limits, excess, max_arrivals
 from ._load import Call, Callers
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
@@ -47,6 +48,9 @@
     "demo_experiment",
     "draw_eras",
     "draw_leaving",
+    "draw_limits",
+    "excess",
+    "max_arrivals",
     "draw_stops",
     "draw_crashing",
     "draw_troubles",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -53,7 +53,17 @@
     "store_older": "the store goes away for a second and comes back as it was `for_s` before (how: "
     "as for store_down)",
 }
-KINDS = {**_SOAK_KINDS, **_STOP_KINDS, **_CRASH_KINDS, **_LEAVING_KINDS, **_ERA_KINDS}
+_LIMIT_KINDS = {
+    "target_limited": "targets that are used name a limit in their answers for `for_s`",
+}
+KINDS = {
+    **_SOAK_KINDS,
+    **_STOP_KINDS,
+    **_CRASH_KINDS,
+    **_LEAVING_KINDS,
+    **_ERA_KINDS,
+    **_LIMIT_KINDS,
+}
 _HOWS = ("silent", "busy", "many", "reset")
 _CLASSES = ("write-large", "write-small", "look", "file")
 
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -6,6 +6,7 @@
 
 from ._crashing import CONTACT_S, MAX_MORE, arrivals_beyond, describe_refused
 from ._leaving import StoreHurt, describe_late, late_arrivals
+from ._limits import describe_excess, excess
 from ._load import Call
 from ._stops import (
     BACK_UNSEEN_S,
@@ -64,6 +65,7 @@
         self._judge_crashing()
         self._judge_leaving()
         self._judge_unconfirmed()
+        self._judge_limits()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -108,6 +110,20 @@
             daemon = sent_to[late.request_id].name
             result.broken.append(describe_late(late, daemon, late.at_s - self.began_s))
 
+    def _judge_limits(self) -> None:
+        """Note targets that got more requests than the limit they had named."""
+        result = self.parts.result
+        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
+        sent_to = {call.request_id: call.daemon for call in result.calls}
+
+        def was_well(daemon: str, from_s: float, to_s: float) -> bool:
+            return daemons[daemon].was_well(to_s, to_s - from_s)
+
+        for limit in self.parts.site.record.limits:
+            result.at_limited += len(limit.arrived)
+            for at_s, count in excess(limit, sent_to.__getitem__, was_well)[:1]:
+                result.broken.append(describe_excess(limit, at_s - self.began_s, count))
+
     def _judge_unconfirmed(self) -> None:
         """Note requests refused for an old configuration by daemons that were well for long."""
         daemons = {daemon.name: daemon for daemon in self.parts.daemons}
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -19,6 +19,7 @@
     "a planned stop ends with status 0 within its grace, and cuts no answer",
     "a request that crashes its targets is kept from them, and no other is",
     "no request is sent to a target 2 s after its word that it leaves",
+    "a target that names a limit gets no more from daemons that were told",
     "no request is refused for an old configuration by a daemon that reaches the store",
 )
 
@@ -47,6 +48,8 @@
         Most tries in which such a request reached targets although daemons had time to know it.
     at_leaving : int
         Requests that reached targets which had said that they leave.
+    at_limited : int
+        Requests that reached targets which named a limit.
     excused : Counter
         Those of them that fell under an exception of the promise, by its reason.
     """
@@ -66,4 +69,5 @@
     crashes: int = 0
     beyond: int = 0
     at_leaving: int = 0
+    at_limited: int = 0
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_target_troubles.py
+++ b/ferrydock/emulator/_target_troubles.py
@@ -5,6 +5,7 @@
 from ..invariants import existing
 from ..standins.fleet import Worker
 from ._experiment import Trouble
+from ._limits import LIMITS_PER_S
 from ._troubles import PlayedParts, trouble
 
 __all__: list[str] = []
@@ -109,6 +110,24 @@
     return f"for {met.for_s:.1f} s"
 
 
+@trouble("target_limited")
+async def limit_targets(parts: PlayedParts, met: Trouble) -> str:
+    """Let targets that are used name a limit in their answers, and end it later."""
+    named = []
+    for _ in range(met.count):
+        target = _used_target(parts, met.hall)
+        if target is None or target.limit is not None:
+            continue
+        per_s = parts.rng.choice(LIMITS_PER_S)
+        parts.site.limit_worker(target.worker_id, per_s)
+        named.append(target)
+    text = ",".join(f"{t.worker_id}={existing(t.limit, 'the limit').per_s:g}" for t in named)
+    await asyncio.sleep(met.for_s)
+    for target in named:
+        parts.site.end_limit(target.worker_id)
+    return text
+
+
 @trouble("target_replaced")
 async def replace_targets(parts: PlayedParts, met: Trouble) -> str:
     """Let targets that are used say that they leave, and others join in their place."""
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -6,7 +6,7 @@
 from ._store_http import StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
 from ._worker_http import CRASHING_BODY, CrashingRequest, LeavingArrival, RunRecord, WorkerFace
-from ._workers import Fleet, FleetFaults, Violation, Worker
+from ._workers import Fleet, FleetFaults, NamedLimit, Violation, Worker
 
 __all__ = [
     "CRASHING_BODY",
@@ -19,6 +19,7 @@
     "FleetSite",
     "LeavingArrival",
     "LoopClock",
+    "NamedLimit",
     "RunRecord",
     "StoreFace",
     "StoreFaults",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -10,7 +10,7 @@
 from ...store import MemoryStore, StoreCopy
 from ._store_http import StoreFace
 from ._worker_http import KV_TOKENS, RunRecord, WorkerFace, entry_group, entry_models
-from ._workers import Fleet, Worker
+from ._workers import Fleet, NamedLimit, Worker
 
 __all__ = ["WRITTEN_AGAIN_S", "FleetSite", "small_engine"]
 
@@ -159,6 +159,17 @@
         if worker.left_s is None:
             worker.left_s = asyncio.get_running_loop().time()
 
+    def limit_worker(self, worker_id: str, per_s: float) -> None:
+        """Let a worker name a limit in its answers from now on."""
+        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker.limit = NamedLimit(worker_id, per_s, asyncio.get_running_loop().time())
+        self.record.limits.append(worker.limit)
+
+    def end_limit(self, worker_id: str) -> None:
+        """Let a worker name no limit any more."""
+        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker.limit = None
+
     def come_back_older(self, copy: StoreCopy) -> None:
         """Let the store lose all since a copy was taken; each writer writes again what is gone."""
         self.store.come_back_older(copy)
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -17,7 +17,7 @@
     OrderRefused,
     StageOrder,
 )
-from ._workers import Fleet, Worker
+from ._workers import Fleet, NamedLimit, Worker
 
 __all__ = [
     "CRASHING_BODY",
@@ -87,6 +87,8 @@
         Requests that crash workers, by path, tenant and body.
     at_leaving : list of LeavingArrival
         Requests that reached workers which had said that they leave.
+    limits : list of NamedLimit
+        Limits that workers have named.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -96,6 +98,7 @@
     keys_seen: int = 0
     crashing: dict[tuple[str, str, bytes], CrashingRequest] = field(default_factory=dict)
     at_leaving: list[LeavingArrival] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
 
     def note_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
         """Note that a request has reached a worker, if that has said that it leaves."""
@@ -106,6 +109,12 @@
         after_s = now_s - worker.left_s
         self.at_leaving.append(LeavingArrival(request_id, worker.worker_id, now_s, after_s))
 
+    def note_limited(self, request: web.BaseRequest, worker: Worker) -> None:
+        """Note that a request has reached a worker, if that names a limit."""
+        if worker.limit is not None:
+            now_s = asyncio.get_running_loop().time()
+            worker.limit.arrived.append((now_s, request.headers["X-Attempt-Id"]))
+
     def note_crashing(self, request: web.BaseRequest, body: bytes) -> CrashingRequest:
         """Note that a request which crashes workers has reached one; return what is known of it."""
         key = (request.raw_path, request.headers.get("X-Tenant", ""), body)
@@ -218,27 +227,40 @@
         if request.path == "/v1/order":
             return await self._order(request)
         if request.path == "/v1/report":
-            return self._report()
+            return self._report(request)
         if request.path == "/healthz":
             status = 503 if self.worker.draining else 200
-            return web.Response(status=status, headers={"X-Instance-Id": self.worker.worker_id})
+            headers = {"X-Instance-Id": self.worker.worker_id, **self._says(request)}
+            return web.Response(status=status, headers=headers)
         if "X-Attempt-Id" not in request.headers:
-            return self._refuse(400)
+            return self._refuse(request, 400)
         self.record.note_leaving(request, self.worker)
+        self.record.note_limited(request, self.worker)
         if self.fleet is None:
             return await self._plain(request)
         return await self._stream(request)
 
-    def _refuse(self, status: int) -> web.Response:
+    def _refuse(self, request: web.BaseRequest, status: int) -> web.Response:
         headers = {"X-Not-Executed": "1", "At-Server": self.worker.worker_id}
-        return web.Response(status=status, headers=headers)
+        return web.Response(status=status, headers={**headers, **self._says(request)})
 
     def _signed(self, request: web.BaseRequest) -> dict[str, str]:
         return {
             "X-Attempt-Id": request.headers["X-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.worker.worker_id}",
+            **self._says(request),
         }
 
+    def _says(self, request: web.BaseRequest) -> dict[str, str]:
+        """Return what the worker says of itself in the answer that it writes now."""
+        limit = self.worker.limit
+        if limit is None:
+            return {}
+        request_id = request.headers.get("X-Attempt-Id")
+        if request_id is not None:
+            limit.told.append((asyncio.get_running_loop().time(), request_id))
+        return {"Server-Limit": f"{limit.per_s:g}"}
+
     async def _plain(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
         self.record.note_arrival(request, self.worker)
@@ -252,7 +274,7 @@
         worker = self.worker
         body = await request.read()
         if worker.running >= worker.engine.slots or not self._serves():
-            return self._refuse(503)
+            return self._refuse(request, 503)
         worker.running += 1
         born_ms = worker.born_ms
         try:
@@ -319,9 +341,10 @@
             return web.Response(status=503)
         if isinstance(answer, OrderRefused):
             return web.Response(status=_REFUSAL_STATUS[answer.reason])
-        return web.Response(status=200 if answer.already else 202)
+        status = 200 if answer.already else 202
+        return web.Response(status=status, headers=self._says(request))
 
-    def _report(self) -> web.Response:
+    def _report(self, request: web.BaseRequest) -> web.Response:
         worker = self.worker
         fields = {
             "phase": "colocated",
@@ -338,7 +361,8 @@
             "domain": worker.domain,
             "pace": 1.0,
         }
-        return web.Response(body=orjson.dumps(fields), content_type="application/json")
+        headers = {"Content-Type": "application/json", **self._says(request)}
+        return web.Response(body=orjson.dumps(fields), headers=headers)
 
 
 def entry_models(worker: Worker) -> list[dict]:
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -22,7 +22,7 @@
     Target,
 )
 
-__all__ = ["Fleet", "FleetFaults", "Violation", "Worker"]
+__all__ = ["Fleet", "FleetFaults", "NamedLimit", "Violation", "Worker"]
 
 REJOIN_S = 0.2
 MODELS_KEPT_BY_HOST = 1
@@ -38,6 +38,27 @@
     detail: str
 
 
+@dataclass(slots=True, eq=False)
+class NamedLimit:
+    """A limit that a worker names in its answers, and the requests that it gets meanwhile.
+
+    Attributes
+    ----------
+    per_s : float
+        Requests a second that it takes from all daemons together.
+    from_s : float
+        Loop time from which on it names the limit.
+    told, arrived : list of (float, str)
+        Loop time and request id of each answer that named it, and of each request that came.
+    """
+
+    worker_id: str
+    per_s: float
+    from_s: float
+    told: list[tuple[float, str]] = field(default_factory=list)
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class FleetFaults:
     """What goes wrong with orders.
@@ -73,6 +94,8 @@
         ``(name, epoch, members)`` under which it was ready once.
     loads : int
         Loads from the weight store that it began.
+    limit : NamedLimit or None
+        What it says that it takes; None for no limit.
     """
 
     worker_id: str
@@ -97,6 +120,7 @@
     was_ready: set = field(default_factory=set)
     running: int = 0
     loads: int = 0
+    limit: NamedLimit | None = None
 
     def start_again(self) -> None:
         """Begin another life under the same id; only what lies on the host is left."""
@@ -105,6 +129,7 @@
         self.alive = True
         self.draining = False
         self.left_s = None
+        self.limit = None
         self.orders = 0
         self.top_epoch = 0
         self.last_model = ""
