Mend for LIMIT: what is granted to a target under a limit is paced where grants are made

What callers saw: two targets that had named a limit got one request more in 4 s than is allowed.

Cause: what a target says of its limit in its answers was not read. Its class: what a target says in its answers is not read, only what the platform's list says of it.

The mend: the limit is kept to where targets are chosen. - A hall's scheduler grants a limited target's requests at an even pace (HallPacer), its own hall's share three quarters, the other halls the rest. It begins a full interval after it learned of the limit, never with a burst. - Each message to a scheduler tells the limits that its sender knows, so a new leader grants nothing unpaced to a daemon that was told; its reply corrects what the sender lacks or has wrong. Schedulers of halls tell each other. - A daemon that decides alone sends two fifths of the limit divided by the daemons of the site, rounded down. - What no target may get in time is refused at once: 503 targets_limited, Retry-After from when one may be asked. - Refusals by a target under a limit do not eject it.

Why it is safe: in any 4 s schedulers grant 4.2 N + halls, daemons alone send 1.6 N, of 6 N + 5 allowed; the number of daemons enters only by a division that rounds down. A test plays 9, 71, 300 and 8 daemons, six limits, changes of leader at random, in virtual time. Without a limit no message and no choice differs.

--- a/ferrydock/backpressure/_rate_limits.py
+++ b/ferrydock/backpressure/_rate_limits.py
@@ -1,19 +1,24 @@
 """The rate limits that targets name in their answers, for as long as they name them.
 
 Owns the newest statement of each target, in memory. It is filled by this daemon's own attempts
-(`forwarding.AnswerNotices`).
+(`forwarding.AnswerNotices`) and by the reports of other daemons (`scheduling`).
 """
 
 import logging
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from ..logs import log_event
+from ._messages import LimitReport
 
 __all__ = ["RateLimit", "RateLimits"]
 
 _LOG = logging.getLogger("ferrydock.backpressure")
 
+# How long other daemons are told that a limit has ended. Limits in force are told for as long as
+# they are.
+ENDED_TOLD_S = 10.0
+
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
@@ -39,10 +44,11 @@
     --------
     >>> limits = RateLimits()
     >>> limits.note("t", 1.5, sent_s=0.0, now_s=0.1)
-    >>> limits.note("t", None, sent_s=0.05, now_s=0.2); limits.rate_per_s("t")
-    1.5
-    >>> limits.note("t", None, sent_s=0.15, now_s=0.3); limits.rate_per_s("t") is None
     True
+    >>> limits.note("t", None, sent_s=0.05, now_s=0.2), limits.rate_per_s("t")
+    (False, 1.5)
+    >>> limits.note("t", None, sent_s=0.15, now_s=0.3), limits.rate_per_s("t")
+    (True, None)
     """
 
     __slots__ = ("_limits",)
@@ -60,7 +66,7 @@
         """How many targets are under a limit."""
         return sum(limit.rate_per_s is not None for limit in self._limits.values())
 
-    def note(self, target_id: str, rate_per_s: float | None, sent_s: float, now_s: float) -> None:
+    def note(self, target_id: str, rate_per_s: float | None, sent_s: float, now_s: float) -> bool:
         """Note what an answer says of its target's limit.
 
         An answer without a limit ends the limit only if its request was sent after the limit was
@@ -72,11 +78,49 @@
             The limit in the answer; None if it names none.
         sent_s, now_s : float
             Local times of the request and of its answer.
+
+        Returns
+        -------
+        bool
+            Whether the limit has changed.
         """
         known = self._limits.get(target_id)
         if rate_per_s is None and (known is None or sent_s <= known.heard_s):
-            return
+            return False
+        has_changed = known is None or known.rate_per_s != rate_per_s
         self._put(target_id, RateLimit(rate_per_s, now_s))
+        return has_changed
+
+    def reports(self, now_s: float) -> tuple[LimitReport, ...]:
+        """Return what other daemons are told."""
+        return tuple(
+            LimitReport(target_id, limit.rate_per_s, now_s - limit.heard_s)
+            for target_id, limit in self._limits.items()
+            if limit.rate_per_s is not None or now_s - limit.heard_s < ENDED_TOLD_S
+        )
+
+    def reports_beyond(self, told: Iterable[LimitReport], now_s: float) -> tuple[LimitReport, ...]:
+        """Return what a daemon lacks or has wrong that has just told what it knows."""
+        theirs = {report.target_id: report.rate_per_s for report in told}
+        return tuple(
+            LimitReport(target_id, limit.rate_per_s, now_s - limit.heard_s)
+            for target_id, limit in self._limits.items()
+            if theirs.get(target_id) != limit.rate_per_s
+        )
+
+    def merge(self, reports: Iterable[LimitReport], now_s: float) -> None:
+        """Take over what another daemon reports; of each target the newest statement counts.
+
+        Parameters
+        ----------
+        now_s : float
+            Local time that the ages count from: that of the question where the report is an answer.
+        """
+        for report in reports:
+            heard_s = now_s - report.age_s
+            known = self._limits.get(report.target_id)
+            if known is None or heard_s > known.heard_s:
+                self._put(report.target_id, RateLimit(report.rate_per_s, heard_s))
 
     def forget_others(self, target_ids: Container[str]) -> None:
         """Drop targets that are not listed."""
--- /dev/null
+++ b/ferrydock/backpressure/tests/test_limits_are_kept.py
@@ -0,0 +1,119 @@
+"""The sum of what all schedulers and daemons send to a target under a limit, in virtual time."""
+
+import random
+
+import pytest
+
+from ...emulator import max_arrivals
+from ...targets import Target
+from .. import HallPacer, LimitReport, LonePacer, RateLimits, hall_share
+
+WINDOW_S = 4.0
+STEP_S = 0.01
+RATES_PER_S = (0.0, 0.3, 1.0, 1.3, 5.0, 50.0)
+TARGET = Target("t", "s", "", "h0", 8)
+
+
+def limits_of(rate_per_s, now_s=0.0):
+    limits = RateLimits()
+    limits.note("t", rate_per_s, now_s, now_s)
+    return limits
+
+
+def most_in_window(sent_s):
+    sent_s = sorted(sent_s)
+    return max(
+        (sum(0 <= other - at_s < WINDOW_S for other in sent_s) for at_s in sent_s), default=0
+    )
+
+
+class HallOfDaemons:
+    """A scheduler that begins anew at each change of leader, and daemons that may lose it."""
+
+    def __init__(self, rate_per_s, number, halls, daemons_of_site):
+        self.rate_per_s = rate_per_s
+        self.share = hall_share(number == 0, halls)
+        self.daemons = [
+            LonePacer(limits_of(rate_per_s), lambda: daemons_of_site)
+            for _ in range(daemons_of_site // halls)
+        ]
+        self.begin(0.0)
+
+    def begin(self, now_s):
+        """Let a new leader begin."""
+        self.pacer = HallPacer(limits_of(self.rate_per_s, now_s), lambda hall: self.share)
+
+    def send(self, now_s, has_leader):
+        """Return how many requests are sent by a hall that wants as many as it may."""
+        if not has_leader:
+            return sum(self._send_alone(daemon, now_s) for daemon in self.daemons)
+        if self.pacer.wait_s(TARGET, now_s) > 0:
+            return 0
+        self.pacer.take(TARGET, now_s)
+        return 1
+
+    def _send_alone(self, daemon, now_s):
+        sent = 0
+        while daemon.may_send("t", now_s):
+            daemon.note_sent("t", now_s)
+            sent += 1
+        return sent
+
+
+@pytest.mark.parametrize("rate_per_s", RATES_PER_S)
+@pytest.mark.parametrize("daemons, halls", [(9, 3), (71, 3), (300, 3), (8, 1)])
+@pytest.mark.parametrize("seed", range(3))
+def test_all_halls_and_daemons_together_keep_to_a_limit_also_as_leaders_change(
+    rate_per_s, daemons, halls, seed
+):
+    rng = random.Random(seed)
+    site = [HallOfDaemons(rate_per_s, number, halls, daemons) for number in range(halls)]
+    without_s = [(rng.uniform(2, 12), rng.uniform(0.1, 3)) for _ in site]
+    sent_s = []
+    for step in range(int(20 / STEP_S)):
+        now_s = step * STEP_S
+        for hall, (from_s, for_s) in zip(site, without_s, strict=True):
+            has_leader = not from_s <= now_s < from_s + for_s
+            if has_leader and now_s - (from_s + for_s) < STEP_S and now_s >= from_s + for_s:
+                hall.begin(now_s)
+            sent_s += [now_s] * hall.send(now_s, has_leader)
+    assert most_in_window(sent_s) <= max_arrivals(rate_per_s)
+    assert len(sent_s) >= 0.7 * 20 * rate_per_s * 0.75 - 1
+
+
+def test_a_new_leader_grants_nothing_before_an_interval_has_passed():
+    pacer = HallPacer(limits_of(2.0, 10.0), lambda hall: 1.0)
+    assert pacer.wait_s(TARGET, 10.0) == pytest.approx(0.5)
+    pacer = HallPacer(limits_of(2.0, 10.0), lambda hall: 0.0)
+    assert pacer.wait_s(TARGET, 99.0) == float("inf")
+
+
+def test_a_limit_that_rises_is_used_at_once_and_one_that_ends_is_forgotten():
+    limits = limits_of(0.1)
+    pacer = HallPacer(limits, lambda hall: 1.0)
+    assert pacer.wait_s(TARGET, 0.0) == pytest.approx(10.0)
+    limits.note("t", 50.0, 0.0, 1.0)
+    assert pacer.wait_s(TARGET, 1.0) <= 0.2
+    limits.note("t", None, 1.5, 2.0)
+    assert pacer.wait_s(TARGET, 2.0) == 0.0
+
+
+def test_of_two_reports_the_newer_counts_whatever_order_they_come_in():
+    named, ended = LimitReport("t", 2.0, age_s=1.0), LimitReport("t", None, age_s=0.5)
+    for reports in ((named, ended), (ended, named)):
+        limits = RateLimits()
+        for report in reports:
+            limits.merge([report], now_s=10.0)
+        assert limits.rate_per_s("t") is None
+    assert limits.reports_beyond([named], 10.0) == (LimitReport("t", None, 0.5),)
+    assert limits.reports(15.0) and not limits.reports(30.0)
+
+
+def test_what_is_known_of_targets_that_are_gone_is_forgotten():
+    limits = limits_of(2.0)
+    hall, lone = HallPacer(limits, lambda hall: 1.0), LonePacer(limits, lambda: 1)
+    hall.wait_s(TARGET, 0.0)
+    lone.note_sent("t", 0.0)
+    for part in (limits, hall, lone):
+        part.forget_others(())
+    assert limits.limited_count == 0 and limits.reports(0.0) == ()
--- a/ferrydock/forwarding/_answer_notices.py
+++ b/ferrydock/forwarding/_answer_notices.py
@@ -33,20 +33,30 @@
         self.clock = clock
         self._unreadable: dict[str, str] = {}
 
-    def take(self, target_id: str, head: AnswerHeaders, sent_s: float) -> None:
+    def take(self, target_id: str, head: AnswerHeaders, sent_s: float) -> bool:
         """Note what an answer says of its target.
 
         Parameters
         ----------
         sent_s : float
             Local time at which the request was sent.
+
+        Returns
+        -------
+        bool
+            Whether other daemons should hear of it at once.
         """
         if not head.is_targets_own:
-            return
+            return False
         if head.faults:
             self._log_unreadable(target_id, head)
-            return
-        self.catalog.limits.note(target_id, head.rate_limit_per_s, sent_s, self.clock.now_s())
+            return False
+        now_s = self.clock.now_s()
+        return self.catalog.limits.note(target_id, head.rate_limit_per_s, sent_s, now_s)
+
+    def is_limited(self, target_id: str) -> bool:
+        """Return whether a target is under a limit that it has named."""
+        return self.catalog.limits.rate_per_s(target_id) is not None
 
     def forget_others(self, target_ids: Container[str]) -> None:
         """Drop targets that are not listed."""
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -161,12 +161,15 @@
         """Count the end of an attempt as a success or a failure of its target.
 
         A target that could not be connected to is ejected at once. Neither a time that was over
-        nor an interruption says anything about the target itself.
+        nor an interruption says anything about the target itself, nor does a refusal by one that
+        has named a limit.
         """
         self.metrics.attempts.labels("whole" if end.whole else str(end.reason)).inc()
         now_s = self.clock.now_s()
         if end.whole and end.status < SERVER_ERROR:
             self.loads.succeeded(target_id)
+        elif end.reason == AttemptReason.REFUSED and self.notices.is_limited(target_id):
+            return
         elif end.reason in _FAILURES_OF_TARGET:
             at_once = end.reason == AttemptReason.NOT_SENT
             self.loads.failed(target_id, now_s, at_once)
@@ -213,7 +216,8 @@
         if head.request_id and head.request_id != exchange.inbound.request_id:
             answer.close()  # an answer to an earlier request was left in the connection
             return AttemptEnd(False, True, AttemptReason.WRONG_ANSWER)
-        self.notices.take(target_id, head, sent_s)
+        if self.notices.take(target_id, head, sent_s):
+            self.selector.report()
         if head.not_executed:
             return AttemptEnd(False, False, AttemptReason.REFUSED, status=answer.status)
         self.loads.progressed(target_id, self.clock.now_s())
--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 
+from ..backpressure import LonePacer
 from ..clock import Clock
 from ..scheduling import (
     DAEMON_SELECTION,
@@ -23,6 +24,10 @@
 
 __all__ = ["EndpointSelector"]
 
+# When a request may come again that this daemon, alone, may send to none of its targets, since all
+# are under limits: in about this time a new leader schedules the hall's requests.
+LONE_RETRY_S = 1.0
+
 
 class EndpointSelector:
     """Assigns slots of targets to this daemon's requests.
@@ -36,10 +41,15 @@
     hall : str
         Hall of this daemon; its targets are preferred.
     daemons : callable
-        Returns how many daemons share the connections that a target takes.
+        Returns how many daemons share the connections that a target takes, and its limit.
+
+    Attributes
+    ----------
+    pacer : LonePacer
+        Bounds the requests to targets under a limit.
     """
 
-    __slots__ = ("_queue", "catalog", "clock", "daemons", "hall", "loads", "rng")
+    __slots__ = ("_queue", "catalog", "clock", "daemons", "hall", "loads", "pacer", "rng")
 
     def __init__(
         self,
@@ -56,6 +66,7 @@
         self.clock = clock
         self.rng = rng
         self.daemons = daemons
+        self.pacer = LonePacer(catalog.limits, daemons)
         self._queue: WaitingQueue[Exchange, Endpoint] = WaitingQueue()
 
     @property
@@ -72,11 +83,17 @@
             How long the request may wait; 0 and less for not at all.
         """
         needs = (exchange.service.name, exchange.inbound.model)
+        exchange.limited_for_s = 0.0
         endpoint = None
         if not self._queue.must_wait(exchange.rank, needs):
             endpoint = self._take(exchange)
-        if endpoint is not None or max_queue_s <= 0:
+        if endpoint is not None:
             return endpoint
+        if self._is_kept_by_limits(exchange):
+            exchange.limited_for_s = LONE_RETRY_S
+            return None
+        if max_queue_s <= 0:
+            return None
         return await self._queue.wait(
             exchange.rank,
             needs,
@@ -91,6 +108,9 @@
         self.loads.ended(endpoint.target.target_id)
         self.assign_free_slots()
 
+    def report(self) -> None:
+        """Report soon what has changed here; a daemon without a scheduler tells nobody."""
+
     def assign_free_slots(self) -> None:
         """Assign free slots to queued requests, highest priority first."""
         self._queue.assign_free_slots(self._take)
@@ -123,18 +143,29 @@
         endpoint = least_loaded(candidates, self.hall, DAEMON_SELECTION, self.rng)
         if endpoint is not None:
             self.loads.began(endpoint.target.target_id, now_s)
+            self.pacer.note_sent(endpoint.target.target_id, now_s)
         return endpoint
 
+    def _is_kept_by_limits(self, exchange: Exchange) -> bool:
+        """Return whether limits alone keep a request from all targets that it could go to."""
+        now_s = self.clock.now_s()
+        untried = [e for e in self._endpoints(exchange) if e.target.target_id not in exchange.tried]
+        return bool(untried) and not any(
+            self.pacer.may_send(e.target.target_id, now_s) for e in untried
+        )
+
     def _candidates(self, exchange: Exchange, endpoints: list[Endpoint]) -> list[Candidate]:
-        """Return the endpoints that have a connection left for this daemon.
+        """Return the endpoints that have a connection, and room in their limit, for this daemon.
 
         The connections that a target takes are divided evenly among all daemons.
         """
         connections = max(1, exchange.service.max_connections // self.daemons())
+        now_s = self.clock.now_s()
         candidates = []
         for endpoint in endpoints:
-            in_flight = self.loads.of(endpoint.target.target_id).running
-            if in_flight < connections:
+            target_id = endpoint.target.target_id
+            in_flight = self.loads.of(target_id).running
+            if in_flight < connections and self.pacer.may_send(target_id, now_s):
                 slots = max_requests(exchange.service, endpoint.target)
                 candidates.append(Candidate(endpoint, in_flight, slots))
         return candidates
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -117,6 +117,9 @@
         What a further attempt is paid from; None until the forwarder has taken the request.
     admitted_s : float
         When it was found not to be refused as one that crashes its targets.
+    limited_for_s : float
+        Seconds until it may go to a target, where limits of all its targets kept it from them; 0
+        if something else did, or nothing.
     """
 
     request: web.BaseRequest
@@ -144,6 +147,7 @@
     may_have_run: bool = False
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
+    limited_for_s: float = 0.0
 
     @property
     def rank(self) -> tuple[int, int, int, float]:
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -25,6 +25,7 @@
     SERVICE_UNAVAILABLE,
     final_status,
     max_retry_queue_s,
+    no_room_reason,
     refusal,
     retry_after_s,
 )
@@ -109,7 +110,7 @@
             endpoint = await self._acquire(exchange, asked_s)
             exchange.queued_s += self.clock.now_s() - asked_s
             if endpoint is None:
-                return self._give_up(exchange, "no_room")
+                return self._give_up(exchange, no_room_reason(exchange))
             if self.crashes.is_refused(exchange):  # it became known while this one waited
                 self.selector.release(endpoint)
                 return self._give_up(exchange, CRASHES_TARGETS)
@@ -183,4 +184,5 @@
             return refusal(status, reason, None)
         if reason == CRASHES_TARGETS:
             return refusal(status, reason, self.crashes.refused_for_s(exchange))
-        return refusal(status, reason, retry_after_s(reason, self.selector.rng))
+        again_s = retry_after_s(reason, exchange.limited_for_s, self.selector.rng)
+        return refusal(status, reason, again_s)
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -3,6 +3,8 @@
 Owns nothing beyond the `EndpointSelector` it extends; relies on `scheduling.SchedulerClient`.
 """
 
+from typing import TypeGuard
+
 from ..scheduling import Endpoint, SchedulerClient, SlotReply, SlotRequest
 from ._endpoint_selector import EndpointSelector
 from ._exchange import Exchange
@@ -32,13 +34,14 @@
         costs 0.15 s and not the time in its queue; then for a place in its queue.
         """
         until_s = self.clock.now_s() + max_queue_s
+        exchange.limited_for_s = 0.0
         reply = await self._ask(exchange, 0.0)
         if _is_full(reply):
             left_s = until_s - self.clock.now_s()
-            if left_s <= 0:
-                return None
-            reply = await self._ask(exchange, left_s)
+            if left_s > reply.limited_for_s:
+                reply = await self._ask(exchange, left_s)
             if _is_full(reply):
+                exchange.limited_for_s = reply.limited_for_s
                 return None
         if reply is not None and reply.target_id:
             endpoint = self._known(exchange, reply.target_id)
@@ -52,8 +55,12 @@
     def release(self, endpoint: Endpoint) -> None:
         """Give a slot back, and report that to the scheduler."""
         super().release(endpoint)
+        self.report()
+
+    def report(self) -> None:
+        """Report soon what has changed here to the scheduler."""
         if self.scheduler is not None:
-            self.scheduler.report_end()
+            self.scheduler.report_soon()
 
     async def _ask(self, exchange: Exchange, hold_s: float) -> SlotReply | None:
         if self.scheduler is None:
@@ -90,6 +97,6 @@
         return tuple(sorted(avoid))
 
 
-def _is_full(reply: SlotReply | None) -> bool:
+def _is_full(reply: SlotReply | None) -> TypeGuard[SlotReply]:
     """Return whether the scheduler knows targets for the request, all of them full."""
     return reply is not None and reply.candidates > 0 and not reply.target_id
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -16,6 +16,7 @@
     "TOO_LATE_S",
     "final_status",
     "max_retry_queue_s",
+    "no_room_reason",
     "refusal",
     "retry_after_s",
 ]
@@ -33,6 +34,9 @@
 # measured.
 TOO_LATE_S = 0.02
 
+# Refused since all targets that could serve it are under limits that they have named.
+TARGETS_LIMITED = "targets_limited"
+
 # HTTP statuses (RFC 9110).
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
@@ -61,11 +65,23 @@
     return GATEWAY_TIMEOUT if left_s <= TOO_LATE_S else BAD_GATEWAY
 
 
-def retry_after_s(reason: str, rng: random.Random) -> float:
-    """Return after how many seconds a caller who was refused for a reason should come back."""
+def no_room_reason(exchange: Exchange) -> str:
+    """Return why a request got no target: all are under limits, or none had room in time."""
+    return TARGETS_LIMITED if exchange.limited_for_s > 0 else "no_room"
+
+
+def retry_after_s(reason: str, limited_for_s: float, rng: random.Random) -> float:
+    """Return after how many seconds a caller who was refused for a reason should come back.
+
+    Parameters
+    ----------
+    limited_for_s : float
+        Seconds until limits of targets allow the request, if that is the reason.
+    """
     if reason == STOPPING:
         return STOPPING_RETRY_S
-    return rng.uniform(*RETRY_AFTER_RANGE_S)
+    again_s = rng.uniform(*RETRY_AFTER_RANGE_S)
+    return limited_for_s + again_s if reason == TARGETS_LIMITED else again_s
 
 
 def refusal(
--- a/ferrydock/forwarding/tests/test_answer_notices.py
+++ b/ferrydock/forwarding/tests/test_answer_notices.py
@@ -37,3 +37,30 @@
     play(scenario)
     lines = [r for r in caplog.messages if "event=answer_header_unreadable" in r]
     assert len(lines) == 1 and "Server-Limit" in lines[0] and "target=t0" in lines[0]
+
+
+def test_a_daemon_alone_refuses_at_once_what_limits_keep_from_all_targets():
+    async def scenario():
+        limited = whole(extra=b"Server-Limit: 1\r\n")
+        async with Rig([route()], [ScriptedTarget(answers(limited))], daemons=9) as rig:
+            assert b" 200 " in await rig.ask()
+            began_s = rig.clock.now_s()
+            refused = await rig.ask()
+            assert b" 503 " in refused and b"targets_limited" in refused
+            after_s = float(refused.split(b"Retry-After: ")[1].split(b"\r\n")[0])
+            assert after_s >= 1.0 and rig.clock.now_s() - began_s < 0.2
+            assert len(rig.targets[0].requests) == 1
+
+    play(scenario)
+
+
+def test_refusals_by_a_target_that_has_named_a_limit_do_not_eject_it():
+    async def scenario():
+        async with Rig([route()], [ScriptedTarget(answers(REFUSAL))]) as rig:
+            rig.selector.daemons = rig.selector.pacer.daemons = lambda: 0.1
+            for _ in range(4):
+                assert b" 503 " in await rig.ask()
+            assert len(rig.targets[0].requests) == 4
+            assert rig.loads.of("t0").ejections == 0
+
+    play(scenario)
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -9,6 +9,7 @@
 import logging
 import random
 
+from ..backpressure import hall_share
 from ..clock import Clock
 from ..configuration import CurrentConfiguration, max_keyed_age_s
 from ..crashes import CrashExchange, CrashHistory
@@ -269,6 +270,7 @@
             self.clock,
             self.rng,
             self.demand,
+            self._limit_share,
         )
         self.scheduler_client = SchedulerClient(
             self.settings.name,
@@ -280,7 +282,12 @@
         )
         self.selector.scheduler = self.scheduler_client
         self.remote_halls = RemoteHallPoller(
-            counts, self.demand, self._remote_leaders, self.clock, self.crash_exchange
+            counts,
+            self.demand,
+            self._remote_leaders,
+            self.clock,
+            self.crash_exchange,
+            self.catalog.limits,
         )
 
     def _build_upkeep(self) -> None:
@@ -306,6 +313,13 @@
     def _slots_wanted(self, service: str) -> dict[str, float]:
         return self.demand.site_slots_wanted(service, self.clock.now_s())
 
+    def _limit_share(self, hall: str) -> float:
+        """Return the part of the limit of a hall's target that this daemon's scheduler grants."""
+        led = {
+            leadership.controller.hall for leadership in self._leaderships() if leadership.is_leader
+        }
+        return hall_share(hall in led, len(self.settings.halls)) if led else 0.0
+
     def _max_keyed_age_s(self) -> float:
         return max_keyed_age_s(self.settings.freshness_s)
 
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -44,6 +44,7 @@
         attempts = self.gateway.forwarder.attempts
         attempts.notices.forget_others(listed)
         attempts.selector.catalog.limits.forget_others(listed)
+        attempts.selector.pacer.forget_others(listed)
         self.order_sender.forget_others(listed)
         self.gateway.enforce_timeouts()
         self.settings.reread()
--- a/ferrydock/scheduling/_client.py
+++ b/ferrydock/scheduling/_client.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
+from ..backpressure import RateLimits
 from ..clock import Clock
 from ..logs import log_event
 from ..relay import PeerCalls
@@ -31,7 +32,7 @@
 # How long a scheduler that did not reply is not asked again. Chosen, not measured.
 SKIP_AFTER_TIMEOUT_S = 0.5
 
-# Ends of requests within this time are reported in one message. Chosen, not measured.
+# Ends of requests, and limits heard, within this time are reported in one message.
 REPORT_DELAY_S = 0.02
 
 # How long a received grant is repeated in messages: longer than the scheduler counts a grant that
@@ -94,8 +95,13 @@
 
         The sender's part of `request` (name, requests in flight, grants) is filled in here.
         """
+        asked_s = self.clock.now_s()
         filled = replace(
-            request, sender=self.name, running=self.running(), seen=self._recent_grants()
+            request,
+            sender=self.name,
+            running=self.running(),
+            seen=self._recent_grants(),
+            limits=self._limits.reports(asked_s),
         )
         address = self.address()
         if address == self.own_address:
@@ -109,6 +115,7 @@
                 self._skip(address)
                 return None
             reply = decode_reply(data)
+            self._limits.merge(reply.limits, asked_s)
         if reply.target_id:
             self._grants.append((self.clock.now_s(), reply.grant))
         return reply
@@ -127,14 +134,23 @@
         self._timed_out_s = self.clock.now_s()
         log_event(_LOG, logging.WARNING, "dispatcher_lost", address=address)
 
-    def report_end(self) -> None:
-        """Report soon that a request has ended; ends that follow at once share the message."""
+    @property
+    def _limits(self) -> RateLimits:
+        return self.scheduler.catalog.limits
+
+    def report_soon(self) -> None:
+        """Report soon what has changed; changes that follow at once share the message."""
         if self._report is None or self._report.done():
             self._report = asyncio.get_running_loop().create_task(self._report_soon())
 
     async def _report_soon(self) -> None:
         await asyncio.sleep(REPORT_DELAY_S)
-        report = SlotRequest(self.name, self.running(), self._recent_grants())
+        report = SlotRequest(
+            self.name,
+            self.running(),
+            self._recent_grants(),
+            limits=self._limits.reports(self.clock.now_s()),
+        )
         address = self.address()
         if address == self.own_address:
             self.scheduler.receive_counts(report)
--- a/ferrydock/scheduling/_messages.py
+++ b/ferrydock/scheduling/_messages.py
@@ -9,9 +9,11 @@
 
 import orjson
 
+from ..backpressure import LimitReport, decode_limits, encode_limits
 from ..crashes import CrashNews, decode_crash_news
 
 __all__ = [
+    "HallNews",
     "SlotReply",
     "SlotRequest",
     "decode_hall",
@@ -24,6 +26,10 @@
 ]
 
 
+# Fields that an older version does not know.
+_LEFT_OUT_IF_EMPTY = ("limits", "limited_for_s")
+
+
 @dataclass(frozen=True, slots=True)
 class SlotRequest:
     """A daemon asks for a slot; with an empty `service` it only reports what it has in flight.
@@ -47,6 +53,9 @@
         Seconds until the time that orders requests of equal rank (`forwarding._admission`).
     hold_s : float
         How many seconds the request may wait in the scheduler's queue.
+    limits : tuple of LimitReport
+        Limits of targets that it knows; left out of the message where there are none, so that a
+        scheduler of an older version reads it.
     """
 
     sender: str
@@ -58,6 +67,7 @@
     rank: tuple[int, ...] = ()
     left_s: float = 0.0
     hold_s: float = 0.0
+    limits: tuple[LimitReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,16 +82,28 @@
         Targets that could serve the request, full ones included.
     grant : int
         Number under which the scheduler counts the slot as taken.
+    limited_for_s : float
+        Without a slot, where limits of all these targets are the reason: seconds until the request
+        may be sent. Left out of the message where it is 0.
+    limits : tuple of LimitReport
+        Limits that the sender lacks or has wrong; left out where there are none.
     """
 
     target_id: str
     candidates: int
     grant: int = 0
+    limited_for_s: float = 0.0
+    limits: tuple[LimitReport, ...] = ()
 
 
 def encode(message: SlotRequest | SlotReply) -> bytes:
     """Return a message's bytes."""
-    return orjson.dumps(asdict(message))
+    fields = asdict(message)
+    fields["limits"] = encode_limits(message.limits)
+    for name in _LEFT_OUT_IF_EMPTY:
+        if not fields.get(name):
+            fields.pop(name, None)
+    return orjson.dumps(fields)
 
 
 def decode_request(data: bytes) -> SlotRequest:
@@ -102,30 +124,54 @@
     fields["seen"] = tuple(fields.get("seen", ()))
     fields["avoid"] = tuple(fields.get("avoid", ()))
     fields["rank"] = tuple(fields.get("rank", ()))
+    fields["limits"] = decode_limits(fields.get("limits"))
     return SlotRequest(**fields)
 
 
 def decode_reply(data: bytes) -> SlotReply:
     """Return a reply; raises ValueError or TypeError if the bytes are none."""
-    return SlotReply(**orjson.loads(data))
+    fields = orjson.loads(data)
+    fields["limits"] = decode_limits(fields.get("limits"))
+    return SlotReply(**fields)
+
+
+@dataclass(frozen=True, slots=True)
+class HallNews:
+    """What the schedulers of two halls tell each other, in the question and in its answer.
+
+    Attributes
+    ----------
+    running : mapping of str to int
+        In an answer: requests in flight of the hall's daemons, by target id.
+    crashes : CrashNews or None
+        Requests that crash their targets.
+    limits : tuple of LimitReport
+        Limits of targets; left out of the message where there are none.
+    """
+
+    running: Mapping[str, int] = field(default_factory=dict)
+    crashes: CrashNews | None = None
+    limits: tuple[LimitReport, ...] = ()
 
 
-def encode_question(crashes: CrashNews | None) -> bytes:
+def encode_question(asked: HallNews) -> bytes:
     """Return what a scheduler asks another hall's: never empty, as from an older version."""
-    return orjson.dumps({"crashes": asdict(crashes) if crashes else None})
+    return orjson.dumps(_shared_fields(asked))
 
 
-def decode_question(data: bytes) -> CrashNews | None:
+def decode_question(data: bytes) -> HallNews:
     """Return what another hall's scheduler tells; raises ValueError, TypeError or KeyError."""
-    return decode_crash_news(orjson.loads(data)["crashes"])
+    fields = orjson.loads(data)
+    crashes = decode_crash_news(fields["crashes"])
+    return HallNews(crashes=crashes, limits=decode_limits(fields.get("limits")))
 
 
-def encode_hall(running: Mapping[str, int], crashes: CrashNews | None) -> bytes:
-    """Return the answer: requests in flight by target, and requests that crash their targets."""
-    return orjson.dumps({"running": running, "crashes": asdict(crashes) if crashes else None})
+def encode_hall(answer: HallNews) -> bytes:
+    """Return an answer's bytes."""
+    return orjson.dumps({"running": answer.running, **_shared_fields(answer)})
 
 
-def decode_hall(data: bytes) -> tuple[Mapping[str, int], CrashNews | None]:
+def decode_hall(data: bytes) -> HallNews:
     """Return such an answer; one of an older version holds the requests in flight alone.
 
     Raises
@@ -135,13 +181,21 @@
 
     Examples
     --------
-    >>> decode_hall(b'{"t":3}'), decode_hall(encode_hall({"running": 3}, None))
-    (({'t': 3}, None), ({'running': 3}, None))
+    >>> decode_hall(b'{"t":3}').running, decode_hall(encode_hall(HallNews({"running": 3}))).running
+    ({'t': 3}, {'running': 3})
     """
     fields = orjson.loads(data)
     if not isinstance(fields, dict):
         raise TypeError(f"an answer of another hall is a table, not {type(fields).__name__}")
     running = fields.get("running")
     if not isinstance(running, dict):
-        return fields, None
-    return running, decode_crash_news(fields["crashes"])
+        return HallNews(fields)
+    crashes = decode_crash_news(fields["crashes"])
+    return HallNews(running, crashes, decode_limits(fields.get("limits")))
+
+
+def _shared_fields(news: HallNews) -> dict:
+    fields: dict = {"crashes": asdict(news.crashes) if news.crashes else None}
+    if news.limits:
+        fields["limits"] = encode_limits(news.limits)
+    return fields
--- a/ferrydock/scheduling/_remote_halls.py
+++ b/ferrydock/scheduling/_remote_halls.py
@@ -1,6 +1,7 @@
 """Polling the schedulers of other halls for what their daemons have in flight.
 
-Owns the connections to them. Exchanges requests that crash their targets along with it. Asks for
+Owns the connections to them. Exchanges requests that crash their targets, and limits of targets,
+along with it. Asks for
 the demand of their halls as well, less often. A hall that does not answer keeps its last counts for
 a while (`_in_flight.REMOTE_REPORT_S`).
 """
@@ -10,13 +11,14 @@
 
 import orjson
 
+from ..backpressure import RateLimits
 from ..clock import Clock
 from ..crashes import CrashExchange
 from ..logs import log_event
 from ..relay import PeerCalls
 from ._demand import DemandMeter
 from ._in_flight import InFlightCounts
-from ._messages import decode_hall, encode_question
+from ._messages import HallNews, decode_hall, encode_question
 from ._server import DEMAND, RUNNING
 
 __all__ = ["RemoteHallPoller"]
@@ -45,9 +47,20 @@
         Returns ``IP:PORT`` of the other halls' leaders, by hall.
     crashes : CrashExchange
         Requests that crash their targets.
+    limits : RateLimits
+        Limits of targets.
     """
 
-    __slots__ = ("_demand_asked_s", "addresses", "calls", "clock", "counts", "crashes", "demand")
+    __slots__ = (
+        "_demand_asked_s",
+        "addresses",
+        "calls",
+        "clock",
+        "counts",
+        "crashes",
+        "demand",
+        "limits",
+    )
 
     def __init__(
         self,
@@ -56,8 +69,10 @@
         addresses: Callable[[], Mapping[str, str]],
         clock: Clock,
         crashes: CrashExchange,
+        limits: RateLimits,
     ):
         self.counts = counts
+        self.limits = limits
         self.demand = demand
         self._demand_asked_s = -DEMAND_EVERY_S
         self.addresses = addresses
@@ -77,17 +92,20 @@
 
     async def _ask_running(self, hall: str, address: str) -> bool:
         """Ask one scheduler, and tell it what it lacks; return whether it answered."""
+        asked_s = self.clock.now_s()
         crashes = self.crashes.question(address)
-        data = await self.calls.call(address, RUNNING, encode_question(crashes), REPLY_TIMEOUT_S)
+        question = encode_question(HallNews(crashes=crashes, limits=self.limits.reports(asked_s)))
+        data = await self.calls.call(address, RUNNING, question, REPLY_TIMEOUT_S)
         if data is None:
             return False
         try:
-            running, answer = decode_hall(data)
+            answer = decode_hall(data)
         except (ValueError, TypeError, KeyError) as error:
             log_event(_LOG, logging.ERROR, "hall_unreadable", address=address, why=repr(error))
             return False
-        self.counts.receive_remote(hall, running, self.clock.now_s())
-        self.crashes.take_answer(address, crashes, answer)
+        self.counts.receive_remote(hall, answer.running, self.clock.now_s())
+        self.crashes.take_answer(address, crashes, answer.crashes)
+        self.limits.merge(answer.limits, asked_s)
         return True
 
     async def _ask_demand(self, hall: str, address: str) -> None:
--- a/ferrydock/scheduling/_server.py
+++ b/ferrydock/scheduling/_server.py
@@ -2,8 +2,8 @@
 
 ``Place``: a daemon of the hall asks for a slot, or reports what it has in flight.
 ``Running``: another hall's scheduler asks what this hall's daemons have in flight, and tells and
-asks for requests that crash their targets. One of an older version sends no bytes, and gets the
-counts alone.
+asks for requests that crash their targets, and limits of targets. One of an older version sends no
+bytes, and gets the counts alone.
 ``Demand``: another hall's scheduler asks how many slots this hall's requests want, by service and
 model; the answer is empty before there is an observation.
 """
@@ -14,7 +14,7 @@
 
 from ..crashes import CrashExchange
 from ..relay import PeerMethod
-from ._messages import decode_question, decode_request, encode, encode_hall
+from ._messages import HallNews, decode_question, decode_request, encode, encode_hall
 from ._scheduler import HallScheduler
 
 __all__ = ["DEMAND", "PLACE", "RUNNING", "scheduler_methods"]
@@ -43,8 +43,11 @@
         if not data:
             return orjson.dumps(running)
         asked = decode_question(data)
-        crashes.receive(asked)
-        return encode_hall(running, crashes.answer(asked))
+        crashes.receive(asked.crashes)
+        limits, now_s = scheduler.catalog.limits, scheduler.clock.now_s()
+        limits.merge(asked.limits, now_s)
+        answer = HallNews(running, crashes.answer(asked.crashes), limits.reports(now_s))
+        return encode_hall(answer)
 
     async def demand(data: bytes) -> bytes:
         return orjson.dumps(scheduler.demand.hall_slots_wanted(scheduler.clock.now_s()))
--- a/ferrydock/scheduling/_waiting_queue.py
+++ b/ferrydock/scheduling/_waiting_queue.py
@@ -67,6 +67,10 @@
             w.needs == needs and not w.leaves_out and w.key[0] <= rank for w in self._waiters
         )
 
+    def waiting_for(self, needs: Hashable) -> int:
+        """Return how many requests with these needs wait."""
+        return sum(w.needs == needs for w in self._waiters)
+
     async def wait(
         self,
         rank: tuple,
--- a/ferrydock/scheduling/tests/test_scheduler.py
+++ b/ferrydock/scheduling/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ...backpressure import LimitReport
 from ...clock import ManualClock, SystemClock
 from ...configuration import ServiceSpec
 from ...crashes import CrashExchange, CrashHistory
@@ -264,7 +265,7 @@
             reply = await served.client.ask(request)
             assert reply.target_id in ("a", "b") and reply.candidates == 2
             served.running = {}
-            served.client.report_end()
+            served.client.report_soon()
             async with asyncio.timeout(5.0):
                 while served.hall.scheduler.counts.of_hall():
                     await asyncio.sleep(0.01)
@@ -333,3 +334,59 @@
         assert not plain.scheduler._is_doubtful("p0")
 
     play(scenario)
+
+
+def limited(hall, rate_per_s, *target_ids):
+    """Let targets name a limit, as one daemon has heard."""
+    reports = tuple(LimitReport(i, rate_per_s, 0.0) for i in target_ids)
+    hall.scheduler.receive_counts(SlotRequest("d9", limits=reports))
+
+
+def test_a_target_under_a_limit_gets_its_pace_whichever_daemon_asks():
+    async def scenario():
+        hall = Hall(head("a"), head("b"))
+        limited(hall, 1.0, "a")
+        granted = []
+        for step in range(400):
+            target_id = await hall.ask(f"d{step % 9}")
+            granted.append(target_id)
+            hall.end(f"d{step % 9}", target_id)
+            hall.clock.advance(0.01)
+        assert granted.count("a") in (2, 3, 4) and granted.count("b") == 400 - granted.count("a")
+
+    play(scenario)
+
+
+def test_a_request_that_limits_keep_from_all_targets_is_refused_at_once():
+    async def scenario():
+        hall = Hall(head("a"), head("b"))
+        limited(hall, 0.25, "a", "b")
+        reply = await hall.scheduler.acquire(hall.request(hold_s=1.5))
+        assert not reply.target_id and reply.candidates == 2
+        assert reply.limited_for_s == pytest.approx(4.0)
+        hall.clock.advance(4.0)
+        assert await hall.ask() in ("a", "b")
+
+    play(scenario)
+
+
+def test_a_grant_is_paced_by_the_limit_that_its_own_request_tells():
+    async def scenario():
+        hall = Hall(head("a"))
+        told = (LimitReport("a", 2.0, 1.0),)
+        reply = await hall.scheduler.acquire(hall.request(limits=told))
+        assert not reply.target_id and reply.limited_for_s == pytest.approx(0.5)
+
+    play(scenario)
+
+
+def test_a_daemon_is_told_of_limits_that_it_lacks_or_has_wrong():
+    async def scenario():
+        hall = Hall(head("a"), head("b"))
+        limited(hall, 1.0, "a")
+        reply = await hall.scheduler.acquire(hall.request())
+        assert [(r.target_id, r.rate_per_s) for r in reply.limits] == [("a", 1.0)]
+        reply = await hall.scheduler.acquire(hall.request(limits=reply.limits))
+        assert reply.limits == ()
+
+    play(scenario)
