A number in an answer's head that cannot be read is a value of its field

So that each header is judged by itself: another one that cannot be read does not hide a limit. No decision changes: a limit that cannot be read still neither sets nor ends one, and is logged once (tests as before, asking for the fault in the field).

--- a/ferrydock/forwarding/_answer_notices.py
+++ b/ferrydock/forwarding/_answer_notices.py
@@ -1,7 +1,7 @@
 """What the head of each target's answer says of the target itself, noted where it is acted on.
 
 The one place that reads such statements of answers to requests, whatever becomes of the answer.
-Owns what was last unreadable of each target, so that it is logged once.
+Owns what was last unreadable of each target and header, so that it is logged once.
 """
 
 import logging
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from ..logs import log_event
+from ..outcomes import Fault
 from ..scheduling import EndpointCatalog
 from ._dialect import AnswerHeaders
 
@@ -31,7 +32,7 @@
     def __init__(self, catalog: EndpointCatalog, clock: Clock):
         self.catalog = catalog
         self.clock = clock
-        self._unreadable: dict[str, str] = {}
+        self._unreadable: dict[str, dict[str, Fault]] = {}
 
     def take(self, target_id: str, head: AnswerHeaders, sent_s: float) -> bool:
         """Note what an answer says of its target.
@@ -48,11 +49,13 @@
         """
         if not head.is_targets_own:
             return False
-        if head.faults:
-            self._log_unreadable(target_id, head)
+        return self._take_limit(target_id, head.rate_limit_per_s, sent_s)
+
+    def _take_limit(self, target_id: str, per_s: float | None | Fault, sent_s: float) -> bool:
+        if isinstance(per_s, Fault):
+            self._log_unreadable(target_id, per_s)
             return False
-        now_s = self.clock.now_s()
-        return self.catalog.limits.note(target_id, head.rate_limit_per_s, sent_s, now_s)
+        return self.catalog.limits.note(target_id, per_s, sent_s, self.clock.now_s())
 
     def is_limited(self, target_id: str) -> bool:
         """Return whether a target is under a limit that it has named."""
@@ -63,9 +66,10 @@
         for target_id in [i for i in self._unreadable if i not in target_ids]:
             del self._unreadable[target_id]
 
-    def _log_unreadable(self, target_id: str, head: AnswerHeaders) -> None:
-        why = "; ".join(str(fault) for fault in head.faults)
-        if self._unreadable.get(target_id) == why:
-            return
-        self._unreadable[target_id] = why
-        log_event(_LOG, logging.WARNING, "answer_header_unreadable", target=target_id, why=why)
+    def _log_unreadable(self, target_id: str, fault: Fault) -> None:
+        known = self._unreadable.setdefault(target_id, {})
+        if known.get(fault.place) != fault:
+            known[fault.place] = fault
+            log_event(
+                _LOG, logging.WARNING, "answer_header_unreadable", target=target_id, why=fault
+            )
--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -75,18 +75,16 @@
         Whether the answer was made by a target, and not by something on the way.
     is_targets_own : bool
         Whether it was made by the target that was asked, refusals included.
-    rate_limit_per_s : float or None
-        Requests a second that the target takes from all daemons together; None if it names none.
-    faults : tuple of Fault
-        Statements of the target about itself that cannot be read.
+    rate_limit_per_s : float, None or Fault
+        Requests a second that the target takes from all daemons together; None if it names none,
+        a fault if what it names cannot be read.
     """
 
     not_executed: bool
     request_id: str
     signed: bool
     is_targets_own: bool = False
-    rate_limit_per_s: float | None = None
-    faults: tuple[Fault, ...] = ()
+    rate_limit_per_s: float | None | Fault = None
 
 
 class RequestDialect(Protocol):
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -74,14 +74,12 @@
         is_misdirected = status == MISDIRECTED
         is_refused = "X-Not-Executed" in headers
         signed = "X-Server-Stamp" in headers
-        limit = read_number(headers, "Server-Limit")
         return AnswerHeaders(
             not_executed=is_refused or is_misdirected,
             request_id=headers.get("X-Attempt-Id", ""),
             signed=signed,
             is_targets_own=(signed or is_refused) and not is_misdirected,
-            rate_limit_per_s=None if isinstance(limit, Fault) else limit,
-            faults=(limit,) if isinstance(limit, Fault) else (),
+            rate_limit_per_s=read_number(headers, "Server-Limit"),
         )
 
 
--- a/ferrydock/platform/tests/test_dialect.py
+++ b/ferrydock/platform/tests/test_dialect.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ...outcomes import Fault
 from .. import PlatformDialect
 
 SIGNED = {"X-Server-Stamp": "s"}
@@ -12,14 +13,14 @@
 @pytest.mark.parametrize("text, per_s", [("1.1", 1.1), ("0", 0.0), ("50", 50.0), (" 2 ", 2.0)])
 def test_a_limit_is_read_from_successes_and_refusals(marks, text, per_s):
     head = PlatformDialect().answer(503, {**marks, "Server-Limit": text})
-    assert head.is_targets_own and head.rate_limit_per_s == per_s and not head.faults
+    assert head.is_targets_own and head.rate_limit_per_s == per_s
 
 
 @pytest.mark.parametrize("text", ["nan", "-3", "1e999", "-inf", "", "one", "1" * 33, "1,5"])
 def test_a_limit_that_is_no_amount_is_a_fault_that_names_the_header(text):
     head = PlatformDialect().answer(200, {**SIGNED, "Server-Limit": text})
-    assert head.rate_limit_per_s is None
-    assert [fault.place for fault in head.faults] == ["Server-Limit"]
+    assert isinstance(head.rate_limit_per_s, Fault)
+    assert head.rate_limit_per_s.place == "Server-Limit"
 
 
 @pytest.mark.parametrize("status, headers", [(200, {}), (421, SIGNED), (421, REFUSED)])
