Sight for BUDGET: the rest that a refusal asks for is read, logged and counted

attempt_failed showed only that a target refused. The adapter now reads Retry-After of a 503 that says the request did not run; the rest counts from the answer's arrival, by the local clock, a shorter one does not shorten one under way, and a new start of the target's process ends it. target_rests, target_rest_ended and ferrydock_targets_resting show it.

--- a/ferrydock/forwarding/_answer_notices.py
+++ b/ferrydock/forwarding/_answer_notices.py
@@ -11,6 +11,7 @@
 from ..logs import log_event
 from ..outcomes import Fault
 from ..scheduling import EndpointCatalog
+from ..targets import Target
 from ._dialect import AnswerHeaders
 
 __all__ = ["AnswerNotices"]
@@ -24,7 +25,7 @@
     Parameters
     ----------
     catalog : EndpointCatalog
-        Holds the limits of targets.
+        Holds the limits and rests of targets.
     """
 
     __slots__ = ("_unreadable", "catalog", "clock")
@@ -34,7 +35,7 @@
         self.clock = clock
         self._unreadable: dict[str, dict[str, Fault]] = {}
 
-    def take(self, target_id: str, head: AnswerHeaders, sent_s: float) -> bool:
+    def take(self, target: Target, head: AnswerHeaders, sent_s: float) -> bool:
         """Note what an answer says of its target.
 
         Parameters
@@ -49,7 +50,14 @@
         """
         if not head.is_targets_own:
             return False
-        return self._take_limit(target_id, head.rate_limit_per_s, sent_s)
+        self._take_rest(target, head.rest_s)
+        return self._take_limit(target.target_id, head.rate_limit_per_s, sent_s)
+
+    def _take_rest(self, target: Target, rest_s: float | None | Fault) -> None:
+        if isinstance(rest_s, Fault):
+            self._log_unreadable(target.target_id, rest_s)
+        elif rest_s is not None:
+            self.catalog.rests.note(target, rest_s, self.clock.now_s())
 
     def _take_limit(self, target_id: str, per_s: float | None | Fault, sent_s: float) -> bool:
         if isinstance(per_s, Fault):
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -216,7 +216,7 @@
         if head.request_id and head.request_id != exchange.inbound.request_id:
             answer.close()  # an answer to an earlier request was left in the connection
             return AttemptEnd(False, True, AttemptReason.WRONG_ANSWER)
-        if self.notices.take(target_id, head, sent_s):
+        if self.notices.take(endpoint.target, head, sent_s):
             self.selector.report()
         if head.not_executed:
             return AttemptEnd(False, False, AttemptReason.REFUSED, status=answer.status)
--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -78,6 +78,9 @@
     rate_limit_per_s : float, None or Fault
         Requests a second that the target takes from all daemons together; None if it names none,
         a fault if what it names cannot be read.
+    rest_s : float, None or Fault
+        Seconds for which the target, which refuses the request, wants none of this daemon; None if
+        it asks for no rest, a fault if what it asks for cannot be read.
     """
 
     not_executed: bool
@@ -85,6 +88,7 @@
     signed: bool
     is_targets_own: bool = False
     rate_limit_per_s: float | None | Fault = None
+    rest_s: float | None | Fault = None
 
 
 class RequestDialect(Protocol):
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -13,8 +13,9 @@
 
 __all__ = ["PlatformDialect"]
 
-# HTTP status (RFC 9110) and units.
+# HTTP statuses (RFC 9110) and units.
 MISDIRECTED = 421
+SERVICE_UNAVAILABLE = 503
 MS_PER_S = 1000
 
 # Longest text that is read as a number.
@@ -74,12 +75,14 @@
         is_misdirected = status == MISDIRECTED
         is_refused = "X-Not-Executed" in headers
         signed = "X-Server-Stamp" in headers
+        may_ask_for_rest = is_refused and status == SERVICE_UNAVAILABLE
         return AnswerHeaders(
             not_executed=is_refused or is_misdirected,
             request_id=headers.get("X-Attempt-Id", ""),
             signed=signed,
             is_targets_own=(signed or is_refused) and not is_misdirected,
             rate_limit_per_s=read_number(headers, "Server-Limit"),
+            rest_s=read_number(headers, "Retry-After") if may_ask_for_rest else None,
         )
 
 
--- a/ferrydock/platform/tests/test_dialect.py
+++ b/ferrydock/platform/tests/test_dialect.py
@@ -23,6 +23,21 @@
     assert head.rate_limit_per_s.place == "Server-Limit"
 
 
+@pytest.mark.parametrize("text, rest_s", [("3", 3.0), ("0.5", 0.5), ("0", 0.0), ("3600", 3600.0)])
+def test_a_rest_is_read_from_a_503_that_refuses(text, rest_s):
+    dialect = PlatformDialect()
+    assert dialect.answer(503, {**REFUSED, "Retry-After": text}).rest_s == rest_s
+    assert dialect.answer(429, {**REFUSED, "Retry-After": text}).rest_s is None
+    assert dialect.answer(503, {**SIGNED, "Retry-After": text}).rest_s is None
+
+
+@pytest.mark.parametrize("text", ["Fri, 31 Dec 1999 23:59:59 GMT", "nan", "-3", "1e999", ""])
+def test_a_rest_that_is_no_time_is_a_fault_and_hides_no_limit(text):
+    head = PlatformDialect().answer(503, {**REFUSED, "Retry-After": text, "Server-Limit": "2"})
+    assert isinstance(head.rest_s, Fault) and head.rest_s.place == "Retry-After"
+    assert head.rate_limit_per_s == 2.0
+
+
 @pytest.mark.parametrize("status, headers", [(200, {}), (421, SIGNED), (421, REFUSED)])
 def test_what_the_asked_worker_did_not_write_says_nothing_of_it(status, headers):
     head = PlatformDialect().answer(status, {**headers, "Server-Limit": "1"})
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -45,6 +45,7 @@
         attempts.notices.forget_others(listed)
         attempts.selector.catalog.limits.forget_others(listed)
         attempts.selector.pacer.forget_others(listed)
+        attempts.selector.catalog.rests.tidy(listed, self.gateway.clock.now_s())
         self.order_sender.forget_others(listed)
         self.gateway.enforce_timeouts()
         self.settings.reread()
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -134,6 +134,11 @@
             "Targets under a limit that they have named.",
             registry=registry,
         )
+        self.targets_resting = Gauge(
+            "ferrydock_targets_resting",
+            "Targets that want no requests of this daemon for a while.",
+            registry=registry,
+        )
         self.store_era = Gauge(
             "ferrydock_store_era", "How often the store has come back older.", registry=registry
         )
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -1,12 +1,12 @@
 """Which targets can serve a request, and how many requests each of them takes.
 
-Owns the set of replicas that this daemon considers broken, and the limits that targets have named;
-relies on the target directory, which the store follower and the relay keep up to date.
+Owns the set of replicas that this daemon considers broken, and the limits and rests that targets
+have named; relies on the target directory, which the store follower and the relay keep up to date.
 """
 
 from dataclasses import dataclass
 
-from ..backpressure import RateLimits
+from ..backpressure import RateLimits, Rests
 from ..configuration import ServiceSpec
 from ..targets import ReplicaView, Target, TargetDirectory
 
@@ -40,14 +40,17 @@
         leader gave them up. An epoch is never used again, so entries are never taken back.
     limits : RateLimits
         Limits that targets have named.
+    rests : Rests
+        Rests that targets have asked this daemon for.
     """
 
-    __slots__ = ("broken", "directory", "limits")
+    __slots__ = ("broken", "directory", "limits", "rests")
 
     def __init__(self, directory: TargetDirectory):
         self.directory = directory
         self.broken: set[tuple[str, int]] = set()
         self.limits = RateLimits()
+        self.rests = Rests()
 
     def endpoints(self, service: ServiceSpec, model: str) -> list[Endpoint]:
         """Return the targets of a plain service, or the heads of the open replicas of `model`.
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -139,6 +139,7 @@
     "ferrydock_targets": "gauge",
     "ferrydock_targets_age_seconds": "gauge",
     "ferrydock_targets_limited": "gauge",
+    "ferrydock_targets_resting": "gauge",
     "ferrydock_waiting": "gauge",
 }
 
