--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -18,6 +18,9 @@
 ``python -m benchmarks.soak --plays=limits --seeds=50`` plays targets that name a limit in their
 answers, beside troubles of daemons, targets and the store; its seeds belong into
 ``tests/soak_limit_seeds.txt``.
+
+``python -m benchmarks.soak --plays=rests --seeds=50`` plays targets that refuse requests and ask
+for rest, beside the same troubles; its seeds belong into ``tests/soak_rest_seeds.txt``.
 """
 
 import asyncio
@@ -36,6 +39,7 @@
     draw_eras,
     draw_leaving,
     draw_limits,
+    draw_rests,
     draw_stops,
     draw_troubles,
     figures,
@@ -145,6 +149,11 @@
     return _drawn_experiment(f"limits {seed}", seed, 16.0, LEAVING_LOAD, draw_limits)
 
 
+def rests_experiment(seed: int) -> Experiment:
+    """Return the targets that ask for rest that a seed stands for, at one of the `_sizes`."""
+    return _drawn_experiment(f"rests {seed}", seed, 16.0, LEAVING_LOAD, draw_rests)
+
+
 def _drawn_experiment(
     name: str,
     seed: int,
@@ -173,6 +182,7 @@
     "leaving": leaving_experiment,
     "eras": eras_experiment,
     "limits": limits_experiment,
+    "rests": rests_experiment,
 }
 
 
@@ -195,6 +205,7 @@
             beyond=result.beyond if result.crashes else None,
             at_leaving=result.at_leaving or None,
             at_limited=result.at_limited or None,
+            shed=result.shed or None,
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
             excused=sum(result.excused.values()) if result.stops else None,
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -16,6 +16,7 @@
 from ._load import Call, Callers
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
+from ._rests import disturbed, draw_rests
 from ._result import PROMISES, Result
 from ._run import Emulation
 from ._stops import (
@@ -49,6 +50,8 @@
     "draw_eras",
     "draw_leaving",
     "draw_limits",
+    "draw_rests",
+    "disturbed",
     "excess",
     "max_arrivals",
     "draw_stops",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -53,8 +53,9 @@
     "store_older": "the store goes away for a second and comes back as it was `for_s` before (how: "
     "as for store_down)",
 }
-_LIMIT_KINDS = {
+_NOTICE_KINDS = {
     "target_limited": "targets that are used name a limit in their answers for `for_s`",
+    "target_sheds": "targets that are used refuse all requests for `for_s` and ask for rest",
 }
 KINDS = {
     **_SOAK_KINDS,
@@ -62,7 +63,7 @@
     **_CRASH_KINDS,
     **_LEAVING_KINDS,
     **_ERA_KINDS,
-    **_LIMIT_KINDS,
+    **_NOTICE_KINDS,
 }
 _HOWS = ("silent", "busy", "many", "reset")
 _CLASSES = ("write-large", "write-small", "look", "file")
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -8,6 +8,7 @@
 from ._leaving import StoreHurt, describe_late, late_arrivals
 from ._limits import describe_excess, excess
 from ._load import Call
+from ._rests import describe_disturbed, disturbed
 from ._stops import (
     BACK_UNSEEN_S,
     PROMISES_NOT_RUN,
@@ -66,6 +67,7 @@
         self._judge_leaving()
         self._judge_unconfirmed()
         self._judge_limits()
+        self._judge_rests()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -113,17 +115,28 @@
     def _judge_limits(self) -> None:
         """Note targets that got more requests than the limit they had named."""
         result = self.parts.result
-        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
         sent_to = {call.request_id: call.daemon for call in result.calls}
-
-        def was_well(daemon: str, from_s: float, to_s: float) -> bool:
-            return daemons[daemon].was_well(to_s, to_s - from_s)
-
         for limit in self.parts.site.record.limits:
             result.at_limited += len(limit.arrived)
-            for at_s, count in excess(limit, sent_to.__getitem__, was_well)[:1]:
+            for at_s, count in excess(limit, sent_to.__getitem__, self._was_well)[:1]:
                 result.broken.append(describe_excess(limit, at_s - self.began_s, count))
 
+    def _judge_rests(self) -> None:
+        """Note targets that got requests from daemons that they had asked for rest."""
+        result = self.parts.result
+        sent_to = {call.request_id: call.daemon for call in result.calls}
+        for shedding in self.parts.site.record.shed:
+            result.shed += len(shedding.refused)
+            found = disturbed(shedding, sent_to.__getitem__, self._was_well)
+            for at_s, daemon, count in found[:1]:
+                since_s = at_s - self.began_s
+                result.broken.append(describe_disturbed(shedding, daemon, since_s, count))
+
+    def _was_well(self, daemon: str, from_s: float, to_s: float) -> bool:
+        """Return whether nothing was done to a daemon, by its name, between two loop times."""
+        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
+        return daemons[daemon].was_well(to_s, to_s - from_s)
+
     def _judge_unconfirmed(self) -> None:
         """Note requests refused for an old configuration by daemons that were well for long."""
         daemons = {daemon.name: daemon for daemon in self.parts.daemons}
--- a/ferrydock/emulator/_limits.py
+++ b/ferrydock/emulator/_limits.py
@@ -24,7 +24,8 @@
 # Limits that are named, in requests a second.
 LIMITS_PER_S = (0.3, 1.0, 1.3, 4.0)
 
-_TROUBLES = (
+# Troubles that are drawn beside what targets say in their answers.
+BESIDE_LIMITS = (
     "daemon_killed",
     "daemon_killed",
     "daemon_frozen",
@@ -96,5 +97,5 @@
     for _ in range(rng.choice((0, 1, 2, 3))):
         at_s, for_s = rng.uniform(2.0, length_s - 3.0), rng.uniform(0.4, 3.0)
         hall = rng.choice(("", *halls))
-        drawn.append(Trouble(at_s, rng.choice(_TROUBLES), for_s=for_s, hall=hall))
+        drawn.append(Trouble(at_s, rng.choice(BESIDE_LIMITS), for_s=for_s, hall=hall))
     return sorted(drawn, key=lambda trouble: trouble.at_s)
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -20,6 +20,7 @@
     "a request that crashes its targets is kept from them, and no other is",
     "no request is sent to a target 2 s after its word that it leaves",
     "a target that names a limit gets no more from daemons that were told",
+    "a target that asks a daemon for rest gets none of its requests",
     "no request is refused for an old configuration by a daemon that reaches the store",
 )
 
@@ -50,6 +51,8 @@
         Requests that reached targets which had said that they leave.
     at_limited : int
         Requests that reached targets which named a limit.
+    shed : int
+        Requests that targets refused and asked for rest.
     excused : Counter
         Those of them that fell under an exception of the promise, by its reason.
     """
@@ -70,4 +73,5 @@
     beyond: int = 0
     at_leaving: int = 0
     at_limited: int = 0
+    shed: int = 0
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_target_troubles.py
+++ b/ferrydock/emulator/_target_troubles.py
@@ -6,6 +6,7 @@
 from ..standins.fleet import Worker
 from ._experiment import Trouble
 from ._limits import LIMITS_PER_S
+from ._rests import RESTS_S
 from ._troubles import PlayedParts, trouble
 
 __all__: list[str] = []
@@ -128,6 +129,21 @@
     return text
 
 
+@trouble("target_sheds")
+async def shed_at_targets(parts: PlayedParts, met: Trouble) -> str:
+    """Let targets that are used refuse all requests and ask for rest, and end it later."""
+    begun = []
+    for _ in range(met.count):
+        target = _used_target(parts, met.hall)
+        if target is None or target.shedding is not None:
+            continue
+        begun.append(parts.site.shed_at_worker(target.worker_id, parts.rng.choice(RESTS_S)))
+    await asyncio.sleep(met.for_s)
+    for shedding in begun:
+        shedding.is_over = True
+    return ",".join(f"{shedding.worker_id}={shedding.rest_s:g}" for shedding in begun)
+
+
 @trouble("target_replaced")
 async def replace_targets(parts: PlayedParts, met: Trouble) -> str:
     """Let targets that are used say that they leave, and others join in their place."""
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -10,7 +10,7 @@
 from ...store import MemoryStore, StoreCopy
 from ._store_http import StoreFace
 from ._worker_http import KV_TOKENS, RunRecord, WorkerFace, entry_group, entry_models
-from ._workers import Fleet, NamedLimit, Worker
+from ._workers import Fleet, NamedLimit, Shedding, Worker
 
 __all__ = ["WRITTEN_AGAIN_S", "FleetSite", "small_engine"]
 
@@ -170,6 +170,13 @@
         worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
         worker.limit = None
 
+    def shed_at_worker(self, worker_id: str, rest_s: float) -> Shedding:
+        """Let a worker refuse all requests from now on, and ask for rest."""
+        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker.shedding = Shedding(worker_id, rest_s)
+        self.record.shed.append(worker.shedding)
+        return worker.shedding
+
     def come_back_older(self, copy: StoreCopy) -> None:
         """Let the store lose all since a copy was taken; each writer writes again what is gone."""
         self.store.come_back_older(copy)
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -17,7 +17,7 @@
     OrderRefused,
     StageOrder,
 )
-from ._workers import Fleet, NamedLimit, Worker
+from ._workers import Fleet, NamedLimit, Shedding, Worker
 
 __all__ = [
     "CRASHING_BODY",
@@ -89,6 +89,8 @@
         Requests that reached workers which had said that they leave.
     limits : list of NamedLimit
         Limits that workers have named.
+    shed : list of Shedding
+        Times in which workers refused all requests.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -99,6 +101,7 @@
     crashing: dict[tuple[str, str, bytes], CrashingRequest] = field(default_factory=dict)
     at_leaving: list[LeavingArrival] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    shed: list[Shedding] = field(default_factory=list)
 
     def note_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
         """Note that a request has reached a worker, if that has said that it leaves."""
@@ -234,14 +237,32 @@
             return web.Response(status=status, headers=headers)
         if "X-Attempt-Id" not in request.headers:
             return self._refuse(request, 400)
+        return await self._answer(request)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request of a caller."""
         self.record.note_leaving(request, self.worker)
         self.record.note_limited(request, self.worker)
+        if self.worker.shedding is not None and self._is_shed(request, self.worker.shedding):
+            return self._refuse(request, 503, self.worker.shedding.rest_s)
         if self.fleet is None:
             return await self._plain(request)
         return await self._stream(request)
 
-    def _refuse(self, request: web.BaseRequest, status: int) -> web.Response:
+    def _is_shed(self, request: web.BaseRequest, shedding: Shedding) -> bool:
+        """Note a request that has come, and return whether it is refused."""
+        arrival = (asyncio.get_running_loop().time(), request.headers["X-Attempt-Id"])
+        shedding.arrived.append(arrival)
+        if not shedding.is_over:
+            shedding.refused.append(arrival)
+        return not shedding.is_over
+
+    def _refuse(
+        self, request: web.BaseRequest, status: int, rest_s: float | None = None
+    ) -> web.Response:
         headers = {"X-Not-Executed": "1", "At-Server": self.worker.worker_id}
+        if rest_s is not None:
+            headers["Retry-After"] = f"{rest_s:g}"
         return web.Response(status=status, headers={**headers, **self._says(request)})
 
     def _signed(self, request: web.BaseRequest) -> dict[str, str]:
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -22,7 +22,7 @@
     Target,
 )
 
-__all__ = ["Fleet", "FleetFaults", "NamedLimit", "Violation", "Worker"]
+__all__ = ["Fleet", "FleetFaults", "NamedLimit", "Shedding", "Violation", "Worker"]
 
 REJOIN_S = 0.2
 MODELS_KEPT_BY_HOST = 1
@@ -59,6 +59,27 @@
     arrived: list[tuple[float, str]] = field(default_factory=list)
 
 
+@dataclass(slots=True, eq=False)
+class Shedding:
+    """A time in which a worker refuses all requests and asks for rest, and what it gets since.
+
+    Attributes
+    ----------
+    rest_s : float
+        Seconds for which it wants no request of the daemon that it refuses.
+    is_over : bool
+        Whether it serves again; requests are noted all the same, since a rest may go on.
+    refused, arrived : list of (float, str)
+        Loop time and request id of each refusal, and of each request that came.
+    """
+
+    worker_id: str
+    rest_s: float
+    is_over: bool = False
+    refused: list[tuple[float, str]] = field(default_factory=list)
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class FleetFaults:
     """What goes wrong with orders.
@@ -96,6 +117,8 @@
         Loads from the weight store that it began.
     limit : NamedLimit or None
         What it says that it takes; None for no limit.
+    shedding : Shedding or None
+        The last time in which it refused all requests.
     """
 
     worker_id: str
@@ -121,6 +144,7 @@
     running: int = 0
     loads: int = 0
     limit: NamedLimit | None = None
+    shedding: Shedding | None = None
 
     def start_again(self) -> None:
         """Begin another life under the same id; only what lies on the host is left."""
@@ -130,6 +154,7 @@
         self.draining = False
         self.left_s = None
         self.limit = None
+        self.shedding = None
         self.orders = 0
         self.top_epoch = 0
         self.last_model = ""
