--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -16,6 +16,7 @@
 _REASONS = {
     "no_room": "no replica or target had room before the time allowed for waiting was over",
     "targets_limited": "all targets that could serve it have named limits that were used up",
+    "targets_rest": "all targets that could serve it had asked this daemon for rest",
     "retry_budget": "the budget for sending again was used up",
     "time_over": "the time limit or the caller's deadline was reached",
     "silent": "nothing came for longer than healthy streams of its kind pause",
--- a/ferrydock/forwarding/_answer_notices.py
+++ b/ferrydock/forwarding/_answer_notices.py
@@ -65,9 +65,10 @@
             return False
         return self.catalog.limits.note(target_id, per_s, sent_s, self.clock.now_s())
 
-    def is_limited(self, target_id: str) -> bool:
-        """Return whether a target is under a limit that it has named."""
-        return self.catalog.limits.rate_per_s(target_id) is not None
+    def excuse_refusals(self, target: Target) -> bool:
+        """Return whether a target has said that it takes few requests or none now."""
+        is_limited = self.catalog.limits.rate_per_s(target.target_id) is not None
+        return is_limited or self.catalog.rests.left_s(target, self.clock.now_s()) > 0
 
     def forget_others(self, target_ids: Container[str]) -> None:
         """Drop targets that are not listed."""
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
-from ..targets import ReplicaView
+from ..targets import ReplicaView, Target
 from ._answer_notices import AnswerNotices
 from ._answer_relay import AnswerRelay
 from ._dialect import Outbound, RequestDialect
@@ -103,7 +103,7 @@
         finally:
             running.discard(attempt)
             self.selector.release(endpoint)
-        self._judge(target_id, end)
+        self._judge(endpoint.target, end)
         return end
 
     def running_at(self, target_id: str) -> int:
@@ -157,22 +157,22 @@
     def _left_s(self, exchange: Exchange) -> float:
         return exchange.until_s - self.clock.now_s()
 
-    def _judge(self, target_id: str, end: AttemptEnd) -> None:
+    def _judge(self, target: Target, end: AttemptEnd) -> None:
         """Count the end of an attempt as a success or a failure of its target.
 
         A target that could not be connected to is ejected at once. Neither a time that was over
         nor an interruption says anything about the target itself, nor does a refusal by one that
-        has named a limit.
+        has named a limit or asked for rest.
         """
         self.metrics.attempts.labels("whole" if end.whole else str(end.reason)).inc()
         now_s = self.clock.now_s()
         if end.whole and end.status < SERVER_ERROR:
-            self.loads.succeeded(target_id)
-        elif end.reason == AttemptReason.REFUSED and self.notices.is_limited(target_id):
+            self.loads.succeeded(target.target_id)
+        elif end.reason == AttemptReason.REFUSED and self.notices.excuse_refusals(target):
             return
         elif end.reason in _FAILURES_OF_TARGET:
             at_once = end.reason == AttemptReason.NOT_SENT
-            self.loads.failed(target_id, now_s, at_once)
+            self.loads.failed(target.target_id, now_s, at_once)
 
     async def _send(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
         request = exchange.request
--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -5,6 +5,7 @@
 `TargetLoads` for this daemon's own requests and ejections.
 """
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -28,6 +29,9 @@
 # are under limits: in about this time a new leader schedules the hall's requests.
 LONE_RETRY_S = 1.0
 
+# Pause between two looks at targets of which all rest.
+REST_LOOK_S = 0.1
+
 
 class EndpointSelector:
     """Assigns slots of targets to this daemon's requests.
@@ -84,6 +88,10 @@
         """
         needs = (exchange.service.name, exchange.inbound.model)
         exchange.limited_for_s = 0.0
+        until_s = self.clock.now_s() + max_queue_s
+        if not await self._wait_for_rests(exchange, until_s):
+            return None
+        max_queue_s = until_s - self.clock.now_s()
         endpoint = None
         if not self._queue.must_wait(exchange.rank, needs):
             endpoint = self._take(exchange)
@@ -133,11 +141,12 @@
     def _take(self, exchange: Exchange) -> Endpoint | None:
         """Choose an endpoint and count its slot as taken; None if all are full.
 
-        Targets that were tried are left out. Ejected ones are used only if all others are ejected
-        too: then the list of failures says more about this daemon than about them.
+        Targets that were tried or that rest are left out. Ejected ones are used only if all others
+        are ejected too: then the list of failures says more about this daemon than about them.
         """
         now_s = self.clock.now_s()
-        untried = [e for e in self._endpoints(exchange) if e.target.target_id not in exchange.tried]
+        rests = self.catalog.rests
+        untried = [e for e in self._untried(exchange) if rests.left_s(e.target, now_s) <= 0]
         healthy = [e for e in untried if not self.loads.is_ejected(e.target.target_id, now_s)]
         candidates = self._candidates(exchange, healthy or untried)
         endpoint = least_loaded(candidates, self.hall, DAEMON_SELECTION, self.rng)
@@ -146,10 +155,33 @@
             self.pacer.note_sent(endpoint.target.target_id, now_s)
         return endpoint
 
+    def _untried(self, exchange: Exchange) -> list[Endpoint]:
+        endpoints = self._endpoints(exchange)
+        return [e for e in endpoints if e.target.target_id not in exchange.tried]
+
+    async def _wait_for_rests(self, exchange: Exchange, until_s: float) -> bool:
+        """Wait while all targets rest; return False at once if they do so for too long.
+
+        A target may join meanwhile, so the time is not slept through.
+        """
+        while (left_s := self._resting_for_s(exchange)) > 0:
+            if self.clock.now_s() + left_s > until_s:
+                exchange.resting_for_s = left_s
+                return False
+            await asyncio.sleep(min(left_s, REST_LOOK_S))
+        exchange.resting_for_s = 0.0
+        return True
+
+    def _resting_for_s(self, exchange: Exchange) -> float:
+        """Return in how many seconds a target wants requests again; 0 if one does now."""
+        now_s = self.clock.now_s()
+        rests = self.catalog.rests
+        return min((rests.left_s(e.target, now_s) for e in self._untried(exchange)), default=0.0)
+
     def _is_kept_by_limits(self, exchange: Exchange) -> bool:
         """Return whether limits alone keep a request from all targets that it could go to."""
         now_s = self.clock.now_s()
-        untried = [e for e in self._endpoints(exchange) if e.target.target_id not in exchange.tried]
+        untried = self._untried(exchange)
         return bool(untried) and not any(
             self.pacer.may_send(e.target.target_id, now_s) for e in untried
         )
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -120,6 +120,8 @@
     limited_for_s : float
         Seconds until it may go to a target, where limits of all its targets kept it from them; 0
         if something else did, or nothing.
+    resting_for_s : float
+        The same where rests of all its targets did.
     """
 
     request: web.BaseRequest
@@ -148,6 +150,7 @@
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
     limited_for_s: float = 0.0
+    resting_for_s: float = 0.0
 
     @property
     def rank(self) -> tuple[int, int, int, float]:
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -184,5 +184,5 @@
             return refusal(status, reason, None)
         if reason == CRASHES_TARGETS:
             return refusal(status, reason, self.crashes.refused_for_s(exchange))
-        again_s = retry_after_s(reason, exchange.limited_for_s, self.selector.rng)
+        again_s = retry_after_s(reason, exchange, self.selector.rng)
         return refusal(status, reason, again_s)
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -35,6 +35,8 @@
         """
         until_s = self.clock.now_s() + max_queue_s
         exchange.limited_for_s = 0.0
+        if not await self._wait_for_rests(exchange, until_s):
+            return None
         reply = await self._ask(exchange, 0.0)
         if _is_full(reply):
             left_s = until_s - self.clock.now_s()
@@ -44,12 +46,12 @@
                 exchange.limited_for_s = reply.limited_for_s
                 return None
         if reply is not None and reply.target_id:
-            endpoint = self._known(exchange, reply.target_id)
+            endpoint = self._usable(exchange, reply.target_id)
             if endpoint is not None:
                 self.loads.began(endpoint.target.target_id, self.clock.now_s())
                 return endpoint
         # No reply, no target known to the scheduler, or one that is not in the list here (which
-        # may be older or newer than the scheduler's): decide alone.
+        # may be older or newer than the scheduler's) or has asked for rest meanwhile: decide alone.
         return await super().acquire(exchange, until_s - self.clock.now_s())
 
     def release(self, endpoint: Endpoint) -> None:
@@ -67,10 +69,11 @@
             return None
         return await self.scheduler.ask(self._request(exchange, hold_s))
 
-    def _known(self, exchange: Exchange, target_id: str) -> Endpoint | None:
-        """Return the endpoint of a target id, or None if it is not in this daemon's list."""
-        endpoints = self._endpoints(exchange)
-        return next((e for e in endpoints if e.target.target_id == target_id), None)
+    def _usable(self, exchange: Exchange, target_id: str) -> Endpoint | None:
+        """Return the endpoint of a target id; None if it is not listed here, or rests."""
+        now_s = self.clock.now_s()
+        found = (e for e in self._endpoints(exchange) if e.target.target_id == target_id)
+        return next((e for e in found if self.catalog.rests.left_s(e.target, now_s) <= 0), None)
 
     def _request(self, exchange: Exchange, hold_s: float) -> SlotRequest:
         now_s = self.clock.now_s()
@@ -82,8 +85,15 @@
             rank=exchange.rank[:3],
             left_s=exchange.rank[3] - now_s,
             hold_s=hold_s,
+            resting=self._resting(exchange, now_s),
         )
 
+    def _resting(self, exchange: Exchange, now_s: float) -> tuple[str, ...]:
+        """Return the ids of targets that want no request of this daemon now."""
+        targets = (e.target for e in self._endpoints(exchange))
+        resting = (t.target_id for t in targets if self.catalog.rests.left_s(t, now_s) > 0)
+        return tuple(sorted(resting))
+
     def _to_avoid(self, exchange: Exchange, now_s: float) -> tuple[str, ...]:
         """Return the ids of targets that were tried, are ejected here or are broken here."""
         avoid = set(exchange.tried)
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -37,6 +37,9 @@
 # Refused since all targets that could serve it are under limits that they have named.
 TARGETS_LIMITED = "targets_limited"
 
+# Refused since all targets that could serve it want no request of this daemon for a while.
+TARGETS_REST = "targets_rest"
+
 # HTTP statuses (RFC 9110).
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
@@ -66,22 +69,18 @@
 
 
 def no_room_reason(exchange: Exchange) -> str:
-    """Return why a request got no target: all are under limits, or none had room in time."""
+    """Return why a request got no target: rests, limits, or no room in time."""
+    if exchange.resting_for_s > 0:
+        return TARGETS_REST
     return TARGETS_LIMITED if exchange.limited_for_s > 0 else "no_room"
 
 
-def retry_after_s(reason: str, limited_for_s: float, rng: random.Random) -> float:
-    """Return after how many seconds a caller who was refused for a reason should come back.
-
-    Parameters
-    ----------
-    limited_for_s : float
-        Seconds until limits of targets allow the request, if that is the reason.
-    """
+def retry_after_s(reason: str, exchange: Exchange, rng: random.Random) -> float:
+    """Return after how many seconds a caller who was refused for a reason should come back."""
     if reason == STOPPING:
         return STOPPING_RETRY_S
-    again_s = rng.uniform(*RETRY_AFTER_RANGE_S)
-    return limited_for_s + again_s if reason == TARGETS_LIMITED else again_s
+    kept_s = {TARGETS_LIMITED: exchange.limited_for_s, TARGETS_REST: exchange.resting_for_s}
+    return kept_s.get(reason, 0.0) + rng.uniform(*RETRY_AFTER_RANGE_S)
 
 
 def refusal(
--- a/ferrydock/forwarding/tests/test_answer_notices.py
+++ b/ferrydock/forwarding/tests/test_answer_notices.py
@@ -64,3 +64,49 @@
             assert rig.loads.of("t0").ejections == 0
 
     play(scenario)
+
+
+def shed(rest_s):
+    """Return an answer that refuses a request and asks for rest."""
+    text = b"HTTP/1.1 503 S\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nRetry-After: %s\r\n\r\n"
+    return answers(text % rest_s)
+
+
+def test_a_target_at_rest_is_left_out_even_if_all_others_are_ejected():
+    async def scenario():
+        targets = [ScriptedTarget(shed(b"9")), ScriptedTarget(answers(whole()))]
+        async with Rig([route()], targets) as rig:
+            while not rig.targets[0].requests:
+                assert b" 200 " in await rig.ask()
+            rig.loads.failed("t1", rig.clock.now_s(), at_once=True)
+            for _ in range(10):
+                assert b" 200 " in await rig.ask()
+            assert len(rig.targets[0].requests) == 1
+            assert rig.loads.of("t0").ejections == 0 and rig.loads.of("t0").failures == 0
+
+    play(scenario)
+
+
+def test_a_request_whose_targets_all_rest_is_refused_at_once_until_the_first_rest_ends():
+    async def scenario():
+        async with Rig([route()], [ScriptedTarget(shed(b"3"), answers(whole()))]) as rig:
+            assert b" 503 " in await rig.ask()
+            began_s = rig.clock.now_s()
+            refused = await rig.ask()
+            assert b" 503 " in refused and b"targets_rest" in refused
+            after_s = float(refused.split(b"Retry-After: ")[1].split(b"\r\n")[0])
+            assert after_s >= 2.5 and rig.clock.now_s() - began_s < 0.2
+            assert len(rig.targets[0].requests) == 1
+
+    play(scenario)
+
+
+def test_a_rest_that_ends_in_time_is_waited_for():
+    async def scenario():
+        async with Rig([route()], [ScriptedTarget(shed(b"0.2"), answers(whole()))]) as rig:
+            assert b" 503 " in await rig.ask()
+            asked_s = rig.clock.now_s()
+            assert b" 200 " in await rig.ask()
+            assert rig.clock.now_s() - asked_s >= 0.1
+
+    play(scenario)
--- a/ferrydock/scheduling/_messages.py
+++ b/ferrydock/scheduling/_messages.py
@@ -27,7 +27,7 @@
 
 
 # Fields that an older version does not know.
-_LEFT_OUT_IF_EMPTY = ("limits", "limited_for_s")
+_LEFT_OUT_IF_EMPTY = ("limits", "limited_for_s", "resting")
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +56,9 @@
     limits : tuple of LimitReport
         Limits of targets that it knows; left out of the message where there are none, so that a
         scheduler of an older version reads it.
+    resting : tuple of str
+        Ids of targets that want no request of the sender for a while; left out of the message where
+        there are none.
     """
 
     sender: str
@@ -68,6 +71,12 @@
     left_s: float = 0.0
     hold_s: float = 0.0
     limits: tuple[LimitReport, ...] = ()
+    resting: tuple[str, ...] = ()
+
+    @property
+    def leaves_out(self) -> tuple[str, ...]:
+        """Ids of targets that it must not get."""
+        return (*self.avoid, *self.resting)
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +134,7 @@
     fields["avoid"] = tuple(fields.get("avoid", ()))
     fields["rank"] = tuple(fields.get("rank", ()))
     fields["limits"] = decode_limits(fields.get("limits"))
+    fields["resting"] = tuple(fields.get("resting", ()))
     return SlotRequest(**fields)
 
 
--- a/ferrydock/scheduling/_scheduler.py
+++ b/ferrydock/scheduling/_scheduler.py
@@ -131,7 +131,7 @@
             return reply
         limited_for_s = self._limited_for_s(needs, endpoints)
         if request.hold_s > limited_for_s:
-            reply = await self._queue.wait(rank, needs, request, request.hold_s, request.avoid)
+            reply = await self._queue.wait(rank, needs, request, request.hold_s, request.leaves_out)
         return reply or SlotReply("", len(endpoints), limited_for_s=limited_for_s)
 
     def assign_free_slots(self) -> None:
@@ -199,9 +199,9 @@
         self.demand.sample(in_flight, self.clock.now_s())
 
     def _endpoints(self, request: SlotRequest) -> list[Endpoint]:
-        """Return the endpoints that the sender does not want to avoid."""
+        """Return the endpoints that the sender does not leave out."""
         service = self.services(request.service)
         if service is None:
             return []
         endpoints = self.catalog.endpoints(service, request.model)
-        return [e for e in endpoints if e.target.target_id not in request.avoid]
+        return [e for e in endpoints if e.target.target_id not in request.leaves_out]
--- a/ferrydock/scheduling/tests/test_scheduler.py
+++ b/ferrydock/scheduling/tests/test_scheduler.py
@@ -390,3 +390,14 @@
         assert reply.limits == ()
 
     play(scenario)
+
+
+def test_a_target_that_rests_for_one_daemon_is_offered_to_the_others_as_before():
+    async def scenario():
+        hall = Hall(head("a"), head("b"))
+        for _ in range(4):
+            assert await hall.ask("d1", resting=("a",)) == "b"
+        assert await hall.ask("d2") == "a"
+        assert await hall.ask("d1", resting=("a", "b")) == ""
+
+    play(scenario)
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -374,11 +374,11 @@
         await play.call("News", b"[")
     assert refused.value.code() is grpc.StatusCode.INVALID_ARGUMENT
     await check_crash_news(play)
-    await check_limits(play)
+    await check_backpressure(play)
 
 
-async def check_limits(play):
-    """What daemons tell each other of limits that targets have named, along calls that run."""
+async def check_backpressure(play):
+    """What daemons tell each other of limits and rests of targets, along calls that run."""
     asked = (
         b'{"sender":"e2","running":{},"seen":[],"service":"records","model":"","avoid":[],'
         b'"rank":[5,1],"left_s":4.0,"hold_s":0.0%s}'
@@ -389,6 +389,8 @@
     reply = json.loads(await play.call("Place", asked % b""))
     rate_per_s, age_s = reply["limits"]["hall-a-plain"]
     assert rate_per_s == 2.0 and age_s >= 0.5
+    reply = json.loads(await play.call("Place", asked % b',"resting":["hall-a-plain"]'))
+    assert reply["target_id"] == "" and reply["candidates"] == 0
     told = b'{"crashes":null,"limits":{"hall-a-plain":[null,0.0]}}'
     answer = json.loads(await play.call("Running", told))
     assert answer["limits"]["hall-a-plain"][0] is None
