A target whose answers say that it leaves gets no new requests, whatever the list says

What callers see without it: requests sent later than drain-ms (2 s) after a daemon had passed on an answer with that word reach a target that is about to end, and are cut with it.

Cause: Server-Leaving was not read.

The change: the directory keeps which life of a target has said so, and marks every entry of that life or an earlier one as leaving, from whatever list it comes; so choice, plans, repairs and the followers' lists know it without more. A follower tells its hall's leader with its next question for news (field left out where there is nothing to tell).

Why it is safe: without that word no entry and no message differs. A target that starts again has a later life.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -19,6 +19,9 @@
 answers, beside troubles of daemons, targets and the store; its seeds belong into
 ``tests/soak_limit_seeds.txt``.
 
+``python -m benchmarks.soak --plays=leaving_said --seeds=50`` plays targets that say so in their
+answers long before the list does; its seeds belong into ``tests/soak_leaving_said_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=rests --seeds=50`` plays targets that refuse requests and ask
 for rest, beside the same troubles; its seeds belong into ``tests/soak_rest_seeds.txt``.
 """
@@ -38,6 +41,7 @@
     draw_crashing,
     draw_eras,
     draw_leaving,
+    draw_leaving_said,
     draw_limits,
     draw_rests,
     draw_stops,
@@ -144,6 +148,11 @@
     return _drawn_experiment(f"eras {seed}", seed, 22.0, LOAD, draw_eras)
 
 
+def leaving_said_experiment(seed: int) -> Experiment:
+    """Return the targets that say that they leave that a seed stands for."""
+    return _drawn_experiment(f"leaving {seed}", seed, 16.0, LEAVING_LOAD, draw_leaving_said)
+
+
 def limits_experiment(seed: int) -> Experiment:
     """Return the targets that name limits that a seed stands for, at one of the `_sizes`."""
     return _drawn_experiment(f"limits {seed}", seed, 16.0, LEAVING_LOAD, draw_limits)
@@ -181,6 +190,7 @@
     "crashes": crashes_experiment,
     "leaving": leaving_experiment,
     "eras": eras_experiment,
+    "leaving_said": leaving_said_experiment,
     "limits": limits_experiment,
     "rests": rests_experiment,
 }
@@ -205,6 +215,7 @@
             beyond=result.beyond if result.crashes else None,
             at_leaving=result.at_leaving or None,
             at_limited=result.at_limited or None,
+            leaving_said=result.leaving_said or None,
             shed=result.shed or None,
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
--- a/ferrydock/backpressure/_rests.py
+++ b/ferrydock/backpressure/_rests.py
@@ -60,14 +60,14 @@
         if rest_s <= 0:
             return
         left_s = self.left_s(target, now_s)
-        self._rests[target.target_id] = _Rest(now_s + max(rest_s, left_s), _life(target))
+        self._rests[target.target_id] = _Rest(now_s + max(rest_s, left_s), target.life)
         if left_s <= 0:
             log_event(_LOG, logging.INFO, "target_rests", target=target.target_id, for_s=rest_s)
 
     def left_s(self, target: Target, now_s: float) -> float:
         """Return how many seconds a target still wants no request; 0 if it does not rest."""
         rest = self._rests.get(target.target_id)
-        if rest is None or rest.life != _life(target):
+        if rest is None or rest.life != target.life:
             return 0.0
         return max(0.0, rest.until_s - now_s)
 
@@ -77,8 +77,3 @@
             if rest.until_s <= now_s or target_id not in target_ids:
                 del self._rests[target_id]
                 log_event(_LOG, logging.INFO, "target_rest_ended", target=target_id)
-
-
-def _life(target: Target) -> int:
-    """Return the start of the target's process, by its own clock; 0 where it is unknown."""
-    return target.age_mark[0]
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -55,6 +55,8 @@
 }
 _NOTICE_KINDS = {
     "target_limited": "targets that are used name a limit in their answers for `for_s`",
+    "target_says_leaving": "a target that is used says in its answers that it leaves, its entry "
+    "after `for_s`",
     "target_sheds": "targets that are used refuse all requests for `for_s` and ask for rest",
 }
 KINDS = {
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -5,7 +5,7 @@
 """
 
 from ._crashing import CONTACT_S, MAX_MORE, arrivals_beyond, describe_refused
-from ._leaving import StoreHurt, describe_late, late_arrivals
+from ._leaving import StoreHurt, after_its_word, describe_late, late_arrivals
 from ._limits import describe_excess, excess
 from ._load import Call
 from ._rests import describe_disturbed, disturbed
@@ -65,6 +65,7 @@
         self._judge_stops()
         self._judge_crashing()
         self._judge_leaving()
+        self._judge_leaving_said()
         self._judge_unconfirmed()
         self._judge_limits()
         self._judge_rests()
@@ -112,6 +113,22 @@
             daemon = sent_to[late.request_id].name
             result.broken.append(describe_late(late, daemon, late.at_s - self.began_s))
 
+    def _judge_leaving_said(self) -> None:
+        """Note requests sent to targets whose answers had said that they leave."""
+        result = self.parts.result
+        calls = {call.request_id: call for call in result.calls}
+        for said in self.parts.site.record.leaving_said:
+            result.leaving_said += len(said.told)
+            late = after_its_word(
+                said,
+                lambda request_id: self.began_s + calls[request_id].at_s,
+                lambda request_id: calls[request_id].daemon,
+                self._was_well,
+            )
+            for one in late[:1]:
+                daemon = calls[one.request_id].daemon
+                result.broken.append(describe_late(one, daemon, one.at_s - self.began_s))
+
     def _judge_limits(self) -> None:
         """Note targets that got more requests than the limit they had named."""
         result = self.parts.result
--- a/ferrydock/emulator/_leaving.py
+++ b/ferrydock/emulator/_leaving.py
@@ -2,18 +2,28 @@
 
 What is promised: no request that a daemon sends on reaches a target later than `DRAIN_S` after the
 store had its word that it leaves, if for `CONTACT_S` nothing was done to the daemon or to its
-connections to the store. Trouble of its leader's connections is no exception. Pure.
+connections to the store. Trouble of its leader's connections is no exception. Nor does a request
+that came to a daemon later than `DRAIN_S` after an answer with that word reach the target from it,
+whatever is done to the store. Pure.
 """
 
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from ..standins.fleet import LeavingArrival
+from ..standins.fleet import LeavingArrival, LeavingSaid
 from ._crashing import CONTACT_S
 from ._experiment import Trouble
 
-__all__ = ["DRAIN_S", "StoreHurt", "describe_late", "draw_leaving", "late_arrivals"]
+__all__ = [
+    "DRAIN_S",
+    "StoreHurt",
+    "after_its_word",
+    "describe_late",
+    "draw_leaving",
+    "draw_leaving_said",
+    "late_arrivals",
+]
 
 # The platform's ``drain-ms`` on the known sites.
 DRAIN_S = 2.0
@@ -81,6 +91,37 @@
     ]
 
 
+def after_its_word(
+    said: LeavingSaid,
+    sent_s: Callable[[str], float],
+    daemon_of: Callable[[str], str],
+    was_well: Callable[[str, float, float], bool] = lambda daemon, from_s, to_s: True,
+) -> list[LeavingArrival]:
+    """Return the arrivals from daemons that had passed the target's word on long before.
+
+    Parameters
+    ----------
+    sent_s : callable
+        Returns the loop time at which a caller sent a request, by its id.
+    daemon_of : callable
+        Returns the daemon that a request was sent to.
+    was_well : callable
+        Takes a daemon and two loop times; returns whether nothing was done to it between them.
+    """
+    found = []
+    for at_s, request_id in said.arrived:
+        daemon = daemon_of(request_id)
+        told_s = [
+            t
+            for t, other_id in said.told
+            if daemon_of(other_id) == daemon and t < sent_s(request_id) - DRAIN_S
+        ]
+        if told_s and was_well(daemon, max(told_s), at_s):
+            after_s = at_s - max(told_s)
+            found.append(LeavingArrival(request_id, said.worker_id, at_s, after_s))
+    return found
+
+
 def describe_late(arrival: LeavingArrival, daemon: str, at_s: float) -> str:
     """Return a line on an arrival that came too late; `at_s` is its time in the run."""
     return (
@@ -111,3 +152,18 @@
     for _ in range(rng.choice((0, 1, 3))):
         drawn.append(Trouble(rng.uniform(0.5, length_s), "configuration"))
     return sorted(drawn, key=lambda trouble: trouble.at_s)
+
+
+def draw_leaving_said(seed: int, length_s: float, halls: Sequence[str]) -> list[Trouble]:
+    """Return targets that say in their answers that they leave, long before the list says so."""
+    rng = random.Random(f"leaving said {seed}")
+    drawn = []
+    for _ in range(rng.choice((1, 2, 3))):
+        at_s = rng.uniform(0.5, length_s / 3)
+        for_s = rng.uniform(5.0, length_s - at_s)
+        drawn.append(Trouble(at_s, "target_says_leaving", for_s=for_s, hall=rng.choice(halls)))
+    for _ in range(rng.choice((0, 1, 2, 3))):
+        kind, how = rng.choice((*_STORE_TROUBLES, *((k, "silent") for k in _DAEMON_TROUBLES)))
+        at_s, for_s = rng.uniform(0.8, length_s - 3.0), rng.uniform(*STORE_TROUBLE_S)
+        drawn.append(Trouble(at_s, kind, rng.choice((1, 2)), for_s, rng.choice(("", *halls)), how))
+    return sorted(drawn, key=lambda trouble: trouble.at_s)
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -51,6 +51,8 @@
         Requests that reached targets which had said that they leave.
     at_limited : int
         Requests that reached targets which named a limit.
+    leaving_said : int
+        Answers in which targets said that they leave.
     shed : int
         Requests that targets refused and asked for rest.
     excused : Counter
@@ -73,5 +75,6 @@
     beyond: int = 0
     at_leaving: int = 0
     at_limited: int = 0
+    leaving_said: int = 0
     shed: int = 0
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_target_troubles.py
+++ b/ferrydock/emulator/_target_troubles.py
@@ -144,6 +144,24 @@
     return ",".join(f"{shedding.worker_id}={shedding.rest_s:g}" for shedding in begun)
 
 
+@trouble("target_says_leaving")
+async def say_leaving(parts: PlayedParts, met: Trouble) -> str:
+    """Let a target say in its answers that it leaves, and its entry only after a while."""
+    site = parts.site
+    leaving = _used_target(parts, met.hall)
+    if leaving is None or leaving.leaving_said is not None:
+        return ""
+    name = f"{leaving.worker_id.split('+')[0]}+{parts.rng.getrandbits(32):08x}"
+    if leaving.worker_id in site.plain:
+        await site.add_plain(name, leaving.hall)
+    else:
+        await site.add_worker(name, leaving.hall, leaving.domain)
+    site.say_leaving(leaving.worker_id)
+    await asyncio.sleep(met.for_s)
+    site.drain_worker(leaving.worker_id)
+    return leaving.worker_id
+
+
 @trouble("target_replaced")
 async def replace_targets(parts: PlayedParts, met: Trouble) -> str:
     """Let targets that are used say that they leave, and others join in their place."""
--- a/ferrydock/forwarding/_answer_notices.py
+++ b/ferrydock/forwarding/_answer_notices.py
@@ -25,7 +25,7 @@
     Parameters
     ----------
     catalog : EndpointCatalog
-        Holds the limits and rests of targets.
+        Holds the limits and rests of targets; its directory, which of them leave.
     """
 
     __slots__ = ("_unreadable", "catalog", "clock")
@@ -50,9 +50,16 @@
         """
         if not head.is_targets_own:
             return False
+        self._take_leaving(target, head.is_leaving)
         self._take_rest(target, head.rest_s)
         return self._take_limit(target.target_id, head.rate_limit_per_s, sent_s)
 
+    def _take_leaving(self, target: Target, is_leaving: bool | Fault) -> None:
+        if isinstance(is_leaving, Fault):
+            self._log_unreadable(target.target_id, is_leaving)
+        elif is_leaving:
+            self.catalog.directory.note_leaving(target.target_id, target.life)
+
     def _take_rest(self, target: Target, rest_s: float | None | Fault) -> None:
         if isinstance(rest_s, Fault):
             self._log_unreadable(target.target_id, rest_s)
--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -75,6 +75,8 @@
         Whether the answer was made by a target, and not by something on the way.
     is_targets_own : bool
         Whether it was made by the target that was asked, refusals included.
+    is_leaving : bool or Fault
+        Whether the target says that it leaves; a fault if what it says cannot be read.
     rate_limit_per_s : float, None or Fault
         Requests a second that the target takes from all daemons together; None if it names none,
         a fault if what it names cannot be read.
@@ -87,6 +89,7 @@
     request_id: str
     signed: bool
     is_targets_own: bool = False
+    is_leaving: bool | Fault = False
     rate_limit_per_s: float | None | Fault = None
     rest_s: float | None | Fault = None
 
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -81,11 +81,26 @@
             request_id=headers.get("X-Attempt-Id", ""),
             signed=signed,
             is_targets_own=(signed or is_refused) and not is_misdirected,
+            is_leaving=read_flag(headers, "Server-Leaving"),
             rate_limit_per_s=read_number(headers, "Server-Limit"),
             rest_s=read_number(headers, "Retry-After") if may_ask_for_rest else None,
         )
 
 
+def read_flag(headers: Mapping[str, str], name: str) -> bool | Fault:
+    """Return whether a header is set; a fault if it is neither 1 nor 0.
+
+    Examples
+    --------
+    >>> read_flag({"Server-Leaving": "1"}, "Server-Leaving"), read_flag({}, "Server-Leaving")
+    (True, False)
+    """
+    text = headers.get(name, "0").strip()
+    if text not in ("0", "1"):
+        return Fault(name, f"{text[:MAX_NUMBER_CHARS]!r} is neither 1 nor 0")
+    return text == "1"
+
+
 def read_number(headers: Mapping[str, str], name: str) -> float | Fault | None:
     """Return the number in a header; None if it is not there, a fault if it is no amount.
 
--- a/ferrydock/platform/tests/test_dialect.py
+++ b/ferrydock/platform/tests/test_dialect.py
@@ -23,6 +23,15 @@
     assert head.rate_limit_per_s.place == "Server-Limit"
 
 
+@pytest.mark.parametrize("marks", [SIGNED, REFUSED])
+def test_that_a_worker_leaves_is_read_from_successes_and_refusals(marks):
+    dialect = PlatformDialect()
+    assert dialect.answer(200, {**marks, "Server-Leaving": "1"}).is_leaving is True
+    assert dialect.answer(200, {**marks, "Server-Leaving": "0"}).is_leaving is False
+    assert dialect.answer(200, marks).is_leaving is False
+    assert isinstance(dialect.answer(200, {**marks, "Server-Leaving": "soon"}).is_leaving, Fault)
+
+
 @pytest.mark.parametrize("text, rest_s", [("3", 3.0), ("0.5", 0.5), ("0", 0.0), ("3600", 3600.0)])
 def test_a_rest_is_read_from_a_503_that_refuses(text, rest_s):
     dialect = PlatformDialect()
--- a/ferrydock/platform/tests/test_leaving_targets.py
+++ b/ferrydock/platform/tests/test_leaving_targets.py
@@ -1,5 +1,9 @@
 """Targets that say that they leave, while the questions for such changes are never answered."""
 
+import pytest
+
+from ...emulator import after_its_word
+from .test_limited_targets import send_for, start_daemons
 from .test_site import REPLICAS, Site, ask, play
 
 # The platform's promises: a daemon counts as well again so long after the last trouble, and may
@@ -54,3 +58,29 @@
             site.no_rule_is_broken()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("path, model", [("/look/x", ""), ("/write/x", "small")])
+def test_a_target_whose_answers_say_that_it_leaves_is_left_whatever_the_list_says(
+    tmp_path, path, model
+):
+    """Requests sent later than `drain-ms` after that word reached such a target in every run."""
+
+    async def scenario():
+        async with Site(tmp_path, ("hall-a", "hall-b"), domain_size=6) as site:
+            await start_daemons(site)
+            heads = [w for w in site.site.fleet.open_heads() if w.model == model]
+            target_id = heads[0].worker_id if model else "hall-a-plain"
+            said = site.site.say_leaving(target_id)
+            sent_s = {}
+            sent_to, statuses = await send_for(site, path, model, 2 * DRAIN_S, sent_s)
+            assert said.told and set(statuses) == {200}
+            assert after_its_word(said, sent_s.__getitem__, sent_to.__getitem__) == []
+            hall = site.site.fleet.workers[target_id].hall if model else "hall-a"
+            own = [node for node in site.nodes if node.settings.hall == hall]
+            await site.until(lambda: all(n.directory.targets[target_id].draining for n in own))
+            if model:  # its replica is dissolved, as if the list had said so
+                await site.until(lambda: heads[0].membership is None)
+            site.no_rule_is_broken()
+
+    play(scenario)
--- a/ferrydock/platform/tests/test_limited_targets.py
+++ b/ferrydock/platform/tests/test_limited_targets.py
@@ -21,8 +21,11 @@
     await site.until(lambda: site.formed(2 * REPLICAS))
 
 
-async def send_for(site, path, model, length_s):
-    """Send requests to all daemons in turn; return the daemon of each, and the statuses."""
+async def send_for(site, path, model, length_s, sent_s=None):
+    """Send requests to all daemons in turn; return the daemon of each, and the statuses.
+
+    `sent_s` is filled with the loop time of each request, by its id.
+    """
     loop = asyncio.get_running_loop()
     rng = random.Random(1)
     sent_to, calls = {}, []
@@ -31,6 +34,8 @@
         node = site.nodes[len(calls) % len(site.nodes)]
         request_id = f"{rng.getrandbits(64):016x}"
         sent_to[request_id] = node.settings.name
+        if sent_s is not None:
+            sent_s[request_id] = loop.time()
         asking = ask(node, path, model=model, request_id=request_id)
         calls.append(asyncio.ensure_future(asking))
         await asyncio.sleep(1 / REQUESTS_PER_S)
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -131,6 +131,7 @@
             self.broken.recent(sent_s),
             self.name,
             self.crashes.question(address),
+            self.directory.leaving_reports(),
         )
         data = await self._calls.call(address, NEWS, encode(request), ANSWER_TIMEOUT_S)
         if data is None:
--- a/ferrydock/relay/_messages.py
+++ b/ferrydock/relay/_messages.py
@@ -48,6 +48,8 @@
     crashes : CrashNews or None
         Requests that crash their targets; left out of the message where there is nothing to tell,
         so that a leader of an older version reads it.
+    leaving : tuple of (str, int)
+        Targets, by id and life, that have told it that they leave; left out where there are none.
     """
 
     life: str
@@ -56,6 +58,7 @@
     broken: tuple[tuple[str, int], ...] = ()
     sender: str = ""
     crashes: CrashNews | None = None
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,8 +146,9 @@
     fields = asdict(message)
     if fields["crashes"] is None:
         del fields["crashes"]
-    if not fields.get("era"):
-        fields.pop("era", None)
+    for name in ("era", "leaving"):
+        if not fields.get(name):
+            fields.pop(name, None)
     return orjson.dumps(fields)
 
 
@@ -154,6 +158,7 @@
     decoded = {
         "broken": _keys(fields.get("broken", ())),
         "crashes": decode_crash_news(fields.get("crashes")),
+        "leaving": _keys(fields.get("leaving", ())),
     }
     return NewsRequest(**{**fields, **decoded})
 
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -132,6 +132,7 @@
         request = decode_request(data)
         self.crashes.receive(request.crashes)
         self.broken.receive(request.broken)
+        self._receive_leaving(request)
         self.daemon_counter.note_follower(request.sender, self.clock.now_s())
         broken_before = self.broken.count
         until_s = self.clock.now_s() + HOLD_S
@@ -145,6 +146,11 @@
             await asyncio.sleep(LOOK_S)
         return encode(self.answer(request))
 
+    def _receive_leaving(self, request: NewsRequest) -> None:
+        """Take over which targets have told a follower that they leave."""
+        for target_id, life in request.leaving:
+            self.directory.note_leaving(target_id, life)
+
     def _has_all(self, request: NewsRequest) -> bool:
         """Return whether a follower has this daemon's list and configuration already."""
         return (
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -6,7 +6,15 @@
 from ._store_http import StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
 from ._worker_http import CRASHING_BODY, CrashingRequest, LeavingArrival, RunRecord, WorkerFace
-from ._workers import Fleet, FleetFaults, NamedLimit, Shedding, Violation, Worker
+from ._workers import (
+    Fleet,
+    FleetFaults,
+    LeavingSaid,
+    NamedLimit,
+    Shedding,
+    Violation,
+    Worker,
+)
 
 __all__ = [
     "CRASHING_BODY",
@@ -18,6 +26,7 @@
     "FleetList",
     "FleetSite",
     "LeavingArrival",
+    "LeavingSaid",
     "LoopClock",
     "NamedLimit",
     "RunRecord",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -10,7 +10,7 @@
 from ...store import MemoryStore, StoreCopy
 from ._store_http import StoreFace
 from ._worker_http import KV_TOKENS, RunRecord, WorkerFace, entry_group, entry_models
-from ._workers import Fleet, NamedLimit, Shedding, Worker
+from ._workers import Fleet, LeavingSaid, NamedLimit, Shedding, Worker
 
 __all__ = ["WRITTEN_AGAIN_S", "FleetSite", "small_engine"]
 
@@ -177,6 +177,13 @@
         self.record.shed.append(worker.shedding)
         return worker.shedding
 
+    def say_leaving(self, worker_id: str) -> LeavingSaid:
+        """Let a worker say in its answers that it leaves; its entry does not say so yet."""
+        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker.leaving_said = LeavingSaid(worker_id)
+        self.record.leaving_said.append(worker.leaving_said)
+        return worker.leaving_said
+
     def come_back_older(self, copy: StoreCopy) -> None:
         """Let the store lose all since a copy was taken; each writer writes again what is gone."""
         self.store.come_back_older(copy)
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -17,7 +17,7 @@
     OrderRefused,
     StageOrder,
 )
-from ._workers import Fleet, NamedLimit, Shedding, Worker
+from ._workers import Fleet, LeavingSaid, NamedLimit, Shedding, Worker
 
 __all__ = [
     "CRASHING_BODY",
@@ -91,6 +91,8 @@
         Limits that workers have named.
     shed : list of Shedding
         Times in which workers refused all requests.
+    leaving_said : list of LeavingSaid
+        Workers whose answers say that they leave.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -102,6 +104,7 @@
     at_leaving: list[LeavingArrival] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     shed: list[Shedding] = field(default_factory=list)
+    leaving_said: list[LeavingSaid] = field(default_factory=list)
 
     def note_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
         """Note that a request has reached a worker, if that has said that it leaves."""
@@ -112,11 +115,12 @@
         after_s = now_s - worker.left_s
         self.at_leaving.append(LeavingArrival(request_id, worker.worker_id, now_s, after_s))
 
-    def note_limited(self, request: web.BaseRequest, worker: Worker) -> None:
-        """Note that a request has reached a worker, if that names a limit."""
-        if worker.limit is not None:
-            now_s = asyncio.get_running_loop().time()
-            worker.limit.arrived.append((now_s, request.headers["X-Attempt-Id"]))
+    def note_said(self, request: web.BaseRequest, worker: Worker) -> None:
+        """Note that a request has reached a worker that names a limit or says that it leaves."""
+        arrival = (asyncio.get_running_loop().time(), request.headers["X-Attempt-Id"])
+        for said in (worker.limit, worker.leaving_said):
+            if said is not None:
+                said.arrived.append(arrival)
 
     def note_crashing(self, request: web.BaseRequest, body: bytes) -> CrashingRequest:
         """Note that a request which crashes workers has reached one; return what is known of it."""
@@ -242,7 +246,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request of a caller."""
         self.record.note_leaving(request, self.worker)
-        self.record.note_limited(request, self.worker)
+        self.record.note_said(request, self.worker)
         if self.worker.shedding is not None and self._is_shed(request, self.worker.shedding):
             return self._refuse(request, 503, self.worker.shedding.rest_s)
         if self.fleet is None:
@@ -274,13 +278,15 @@
 
     def _says(self, request: web.BaseRequest) -> dict[str, str]:
         """Return what the worker says of itself in the answer that it writes now."""
-        limit = self.worker.limit
-        if limit is None:
-            return {}
+        limit, leaving_said = self.worker.limit, self.worker.leaving_said
         request_id = request.headers.get("X-Attempt-Id")
         if request_id is not None:
-            limit.told.append((asyncio.get_running_loop().time(), request_id))
-        return {"Server-Limit": f"{limit.per_s:g}"}
+            told = (asyncio.get_running_loop().time(), request_id)
+            for said in (limit, leaving_said):
+                if said is not None:
+                    said.told.append(told)
+        headers = {"Server-Limit": f"{limit.per_s:g}"} if limit is not None else {}
+        return headers | ({"Server-Leaving": "1"} if leaving_said is not None else {})
 
     async def _plain(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -22,7 +22,7 @@
     Target,
 )
 
-__all__ = ["Fleet", "FleetFaults", "NamedLimit", "Shedding", "Violation", "Worker"]
+__all__ = ["Fleet", "FleetFaults", "LeavingSaid", "NamedLimit", "Shedding", "Violation", "Worker"]
 
 REJOIN_S = 0.2
 MODELS_KEPT_BY_HOST = 1
@@ -59,6 +59,21 @@
     arrived: list[tuple[float, str]] = field(default_factory=list)
 
 
+@dataclass(slots=True, eq=False)
+class LeavingSaid:
+    """A worker that says in its answers that it leaves, and the requests that it gets.
+
+    Attributes
+    ----------
+    told, arrived : list of (float, str)
+        Loop time and request id of each answer that said so, and of each request that came.
+    """
+
+    worker_id: str
+    told: list[tuple[float, str]] = field(default_factory=list)
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+
+
 @dataclass(slots=True, eq=False)
 class Shedding:
     """A time in which a worker refuses all requests and asks for rest, and what it gets since.
@@ -119,6 +134,8 @@
         What it says that it takes; None for no limit.
     shedding : Shedding or None
         The last time in which it refused all requests.
+    leaving_said : LeavingSaid or None
+        That its answers say that it leaves; None if they don't.
     """
 
     worker_id: str
@@ -145,6 +162,7 @@
     loads: int = 0
     limit: NamedLimit | None = None
     shedding: Shedding | None = None
+    leaving_said: LeavingSaid | None = None
 
     def start_again(self) -> None:
         """Begin another life under the same id; only what lies on the host is left."""
@@ -155,6 +173,7 @@
         self.left_s = None
         self.limit = None
         self.shedding = None
+        self.leaving_said = None
         self.orders = 0
         self.top_epoch = 0
         self.last_model = ""
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -4,18 +4,23 @@
 hall leader (`relay.RelayClient`), or from the operators' table (`gateway.TableRoutes`).
 """
 
+import logging
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from ..freshness import Confirmation
+from ..logs import log_event
 from ..store import Position
+from ._leaving import LeavingTargets
 from ._older_lists import OlderEntries
 from ._ports import TargetChanges
 from ._target import ReplicaState, Target
 
 __all__ = ["ReplicaView", "TargetDirectory"]
 
+_LOG = logging.getLogger("ferrydock.targets")
+
 # Replicas whose members are remembered after their entries have gone, so that a new leader can ask
 # them. Bounds the memory; a hall has some dozens at a time. Chosen, not measured.
 REPLICAS_REMEMBERED = 1000
@@ -64,12 +69,17 @@
         are kept in it until the whole list is read once more.
     confirmation : Confirmation
         Since when the list is certainly complete.
+
+    Notes
+    -----
+    A target that has said itself that it leaves is shown as leaving, whatever a list says.
     """
 
     __slots__ = (
         "_changed_ids",
         "_changed_positions",
         "_complete_since",
+        "_leaving",
         "_members",
         "_older",
         "_replicas",
@@ -89,6 +99,7 @@
         self.is_provisional = False
         self.confirmation = Confirmation()
         self._older = OlderEntries()
+        self._leaving = LeavingTargets()
         self._changed_ids: deque[str] = deque(maxlen=CHANGES_REMEMBERED)
         # Position at which each of these was known, at the latest; and the one after which none of
         # them is missing.
@@ -159,8 +170,27 @@
         self.targets[target.target_id] = self._remembering(target)
         self._note_changed(target.target_id)
 
+    def note_leaving(self, target_id: str, life: int) -> None:
+        """Note that a target has said that it leaves, to this daemon or to another one.
+
+        Parameters
+        ----------
+        life : int
+            Which life of the target said so (`Target.life`).
+        """
+        if not self._leaving.note(target_id, life):
+            return
+        log_event(_LOG, logging.INFO, "target_leaving", target=target_id)
+        if target_id in self.targets:
+            self.put(self.targets[target_id])
+
+    def leaving_reports(self) -> tuple[tuple[str, int], ...]:
+        """Return ids and lives of the listed targets that have said that they leave."""
+        return self._leaving.reports(self.targets)
+
     def _remembering(self, target: Target) -> Target:
-        """Return the entry with the model of the target's latest replica, which it may lack now."""
+        """Return the entry with what is known beyond it: that the target leaves, its last model."""
+        target = self._leaving.marked(target)
         if target.membership is not None:
             self._note_member(target)
         if target.models:
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -85,6 +85,11 @@
         """Its membership; only for a target that has one."""
         return existing(self.membership, f"the membership of {self.target_id}")
 
+    @property
+    def life(self) -> int:
+        """Start of its process, by its own clock; 0 where it is unknown."""
+        return self.age_mark[0]
+
     @property
     def is_fresh(self) -> bool:
         """Whether it has nothing yet, so that it has certainly taken no order."""
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -393,6 +393,10 @@
     assert reply["target_id"] == "" and reply["candidates"] == 0
     told = b'{"crashes":null,"limits":{"hall-a-plain":[null,0.0]}}'
     answer = json.loads(await play.call("Running", told))
+    leaving = (
+        b'{"life":"","change":0,"version":-1,"broken":[],"sender":"e2","leaving":[["gone",1]]}'
+    )
+    assert json.loads(await play.call("News", leaving))["serves"]
     assert answer["limits"]["hall-a-plain"][0] is None
     reply = json.loads(await play.call("Place", asked % b""))
     assert list(reply) == ["target_id", "candidates", "grant"]
