A limit outlives its target's entry, and a scheduler that leads again begins anew

Found as the diff was read: a target whose entry went for a moment (the store was away) lost its limit, and came back without one until its next answer; a scheduler that led, followed and led again used up the turns of its first time. Now the limit of a target that is not listed is kept for 60 s, which also ends what two daemons would have told each other of a target that is gone for ever; pacing is forgotten where another daemon schedules.

--- a/ferrydock/backpressure/_pacing.py
+++ b/ferrydock/backpressure/_pacing.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from math import inf
 
 from ..targets import Target
@@ -28,8 +28,8 @@
 
     Notes
     -----
-    The first grant comes a full interval after the limit became known: a scheduler that has just
-    begun does not know what another one has granted.
+    The first grant comes a full interval after the target was first looked at: a scheduler that has
+    just begun does not know what another one has granted.
 
     Examples
     --------
@@ -56,7 +56,10 @@
         return None if limit is None else max(limit, MIN_RATE_PER_S) * self.share(target.hall)
 
     def wait_s(self, target: Target, now_s: float) -> float:
-        """Return in how many seconds a request may go to a target; infinite for never."""
+        """Return in how many seconds a request may go to a target; infinite for never.
+
+        The first look at a target under a limit begins its first interval.
+        """
         rate_per_s = self.rate_per_s(target)
         if rate_per_s is None:
             self._turns_s.pop(target.target_id, None)
@@ -76,11 +79,15 @@
             turn_s = max(now_s, self._turns_s[target.target_id])
             self._turns_s[target.target_id] = turn_s + 1.0 / rate_per_s
 
-    def forget_others(self, target_ids: Container[str]) -> None:
-        """Drop targets that are not listed."""
-        for target_id in [i for i in self._turns_s if i not in target_ids]:
+    def tidy(self) -> None:
+        """Drop targets that have no limit any more."""
+        for target_id in [i for i in self._turns_s if self.limits.rate_per_s(i) is None]:
             del self._turns_s[target_id]
 
+    def forget(self) -> None:
+        """Drop what was granted: another scheduler grants now, and this one begins anew."""
+        self._turns_s.clear()
+
 
 class LonePacer:
     """Bounds the requests that a daemon sends by itself to targets under a limit.
@@ -125,7 +132,8 @@
         if self.limits.rate_per_s(target_id) is not None:
             self._sent_s.setdefault(target_id, deque()).append(now_s)
 
-    def forget_others(self, target_ids: Container[str]) -> None:
-        """Drop targets that are not listed."""
-        for target_id in [i for i in self._sent_s if i not in target_ids]:
-            del self._sent_s[target_id]
+    def tidy(self, now_s: float) -> None:
+        """Drop targets to which nothing was sent for a window."""
+        for target_id, sent_s in list(self._sent_s.items()):
+            if not sent_s or now_s - sent_s[-1] >= LONE_WINDOW_S:
+                del self._sent_s[target_id]
--- a/ferrydock/backpressure/_rate_limits.py
+++ b/ferrydock/backpressure/_rate_limits.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ..logs import log_event
@@ -19,6 +19,10 @@
 # they are.
 ENDED_TOLD_S = 10.0
 
+# How long the limit of a target that is not listed is kept. An entry may go while the store is away
+# and come back, and the target still counts what it gets.
+UNLISTED_KEPT_S = 60.0
+
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
@@ -40,6 +44,11 @@
 class RateLimits:
     """The limits of all targets that have named one.
 
+    Parameters
+    ----------
+    is_listed : callable, optional
+        Returns whether a target, by its id, is in the list of targets.
+
     Examples
     --------
     >>> limits = RateLimits()
@@ -51,9 +60,10 @@
     (True, None)
     """
 
-    __slots__ = ("_limits",)
+    __slots__ = ("_limits", "is_listed")
 
-    def __init__(self):
+    def __init__(self, is_listed: Callable[[str], bool] = lambda target_id: True):
+        self.is_listed = is_listed
         self._limits: dict[str, RateLimit] = {}
 
     def rate_per_s(self, target_id: str) -> float | None:
@@ -63,8 +73,9 @@
 
     @property
     def limited_count(self) -> int:
-        """How many targets are under a limit."""
-        return sum(limit.rate_per_s is not None for limit in self._limits.values())
+        """How many listed targets are under a limit."""
+        limited = (i for i, limit in self._limits.items() if limit.rate_per_s is not None)
+        return sum(self.is_listed(target_id) for target_id in limited)
 
     def note(self, target_id: str, rate_per_s: float | None, sent_s: float, now_s: float) -> bool:
         """Note what an answer says of its target's limit.
@@ -119,13 +130,18 @@
         for report in reports:
             heard_s = now_s - report.age_s
             known = self._limits.get(report.target_id)
-            if known is None or heard_s > known.heard_s:
+            is_newer = known is None or heard_s > known.heard_s
+            if is_newer and self._is_kept(report.target_id, report.age_s):
                 self._put(report.target_id, RateLimit(report.rate_per_s, heard_s))
 
-    def forget_others(self, target_ids: Container[str]) -> None:
-        """Drop targets that are not listed."""
-        for target_id in [i for i in self._limits if i not in target_ids]:
-            del self._limits[target_id]
+    def tidy(self, now_s: float) -> None:
+        """Drop targets that have not been listed or heard for long."""
+        for target_id, limit in list(self._limits.items()):
+            if not self._is_kept(target_id, now_s - limit.heard_s):
+                del self._limits[target_id]
+
+    def _is_kept(self, target_id: str, age_s: float) -> bool:
+        return age_s <= UNLISTED_KEPT_S or self.is_listed(target_id)
 
     def _put(self, target_id: str, limit: RateLimit) -> None:
         before = self.rate_per_s(target_id)
--- a/ferrydock/backpressure/tests/test_limits_are_kept.py
+++ b/ferrydock/backpressure/tests/test_limits_are_kept.py
@@ -6,7 +6,7 @@
 
 from ...emulator import max_arrivals
 from ...targets import Target
-from .. import HallPacer, LimitReport, LonePacer, RateLimits, hall_share
+from .. import HallPacer, LimitReport, LonePacer, RateLimits, decode_limits, hall_share
 
 WINDOW_S = 4.0
 STEP_S = 0.01
@@ -109,11 +109,49 @@
     assert limits.reports(15.0) and not limits.reports(30.0)
 
 
-def test_what_is_known_of_targets_that_are_gone_is_forgotten():
-    limits = limits_of(2.0)
+def test_a_target_whose_entry_goes_and_comes_back_is_still_under_its_limit():
+    listed = {"t"}
+    limits = RateLimits(listed.__contains__)
+    limits.note("t", 2.0, 0.0, 0.0)
+    listed.clear()
+    limits.tidy(30.0)
+    assert limits.rate_per_s("t") == 2.0 and limits.limited_count == 0
+    listed.add("t")
+    limits.tidy(3600.0)
+    assert limits.rate_per_s("t") == 2.0 and limits.limited_count == 1
+
+
+def test_daemons_do_not_tell_each_other_for_ever_of_a_target_that_is_gone():
+    gone = [RateLimits(lambda target_id: False) for _ in range(2)]
+    gone[0].note("t", 2.0, 0.0, 0.0)
+    for second in range(80):
+        for one, other in (gone, gone[::-1]):
+            other.merge(one.reports(second), second)
+            one.tidy(second)
+    assert [limits.rate_per_s("t") for limits in gone] == [None, None]
+
+
+def test_a_scheduler_that_leads_again_begins_anew():
+    pacer = HallPacer(limits_of(2.0), lambda hall: 1.0)
+    pacer.wait_s(TARGET, 0.0)
+    pacer.forget()
+    assert pacer.wait_s(TARGET, 9.0) == pytest.approx(0.5)
+
+
+def test_pacing_forgets_what_has_no_limit_and_what_was_sent_long_ago():
+    limits = limits_of(20.0)
     hall, lone = HallPacer(limits, lambda hall: 1.0), LonePacer(limits, lambda: 1)
     hall.wait_s(TARGET, 0.0)
     lone.note_sent("t", 0.0)
-    for part in (limits, hall, lone):
-        part.forget_others(())
-    assert limits.limited_count == 0 and limits.reports(0.0) == ()
+    lone.tidy(3.9)
+    assert lone._sent_s
+    lone.tidy(4.0)
+    limits.note("t", None, 1.0, 4.0)
+    hall.tidy()
+    assert not lone._sent_s and not hall._turns_s
+
+
+@pytest.mark.parametrize("fields", [["t"], 3, {"t": 3}, {"t": [1.0]}, {"t": ["x", 1.0]}])
+def test_limits_on_the_wire_that_cannot_be_read_are_refused(fields):
+    with pytest.raises((TypeError, ValueError)):
+        decode_limits(fields)
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -417,6 +417,7 @@
         self.site_daemons.refresh(self.leadership)
         self.retry_shares.update()
         self.upkeep.tidy()
+        self.scheduler.pacer.tidy()
         self.crash_exchange.history.tidy()
         self.store_follower.look_at_age()
 
@@ -437,3 +438,4 @@
             self.scheduler.assign_free_slots()
         else:
             self.demand.forget()
+            self.scheduler.pacer.forget()
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -43,9 +43,10 @@
         self._loads.forget_others(listed)
         attempts = self.gateway.forwarder.attempts
         attempts.notices.forget_others(listed)
-        attempts.selector.catalog.limits.forget_others(listed)
-        attempts.selector.pacer.forget_others(listed)
-        attempts.selector.catalog.rests.tidy(listed, self.gateway.clock.now_s())
+        now_s = self.gateway.clock.now_s()
+        attempts.selector.catalog.limits.tidy(now_s)
+        attempts.selector.pacer.tidy(now_s)
+        attempts.selector.catalog.rests.tidy(listed, now_s)
         self.order_sender.forget_others(listed)
         self.gateway.enforce_timeouts()
         self.settings.reread()
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -49,7 +49,7 @@
     def __init__(self, directory: TargetDirectory):
         self.directory = directory
         self.broken: set[tuple[str, int]] = set()
-        self.limits = RateLimits()
+        self.limits = RateLimits(lambda target_id: target_id in directory.targets)
         self.rests = Rests()
 
     def endpoints(self, service: ServiceSpec, model: str) -> list[Endpoint]:
