A rest outlives its target's entry

Found as the diff was read: a target whose entry went for a moment lost its rest, and got requests again as the entry came back. A rest is dropped only as it ends; the gauge counts listed targets. Test: the rest of a target that is not listed goes on; backpressure, the daemons' test of rests and the wire pass.

--- a/ferrydock/backpressure/_rests.py
+++ b/ferrydock/backpressure/_rests.py
@@ -44,10 +44,9 @@
     def __init__(self):
         self._rests: dict[str, _Rest] = {}
 
-    @property
-    def count(self) -> int:
-        """How many targets rest."""
-        return len(self._rests)
+    def count(self, target_ids: Container[str]) -> int:
+        """Return how many of some targets rest."""
+        return sum(target_id in target_ids for target_id in self._rests)
 
     def note(self, target: Target, rest_s: float, now_s: float) -> None:
         """Note that a target asks for a rest; a shorter one does not shorten one under way.
@@ -71,9 +70,9 @@
             return 0.0
         return max(0.0, rest.until_s - now_s)
 
-    def tidy(self, target_ids: Container[str], now_s: float) -> None:
-        """Drop rests that have ended, and targets that are not listed."""
+    def tidy(self, now_s: float) -> None:
+        """Drop rests that have ended; an entry may go and come back before that."""
         for target_id, rest in list(self._rests.items()):
-            if rest.until_s <= now_s or target_id not in target_ids:
+            if rest.until_s <= now_s:
                 del self._rests[target_id]
                 log_event(_LOG, logging.INFO, "target_rest_ended", target=target_id)
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -61,7 +61,8 @@
         metrics.in_flight.set(self.gateway.in_flight)
         metrics.waiting.set(self.gateway.forwarder.selector.waiting)
         metrics.targets_limited.set(self.gateway.forwarder.selector.catalog.limits.limited_count)
-        metrics.targets_resting.set(self.gateway.forwarder.selector.catalog.rests.count)
+        rests = self.gateway.forwarder.selector.catalog.rests
+        metrics.targets_resting.set(rests.count(self.directory.targets))
         metrics.version.set(current.version)
         now_s = self.gateway.clock.now_s()
         metrics.age.set(current.age_s(now_s))
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -46,7 +46,7 @@
         now_s = self.gateway.clock.now_s()
         attempts.selector.catalog.limits.tidy(now_s)
         attempts.selector.pacer.tidy(now_s)
-        attempts.selector.catalog.rests.tidy(listed, now_s)
+        attempts.selector.catalog.rests.tidy(now_s)
         self.order_sender.forget_others(listed)
         self.gateway.enforce_timeouts()
         self.settings.reread()
