Why a request got no target is one value: its reason, and when it may come again

In place of two fields and a function that chose between them. No reason and no Retry-After differs, but for a daemon alone of whose targets some rest and all others are under limits: it refuses at once, as for limits alone.

--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -20,7 +20,7 @@
     least_loaded,
     max_requests,
 )
-from ._exchange import Exchange
+from ._exchange import Exchange, NoEndpoint, NoEndpointReason
 from ._target_loads import TargetLoads
 
 __all__ = ["EndpointSelector"]
@@ -87,7 +87,7 @@
             How long the request may wait; 0 and less for not at all.
         """
         needs = (exchange.service.name, exchange.inbound.model)
-        exchange.limited_for_s = 0.0
+        exchange.no_endpoint = NoEndpoint()
         until_s = self.clock.now_s() + max_queue_s
         if not await self._wait_for_rests(exchange, until_s):
             return None
@@ -98,7 +98,7 @@
         if endpoint is not None:
             return endpoint
         if self._is_kept_by_limits(exchange):
-            exchange.limited_for_s = LONE_RETRY_S
+            exchange.no_endpoint = NoEndpoint(NoEndpointReason.TARGETS_LIMITED, LONE_RETRY_S)
             return None
         if max_queue_s <= 0:
             return None
@@ -166,10 +166,9 @@
         """
         while (left_s := self._resting_for_s(exchange)) > 0:
             if self.clock.now_s() + left_s > until_s:
-                exchange.resting_for_s = left_s
+                exchange.no_endpoint = NoEndpoint(NoEndpointReason.TARGETS_REST, left_s)
                 return False
             await asyncio.sleep(min(left_s, REST_LOOK_S))
-        exchange.resting_for_s = 0.0
         return True
 
     def _resting_for_s(self, exchange: Exchange) -> float:
@@ -181,9 +180,10 @@
     def _is_kept_by_limits(self, exchange: Exchange) -> bool:
         """Return whether limits alone keep a request from all targets that it could go to."""
         now_s = self.clock.now_s()
-        untried = self._untried(exchange)
-        return bool(untried) and not any(
-            self.pacer.may_send(e.target.target_id, now_s) for e in untried
+        rests = self.catalog.rests
+        awake = [e for e in self._untried(exchange) if rests.left_s(e.target, now_s) <= 0]
+        return bool(awake) and not any(
+            self.pacer.may_send(e.target.target_id, now_s) for e in awake
         )
 
     def _candidates(self, exchange: Exchange, endpoints: list[Endpoint]) -> list[Candidate]:
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -14,13 +14,43 @@
 from ._dialect import Inbound
 from ._events import NumberedEvents
 
-__all__ = ["Attempt", "AttemptEnd", "AttemptReason", "CallerGone", "Exchange"]
+__all__ = [
+    "Attempt",
+    "AttemptEnd",
+    "AttemptReason",
+    "CallerGone",
+    "Exchange",
+    "NoEndpoint",
+    "NoEndpointReason",
+]
 
 
 class CallerGone(ConnectionError):
     """The caller's connection ended before its answer did."""
 
 
+class NoEndpointReason(StrEnum):
+    """Why a request got no target, as in log lines and in what its caller is told."""
+
+    NO_ROOM = "no_room"
+    TARGETS_LIMITED = "targets_limited"
+    TARGETS_REST = "targets_rest"
+
+
+@dataclass(frozen=True, slots=True)
+class NoEndpoint:
+    """Why a request got no target, and when it may get one.
+
+    Attributes
+    ----------
+    again_s : float
+        Seconds until one of its targets may be sent requests again; 0 where nothing but room lacks.
+    """
+
+    reason: NoEndpointReason = NoEndpointReason.NO_ROOM
+    again_s: float = 0.0
+
+
 class AttemptReason(StrEnum):
     """Why an attempt ended, as in log lines and metrics."""
 
@@ -117,11 +147,8 @@
         What a further attempt is paid from; None until the forwarder has taken the request.
     admitted_s : float
         When it was found not to be refused as one that crashes its targets.
-    limited_for_s : float
-        Seconds until it may go to a target, where limits of all its targets kept it from them; 0
-        if something else did, or nothing.
-    resting_for_s : float
-        The same where rests of all its targets did.
+    no_endpoint : NoEndpoint
+        Why it got no target, where it got none.
     """
 
     request: web.BaseRequest
@@ -149,8 +176,7 @@
     may_have_run: bool = False
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
-    limited_for_s: float = 0.0
-    resting_for_s: float = 0.0
+    no_endpoint: NoEndpoint = NoEndpoint()
 
     @property
     def rank(self) -> tuple[int, int, int, float]:
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -25,7 +25,6 @@
     SERVICE_UNAVAILABLE,
     final_status,
     max_retry_queue_s,
-    no_room_reason,
     refusal,
     retry_after_s,
 )
@@ -110,7 +109,7 @@
             endpoint = await self._acquire(exchange, asked_s)
             exchange.queued_s += self.clock.now_s() - asked_s
             if endpoint is None:
-                return self._give_up(exchange, no_room_reason(exchange))
+                return self._give_up(exchange, exchange.no_endpoint.reason)
             if self.crashes.is_refused(exchange):  # it became known while this one waited
                 self.selector.release(endpoint)
                 return self._give_up(exchange, CRASHES_TARGETS)
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -7,7 +7,7 @@
 
 from ..scheduling import Endpoint, SchedulerClient, SlotReply, SlotRequest
 from ._endpoint_selector import EndpointSelector
-from ._exchange import Exchange
+from ._exchange import Exchange, NoEndpoint, NoEndpointReason
 
 __all__ = ["HallEndpointSelector"]
 
@@ -34,7 +34,7 @@
         costs 0.15 s and not the time in its queue; then for a place in its queue.
         """
         until_s = self.clock.now_s() + max_queue_s
-        exchange.limited_for_s = 0.0
+        exchange.no_endpoint = NoEndpoint()
         if not await self._wait_for_rests(exchange, until_s):
             return None
         reply = await self._ask(exchange, 0.0)
@@ -43,7 +43,9 @@
             if left_s > reply.limited_for_s:
                 reply = await self._ask(exchange, left_s)
             if _is_full(reply):
-                exchange.limited_for_s = reply.limited_for_s
+                if reply.limited_for_s > 0:
+                    limited = NoEndpointReason.TARGETS_LIMITED
+                    exchange.no_endpoint = NoEndpoint(limited, reply.limited_for_s)
                 return None
         if reply is not None and reply.target_id:
             endpoint = self._usable(exchange, reply.target_id)
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -16,7 +16,6 @@
     "TOO_LATE_S",
     "final_status",
     "max_retry_queue_s",
-    "no_room_reason",
     "refusal",
     "retry_after_s",
 ]
@@ -34,12 +33,6 @@
 # measured.
 TOO_LATE_S = 0.02
 
-# Refused since all targets that could serve it are under limits that they have named.
-TARGETS_LIMITED = "targets_limited"
-
-# Refused since all targets that could serve it want no request of this daemon for a while.
-TARGETS_REST = "targets_rest"
-
 # HTTP statuses (RFC 9110).
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
@@ -68,19 +61,13 @@
     return GATEWAY_TIMEOUT if left_s <= TOO_LATE_S else BAD_GATEWAY
 
 
-def no_room_reason(exchange: Exchange) -> str:
-    """Return why a request got no target: rests, limits, or no room in time."""
-    if exchange.resting_for_s > 0:
-        return TARGETS_REST
-    return TARGETS_LIMITED if exchange.limited_for_s > 0 else "no_room"
-
-
 def retry_after_s(reason: str, exchange: Exchange, rng: random.Random) -> float:
     """Return after how many seconds a caller who was refused for a reason should come back."""
     if reason == STOPPING:
         return STOPPING_RETRY_S
-    kept_s = {TARGETS_LIMITED: exchange.limited_for_s, TARGETS_REST: exchange.resting_for_s}
-    return kept_s.get(reason, 0.0) + rng.uniform(*RETRY_AFTER_RANGE_S)
+    none = exchange.no_endpoint
+    kept_for_s = none.again_s if reason == none.reason else 0.0
+    return kept_for_s + rng.uniform(*RETRY_AFTER_RANGE_S)
 
 
 def refusal(
