--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -55,12 +55,11 @@
 LOAD = Load(20.0, _MIX)
 
 # Planned stops: what other callers send, a second, and the time within which the stops begin. A
-# daemon must be able to be without a request as its listening ends. Chosen, not measured.
+# daemon must be able to be without a request as its listening ends.
 STOPS_LOAD = Load(6.0, _MIX)
 STOPS_WITHIN_S = 8.0
 
 # Targets that leave: enough requests for several at each daemon and target in each bound of 2 s.
-# Chosen, not measured.
 LEAVING_LOAD = Load(40.0, _MIX)
 
 
--- a/ferrydock/emulator/_target_troubles.py
+++ b/ferrydock/emulator/_target_troubles.py
@@ -11,11 +11,10 @@
 
 __all__: list[str] = []
 
-# Share of a domain that may be lost at a time, so that replicas can be formed again. Chosen, not
-# measured.
+# Share of a domain that may be lost at a time, so that replicas can be formed again.
 MAX_LOST_PER_DOMAIN = 0.4
 
-# Late orders: their share, and how late they are carried out, in seconds. Chosen, not measured.
+# Late orders: their share, and how late they are carried out, in seconds.
 LATE_SHARE = 0.35
 LATE_S = (0.5, 3.0)
 
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -21,16 +21,14 @@
 ]
 
 # Seconds in the queue before a further attempt. The request may have run already, so an answer is
-# worth more patience. Chosen, not measured.
+# worth more patience.
 MAX_QUEUE_RETRY_S = 1.0
 
 # Range of the time to come back, in seconds; random, so that callers who were refused together do
-# not return together. Measured in docs/MEASUREMENTS.md, second sitting, "refusals within 0.23 of
-# the objective", with a shorter wait than today's.
+# not return together.
 RETRY_AFTER_RANGE_S = (0.4, 1.4)
 
-# A request with less time left gets no further attempt: no target answers in it. Chosen, not
-# measured.
+# A request with less time left gets no further attempt: no target answers in it.
 TOO_LATE_S = 0.02
 
 # HTTP statuses (RFC 9110).
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -33,8 +33,7 @@
 # in seconds. While configurations follow each other every 0.1 s each of them is 35 to 150 KB for
 # every follower: 12 a second of 150 KB to 23 followers are 330 Mbit/s, on links of 10 to 100, and
 # one of 914 routes takes 11 ms of a core to put in force (made-up routes, one run). It adds to the
-# time explained at `freshness.LEADER_MAX_AGE_S`, which has 0.15 s to spare. Chosen, not
-# measured by itself.
+# time explained at `freshness.LEADER_MAX_AGE_S`, which has 0.15 s to spare.
 BETWEEN_CONFIGURATIONS_S = 0.15
 OFTEN_S = 1.0
 
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -32,10 +32,10 @@
 # soon as this daemon has it. A part of the bound explained at `freshness.LEADER_MAX_AGE_S`.
 HOLD_S = 0.3
 
-# Pause between two looks for something new while a question is held. Chosen, not measured.
+# Pause between two looks for something new while a question is held.
 LOOK_S = 0.05
 
-# How long calls under way may still take when the server is closed. Chosen, not measured.
+# How long calls under way may still take when the server is closed.
 CLOSE_GRACE_S = 0.1
 
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -59,7 +59,7 @@
 
 _LOG = logging.getLogger("ferrydock.route_daemon")
 
-# Pauses of the periodic work. Chosen, not measured, unless said otherwise.
+# Pauses of the periodic work.
 TIDY_EVERY_S = 1.0
 # A quarter of the silence after which a stream goes on elsewhere where events come each 30 to 60 ms
 # (`forwarding._move_rule`).
@@ -71,7 +71,6 @@
 
 # How long changes of the target list may be gathered before they come as one call of the store:
 # shorter while this daemon forms or dissolves replicas, since each step waits for a change.
-# Measured in docs/MEASUREMENTS.md, second sitting, "changes of the list gathered".
 GATHER_WHILE_CONTROLLING_S = 0.2
 GATHER_S = 0.4
 
--- a/ferrydock/scheduling/_client.py
+++ b/ferrydock/scheduling/_client.py
@@ -25,11 +25,10 @@
 # How long a reply may take, beyond the time that the request may wait in the scheduler's queue. A
 # request that gets no reply is decided here, late by this much, and so are all of this daemon's
 # for `SKIP_AFTER_TIMEOUT_S`, by its own counts alone. Half of the shortest objective for a first
-# answer (0.3 s). Chosen, not measured by itself: in the first 12 s of a day of 68 daemons 214 calls
-# had no reply within 0.06 s, and 68 within this, with smaller and fewer messages besides.
+# answer (0.3 s).
 REPLY_TIMEOUT_S = 0.15
 
-# How long a scheduler that did not reply is not asked again. Chosen, not measured.
+# How long a scheduler that did not reply is not asked again.
 SKIP_AFTER_TIMEOUT_S = 0.5
 
 # Ends of requests, and limits heard, within this time are reported in one message.
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -13,7 +13,7 @@
 __all__ = ["Endpoint", "EndpointCatalog", "max_requests"]
 
 # Requests a plain target gets at a time, as a multiple of the slots it reports. Above 1, so that
-# the next request is already there when a slot comes free. Chosen, not measured.
+# the next request is already there when a slot comes free.
 PLAIN_OVERCOMMIT = 1.5
 
 
--- a/ferrydock/scheduling/_remote_halls.py
+++ b/ferrydock/scheduling/_remote_halls.py
@@ -26,11 +26,10 @@
 _LOG = logging.getLogger("ferrydock.scheduling")
 
 # How long another hall's scheduler may take to answer: no longer than the pause between two polls
-# (`route_daemon._daemon.POLL_REMOTE_HALLS_EVERY_S`). Chosen, not measured.
+# (`route_daemon._daemon.POLL_REMOTE_HALLS_EVERY_S`).
 REPLY_TIMEOUT_S = 0.15
 
-# Pause between two questions for the demand of another hall: it fades over 5 s. Chosen, not
-# measured.
+# Pause between two questions for the demand of another hall: it fades over 5 s.
 DEMAND_EVERY_S = 1.0
 
 
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -22,10 +22,10 @@
 _LOG = logging.getLogger("ferrydock.targets")
 
 # Replicas whose members are remembered after their entries have gone, so that a new leader can ask
-# them. Bounds the memory; a hall has some dozens at a time. Chosen, not measured.
+# them. Bounds the memory; a hall has some dozens at a time.
 REPLICAS_REMEMBERED = 1000
 
-# Changes that a follower may lag behind before it gets the whole list. Chosen, not measured.
+# Changes that a follower may lag behind before it gets the whole list.
 CHANGES_REMEMBERED = 2000
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,7 +6,7 @@
 
 from .soak_plays import play_seeds, seeds_in
 
-# Emulations at a time: each takes less than one core. Chosen, not measured.
+# Emulations at a time: each takes less than one core.
 AT_ONCE = 4
 SEEDS = seeds_in("soak_leaving_seeds.txt")
 
