--- a/ferrydock/emulator/_leaving.py
+++ b/ferrydock/emulator/_leaving.py
@@ -28,7 +28,8 @@
 # The platform's ``drain-ms`` on the known sites.
 DRAIN_S = 2.0
 
-# Pause between two targets that leave, and how long the store is in trouble, so that several leave in each bound, and that waits begin before, in and after the trouble.
+# Pause between two targets that leave, and how long the store is in trouble, so that several leave
+# in each bound, and that waits begin before, in and after the trouble.
 LEAVE_EVERY_S = (0.3, 0.9)
 STORE_TROUBLE_S = (0.5, 4.0)
 
