--- a/ferrydock/backpressure/_rate_limits.py
+++ b/ferrydock/backpressure/_rate_limits.py
@@ -66,6 +66,9 @@
         self.is_listed = is_listed
         self._limits: dict[str, RateLimit] = {}
 
+    def __len__(self) -> int:
+        return len(self._limits)
+
     def rate_per_s(self, target_id: str) -> float | None:
         """Return how many requests a second a target takes; None if it has no limit."""
         limit = self._limits.get(target_id)
--- a/ferrydock/scheduling/_scheduler.py
+++ b/ferrydock/scheduling/_scheduler.py
@@ -164,8 +164,7 @@
                 max_requests(service, endpoint.target),
                 self._is_doubtful(endpoint.target.target_id),
             )
-            for endpoint in endpoints
-            if self.pacer.wait_s(endpoint.target, now_s) <= 0
+            for endpoint in self._within_limits(endpoints, now_s)
         ]
         chosen = least_loaded(candidates, self.hall, HALL_SELECTION, self.rng)
         if chosen is None:
@@ -177,6 +176,12 @@
         grant = self.counts.grant(request.sender, target_id, now_s)
         return SlotReply(target_id, len(endpoints), grant)
 
+    def _within_limits(self, endpoints: list[Endpoint], now_s: float) -> list[Endpoint]:
+        """Return the endpoints that limits allow a request now."""
+        if not self.catalog.limits:
+            return endpoints
+        return [e for e in endpoints if self.pacer.wait_s(e.target, now_s) <= 0]
+
     def _note_doubts(self, request: SlotRequest) -> None:
         """Note the targets that the sender of a request for a model avoids."""
         now_s = self.clock.now_s()
@@ -204,4 +209,5 @@
         if service is None:
             return []
         endpoints = self.catalog.endpoints(service, request.model)
-        return [e for e in endpoints if e.target.target_id not in request.leaves_out]
+        left_out = request.leaves_out
+        return [e for e in endpoints if e.target.target_id not in left_out]
