Emulator: what targets say is drawn, replaced and looked up in one place each

Limits and rests were drawn by two copies of a loop, a new target joined for a leaving one in two places, and a worker was looked up by its id in six.

--- a/ferrydock/emulator/_limits.py
+++ b/ferrydock/emulator/_limits.py
@@ -13,7 +13,7 @@
 from ._crashing import CONTACT_S
 from ._experiment import Trouble
 
-__all__ = ["LIMITS_PER_S", "describe_excess", "draw_limits", "excess", "max_arrivals"]
+__all__ = ["LIMITS_PER_S", "describe_excess", "draw_limits", "draw_said", "excess", "max_arrivals"]
 
 # The numbers of the platform's rule.
 WINDOW_S = 4.0
@@ -25,7 +25,7 @@
 LIMITS_PER_S = (0.3, 1.0, 1.3, 4.0)
 
 # Troubles that are drawn beside what targets say in their answers.
-BESIDE_LIMITS = (
+_TROUBLES = (
     "daemon_killed",
     "daemon_killed",
     "daemon_frozen",
@@ -88,14 +88,36 @@
 def draw_limits(seed: int, length_s: float, halls: Sequence[str]) -> list[Trouble]:
     """Return targets that name limits, most of them for long, and troubles beside them."""
     rng = random.Random(f"limits {seed}")
+    return draw_said(rng, "target_limited", 4.0, 7.0, length_s, halls)
+
+
+def draw_said(
+    rng: random.Random,
+    kind: str,
+    latest_s: float,
+    min_for_s: float,
+    length_s: float,
+    halls: Sequence[str],
+) -> list[Trouble]:
+    """Return what targets say in their answers, and troubles beside it.
+
+    Parameters
+    ----------
+    kind : str
+        Trouble that lets targets say something.
+    latest_s : float
+        Time until which it begins.
+    min_for_s : float
+        How long it lasts at least.
+    """
     drawn = []
     for _ in range(rng.choice((1, 2, 3))):
-        at_s = rng.uniform(0.5, 4.0)
-        for_s = rng.uniform(7.0, length_s - at_s)
+        at_s = rng.uniform(0.5, latest_s)
+        for_s = rng.uniform(min_for_s, length_s - at_s)
         hall = rng.choice(("", *halls))
-        drawn.append(Trouble(at_s, "target_limited", rng.choice((1, 1, 2)), for_s, hall))
+        drawn.append(Trouble(at_s, kind, rng.choice((1, 1, 2)), for_s, hall))
     for _ in range(rng.choice((0, 1, 2, 3))):
         at_s, for_s = rng.uniform(2.0, length_s - 3.0), rng.uniform(0.4, 3.0)
         hall = rng.choice(("", *halls))
-        drawn.append(Trouble(at_s, rng.choice(BESIDE_LIMITS), for_s=for_s, hall=hall))
+        drawn.append(Trouble(at_s, rng.choice(_TROUBLES), for_s=for_s, hall=hall))
     return sorted(drawn, key=lambda trouble: trouble.at_s)
--- a/ferrydock/emulator/_rests.py
+++ b/ferrydock/emulator/_rests.py
@@ -10,12 +10,11 @@
 
 from ..standins.fleet import Shedding
 from ._experiment import Trouble
-from ._limits import BESIDE_LIMITS
+from ._limits import KNOWN_AFTER_S, draw_said
 
 __all__ = ["RESTS_S", "describe_disturbed", "disturbed", "draw_rests"]
 
-# The numbers of the platform's rule.
-KNOWN_AFTER_S = 0.5
+# The number of the platform's rule.
 MAX_ARRIVALS = 2
 
 # Rests that are asked for, in seconds.
@@ -63,14 +62,4 @@
 def draw_rests(seed: int, length_s: float, halls: Sequence[str]) -> list[Trouble]:
     """Return targets that refuse all requests for a while, and troubles beside them."""
     rng = random.Random(f"rests {seed}")
-    drawn = []
-    for _ in range(rng.choice((1, 2, 3))):
-        at_s = rng.uniform(0.5, 5.0)
-        for_s = rng.uniform(3.0, length_s - at_s)
-        hall = rng.choice(("", *halls))
-        drawn.append(Trouble(at_s, "target_sheds", rng.choice((1, 1, 2)), for_s, hall))
-    for _ in range(rng.choice((0, 1, 2, 3))):
-        at_s, for_s = rng.uniform(2.0, length_s - 3.0), rng.uniform(0.4, 3.0)
-        hall = rng.choice(("", *halls))
-        drawn.append(Trouble(at_s, rng.choice(BESIDE_LIMITS), for_s=for_s, hall=hall))
-    return sorted(drawn, key=lambda trouble: trouble.at_s)
+    return draw_said(rng, "target_sheds", 5.0, 3.0, length_s, halls)
--- a/ferrydock/emulator/_target_troubles.py
+++ b/ferrydock/emulator/_target_troubles.py
@@ -150,11 +150,7 @@
     leaving = _used_target(parts, met.hall)
     if leaving is None or leaving.leaving_said is not None:
         return ""
-    name = f"{leaving.worker_id.split('+')[0]}+{parts.rng.getrandbits(32):08x}"
-    if leaving.worker_id in site.plain:
-        await site.add_plain(name, leaving.hall)
-    else:
-        await site.add_worker(name, leaving.hall, leaving.domain)
+    await _add_in_place_of(parts, leaving)
     site.say_leaving(leaving.worker_id)
     await asyncio.sleep(met.for_s)
     site.drain_worker(leaving.worker_id)
@@ -170,16 +166,22 @@
         leaving = _used_target(parts, met.hall)
         if leaving is None:
             continue
-        name = f"{leaving.worker_id.split('+')[0]}+{parts.rng.getrandbits(32):08x}"
-        if leaving.worker_id in site.plain:
-            await site.add_plain(name, leaving.hall)
-        else:
-            await site.add_worker(name, leaving.hall, leaving.domain)
+        await _add_in_place_of(parts, leaving)
         site.drain_worker(leaving.worker_id)
         replaced.append(leaving)
     return _names(replaced)
 
 
+async def _add_in_place_of(parts: PlayedParts, leaving: Worker) -> None:
+    """Let a new target join for one that leaves."""
+    site = parts.site
+    name = f"{leaving.worker_id.split('+')[0]}+{parts.rng.getrandbits(32):08x}"
+    if leaving.worker_id in site.plain:
+        await site.add_plain(name, leaving.hall)
+    else:
+        await site.add_worker(name, leaving.hall, leaving.domain)
+
+
 def _used_target(parts: PlayedParts, hall: str) -> Worker | None:
     """Return a target that takes requests, plain or the head of a replica; None for none."""
     kinds = [list(parts.site.plain.values()), parts.site.fleet.open_heads()]
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -113,9 +113,12 @@
         self._write_entry(worker)
         return worker
 
+    def _worker(self, worker_id: str) -> Worker:
+        return self.fleet.workers.get(worker_id) or self.plain[worker_id]
+
     def kill_worker(self, worker_id: str) -> None:
         """Let a worker fall silent for good."""
-        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker = self._worker(worker_id)
         worker.alive = False
         if worker_id in self.fleet.workers:
             self.fleet.kill(worker_id)
@@ -153,7 +156,7 @@
 
     def drain_worker(self, worker_id: str) -> None:
         """Let a worker say that it will leave."""
-        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker = self._worker(worker_id)
         worker.draining = True
         self._write_entry(worker)
         if worker.left_s is None:
@@ -161,25 +164,25 @@
 
     def limit_worker(self, worker_id: str, per_s: float) -> None:
         """Let a worker name a limit in its answers from now on."""
-        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker = self._worker(worker_id)
         worker.limit = NamedLimit(worker_id, per_s, asyncio.get_running_loop().time())
         self.record.limits.append(worker.limit)
 
     def end_limit(self, worker_id: str) -> None:
         """Let a worker name no limit any more."""
-        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker = self._worker(worker_id)
         worker.limit = None
 
     def shed_at_worker(self, worker_id: str, rest_s: float) -> Shedding:
         """Let a worker refuse all requests from now on, and ask for rest."""
-        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker = self._worker(worker_id)
         worker.shedding = Shedding(worker_id, rest_s)
         self.record.shed.append(worker.shedding)
         return worker.shedding
 
     def say_leaving(self, worker_id: str) -> LeavingSaid:
         """Let a worker say in its answers that it leaves; its entry does not say so yet."""
-        worker = self.fleet.workers.get(worker_id) or self.plain[worker_id]
+        worker = self._worker(worker_id)
         worker.leaving_said = LeavingSaid(worker_id)
         self.record.leaving_said.append(worker.leaving_said)
         return worker.leaving_said
