Choosing a target looks at rests only where a target has asked for one

Each request walked all endpoints of its service twice more, also where nothing rests; and which endpoints do not rest stood in two places of one class.

--- a/ferrydock/backpressure/_rests.py
+++ b/ferrydock/backpressure/_rests.py
@@ -44,6 +44,9 @@
     def __init__(self):
         self._rests: dict[str, _Rest] = {}
 
+    def __len__(self) -> int:
+        return len(self._rests)
+
     def count(self, target_ids: Container[str]) -> int:
         """Return how many of some targets rest."""
         return sum(target_id in target_ids for target_id in self._rests)
--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -145,8 +145,7 @@
         are ejected too: then the list of failures says more about this daemon than about them.
         """
         now_s = self.clock.now_s()
-        rests = self.catalog.rests
-        untried = [e for e in self._untried(exchange) if rests.left_s(e.target, now_s) <= 0]
+        untried = self._awake(exchange, now_s)
         healthy = [e for e in untried if not self.loads.is_ejected(e.target.target_id, now_s)]
         candidates = self._candidates(exchange, healthy or untried)
         endpoint = least_loaded(candidates, self.hall, DAEMON_SELECTION, self.rng)
@@ -159,6 +158,11 @@
         endpoints = self._endpoints(exchange)
         return [e for e in endpoints if e.target.target_id not in exchange.tried]
 
+    def _awake(self, exchange: Exchange, now_s: float) -> list[Endpoint]:
+        """Return the endpoints that a request may go to and that do not rest."""
+        rests = self.catalog.rests
+        return [e for e in self._untried(exchange) if rests.left_s(e.target, now_s) <= 0]
+
     async def _wait_for_rests(self, exchange: Exchange, until_s: float) -> bool:
         """Wait while all targets rest; return False at once if they do so for too long.
 
@@ -173,15 +177,16 @@
 
     def _resting_for_s(self, exchange: Exchange) -> float:
         """Return in how many seconds a target wants requests again; 0 if one does now."""
-        now_s = self.clock.now_s()
         rests = self.catalog.rests
+        if not rests:
+            return 0.0
+        now_s = self.clock.now_s()
         return min((rests.left_s(e.target, now_s) for e in self._untried(exchange)), default=0.0)
 
     def _is_kept_by_limits(self, exchange: Exchange) -> bool:
         """Return whether limits alone keep a request from all targets that it could go to."""
         now_s = self.clock.now_s()
-        rests = self.catalog.rests
-        awake = [e for e in self._untried(exchange) if rests.left_s(e.target, now_s) <= 0]
+        awake = self._awake(exchange, now_s)
         return bool(awake) and not any(
             self.pacer.may_send(e.target.target_id, now_s) for e in awake
         )
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -92,6 +92,8 @@
 
     def _resting(self, exchange: Exchange, now_s: float) -> tuple[str, ...]:
         """Return the ids of targets that want no request of this daemon now."""
+        if not self.catalog.rests:
+            return ()
         targets = (e.target for e in self._endpoints(exchange))
         resting = (t.target_id for t in targets if self.catalog.rests.left_s(t, now_s) > 0)
         return tuple(sorted(resting))
