--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -47,6 +47,8 @@
         self.parts = parts
         self.began_s = began_s
         self.store_hurts = store_hurts
+        self._sent_to = {call.request_id: call.daemon for call in parts.result.calls}
+        self._daemons = {daemon.name: daemon for daemon in parts.daemons}
 
     def judge(self, wanted_replicas: int) -> None:
         """Note which promises did not hold."""
@@ -80,8 +82,7 @@
         """Note requests that went on to targets that they crash, and others refused for it."""
         result = self.parts.result
         result.broken += describe_refused(result.calls)
-        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
-        sent_to = {call.request_id: daemons[call.daemon] for call in result.calls}
+        sent_to = {call.request_id: self._daemons[call.daemon] for call in result.calls}
 
         def is_well(request_id: str, at_s: float) -> bool:
             from_s = at_s - CONTACT_S
@@ -99,8 +100,7 @@
     def _judge_leaving(self) -> None:
         """Note requests that were sent to targets long after their word that they leave."""
         result = self.parts.result
-        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
-        sent_to = {call.request_id: daemons[call.daemon] for call in result.calls}
+        sent_to = {call.request_id: self._daemons[call.daemon] for call in result.calls}
 
         def is_well(request_id: str, from_s: float, to_s: float) -> bool:
             daemon = sent_to[request_id]
@@ -122,48 +122,47 @@
             late = after_its_word(
                 said,
                 lambda request_id: self.began_s + calls[request_id].at_s,
-                lambda request_id: calls[request_id].daemon,
+                self._daemon_of,
                 self._was_well,
             )
             for one in late[:1]:
-                daemon = calls[one.request_id].daemon
+                daemon = self._daemon_of(one.request_id)
                 result.broken.append(describe_late(one, daemon, one.at_s - self.began_s))
 
     def _judge_limits(self) -> None:
         """Note targets that got more requests than the limit they had named."""
         result = self.parts.result
-        sent_to = {call.request_id: call.daemon for call in result.calls}
         for limit in self.parts.site.record.limits:
             result.at_limited += len(limit.arrived)
-            for at_s, count in excess(limit, sent_to.__getitem__, self._was_well)[:1]:
+            for at_s, count in excess(limit, self._daemon_of, self._was_well)[:1]:
                 result.broken.append(describe_excess(limit, at_s - self.began_s, count))
 
     def _judge_rests(self) -> None:
         """Note targets that got requests from daemons that they had asked for rest."""
         result = self.parts.result
-        sent_to = {call.request_id: call.daemon for call in result.calls}
         for shedding in self.parts.site.record.shed:
             result.shed += len(shedding.refused)
-            found = disturbed(shedding, sent_to.__getitem__, self._was_well)
+            found = disturbed(shedding, self._daemon_of, self._was_well)
             for at_s, daemon, count in found[:1]:
                 since_s = at_s - self.began_s
                 result.broken.append(describe_disturbed(shedding, daemon, since_s, count))
 
+    def _daemon_of(self, request_id: str) -> str:
+        return self._sent_to[request_id]
+
     def _was_well(self, daemon: str, from_s: float, to_s: float) -> bool:
         """Return whether nothing was done to a daemon, by its name, between two loop times."""
-        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
-        return daemons[daemon].was_well(to_s, to_s - from_s)
+        return self._daemons[daemon].was_well(to_s, to_s - from_s)
 
     def _judge_unconfirmed(self) -> None:
         """Note requests refused for an old configuration by daemons that were well for long."""
-        daemons = {daemon.name: daemon for daemon in self.parts.daemons}
         for call in self.parts.result.calls:
             if call.code != UNCONFIRMED:
                 continue
             at_s = self.began_s + call.at_s
             from_s = at_s - IN_FORCE_S
             is_hurt = any(hurt.touches(call.daemon, from_s, at_s) for hurt in self.store_hurts)
-            if not is_hurt and daemons[call.daemon].was_well(at_s, IN_FORCE_S):
+            if not is_hurt and self._daemons[call.daemon].was_well(at_s, IN_FORCE_S):
                 self.parts.result.broken.append(
                     f"unconfirmed: {call.request_id} refused by {call.daemon} at {call.at_s:.2f} s"
                 )
