A slow store is not taken for a silent one: reads of the configuration overlap

Callers saw: while each answer of the store took 1.05 s or more, every request with a key was refused as configuration_unconfirmed, although the bound on revoked keys is 5 s.

Cause: one limit, 1.0 s, stood for how soon a silent call is followed by another one and for how long its answer is of use. Every answer was dropped just before it came, and asked anew.

Why it works: a read writes nothing, so nothing is gained by dropping it. After 1 s without an answer another read begins beside it, with the back-off as before; the answer of either counts by the start of its own call. Overlapping reads keep their own known revisions, and an answer that began before one already applied changes no evacuation. The read before the bound on keys, which shortened the back-off, is made by a confirmer like the target list's.

--- a/ferrydock/configuration/_source.py
+++ b/ferrydock/configuration/_source.py
@@ -54,8 +54,11 @@
 class ConfigurationSource(Protocol):
     """Reads and decodes the operator's configuration."""
 
-    async def read(self) -> ConfigurationRead | Unavailable:
-        """Read the newest configuration as of the start of this call, or later."""
+    async def read(self, is_on_new_connection: bool = False) -> ConfigurationRead | Unavailable:
+        """Read the newest configuration as of the start of this call, or later.
+
+        Reads may overlap: a slow one still counts when a later one has begun or ended.
+        """
 
     def decode(self, encoded: bytes) -> Configuration | ConfigurationUnreadable:
         """Decode a stored value that another daemon has relayed."""
--- a/ferrydock/platform/_configuration.py
+++ b/ferrydock/platform/_configuration.py
@@ -82,6 +82,10 @@
     their keys (0 for one that does not exist), so that one answer confirms both. The keys of more
     halls than fit into it are read by further transactions before it; the result then has the
     position of the first of them, since a key that it covers may change before the last.
+
+    Reads may overlap. Each has its own copy of the known revisions, since its result must not mix
+    them with those that another read learns meanwhile; the one that ends last leaves its copy, and
+    the conditions of the next read show whether it is still right.
     """
 
     __slots__ = ("_evacuation_keys", "_evacuation_revisions", "_position", "_route_cache", "_store")
@@ -95,26 +99,28 @@
         self._position = Position()
         self._route_cache = RouteCache()
 
-    async def read(self) -> ConfigurationRead | Unavailable:
+    async def read(self, is_on_new_connection: bool = False) -> ConfigurationRead | Unavailable:
         """Read the configuration; the result is at least as new as the start of this call."""
         if self._position.era != self._store.era:
             self._position = Position(self._store.era)
             self._evacuation_revisions = {}
-        known = self._position
+        known, revisions = self._position, dict(self._evacuation_revisions)
         first_keys, *further_keys = self._evacuation_keys_by_txn()
         complete_to: Position | None = None
         for keys in further_keys:
-            done = await self._transact(keys, known)
+            done = await self._transact(keys, known, revisions, is_on_new_connection)
             if isinstance(done, Unavailable):
                 return done
             complete_to = complete_to or done.position
-        done = await self._transact((CONFIGURATION_KEY, *first_keys), known)
+        all_keys = (CONFIGURATION_KEY, *first_keys)
+        done = await self._transact(all_keys, known, revisions, is_on_new_connection)
         if isinstance(done, Unavailable):
             return done
         complete_to = complete_to or done.position
         if complete_to.era != done.era:
             return Unavailable("the store came back older between two transactions")
-        evacuated = self._evacuated_halls()
+        self._evacuation_revisions = revisions
+        evacuated = self._evacuated_halls(revisions)
         if done.succeeded:
             if known.revision == 0:
                 return Unavailable("there is no configuration yet")
@@ -140,7 +146,7 @@
             return ConfigurationRead(ConfigurationUnchanged(), complete_to, known, evacuated)
         decoded = self.decode(item.value)
         if isinstance(decoded, Configuration):
-            self._position = written
+            self._position = max(self._position, written)
         return ConfigurationRead(decoded, complete_to, written, evacuated)
 
     def _evacuation_keys_by_txn(self) -> list[tuple[str, ...]]:
@@ -150,33 +156,38 @@
         starts = range(first_count, len(keys), _MAX_TXN_ENTRIES)
         return [keys[:first_count], *(keys[i : i + _MAX_TXN_ENTRIES] for i in starts)]
 
-    async def _transact(self, keys: tuple[str, ...], known: Position) -> TxnDone | Unavailable:
+    async def _transact(
+        self,
+        keys: tuple[str, ...],
+        known: Position,
+        evacuation_revisions: dict[str, int],
+        is_on_new_connection: bool,
+    ) -> TxnDone | Unavailable:
         """Make a transaction that expects the known revisions of `keys` and writes nothing.
 
         Updates the known revisions of the evacuation keys among them; those of an older era are
         dropped.
         """
-        revisions = {**self._evacuation_revisions, CONFIGURATION_KEY: known.revision}
+        revisions = {**evacuation_revisions, CONFIGURATION_KEY: known.revision}
         conditions = tuple(Compare(key, revisions.get(key, 0)) for key in keys)
-        done = await self._store.transact(Txn(conditions, (), keys, known.era))
+        txn = Txn(conditions, (), keys, known.era)
+        done = await self._store.transact(txn, is_on_new_connection=is_on_new_connection)
         if isinstance(done, Unavailable | Unknown):
             return Unavailable(done.reason)
         if not done.succeeded:
             if done.era != known.era:
-                self._evacuation_revisions = {}
+                evacuation_revisions.clear()
             for key, item in zip(keys, done.reads, strict=True):
                 if key != CONFIGURATION_KEY:
-                    self._evacuation_revisions[key] = item.mod_revision if item else 0
+                    evacuation_revisions[key] = item.mod_revision if item else 0
         return done
 
-    def _evacuated_halls(self) -> frozenset[str] | None:
+    def _evacuated_halls(self, revisions: Mapping[str, int]) -> frozenset[str] | None:
         """Return the halls whose evacuation keys exist; None if the deployment has none."""
         if self._evacuation_keys is None:
             return None
         return frozenset(
-            key.removeprefix(EVACUATION_PREFIX)
-            for key, revision in self._evacuation_revisions.items()
-            if revision
+            key.removeprefix(EVACUATION_PREFIX) for key, revision in revisions.items() if revision
         )
 
     def decode(self, encoded: bytes) -> Configuration | ConfigurationUnreadable:
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -52,6 +52,11 @@
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
 
+# Limit on a transaction without writes. Dropping it resolves nothing, and a store that answers all
+# calls later than a short limit would seem to answer none. An older answer no longer confirms the
+# configuration for requests with keys (`configuration.max_keyed_age_s` of the known sites: 4.6 s).
+READ_ONLY_TXN_TIMEOUT_S = 4.5
+
 # Renewals of a lease reuse the connection: they come every 0.5 s.
 IDLE_CONNECTION_TIMEOUT_S = 10.0
 
@@ -168,14 +173,23 @@
             if page.is_last:
                 return RangeDone(tuple(items), first.revision, first.era)
 
-    async def transact(self, txn: Txn) -> TxnDone | Unavailable | Unknown:
+    async def transact(
+        self, txn: Txn, is_on_new_connection: bool = False
+    ) -> TxnDone | Unavailable | Unknown:
         """Commit writes if their conditions hold.
 
         After `Unknown` the transaction may have been committed, or may be committed later.
         """
         if txn.era is not None and txn.era < self.era:
             return Unavailable("the conditions were read in an older era of the store")
-        answer = await self._call("POST", "/kv-txn", body=encode_txn(txn), key=_key_of(txn))
+        answer = await self._call(
+            "POST",
+            "/kv-txn",
+            body=encode_txn(txn),
+            timeout_s=CALL_TIMEOUT_S if txn.success else READ_ONLY_TXN_TIMEOUT_S,
+            key=_key_of(txn),
+            is_on_new_connection=is_on_new_connection,
+        )
         if isinstance(answer, Unavailable | Unknown):
             return answer
         if answer.status == OK:
--- a/ferrydock/platform/tests/test_evacuation_reads.py
+++ b/ferrydock/platform/tests/test_evacuation_reads.py
@@ -26,7 +26,7 @@
         self.sent = []
         self.fails_at = 0
 
-    async def transact(self, txn):
+    async def transact(self, txn, is_on_new_connection=False):
         self.sent.append(encode_txn(txn))
         if len(self.sent) == self.fails_at:
             return Unavailable("no answer")
@@ -100,7 +100,7 @@
 
     __slots__ = ("change",)
 
-    async def transact(self, txn):
+    async def transact(self, txn, is_on_new_connection=False):
         done = await super().transact(txn)
         if len(self.sent) == 3:
             self.change()
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -21,6 +22,7 @@
 from ..freshness import (
     UNANSWERED_S,
     AgeAlarm,
+    ChangeBudget,
     Confirmation,
     Confirmer,
     EraSettling,
@@ -56,10 +58,19 @@
 MAX_SOON_REPEATED_COUNT = 4
 LATE_REPEAT_S = 5.0
 
-# How long before requests with keys would be refused an outdated configuration is read once more.
-# Longer than two answers of the store take, since the call that notices a new era is repeated.
+# How long a read of the configuration may be without an answer before a further one begins beside
+# it. The answer of the first still counts: a slow store answers each call, only late.
+READ_OVERDUE_S = 1.0
+
+# How long before requests with keys would be refused an outdated configuration is read beside the
+# periodic reads. Longer than two answers of the store take, since the call that notices a new era
+# is repeated.
 READ_BEFORE_REFUSING_S = 0.3
 
+# How long a request with a key waits at most for a read of an outdated configuration before it is
+# refused: two calls, the second on a new connection.
+MAX_KEYED_HOLD_S = 0.5
+
 # How long a daemon waits at the first start of a site for updates from its hall leader before it
 # reads the store itself.
 FIRST_START_WAIT_S = 0.8
@@ -92,10 +103,18 @@
         Local time at which the last successful read of the configuration began.
     list_confirmer : Confirmer
         Confirms the target list by calls of its own, and holds requests while it is too old.
+    configuration_confirmer : Confirmer
+        The same for the configuration, and for requests with keys.
+    max_keyed_age_s : callable
+        Returns the age of the configuration up to which requests with keys are served, in seconds;
+        by default that of the settings at the start.
     """
 
     __slots__ = (
         "_age_alarm",
+        "_configuration_reads",
+        "_read_answered",
+        "_read_failure",
         "_wait_began_s",
         "_check_backoff",
         "_first_position_in_era",
@@ -104,6 +123,7 @@
         "_is_reading_full_list",
         "_reading_task",
         "clock",
+        "configuration_confirmer",
         "confirmations",
         "current",
         "deployment",
@@ -111,6 +131,7 @@
         "evacuated",
         "leadership",
         "list_confirmer",
+        "max_keyed_age_s",
         "on_change",
         "last_read_began_s",
         "rng",
@@ -147,6 +168,20 @@
         self._is_store_reached = True
         self._last_read_version = -1
         self._is_reading_full_list = False
+        self._configuration_reads: set[asyncio.Task[bool]] = set()
+        self._read_answered = asyncio.Event()
+        self._read_failure = ""
+        self.max_keyed_age_s: Callable[[], float] = lambda: max_keyed_age_s(
+            deployment.settings.freshness_s
+        )
+        self.configuration_confirmer = Confirmer(
+            self._keyed_age_s,
+            self._read_configuration,
+            self._keyed_budget(),
+            # The periodic reads go on; `Confirmer` itself asks again after a standstill.
+            lambda failed_attempts: math.inf,
+            self.clock,
+        )
         self.list_confirmer = Confirmer(
             self._list_age_s,
             self._confirm_list,
@@ -156,48 +191,99 @@
         )
 
     async def follow_configuration(self) -> None:
-        """Read the configuration periodically while the hall leader does not relay it."""
+        """Read the configuration periodically while the hall leader does not relay it.
+
+        A read without an answer for `READ_OVERDUE_S` counts as failed for the back-off, but goes on
+        beside the next one: dropped, a store that takes longer than that for each answer would look
+        like one that does not answer at all.
+        """
         backoff = StoreBackoff(self.rng)
         await self._wait_for_leader()
-        while True:
-            if self.leadership.is_relayed:
-                backoff.reset()
-                await asyncio.sleep(RELAYED_CHECK_S)
-                continue
-            began_s, era = self.clock.now_s(), self.settling.store.era
-            read = await self.deployment.configuration_source.read()
-            if isinstance(read, Unavailable):
-                self._log_store_state(self.current.lookup is None, read.reason)
-                await self._pause_in_era(era, self._configuration_pause_s(backoff))
-                continue
-            backoff.reset()
-            self._log_store_state(True)
-            self.list_confirmer.note_store_reached()
-            now_s = self.clock.now_s()
-            for confirmation in self.confirmations:
-                confirmation.note_store(read.store_position, began_s, now_s)
-            self.settling.check_era(self.directory.position)
-            self.last_read_began_s = began_s
-            if read.evacuated_halls is not None:
-                self.evacuated.apply_read(read.evacuated_halls, read.store_position, began_s)
-            self._apply_configuration(read, began_s)
-            await asyncio.sleep(self._until_next_read_s())
-
-    def _configuration_pause_s(self, backoff: StoreBackoff) -> float:
-        """Return the pause after a failed read of the configuration, in seconds.
-
-        A pause that would last beyond the age up to which requests with keys are served is
-        shortened, so that one more read takes place before that: a follower's back-off reaches
-        2.4 s, and a store that has come back in the meantime would be noticed too late. Later
-        pauses are as long as the back-off, which limits the calls during a long outage.
+        try:
+            while True:
+                if self.leadership.is_relayed:
+                    backoff.reset()
+                    await asyncio.sleep(RELAYED_CHECK_S)
+                    continue
+                era = self.settling.store.era
+                if await self._read_in_time():
+                    backoff.reset()
+                    await asyncio.sleep(self._until_next_read_s())
+                    continue
+                self._log_store_state(self.current.lookup is None, self._read_failure)
+                await self._pause_in_era(era, self._failure_pause_s(backoff))
+                if self._read_answered.is_set():
+                    backoff.reset()
+        finally:
+            for read in self._configuration_reads:
+                read.cancel()
+
+    async def _read_in_time(self) -> bool:
+        """Begin a read; return whether it or an earlier one is answered within `READ_OVERDUE_S`."""
+        self._read_answered.clear()
+        self._read_failure = f"no answer of the store for {READ_OVERDUE_S} s"
+        read = asyncio.get_running_loop().create_task(self._read_configuration())
+        self._configuration_reads.add(read)
+        read.add_done_callback(self._configuration_reads.discard)
+        answered = asyncio.ensure_future(self._read_answered.wait())
+        try:
+            await asyncio.wait(
+                {read, answered}, timeout=READ_OVERDUE_S, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            answered.cancel()
+        if read.done():
+            read.result()  # raises if an invariant was broken
+        return self._read_answered.is_set()
+
+    async def _read_configuration(self, is_on_new_connection: bool = False) -> bool:
+        """Read the configuration and apply the result; return whether the store answered."""
+        began_s = self.clock.now_s()
+        read = await self.deployment.configuration_source.read(is_on_new_connection)
+        if isinstance(read, Unavailable):
+            self._read_failure = read.reason
+            return False
+        self._log_store_state(True)
+        self.list_confirmer.note_store_reached()
+        now_s = self.clock.now_s()
+        for confirmation in self.confirmations:
+            confirmation.note_store(read.store_position, began_s, now_s)
+        self.settling.check_era(self.directory.position)
+        is_latest = began_s >= self.last_read_began_s
+        self.last_read_began_s = max(began_s, self.last_read_began_s)
+        if read.evacuated_halls is not None and is_latest:
+            self.evacuated.apply_read(read.evacuated_halls, read.store_position, began_s)
+        self._apply_configuration(read, began_s)
+        self._read_answered.set()
+        return True
+
+    def _keyed_age_s(self, now_s: float) -> float | None:
+        """Return the age of the configuration in seconds, or None while no read can confirm it.
+
+        Before the first configuration the periodic reads are as urgent, and while a new era of the
+        store settles a read seldom confirms anything.
         """
-        pause_s = self._failure_pause_s(backoff)
-        max_age_s = max_keyed_age_s(self.deployment.settings.freshness_s) - READ_BEFORE_REFUSING_S
-        left_s = max_age_s - self.current.age_s(self.clock.now_s())
-        return min(pause_s, left_s) if left_s > 0 else pause_s
+        if self.current.confirmed_s is None or not self.settling.is_settled():
+            return None
+        return self.current.age_s(now_s)
+
+    def _keyed_budget(self) -> ChangeBudget:
+        """Return at which age the configuration is read beside, and how long requests wait."""
+        max_age_s = self.max_keyed_age_s()
+        return ChangeBudget(
+            max(0.0, max_age_s - READ_BEFORE_REFUSING_S), max_age_s, MAX_KEYED_HOLD_S
+        )
+
+    def _step_configuration_confirmer(self) -> None:
+        """Read an outdated configuration beside the periodic reads, unless it is relayed in time.
+
+        The bound is a setting that may change while the daemon runs.
+        """
+        self.configuration_confirmer.budget = self._keyed_budget()
+        self.configuration_confirmer.step()
 
     async def _pause_in_era(self, era: int, pause_s: float) -> None:
-        """Pause after a failed read that began in `era`, until a newer era of the store is known.
+        """Pause after a failed read that began in `era`, until an answer or a newer era is known.
 
         A newer era shows that the store answers again. Until it has settled, a configuration is
         confirmed only if it was written after this daemon's first read of that era, so a late first
@@ -205,6 +291,8 @@
         """
         until_s = self.clock.now_s() + pause_s
         while (remaining_s := until_s - self.clock.now_s()) > 0 and self.settling.store.era == era:
+            if self._read_answered.is_set():
+                return
             await asyncio.sleep(min(RELAYED_CHECK_S, remaining_s))
 
     def _until_next_read_s(self) -> float:
@@ -236,6 +324,7 @@
             while True:
                 self.settling.check_era(self.directory.position)
                 self.list_confirmer.step()
+                self._step_configuration_confirmer()
                 is_relayed = self.leadership.is_relayed
                 if not is_relayed and self._is_overdue(self.clock.now_s()):
                     self.list_confirmer.request()
@@ -246,6 +335,7 @@
                 await asyncio.sleep(LIST_CHECK_S)
         finally:
             self.list_confirmer.cancel()
+            self.configuration_confirmer.cancel()
             self._stop_reading_targets()
 
     def _stop_reading_targets(self) -> None:
--- a/ferrydock/route_daemon/tests/test_change_delay.py
+++ b/ferrydock/route_daemon/tests/test_change_delay.py
@@ -88,7 +88,7 @@
         self.batch_window_s = 0.2
         self.version = -1
 
-    async def read(self):
+    async def read(self, is_on_new_connection=False):
         position = Position(0, 1)
 
         async def answer():
--- a/ferrydock/route_daemon/tests/test_new_era.py
+++ b/ferrydock/route_daemon/tests/test_new_era.py
@@ -86,7 +86,7 @@
         self.written = written
         self.version = -1
 
-    async def read(self):
+    async def read(self, is_on_new_connection=False):
         era = self.connection.era
         read = await self.connection.range("op/config")
         if isinstance(read, Unavailable) or self.connection.era != era:
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -92,7 +92,7 @@
         await asyncio.sleep(CALL_S)
         return Unavailable("busy") if self.is_busy else answer()
 
-    async def read(self):
+    async def read(self, is_on_new_connection=False):
         self.reads += 1
         return await self.call(
             lambda: ConfigurationRead(ConfigurationUnchanged(), Position(0, self.revision))
@@ -322,7 +322,7 @@
         self.read_era = 0
         self.stored = (9, 300)  # version, and the revision at which it was written
 
-    async def read(self):
+    async def read(self, is_on_new_connection=False):
         version, written = self.stored
         is_same = (self.read_era, self.read_version) == (self.era, version)
         self.read_era, self.read_version = self.era, version
@@ -501,7 +501,7 @@
         super().__init__()
         self.evacuated = frozenset({"a"})
 
-    async def read(self):
+    async def read(self, is_on_new_connection=False):
         found = await super().read()
         return (
             found
