A request with a key waits for the store once instead of being refused after a standstill

Callers saw: after a process had stood still for longer than the bound on keys, all requests read in its first turns got 503 configuration_unconfirmed, although the store answered.

Cause: the age of the configuration was compared with the bound, and nothing asked the store at that moment; the target list is confirmed by a call for which a request waits.

The bound is the live setting, as at the gateway.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -21,6 +21,7 @@
     WeightedService,
 )
 from ..crashes import IDENTIFIED_BODY_BYTES, request_identity
+from ..freshness import Confirmer
 from ..invariants import require
 from ..logs import log_event
 from ..outcomes import Invalid
@@ -103,6 +104,9 @@
 
     Attributes
     ----------
+    confirmer : Confirmer or None
+        Reads an outdated configuration before a request with a key is refused; None for a
+        configuration that does not come from a store.
     stopping : bool
         Whether connections are closed after their next answer, since the daemon will stop.
     has_stopped_listening : bool
@@ -121,6 +125,7 @@
         "_sockets",
         "address",
         "clock",
+        "confirmer",
         "current",
         "dialect",
         "forwarder",
@@ -147,6 +152,7 @@
         self.max_age_s = max_age_s
         self.clock = clock
         self.rng = rng
+        self.confirmer: Confirmer | None = None
         self.stopping = False
         self.has_stopped_listening = False
         self.in_flight = 0
@@ -295,21 +301,29 @@
             )
             return refusal(BAD_REQUEST, "bad_request", None)
         caller_connection(request).request_id = inbound.request_id
-        route = lookup.route(request.headers.get("Host", ""), request.raw_path)
+        route = _find_route(lookup, request)
+        if self.confirmer is not None and _needs_key(lookup, route) and self._is_outdated():
+            await self.confirmer.wait_until_recent()
+            lookup = require(self.current.lookup, "the configuration")
+            route = _find_route(lookup, request)
         if route is None:
             return refusal(NOT_FOUND, "no_route", None)
         if not was_read_before_stop:
             return self._refuse_stopping(inbound, route)
         team: Team | None = None
-        if lookup.has_teams and not route.public:
-            found = self._authenticate(inbound, lookup, route, now_s)
+        if _needs_key(lookup, route):
+            found = self._authenticate(inbound, lookup, route)
             if isinstance(found, web.Response):
                 return found
             team = found
         return await self._forward(request, inbound, lookup, route, team, now_s)
 
+    def _is_outdated(self) -> bool:
+        """Return whether the configuration is too old for accepting a key."""
+        return self.current.age_s(self.clock.now_s()) > self.max_age_s()
+
     def _authenticate(
-        self, inbound: Inbound, lookup: ConfigurationLookup, route: Route, now_s: float
+        self, inbound: Inbound, lookup: ConfigurationLookup, route: Route
     ) -> Team | web.Response:
         """Return the team that a request's key belongs to, or the response that refuses it.
 
@@ -317,7 +331,7 @@
         been revoked. With an outdated configuration the response is 503 and not 401, so that a
         caller with a valid key retries.
         """
-        if self.current.age_s(now_s) > self.max_age_s():
+        if self._is_outdated():
             self._log_refused(inbound, route, "configuration_unconfirmed")
             return refusal(SERVICE_UNAVAILABLE, "configuration_unconfirmed", NOT_CONFIGURED_RETRY_S)
         team = lookup.team(inbound.key)
@@ -397,6 +411,14 @@
         )
 
 
+def _find_route(lookup: ConfigurationLookup, request: web.BaseRequest) -> Route | None:
+    return lookup.route(request.headers.get("Host", ""), request.raw_path)
+
+
+def _needs_key(lookup: ConfigurationLookup, route: Route | None) -> bool:
+    return route is not None and lookup.has_teams and not route.public
+
+
 def _head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head as the caller sent it."""
     line = len(request.method) + len(request.raw_path) + REQUEST_LINE_OVERHEAD_BYTES
--- a/ferrydock/platform/tests/test_slow_store.py
+++ b/ferrydock/platform/tests/test_slow_store.py
@@ -1,6 +1,8 @@
-"""Requests with keys while the store is late to answer."""
+"""Requests with keys while the store is late to answer, and after their daemon stood still."""
 
 import asyncio
+import time
+from dataclasses import replace
 
 import pytest
 
@@ -42,3 +44,32 @@
             assert statuses.count(200) == len(statuses)
 
     run_scenario(scenario)
+
+
+def test_a_request_read_after_a_standstill_waits_for_the_store_instead_of_being_refused(tmp_path):
+    """Failure: the first turn after waking refused all requests, although the store answered."""
+
+    async def scenario():
+        async with Site(tmp_path) as site:
+            daemon = await site.start_daemon("one")
+            version = site.site.write_configuration()
+            await site.wait_until(
+                lambda: daemon.current.version == version and daemon.directory.loaded
+            )
+            daemon.live_settings.current = replace(daemon.settings, freshness_s=2.0)
+            daemon.live_settings.read = lambda: daemon.settings
+            assert (await send_request(daemon, "/look/x"))[0] == 200
+            host, port = daemon.gateway.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.1)  # until the connection is accepted
+            writer.write(
+                b"POST /look/x HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: 00ff\r\n"
+                b"X-Deadline-Ms: 4000\r\nContent-Length: 2\r\nConnection: close\r\n"
+                b"Authorization: Bearer key-acme\r\n\r\nhi"
+            )
+            time.sleep(2.2)  # stands for a process that is suspended
+            async with asyncio.timeout(6.0):
+                assert (await reader.read(-1)).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+    run_scenario(scenario)
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -276,6 +276,8 @@
         )
         send_check = self.gateway.forwarder.attempts.send_check
         send_check.confirmer = self.store_follower.list_confirmer
+        self.store_follower.max_keyed_age_s = self._max_keyed_age_s
+        self.gateway.confirmer = self.store_follower.configuration_confirmer
 
     def _leadership_arguments(self, hall: str) -> tuple:
         """Return the constructor arguments common to the leaderships of all halls."""
