crashes: a termination that several attempts notice one after another counts once

Callers saw: a harmless request that many callers send was refused as crashes_targets for up to 60 s (90 s at other daemons) when half of all targets crashed several times at once.

Cause: attempts that are sent to a terminated target before all daemons know of its end break one after another. Each began after the one before had ended, so each counted as a further consecutive crash.

Why it works: a crash at a target within SAME_TERMINATION_S of one that counts is the same termination, as where the requests beside a crash are compared. A process takes longer to start again, so a request that does crash its targets is found as before.

The new test failed before (8 counted instead of 2). Their checks are unchanged.

--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -83,11 +83,13 @@
     """Return the longest sequence of crashes in which each attempt began after the previous crash.
 
     Overlapping attempts count once: when many targets crash at once, a request that many callers
-    send was running on several of them.
+    send was running on several of them. So does each termination of a target: attempts that are
+    sent to it before all daemons know of its end break one after another.
     """
     consecutive: list[Crash] = []
     for crash in sorted(crashes, key=lambda crash: crash.ended_s):
-        if not consecutive or crash.began_s > consecutive[-1].ended_s:
+        is_later = not consecutive or crash.began_s > consecutive[-1].ended_s
+        if is_later and not is_same_termination(crash, consecutive):
             consecutive.append(crash)
     return consecutive
 
--- a/ferrydock/crashes/tests/test_history.py
+++ b/ferrydock/crashes/tests/test_history.py
@@ -1,5 +1,6 @@
 """Which requests are refused because they crash targets, for how long, and at which daemons."""
 
+import itertools
 import random
 
 import pytest
@@ -30,6 +31,7 @@
         self.clocks = [ManualClock(1000.0 * (n + 1)) for n in range(count)]
         self.histories = [CrashHistory(clock, RecordingListener()) for clock in self.clocks]
         self.exchanges = [CrashExchange(history) for history in self.histories]
+        self.target_numbers = itertools.count()
 
     def advance(self, seconds):
         for clock in self.clocks:
@@ -67,8 +69,9 @@
 
 
 def crash_consecutively(daemons, identity, count, number=0):
-    for n in range(count):
-        daemons.crash(number, identity, f"{identity}-t{n}")
+    """Let a daemon observe crashes of `count` targets that no earlier crash was at."""
+    for _ in range(count):
+        daemons.crash(number, identity, f"{identity}-t{next(daemons.target_numbers)}")
         daemons.advance(0.3)
 
 
@@ -100,6 +103,32 @@
     assert history.consecutive_crashes_of("hot") == 2 and history.admit("hot") == 0
 
 
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_termination_that_several_attempts_notice_one_after_another_counts_once(is_answered):
+    """Failure: attempts sent to two terminated targets refused a request that many callers send."""
+    daemons = Daemons(4)
+    if is_answered:
+        for history in daemons.histories:
+            history.note_answer("shared")
+    for target_id, before_next_s in (("t0", 0.4), ("t1", 0.2)):
+        for attempt in range(4):
+            daemons.crash(attempt, "shared", target_id, ran_s=0.12)
+            daemons.advance(before_next_s if attempt == 3 else 0.15)
+    for _ in range(2):
+        daemons.sync_all()
+    counts = [history.consecutive_crashes_of("shared") for history in daemons.histories]
+    assert counts == [2, 2, 2, 2]
+    assert all(history.admit("shared") == 0 for history in daemons.histories)
+
+
+def test_a_target_that_restarts_and_terminates_again_counts_again(single_daemon):
+    daemons, history = single_daemon
+    for _ in range(3):
+        daemons.crash(0, "r", "t0")
+        daemons.advance(2.0)
+    assert history.consecutive_crashes_of("r") == 3 and history.refused_for_s("r") > 0
+
+
 def test_a_request_sharing_targets_with_the_cause_is_released_by_a_further_crash_of_the_cause(
     single_daemon,
 ):
