Sight on slow answers of the store, in the daemon's log and in the emulation's

No change of behaviour. A daemon logs a call that took 0.5 s or more with its result (store_call_slow), and a play that broke a promise prints, second by second, how many calls the emulated store read, how many it answered to a closed connection, and the slowest. So a store that was not read, one that is slow and one that is silent can be told apart.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -277,7 +277,9 @@
             f"a worker was slow to answer: {p.at_s:.2f} s for {p.for_s:.2f} s"
             for p in result.slow_answers
         ]
-        text = "\n".join((*result.broken, *excused, *stalls, *slow, *result.troubles)) + "\n"
+        store = [f"emulated store, {line}" for line in result.store_answers]
+        text = "\n".join((*result.broken, *excused, *stalls, *slow, *store, *result.troubles))
+        text += "\n"
         (logs / "broken.txt").write_text(text)
     return result.broken
 
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -33,6 +33,7 @@
     find_end_fault,
     is_as_promised,
 )
+from ._store_answers import describe_store_answers
 from ._troubles import EmulationParts
 
 __all__ = ["PromiseChecker"]
@@ -97,6 +98,8 @@
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
+        answered = [call for face in self.parts.site.stores for call in face.answered]
+        result.store_answers = describe_store_answers(answered, self.load_began_s)
         for face in self.parts.site.stores:
             for kind, count in face.calls.items():
                 result.store_calls[kind] = result.store_calls.get(kind, 0) + count
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -43,6 +43,8 @@
     slow_answers : list of Pause
         Times in which a worker took longer to answer than daemons wait before they consider it
         dead.
+    store_answers : list of str
+        The answers of the emulated store in each second since the load began.
     stops : list of PlannedStop
         Planned stops with callers connected until the process ended.
     stop_calls : int
@@ -76,6 +78,7 @@
     replicas_at_end: int = 0
     stood_still: list[Pause] = field(default_factory=list)
     slow_answers: list[Pause] = field(default_factory=list)
+    store_answers: list[str] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     stop_calls: int = 0
     crashes: int = 0
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -57,6 +57,9 @@
 # configuration for requests with keys (`configuration.max_keyed_age_s` of the known sites: 4.6 s).
 READ_ONLY_TXN_TIMEOUT_S = 4.5
 
+# A call that takes longer is logged, unless it is a watch: a slow store answers, a silent one not.
+SLOW_CALL_S = 0.5
+
 # Renewals of a lease reuse the connection: they come every 0.5 s.
 IDLE_CONNECTION_TIMEOUT_S = 10.0
 
@@ -321,6 +324,7 @@
         """
         data = orjson.dumps(body) if body is not None else None
         kind = path.split("/")[1]
+        began_s = asyncio.get_running_loop().time()
         self.call_counts.count(kind, _caller(kind, key, self.call_counts.own_hall))
         try:
             async with (
@@ -332,7 +336,7 @@
                 encoded = await response.read()
                 fields = orjson.loads(encoded) if encoded else {}
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            self._count_call(kind, "unreached")
+            self._count_call(kind, "unreached", began_s)
             return Unavailable(f"the store was not reached: {type(error).__name__}")
         except (
             TimeoutError,
@@ -340,9 +344,9 @@
             ConnectionError,
             orjson.JSONDecodeError,
         ) as error:
-            self._count_call(kind, "unanswered")
+            self._count_call(kind, "unanswered", began_s)
             return Unknown(f"no answer of the store: {type(error).__name__}")
-        self._count_call(kind, str(response.status))
+        self._count_call(kind, str(response.status), began_s)
         era = self._read_era(response.headers.get(ERA_HEADER))
         if era < self.era:
             return Unknown("an answer of an older era of the store")
@@ -370,9 +374,20 @@
         self.raise_era(era)
         return era
 
-    def _count_call(self, kind: str, result: str) -> None:
+    def _count_call(self, kind: str, result: str, began_s: float) -> None:
+        """Count a call that began at loop time `began_s`, and log it if it was slow."""
         name = f"{kind}_{result}"
         self.calls[name] = self.calls.get(name, 0) + 1
+        took_s = asyncio.get_running_loop().time() - began_s
+        if took_s >= SLOW_CALL_S and kind != "kv-watch":
+            log_event(
+                _LOG,
+                logging.WARNING,
+                "store_call_slow",
+                kind=kind,
+                result=result,
+                took_ms=took_s * 1000,
+            )
 
 
 def _key_of(txn: Txn) -> str:
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -3,7 +3,7 @@
 from ._caller import request_bytes
 from ._ports import FleetControl, FleetList
 from ._site import WRITTEN_AGAIN_S, FleetSite, small_engine
-from ._store_http import StoreFace, StoreFaults
+from ._store_http import StoreCall, StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
 from ._worker_http import (
     CRASHING_BODY,
@@ -42,6 +42,7 @@
     "RunRecord",
     "Shedding",
     "SocketSizes",
+    "StoreCall",
     "StoreFace",
     "StoreFaults",
     "StreamFaults",
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -22,7 +22,7 @@
     prefix_end,
 )
 
-__all__ = ["StoreFace", "StoreFaults"]
+__all__ = ["StoreCall", "StoreFace", "StoreFaults"]
 
 PAGE_SIZE = 50
 MAX_TXN_ENTRIES = 32
@@ -40,6 +40,24 @@
 WAKE_UP_TURNS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """A call to one address of the store.
+
+    Attributes
+    ----------
+    received_s, answered_s : float
+        Loop time at which the call was read, and at which its answer was handed over.
+    is_awaited : bool
+        Whether the caller's connection was still open then.
+    """
+
+    kind: str
+    received_s: float
+    answered_s: float
+    is_awaited: bool
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """Faults of one address of the store.
@@ -80,6 +98,8 @@
     ----------
     calls : dict
         Number of calls by kind.
+    answered : list of StoreCall
+        The calls that were answered, except watches, which wait for changes.
     address : str
         ``IP:PORT``, once started.
     latency_s : float
@@ -92,6 +112,7 @@
         self.faults = StoreFaults()
         self.latency_s = 0.0
         self.calls: dict[str, int] = {}
+        self.answered: list[StoreCall] = []
         self.address = ""
         self._oldest_revision = 0
         self._silence_count = 0
@@ -151,6 +172,7 @@
     def _with_faults(self, kind: str, handler):
         async def handle(request: web.Request) -> web.Response:
             self.calls[kind] = self.calls.get(kind, 0) + 1
+            received_s = asyncio.get_running_loop().time()
             silence_count = self._silence_count
             if request.protocol in self._silent_connections:
                 await asyncio.sleep(SILENCE_S)
@@ -165,10 +187,18 @@
                 await asyncio.sleep(SILENCE_S)
             if kind == "txn" and self.rng.random() < self.faults.lost_share:
                 await asyncio.sleep(SILENCE_S)
+            if kind != "watch":
+                self._record(request, kind, received_s)
             return answer
 
         return handle
 
+    def _record(self, request: web.Request, kind: str, received_s: float) -> None:
+        answered_s = asyncio.get_running_loop().time()
+        transport = request.transport
+        is_awaited = transport is not None and not transport.is_closing()
+        self.answered.append(StoreCall(kind, received_s, answered_s, is_awaited))
+
     async def _refusal(self, request: web.Request) -> web.Response | None:
         down = self.faults.down
         if down == "silent":
