crashes: a daemon without its peers does not refuse a request for the crashes of another one

Callers saw: a harmless request was refused as crashes_targets by a daemon that had not heard of the crashing one, known elsewhere for 5 s.

Cause: whether another request explains a crash is looked up among the reports that a daemon has. One without any, as in a hall without a leader, decided all the same.

Two histories that do not exchange reports show the mechanism: refused after three shared crashes before, not with this change.

Why it works: a daemon that has exchanged nothing with a peer for 2 s needs six consecutive crashes, as for a request that was answered before, which costs three targets more at most. A verdict that exists keeps its lower threshold, and a daemon without peers at all has it.

Both new tests failed before; 69 tests of crashes and 14 with daemons pass.

--- a/ferrydock/crashes/_exchange.py
+++ b/ferrydock/crashes/_exchange.py
@@ -95,6 +95,7 @@
         sent, reply : CrashUpdate or None
             The updates that the call and its reply carried; None for none.
         """
+        self.history.note_exchange()
         if reply is None:
             return
         progress = self._progress_of(peer)
@@ -108,6 +109,7 @@
 
     def merge_request(self, update: CrashUpdate | None) -> None:
         """Merge the update that a peer included in its call; None if there was none."""
+        self.history.note_exchange()
         if update is not None:
             self.history.merge(update.reports)
 
--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -16,7 +16,7 @@
 from ._log import CrashLog
 from ._messages import CrashReport
 from ._record import RequestRecord
-from ._rule import Crash, count_consecutive_crashes, select_retained
+from ._rule import Crash, count_consecutive_crashes, detection_threshold, select_retained
 
 __all__ = ["CrashHistory", "CrashListener"]
 
@@ -104,6 +104,7 @@
 
     __slots__ = (
         "_last_answered_s",
+        "_last_exchange_s",
         "_refused",
         "_observation_numbers",
         "_records",
@@ -123,6 +124,7 @@
         self._observation_numbers = itertools.count(1)
         self._records: OrderedDict[str, RequestRecord] = OrderedDict()
         self._refused: set[str] = set()
+        self._last_exchange_s: float | None = None
         self._last_answered_s: OrderedDict[str, float] = OrderedDict()
 
     # Verdicts ---------------------------------------------------------------------------------
@@ -257,6 +259,10 @@
         )
         return reports, last_included_change
 
+    def note_exchange(self) -> None:
+        """Note that this daemon and a peer have just exchanged what changed, if anything did."""
+        self._last_exchange_s = self.clock.now_s()
+
     def merge(self, reports: Iterable[CrashReport]) -> None:
         """Merge a peer's reports into this history and update the verdicts."""
         now_s = self.clock.now_s()
@@ -343,7 +349,8 @@
     def _update_verdict(self, identity: str) -> None:
         """Update the verdict on a request with a new crash, and on requests that it explains."""
         record = self._records[identity]
-        if record.consecutive_count < record.threshold or not self._is_cause(identity):
+        threshold = self._threshold(record)
+        if record.consecutive_count < threshold or not self._is_cause(identity):
             if record.detected_s is not None:
                 self._release(identity, record, EXPLAINED)
             return
@@ -358,7 +365,13 @@
 
     def _is_cause(self, identity: str) -> bool:
         unexplained = unexplained_crashes(identity, self._records, self._refused)
-        return count_consecutive_crashes(unexplained) >= self._records[identity].threshold
+        return count_consecutive_crashes(unexplained) >= self._threshold(self._records[identity])
+
+    def _threshold(self, record: RequestRecord) -> int:
+        """Return the threshold that applies to a request now; a verdict keeps its lower one."""
+        if record.detected_s is not None or self._last_exchange_s is None:
+            return record.threshold
+        return detection_threshold(record.threshold, self.clock.now_s() - self._last_exchange_s)
 
     def _release(self, identity: str, record: RequestRecord, reason: str) -> None:
         record.detected_s = None
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -14,6 +14,7 @@
     "CRASHES_TO_REFUSE",
     "Crash",
     "count_consecutive_crashes",
+    "detection_threshold",
     "refusal_threshold",
     "is_same_termination",
     "refusal_duration_s",
@@ -34,6 +35,14 @@
 # does cause crashes costs three further targets at most, which the platform tolerates.
 CRASHES_TO_REFUSE_ANSWERED = 6
 
+# Threshold of a daemon that has not exchanged reports with its peers for `OUT_OF_TOUCH_AFTER_S`. The
+# crashes of a request may be those of another one that ran at the same targets, sent by daemons
+# whose reports are missing. Further targets as above.
+CRASHES_TO_REFUSE_OUT_OF_TOUCH = 6
+
+# Several times the interval of the exchange, and about as long as a hall takes to get a new leader.
+OUT_OF_TOUCH_AFTER_S = 2.0
+
 # Maximum difference between the times at which two daemons observe the termination of one process.
 # Shorter than the seconds in which a target restarts; longer than a busy daemon takes to notice a
 # connection reset.
@@ -149,6 +158,26 @@
     return CRASHES_TO_REFUSE_ANSWERED if is_answered else CRASHES_TO_REFUSE
 
 
+def detection_threshold(refusal_threshold: int, without_peers_s: float) -> int:
+    """Return the number of consecutive crashes from which a request is first refused.
+
+    Parameters
+    ----------
+    refusal_threshold : int
+        The threshold while the reports of peers are known.
+    without_peers_s : float
+        Seconds since the last exchange with a peer; 0 for a daemon that never had one.
+
+    Examples
+    --------
+    >>> detection_threshold(3, 0.4), detection_threshold(3, 5.0)
+    (3, 6)
+    """
+    if without_peers_s < OUT_OF_TOUCH_AFTER_S:
+        return refusal_threshold
+    return max(refusal_threshold, CRASHES_TO_REFUSE_OUT_OF_TOUCH)
+
+
 def refusal_duration_s(
     crashes: int, threshold: int = CRASHES_TO_REFUSE, tie_rank: int | None = None
 ) -> float:
--- a/ferrydock/crashes/tests/test_history.py
+++ b/ferrydock/crashes/tests/test_history.py
@@ -121,6 +121,47 @@
     assert all(history.admit("shared") == 0 for history in daemons.histories)
 
 
+def lose_same_targets(daemons, count):
+    """Let the first daemon see a harmless request at targets that another daemon's one crashes."""
+    for _ in range(count):
+        target_id = f"t{next(daemons.target_numbers)}"
+        daemons.crash(0, "harmless", target_id)
+        daemons.crash(1, "crashing", target_id)
+        daemons.advance(1.0)
+
+
+def test_a_daemon_without_its_peers_does_not_refuse_a_request_for_the_crashes_of_another_one():
+    """Failure: a hall without a leader refused harmless requests for what others had crashed."""
+    daemons = Daemons(2)
+    daemons.sync(1)
+    daemons.advance(2.0)
+    lose_same_targets(daemons, 3)
+    assert daemons.histories[0].admit("harmless") == 0
+    assert daemons.histories[1].refused_for_s("crashing") == 0
+    for _ in range(2):
+        daemons.sync(1)
+    daemons.crash(1, "crashing", "another")
+    daemons.sync(1)
+    assert [h.refused_for_s("crashing") > 0 for h in daemons.histories] == [True, True]
+    assert [h.refused_for_s("harmless") for h in daemons.histories] == [0, 0]
+
+
+def test_a_daemon_without_its_peers_refuses_after_six_crashes_and_keeps_a_verdict():
+    daemons = Daemons(2)
+    daemons.sync(1)
+    daemons.advance(2.0)
+    crash_consecutively(daemons, "r", 5)
+    assert daemons.histories[0].refused_for_s("r") == 0
+    crash_consecutively(daemons, "r", 1)
+    assert daemons.histories[0].refused_for_s("r") > 0
+    daemons.sync(1)
+    crash_consecutively(daemons, "s", 3)
+    daemons.advance(70.0)
+    assert daemons.histories[0].admit("s") == 0
+    crash_consecutively(daemons, "s", 1)
+    assert daemons.histories[0].refused_for_s("s") > 60
+
+
 def test_a_target_that_restarts_and_terminates_again_counts_again(single_daemon):
     daemons, history = single_daemon
     for _ in range(3):
