--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -35,9 +35,9 @@
 # does cause crashes costs three further targets at most, which the platform tolerates.
 CRASHES_TO_REFUSE_ANSWERED = 6
 
-# Threshold of a daemon that has exchanged nothing with its peers for `OUT_OF_TOUCH_AFTER_S`: another
-# request may have crashed the same targets, sent by daemons whose reports are missing. A request
-# that does cause crashes costs three further targets at most, as above.
+# Threshold of a daemon that has exchanged nothing with peers for `OUT_OF_TOUCH_AFTER_S`: another request
+# may have crashed the same targets, sent by daemons whose reports are missing. A request that does
+# cause crashes costs three further targets at most, as above.
 CRASHES_TO_REFUSE_OUT_OF_TOUCH = 6
 
 # Several times the interval of the exchange, and about as long as a hall takes to get a new leader.
