--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -35,7 +35,7 @@
 # does cause crashes costs three further targets at most, which the platform tolerates.
 CRASHES_TO_REFUSE_ANSWERED = 6
 
-# Threshold of a daemon that has exchanged nothing with peers for `OUT_OF_TOUCH_AFTER_S`: another request
+# Threshold of a daemon that has exchanged nothing with its peers for some seconds: another request
 # may have crashed the same targets, sent by daemons whose reports are missing. A request that does
 # cause crashes costs three further targets at most, as above.
 CRASHES_TO_REFUSE_OUT_OF_TOUCH = 6
