replicas: a fruitless change is held back in its domain only, not in the whole hall

Read once more: a hall may have many domains, and the change may gain there what it could not in one.

--- a/ferrydock/replicas/_site_plan.py
+++ b/ferrydock/replicas/_site_plan.py
@@ -107,6 +107,9 @@
     held_back : frozenset of (str, str, str)
         Hall, model and other model: replicas of the model are not given to the other there, since
         the opposite change was decided a short time ago.
+    fruitless : frozenset of (str, str, str, str)
+        Hall, domain, model and other model: the same in one domain, since that very change was
+        decided a short time ago and came to nothing.
     """
 
     domains: tuple[SiteDomain, ...]
@@ -114,6 +117,7 @@
     refused_need: Mapping[str, float] = field(default_factory=dict)
     recent_counts: Mapping[str, int] = field(default_factory=dict)
     held_back: frozenset[tuple[str, str, str]] = frozenset()
+    fruitless: frozenset[tuple[str, str, str, str]] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -406,11 +410,13 @@
         return now
 
     def _may_give(self, draft: _DomainDraft, replica: SiteReplica, model: ModelSpec) -> bool:
+        direction = (replica.model, model.name)
         return (
             replica.is_open
             and replica.model != model.name
             and self.budgets[replica.model] > 0
-            and (draft.domain.hall, replica.model, model.name) not in self.facts.held_back
+            and (draft.domain.hall, *direction) not in self.facts.held_back
+            and (*draft.domain.key, *direction) not in self.facts.fruitless
         )
 
     def _give_rank(self, draft: _DomainDraft, model: ModelSpec, donors: list[SiteReplica]) -> tuple:
--- a/ferrydock/replicas/_site_planner.py
+++ b/ferrydock/replicas/_site_planner.py
@@ -265,6 +265,7 @@
             dict(known.refused_need),
             _maximum(counts for _, counts in known.recent_counts),
             self._held_back(known, engine),
+            self._fruitless(known),
         )
         self._note_shortage(known, short_models(engine, facts), now_s)
         known.plan = site_plan(engine, facts) if self.is_any_short(service) else None
@@ -363,15 +364,20 @@
         """Return the changes that are not planned: opposite ones, and those nobody carries out."""
         halls = {domain.hall for domain in known.domains}
         held_back = {(hall, c.to_model, c.model) for hall in halls for c in known.changes}
-        held_back |= {
-            (self.hall, c.model, c.to_model) for c in known.changes if self._is_fruitless(known, c)
-        }
         names = [model.name for model in engine.models]
         for hall, until_s in known.unresponsive_until_s.items():
             if until_s > self.clock.now_s():
                 held_back.update((hall, name, other) for name in names for other in names)
         return frozenset(held_back)
 
+    def _fruitless(self, known: _ServiceState) -> frozenset[tuple[str, str, str, str]]:
+        """Return the changes of this hall that are not repeated, since they came to nothing."""
+        return frozenset(
+            (self.hall, change.domain, change.model, change.to_model)
+            for change in known.changes
+            if self._is_fruitless(known, change)
+        )
+
     def _is_fruitless(self, known: _ServiceState, change: _Change) -> bool:
         """Return whether a change is over and its model has formed no replica in the domain.
 
