A slow store confirms the target list too; overlapping reads in a module of their own

Callers saw nothing yet: requests go on by the known list. Its age grew without end while the store took more than 1 s for an answer, so no leader counted as relaying, each request was held once, and a target that left was known by the long watch only.

Cause: as for the configuration, the calls that confirm the list were dropped after 1 s.

The test failed before.

--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -52,10 +52,11 @@
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
 
-# Limit on a transaction without writes. Dropping it resolves nothing, and a store that answers all
-# calls later than a short limit would seem to answer none. An older answer no longer confirms the
-# configuration for requests with keys (`configuration.max_keyed_age_s` of the known sites: 4.6 s).
-READ_ONLY_TXN_TIMEOUT_S = 4.5
+# Limit on a call that confirms known data: a transaction without writes, and a watch that does not
+# wait. Dropping it resolves nothing, and a store that answers all calls later than a short limit
+# would seem to answer none. An older answer no longer confirms the configuration for requests with
+# keys (`configuration.max_keyed_age_s` of the known sites: 4.6 s).
+CONFIRMATION_TIMEOUT_S = 4.5
 
 # A call that takes longer is logged, unless it is a watch: a slow store answers, a silent one not.
 SLOW_CALL_S = 0.5
@@ -189,7 +190,7 @@
             "POST",
             "/kv-txn",
             body=encode_txn(txn),
-            timeout_s=CALL_TIMEOUT_S if txn.success else READ_ONLY_TXN_TIMEOUT_S,
+            timeout_s=CALL_TIMEOUT_S if txn.success else CONFIRMATION_TIMEOUT_S,
             key=_key_of(txn),
             is_on_new_connection=is_on_new_connection,
         )
@@ -276,7 +277,7 @@
         if since.era < self.era:
             return HistoryCompacted()
         query = watch_query(prefix, since.revision, wait_ms)
-        timeout_s = wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S if wait_ms else CALL_TIMEOUT_S
+        timeout_s = wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S if wait_ms else CONFIRMATION_TIMEOUT_S
         answer = await self._call(
             "GET",
             "/kv-watch",
--- a/ferrydock/platform/tests/test_slow_store.py
+++ b/ferrydock/platform/tests/test_slow_store.py
@@ -46,6 +46,27 @@
     run_scenario(scenario)
 
 
+def test_the_target_list_is_confirmed_by_a_store_that_answers_late(tmp_path):
+    """Failure: the calls that confirm it were dropped after 1 s, and its age grew without end."""
+    answer_s = 1.2
+
+    async def scenario():
+        async with Site(tmp_path) as site:
+            daemon = await site.start_daemon("one")
+            site.site.write_configuration()
+            await site.wait_until(lambda: site.is_formed(REPLICAS))
+            site.site.stores[0].faults.slow_s = answer_s
+            await asyncio.sleep(AGED_AFTER_S)
+            ages_s = []
+            for _ in range(40):
+                ages_s.append(daemon.directory.age_s(daemon.clock.now_s()))
+                await asyncio.sleep(PAUSE_S)
+            # One call before the answer to the last one that began, and a pause of the back-off.
+            assert max(ages_s) < 2 * answer_s + 1.2
+
+    run_scenario(scenario)
+
+
 def test_a_request_read_after_a_standstill_waits_for_the_store_instead_of_being_refused(tmp_path):
     """Failure: the first turn after waking refused all requests, although the store answered."""
 
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -33,6 +33,7 @@
 from ..store import Position
 from ..targets import ListSource, TargetChanges, TargetDirectory
 from ._deployment import Deployment
+from ._overlapping_reads import OverlappingReads
 from ._own_leadership import OwnHallLeadership
 from ._store_backoff import StoreBackoff
 
@@ -112,9 +113,8 @@
 
     __slots__ = (
         "_age_alarm",
-        "_configuration_reads",
-        "_read_answered",
         "_read_failure",
+        "_reads",
         "_wait_began_s",
         "_check_backoff",
         "_first_position_in_era",
@@ -168,8 +168,7 @@
         self._is_store_reached = True
         self._last_read_version = -1
         self._is_reading_full_list = False
-        self._configuration_reads: set[asyncio.Task[bool]] = set()
-        self._read_answered = asyncio.Event()
+        self._reads = OverlappingReads(self._read_configuration)
         self._read_failure = ""
         self.max_keyed_age_s: Callable[[], float] = lambda: max_keyed_age_s(
             deployment.settings.freshness_s
@@ -206,35 +205,17 @@
                     await asyncio.sleep(RELAYED_CHECK_S)
                     continue
                 era = self.settling.store.era
-                if await self._read_in_time():
+                self._read_failure = f"no answer of the store for {READ_OVERDUE_S} s"
+                if await self._reads.begin(READ_OVERDUE_S):
                     backoff.reset()
                     await asyncio.sleep(self._until_next_read_s())
                     continue
                 self._log_store_state(self.current.lookup is None, self._read_failure)
                 await self._pause_in_era(era, self._failure_pause_s(backoff))
-                if self._read_answered.is_set():
+                if self._reads.is_answered:
                     backoff.reset()
         finally:
-            for read in self._configuration_reads:
-                read.cancel()
-
-    async def _read_in_time(self) -> bool:
-        """Begin a read; return whether it or an earlier one is answered within `READ_OVERDUE_S`."""
-        self._read_answered.clear()
-        self._read_failure = f"no answer of the store for {READ_OVERDUE_S} s"
-        read = asyncio.get_running_loop().create_task(self._read_configuration())
-        self._configuration_reads.add(read)
-        read.add_done_callback(self._configuration_reads.discard)
-        answered = asyncio.ensure_future(self._read_answered.wait())
-        try:
-            await asyncio.wait(
-                {read, answered}, timeout=READ_OVERDUE_S, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            answered.cancel()
-        if read.done():
-            read.result()  # raises if an invariant was broken
-        return self._read_answered.is_set()
+            self._reads.cancel()
 
     async def _read_configuration(self, is_on_new_connection: bool = False) -> bool:
         """Read the configuration and apply the result; return whether the store answered."""
@@ -254,7 +235,6 @@
         if read.evacuated_halls is not None and is_latest:
             self.evacuated.apply_read(read.evacuated_halls, read.store_position, began_s)
         self._apply_configuration(read, began_s)
-        self._read_answered.set()
         return True
 
     def _keyed_age_s(self, now_s: float) -> float | None:
@@ -291,7 +271,7 @@
         """
         until_s = self.clock.now_s() + pause_s
         while (remaining_s := until_s - self.clock.now_s()) > 0 and self.settling.store.era == era:
-            if self._read_answered.is_set():
+            if self._reads.is_answered:
                 return
             await asyncio.sleep(min(RELAYED_CHECK_S, remaining_s))
 
