routing: slots of own requests that have ended are free before the next report

Callers saw: some of 40 requests sent at once were refused as no_capacity although the replica had free slots.

Cause: room is judged by the load that a replica last reported. It contains this daemon's own requests; when these had ended, the replica counted as full until the next report.

Why it works: own requests are known at once, so those in flight at the report are left out of it.

The new test failed before. 45 tests of routing and requests pass.

--- a/benchmarks/_engines.py
+++ b/benchmarks/_engines.py
@@ -166,7 +166,7 @@
                     outcome.first_token_s.append(now_s - job.arrival.at_s)
                     self.loads_by_daemon[job.daemon].note_first_token(job.in_flight_request, now_s)
                 for job in ended:
-                    self.loads_by_daemon[job.daemon].note_ended(job.in_flight_request)
+                    self.loads_by_daemon[job.daemon].note_ended(job.in_flight_request, now_s)
         return outcome
 
     def _kill(self, dying, now_s: float, outcome: Outcome) -> None:
@@ -176,7 +176,7 @@
             jobs = [*engine.running, *engine.waiting]
             engine.running, engine.waiting = [], deque()
             for job in jobs:
-                self.loads_by_daemon[job.daemon].note_ended(job.in_flight_request)
+                self.loads_by_daemon[job.daemon].note_ended(job.in_flight_request, now_s)
                 if not job.started:
                     self._route(job.arrival, now_s, outcome)
 
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -356,7 +356,7 @@
                 outcome = resumed
             return outcome
         finally:
-            executor.loads.note_ended(in_flight)
+            executor.loads.note_ended(in_flight, executor.clock.now_s())
             executor.gate.assign_first_queued(self.request.model)
 
     def _note_first_event(self, in_flight: InFlightRequest) -> None:
--- a/ferrydock/requests/tests/test_crashing_requests.py
+++ b/ferrydock/requests/tests/test_crashing_requests.py
@@ -37,7 +37,7 @@
         )
         self.loads = SimpleNamespace(
             note_sent=lambda *arguments: None,
-            note_ended=lambda flight: None,
+            note_ended=lambda flight, now_s: None,
             note_first_token=lambda *arguments: None,
         )
 
--- a/ferrydock/routing/_candidate.py
+++ b/ferrydock/routing/_candidate.py
@@ -35,6 +35,8 @@
         The replica's average time to the first token, as measured by this daemon; 0 if unknown.
     daemons : int
         How many daemons send requests to the same replicas.
+    own_at_report : int
+        Requests of this daemon that were in flight at the replica when its load was reported.
     """
 
     replica: Replica
@@ -44,6 +46,7 @@
     cached_blocks: int = 0
     first_token_s: float = 0.0
     daemons: int = 1
+    own_at_report: int = 0
 
     @property
     def balanced_load(self) -> float:
@@ -60,8 +63,13 @@
 
     @property
     def load(self) -> int:
-        """Estimated requests at the replica: never fewer than this daemon's own."""
-        return max(self.reported_load + self.sent_since_report, self.own_in_flight)
+        """Estimated requests at the replica: this daemon's own, and the others in the report.
+
+        This daemon's own requests are known at once. Those that the report contains are left out of
+        it: they may have ended since, and their slots would stay unused until the next report.
+        """
+        others = max(0, self.reported_load - self.own_at_report)
+        return others + self.own_in_flight
 
 
 @dataclass(eq=False, slots=True)
--- a/ferrydock/routing/_replica_loads.py
+++ b/ferrydock/routing/_replica_loads.py
@@ -3,7 +3,7 @@
 Owns this state, in memory. Relies on attestations for which replicas may get requests.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import takewhile
@@ -32,6 +32,9 @@
 # since then are added to the load. `benchmarks.routing` assumes the same lag.
 LOAD_REPORT_LAG_S = 1.0
 
+# Ended requests kept for each replica: more than end between two reports of its load.
+MAX_ENDED = 512
+
 
 @dataclass(eq=False, slots=True)
 class InFlightRequest:
@@ -49,6 +52,8 @@
     ----------
     in_flight : set of InFlightRequest
         Requests of this daemon in flight at the replica.
+    ended : deque of (float, float)
+        Local times at which the requests that ended last were sent and ended.
     first_token_s : float
         Moving average of the time to the first token; 0 before the first measurement.
     last_measured_s : float
@@ -68,6 +73,7 @@
     """
 
     in_flight: set[InFlightRequest] = field(default_factory=set)
+    ended: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=MAX_ENDED))
     first_token_s: float = 0.0
     last_measured_s: float = 0.0
     measurements: int = 0
@@ -155,10 +161,24 @@
             latency_s = 0.0
         cached = sum(1 for _ in takewhile(state.blocks.__contains__, blocks))
         own_in_flight = len(state.in_flight)
+        own_at_report = self._own_at(state, attestation.probed_s) if attestation is not None else 0
         return Candidate(
-            replica, reported, sent_since_report, own_in_flight, cached, latency_s, daemons
+            replica,
+            reported,
+            sent_since_report,
+            own_in_flight,
+            cached,
+            latency_s,
+            daemons,
+            own_at_report,
         )
 
+    @staticmethod
+    def _own_at(state: _ReplicaState, at_s: float) -> int:
+        """Return how many requests of this daemon were in flight at a local time."""
+        running = sum(1 for flight in state.in_flight if flight.sent_s <= at_s)
+        return running + sum(1 for sent_s, ended_s in state.ended if sent_s <= at_s < ended_s)
+
     def _state(self, replica_id: str) -> _ReplicaState:
         state = self._states.get(replica_id)
         if state is None:
@@ -192,9 +212,11 @@
         state.last_measured_s = now_s
         state.measurements = state.measurements + 1 if is_recent else 1
 
-    def note_ended(self, flight: InFlightRequest) -> None:
+    def note_ended(self, flight: InFlightRequest, now_s: float) -> None:
         """Record that a request has ended."""
-        self._state(flight.replica_id).in_flight.discard(flight)
+        state = self._state(flight.replica_id)
+        state.in_flight.discard(flight)
+        state.ended.append((flight.sent_s, now_s))
 
     def own_in_flight(self, replica_id: str) -> int:
         """Return how many requests of this daemon are in flight at a replica."""
--- a/ferrydock/routing/tests/test_routing.py
+++ b/ferrydock/routing/tests/test_routing.py
@@ -66,6 +66,21 @@
     assert affinity().choose([late, free], REQUEST) is free
 
 
+@pytest.mark.parametrize("others", [0, 3])
+def test_slots_of_own_requests_that_have_ended_are_free_before_the_next_report(others):
+    """Failure: requests waited beside free slots, and were refused after the time in the queue."""
+    attestations = Attestations(2.0)
+    loads = ReplicaLoads(attestations)
+    full = replica("full", slots=10)
+    flights = [loads.note_sent(full, (), now_s=4.5) for _ in range(10 - others)]
+    attestations.accept(Attestation("full", full.generation, 5.0, running=10, waiting=0))
+    (before,) = loads.candidates([full], (), now_s=5.1)
+    for flight in flights:
+        loads.note_ended(flight, now_s=5.2)
+    (after,) = loads.candidates([full], (), now_s=5.3)
+    assert (before.load, after.load) == (10, others)
+
+
 VIEW = Table({RowKey("models", "draft"): {}}, 1).view()
 
 
