--- a/ferrydock/routing/_replica_loads.py
+++ b/ferrydock/routing/_replica_loads.py
@@ -33,7 +33,7 @@
 LOAD_REPORT_LAG_S = 1.0
 
 # Ended requests kept for each replica: more than end between two reports of its load.
-MAX_ENDED = 512
+MAX_ENDED_REQUESTS = 512
 
 
 @dataclass(eq=False, slots=True)
@@ -73,7 +73,9 @@
     """
 
     in_flight: set[InFlightRequest] = field(default_factory=set)
-    ended: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=MAX_ENDED))
+    ended: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_ENDED_REQUESTS)
+    )
     first_token_s: float = 0.0
     last_measured_s: float = 0.0
     measurements: int = 0
