--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -257,8 +257,8 @@
     def _step_configuration_confirmer(self) -> None:
         """Read an outdated configuration beside the periodic reads, once before keys are refused.
 
-        A follower's back-off reaches 2.4 s, so its periodic reads would notice a store that has come
-        back too late. The bound is a setting that may change while the daemon runs.
+        A follower's back-off reaches 2.4 s, so that its periodic reads would notice too late that
+        the store is back. The bound is a setting that may change while the daemon runs.
         """
         self.configuration_confirmer.budget = self._keyed_budget()
         self.configuration_confirmer.step()
