--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -158,15 +158,15 @@
     return CRASHES_TO_REFUSE_ANSWERED if is_answered else CRASHES_TO_REFUSE
 
 
-def detection_threshold(refusal_threshold: int, without_peers_s: float) -> int:
+def detection_threshold(threshold_with_peers: int, without_peers_s: float) -> int:
     """Return the number of consecutive crashes from which a request is first refused.
 
     Parameters
     ----------
-    refusal_threshold : int
+    threshold_with_peers : int
         The threshold while the reports of peers are known.
     without_peers_s : float
-        Seconds since the last exchange with a peer; 0 for a daemon that never had one.
+        Seconds since the last exchange with a peer.
 
     Examples
     --------
@@ -174,8 +174,8 @@
     (3, 6)
     """
     if without_peers_s < OUT_OF_TOUCH_AFTER_S:
-        return refusal_threshold
-    return max(refusal_threshold, CRASHES_TO_REFUSE_OUT_OF_TOUCH)
+        return threshold_with_peers
+    return max(threshold_with_peers, CRASHES_TO_REFUSE_OUT_OF_TOUCH)
 
 
 def refusal_duration_s(
--- a/ferrydock/platform/tests/test_site.py
+++ b/ferrydock/platform/tests/test_site.py
@@ -109,6 +109,16 @@
     return int(head.split()[1]), head, body
 
 
+async def start_with_short_bound(site):
+    """Start a daemon with a bound of 2 s on revoked keys, and wait until it can serve."""
+    daemon = await site.start_daemon("one")
+    version = site.site.write_configuration()
+    await site.wait_until(lambda: daemon.current.version == version and daemon.directory.loaded)
+    daemon.live_settings.current = replace(daemon.settings, freshness_s=2.0)
+    daemon.live_settings.read = lambda: daemon.settings
+    return daemon
+
+
 def run_scenario(scenario):
     asyncio.run(scenario())
 
@@ -159,13 +169,7 @@
 def test_keyed_requests_are_refused_once_the_store_is_away_for_the_bound(tmp_path, down):
     async def scenario():
         async with Site(tmp_path) as site:
-            daemon = await site.start_daemon("one")
-            version = site.site.write_configuration()
-            await site.wait_until(
-                lambda: daemon.current.version == version and daemon.directory.loaded
-            )
-            daemon.live_settings.current = replace(daemon.settings, freshness_s=2.0)
-            daemon.live_settings.read = lambda: daemon.settings
+            daemon = await start_with_short_bound(site)
             site.site.stores[0].faults.down = down
             assert (await send_request(daemon, "/look/x"))[0] == 200
             await asyncio.sleep(2.2)
--- a/ferrydock/platform/tests/test_slow_store.py
+++ b/ferrydock/platform/tests/test_slow_store.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import time
-from dataclasses import replace
 
 import pytest
 
-from .test_site import REPLICAS, Site, run_scenario, send_request
+from .test_site import REPLICAS, Site, run_scenario, send_request, start_with_short_bound
 
 pytestmark = pytest.mark.processes
 
@@ -72,13 +71,7 @@
 
     async def scenario():
         async with Site(tmp_path) as site:
-            daemon = await site.start_daemon("one")
-            version = site.site.write_configuration()
-            await site.wait_until(
-                lambda: daemon.current.version == version and daemon.directory.loaded
-            )
-            daemon.live_settings.current = replace(daemon.settings, freshness_s=2.0)
-            daemon.live_settings.read = lambda: daemon.settings
+            daemon = await start_with_short_bound(site)
             assert (await send_request(daemon, "/look/x"))[0] == 200
             host, port = daemon.gateway.address.split(":")
             reader, writer = await asyncio.open_connection(host, int(port))
--- a/ferrydock/routing/_replica_loads.py
+++ b/ferrydock/routing/_replica_loads.py
@@ -53,7 +53,7 @@
     in_flight : set of InFlightRequest
         Requests of this daemon in flight at the replica.
     ended : deque of (float, float)
-        Local times at which the requests that ended last were sent and ended.
+        Local times at which the requests that ended since the last report were sent and ended.
     first_token_s : float
         Moving average of the time to the first token; 0 before the first measurement.
     last_measured_s : float
@@ -177,9 +177,14 @@
 
     @staticmethod
     def _own_at(state: _ReplicaState, at_s: float) -> int:
-        """Return how many requests of this daemon were in flight at a local time."""
+        """Return how many requests of this daemon were in flight at the time of a report.
+
+        Removes those that ended before it, which no later report contains either.
+        """
+        while state.ended and state.ended[0][1] <= at_s:
+            state.ended.popleft()
         running = sum(1 for flight in state.in_flight if flight.sent_s <= at_s)
-        return running + sum(1 for sent_s, ended_s in state.ended if sent_s <= at_s < ended_s)
+        return running + sum(1 for sent_s, _ in state.ended if sent_s <= at_s)
 
     def _state(self, replica_id: str) -> _ReplicaState:
         state = self._states.get(replica_id)
