--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -26,6 +26,9 @@
 ``python -m benchmarks.soak --plays=rests --seeds=50`` plays targets that refuse requests and ask
 for a back-off, with the same faults as for limits; ``tests/soak_rest_seeds.txt``.
 
+``python -m benchmarks.soak --plays=links --seeds=50`` plays daemons that lose their links to all
+targets in different ways, with all other kinds of faults; ``tests/soak_link_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=drains --seeds=50`` plays targets that leave all the time while
 store, leaders and callers are slow, silent or stopped, and measures how long each target that
 leaves still gets requests; ``tests/soak_drain_seeds.txt``. ``drains.txt`` in the logs of a seed
@@ -53,6 +56,7 @@
     draw_leaving,
     draw_leaving_announcements,
     draw_limits,
+    draw_links,
     draw_rests,
     draw_stops,
     draw_troubles,
@@ -223,6 +227,31 @@
     )
 
 
+def links_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with daemons that lose their links to all targets.
+
+    Every third seed has no other faults, the others four of all kinds. Every tenth seed has 24
+    daemons, every fourth eight in one hall, the others six in two halls.
+    """
+    halls, count, domain_size = _fleet_sizes(seed)
+    count = max(count, 3)
+    length_s = 16.0
+    troubles = draw_links(seed, length_s, halls, count)
+    if seed % 3:
+        troubles += draw_troubles(seed, length_s - 4.0, halls, 4)
+    return Experiment(
+        name=f"links {seed}",
+        seed=seed,
+        length_s=length_s,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=domain_size,
+        load=LEAVING_LOAD,
+        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
+        settle_s=10.0,
+    )
+
+
 PLAYS = {
     "all": soak_experiment,
     "stops": stops_experiment,
@@ -233,6 +262,7 @@
     "limits": limits_experiment,
     "rests": rests_experiment,
     "drains": drains_experiment,
+    "links": links_experiment,
 }
 
 
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -21,6 +21,8 @@
     late_leaving_arrivals,
 )
 from ._limits import draw_limits, max_arrivals, rate_limit_violations
+from ._link_troubles import draw_links
+from ._links import LinkFailure
 from ._load import Call, Callers
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
@@ -48,6 +50,7 @@
     "Callers",
     "Emulation",
     "Experiment",
+    "LinkFailure",
     "Load",
     "Pause",
     "PlannedStop",
@@ -65,6 +68,7 @@
     "draw_leaving",
     "draw_leaving_announcements",
     "draw_limits",
+    "draw_links",
     "draw_rests",
     "backoff_violations",
     "rate_limit_violations",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..outcomes import Fault, Invalid
+from ._links import LinkFailure
 
 __all__ = [
     "KINDS",
@@ -82,6 +83,10 @@
     "leader_stopped": "leaders are stopped as planned and restarted",
     "daemon_hung_up": "daemons receive SIGHUP `count` times",
 }
+_LINK_KINDS = {
+    "links_lost": "`count` daemons lose their links to all workers for `for_s` (how: hang, reset, "
+    "reset_hang, live_on, live_on_hang)",
+}
 KINDS = {
     **_SOAK_KINDS,
     **_STOP_KINDS,
@@ -90,8 +95,10 @@
     **_ERA_KINDS,
     **_NOTICE_KINDS,
     **_DRAIN_KINDS,
+    **_LINK_KINDS,
 }
 _STORE_FAILURES = ("silent", "busy", "many", "reset")
+_FAILURES = (*_STORE_FAILURES, *(failure for failure in LinkFailure if failure != "reset"))
 _REQUEST_CLASSES = ("write-large", "write-small", "look", "file")
 
 
@@ -132,7 +139,7 @@
     hall : str
         Hall that it is restricted to; empty for all halls.
     how : str
-        How the store fails.
+        How the store fails, or the links.
     daemon : str
         Name of the daemon concerned; empty for any.
     """
@@ -277,8 +284,8 @@
         if hall and hall not in halls:
             faults.append(Fault(f"{place}hall", f"{hall!r} is none of the halls"))
         how = fields.get("how", "silent")
-        if how not in _STORE_FAILURES:
-            faults.append(Fault(f"{place}how", f"{how!r} is none of {', '.join(_STORE_FAILURES)}"))
+        if how not in _FAILURES:
+            faults.append(Fault(f"{place}how", f"{how!r} is none of {', '.join(_FAILURES)}"))
         found.append(
             Trouble(
                 at_s=_read_number(place, fields, "at_s", 1.0, 0, 600, faults),
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -20,6 +20,7 @@
     late_leaving_arrivals,
 )
 from ._limits import describe_excess, rate_limit_violations
+from ._link_troubles import describe_unserved
 from ._load import Call
 from ._rests import backoff_violations, describe_violations
 from ._stops import (
@@ -93,6 +94,7 @@
             self._check_leaving()
         self._check_leaving_said()
         self._check_unconfirmed()
+        self._check_links()
         self._check_limits()
         self._check_rests()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
@@ -252,6 +254,22 @@
                     f"unconfirmed: {call.request_id} refused by {call.daemon} at {call.at_s:.2f} s"
                 )
 
+    def _check_links(self) -> None:
+        """Report callers of daemons without links that were served far worse than others."""
+        if not self.parts.links:
+            return
+        result = self.parts.result
+        result.broken += describe_unserved(
+            result.calls, self.parts.links, self._was_in_contact, self.load_began_s
+        )
+
+    def _was_in_contact(self, call: Call) -> bool:
+        """Return whether daemon and store were undisturbed during a call and `CONTACT_S` before."""
+        to_s = self.load_began_s + call.ended_s
+        from_s = self.load_began_s + call.at_s - CONTACT_S
+        is_stable = not any(d.affects(call.daemon, from_s, to_s) for d in self.store_disturbances)
+        return is_stable and self._was_undisturbed(call.daemon, from_s, to_s)
+
     def _check_stops(self) -> None:
         """Report planned stops, and calls under way during them, that did not end as promised."""
         result = self.parts.result
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from ..invariants import require
+from ._links import DaemonLinks
 
 __all__ = ["DaemonProcess", "describe_not_ready", "free_ports", "loopback_address"]
 
@@ -63,6 +64,8 @@
         Content of its settings file.
     folder : Path
         Where the settings file and the log are written.
+    links : DaemonLinks, optional
+        Links through which the daemon reaches the workers; by default it connects to them directly.
 
     Attributes
     ----------
@@ -75,7 +78,9 @@
         went on being sent requests.
     """
 
-    def __init__(self, name: str, hall: str, settings: dict, folder: Path):
+    def __init__(
+        self, name: str, hall: str, settings: dict, folder: Path, links: DaemonLinks | None = None
+    ):
         self.name = name
         self.hall = hall
         self.settings = settings
@@ -88,6 +93,9 @@
         self.standstills_s: list[tuple[float, float]] = []
         self._disturbed_since_s: float | None = None
         self._log_offset = 0
+        self._module = ["ferrydock.route_daemon"]
+        if links is not None:
+            self._module = ["ferrydock.emulator.linked_daemon", links.workers, links.address]
 
     @property
     def address(self) -> str:
@@ -132,7 +140,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "ferrydock.route_daemon",
+                *self._module,
                 f"--settings={self.settings_path}",
                 stdout=log,
                 stderr=log,
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -22,6 +22,7 @@
     "no request is sent to a target 2 s after its word that it leaves",
     "a target that names a limit gets no more from daemons that were told",
     "a target that asks a daemon for rest gets none of its requests",
+    "callers of daemons that reach no target are served through other daemons",
     "no request is refused for an old configuration by a daemon that reaches the store",
 )
 
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -15,12 +15,15 @@
 
 # Imported because they register troubles.
 from . import _daemon_troubles as _daemon_troubles
+from . import _link_troubles as _link_troubles
 from . import _pace_troubles as _pace_troubles
 from . import _target_troubles as _target_troubles
 from ._crashing import CrashingCallers
 from ._experiment import Experiment, Trouble
 from ._judge import PromiseChecker
 from ._leaving import StoreDisturbance
+from ._link_troubles import LINK_KIND
+from ._links import DaemonLinks
 from ._load import Call, Callers
 from ._own_pace import StallMonitor
 from ._persistent_callers import PersistentCaller
@@ -63,6 +66,10 @@
         if experiment.has_small_buffers:
             self.site.sockets = SocketSizes(SMALL_BACKLOG, SMALL_RECEIVE_BUFFER_BYTES)
         self.address = loopback_address()
+        self.has_links = any(spec.kind == LINK_KIND for spec in experiment.troubles)
+        if self.has_links:
+            self.site.worker_ip = loopback_address()
+            self.site.on_port = self._follow_port
         self.daemons: list[DaemonProcess] = []
         self.result = Result(experiment.name, experiment.seed)
         self._own_folder = tempfile.TemporaryDirectory() if folder is None else None
@@ -74,6 +81,10 @@
             self.site, self.daemons, self.rng, experiment, self.result, self.now_s
         )
 
+    def _follow_port(self, port: int, is_open: bool) -> None:
+        for links in self._parts.links.values():
+            links.set_port(port, is_open)
+
     def now_s(self) -> float:
         """Return seconds since the load began."""
         return asyncio.get_running_loop().time() - self._load_began_s
@@ -117,6 +128,12 @@
 
     async def _start(self) -> None:
         experiment = self.experiment
+        names = [
+            f"{h}-daemon-{n}" for h in experiment.halls for n in range(experiment.daemons_per_hall)
+        ]
+        if self.has_links:
+            for name in names:
+                self._parts.links[name] = DaemonLinks(self.site.worker_ip, loopback_address())
         await self.site.start()
         for face in self.site.faces.values():
             face.event_s = experiment.event_s
@@ -125,9 +142,11 @@
                 name = f"{hall}-daemon-{number}"
                 store = await self.site.open_store()
                 store.latency_s = experiment.store_latency_s
-                ports = free_ports(4, self.address)
+                ports = free_ports(5, self.address)
                 settings = self.site.settings(name, hall, ports, store, self.address)
-                daemon = DaemonProcess(name, hall, settings, self.folder)
+                daemon = DaemonProcess(
+                    name, hall, settings, self.folder, self._parts.links.get(name)
+                )
                 self.daemons.append(daemon)
                 await daemon.start()
         self.site.write_configuration()
@@ -172,6 +191,7 @@
             daemon.signal(signal.SIGCONT)
             daemon.signal(signal.SIGKILL)
         await asyncio.gather(*(daemon.end() for daemon in self.daemons))
+        await asyncio.gather(*(links.close() for links in self._parts.links.values()))
         await self.site.close()
         if self._own_folder is not None:
             self._own_folder.cleanup()
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import orjson
 
@@ -75,6 +76,10 @@
         Bound on evacuations in the settings of daemons; None if the settings have none.
     sockets : SocketSizes
         Sizes of the listening sockets of workers that are added.
+    worker_ip : str
+        IP address on which workers listen.
+    on_port : callable
+        Called with the port of a worker when it has been opened or closed.
     """
 
     def __init__(self, halls: tuple[str, ...], seed: int = 1, domain_size: int = 10):
@@ -98,6 +103,8 @@
         self._configuration = b""
         self.evacuate_ms: int | None = None
         self.sockets = SocketSizes()
+        self.worker_ip = "127.0.0.1"
+        self.on_port: Callable[[int, bool], None] = lambda port, is_open: None
 
     async def start(self) -> None:
         """Start the store and all workers; no configuration is written yet."""
@@ -122,7 +129,8 @@
             worker, self.fleet, self.record, on_crash=self.crash_worker, sockets=self.sockets
         )
         self.faces[worker_id] = face
-        await face.start()
+        await face.start(self.worker_ip)
+        self.on_port(_port_of(worker), True)
         self.fleet.workers[worker_id] = worker
         self._write_entry(worker)
         return worker
@@ -134,7 +142,8 @@
             worker, None, self.record, on_crash=self.crash_worker, sockets=self.sockets
         )
         self.faces[worker_id] = face
-        await face.start()
+        await face.start(self.worker_ip)
+        self.on_port(_port_of(worker), True)
         self.plain[worker_id] = worker
         self._write_entry(worker)
         return worker
@@ -156,6 +165,7 @@
         """Crash the process of a worker; it starts again under the same id after a delay."""
         worker.alive = False
         self.faces[worker.worker_id].crash()
+        self.on_port(_port_of(worker), False)
         if worker.worker_id in self.fleet.workers:
             self.fleet.kill(worker.worker_id)
         loop = asyncio.get_running_loop()
@@ -168,10 +178,11 @@
         await asyncio.sleep(self.rng.uniform(*RESTART_DELAY_S))
         while True:
             try:
-                await self.faces[worker.worker_id].start()
+                await self.faces[worker.worker_id].start(self.worker_ip)
                 break
             except OSError:
                 await asyncio.sleep(PORT_RETRY_INTERVAL_S)
+        self.on_port(_port_of(worker), True)
         worker.restart()
         self.faces[worker.worker_id].has_crashed = False
         self._write_entry(worker)
@@ -359,11 +370,12 @@
         store: StoreFace | None = None,
         address: str = "127.0.0.1",
     ) -> dict:
-        """Return the settings of a daemon that listens on the four `ports`.
+        """Return the settings of a daemon that listens on `ports`.
 
-        The ports are those of frontend, readiness, control and internal traffic, in this order.
+        The ports are those of frontend, readiness, control and internal traffic, in this order;
+        a fifth one is a second port for internal traffic.
         """
-        frontend, ready, control, internal = ports
+        frontend, ready, control, *internal = ports
         return {
             "node-name": name,
             "role": "entry",
@@ -375,7 +387,7 @@
                 "ready": f"{address}:{ready}",
                 "control": f"{address}:{control}",
             },
-            "internal-ports": [internal, internal],
+            "internal-ports": [internal[0], internal[-1]],
             "bootstrap": self.is_first_start,
             "limits": {"memory-mb": 300},
             "bounds": {
@@ -427,6 +439,10 @@
     }
 
 
+def _port_of(worker: Worker) -> int:
+    return int(worker.address.rpartition(":")[2])
+
+
 def _cold_remaining_ms(worker: Worker) -> int:
     if worker.cold is None:
         return 0
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -267,23 +267,25 @@
         self.has_crashed = False
         self._rng = random.Random(worker.worker_id)
 
-    async def start(self) -> str:
-        """Start to listen and return ``IP:PORT``; a restarted worker listens at its old address."""
+    async def start(self, ip: str = "127.0.0.1") -> str:
+        """Start to listen and return ``IP:PORT``; a restarted worker listens at its old port."""
         _, _, port = self.worker.address.rpartition(":")
         self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
         self._sockets = await asyncio.get_running_loop().create_server(
-            self._server, sock=self._listening_socket(int(port or 0)), backlog=self.sockets.backlog
+            self._server,
+            sock=self._listening_socket(ip, int(port or 0)),
+            backlog=self.sockets.backlog,
         )
         self.worker.address = "{}:{}".format(*self._sockets.sockets[0].getsockname())
         return self.worker.address
 
-    def _listening_socket(self, port: int) -> socket.socket:
+    def _listening_socket(self, ip: str, port: int) -> socket.socket:
         opened = socket.socket()
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self.sockets.receive_buffer_bytes:
             size = self.sockets.receive_buffer_bytes
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-        opened.bind(("127.0.0.1", port))
+        opened.bind((ip, port))
         return opened
 
     def crash(self) -> None:
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,40 @@
+"""Daemons that lose their links to all targets, while callers, store and peers still reach them."""
+
+import pytest
+
+from benchmarks.soak import HALLS, LEAVING_LOAD
+from ferrydock.emulator import Experiment, LinkFailure, Trouble
+
+from .soak_plays import play_seeds
+
+pytestmark = pytest.mark.soak
+
+LENGTH_S = 11.0
+FROM_S, FOR_S = 1.0, 9.0
+
+# How many of the three daemons of a hall lose their links, and how; the number is the play's seed.
+CUTS = {
+    1: (1, LinkFailure.HANG),
+    2: (2, LinkFailure.RESET),
+    3: (3, LinkFailure.RESET_HANG),
+    4: (3, LinkFailure.LIVE_ON),
+}
+
+
+def cut_experiment(seed):
+    count, how = CUTS[seed]
+    return Experiment(
+        name=f"links {how}",
+        seed=seed,
+        length_s=LENGTH_S,
+        halls=HALLS,
+        daemons_per_hall=3,
+        domain_size=8,
+        load=LEAVING_LOAD,
+        troubles=(Trouble(FROM_S, "links_lost", count, FOR_S, HALLS[0], how),),
+    )
+
+
+def test_callers_of_daemons_that_reach_no_target_are_served_like_others(tmp_path):
+    results = play_seeds(cut_experiment, CUTS, tmp_path, 2)
+    assert {seed: result.broken for seed, result in results.items()} == dict.fromkeys(CUTS, [])
