Sight: a daemon logs and measures when it reaches no target

After a failed connection three other targets are connected to; if none accepts, links_lost is logged and ferrydock_links_lost is 1, until two of three accept again. All connections to targets (requests, orders, reports) now go through one dialer, which no decision uses yet.

One test patched the function that opens sockets; it patches the same function at its new place.

--- a/ferrydock/forwarding/_send_check.py
+++ b/ferrydock/forwarding/_send_check.py
@@ -19,6 +19,7 @@
 from aiohttp.tracing import Trace
 
 from ..freshness import Confirmer
+from ..links import DialingConnector
 from ..scheduling import Endpoint, EndpointCatalog
 
 __all__ = [
@@ -92,7 +93,7 @@
         return self.catalog.is_usable(endpoint)
 
 
-class CheckedConnector(aiohttp.TCPConnector):
+class CheckedConnector(DialingConnector):
     """Hands out a connection only if the check of the running request allows it."""
 
     async def connect(
--- a/ferrydock/forwarding/_upstream.py
+++ b/ferrydock/forwarding/_upstream.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-import socket
+import functools
 from collections.abc import AsyncIterator, Awaitable, Callable, Container, Mapping
 from dataclasses import dataclass
 
@@ -14,6 +14,7 @@
 from yarl import URL
 
 from ..http_client import open_session
+from ..links import TargetDialer
 from ..targets import Target
 from ._send_check import (
     CURRENT_GUARD,
@@ -26,10 +27,6 @@
 
 __all__ = ["SendWithdrawn", "Upstream"]
 
-# How long sent bytes may stay unacknowledged before the kernel closes the connection. Without the
-# limit, a connection hangs for minutes after a network partition. A slow target still acknowledges.
-TCP_USER_TIMEOUT_MS = 3000
-
 # How long an idle connection to a target is kept open.
 IDLE_TIMEOUT_S = 4.0
 
@@ -48,26 +45,24 @@
     """Nothing was sent: the target must not get the request any more."""
 
 
-def _open_socket(address_info) -> socket.socket:
-    family, kind, protocol = address_info[:3]
-    opened = socket.socket(family=family, type=kind, proto=protocol)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return opened
-
-
 class Upstream:
     """Sends requests to targets over pooled connections.
 
+    Parameters
+    ----------
+    dialer : TargetDialer, optional
+        Makes the connections; by default directly.
+
     Notes
     -----
     A request that may run only once uses a new connection. It can then neither receive an answer
     left over from an earlier request, nor be lost on a connection that the target has just closed.
     """
 
-    __slots__ = ("_pools", "_single_use_pool")
+    __slots__ = ("_pools", "_single_use_pool", "dialer")
 
-    def __init__(self):
+    def __init__(self, dialer: TargetDialer | None = None):
+        self.dialer = dialer or TargetDialer()
         self._pools: dict[str, aiohttp.ClientSession] = {}
         self._single_use_pool: aiohttp.ClientSession | None = None
 
@@ -125,13 +120,26 @@
     def _session_for(self, target: Target, runs_once: bool) -> aiohttp.ClientSession:
         if runs_once:
             if self._single_use_pool is None:
-                self._single_use_pool = _open_session(keep_alive=False)
+                self._single_use_pool = self._open_session(keep_alive=False)
             return self._single_use_pool
         session = self._pools.get(target.target_id)
         if session is None:
-            session = self._pools[target.target_id] = _open_session(keep_alive=True)
+            session = self._pools[target.target_id] = self._open_session(keep_alive=True)
         return session
 
+    def _open_session(self, keep_alive: bool) -> aiohttp.ClientSession:
+        """Open a pool whose connections are reused, or else closed after one request."""
+        return open_session(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S if keep_alive else None,
+            connector_class=functools.partial(TimedConnector, dialer=self.dialer),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+        )
+
     def close_unlisted(self, target_ids: Container[str], busy_ids: Container[str]) -> None:
         """Close the connections to targets that are neither listed nor busy."""
         for target_id in [i for i in self._pools if i not in target_ids and i not in busy_ids]:
@@ -157,18 +165,3 @@
     if not isinstance(body, bytes):
         return checked_pieces(body, before_head)
     return CheckedBytes(body, before_head) if body else body
-
-
-def _open_session(keep_alive: bool) -> aiohttp.ClientSession:
-    """Open a pool whose connections are reused, or else closed after one request."""
-    return open_session(
-        connect_timeout_s=CONNECT_TIMEOUT_S,
-        idle_timeout_s=IDLE_TIMEOUT_S if keep_alive else None,
-        socket_factory=_open_socket,
-        connector_class=TimedConnector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-        max_line_size=MAX_HEAD_BYTES,
-        max_field_size=MAX_HEAD_BYTES,
-    )
--- a/ferrydock/forwarding/tests/test_slow_readers.py
+++ b/ferrydock/forwarding/tests/test_slow_readers.py
@@ -10,7 +10,7 @@
 
 from ...clock import ManualClock
 from ...configuration import RouteKind
-from .. import _upstream
+from ...links import _direct
 from .._caller_buffers import CALLER_BOUND_BYTES, MAX_UNREAD_S
 from .rig import Rig, ScriptedTarget, complete_answer, route, writes
 from .test_forwarding import STREAM, body_of, chunk
@@ -242,10 +242,8 @@
 
 
 def test_target_that_reads_slowly_is_sent_no_more_than_it_takes(play, monkeypatch):
-    open_socket = _upstream._open_socket
-    monkeypatch.setattr(
-        _upstream, "_open_socket", lambda info: _shrink(open_socket(info), socket.SO_SNDBUF)
-    )
+    open_socket = _direct.open_socket
+    monkeypatch.setattr(_direct, "open_socket", lambda: _shrink(open_socket(), socket.SO_SNDBUF))
 
     async def scenario():
         reads_on, target = asyncio.Event(), ScriptedTarget()
--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -12,7 +12,7 @@
     connect_timeout_s: float,
     idle_timeout_s: float | None,
     socket_factory: Callable[..., socket.socket] | None = None,
-    connector_class: type[aiohttp.TCPConnector] = aiohttp.TCPConnector,
+    connector_class: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
     **options,
 ) -> aiohttp.ClientSession:
     """Open a session without a limit on connections and without a time limit on whole calls.
@@ -29,8 +29,8 @@
         Seconds for which an idle connection is kept open; None to use each connection once.
     socket_factory : callable, optional
         Creates sockets with custom options.
-    connector_class : type, default=aiohttp.TCPConnector
-        Class of the pool of connections.
+    connector_class : callable, default=aiohttp.TCPConnector
+        Creates the pool of connections.
     **options
         Additional arguments of `aiohttp.ClientSession`.
     """
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import functools
 import logging
 
 import aiohttp
 import orjson
 
 from ..http_client import open_session
+from ..links import DialingConnector, TargetDialer
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..targets import (
@@ -44,11 +46,18 @@
 
 
 class PlatformTargetControl:
-    """Client of ``/v1/order`` and ``/v1/report`` of the workers."""
+    """Client of ``/v1/order`` and ``/v1/report`` of the workers.
 
-    __slots__ = ("_session",)
+    Attributes
+    ----------
+    dialer : TargetDialer
+        Makes the connections; set by the daemon before the first call.
+    """
+
+    __slots__ = ("_session", "dialer")
 
     def __init__(self):
+        self.dialer = TargetDialer()
         self._session: aiohttp.ClientSession | None = None
 
     async def order(
@@ -124,7 +133,11 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = open_session(CONNECT_TIMEOUT_S, idle_timeout_s=None)
+            self._session = open_session(
+                CONNECT_TIMEOUT_S,
+                idle_timeout_s=None,
+                connector_class=functools.partial(DialingConnector, dialer=self.dialer),
+            )
         return self._session
 
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -27,6 +27,7 @@
 )
 from ..freshness import LEADER_MAX_AGE_S, EraSettling
 from ..hall_lease import ControllerLease
+from ..links import TargetDialer, TargetLinks
 from ..logs import log_event
 from ..planned_stop import finish_requests
 from ..relay import BrokenReplicas, DaemonCounter, RelayClient, RelayServer
@@ -70,6 +71,7 @@
 # A quarter of the silence after which a stream with events every 30 to 60 ms is moved to another
 # target (`forwarding._move_rule`).
 DETECT_STALLS_EVERY_S = 0.025
+CHECK_LINKS_EVERY_S = 0.1
 SET_GATHER_TIME_EVERY_S = 0.1
 ASSIGN_SLOTS_EVERY_S = 0.1
 # Bounds the age of the in-flight counts of other halls that the hall scheduler decides by.
@@ -202,7 +204,10 @@
             self.site_daemons.count,
             self._new_team_shares(),
         )
-        self.upstream = Upstream()
+        self.links = TargetLinks(self._usable_target_addresses, self.clock, self.rng)
+        self.dialer = TargetDialer(self.links)
+        self.deployment.control.dialer = self.dialer
+        self.upstream = Upstream(self.dialer)
         dialect = self.deployment.dialect
         attempts = AttemptRunner(
             self.selector, self.upstream, loads, dialect, self.clock, self.metrics
@@ -366,6 +371,9 @@
 
     # Functions that are passed to components --------------------------------------------------
 
+    def _usable_target_addresses(self) -> list[str]:
+        return [t.address for t in self.directory.targets.values() if not t.draining]
+
     def _leaderships(self) -> list[HallLeadership]:
         return [self.leadership, *self.remote_leaderships]
 
@@ -475,6 +483,7 @@
         self.steps.finish("listeners")
         self.tasks.every(UPKEEP_EVERY_S, self._run_upkeep)
         self.tasks.every(DETECT_STALLS_EVERY_S, self.stalls.step)
+        self.tasks.every(CHECK_LINKS_EVERY_S, self.links.step)
         self.tasks.every(SET_GATHER_TIME_EVERY_S, self._set_gather_time)
         self.tasks.every(ASSIGN_SLOTS_EVERY_S, self.upkeep.assign_free_slots)
         self.tasks.every(POLL_REMOTE_HALLS_EVERY_S, self._poll_remote_halls)
--- a/ferrydock/route_daemon/_gauges.py
+++ b/ferrydock/route_daemon/_gauges.py
@@ -60,6 +60,8 @@
         metrics.targets.set(len(self.directory.targets))
         metrics.targets_idle.set(self._count_idle({service.name for service in services}))
         metrics.weight_loads.set(sum(c.state.staging.count for c in self.controllers))
+        links = self.gateway.forwarder.attempts.upstream.dialer.links
+        metrics.links_lost.set(links is not None and links.is_lost)
         metrics.in_flight.set(self.gateway.in_flight)
         metrics.caller_bytes_held.set(self.gateway.caller_bytes_held)
         selector = self.gateway.forwarder.selector
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -108,6 +108,11 @@
         self.attempts = Counter(
             "ferrydock_attempts", "Attempts that have ended.", ("result",), registry=registry
         )
+        self.links_lost = Gauge(
+            "ferrydock_links_lost",
+            "1 while this daemon reaches no target directly, otherwise 0.",
+            registry=registry,
+        )
         self.target_crashes = Counter(
             "ferrydock_target_crashes",
             "Attempts of this daemon that ended with their target's process.",
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..links import TargetDialer
 from ..outcomes import Unavailable, Unknown
 from ..store import Position
 from ._target import Target
@@ -179,7 +180,9 @@
 
 
 class TargetControl(Protocol):
-    """Sends orders to targets and requests their reports."""
+    """Sends orders to targets and requests their reports, over connections that a dialer makes."""
+
+    dialer: TargetDialer
 
     async def order(
         self, target: Target, order: Order, expected_orders: int | None
--- a/tests/test_readable.py
+++ b/tests/test_readable.py
@@ -21,6 +21,7 @@
     "forwarding",
     "freshness",
     "gateway",
+    "links",
     "platform",
     "relay",
     "replicas",
