Requests of a daemon without links to the targets go out through another daemon

Cause: a failure of this daemon's own links was counted as failures of its targets, one by one, and bytes could go to a target from the daemon that read the request and from nowhere else. Not the retry budget: the requests that got a retry failed as well.

The other daemon forwards bytes and decides nothing, so key, team, budget, attempts, deadline, ids, streams, back-pressure and the caller's leaving are handled where they always were, once. It connects to listed targets only and never to a third daemon. The target's bytes come in frames with an end of their own: the end of that daemon cannot pass for the end of an answer without a length. Daemons learn of each other through the leaders. Without any path a request is refused at once, as not run (no_path). Ejections that the loss caused are undone, and no connection from before is used again.

Ran: forwarding, route_daemon, crashes, targets, links, gateway, start and crashes of the adapter, readability, outside interfaces.

--- a/ferrydock/forwarding/__init__.py
+++ b/ferrydock/forwarding/__init__.py
@@ -22,6 +22,7 @@
 from ._gateway import RouteGateway
 from ._hall_endpoint_selector import HallEndpointSelector
 from ._headers import end_to_end
+from ._lost_links import LostLinks
 from ._send_check import SendCheck
 from ._stalls import StallDetector
 from ._target_loads import TargetLoad, TargetLoads
@@ -39,6 +40,7 @@
     "Forwarder",
     "HallEndpointSelector",
     "Inbound",
+    "LostLinks",
     "NumberedEvents",
     "Outbound",
     "RequestDialect",
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from ..clock import Clock
+from ..links import NoPathToTargets
 from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
 from ..targets import ReplicaView, Target
@@ -204,8 +205,10 @@
         sent_s = self.clock.now_s()
         try:
             answer = await self._send_request(exchange, endpoint)
-        except _NOT_SENT_ERRORS:
-            return AttemptEnd(False, False, AttemptReason.NOT_SENT, may_have_received=False)
+        except _NOT_SENT_ERRORS as error:
+            has_path = not isinstance(getattr(error, "os_error", None), NoPathToTargets)
+            reason = AttemptReason.NOT_SENT if has_path else AttemptReason.NO_PATH
+            return AttemptEnd(False, False, reason, may_have_received=False)
         except _CONNECTION_ERRORS as error:
             return AttemptEnd(False, True, "broken_" + type(error).__name__)
         if isinstance(answer, SendWithdrawn):
@@ -234,6 +237,7 @@
         body = exchange.body if exchange.body is not None else _streamed_body(exchange)
         target_id, directory = endpoint.target.target_id, self.selector.catalog.directory
         times = SendTimes(target_id, exchange.chosen_s, directory, self.clock)
+        times.request_id = exchange.inbound.request_id
         exchange.send_times = times
         return await self.upstream.send(
             endpoint.target,
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -60,6 +60,7 @@
     ANSWERED = "answered"
     STREAMED = "streamed"
     NOT_SENT = "not_sent"
+    NO_PATH = "no_path"
     TARGET_LEFT = "target_left"
     REFUSED = "refused"
     ERROR = "error"
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -179,11 +179,12 @@
             self.metrics.longest_gap.observe(exchange.longest_gap_s)
 
 
-def _send_fields(times: SendTimes | None, now_s: float) -> dict[str, float | None]:
+def _send_fields(times: SendTimes | None, now_s: float) -> dict[str, float | str | None]:
     """Return the fields of a log line that tell when an attempt's request was sent."""
     if times is None:
         return {}
     return {
+        "through": times.through or None,
         "list_age_ms": _to_ms(times.list_age_s),
         "connect_ms": _to_ms(times.connect_s),
         "send_ms": _to_ms(times.send_s),
--- a/ferrydock/forwarding/_retry_rule.py
+++ b/ferrydock/forwarding/_retry_rule.py
@@ -18,6 +18,7 @@
 def may_retry(exchange: Exchange, end: AttemptEnd, left_s: float, may_go_elsewhere: bool) -> bool:
     """Return whether a request may be sent again after an attempt without a final answer.
 
+    - Not if this daemon has no path to any target.
     - On routes whose requests are not repeatable, only if the request certainly did not run.
     - A body that is streamed through cannot be sent twice, unless no byte of it was sent.
     - An answer that has begun can be continued only if it is a stream whose last event written to
@@ -34,6 +35,8 @@
     may_go_elsewhere : bool
         Whether a target that was not tried exists, or may appear before the deadline.
     """
+    if end.reason == AttemptReason.NO_PATH:
+        return False
     if end.may_have_run and not exchange.route.kind.is_repeatable:
         return False
     if exchange.body is None and end.may_have_received:
--- a/ferrydock/forwarding/_send_times.py
+++ b/ferrydock/forwarding/_send_times.py
@@ -11,6 +11,7 @@
 from aiohttp.tracing import Trace
 
 from ..clock import Clock
+from ..links import Dialed
 from ..targets import TargetDirectory
 from ._send_check import CheckedConnector
 
@@ -31,6 +32,10 @@
 
     Attributes
     ----------
+    request_id : str
+        Id of the request; set before it is sent.
+    through : str
+        ``IP:PORT`` of the daemon through which a new connection leads; empty for none.
     connect_s : float or None
         How long it took to get a connection and to check that the request may be sent, in seconds;
         next to nothing for one from the pool and a recent list. None if nothing was sent.
@@ -60,9 +65,11 @@
         "connect_s",
         "directory",
         "list_age_s",
+        "request_id",
         "send_s",
         "sent_s",
         "target_id",
+        "through",
     )
 
     def __init__(self, target_id: str, chosen_s: float, directory: TargetDirectory, clock: Clock):
@@ -70,6 +77,8 @@
         self.chosen_s = chosen_s
         self.directory = directory
         self.clock = clock
+        self.request_id = ""
+        self.through = ""
         self.connect_s: float | None = None
         self.sent_s: float | None = None
         self.send_s: float | None = None
@@ -103,6 +112,14 @@
     functions for each request.
     """
 
+    def request_id(self) -> str:
+        """Return the id of the request that the running task sends."""
+        return CURRENT_TIMES.get().request_id
+
+    def note_dialed(self, dialed: Dialed) -> None:
+        """Record through which daemon a new connection leads."""
+        CURRENT_TIMES.get().through = dialed.through
+
     async def connect(
         self, req: aiohttp.ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -39,8 +39,8 @@
         Failures since the last success or ejection.
     ejections_since_success : int
         Ejections since the last success.
-    ejected_until_s : float
-        Local time at which the current or last ejection ends.
+    ejected_s, ejected_until_s : float
+        Local times at which the current or last ejection began and ends.
     """
 
     in_flight: int = 0
@@ -48,6 +48,7 @@
     last_answer_s: float = float("-inf")
     consecutive_failures: int = 0
     ejections_since_success: int = 0
+    ejected_s: float = float("-inf")
     ejected_until_s: float = 0.0
 
 
@@ -132,7 +133,14 @@
             ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**load.ejections_since_success)
             load.ejections_since_success += 1
             load.consecutive_failures = 0
-            load.ejected_until_s = now_s + ejection_s
+            load.ejected_s, load.ejected_until_s = now_s, now_s + ejection_s
+
+    def undo_ejections(self, since_s: float) -> None:
+        """End the ejections begun since a local time, whose failures were not the targets'."""
+        for load in self._loads.values():
+            if load.ejected_s >= since_s:
+                load.ejected_s, load.ejected_until_s = float("-inf"), 0.0
+                load.ejections_since_success = max(0, load.ejections_since_success - 1)
 
     def is_ejected(self, target_id: str, now_s: float) -> bool:
         """Return whether a target is ejected at `now_s`."""
--- a/ferrydock/forwarding/_upstream.py
+++ b/ferrydock/forwarding/_upstream.py
@@ -57,13 +57,17 @@
     -----
     A request that may run only once uses a new connection. It can then neither receive an answer
     left over from an earlier request, nor be lost on a connection that the target has just closed.
+
+    While new connections lead through another daemon, each request uses a new one: connections that
+    were made directly may be silent, and a daemon that stops waits for the open tunnels.
     """
 
-    __slots__ = ("_pools", "_single_use_pool", "dialer")
+    __slots__ = ("_pools", "_replaced_pools", "_single_use_pool", "dialer")
 
     def __init__(self, dialer: TargetDialer | None = None):
         self.dialer = dialer or TargetDialer()
         self._pools: dict[str, aiohttp.ClientSession] = {}
+        self._replaced_pools: list[tuple[str, aiohttp.ClientSession]] = []
         self._single_use_pool: aiohttp.ClientSession | None = None
 
     async def send(
@@ -117,8 +121,13 @@
                 return SendWithdrawn()
             raise
 
+    def replace_pools(self) -> None:
+        """Use none of the open connections for further requests; those in use are not closed."""
+        self._replaced_pools += self._pools.items()
+        self._pools = {}
+
     def _session_for(self, target: Target, runs_once: bool) -> aiohttp.ClientSession:
-        if runs_once:
+        if runs_once or not self.dialer.is_direct:
             if self._single_use_pool is None:
                 self._single_use_pool = self._open_session(keep_alive=False)
             return self._single_use_pool
@@ -141,18 +150,23 @@
         )
 
     def close_unlisted(self, target_ids: Container[str], busy_ids: Container[str]) -> None:
-        """Close the connections to targets that are neither listed nor busy."""
+        """Close connections to targets that are not busy: to unlisted ones, in replaced pools."""
         for target_id in [i for i in self._pools if i not in target_ids and i not in busy_ids]:
             session = self._pools.pop(target_id)
             asyncio.get_running_loop().create_task(session.close())
+        for target_id, session in [p for p in self._replaced_pools if p[0] not in busy_ids]:
+            self._replaced_pools.remove((target_id, session))
+            asyncio.get_running_loop().create_task(session.close())
 
     async def close(self) -> None:
         """Close all connections."""
         sessions = [
             *self._pools.values(),
+            *(session for _, session in self._replaced_pools),
             *([self._single_use_pool] if self._single_use_pool else []),
         ]
         self._pools.clear()
+        self._replaced_pools.clear()
         self._single_use_pool = None
         for session in sessions:
             await session.close()
--- a/ferrydock/links/_connector.py
+++ b/ferrydock/links/_connector.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from ._dialer import Dialed, TargetDialer
+from ._tunnel_client import TunnelProtocol
 
 __all__ = ["DialingConnector"]
 
@@ -52,9 +53,15 @@
         except OSError as error:
             raise client_error(req.connection_key, error) from error
         self.note_dialed(dialed)
+        make_protocol, *rest = args
         loop = asyncio.get_running_loop()
         try:
-            return await loop.create_connection(*args, sock=dialed.opened, **kwargs)
+            if not dialed.through:
+                return await loop.create_connection(*args, sock=dialed.opened, **kwargs)
+            transport, tunnel = await loop.create_connection(
+                lambda: TunnelProtocol(make_protocol), *rest, sock=dialed.opened, **kwargs
+            )
+            return transport, tunnel.inner
         except BaseException:
             dialed.opened.close()
             raise
--- /dev/null
+++ b/ferrydock/links/_tunnel_messages.py
@@ -0,0 +1,128 @@
+"""Messages between daemons about tunnels: the request, its result, and the framing; stateless.
+
+A tunnel begins with a request of the calling daemon: its length in two bytes, then JSON with
+``address`` and ``request``. The other daemon replies with one byte, a `TunnelResult`. After
+``CONNECTED``, the caller's bytes go to the target unchanged. The target's bytes come back in
+frames, each with its length in four bytes before it; an empty frame says that the target has closed
+the connection in order. So the end of a daemon cannot pass for the end of an answer that has no
+length of its own.
+"""
+
+import struct
+from enum import Enum
+
+import orjson
+
+__all__ = [
+    "END_FRAME",
+    "MAX_REQUEST_BYTES",
+    "FrameReader",
+    "TunnelResult",
+    "decode_request",
+    "encode_frame",
+    "encode_request",
+]
+
+_REQUEST_LENGTH = struct.Struct(">H")
+_FRAME_LENGTH = struct.Struct(">I")
+END_FRAME = _FRAME_LENGTH.pack(0)
+
+# An address and a request id; a longer request does not come from a daemon.
+MAX_REQUEST_BYTES = 4096
+
+
+class TunnelResult(Enum):
+    """Reply to a request for a tunnel.
+
+    ``CONNECTED``: the target accepted the connection. ``REFUSED``: it refused it. ``SILENT``: it
+    did not accept it in time, or connecting failed otherwise. ``NO_LINKS``: this daemon reaches no
+    target either. ``UNKNOWN``: this daemon does not list such a target. ``BUSY``: it takes no more
+    tunnels, or is stopping.
+    """
+
+    CONNECTED = b"C"
+    REFUSED = b"R"
+    SILENT = b"S"
+    NO_LINKS = b"L"
+    UNKNOWN = b"U"
+    BUSY = b"B"
+
+
+def encode_request(address: str, request_id: str) -> bytes:
+    """Return the request for a tunnel to the target at ``IP:PORT``."""
+    data = orjson.dumps({"address": address, "request": request_id[: MAX_REQUEST_BYTES // 8]})
+    return _REQUEST_LENGTH.pack(len(data)) + data
+
+
+def decode_request(data: bytes) -> tuple[str, str] | None:
+    """Return address and request id, or None while the request is incomplete.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError
+        It is not a request for a tunnel.
+
+    Examples
+    --------
+    >>> request = encode_request("10.0.0.1:80", "a1")
+    >>> decode_request(request[:5]), decode_request(request)
+    (None, ('10.0.0.1:80', 'a1'))
+    """
+    if len(data) < _REQUEST_LENGTH.size:
+        return None
+    length = _REQUEST_LENGTH.unpack_from(data)[0]
+    if length > MAX_REQUEST_BYTES:
+        raise ValueError(f"a request of {length} bytes")
+    if len(data) < _REQUEST_LENGTH.size + length:
+        return None
+    fields = orjson.loads(data[_REQUEST_LENGTH.size : _REQUEST_LENGTH.size + length])
+    return str(fields["address"]), str(fields["request"])
+
+
+def encode_frame(data: bytes) -> bytes:
+    """Return the frame of a target's bytes, which must not be empty."""
+    return _FRAME_LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Reads the bytes of a target out of frames that arrive in pieces.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether the empty frame was read.
+
+    Examples
+    --------
+    >>> reader = FrameReader()
+    >>> stream = encode_frame(b"abc") + END_FRAME
+    >>> [reader.feed(stream[:6]), reader.feed(stream[6:]), reader.has_ended]
+    [b'ab', b'c', True]
+    """
+
+    __slots__ = ("_head", "_left_bytes", "has_ended")
+
+    def __init__(self):
+        self._head = b""
+        self._left_bytes = 0
+        self.has_ended = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the target's bytes in the next piece of the stream."""
+        found = []
+        position = 0
+        while position < len(data) and not self.has_ended:
+            if self._left_bytes:
+                piece = data[position : position + self._left_bytes]
+                self._left_bytes -= len(piece)
+                position += len(piece)
+                found.append(piece)
+                continue
+            missing = _FRAME_LENGTH.size - len(self._head)
+            self._head += data[position : position + missing]
+            position += missing
+            if len(self._head) == _FRAME_LENGTH.size:
+                self._left_bytes = _FRAME_LENGTH.unpack(self._head)[0]
+                self._head = b""
+                self.has_ended = not self._left_bytes
+        return found[0] if len(found) == 1 else b"".join(found)
--- /dev/null
+++ b/ferrydock/links/tests/test_tunnels.py
@@ -0,0 +1,218 @@
+"""Connections to targets through another daemon, over real sockets."""
+
+import asyncio
+import random
+
+import aiohttp
+import pytest
+
+from ...clock import SystemClock
+from .. import (
+    DialingConnector,
+    NoPathToTargets,
+    PeerTunnels,
+    TargetDialer,
+    TargetLinks,
+    TunnelPeers,
+    TunnelServer,
+)
+
+HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+LARGE_BYTES = 8 * 2**20
+
+
+class Rig:
+    """A target, a daemon that reaches it, and a dialer that does not."""
+
+    def __init__(self, serve, peer_count=1):
+        self.serve = serve
+        self.servers = []
+        self.peer_count = peer_count
+
+    async def __aenter__(self):
+        self.target = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.target.sockets[0].getsockname())
+        clock, rng = SystemClock(), random.Random(1)
+        self.peers = TunnelPeers("a", "", rng)
+        for _ in range(self.peer_count):
+            links = TargetLinks(lambda: [self.address], clock, rng)
+            server = TunnelServer(links, lambda: False, clock)
+            self.servers.append(server)
+            self.peers.note_caller("a", await server.start("127.0.0.1:0"), clock.now_s())
+        links = TargetLinks(lambda: [self.address], clock, rng)
+        links.is_lost = True
+        self.dialer = TargetDialer(links, PeerTunnels(self.peers, clock))
+        connector = DialingConnector(dialer=self.dialer, force_close=True)
+        self.session = aiohttp.ClientSession(connector=connector)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.session.close()
+        for server in self.servers:
+            await server.close()
+        self.target.close()
+
+    def post(self, body):
+        return self.session.post(f"http://{self.address}/", data=body)
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def read_request(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return await reader.readexactly(size)
+
+
+def test_request_and_answer_pass_unchanged():
+    async def echo(reader, writer):
+        body = await read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        writer.close()
+
+    async def scenario():
+        body = random.Random(1).randbytes(LARGE_BYTES)
+        async with Rig(echo) as rig, rig.post(body) as answer:
+            assert await answer.read() == body
+            await until(lambda: not rig.servers[0].tunnel_count)
+
+    asyncio.run(scenario())
+
+
+def test_answer_without_length_is_complete_only_if_the_target_closed_it():
+    async def scenario(ends_in_order):
+        closes = asyncio.Event()
+
+        async def serve(reader, writer):
+            await read_request(reader)
+            writer.write(HEAD_WITHOUT_LENGTH + b"part")
+            await closes.wait()
+            writer.close()
+
+        async with Rig(serve) as rig, rig.post(b"x") as answer:
+            await answer.content.readexactly(4)
+            protocol = answer._protocol
+            if ends_in_order:
+                closes.set()
+            else:
+                await rig.servers[0].close()
+            assert await answer.read() == b""
+            closes.set()
+            return protocol.exception()
+
+    assert not isinstance(asyncio.run(scenario(True)), OSError)
+    assert isinstance(asyncio.run(scenario(False)), OSError)
+
+
+def test_caller_that_leaves_ends_the_connection_to_the_target():
+    async def scenario():
+        ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            await read_request(reader)
+            writer.write(HEAD_WITHOUT_LENGTH)
+            await reader.read()
+            ended.set()
+            writer.close()
+
+        async with Rig(serve) as rig:
+            answer = await rig.post(b"x")
+            answer.close()
+            await asyncio.wait_for(ended.wait(), 5)
+
+    asyncio.run(scenario())
+
+
+def test_target_is_read_no_faster_than_the_caller_reads():
+    async def scenario():
+        written = 0
+
+        async def serve(reader, writer):
+            nonlocal written
+            await read_request(reader)
+            writer.write(HEAD_WITHOUT_LENGTH)
+            while written < 10 * LARGE_BYTES:
+                writer.write(b"x" * 65536)
+                await writer.drain()
+                written += 65536
+
+        async with Rig(serve) as rig:
+            answer = await rig.post(b"x")
+            before = -1
+            while written != before:
+                before = written
+                await asyncio.sleep(0.3)
+            assert written < 10 * LARGE_BYTES
+            answer.close()
+
+    asyncio.run(scenario())
+
+
+async def refuse(reader, writer):
+    writer.close()
+
+
+def test_a_peer_that_reaches_no_target_is_passed_over():
+    async def scenario():
+        async with Rig(refuse, peer_count=2) as rig:
+            rig.servers[0].links.is_lost = True
+            for _ in range(5):
+                dialed = await rig.dialer.connect(rig.address, 1.0)
+                dialed.opened.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("reason", ["no_links", "stopping", "no_peer"])
+def test_without_any_path_nothing_is_sent(reason):
+    async def scenario():
+        async with Rig(refuse, peer_count=int(reason != "no_peer")) as rig:
+            for server in rig.servers:
+                server.links.is_lost = reason == "no_links"
+                server.is_stopping = lambda: True
+            with pytest.raises(NoPathToTargets):
+                await rig.dialer.connect(rig.address, 1.0)
+
+    asyncio.run(scenario())
+
+
+def test_a_target_that_refuses_the_peer_is_at_fault():
+    async def scenario():
+        async with Rig(refuse) as rig:
+            live = await asyncio.start_server(refuse, "127.0.0.1", 0)
+            addresses = [rig.address, "{}:{}".format(*live.sockets[0].getsockname())]
+            rig.servers[0].links.addresses = lambda: addresses
+            rig.target.close()
+            await rig.target.wait_closed()
+            with pytest.raises(ConnectionRefusedError):
+                await rig.dialer.connect(rig.address, 1.0)
+            live.close()
+
+    asyncio.run(scenario())
+
+
+def test_only_listed_targets_are_connected_to():
+    async def scenario():
+        async with Rig(refuse) as rig:
+            rig.servers[0].links.addresses = lambda: ["127.0.0.1:1"]
+            with pytest.raises(NoPathToTargets):
+                await rig.dialer.connect(rig.address, 1.0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("data", [b"\xff\xff", b"\x00\x02{}", b"\x00\x01x"])
+def test_bytes_that_are_no_request_end_the_connection(data):
+    async def scenario():
+        async with Rig(refuse) as rig:
+            host, port = rig.peers.in_order(0.0)[0].split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            assert await asyncio.wait_for(reader.read(), 5) == b""
+            writer.close()
+
+    asyncio.run(scenario())
--- a/ferrydock/platform/_boot.py
+++ b/ferrydock/platform/_boot.py
@@ -46,6 +46,7 @@
     "ready_listen": "listen.ready",
     "metrics_listen": "listen.control",
     "peer_address": "internal-ports",
+    "tunnel_address": "internal-ports",
     "store_address": "platform.address",
     "freshness_s": "bounds.revoke-ms",
     "stop_within_s": "bounds.grace-s",
@@ -91,6 +92,7 @@
     ports = values["peer_address"]
     if isinstance(ports, list) and ports:
         values["peer_address"] = f"{fields.get('ip')}:{ports[0]}"
+    values["tunnel_address"] = _tunnel_address(fields.get("ip"), ports)
     if not _value_at(fields, "bounds.strict-revoke"):
         values["freshness_s"] = _FRESHNESS_WITHOUT_STRICT_REVOKE_S
     elif isinstance(values["freshness_s"], int | float):
@@ -114,6 +116,12 @@
     return values
 
 
+def _tunnel_address(ip, ports) -> str | None:
+    """Return the address of the last internal port; None if there is only one port, or none."""
+    is_range = isinstance(ports, list) and len(ports) > 1 and ports[-1] != ports[0]
+    return f"{ip}:{ports[-1]}" if is_range else None
+
+
 def _change_within_s(fields: dict):
     """Return the smaller of the bounds on new configurations and on leaving workers, in seconds.
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -20,6 +20,7 @@
     CrashGuard,
     Forwarder,
     HallEndpointSelector,
+    LostLinks,
     RouteGateway,
     StallDetector,
     TargetLoads,
@@ -27,7 +28,15 @@
 )
 from ..freshness import LEADER_MAX_AGE_S, EraSettling
 from ..hall_lease import ControllerLease
-from ..links import TargetDialer, TargetLinks
+from ..links import (
+    PEERS_METHOD,
+    PeerExchange,
+    PeerTunnels,
+    TargetDialer,
+    TargetLinks,
+    TunnelPeers,
+    TunnelServer,
+)
 from ..logs import log_event
 from ..planned_stop import finish_requests
 from ..relay import BrokenReplicas, DaemonCounter, RelayClient, RelayServer
@@ -98,6 +107,9 @@
 # the store is away, the daemon goes on without them.
 LATE_IMPORTS_WAIT_S = 0.5
 
+# Time-out of a call to the leader of another hall that only concerns tunnels.
+REMOTE_CALL_TIMEOUT_S = 0.6
+
 METRICS_PATH = "/metrics"
 
 # The balancer's pause between two readiness checks, and the consecutive failed checks after which
@@ -205,13 +217,17 @@
             self._new_team_shares(),
         )
         self.links = TargetLinks(self._usable_target_addresses, self.clock, self.rng)
-        self.dialer = TargetDialer(self.links)
+        tunnel_address = self.settings.tunnel_address or ""
+        self.tunnel_peers = TunnelPeers(self.settings.hall, tunnel_address, self.rng)
+        self.tunnel_server = TunnelServer(self.links, self._refuses_tunnels, self.clock)
+        self.dialer = TargetDialer(self.links, PeerTunnels(self.tunnel_peers, self.clock))
         self.deployment.control.dialer = self.dialer
         self.upstream = Upstream(self.dialer)
         dialect = self.deployment.dialect
         attempts = AttemptRunner(
             self.selector, self.upstream, loads, dialect, self.clock, self.metrics
         )
+        self.lost_links = LostLinks(attempts, self.links)
         self.retry_shares = RetryShares(self.live_settings, self.site_daemons.count)
         self.crashes = CrashGuard(
             self.crash_exchange.history, self.directory, self.metrics, self.clock
@@ -352,6 +368,10 @@
             self.scheduler.shares,
         )
 
+        self.peer_exchange = PeerExchange(
+            self.tunnel_peers, self._leaders_to_call, self._call_peer, self.clock, self.rng
+        )
+
     def _build_upkeep(self) -> None:
         """Create what serves readiness and metrics, and the periodic upkeep."""
         self.upkeep = Upkeep(self.gateway, self.directory, self.order_sender, self.live_settings)
@@ -371,6 +391,22 @@
 
     # Functions that are passed to components --------------------------------------------------
 
+    def _refuses_tunnels(self) -> bool:
+        return self.gateway.has_stopped_listening
+
+    async def _call_peer(self, address: str, method: str, data: bytes) -> bytes | None:
+        """Call the leader of the own hall, or of another one while this daemon leads its own."""
+        if self.leadership.is_leader:
+            return await self.remote_halls.calls.call(address, method, data, REMOTE_CALL_TIMEOUT_S)
+        return await self.relay_client.call_leader(address, method, data)
+
+    def _leaders_to_call(self) -> list[str]:
+        """Return the leaders that tell this daemon of others, for tunnels."""
+        if self.leadership.is_leader:
+            return list(self._remote_leader_addresses().values())
+        leader = self.leadership.known_leader_address()
+        return [leader] if leader else []
+
     def _usable_target_addresses(self) -> list[str]:
         return [t.address for t in self.directory.targets.values() if not t.draining]
 
@@ -512,10 +548,14 @@
         methods = {
             **scheduler_methods(self.scheduler, self.crash_exchange),
             OFFER_METHOD: self.leadership.answer_offer,
+            PEERS_METHOD: self.peer_exchange.answer,
         }
         await self.relay_server.start(self.settings.peer_address, methods)
         for leadership in self._leaderships():
             self.tasks.spawn(leadership.run())
+        if self.settings.tunnel_address is not None:
+            await self.tunnel_server.start(self.settings.tunnel_address)
+        self.tasks.spawn(self.peer_exchange.run())
         self.steps.finish("peers")
         log_event(_LOG, logging.INFO, "peers_started", **self.steps.report())
 
@@ -528,7 +568,13 @@
         """Stop as planned: report not ready, let requests in flight finish, then close."""
         self.stopping.set()
         within_s = self.settings.stop_within_s - CLOSE_BEFORE_KILL_S
-        await finish_requests([self.gateway], LISTEN_AFTER_NOT_READY_S, within_s, self.clock)
+        await finish_requests(
+            [self.gateway],
+            LISTEN_AFTER_NOT_READY_S,
+            within_s,
+            self.clock,
+            unfinished=lambda: self.tunnel_server.tunnel_count,
+        )
         await self.close()
 
     async def close(self) -> None:
@@ -543,6 +589,7 @@
             self.remote_halls,
             self.relay_client,
             self.relay_server,
+            self.tunnel_server,
             self.upstream,
             self.crashes,
             self.deployment.control,
--- a/ferrydock/route_daemon/_settings.py
+++ b/ferrydock/route_daemon/_settings.py
@@ -40,6 +40,9 @@
         ``IP:PORT`` for other daemons.
     store_address : str
         ``IP:PORT`` of the platform's store.
+    tunnel_address : str or None
+        ``IP:PORT`` for connections of other daemons to targets, which this daemon forwards; None if
+        the deployment has no port for them.
     freshness_s : float
         Longest time for which a revoked key may still be accepted: no request with a key is served
         by a configuration that was confirmed longer ago (`configuration.max_keyed_age_s`).
@@ -96,6 +99,7 @@
     change_within_s: float
     processor_share: float
     processor_speed: float
+    tunnel_address: str | None = None
     evacuate_within_s: float | None = None
     cold_overshoot: float | None = None
     cold_slack: float | None = None
@@ -146,6 +150,7 @@
 # `retry_window_s` and `stall_s` are checked so that a bad value is reported at the start, but the
 # daemon does not use them.
 _CONSTRAINTS: Mapping[str, tuple[Callable, str]] = {
+    "tunnel_address": (_is_absent_or(_is_address), "IP:PORT with a port of 1 to 65535, or none"),
     "name": (_is_name, "a text of 1 to 200 signs"),
     "hall": (_is_name, "a text of 1 to 200 signs"),
     "halls": (_is_names, "one name or more"),
--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -141,6 +141,7 @@
     "ferrydock_list_age_at_send_seconds": "histogram",
     "ferrydock_log_lines_left_out": "gauge",
     "ferrydock_longest_gap_seconds": "histogram",
+    "ferrydock_links_lost": "gauge",
     "ferrydock_loop_late_seconds": "histogram",
     "ferrydock_queue_wait_seconds": "histogram",
     "ferrydock_repairs": "counter",
