A daemon that reaches no target finds no replica broken and no target crashed

What callers saw: beside the refusals of a cut-off daemon itself, its conclusions reached others.

Polls that failed while no target is reached show nothing; later polls, orders and probes go through another daemon like requests, and what that one finds counts.

With the check taken out, test_daemon_that_reaches_no_target_finds_no_replica_broken and test_target_that_refuses_a_daemon_without_links_has_crashed_only_if_it_refuses_others fail (one case each); they pass with it. Ran: links, interruptions, crashes of forwarding, readability.

--- a/ferrydock/crashes/_probe.py
+++ b/ferrydock/crashes/_probe.py
@@ -2,13 +2,15 @@
 
 Owns the probes in progress, by target. A broken connection does not show that the process has
 terminated: the network or a running target may have reset it. The port of a terminated process
-refuses connections. A target that is cut off does not respond; one whose process is suspended does
-not respond or accepts the connection.
+refuses connections; so may a network that has cut this daemon off. A target that is cut off does
+not respond; one whose process is suspended does not respond or accepts the connection.
 """
 
 import asyncio
 from enum import StrEnum
 
+from ..links import TargetDialer
+
 __all__ = ["TargetPresence", "TargetProbe"]
 
 # Time for connecting to a target's port. A live host responds within milliseconds. Equal to the
@@ -34,22 +36,55 @@
 
 
 class TargetProbe:
-    """Probes targets whose connections broke, with at most one probe in progress per target."""
+    """Probes targets whose connections broke, with at most one probe in progress per target.
+
+    Parameters
+    ----------
+    dialer : TargetDialer, optional
+        Shows whether a connection failed because this daemon reaches no target, and then connects
+        through another daemon; by default the target is considered the cause.
+    """
 
-    __slots__ = ("_probes",)
+    __slots__ = ("_probes", "dialer")
 
-    def __init__(self):
+    def __init__(self, dialer: TargetDialer | None = None):
+        self.dialer = dialer or TargetDialer()
         self._probes: dict[str, asyncio.Task[TargetPresence]] = {}
 
     def probe(self, target_id: str, address: str) -> asyncio.Task[TargetPresence]:
         """Return the probe of a target in progress, or start one of its ``IP:PORT`` address."""
         probe = self._probes.get(target_id)
         if probe is None:
-            probe = asyncio.get_running_loop().create_task(_probe_with_retries(address))
+            probe = asyncio.get_running_loop().create_task(self._probe_with_retries(address))
             self._probes[target_id] = probe
             probe.add_done_callback(lambda _: self._probes.pop(target_id, None))
         return probe
 
+    async def _probe_with_retries(self, address: str) -> TargetPresence:
+        presence = await self._probe_once(address)
+        for pause_s in RETRY_PAUSES_S:
+            if presence is not TargetPresence.SILENT:
+                break
+            await asyncio.sleep(pause_s)
+            presence = await self._probe_once(address)
+        return presence
+
+    async def _probe_once(self, address: str) -> TargetPresence:
+        """Probe a target directly, or through another daemon if this one reaches no target."""
+        links = self.dialer.links
+        if self.dialer.is_direct:
+            presence = await _connect_once(address)
+            if presence is TargetPresence.PRESENT or links is None or not await links.check():
+                return presence
+        try:
+            dialed = await self.dialer.connect(address, CONNECT_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return TargetPresence.TERMINATED
+        except OSError:
+            return TargetPresence.SILENT
+        dialed.opened.close()
+        return TargetPresence.PRESENT
+
     async def close(self) -> None:
         """Cancel all probes in progress."""
         probes = list(self._probes.values())
@@ -58,16 +93,6 @@
         await asyncio.gather(*probes, return_exceptions=True)
 
 
-async def _probe_with_retries(address: str) -> TargetPresence:
-    presence = await _connect_once(address)
-    for pause_s in RETRY_PAUSES_S:
-        if presence is not TargetPresence.SILENT:
-            break
-        await asyncio.sleep(pause_s)
-        presence = await _connect_once(address)
-    return presence
-
-
 async def _connect_once(address: str) -> TargetPresence:
     host, _, port = address.rpartition(":")
     try:
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..crashes import CRASHES_TO_REFUSE, CrashHistory, TargetPresence, TargetProbe
+from ..links import TargetDialer
 from ..logs import log_event
 from ..route_metrics import RouteMetrics
 from ..targets import Target, TargetDirectory
@@ -47,6 +48,8 @@
         Shows which targets shut down as planned.
     metrics : RouteMetrics
         Counts crashes and refusals.
+    dialer : TargetDialer, optional
+        Connects to targets to find out whether they have crashed; by default directly.
     """
 
     __slots__ = ("_checks", "clock", "directory", "history", "metrics", "probe")
@@ -57,12 +60,13 @@
         directory: TargetDirectory,
         metrics: RouteMetrics,
         clock: Clock,
+        dialer: TargetDialer | None = None,
     ):
         self.history = history
         self.directory = directory
         self.metrics = metrics
         self.clock = clock
-        self.probe = TargetProbe()
+        self.probe = TargetProbe(dialer)
         self._checks: set[asyncio.Task] = set()
 
     # One request ----------------------------------------------------------------------------------
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from ..clock import Clock
+from ..links import TargetLinks
 from ..logs import log_event
 from ..outcomes import Unavailable
 from ..targets import ReplicaView, Target, TargetControl
@@ -94,6 +95,8 @@
     ----------
     listener : FailureListener or None
         Notified of dead targets and broken replicas.
+    links : TargetLinks or None
+        Whether this daemon reaches any target; None if that is not known.
     """
 
     __slots__ = (
@@ -105,6 +108,7 @@
         "catalog",
         "clock",
         "control",
+        "links",
         "listener",
         "times",
     )
@@ -118,6 +122,7 @@
         self.control = control
         self.clock = clock
         self.listener: FailureListener | None = None
+        self.links: TargetLinks | None = None
         self._last_poll_s: dict[tuple[str, int], float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._last_step_s = float("-inf")
@@ -214,6 +219,8 @@
         is_briefly_quiet = self.clock.now_s() - quiet_from_s < SINGLE_REQUEST_QUIET_S
         if unresponsive and attempt_count <= 1 and is_briefly_quiet and not is_reported_by_peer:
             unresponsive = await self._unresponsive_members(unresponsive)
+        if unresponsive and self.links is not None and await self.links.check():
+            return  # this daemon reaches no target: that shows nothing about these
         now_s = self.clock.now_s()
         self._record_own_pause(now_s)
         if self._resumed_s > poll_started_s:
--- a/ferrydock/forwarding/tests/test_interruptions.py
+++ b/ferrydock/forwarding/tests/test_interruptions.py
@@ -301,6 +301,22 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("is_lost", [True, False])
+def test_daemon_that_reaches_no_target_finds_no_replica_broken(is_lost):
+    async def check():
+        return is_lost
+
+    async def scenario():
+        monitored = MonitoredReplica()
+        monitored.detector.links = SimpleNamespace(check=check)
+        for _ in range(6):
+            await monitored.step_after(0.05)
+        assert monitored.poll_count == 1
+        assert monitored.broken == (set() if is_lost else {("g0", 5)})
+
+    play(scenario)
+
+
 def test_poll_is_ignored_if_the_daemon_was_paused_during_it():
     async def scenario():
         monitored = MonitoredReplica()
--- a/ferrydock/links/tests/test_tunnels.py
+++ b/ferrydock/links/tests/test_tunnels.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+from unittest.mock import patch
 
 import aiohttp
 import pytest
 
 from ...clock import SystemClock
+from ...crashes import TargetPresence, TargetProbe, _probe
 from .. import (
     DialingConnector,
     NoPathToTargets,
@@ -18,6 +20,7 @@
 )
 
 HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+CLOSED_ADDRESS = "127.0.0.1:1"
 LARGE_BYTES = 8 * 2**20
 
 
@@ -205,6 +208,34 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_running", [True, False])
+def test_target_that_refuses_a_daemon_without_links_has_crashed_only_if_it_refuses_others(
+    is_running,
+):
+    async def scenario():
+        async with Rig(refuse) as rig:
+            others = await asyncio.start_server(refuse, "127.0.0.1", 0)
+            rig.dialer.links.is_lost = False
+            rig.dialer.links.addresses = lambda: [CLOSED_ADDRESS]
+            probe = TargetProbe(rig.dialer)
+            if not is_running:
+                addresses = [rig.address, "{}:{}".format(*others.sockets[0].getsockname())]
+                rig.servers[0].links.addresses = lambda: addresses
+                rig.target.close()
+                await rig.target.wait_closed()
+            with patch.object(_probe, "_connect_once", refused):
+                presence = await probe.probe("t", rig.address)
+            others.close()
+            return presence
+
+    expected = TargetPresence.PRESENT if is_running else TargetPresence.TERMINATED
+    assert asyncio.run(scenario()) is expected
+
+
+async def refused(address):
+    return TargetPresence.TERMINATED
+
+
 @pytest.mark.parametrize("data", [b"\xff\xff", b"\x00\x02{}", b"\x00\x01x"])
 def test_bytes_that_are_no_request_end_the_connection(data):
     async def scenario():
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -230,7 +230,7 @@
         self.lost_links = LostLinks(attempts, self.links)
         self.retry_shares = RetryShares(self.live_settings, self.site_daemons.count)
         self.crashes = CrashGuard(
-            self.crash_exchange.history, self.directory, self.metrics, self.clock
+            self.crash_exchange.history, self.directory, self.metrics, self.clock, self.dialer
         )
         forwarder = Forwarder(attempts, self.retry_shares.budget, self.crashes, self.clock)
         self.gateway = RouteGateway(
@@ -238,6 +238,7 @@
         )
         self.gateway.memory_bytes = self.settings.memory_bytes
         self.stalls = StallDetector(attempts, self.deployment.control, self.clock, forwarder.times)
+        self.stalls.links = self.links
 
     def _build_relay(self) -> None:
         """Create the client that polls the hall leader and the server that answers followers."""
