Connections that go silent with the links are noticed, and their requests sent again

What callers saw: while open connections to targets hang and new ones are few, a daemon's requests hung with them until a time-out of 3 s and more.

Cause: lost links were concluded from failed connections only. A request on an open connection that has gone silent fails nothing, and one of a replica alone was looked after by the polls of its members.

Change: if nothing was received from any target for 0.3 s while two or more have requests, the links are checked. Once they are lost, requests that were sent before, may be repeated and have received nothing for 0.5 s are sent again, within the retry budget; those that may run once are left alone.

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -29,6 +29,7 @@
     "given_up": "the hall's controller gave the replica up",
     "stuck": "the replica stood still although its members answered",
     "not_sent": "the target could not be connected to",
+    "links_lost": "its daemon lost its links to all targets, and the connection went silent",
     "no_path": "neither its daemon nor another one that was asked could reach any target",
     "target_left": "the target left after it was chosen, and nothing was sent to it",
     "refused": "the target said that it did not run the request",
--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -98,6 +98,7 @@
         async for piece in pieces:
             now_s = self.clock.now_s()
             self.loads.record_progress(target_id, now_s)
+            exchange.last_received_s = now_s
             if last_piece_s is not None:
                 exchange.longest_gap_s = max(exchange.longest_gap_s, now_s - last_piece_s)
             last_piece_s = now_s
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -107,7 +107,7 @@
         exchange.tried_target_ids.add(target_id)
         loop = asyncio.get_running_loop()
         timeout = asyncio.timeout_at(loop.time() + self._remaining_s(exchange))
-        attempt = Attempt(exchange, endpoint.replica, timeout)
+        attempt = Attempt(exchange, endpoint.replica, timeout, self.clock.now_s())
         running = self._in_flight.setdefault(target_id, set())
         running.add(attempt)
         try:
@@ -165,6 +165,37 @@
         ]
         self._interrupt(started, reason)
 
+    def silent_target_count(self, silent_s: float) -> int:
+        """Return the number of targets with requests in flight, if nothing was received from any.
+
+        0 if anything was received within `silent_s` seconds. Requests that were sent later, or
+        whose callers have to read first, do not count.
+        """
+        since_s = self.clock.now_s() - silent_s
+        if any(load.last_answer_s > since_s for _, load in self.loads.items()):
+            return 0
+        return sum(
+            any(attempt.began_s <= since_s and _is_read(attempt) for attempt in attempts)
+            for attempts in self._in_flight.values()
+        )
+
+    def interrupt_silent(self, began_before_s: float, silent_s: float, reason: str) -> None:
+        """Interrupt repeatable requests begun before a local time that receive nothing any more.
+
+        Requests that may run only once are left to their time limits: their answers may still come.
+        """
+        since_s = self.clock.now_s() - silent_s
+        silent = [
+            attempt
+            for attempts in self._in_flight.values()
+            for attempt in attempts
+            if attempt.began_s < began_before_s
+            and max(attempt.began_s, attempt.exchange.last_received_s) <= since_s
+            and attempt.exchange.route.kind.is_repeatable
+            and _is_read(attempt)
+        ]
+        self._interrupt(silent, reason)
+
     def _attempts_at(self, key: tuple[str, int]) -> list[Attempt]:
         """Return the attempts in flight at a replica."""
         running = (attempt for attempts in self._in_flight.values() for attempt in attempts)
@@ -267,7 +298,8 @@
             self.selector.report()
         if head.is_not_executed:
             return AttemptEnd(False, False, AttemptReason.REFUSED, status=answer.status)
-        self.loads.record_progress(target_id, self.clock.now_s())
+        exchange.last_received_s = self.clock.now_s()
+        self.loads.record_progress(target_id, exchange.last_received_s)
         if self._is_unacceptable(exchange, answer, head.is_signed):
             return AttemptEnd(False, True, AttemptReason.ERROR, status=answer.status)
         if exchange.route.kind.is_stream and answer.status < FIRST_NON_SUCCESS_STATUS:
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -98,11 +98,18 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """An attempt in flight, which can be interrupted when its replica is found to be broken."""
+    """An attempt in flight, which can be interrupted when its replica is found to be broken.
+
+    Attributes
+    ----------
+    began_s : float
+        Local time at which it began.
+    """
 
     exchange: "Exchange"
     replica: ReplicaView | None
     timeout: asyncio.Timeout
+    began_s: float = 0.0
     interrupt_reason: str = ""
 
     def interrupt(self, reason: str) -> None:
@@ -140,6 +147,8 @@
         Position in a stream; None if the answer is not a stream.
     first_bytes_s : float or None
         Seconds from receiving the request to the first bytes of its answer.
+    last_received_s : float
+        Local time at which anything was last received from a target.
     longest_gap_s, queued_s : float
         Longest pause between two events, and time spent waiting for slots, in seconds.
     last_reason : str
@@ -181,6 +190,7 @@
     response: web.StreamResponse | None = None
     events: NumberedEvents | None = None
     first_bytes_s: float | None = None
+    last_received_s: float = float("-inf")
     longest_gap_s: float = 0.0
     queued_s: float = 0.0
     last_reason: str = ""
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -521,6 +521,7 @@
         self.tasks.every(UPKEEP_EVERY_S, self._run_upkeep)
         self.tasks.every(DETECT_STALLS_EVERY_S, self.stalls.step)
         self.tasks.every(CHECK_LINKS_EVERY_S, self.links.step)
+        self.tasks.every(CHECK_LINKS_EVERY_S, self.lost_links.step)
         self.tasks.every(SET_GATHER_TIME_EVERY_S, self._set_gather_time)
         self.tasks.every(ASSIGN_SLOTS_EVERY_S, self.upkeep.assign_free_slots)
         self.tasks.every(POLL_REMOTE_HALLS_EVERY_S, self._poll_remote_halls)
