--- a/ferrydock/emulator/_link_troubles.py
+++ b/ferrydock/emulator/_link_troubles.py
@@ -65,7 +65,8 @@
     """Return a line if callers of daemons without links were served far worse than others.
 
     Counted are calls sent while some daemon has been without links for `CONTACT_S`: on the one side
-    those to such daemons, on the other those to daemons that had all links for `CONTACT_S`.
+    those to such daemons, on the other those to daemons that had all links for `CONTACT_S`. While
+    no daemon has links there are no others to compare with.
 
     Parameters
     ----------
@@ -75,10 +76,13 @@
     cut_off, others = [], []
     for call in calls:
         at_s = call.at_s + load_began_s
+        some_reach_targets = any(not _is_without_links(one, at_s) for one in links.values())
+        if not some_reach_targets:
+            continue
         if any(_is_cut_off(one, at_s) for one in links.values()) and is_undisturbed(call):
             if _is_cut_off(links[call.daemon], at_s):
                 cut_off.append(call)
-            elif not any(f <= at_s and t >= at_s - CONTACT_S for f, t in links[call.daemon].cuts_s):
+            elif not _is_without_links(links[call.daemon], at_s, CONTACT_S):
                 others.append(call)
     failed = [call for call in cut_off if call.outcome != "served"]
     allowed = MAX_FAILED_COUNT + MAX_FAILED_SHARE * (len(cut_off) + len(others))
@@ -96,6 +100,11 @@
     ]
 
 
+def _is_without_links(links: DaemonLinks, at_s: float, within_s: float = 0.0) -> bool:
+    """Return whether a daemon was without links at a loop time, or within some seconds before."""
+    return any(from_s <= at_s and to_s >= at_s - within_s for from_s, to_s in links.cuts_s)
+
+
 def _is_cut_off(links: DaemonLinks, at_s: float) -> bool:
     """Return whether a daemon had been without links for `CONTACT_S` at a loop time."""
     return any(from_s + CONTACT_S <= at_s <= to_s for from_s, to_s in links.cuts_s)
