Sight: log lines of attempts and of crashes name the shared parts of the prompt

The adapter reads them from X-Prompt-Prefix: all but the last, 16 at most; a header that is no list of ID:TOKENS gives a log line, and the request is served as one without parts. No decision uses them yet.

--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -137,6 +137,7 @@
             "target_crashed",
             request=exchange.inbound.request_id,
             identity=exchange.identity,
+            parts=",".join(exchange.inbound.shared_parts) or None,
             target=target.target_id,
             ran_ms=(ended_s - sent_s) * 1000,
             crashes=self.history.consecutive_crashes_of(exchange.identity) + 1,
--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -31,6 +31,8 @@
         Requested model; empty for a service without models.
     last_event_id : int or None
         Id of the event after which a stream is to resume; None for its beginning.
+    shared_parts : tuple of str
+        Ids of the parts of its prompt that it may share with other requests.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     key: str
     model: str
     last_event_id: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -89,6 +89,7 @@
             attempt=exchange.attempt_count,
             after_event=exchange.events.last_id if exchange.events else None,
             identity=exchange.identity if end.may_have_run else None,
+            parts=",".join(exchange.inbound.shared_parts) or None if end.may_have_run else None,
             **_send_fields(exchange.send_times, self.clock.now_s()),
         )
 
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -3,16 +3,21 @@
 Stateless. The platform calls a team a tenant.
 """
 
+import logging
 import math
+import re
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict
 
 from ..forwarding import AnswerHeaders, Inbound, Outbound, end_to_end
+from ..logs import log_event
 from ..outcomes import Fault, Invalid
 
 __all__ = ["PlatformDialect"]
 
+_LOG = logging.getLogger("ferrydock.platform")
+
 # HTTP statuses (RFC 9110).
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
@@ -21,7 +26,14 @@
 # A longer header value is rejected before it is parsed as a number.
 MAX_NUMBER_CHARS = 32
 
+# Parts of a prompt that are read. The prompts of the known sites have two to four.
+MAX_PARTS = 16
+
 _BEARER_PREFIX = "Bearer "
+_PARTS_HEADER = "X-Prompt-Prefix"
+
+# Id in hex and number of tokens. The ids of the known sites have 8 digits.
+_PART = re.compile(r"[0-9a-f]{1,64}:[0-9]{1,12}")
 
 # Headers of a caller that are not forwarded to a worker: `PlatformDialect.outgoing` sets its own
 # values, or the header holds the caller's key.
@@ -54,6 +66,7 @@
                 key=key[len(_BEARER_PREFIX) :].strip() if key.startswith(_BEARER_PREFIX) else "",
                 model=headers.get("X-Model", ""),
                 last_event_id=int(last_event_header) if last_event_header else None,
+                shared_parts=_read_shared_parts(headers),
             )
         except ValueError as error:
             return Invalid((Fault("headers", str(error)),))
@@ -96,6 +109,40 @@
         )
 
 
+def read_shared_parts(text: str) -> tuple[str, ...] | Fault:
+    """Return the ids of all parts in an ``X-Prompt-Prefix`` header but the last one.
+
+    The last part belongs to the request itself or to its session. An id beyond `MAX_PARTS` is left
+    out, an empty header has none, and one that is not a list of ``ID:TOKENS`` is a fault.
+
+    Examples
+    --------
+    >>> read_shared_parts("5C1e07a2:800, 91bd3f06:410,e4402b7d:250"), read_shared_parts("")
+    (('5c1e07a2', '91bd3f06'), ())
+    >>> str(read_shared_parts("5c1e07a2"))
+    "X-Prompt-Prefix: '5c1e07a2' is not a list of ID:TOKENS"
+    """
+    parts = [part.strip().lower() for part in text.split(",", MAX_PARTS + 1)][: MAX_PARTS + 1]
+    if parts == [""]:
+        return ()
+    if not all(_PART.fullmatch(part) for part in parts):
+        return Fault(_PARTS_HEADER, f"{text[:MAX_NUMBER_CHARS]!r} is not a list of ID:TOKENS")
+    return tuple(dict.fromkeys(part.partition(":")[0] for part in parts[:-1]))
+
+
+def _read_shared_parts(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the shared parts of a request; none, and a log line, if the header is unreadable.
+
+    The parts only serve to recognize what crashes targets; without them the request is served.
+    """
+    parts = read_shared_parts(headers.get(_PARTS_HEADER, ""))
+    if isinstance(parts, Fault):
+        request = headers.get("X-Attempt-Id", "")
+        log_event(_LOG, logging.INFO, "prompt_parts_unreadable", request=request, why=parts)
+        return ()
+    return parts
+
+
 def read_flag(headers: Mapping[str, str], name: str) -> bool | Fault:
     """Return whether a header is 1; a missing one counts as 0, other values are a fault.
 
--- a/ferrydock/platform/tests/test_dialect.py
+++ b/ferrydock/platform/tests/test_dialect.py
@@ -55,3 +55,37 @@
 def test_an_answer_that_the_addressed_worker_did_not_write_is_not_its_own(status, headers):
     head = PlatformDialect().parse_answer(status, {**headers, "Server-Limit": "1"})
     assert not head.is_targets_own
+
+
+@pytest.mark.parametrize(
+    "text, parts",
+    [
+        ("", ()),
+        ("ab:1", ()),
+        ("ab:1,cd:2", ("ab",)),
+        (" AB:1 , ab:9 ,cd:2,ef:0", ("ab", "cd")),
+        (",".join(f"{n:x}:1" for n in range(60)), tuple(f"{n:x}" for n in range(16))),
+    ],
+)
+def test_the_parts_of_a_prompt_that_others_may_share_are_all_but_the_last(text, parts):
+    assert PlatformDialect().parse_request({"X-Prompt-Prefix": text}).shared_parts == parts
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "ab",
+        "ab:",
+        ":1",
+        "xyz:1,ab:1",
+        "ab:1,,cd:1",
+        "ab:-1,cd:1",
+        "a" * 65 + ":1,b:1",
+        "\u00e9:1,a:1",
+    ],
+)
+def test_a_request_with_unreadable_parts_is_served_without_them(caplog, text):
+    caplog.set_level("INFO", logger="ferrydock.platform")
+    headers = {"X-Prompt-Prefix": text, "X-Attempt-Id": "r1"}
+    assert PlatformDialect().parse_request(headers).shared_parts == ()
+    assert "request=r1" in caplog.text and "X-Prompt-Prefix" in caplog.text
