--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -7,6 +7,10 @@
 ``python -m benchmarks.soak --plays=stops --seeds=50`` plays planned stops of all daemons, with
 callers that keep sending until the process has exited; ``tests/soak_stop_seeds.txt``.
 
+``python -m benchmarks.soak --plays=parts --seeds=50`` plays requests that share a part of their
+prompt which crashes targets, on every second seed with all other kinds of faults;
+``tests/soak_part_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=leaving --seeds=50`` plays targets that leave one after another
 while the store stops answering; ``tests/soak_leaving_seeds.txt``.
 
@@ -51,6 +55,7 @@
     Result,
     Trouble,
     draw_crashing,
+    draw_crashing_parts,
     draw_drains,
     draw_eras,
     draw_leaving,
@@ -227,6 +232,33 @@
     )
 
 
+def parts_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with requests that share a part which crashes targets.
+
+    Every second seed has four other faults of all kinds, and every fourth daemons that lose their
+    links. Every tenth seed has 24 daemons, every fourth eight in one hall, the others six in two.
+    """
+    halls, count, domain_size = _fleet_sizes(seed)
+    count = max(count, 3)
+    length_s = 26.0
+    troubles = draw_crashing_parts(seed, length_s)
+    if seed % 2:
+        troubles += draw_troubles(seed, length_s - 4.0, halls, 4)
+    if seed % 4 == 3:
+        troubles += draw_links(seed, length_s, halls, count)
+    return Experiment(
+        name=f"parts {seed}",
+        seed=seed,
+        length_s=length_s,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=domain_size,
+        load=LOAD,
+        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
+        settle_s=10.0,
+    )
+
+
 def links_experiment(seed: int) -> Experiment:
     """Return the experiment of a seed with daemons that lose their links to all targets.
 
@@ -263,6 +295,7 @@
     "rests": rests_experiment,
     "drains": drains_experiment,
     "links": links_experiment,
+    "parts": parts_experiment,
 }
 
 
@@ -283,6 +316,8 @@
             stop_calls=result.stop_calls or None,
             crashes=result.crashes or None,
             beyond=result.beyond if result.crashes else None,
+            part_crashes=result.part_crashes or None,
+            part_late=result.part_late if result.part_crashes else None,
             at_leaving=result.at_leaving or None,
             at_limited=result.at_limited or None,
             leaving_said=result.leaving_said or None,
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -1,6 +1,7 @@
 """Emulation of a platform: daemons as processes, callers, injected faults, and a report."""
 
 from ._crashing import CONTACT_S, draw_crashing, late_arrivals
+from ._crashing_parts import draw_crashing_parts
 from ._drain_plays import draw_drains
 from ._drains import DrainJudge, DrainReport, LateArrival, LateClass
 from ._eras import draw_eras
@@ -75,6 +76,7 @@
     "max_arrivals",
     "draw_stops",
     "draw_crashing",
+    "draw_crashing_parts",
     "draw_troubles",
     "excuse_of_call",
     "excuse_of_stop",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -42,6 +42,8 @@
 _CRASH_KINDS = {
     "crashing_request": "a request that crashes each worker that runs it is sent for `for_s` by "
     "`count` concurrent callers",
+    "crashing_part": "requests that share a part of their prompt, which crashes each worker, are "
+    "sent for `for_s` by `count` concurrent callers, beside sound ones with the other parts",
     "workers_crash": "heads of replicas and a plain worker crash at the same time, and restart",
 }
 _LEAVING_KINDS = {
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -10,6 +10,7 @@
 
 from ..standins.fleet import LeavingArrival
 from ._crashing import CONTACT_S, MAX_LATE_ARRIVALS, describe_refused, late_arrivals
+from ._crashing_parts import describe_unserved_sharers, is_of_part_play, late_part_arrivals
 from ._drains import DrainJudge, LateClass
 from ._hops import Arrival, Departure, analyse_hops
 from ._leaving import (
@@ -88,6 +89,7 @@
             ]
         self._check_stops()
         self._check_crashing()
+        self._check_crashing_parts()
         if self.parts.experiment.persistent_callers:
             self._check_drains()
         else:
@@ -109,7 +111,7 @@
     def _check_crashing(self) -> None:
         """Report crashing requests that kept reaching targets, and others refused as crashing."""
         result = self.parts.result
-        result.broken += describe_refused(result.calls)
+        result.broken += describe_refused([c for c in result.calls if not is_of_part_play(c)])
         sent_to = {call.request_id: self._daemons[call.daemon] for call in result.calls}
 
         def is_undisturbed(request_id: str, at_s: float) -> bool:
@@ -128,6 +130,27 @@
                 at_s = ", ".join(f"{at_s - self.load_began_s:.2f}" for at_s in beyond)
                 result.broken.append(f"crashing: {body!r} on {path} went on at {at_s} s")
 
+    def _check_crashing_parts(self) -> None:
+        """Report parts that went on crashing targets, and sound requests that suffered for them."""
+        result, sent_to = self.parts.result, self._sent_to
+
+        def is_undisturbed(request_id: str, at_s: float) -> bool:
+            from_s, daemon = at_s - CONTACT_S, sent_to[request_id]
+            is_stable = not any(d.affects(daemon, from_s, at_s) for d in self.store_disturbances)
+            return is_stable and self._was_undisturbed(daemon, from_s, at_s)
+
+        for part, seen in self.parts.site.record.crashing_parts.items():
+            late = late_part_arrivals(seen, is_undisturbed)
+            result.part_crashes += len(seen.crashed_s)
+            result.part_late = max(result.part_late, len(late))
+            if len(late) > MAX_LATE_ARRIVALS:
+                at_s = ", ".join(f"{at_s - self.load_began_s:.2f}" for at_s in late)
+                result.broken.append(f"part: requests with {part} went on at {at_s} s")
+            calls = [call for call in result.calls if is_of_part_play(call)]
+            result.broken += describe_unserved_sharers(
+                calls, seen, self._was_in_contact, self.load_began_s
+            )
+
     def _check_leaving(self) -> None:
         """Report requests sent to targets long after the store had recorded that they leave."""
         result = self.parts.result
--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -41,6 +41,8 @@
         Error code of a refusal by the daemon itself; empty for other answers.
     event_ids : list of int
         Ids of the events received so far.
+    parts : tuple of str
+        Ids of the parts of its prompt, if it names any.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     fault: str = ""
     code: str = ""
     event_ids: list[int] = field(default_factory=list)
+    parts: tuple[str, ...] = ()
 
     @property
     def ended_s(self) -> float:
@@ -87,13 +90,17 @@
         self.calls: list[Call] = []
         self._idle: dict[str, list] = {}
 
-    async def call(self, kind: str, body: bytes = b"hi") -> Call | None:
+    async def call(
+        self, kind: str, body: bytes = b"hi", parts: tuple[str, ...] = ()
+    ) -> Call | None:
         """Send one request to a random daemon; return how it ended, or None if no daemon runs."""
         ready = self.addresses()
         if not ready:
             return None
         daemon = self.rng.choice(sorted(ready))
-        call = Call(f"{self.rng.getrandbits(64):016x}", kind, self.now_s(), daemon, body)
+        call = Call(
+            f"{self.rng.getrandbits(64):016x}", kind, self.now_s(), daemon, body, parts=parts
+        )
         self.calls.append(call)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -134,7 +141,7 @@
 def encode_request(call: Call) -> bytes:
     """Return the HTTP request of a call as bytes."""
     path, model = _PATHS[call.kind]
-    return request_bytes(path, call.request_id, DEADLINE_MS, model, KEY, call.body)
+    return request_bytes(path, call.request_id, DEADLINE_MS, model, KEY, call.body, call.parts)
 
 
 async def receive_answer(call: Call, reader, now_s, piece_pause_s: float = 0.0) -> bool:
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -19,6 +19,7 @@
     "replicas are formed again after the troubles",
     "a planned stop ends with status 0 within its grace, and cuts no answer",
     "a request that crashes its targets is kept from them, and no other is",
+    "a part of a prompt that crashes targets is kept from them, and sound requests go on",
     "no request is sent to a target 2 s after its word that it leaves",
     "a target that names a limit gets no more from daemons that were told",
     "a target that asks a daemon for rest gets none of its requests",
@@ -55,6 +56,9 @@
     beyond : int
         Largest number of attempts in which one such request reached targets although daemons had
         had the time to learn of it.
+    part_crashes, part_late : int
+        Targets that ended under requests with a part that crashes them, and the largest number of
+        these requests that reached targets although daemons had had the time to learn of the part.
     at_leaving : int
         Requests that reached targets after these had announced that they leave.
     at_limited : int
@@ -84,6 +88,8 @@
     stop_calls: int = 0
     crashes: int = 0
     beyond: int = 0
+    part_crashes: int = 0
+    part_late: int = 0
     at_leaving: int = 0
     at_limited: int = 0
     leaving_said: int = 0
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -19,6 +19,7 @@
 from . import _pace_troubles as _pace_troubles
 from . import _target_troubles as _target_troubles
 from ._crashing import CrashingCallers
+from ._crashing_parts import CrashingPartCallers
 from ._experiment import Experiment, Trouble
 from ._judge import PromiseChecker
 from ._leaving import StoreDisturbance
@@ -102,6 +103,9 @@
             self._parts.crashing_callers = CrashingCallers(
                 self.experiment.seed, all_daemons_callers, self.now_s
             )
+            self._parts.part_callers = CrashingPartCallers(
+                self.experiment.seed, all_daemons_callers, self.now_s
+            )
             monitor = StallMonitor(self.site.engine, self.now_s)
             self.result.stood_still = monitor.stood_still
             self.result.slow_answers = monitor.slow_answers
--- a/ferrydock/emulator/_target_troubles.py
+++ b/ferrydock/emulator/_target_troubles.py
@@ -83,6 +83,12 @@
     return await require(parts.crashing_callers, "the callers").run(spec)
 
 
+@trouble("crashing_part")
+async def send_crashing_part(parts: EmulationParts, spec: Trouble) -> str:
+    """Send requests that share a part of their prompt which crashes each worker."""
+    return await require(parts.part_callers, "the callers").run(spec)
+
+
 @trouble("workers_crash")
 async def crash_workers(parts: EmulationParts, spec: Trouble) -> str:
     """Crash up to `count` heads of replicas and at most one plain worker at the same time."""
--- a/ferrydock/emulator/_troubles.py
+++ b/ferrydock/emulator/_troubles.py
@@ -11,6 +11,7 @@
 
 from ..standins.fleet import FleetSite, StoreFace
 from ._crashing import CrashingCallers
+from ._crashing_parts import CrashingPartCallers
 from ._experiment import Experiment, Trouble
 from ._links import DaemonLinks
 from ._processes import DaemonProcess
@@ -36,6 +37,8 @@
         Daemons that no other trouble may end or freeze.
     crashing_callers : CrashingCallers or None
         Sends requests that crash their targets; None before the load begins.
+    part_callers : CrashingPartCallers or None
+        Send requests with a part that crashes targets; None before the load begins.
     links : dict
         Links of each daemon to the workers, by its name; empty if none are ever lost.
     """
@@ -49,6 +52,7 @@
     stops: dict[str, PlannedStop] = field(default_factory=dict)
     to_be_stopped: set[str] = field(default_factory=set)
     crashing_callers: CrashingCallers | None = None
+    part_callers: CrashingPartCallers | None = None
     links: dict[str, DaemonLinks] = field(default_factory=dict)
 
     def store_of(self, daemon: DaemonProcess) -> StoreFace:
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -7,6 +7,7 @@
 from ._virtual import LoopClock, VirtualLoop, run_virtually
 from ._worker_http import (
     CRASHING_BODY,
+    CRASHING_PART,
     CrashingRequest,
     LeavingArrival,
     RunRecord,
@@ -27,6 +28,7 @@
 
 __all__ = [
     "CRASHING_BODY",
+    "CRASHING_PART",
     "WRITTEN_AGAIN_S",
     "ColdPeriod",
     "CrashingRequest",
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "CRASHING_BODY",
+    "CRASHING_PART",
     "KV_CAPACITY_TOKENS",
     "CrashingRequest",
     "LeavingArrival",
@@ -37,6 +38,13 @@
 # A request whose body starts with these bytes crashes each worker that starts to run it.
 CRASHING_BODY = b"crash"
 
+# A part of a prompt, other than the last, whose id begins so crashes each worker that begins to
+# write an answer on it.
+CRASHING_PART = "dead"
+
+# Share of these requests whose answers get a head before the crash.
+HEAD_BEFORE_CRASH_SHARE = 0.5
+
 # How many events a faulty resumed stream repeats.
 REPEATED_EVENTS = 2
 
@@ -138,6 +146,8 @@
         Number of requests that carried a caller's key to a worker.
     crashing : dict
         Requests that crash workers, by path, tenant and body.
+    crashing_parts : dict
+        Requests with a part that crashes workers, by the id of the part.
     at_leaving : list of LeavingArrival
         Requests that reached workers whose entry said that they leave.
     limits : list of NamedLimit
@@ -158,6 +168,7 @@
     worked_s: dict[str, float] = field(default_factory=dict)
     keys_seen: int = 0
     crashing: dict[tuple[str, str, bytes], CrashingRequest] = field(default_factory=dict)
+    crashing_parts: dict[str, CrashingRequest] = field(default_factory=dict)
     at_leaving: list[LeavingArrival] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     shed: list[Shedding] = field(default_factory=list)
@@ -199,6 +210,16 @@
         crashing_request.arrived.append((now_s, request.headers["X-Attempt-Id"]))
         return crashing_request
 
+    def record_crashing_part(self, request: web.BaseRequest) -> CrashingRequest | None:
+        """Record the arrival of a request with a part that crashes workers; None for others."""
+        parts = request.headers.get("X-Prompt-Prefix", "").split(",")[:-1]
+        crashing = [part.split(":")[0] for part in parts if part.startswith(CRASHING_PART)]
+        if not crashing:
+            return None
+        seen = self.crashing_parts.setdefault(crashing[0], CrashingRequest())
+        seen.arrived.append((asyncio.get_running_loop().time(), request.headers["X-Attempt-Id"]))
+        return seen
+
     def note(self, request: web.BaseRequest) -> None:
         """Record that a worker starts to run a request."""
         request_id = request.headers["X-Attempt-Id"]
@@ -402,6 +423,7 @@
             self.record.record_arrival(request, worker)
             self.record.note(request)
             await self._crash_on_crashing_body(request, body)
+            await self._crash_on_crashing_part(request)
             await asyncio.sleep(self.first_s)
             return await self._events(request)
         finally:
@@ -412,7 +434,25 @@
         """Crash the worker if the request is one that crashes workers."""
         if not body.startswith(CRASHING_BODY):
             return
-        crashing_request = self.record.record_crashing(request, body)
+        await self._crash(self.record.record_crashing(request, body))
+
+    async def _crash_on_crashing_part(self, request: web.BaseRequest) -> None:
+        """Crash the worker if the request has such a part, after the head of its answer at times.
+
+        The head says that the end of the answer is the end of the connection.
+        """
+        seen = self.record.record_crashing_part(request)
+        if seen is None:
+            return
+        if self._rng.random() < HEAD_BEFORE_CRASH_SHARE:
+            headers = {**self._answer_headers(request), "Content-Type": "text/event-stream"}
+            response = web.StreamResponse(headers=headers)
+            response.force_close()
+            await response.prepare(request)
+        await self._crash(seen)
+
+    async def _crash(self, crashing_request: CrashingRequest) -> None:
+        """Run for `crash_after_s`, then crash the worker and end the connection."""
         born_ms = self.worker.born_ms
         await asyncio.sleep(self.crash_after_s)
         if self.worker.born_ms == born_ms and self.worker.alive:
