--- a/ferrydock/emulator/_crashing_parts.py
+++ b/ferrydock/emulator/_crashing_parts.py
@@ -10,12 +10,13 @@
 from collections.abc import Callable, Sequence
 
 from ..standins.fleet import CRASHING_PART, CrashingRequest
-from ._crashing import CONTACT_S
+from ._crashing import CONTACT_S, is_of_crashing_request
 from ._experiment import Trouble
 from ._load import Call, Callers
 
 __all__ = [
     "CrashingPartCallers",
+    "crashes_targets",
     "describe_unserved_sharers",
     "draw_crashing_parts",
     "is_of_part_play",
@@ -93,6 +94,11 @@
         await asyncio.gather(*calls)
 
 
+def crashes_targets(call: Call) -> bool:
+    """Return whether a request, as a whole or by a part of its prompt, crashes its targets."""
+    return is_of_crashing_request(call) or call.body.startswith(_PART_BODY)
+
+
 def is_of_part_play(call: Call) -> bool:
     """Return whether a call was sent by `CrashingPartCallers`."""
     return bool(call.parts)
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -10,7 +10,12 @@
 
 from ..standins.fleet import LeavingArrival
 from ._crashing import CONTACT_S, MAX_LATE_ARRIVALS, describe_refused, late_arrivals
-from ._crashing_parts import describe_unserved_sharers, is_of_part_play, late_part_arrivals
+from ._crashing_parts import (
+    crashes_targets,
+    describe_unserved_sharers,
+    is_of_part_play,
+    late_part_arrivals,
+)
 from ._drains import DrainJudge, LateClass
 from ._hops import Arrival, Departure, analyse_hops
 from ._leaving import (
@@ -278,12 +283,16 @@
                 )
 
     def _check_links(self) -> None:
-        """Report callers of daemons without links that were served far worse than others."""
+        """Report callers of daemons without links that were served far worse than others.
+
+        Requests that crash their targets are refused at every daemon, and are left out.
+        """
         if not self.parts.links:
             return
         result = self.parts.result
+        harmless = [call for call in result.calls if not crashes_targets(call)]
         result.broken += describe_unserved(
-            result.calls, self.parts.links, self._was_in_contact, self.load_began_s
+            harmless, self.parts.links, self._was_in_contact, self.load_began_s
         )
 
     def _was_in_contact(self, call: Call) -> bool:
