A part of a prompt that crashes targets is blamed, and refused at all daemons

Cause: only a complete request could be blamed.

Change: a request is blamed as a whole and by each part but the last, in one history, one exchange and one record, with a rule for each kind. For a part every separate termination counts, one for each target and each moment; four make it known, six if it was answered before or while the answers of other daemons may not have arrived (0.6 s). A request whose target ended after two events clears its parts; any answer does. Parts that were never seen apart are refused for 1.5 s, and one with a single one of them is tried first. A request that has lost its target is not retried if its part has ended another one and was never answered. Parts belong to a team: naming those of another team has none of its requests refused.

--- a/ferrydock/crashes/__init__.py
+++ b/ferrydock/crashes/__init__.py
@@ -14,7 +14,7 @@
 
 from ._exchange import CrashExchange
 from ._history import CrashHistory, CrashListener
-from ._identity import IDENTIFIED_BODY_BYTES, request_identity
+from ._identity import IDENTIFIED_BODY_BYTES, part_identity, request_identity
 from ._messages import CrashAge, CrashReport, CrashUpdate, decode_crash_update
 from ._probe import TargetPresence, TargetProbe
 from ._rule import CRASHES_TARGETS, CRASHES_TO_REFUSE, Crash
@@ -33,5 +33,6 @@
     "TargetPresence",
     "TargetProbe",
     "decode_crash_update",
+    "part_identity",
     "request_identity",
 ]
--- a/ferrydock/crashes/_attribution.py
+++ b/ferrydock/crashes/_attribution.py
@@ -7,7 +7,7 @@
 from collections.abc import Collection, Mapping
 
 from ._record import RequestRecord
-from ._rule import Crash, consecutive_crashes, is_same_termination
+from ._rule import Crash, is_same_termination
 
 __all__ = ["rank_tied_requests", "refused_at_same_targets", "unexplained_crashes"]
 
@@ -33,7 +33,7 @@
     explaining = [
         crash
         for other in refused_at_same_targets(identity, records, refused)
-        if records[other].consecutive_count > record.consecutive_count
+        if records[other].crash_count > record.crash_count
         for crash in records[other].crashes
     ]
     return [crash for crash in record.crashes if not is_same_termination(crash, explaining)]
@@ -45,11 +45,11 @@
     Only a further attempt shows which of them is the cause. The ranks schedule those attempts at
     different times.
     """
-    consecutive = consecutive_crashes(records[identity].crashes)
+    counted = records[identity].counted_crashes
     tied = [
         other
         for other in refused_at_same_targets(identity, records, refused)
-        if all(is_same_termination(crash, records[other].crashes) for crash in consecutive)
+        if all(is_same_termination(crash, records[other].crashes) for crash in counted)
     ]
     records[identity].tie_rank = None
     if tied:
--- a/ferrydock/crashes/_exchange.py
+++ b/ferrydock/crashes/_exchange.py
@@ -61,7 +61,7 @@
     >>> sent = caller.request_update("two")
     >>> callee.merge_request(sent)
     >>> caller.merge_reply("two", sent, callee.reply_update(sent))
-    >>> one.consecutive_crashes_of("r"), two.consecutive_crashes_of("r")
+    >>> one.crash_count_of("r"), two.crash_count_of("r")
     (2, 2)
     """
 
--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -13,10 +13,11 @@
 
 from ..clock import Clock
 from ._attribution import rank_tied_requests, refused_at_same_targets, unexplained_crashes
+from ._identity import is_part
 from ._log import CrashLog
 from ._messages import CrashReport
 from ._record import RequestRecord
-from ._rule import Crash, count_consecutive_crashes, detection_threshold, select_retained
+from ._rule import SUSPICIOUS_CRASHES, Crash, detection_threshold, rule_of, select_retained
 
 __all__ = ["CrashHistory", "CrashListener"]
 
@@ -44,6 +45,9 @@
 # than a caller waits for an answer on the known sites (8 s).
 TRIAL_INTERVAL_S = 10.0
 
+# How much longer a request with several refused parts waits than one with a single one of them.
+JOINT_TRIAL_DELAY_S = 5.0
+
 # A peer's answer replaces the recorded one only if it is newer by at least this much. Ages that
 # travel between daemons place an answer some milliseconds late; without a margin two daemons would
 # replace each other's answers endlessly.
@@ -69,7 +73,7 @@
 
 
 class CrashHistory:
-    """Crashes and answers of requests by identity, and the verdicts that follow from them.
+    """Crashes and answers of requests and of parts, by identity, and the verdicts that follow.
 
     Parameters
     ----------
@@ -85,7 +89,7 @@
     changes : int
         Number of the last change of a record. Peers request the changes after a number.
     last_repeated_change : int
-        Number of the last change of a request that has had two consecutive crashes.
+        Number of the last change of a request or part that has had two crashes that count.
 
     Examples
     --------
@@ -103,11 +107,12 @@
     """
 
     __slots__ = (
-        "_last_answered_s",
         "_last_exchange_s",
         "_refused",
         "_observation_numbers",
+        "_parts_answered_s",
         "_records",
+        "_requests_answered_s",
         "changes",
         "clock",
         "last_repeated_change",
@@ -125,49 +130,82 @@
         self._records: OrderedDict[str, RequestRecord] = OrderedDict()
         self._refused: set[str] = set()
         self._last_exchange_s: float | None = None
-        self._last_answered_s: OrderedDict[str, float] = OrderedDict()
+        self._requests_answered_s: OrderedDict[str, float] = OrderedDict()
+        self._parts_answered_s: OrderedDict[str, float] = OrderedDict()
 
     # Verdicts ---------------------------------------------------------------------------------
 
-    def admit(self, identity: str) -> float:
+    def admit(self, *identities: str) -> float:
         """Return 0 if a request may be sent now, else the seconds until it may be sent.
 
-        After a refusal one attempt is admitted; further ones wait for `TRIAL_INTERVAL_S` or until
-        the request is answered.
+        After a refusal one attempt is admitted. Until its result is known, further ones wait for
+        `TRIAL_INTERVAL_S`. A request with two refused parts is no trial of either: it waits longer,
+        by `JOINT_TRIAL_DELAY_S`, so that one with a single one of them comes first.
+
+        Parameters
+        ----------
+        *identities : str
+            Identities of the request and of its parts.
         """
-        record = self._records.get(identity)
-        if record is None or record.detected_s is None:
+        records = self._refused_records(identities)
+        if not records:
             return 0.0
         now_s = self.clock.now_s()
-        wait_s = self._refused_until_s(record) - now_s
-        if wait_s <= 0:
-            wait_s = record.last_trial_s + TRIAL_INTERVAL_S - now_s
+        joint_delay_s = JOINT_TRIAL_DELAY_S if len(records) > 1 else 0.0
+        wait_s = max(self._trial_wait_s(record, now_s) for record in records) + joint_delay_s
         if wait_s > 0:
             return wait_s
-        record.last_trial_s = now_s
+        for record in records:
+            record.last_trial_s = now_s
         return 0.0
 
-    def refused_for_s(self, identity: str) -> float:
+    def _trial_wait_s(self, record: RequestRecord, now_s: float) -> float:
+        """Return the seconds until an attempt may be admitted; negative if it could have been."""
+        wait_s = self._refused_until_s(record) - now_s
+        if record.last_trial_s < record.last_event_s:
+            return wait_s
+        return max(wait_s, record.last_trial_s + TRIAL_INTERVAL_S - now_s)
+
+    def _refused_records(self, identities: Iterable[str]) -> list[RequestRecord]:
+        records = (self._records.get(identity) for identity in identities)
+        return [record for record in records if record and record.detected_s is not None]
+
+    def refused_for_s(self, *identities: str) -> float:
         """Return the remaining seconds of a request's refusal; 0 if it is not refused."""
-        record = self._records.get(identity)
-        if record is None or record.detected_s is None:
-            return 0.0
-        return max(0.0, self._refused_until_s(record) - self.clock.now_s())
+        now_s = self.clock.now_s()
+        until_s = (self._refused_until_s(record) for record in self._refused_records(identities))
+        return max(0.0, max(until_s, default=now_s) - now_s)
 
-    def was_detected_since(self, identity: str, admitted_s: float) -> bool:
+    def was_detected_since(self, admitted_s: float, *identities: str) -> bool:
         """Return whether a request is refused because of crashes detected since `admitted_s`.
 
         `admitted_s` is the time at which an attempt of the request was admitted.
         """
-        record = self._records.get(identity)
-        return (
-            record is not None and record.detected_s is not None and record.detected_s >= admitted_s
+        return any(
+            record.detected_s is not None and record.detected_s >= admitted_s
+            for record in self._refused_records(identities)
         )
 
-    def consecutive_crashes_of(self, identity: str) -> int:
-        """Return the number of consecutive crashes of a request."""
+    def crash_count_of(self, identity: str) -> int:
+        """Return the number of crashes that count against a request or a part."""
+        record = self._records.get(identity)
+        return record.crash_count if record else 0
+
+    def is_next_decisive(self, identity: str) -> bool:
+        """Return whether one more crash decides how the request that has it goes on."""
+        next_count = self.crash_count_of(identity) + 1
+        if is_part(identity):
+            return next_count >= SUSPICIOUS_CRASHES and not self._is_answered(identity)
+        return next_count >= rule_of(identity).threshold
+
+    def is_suspicious(self, identity: str) -> bool:
+        """Return whether a part has crashed several targets and was never answered."""
+        is_repeated = self.crash_count_of(identity) >= SUSPICIOUS_CRASHES
+        return is_part(identity) and is_repeated and not self._is_answered(identity)
+
+    def _is_answered(self, identity: str) -> bool:
         record = self._records.get(identity)
-        return record.consecutive_count if record else 0
+        return identity in self._answered_s(identity) or bool(record and record.answered_id)
 
     @property
     def refused_count(self) -> int:
@@ -185,6 +223,13 @@
         factor = 1.0 if is_own else 1.0 + OTHER_DAEMONS_DELAY_FRACTION
         return last_crash.ended_s + record.refusal_s * factor
 
+    def _answered_s(self, identity: str) -> OrderedDict[str, float]:
+        """Return the times of the last answers to requests, or to requests with a part.
+
+        There are far more requests than parts, and must not push them out.
+        """
+        return self._parts_answered_s if is_part(identity) else self._requests_answered_s
+
     # Observations of this daemon ----------------------------------------------------------------
 
     def note_crash(self, identity: str, target_id: str, began_s: float, ended_s: float) -> None:
@@ -202,10 +247,11 @@
     def note_answer(self, identity: str) -> None:
         """Record a complete answer to a request; its earlier crashes no longer count."""
         now_s = self.clock.now_s()
-        self._last_answered_s[identity] = now_s
-        self._last_answered_s.move_to_end(identity)
-        if len(self._last_answered_s) > MAX_ANSWERED_REQUESTS:
-            self._last_answered_s.popitem(last=False)
+        answered_s = self._answered_s(identity)
+        answered_s[identity] = now_s
+        answered_s.move_to_end(identity)
+        if len(answered_s) > MAX_ANSWERED_REQUESTS:
+            answered_s.popitem(last=False)
         record = self._records.get(identity)
         if record is not None and record.crashes:
             self._apply_answer(identity, record, self._new_observation_id(), now_s)
@@ -224,11 +270,9 @@
         ]
         for identity in expired:
             self._remove_record(identity)
-        while (
-            self._last_answered_s
-            and now_s - next(iter(self._last_answered_s.values())) > RETENTION_S
-        ):
-            self._last_answered_s.popitem(last=False)
+        for answered_s in (self._requests_answered_s, self._parts_answered_s):
+            while answered_s and now_s - next(iter(answered_s.values())) > RETENTION_S:
+                answered_s.popitem(last=False)
 
     # Exchange with peers ------------------------------------------------------------------------
 
@@ -244,7 +288,7 @@
         limit : int
             Maximum number of reports.
         repeated_only : bool
-            Omit requests that have never had two consecutive crashes.
+            Omit requests and parts that have never had two crashes that count.
         """
         if after_change >= self.changes:
             return (), self.changes
@@ -297,17 +341,16 @@
         recorded_ids = {crash.crash_id for crash in recorded}
         answered_s = record.answered_s if record else float("-inf")
         new = [c for c in crashes if c.crash_id not in recorded_ids and c.ended_s > answered_s]
-        retained = select_retained([*recorded, *new], MAX_CRASHES_PER_REQUEST)
+        counted = rule_of(identity).counted
+        retained = select_retained([*recorded, *new], MAX_CRASHES_PER_REQUEST, counted)
         if retained == recorded:
             return False
         record = record or self._create_record(identity)
-        if not record.answered_id and identity in self._last_answered_s:
-            record.answered_id, record.answered_s = (
-                self._new_observation_id(),
-                self._last_answered_s[identity],
-            )
+        own_answered_s = self._answered_s(identity).get(identity)
+        if not record.answered_id and own_answered_s is not None:
+            record.answered_id, record.answered_s = self._new_observation_id(), own_answered_s
         record.crashes = retained
-        record.has_recurred |= record.consecutive_count > 1
+        record.has_recurred |= record.crash_count > 1
         self._mark_changed(identity, record)
         return True
 
@@ -318,7 +361,7 @@
         record.crashes = [crash for crash in record.crashes if crash.ended_s > answered_s]
         # An answer older than the crashes removes none of them, but it raises the threshold.
         self._mark_changed(identity, record)
-        if record.detected_s is not None and record.consecutive_count < record.threshold:
+        if record.detected_s is not None and record.crash_count < record.threshold:
             self._release(identity, record, ANSWERED)
 
     def _mark_changed(self, identity: str, record: RequestRecord) -> None:
@@ -336,7 +379,8 @@
         if len(self._records) >= MAX_REQUESTS:
             not_refused = (i for i in self._records if i not in self._refused)
             self._remove_record(next(not_refused, next(iter(self._records))))
-        record = self._records[identity] = RequestRecord()
+        record = RequestRecord(rule=rule_of(identity), created_s=self.clock.now_s())
+        self._records[identity] = record
         return record
 
     def _remove_record(self, identity: str) -> None:
@@ -350,7 +394,7 @@
         """Update the verdict on a request with a new crash, and on requests that it explains."""
         record = self._records[identity]
         threshold = self._threshold(record)
-        if record.consecutive_count < threshold or not self._is_cause(identity):
+        if record.crash_count < threshold or not self._is_cause(identity):
             if record.detected_s is not None:
                 self._release(identity, record, EXPLAINED)
             return
@@ -364,14 +408,18 @@
                 self._release(other, self._records[other], EXPLAINED)
 
     def _is_cause(self, identity: str) -> bool:
+        record = self._records[identity]
         unexplained = unexplained_crashes(identity, self._records, self._refused)
-        return count_consecutive_crashes(unexplained) >= self._threshold(self._records[identity])
+        return len(record.rule.counted(unexplained)) >= self._threshold(record)
 
     def _threshold(self, record: RequestRecord) -> int:
         """Return the threshold that applies to a request now; a verdict keeps its lower one."""
         if record.detected_s is not None or self._last_exchange_s is None:
             return record.threshold
-        return detection_threshold(record.threshold, self.clock.now_s() - self._last_exchange_s)
+        now_s = self.clock.now_s()
+        has_answers = now_s - record.created_s >= record.rule.answers_known_s
+        threshold = record.threshold if has_answers else record.rule.threshold_of(is_answered=True)
+        return detection_threshold(threshold, now_s - self._last_exchange_s)
 
     def _release(self, identity: str, record: RequestRecord, reason: str) -> None:
         record.detected_s = None
--- a/ferrydock/crashes/_identity.py
+++ b/ferrydock/crashes/_identity.py
@@ -1,8 +1,8 @@
-"""Rule: which attempts belong to one request; pure."""
+"""Rule: which attempts belong to one request, and which requests share a part; pure."""
 
 import hashlib
 
-__all__ = ["IDENTIFIED_BODY_BYTES", "request_identity"]
+__all__ = ["IDENTIFIED_BODY_BYTES", "is_part", "part_identity", "request_identity"]
 
 # A longer body is identified by this many of its first bytes and its length, so that the identity
 # is known before any of the body is sent. A daemon buffers the same amount of a body for retries,
@@ -13,6 +13,8 @@
 # With 16 bytes, the probability that any two of the 1e9 requests of a day collide is 1.5e-21.
 IDENTITY_BYTES = 16
 
+_PART_PREFIX = "part:"
+
 
 def request_identity(
     method: str, host: str, path: str, team: str, body: bytes, length: int | None = None
@@ -50,3 +52,29 @@
         digest.update(data)
     digest.update(body[:IDENTIFIED_BODY_BYTES])
     return digest.hexdigest()
+
+
+def part_identity(team: str, part: str) -> str:
+    """Return the identity of a part of a prompt: the same for all requests of a team with it.
+
+    The team belongs to it, because the part's id is the callers' own text: no team can have the
+    requests of another one refused by naming their parts.
+
+    Examples
+    --------
+    >>> part_identity("acme", "91bd3f06") == part_identity("bolt", "91bd3f06")
+    False
+    >>> is_part(part_identity("acme", "91bd3f06"))
+    True
+    """
+    digest = hashlib.blake2b(digest_size=IDENTITY_BYTES)
+    for text in (team, part):
+        data = text.encode(errors="surrogateescape")
+        digest.update(b"%d:" % len(data))
+        digest.update(data)
+    return _PART_PREFIX + digest.hexdigest()
+
+
+def is_part(identity: str) -> bool:
+    """Return whether an identity is that of a part, and not of a complete request."""
+    return identity.startswith(_PART_PREFIX)
--- a/ferrydock/crashes/_record.py
+++ b/ferrydock/crashes/_record.py
@@ -1,16 +1,16 @@
-"""The crashes and answers of one request that crashed targets, and values derived from them."""
+"""The crashes and answers of one request or part that crashed targets, and what follows of them."""
 
 from dataclasses import dataclass, field
 
 from ._messages import CrashAge, CrashReport
-from ._rule import Crash, count_consecutive_crashes, refusal_duration_s, refusal_threshold
+from ._rule import REQUEST_RULE, Crash, CrashRule, refusal_duration_s
 
 __all__ = ["RequestRecord"]
 
 
 @dataclass(slots=True)
 class RequestRecord:
-    """The crashes and the newest complete answer of one request.
+    """The crashes and the newest answer of one request, or of all requests with one part.
 
     Attributes
     ----------
@@ -20,7 +20,11 @@
     last_change : int
         Number of the last change of the history that changed this record.
     has_recurred : bool
-        Whether the request has ever had two consecutive crashes.
+        Whether it has ever had two crashes that count.
+    rule : CrashRule
+        What counts against it.
+    created_s : float
+        When this daemon learned of its first crash.
     tie_rank : int or None
         Rank of the request, from 0, among the refused requests that share all of its consecutive
         crashes; None if it shares them with none.
@@ -38,21 +42,28 @@
     tie_rank: int | None = None
     detected_s: float | None = None
     last_trial_s: float = float("-inf")
+    rule: CrashRule = REQUEST_RULE
+    created_s: float = float("-inf")
 
     @property
-    def consecutive_count(self) -> int:
-        """Number of consecutive crashes, as `consecutive_crashes` defines them."""
-        return count_consecutive_crashes(self.crashes)
+    def counted_crashes(self) -> list[Crash]:
+        """The crashes that count against it."""
+        return self.rule.counted(self.crashes)
+
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes that count against it."""
+        return len(self.counted_crashes)
 
     @property
     def threshold(self) -> int:
-        """Number of consecutive crashes from which the request is refused."""
-        return refusal_threshold(bool(self.answered_id))
+        """Number of counted crashes from which it is refused."""
+        return self.rule.threshold_of(bool(self.answered_id))
 
     @property
     def refusal_s(self) -> float:
         """Seconds of refusal after the last crash; 0 below the threshold."""
-        return refusal_duration_s(self.consecutive_count, self.threshold, self.tie_rank)
+        return refusal_duration_s(self.crash_count, self.threshold, self.tie_rank, self.rule)
 
     @property
     def last_event_s(self) -> float:
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -1,22 +1,32 @@
-"""Rule: which requests are refused because they crash their targets, and for how long; pure.
+"""Rule: which requests, and which parts of prompts, are refused because they crash their targets,
+and for how long; pure.
 
 All requests on a target fail when it crashes, and many targets may crash at once because of a lost
 rack or a bad release. So a single crash says little about a request. A request that causes crashes
 is recognized by consecutive ones: each attempt starts after the previous crash and crashes too,
 without an answer in between.
+
+A part that crashes targets comes in many requests at once, whose attempts overlap, and none of them
+is ever answered. A harmless part is answered all the time. So for a part each separate termination
+counts, and an answer to any request with it resets the count.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
+from ._identity import is_part
+
 __all__ = [
     "CRASHES_TARGETS",
     "CRASHES_TO_REFUSE",
+    "SUSPICIOUS_CRASHES",
     "Crash",
+    "CrashRule",
     "count_consecutive_crashes",
     "detection_threshold",
-    "refusal_threshold",
     "is_same_termination",
+    "rule_of",
+    "separate_crashes",
     "refusal_duration_s",
     "consecutive_crashes",
     "select_retained",
@@ -35,6 +45,23 @@
 # does cause crashes costs three further targets at most, which the platform tolerates.
 CRASHES_TO_REFUSE_ANSWERED = 6
 
+# The same two thresholds for a part of a prompt. Its crashes may overlap, so one more is asked for;
+# the platform tolerates five before it counts them.
+PART_CRASHES_TO_REFUSE = 4
+PART_CRASHES_TO_REFUSE_ANSWERED = 6
+
+# Terminations that requests with a part, never answered, have caused before a request that has just
+# lost its target is not retried.
+SUSPICIOUS_CRASHES = 2
+
+# Terminations that are closer together count as one for a part: a lost rack ends many targets at
+# one moment, with all sorts of requests.
+SEPARATE_CRASHES_S = 0.1
+
+# How long after the first crash of a part the lower threshold does not apply yet: other daemons may
+# have had answers to requests with it, of which this one learns in about this time.
+PART_ANSWERS_KNOWN_S = 0.6
+
 # Threshold of a daemon that has exchanged nothing with its peers for some seconds: another request
 # may have crashed the same targets, sent by daemons whose reports are missing. A request that does
 # cause crashes costs three further targets at most, as above.
@@ -62,6 +89,11 @@
 TIED_REFUSAL_S = 5.0
 TIED_REFUSAL_STEP_S = 2.0
 
+# The same for parts. Sound requests with a tied part are refused with it, so it is tried sooner, at
+# the price of one more target.
+PART_TIED_REFUSAL_S = 1.5
+PART_TIED_REFUSAL_STEP_S = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class Crash:
@@ -103,6 +135,24 @@
     return consecutive
 
 
+def separate_crashes(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return the crashes that differ in their target or by `SAME_TERMINATION_S`, and in the moment.
+
+    Examples
+    --------
+    >>> at_once = [Crash(f"d:{n}", f"t{n}", 0.0, 1.0) for n in range(5)]
+    >>> overlapping = [Crash(f"e:{n}", f"u{n}", 0.9, 1.2 + n / 5) for n in range(3)]
+    >>> [crash.crash_id for crash in separate_crashes([*at_once, *overlapping])]
+    ['d:0', 'e:0', 'e:1', 'e:2']
+    """
+    separate: list[Crash] = []
+    for crash in sorted(crashes, key=lambda crash: crash.ended_s):
+        is_later = not separate or crash.ended_s - separate[-1].ended_s >= SEPARATE_CRASHES_S
+        if is_later and not is_same_termination(crash, separate):
+            separate.append(crash)
+    return separate
+
+
 def count_consecutive_crashes(crashes: Iterable[Crash]) -> int:
     """Return the length of the sequence that `consecutive_crashes` returns.
 
@@ -119,8 +169,12 @@
     return len(consecutive_crashes(crashes))
 
 
-def select_retained(crashes: Sequence[Crash], limit: int) -> list[Crash]:
-    """Return at most `limit` of the crashes by end time: consecutive ones first, then the newest.
+def select_retained(
+    crashes: Sequence[Crash],
+    limit: int,
+    counted: Callable[[Iterable[Crash]], list[Crash]] = consecutive_crashes,
+) -> list[Crash]:
+    """Return at most `limit` of the crashes by end time: counted ones first, then the newest.
 
     If many attempts of a request run concurrently, each outage adds several crashes. Keeping only
     the newest would discard the crashes of earlier outages, which count as consecutive.
@@ -132,10 +186,10 @@
     ['d:0', 'd:4', 'd:8', 'd:11']
     """
     by_end = sorted(crashes, key=lambda crash: crash.ended_s)
-    consecutive = consecutive_crashes(by_end)[-limit:]
-    others = [crash for crash in by_end if crash not in consecutive]
-    newest = others[len(others) - min(len(others), limit - len(consecutive)) :]
-    return sorted([*consecutive, *newest], key=lambda crash: crash.ended_s)
+    first = counted(by_end)[-limit:]
+    others = [crash for crash in by_end if crash not in first]
+    newest = others[len(others) - min(len(others), limit - len(first)) :]
+    return sorted([*first, *newest], key=lambda crash: crash.ended_s)
 
 
 def is_same_termination(crash: Crash, others: Sequence[Crash]) -> bool:
@@ -147,15 +201,55 @@
     )
 
 
-def refusal_threshold(is_answered: bool) -> int:
-    """Return the number of consecutive crashes from which a request is refused.
+@dataclass(frozen=True, slots=True)
+class CrashRule:
+    """What counts against a request, or against a part of a prompt.
 
-    Parameters
+    Attributes
     ----------
-    is_answered : bool
-        Whether a target has answered the request before.
+    counted : callable
+        Returns those of the crashes that count.
+    threshold, threshold_answered : int
+        Number of counted crashes from which it is refused; the second if it was answered before.
+    tied_refusal_s, tied_step_s : float
+        Refusal while others share all of these crashes, and how much longer it is for each rank.
+    answers_known_s : float
+        How long after its first crash the second threshold applies in any case.
     """
-    return CRASHES_TO_REFUSE_ANSWERED if is_answered else CRASHES_TO_REFUSE
+
+    counted: Callable[[Iterable[Crash]], list[Crash]]
+    threshold: int
+    threshold_answered: int
+    tied_refusal_s: float
+    tied_step_s: float
+    answers_known_s: float
+
+    def threshold_of(self, is_answered: bool) -> int:
+        """Return the threshold for what a target has answered before, or has not."""
+        return self.threshold_answered if is_answered else self.threshold
+
+
+REQUEST_RULE = CrashRule(
+    consecutive_crashes,
+    CRASHES_TO_REFUSE,
+    CRASHES_TO_REFUSE_ANSWERED,
+    TIED_REFUSAL_S,
+    TIED_REFUSAL_STEP_S,
+    0.0,
+)
+PART_RULE = CrashRule(
+    separate_crashes,
+    PART_CRASHES_TO_REFUSE,
+    PART_CRASHES_TO_REFUSE_ANSWERED,
+    PART_TIED_REFUSAL_S,
+    PART_TIED_REFUSAL_STEP_S,
+    PART_ANSWERS_KNOWN_S,
+)
+
+
+def rule_of(identity: str) -> CrashRule:
+    """Return the rule for an identity of a request or of a part."""
+    return PART_RULE if is_part(identity) else REQUEST_RULE
 
 
 def detection_threshold(threshold_with_peers: int, without_peers_s: float) -> int:
@@ -179,14 +273,17 @@
 
 
 def refusal_duration_s(
-    crashes: int, threshold: int = CRASHES_TO_REFUSE, tie_rank: int | None = None
+    crashes: int,
+    threshold: int = CRASHES_TO_REFUSE,
+    tie_rank: int | None = None,
+    rule: CrashRule = REQUEST_RULE,
 ) -> float:
-    """Return the seconds for which a request is refused after `crashes` consecutive crashes.
+    """Return the seconds for which a request or a part is refused after `crashes` counted crashes.
 
     Parameters
     ----------
     threshold : int
-        Number of consecutive crashes from which the request is refused.
+        Number of counted crashes from which it is refused.
     tie_rank : int or None
         Rank, from 0, among the requests that share all of these crashes; None if there are none.
 
@@ -200,5 +297,5 @@
     if crashes < threshold:
         return 0.0
     if tie_rank is not None:
-        return TIED_REFUSAL_S + TIED_REFUSAL_STEP_S * tie_rank
+        return rule.tied_refusal_s + rule.tied_step_s * tie_rank
     return min(MAX_REFUSAL_S, FIRST_REFUSAL_S * 2.0 ** (crashes - threshold))
--- a/ferrydock/crashes/tests/test_history.py
+++ b/ferrydock/crashes/tests/test_history.py
@@ -100,7 +100,7 @@
             daemons.crash(0, "hot", f"t{n}", ran_s=0.5)
             daemons.advance(0.01)
         daemons.advance(1.0)
-    assert history.consecutive_crashes_of("hot") == 2 and history.admit("hot") == 0
+    assert history.crash_count_of("hot") == 2 and history.admit("hot") == 0
 
 
 @pytest.mark.parametrize("is_answered", [True, False])
@@ -116,7 +116,7 @@
             daemons.advance(before_next_s if attempt == 3 else 0.15)
     for _ in range(2):
         daemons.sync_all()
-    counts = [history.consecutive_crashes_of("shared") for history in daemons.histories]
+    counts = [history.crash_count_of("shared") for history in daemons.histories]
     assert counts == [2, 2, 2, 2]
     assert all(history.admit("shared") == 0 for history in daemons.histories)
 
@@ -167,7 +167,7 @@
     for _ in range(3):
         daemons.crash(0, "r", "t0")
         daemons.advance(2.0)
-    assert history.consecutive_crashes_of("r") == 3 and history.refused_for_s("r") > 0
+    assert history.crash_count_of("r") == 3 and history.refused_for_s("r") > 0
 
 
 def test_a_request_sharing_targets_with_the_cause_is_released_by_a_further_crash_of_the_cause(
@@ -291,7 +291,7 @@
     for n in range(MAX_REQUESTS + 50):
         daemons.crash(0, f"r{n}", "t")
     assert history.record_count == MAX_REQUESTS
-    assert history.admit("kept") > 0 and history.consecutive_crashes_of("r0") == 0
+    assert history.admit("kept") > 0 and history.crash_count_of("r0") == 0
     daemons.advance(RETENTION_S + 1)
     history.prune()
     assert history.record_count == 0
@@ -319,7 +319,7 @@
     daemons.histories[1].note_answer("r")
     daemons.sync_all()
     daemons.sync_all()
-    assert [history.consecutive_crashes_of("r") for history in daemons.histories] == [0, 0, 0]
+    assert [history.crash_count_of("r") for history in daemons.histories] == [0, 0, 0]
 
 
 def test_reports_that_a_peer_has_received_are_not_sent_again():
@@ -349,7 +349,7 @@
     daemons.restart(number)
     for _ in range(3):
         daemons.sync(1)
-    assert [history.consecutive_crashes_of("r") for history in daemons.histories] == [3, 3]
+    assert [history.crash_count_of("r") for history in daemons.histories] == [3, 3]
 
 
 def test_many_reports_are_split_into_several_messages():
@@ -382,7 +382,7 @@
     for _ in range(4):
         daemons.sync_all()
     for identity in (f"r{n}" for n in range(5)):
-        verdicts = [history.consecutive_crashes_of(identity) for history in daemons.histories]
+        verdicts = [history.crash_count_of(identity) for history in daemons.histories]
         assert len(set(verdicts)) == 1, (identity, verdicts)
 
 
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 
 from ..clock import Clock
-from ..crashes import CRASHES_TO_REFUSE, CrashHistory, TargetPresence, TargetProbe
+from ..crashes import CrashHistory, TargetPresence, TargetProbe
 from ..links import TargetDialer
 from ..logs import log_event
 from ..route_metrics import RouteMetrics
@@ -25,6 +26,9 @@
 # crashes is retried without waiting.
 MAX_CHECK_WAIT_S = 0.15
 
+# Events of an answer after which its target has not ended because of a part of the prompt.
+EVENTS_OF_A_SOUND_ANSWER = 2
+
 # Reasons for the end of an attempt that are no sign of a crash: the target answered, refused or
 # never received the request, or the caller's deadline passed.
 _REASONS_WITHOUT_CRASH = (
@@ -74,19 +78,29 @@
     def admit(self, exchange: Exchange) -> float:
         """Return 0 if a request may be sent, else the seconds until its caller may retry."""
         exchange.admitted_s = self.clock.now_s()
-        return self.history.admit(exchange.identity)
+        return self.history.admit(exchange.identity, *exchange.part_identities)
 
     def is_known_since_admission(self, exchange: Exchange) -> bool:
         """Return whether a request was found to crash its targets after it had been admitted."""
-        return self.history.was_detected_since(exchange.identity, exchange.admitted_s)
+        identities = (exchange.identity, *exchange.part_identities)
+        return self.history.was_detected_since(exchange.admitted_s, *identities)
 
     def refused_for_s(self, exchange: Exchange) -> float:
         """Return the seconds until a refused request may be retried."""
-        return self.history.refused_for_s(exchange.identity)
+        return self.history.refused_for_s(exchange.identity, *exchange.part_identities)
 
     def record_answer(self, exchange: Exchange) -> None:
         """Record that a target answered a request completely."""
         self.history.note_answer(exchange.identity)
+        for part in exchange.part_identities:
+            self.history.note_answer(part)
+
+    def is_suspicious(self, exchange: Exchange) -> bool:
+        """Return whether a request that lost its target has a part that may be the cause.
+
+        It is not retried then: the retry would cost one more target.
+        """
+        return any(self.history.is_suspicious(part) for part in exchange.part_identities)
 
     async def check_failed_attempt(
         self, exchange: Exchange, target: Target, end: AttemptEnd, sent_s: float
@@ -94,8 +108,10 @@
         """Start checking whether an attempt failed because its target's process ended.
 
         Returns without waiting for the result, so that the request can be retried elsewhere.
-        However, if this crash would be the one after which the request is refused, waits up to
-        `MAX_CHECK_WAIT_S` for the result.
+        However, if this crash would be the one after which the request is refused or not retried,
+        waits up to `MAX_CHECK_WAIT_S` for the result.
+
+        The parts of its prompt are blamed with it, unless the target had begun to answer.
 
         Parameters
         ----------
@@ -110,13 +126,19 @@
             or self._is_planned_shutdown(target)
         ):
             return
+        blamed = [exchange.identity]
+        if exchange.attempt_event_count < EVENTS_OF_A_SOUND_ANSWER:
+            blamed += exchange.part_identities
+        else:  # a part that crashes targets does so as they begin to answer
+            for part in exchange.part_identities:
+                self.history.note_answer(part)
         ended_s = self.clock.now_s()
         check = asyncio.get_running_loop().create_task(
-            self._check_for_crash(exchange, target, sent_s, ended_s)
+            self._check_for_crash(exchange, blamed, target, sent_s, ended_s)
         )
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
-        if self.history.consecutive_crashes_of(exchange.identity) + 1 >= CRASHES_TO_REFUSE:
+        if any(self.history.is_next_decisive(identity) for identity in blamed):
             await asyncio.wait({check}, timeout=MAX_CHECK_WAIT_S)
 
     def _is_planned_shutdown(self, target: Target) -> bool:
@@ -125,7 +147,12 @@
         return listed is None or listed.draining
 
     async def _check_for_crash(
-        self, exchange: Exchange, target: Target, sent_s: float, ended_s: float
+        self,
+        exchange: Exchange,
+        blamed: Sequence[str],
+        target: Target,
+        sent_s: float,
+        ended_s: float,
     ) -> None:
         presence = await self.probe.probe(target.target_id, target.address)
         if presence is not TargetPresence.TERMINATED:
@@ -140,9 +167,10 @@
             parts=",".join(exchange.inbound.shared_parts) or None,
             target=target.target_id,
             ran_ms=(ended_s - sent_s) * 1000,
-            crashes=self.history.consecutive_crashes_of(exchange.identity) + 1,
+            crashes=self.history.crash_count_of(exchange.identity) + 1,
         )
-        self.history.note_crash(exchange.identity, target.target_id, sent_s, ended_s)
+        for identity in blamed:
+            self.history.note_crash(identity, target.target_id, sent_s, ended_s)
 
     async def close(self) -> None:
         """Cancel the checks in progress."""
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -137,6 +137,9 @@
         The part of a streamed body that was read before the first attempt.
     identity : str
         Equal for all repetitions of the request by its caller (`crashes.request_identity`).
+    part_identities : tuple of str
+        Identities of the parts of its prompt that other requests may share
+        (`crashes.part_identity`).
     tried_target_ids : set of str
         Ids of the targets to which this request was sent.
     attempt_count : int
@@ -159,6 +162,8 @@
         Estimated seconds since the caller first sent this request; 0 if it is not repeated.
     is_late : bool
         Whether the answer cannot meet the route's objective for the first bytes.
+    events_before_attempt : int
+        Events that had been sent to the caller when the current attempt began.
     may_have_run : bool
         Whether a target may have run the request; True while an attempt is in flight.
     budget : RetryBudget or None
@@ -184,6 +189,7 @@
     body: bytes | None
     body_prefix: bytes = b""
     identity: str = ""
+    part_identities: tuple[str, ...] = ()
     is_last_on_connection: Callable[[], bool] = lambda: False
     tried_target_ids: set[str] = field(default_factory=set)
     attempt_count: int = 0
@@ -196,6 +202,7 @@
     last_reason: str = ""
     since_first_sent_s: float = 0.0
     is_late: bool = False
+    events_before_attempt: int = 0
     may_have_run: bool = False
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
@@ -203,6 +210,15 @@
     chosen_s: float = 0.0
     send_times: SendTimes | None = None
 
+    def note_attempt_begins(self) -> None:
+        """Count the events of the next attempt from here."""
+        self.events_before_attempt = self.events.count if self.events else 0
+
+    @property
+    def attempt_event_count(self) -> int:
+        """Number of events that the current attempt has sent to the caller."""
+        return self.events.count - self.events_before_attempt if self.events else 0
+
     @property
     def can_resume(self) -> bool:
         """Whether the answer is a stream that another target may continue."""
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -19,7 +19,7 @@
 from ._admission import queue_times
 from ._attempts import AttemptRunner
 from ._crash_guard import CrashGuard
-from ._exchange import AttemptReason, Exchange
+from ._exchange import AttemptEnd, AttemptReason, Exchange
 from ._observed_times import ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
@@ -115,6 +115,7 @@
             if self.crashes.is_known_since_admission(exchange):  # found while the request waited
                 self.selector.release(endpoint)
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
+            exchange.note_attempt_begins()
             may_have_run_before = exchange.may_have_run
             exchange.may_have_run = True  # updated when the attempt ends
             sent_s = self.clock.now_s()
@@ -132,12 +133,18 @@
             await self.crashes.check_failed_attempt(exchange, endpoint.target, end, sent_s)
             if self.crashes.is_known_since_admission(exchange):
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
-            may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
-            if not may_retry(exchange, end, self._remaining_s(exchange), may_go_elsewhere):
+            if not self._may_retry(exchange, end):
                 return self._end_without_answer(exchange, end.reason)
             if not budget.spend():
                 return self._end_without_answer(exchange, "retry_budget")
 
+    def _may_retry(self, exchange: Exchange, end: AttemptEnd) -> bool:
+        """Return whether to make another attempt after one without a final answer."""
+        if end.may_have_run and self.crashes.is_suspicious(exchange):
+            return False
+        may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
+        return may_retry(exchange, end, self._remaining_s(exchange), may_go_elsewhere)
+
     async def _acquire_open(self, exchange: Exchange) -> Endpoint | None:
         """Acquire a slot as `_acquire` does, of a target whose hall has not closed meanwhile.
 
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -20,7 +20,7 @@
     Team,
     WeightedService,
 )
-from ..crashes import IDENTIFIED_BODY_BYTES, request_identity
+from ..crashes import IDENTIFIED_BODY_BYTES, part_identity, request_identity
 from ..freshness import Confirmer
 from ..invariants import require
 from ..logs import log_event
@@ -383,6 +383,7 @@
             body=read.data if read.is_complete else None,
             body_prefix=b"" if read.is_complete else read.data,
             identity=_identity(request, team_name, read, length),
+            part_identities=tuple(part_identity(team_name, p) for p in inbound.shared_parts),
             is_last_on_connection=self._is_stopping,
             events=NumberedEvents(inbound.last_event_id) if route.kind.is_stream else None,
         )
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -290,7 +290,7 @@
                     why=outcome.reason,
                 )
                 await self._check_for_crash(chosen.replica, sent_s)
-                if self.executor.crashes.was_detected_since(self.identity, self.admitted_s):
+                if self.executor.crashes.was_detected_since(self.admitted_s, self.identity):
                     return Failed(CRASHES_TARGETS, self.lifecycle.fail())
             final_outcome = await self._prepare_retry(outcome)
             if final_outcome is not None:
