A stream without length that ends after its head does not pass for a complete one

What callers saw: a target that ended after the head of its answer, whose connection closed in order, gave an empty answer that looked complete; and it cleared the request of the crash.

Cause: an answer without a length ends with its connection, and only a reset was noticed.

Change: such a stream without any event counts as torn: it goes on at another target or ends as 502. One that was resumed after an event may have none left.

test_stream_whose_target_ends_after_the_head_does_not_pass_for_a_complete_one failed before (both cases), and passes. Ran: forwarding/tests/test_forwarding.py.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -113,7 +113,7 @@
             if events.fault is not None:
                 return AttemptEnd(False, True, events.fault)
         _raise_if_reset(answer)
-        if events.has_partial_event:
+        if events.has_partial_event or _ends_before_first_event(events, answer):
             return AttemptEnd(False, True, AttemptReason.TORN)
         if exchange.response is None:
             await self._start_answer(exchange, answer)
@@ -156,6 +156,16 @@
         raise aiohttp.ClientPayloadError("the connection was reset")
 
 
+def _ends_before_first_event(events: NumberedEvents, answer: aiohttp.ClientResponse) -> bool:
+    """Return whether a stream that ends with its connection has no event at all.
+
+    A target that ends after the head of its answer closes the connection in order at times.
+    """
+    headers = answer.headers
+    is_framed = "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "")
+    return not is_framed and events.count == 0 and events.last_id is None
+
+
 def _answer_headers(answer: aiohttp.ClientResponse) -> CIMultiDict[str]:
     return CIMultiDict(end_to_end(answer.headers.items()))
 
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -629,3 +629,47 @@
     exchange = SimpleNamespace(attempt_count=1, response=None, deadline_s=56.0)
     assert max_retry_queue_s(exchange, 50.0) == 1.0
     assert max_retry_queue_s(exchange, 55.5) == 0.5
+
+
+UNFRAMED_STREAM = HEAD + b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("other_answers", [True, False])
+def test_stream_whose_target_ends_after_the_head_does_not_pass_for_a_complete_one(other_answers):
+    ends = writes(UNFRAMED_STREAM, keep=False)
+    complete = writes(STREAM + events(1, 2) + b"0\r\n\r\n")
+
+    async def scenario():
+        targets = [ScriptedTarget(ends), ScriptedTarget(ends)]
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], targets) as rig:
+            asking = asyncio.ensure_future(rig.ask())
+            if other_answers:
+                async with asyncio.timeout(5):
+                    while not any(target.requests for target in targets):
+                        await asyncio.sleep(0)
+                next(t for t in targets if not t.requests).scripts = [complete]
+            answer = await asking
+            if other_answers:
+                assert body_of(answer) == (event(1) + event(2), True)
+            else:
+                assert answer.startswith(b"HTTP/1.1 502")
+
+    play(scenario)
+
+
+def test_stream_without_length_is_complete_if_it_ends_in_order_after_an_event():
+    async def scenario():
+        script = writes(UNFRAMED_STREAM + event(1) + event(2), keep=False)
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], [ScriptedTarget(script)]) as rig:
+            assert body_of(await rig.ask()) == (event(1) + event(2), True)
+
+    play(scenario)
+
+
+def test_resumed_stream_may_have_no_further_event():
+    async def scenario():
+        script = writes(UNFRAMED_STREAM, keep=False)
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], [ScriptedTarget(script)]) as rig:
+            assert body_of(await rig.ask(headers=["Last-Event-Id: 9"])) == (b"", True)
+
+    play(scenario)
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -446,9 +446,9 @@
             return
         if self._rng.random() < HEAD_BEFORE_CRASH_SHARE:
             headers = {**self._answer_headers(request), "Content-Type": "text/event-stream"}
-            response = web.StreamResponse(headers=headers)
-            response.force_close()
-            await response.prepare(request)
+            lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+            head = f"HTTP/1.1 200 OK\r\n{''.join(lines)}Connection: close\r\n\r\n"
+            require(request.transport, "the connection").write(head.encode())
         await self._crash(seen)
 
     async def _crash(self, crashing_request: CrashingRequest) -> None:
