--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -63,6 +63,7 @@
     draw_limits,
     draw_links,
     draw_rests,
+    draw_skew,
     draw_stops,
     draw_troubles,
     figures,
@@ -262,13 +263,16 @@
 def links_experiment(seed: int) -> Experiment:
     """Return the experiment of a seed with daemons that lose their links to all targets.
 
-    Every third seed has no other faults, the others four of all kinds. Every tenth seed has 24
+    Every third seed has no other faults, the others four of all kinds; on every second one most
+    callers come to one daemon for some seconds. Every tenth seed has 24
     daemons, every fourth eight in one hall, the others six in two halls.
     """
     halls, count, domain_size = _fleet_sizes(seed)
     count = max(count, 3)
     length_s = 16.0
     troubles = draw_links(seed, length_s, halls, count)
+    if seed % 2:
+        troubles += draw_skew(seed, length_s, halls)
     if seed % 3:
         troubles += draw_troubles(seed, length_s - 4.0, halls, 4)
     return Experiment(
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -30,6 +30,7 @@
 from ._rests import backoff_violations, draw_rests
 from ._result import PROMISES, Result
 from ._run import Emulation
+from ._skew import draw_skew
 from ._stops import (
     Execution,
     Pause,
@@ -71,6 +72,7 @@
     "draw_limits",
     "draw_links",
     "draw_rests",
+    "draw_skew",
     "backoff_violations",
     "rate_limit_violations",
     "max_arrivals",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -88,6 +88,7 @@
 _LINK_KINDS = {
     "links_lost": "`count` daemons lose their links to all workers for `for_s` (how: hang, reset, "
     "reset_hang, live_on, live_on_hang)",
+    "callers_skewed": "most callers connect anew to one daemon for `for_s`",
 }
 KINDS = {
     **_SOAK_KINDS,
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -29,6 +29,7 @@
 from ._link_troubles import describe_unserved
 from ._load import Call
 from ._rests import backoff_violations, describe_violations
+from ._skew import describe_skew
 from ._stops import (
     PROMISES_NOT_RUN,
     STALE_HEAD_S,
@@ -102,6 +103,8 @@
         self._check_leaving_said()
         self._check_unconfirmed()
         self._check_links()
+        calls = [call for call in result.calls if not crashes_targets(call)]
+        result.broken += describe_skew(calls, self.parts.skews_s, self._was_in_contact)
         self._check_limits()
         self._check_rests()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -15,6 +15,9 @@
 KEY = "key-acme"
 EVENTS = 10
 READ_BYTES = 16384
+
+# Share of the requests that come to one daemon while callers are skewed.
+SKEWED_SHARE = 0.9
 _PATHS = {
     "write-large": ("/write/x", "large"),
     "write-small": ("/write/x", "small"),
@@ -81,6 +84,12 @@
     ----------
     addresses : callable
         Returns the addresses of daemons that accept callers, by name.
+
+    Attributes
+    ----------
+    skewed_to : str
+        Daemon to which `SKEWED_SHARE` of the requests come, each on a new connection; empty for
+        none.
     """
 
     def __init__(self, addresses, rng: random.Random, now_s):
@@ -88,6 +97,7 @@
         self.rng = rng
         self.now_s = now_s
         self.calls: list[Call] = []
+        self.skewed_to = ""
         self._idle: dict[str, list] = {}
 
     async def call(
@@ -98,6 +108,10 @@
         if not ready:
             return None
         daemon = self.rng.choice(sorted(ready))
+        is_skewed = self.skewed_to in ready and self.rng.random() < SKEWED_SHARE
+        if is_skewed:
+            daemon = self.skewed_to
+            self._close_idle(daemon)
         call = Call(
             f"{self.rng.getrandbits(64):016x}", kind, self.now_s(), daemon, body, parts=parts
         )
@@ -131,11 +145,14 @@
         host, port = address.split(":")
         return await asyncio.open_connection(host, int(port))
 
+    def _close_idle(self, daemon: str) -> None:
+        for _, writer in self._idle.pop(daemon, ()):
+            writer.close()
+
     async def close(self) -> None:
         """Close the idle connections."""
-        for pairs in self._idle.values():
-            for _, writer in pairs:
-                writer.close()
+        for daemon in list(self._idle):
+            self._close_idle(daemon)
 
 
 def encode_request(call: Call) -> bytes:
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -24,6 +24,7 @@
     "a target that names a limit gets no more from daemons that were told",
     "a target that asks a daemon for rest gets none of its requests",
     "callers of daemons that reach no target are served through other daemons",
+    "callers are served on while most of them come to one daemon",
     "no request is refused for an old configuration by a daemon that reaches the store",
 )
 
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -17,6 +17,7 @@
 from . import _daemon_troubles as _daemon_troubles
 from . import _link_troubles as _link_troubles
 from . import _pace_troubles as _pace_troubles
+from . import _skew as _skew
 from . import _target_troubles as _target_troubles
 from ._crashing import CrashingCallers
 from ._crashing_parts import CrashingPartCallers
@@ -96,6 +97,7 @@
             await self._start()
             callers = Callers(self._addresses, random.Random(self.experiment.seed), self.now_s)
             self.result.calls = callers.calls
+            self._parts.callers = callers
             # A generator of its own, so that request ids differ from those of `callers`.
             own_rng = random.Random(f"crashing {self.experiment.seed}")
             all_daemons_callers = Callers(self._all_addresses, own_rng, self.now_s)
--- a/ferrydock/emulator/_troubles.py
+++ b/ferrydock/emulator/_troubles.py
@@ -14,6 +14,7 @@
 from ._crashing_parts import CrashingPartCallers
 from ._experiment import Experiment, Trouble
 from ._links import DaemonLinks
+from ._load import Callers
 from ._processes import DaemonProcess
 from ._result import Result
 from ._stops import PlannedStop
@@ -39,6 +40,10 @@
         Sends requests that crash their targets; None before the load begins.
     part_callers : CrashingPartCallers or None
         Send requests with a part that crashes targets; None before the load begins.
+    callers : Callers or None
+        Send the load; None before it begins.
+    skews_s : list of (float, float)
+        Seconds of the load between which most callers came to one daemon.
     links : dict
         Links of each daemon to the workers, by its name; empty if none are ever lost.
     """
@@ -53,6 +58,8 @@
     to_be_stopped: set[str] = field(default_factory=set)
     crashing_callers: CrashingCallers | None = None
     part_callers: CrashingPartCallers | None = None
+    callers: Callers | None = None
+    skews_s: list[tuple[float, float]] = field(default_factory=list)
     links: dict[str, DaemonLinks] = field(default_factory=dict)
 
     def store_of(self, daemon: DaemonProcess) -> StoreFace:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,5 +1,7 @@
 """Daemons that lose their links to all targets, while callers, store and peers still reach them."""
 
+from dataclasses import replace
+
 import pytest
 
 from benchmarks.soak import HALLS, LEAVING_LOAD, links_experiment
@@ -55,3 +57,10 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_links_lost_among_other_faults_break_no_promise(results, seed):
     assert results[seed].broken == [], results[seed].troubles
+
+
+def test_callers_are_served_on_while_most_of_them_come_to_one_daemon(tmp_path):
+    skewed = Trouble(6.0, "callers_skewed", for_s=8.0)
+    experiment = replace(cut_experiment(1), name="skew", length_s=14.0, troubles=(skewed,))
+    result = play_seeds(lambda seed: experiment, [1], tmp_path, 1)[1]
+    assert result.broken == []
