Tunnels lead to targets that are leaving too; a peer that does not list a target is not backed off

Orders and reports of a leader without links also go to targets that are draining, which the other daemon refused as unknown; each refusal counted as the peer's failure. Test: test_a_target_that_leaves_is_reached_through_a_peer, which failed before with NoPathToTargets.

--- a/ferrydock/links/_tunnel_client.py
+++ b/ferrydock/links/_tunnel_client.py
@@ -66,6 +66,8 @@
                 raise ConnectionRefusedError(f"{address} refused a connection from {peer}")
             if result is TunnelResult.SILENT:
                 raise TimeoutError(f"{address} did not accept a connection from {peer}")
+            if result is TunnelResult.UNKNOWN:
+                continue  # its target list is older or newer; it may know others
             if self.peers.note_failure(peer, self.clock.now_s()):
                 why = "no_reply" if result is None else result.name.lower()
                 log_event(
--- a/ferrydock/links/_tunnel_server.py
+++ b/ferrydock/links/_tunnel_server.py
@@ -41,7 +41,9 @@
     Parameters
     ----------
     links : TargetLinks
-        Whether this daemon reaches targets; lists their addresses.
+        Whether this daemon reaches targets.
+    is_listed : callable
+        Returns whether an address is that of a target, which may be leaving.
     is_stopping : callable
         Returns whether new tunnels are refused, since the daemon is stopping.
 
@@ -51,10 +53,17 @@
         Number of open tunnels.
     """
 
-    __slots__ = ("_server", "_tasks", "_tunnels", "clock", "is_stopping", "links")
+    __slots__ = ("_server", "_tasks", "_tunnels", "clock", "is_listed", "is_stopping", "links")
 
-    def __init__(self, links: TargetLinks, is_stopping: Callable[[], bool], clock: Clock):
+    def __init__(
+        self,
+        links: TargetLinks,
+        is_listed: Callable[[str], bool],
+        is_stopping: Callable[[], bool],
+        clock: Clock,
+    ):
         self.links = links
+        self.is_listed = is_listed
         self.is_stopping = is_stopping
         self.clock = clock
         self._server: asyncio.Server | None = None
@@ -102,7 +111,7 @@
         """Return why a tunnel is refused without a try, or None."""
         if self.is_stopping() or len(self._tunnels) >= MAX_TUNNELS:
             return TunnelResult.BUSY
-        if address not in self.links.addresses():
+        if not self.is_listed(address):
             return TunnelResult.UNKNOWN
         return TunnelResult.NO_LINKS if self.links.is_lost else None
 
--- a/ferrydock/links/tests/test_tunnels.py
+++ b/ferrydock/links/tests/test_tunnels.py
@@ -30,6 +30,7 @@
     def __init__(self, serve, peer_count=1):
         self.serve = serve
         self.servers = []
+        self.listed = []
         self.peer_count = peer_count
 
     async def __aenter__(self):
@@ -39,7 +40,9 @@
         self.peers = TunnelPeers("a", "", rng)
         for _ in range(self.peer_count):
             links = TargetLinks(lambda: [self.address], clock, rng)
-            server = TunnelServer(links, lambda: False, clock)
+            self.listed.append({self.address})
+            listed = self.listed[-1]
+            server = TunnelServer(links, listed.__contains__, lambda: False, clock)
             self.servers.append(server)
             self.peers.note_caller("a", await server.start("127.0.0.1:0"), clock.now_s())
         links = TargetLinks(lambda: [self.address], clock, rng)
@@ -201,7 +204,7 @@
 def test_only_listed_targets_are_connected_to():
     async def scenario():
         async with Rig(refuse) as rig:
-            rig.servers[0].links.addresses = lambda: ["127.0.0.1:1"]
+            rig.listed[0].clear()
             with pytest.raises(NoPathToTargets):
                 await rig.dialer.connect(rig.address, 1.0)
 
@@ -236,6 +239,16 @@
     return TargetPresence.TERMINATED
 
 
+def test_a_target_that_leaves_is_reached_through_a_peer():
+    async def scenario():
+        async with Rig(refuse) as rig:
+            rig.servers[0].links.addresses = list  # none that new requests are sent to
+            dialed = await rig.dialer.connect(rig.address, 1.0)
+            dialed.opened.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("data", [b"\xff\xff", b"\x00\x02{}", b"\x00\x01x"])
 def test_bytes_that_are_no_request_end_the_connection(data):
     async def scenario():
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -219,7 +219,9 @@
         self.links = TargetLinks(self._usable_target_addresses, self.clock, self.rng)
         tunnel_address = self.settings.tunnel_address or ""
         self.tunnel_peers = TunnelPeers(self.settings.hall, tunnel_address, self.rng)
-        self.tunnel_server = TunnelServer(self.links, self._refuses_tunnels, self.clock)
+        self.tunnel_server = TunnelServer(
+            self.links, self._is_target_address, self._refuses_tunnels, self.clock
+        )
         self.dialer = TargetDialer(self.links, PeerTunnels(self.tunnel_peers, self.clock))
         self.deployment.control.dialer = self.dialer
         self.upstream = Upstream(self.dialer)
@@ -408,6 +410,9 @@
         leader = self.leadership.known_leader_address()
         return [leader] if leader else []
 
+    def _is_target_address(self, address: str) -> bool:
+        return any(target.address == address for target in self.directory.targets.values())
+
     def _usable_target_addresses(self) -> list[str]:
         return [t.address for t in self.directory.targets.values() if not t.draining]
 
