--- a/ferrydock/emulator/_links.py
+++ b/ferrydock/emulator/_links.py
@@ -64,7 +64,7 @@
         self.cuts_s: list[tuple[float, float]] = []
         self._failure: LinkFailure | None = None
         self._open_ports: set[int] = set()
-        self._servers: dict[int, asyncio.Task[asyncio.Server]] = {}
+        self._servers: dict[int, tuple[socket.socket, asyncio.Task[asyncio.Server]]] = {}
         self._full: dict[int, list[socket.socket]] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -126,19 +126,16 @@
         accepts = is_open and self._failure is None
         hangs = is_open and self._failure in _NEW_HANG
         if not accepts and port in self._servers:
-            starting = self._servers.pop(port)
-            if starting.done():
-                _close_server(starting)
-            else:
-                starting.add_done_callback(_close_server)
+            _close_server(*self._servers.pop(port))
         if not hangs:
             for opened in self._full.pop(port, ()):
                 opened.close()
         if accepts and port not in self._servers:
+            opened = self._listen(port)
             server = asyncio.start_server(
-                lambda reader, writer: self._serve(port, reader, writer), sock=self._listen(port)
+                lambda reader, writer: self._serve(port, reader, writer), sock=opened
             )
-            self._servers[port] = asyncio.ensure_future(server)
+            self._servers[port] = opened, asyncio.ensure_future(server)
         elif hangs and port not in self._full:
             self._full[port] = self._listen_with_full_queue(port)
 
@@ -214,6 +211,10 @@
     writer.transport.abort()
 
 
-def _close_server(starting: asyncio.Task[asyncio.Server]) -> None:
-    if not starting.cancelled() and starting.exception() is None:
+def _close_server(opened: socket.socket, starting: asyncio.Task[asyncio.Server]) -> None:
+    """Close a port at once, so that it can be opened again; the server may not have started yet."""
+    if starting.done():
         starting.result().close()
+    else:
+        starting.cancel()
+        opened.close()
--- a/ferrydock/links/_target_links.py
+++ b/ferrydock/links/_target_links.py
@@ -30,6 +30,10 @@
 # How long a connection of a check may take; a live target accepts it within milliseconds.
 CHECK_TIMEOUT_S = 0.1
 
+# How much later than its time-out a failed check may end. If it ends later, this daemon itself was
+# paused, and connections that were accepted in time may have gone unnoticed.
+OWN_PAUSE_S = 0.05
+
 # Time between two checks while the links are lost, without any request depending on the result.
 RECHECK_INTERVAL_S = 0.5
 
@@ -80,7 +84,7 @@
         self.is_lost = False
         self.lost_s = float("-inf")
         self.listeners: list[Callable[[], None]] = []
-        self._check: asyncio.Task[int] | None = None
+        self._check: asyncio.Task[int | None] | None = None
         self._checked_s = float("-inf")
 
     async def check(self) -> bool:
@@ -104,12 +108,12 @@
         self._checked_s = self.clock.now_s()
         required = min(RESTORING_CONNECTIONS, len(self.addresses()))
         reached = await self._count_reached(until=required)
-        if reached >= required:
+        if reached is not None and reached >= required:
             self._conclude(is_lost=False, reached=reached)
 
-    def _end_check(self, check: asyncio.Task[int]) -> None:
+    def _end_check(self, check: asyncio.Task[int | None]) -> None:
         self._check = None
-        if check.cancelled():
+        if check.cancelled() or check.result() is None:
             return
         if check.result():
             self._checked_s = self.clock.now_s()
@@ -131,8 +135,12 @@
         for listener in self.listeners:
             listener()
 
-    async def _count_reached(self, until: int = 1) -> int:
-        """Connect to a few random targets; return how many accepted, at most `until`."""
+    async def _count_reached(self, until: int = 1) -> int | None:
+        """Connect to a few random targets; return how many accepted, at most `until`.
+
+        None if too few did, but this daemon was paused meanwhile.
+        """
+        began_s = self.clock.now_s()
         addresses = list(self.addresses())
         chosen = self.rng.sample(addresses, min(CHECKED_TARGETS, len(addresses)))
         connecting = [asyncio.ensure_future(_accepts(address)) for address in chosen]
@@ -145,7 +153,8 @@
         finally:
             for connection in connecting:
                 connection.cancel()
-        return reached
+        took_s = self.clock.now_s() - began_s
+        return None if reached < until and took_s > CHECK_TIMEOUT_S + OWN_PAUSE_S else reached
 
 
 async def _accepts(address: str) -> bool:
--- a/ferrydock/links/tests/test_target_links.py
+++ b/ferrydock/links/tests/test_target_links.py
@@ -8,7 +8,7 @@
 
 from ...clock import ManualClock
 from .. import TargetDialer, TargetLinks
-from .._target_links import RECHECK_INTERVAL_S
+from .._target_links import CHECK_TIMEOUT_S, OWN_PAUSE_S, RECHECK_INTERVAL_S
 
 
 @asynccontextmanager
@@ -71,6 +71,22 @@
     assert asyncio.run(scenario()) == [True, False]
 
 
+def test_daemon_that_was_paused_during_the_check_does_not_conclude_that_links_are_lost():
+    async def scenario():
+        closed = await closed_addresses(3)
+        links = links_to(closed)
+        pauses_s = [CHECK_TIMEOUT_S + 2 * OWN_PAUSE_S]
+
+        def list_and_pause():
+            links.clock.advance(pauses_s.pop() if pauses_s else 0.0)
+            return closed
+
+        links.addresses = list_and_pause
+        return [await links.check(), await links.check()]
+
+    assert asyncio.run(scenario()) == [False, True]
+
+
 def test_failures_at_the_same_time_share_one_check(monkeypatch):
     checks = []
     count_reached = TargetLinks._count_reached
