A back-off that a target requests is kept by the daemon that forwards, too

Callers saw nothing of it yet: found by asking what of a target's answer concerns the daemon that it saw. A target requests a back-off of the daemon whose connection it was, and with a tunnel that one does not read the answer: it, and others through it, would go on sending. The daemon that reads the answer reports the back-off to the one that forwards, which keeps it for its own requests and refuses tunnels to that target; other daemons are asked then.

A target that no peer lists now fails as a target, not as a lost path: the request may go elsewhere.

--- a/benchmarks/tunnels.py
+++ b/benchmarks/tunnels.py
@@ -21,6 +21,17 @@
 STREAMS = 20
 
 
+class _AllTargets:
+    def is_listed(self, address: str) -> bool:
+        return True
+
+    def is_backed_off(self, address: str) -> bool:
+        return False
+
+    def note_backoff(self, address: str, backoff_s: float) -> None:
+        pass
+
+
 async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Send as many events as were asked for, each in a turn of its own."""
     count = int(await reader.readline())
@@ -53,7 +64,7 @@
     address = "{}:{}".format(*target.sockets[0].getsockname())
     clock, rng = SystemClock(), random.Random(1)
     links = TargetLinks(lambda: [address], clock, rng)
-    server = TunnelServer(links, address.__eq__, lambda: False, clock)
+    server = TunnelServer(links, _AllTargets(), lambda: False, clock)
     peers = TunnelPeers("a", "", rng)
     peers.note_caller("a", await server.start("127.0.0.1:0"), clock.now_s())
     lost = TargetLinks(lambda: [address], clock, rng)
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -296,6 +296,10 @@
             return AttemptEnd(False, True, AttemptReason.WRONG_ANSWER)
         if self.statements.apply(endpoint.target, head, sent_s):
             self.selector.report()
+        times = exchange.send_times
+        if times is not None and times.through and isinstance(head.backoff_s, float):
+            address = endpoint.target.address
+            self.upstream.dialer.report_backoff(times.through, address, head.backoff_s)
         if head.is_not_executed:
             return AttemptEnd(False, False, AttemptReason.REFUSED, status=answer.status)
         exchange.last_received_s = self.clock.now_s()
--- a/ferrydock/links/__init__.py
+++ b/ferrydock/links/__init__.py
@@ -17,11 +17,12 @@
 from ._target_links import TargetLinks
 from ._tunnel_client import PeerTunnels
 from ._tunnel_peers import TunnelPeers
-from ._tunnel_server import TunnelServer
+from ._tunnel_server import ForwardedTargets, TunnelServer
 
 __all__ = [
     "Dialed",
     "DialingConnector",
+    "ForwardedTargets",
     "NoPathToTargets",
     "PEERS_METHOD",
     "PeerExchange",
--- a/ferrydock/links/_dialer.py
+++ b/ferrydock/links/_dialer.py
@@ -1,8 +1,10 @@
 """Rule: by which way this daemon connects to a target, directly or through another daemon.
 
-Owns no state; `TargetLinks` knows whether the direct way works, `PeerTunnels` the other daemons.
+Owns the reports under way. `TargetLinks` knows whether the direct way works, `PeerTunnels` the
+other daemons.
 """
 
+import asyncio
 import socket
 from dataclasses import dataclass
 from typing import Protocol
@@ -40,6 +42,9 @@
             refused.
         """
 
+    async def report_backoff(self, peer: str, address: str, backoff_s: float) -> None:
+        """Tell the daemon at `peer` that a target, asked through it, requested a back-off."""
+
 
 class TargetDialer:
     """Connects to targets.
@@ -55,11 +60,12 @@
         The way through other daemons; by default there is none.
     """
 
-    __slots__ = ("links", "tunnels")
+    __slots__ = ("_reporting", "links", "tunnels")
 
     def __init__(self, links: TargetLinks | None = None, tunnels: Tunnels | None = None):
         self.links = links
         self.tunnels = tunnels
+        self._reporting: set[asyncio.Task] = set()
 
     @property
     def is_direct(self) -> bool:
@@ -90,3 +96,12 @@
                 if self.links is None or not await self.links.check() or self.tunnels is None:
                     raise
         return await self.tunnels.open(address, request_id)
+
+    def report_backoff(self, peer: str, address: str, backoff_s: float) -> None:
+        """Tell another daemon, in a task, which back-off a target asked through it requested."""
+        if self.tunnels is not None:
+            reporting = asyncio.get_running_loop().create_task(
+                self.tunnels.report_backoff(peer, address, backoff_s)
+            )
+            self._reporting.add(reporting)
+            reporting.add_done_callback(self._reporting.discard)
--- a/ferrydock/links/_tunnel_client.py
+++ b/ferrydock/links/_tunnel_client.py
@@ -13,7 +13,7 @@
 from ..logs import log_event
 from ._dialer import Dialed, NoPathToTargets
 from ._direct import open_directly
-from ._tunnel_messages import FrameReader, TunnelResult, encode_request
+from ._tunnel_messages import FrameReader, TunnelRequest, TunnelResult, encode_request
 from ._tunnel_peers import TunnelPeers
 
 __all__ = ["PeerTunnels", "TunnelProtocol"]
@@ -30,6 +30,11 @@
 MAX_ASKED_PEERS = 6
 
 
+# Replies that say nothing about other targets: the other daemon's list may be older or newer, and a
+# back-off concerns that daemon only.
+_OF_THIS_TARGET_ONLY = (TunnelResult.UNKNOWN, TunnelResult.BACKED_OFF)
+
+
 class PeerTunnels:
     """Opens connections to targets through other daemons.
 
@@ -56,8 +61,9 @@
             No other daemon could be used.
         OSError
             Another daemon could not connect to the target: `ConnectionRefusedError` if the target
-            refused, else `TimeoutError`.
+            refused, else `TimeoutError`, also if it may not be connected to at present.
         """
+        has_path = False
         for peer in self.peers.in_order(self.clock.now_s())[:MAX_ASKED_PEERS]:
             opened, result = await _ask(peer, address, request_id)
             if opened is not None:
@@ -66,15 +72,35 @@
                 raise ConnectionRefusedError(f"{address} refused a connection from {peer}")
             if result is TunnelResult.SILENT:
                 raise TimeoutError(f"{address} did not accept a connection from {peer}")
-            if result is TunnelResult.UNKNOWN:
-                continue  # its target list is older or newer; it may know others
+            if result in _OF_THIS_TARGET_ONLY:
+                has_path = True
+                continue
             if self.peers.note_failure(peer, self.clock.now_s()):
                 why = "no_reply" if result is None else result.name.lower()
                 log_event(
                     _LOG, logging.INFO, "tunnel_failed", peer=peer, request=request_id, why=why
                 )
+        if has_path:
+            raise TimeoutError(f"no daemon connects to {address} now")
         raise NoPathToTargets("neither this daemon nor another one reaches the targets")
 
+    async def report_backoff(self, peer: str, address: str, backoff_s: float) -> None:
+        """Tell the daemon through which a target was asked that it requested a back-off.
+
+        The target requests it of the daemon that it saw, which did not read the answer.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            opened = await open_directly(peer, CONNECT_TIMEOUT_S)
+            with opened:
+                async with asyncio.timeout(REPLY_TIMEOUT_S):
+                    message = TunnelRequest(address, backoff_s=backoff_s)
+                    await loop.sock_sendall(opened, encode_request(message))
+                    await loop.sock_recv(opened, 1)  # until it is read, and closed
+        except OSError as error:
+            why = repr(error)
+            log_event(_LOG, logging.INFO, "backoff_unreported", peer=peer, target=address, why=why)
+
 
 async def _ask(
     peer: str, address: str, request_id: str
@@ -88,7 +114,7 @@
     result = None
     try:
         async with asyncio.timeout(REPLY_TIMEOUT_S):
-            await loop.sock_sendall(opened, encode_request(address, request_id))
+            await loop.sock_sendall(opened, encode_request(TunnelRequest(address, request_id)))
             result = TunnelResult(await loop.sock_recv(opened, 1))
     except (OSError, ValueError):  # silent, or closed without a reply
         pass
--- a/ferrydock/links/_tunnel_messages.py
+++ b/ferrydock/links/_tunnel_messages.py
@@ -6,9 +6,13 @@
 frames, each with its length in four bytes before it; an empty frame says that the target has closed
 the connection in order. So the end of a daemon cannot pass for the end of an answer that has no
 length of its own.
+
+A request with ``backoff_s`` opens no tunnel: it says that a target, asked through the other daemon,
+has requested a back-off of that daemon, which alone saw no answer. It has no reply.
 """
 
 import struct
+from dataclasses import dataclass
 from enum import Enum
 
 import orjson
@@ -17,6 +21,7 @@
     "END_FRAME",
     "MAX_REQUEST_BYTES",
     "FrameReader",
+    "TunnelRequest",
     "TunnelResult",
     "decode_request",
     "encode_frame",
@@ -37,7 +42,7 @@
     ``CONNECTED``: the target accepted the connection. ``REFUSED``: it refused it. ``SILENT``: it
     did not accept it in time, or connecting failed otherwise. ``NO_LINKS``: this daemon reaches no
     target either. ``UNKNOWN``: this daemon does not list such a target. ``BUSY``: it takes no more
-    tunnels, or is stopping.
+    tunnels, or is stopping. ``BACKED_OFF``: the target has requested a back-off of this daemon.
     """
 
     CONNECTED = b"C"
@@ -46,16 +51,38 @@
     NO_LINKS = b"L"
     UNKNOWN = b"U"
     BUSY = b"B"
+    BACKED_OFF = b"O"
+
+
+@dataclass(frozen=True, slots=True)
+class TunnelRequest:
+    """Request for a tunnel to the target at `address`, or a message about its back-off.
+
+    Attributes
+    ----------
+    request_id : str
+        Request that the tunnel is for; empty for none.
+    backoff_s : float or None
+        Back-off that the target requested; None in a request for a tunnel.
+    """
+
+    address: str
+    request_id: str = ""
+    backoff_s: float | None = None
 
 
-def encode_request(address: str, request_id: str) -> bytes:
-    """Return the request for a tunnel to the target at ``IP:PORT``."""
-    data = orjson.dumps({"address": address, "request": request_id[: MAX_REQUEST_BYTES // 8]})
+def encode_request(request: TunnelRequest) -> bytes:
+    """Return a request as sent."""
+    request_id = request.request_id[: MAX_REQUEST_BYTES // 8]
+    fields: dict[str, str | float] = {"address": request.address, "request": request_id}
+    if request.backoff_s is not None:
+        fields["backoff_s"] = request.backoff_s
+    data = orjson.dumps(fields)
     return _REQUEST_LENGTH.pack(len(data)) + data
 
 
-def decode_request(data: bytes) -> tuple[str, str] | None:
-    """Return address and request id, or None while the request is incomplete.
+def decode_request(data: bytes) -> TunnelRequest | None:
+    """Return a request, or None while it is incomplete.
 
     Raises
     ------
@@ -64,9 +91,10 @@
 
     Examples
     --------
-    >>> request = encode_request("10.0.0.1:80", "a1")
-    >>> decode_request(request[:5]), decode_request(request)
-    (None, ('10.0.0.1:80', 'a1'))
+    >>> request = TunnelRequest("10.0.0.1:80", "a1", backoff_s=2.0)
+    >>> data = encode_request(request)
+    >>> decode_request(data[:5]), decode_request(data) == request
+    (None, True)
     """
     if len(data) < _REQUEST_LENGTH.size:
         return None
@@ -76,7 +104,12 @@
     if len(data) < _REQUEST_LENGTH.size + length:
         return None
     fields = orjson.loads(data[_REQUEST_LENGTH.size : _REQUEST_LENGTH.size + length])
-    return str(fields["address"]), str(fields["request"])
+    backoff_s = fields.get("backoff_s")
+    return TunnelRequest(
+        str(fields["address"]),
+        str(fields["request"]),
+        None if backoff_s is None else float(backoff_s),
+    )
 
 
 def encode_frame(data: bytes) -> bytes:
--- a/ferrydock/links/_tunnel_server.py
+++ b/ferrydock/links/_tunnel_server.py
@@ -9,15 +9,21 @@
 import contextlib
 import logging
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 from ..clock import Clock
 from ..logs import log_event
 from ._direct import open_directly, split_address
 from ._target_links import TargetLinks
-from ._tunnel_messages import END_FRAME, TunnelResult, decode_request, encode_frame
+from ._tunnel_messages import (
+    END_FRAME,
+    TunnelRequest,
+    TunnelResult,
+    decode_request,
+    encode_frame,
+)
 
-__all__ = ["TunnelServer"]
+__all__ = ["ForwardedTargets", "TunnelServer"]
 
 _LOG = logging.getLogger("ferrydock.links")
 
@@ -35,6 +41,19 @@
 MS_PER_S = 1000
 
 
+class ForwardedTargets(Protocol):
+    """What the forwarding daemon knows of the targets that tunnels lead to, by ``IP:PORT``."""
+
+    def is_listed(self, address: str) -> bool:
+        """Return whether an address is that of a target, which may be leaving."""
+
+    def is_backed_off(self, address: str) -> bool:
+        """Return whether the target has requested a back-off of this daemon."""
+
+    def note_backoff(self, address: str, backoff_s: float) -> None:
+        """Record a back-off that the target requested in an answer to another daemon's request."""
+
+
 class TunnelServer:
     """Serves tunnels to targets.
 
@@ -42,8 +61,8 @@
     ----------
     links : TargetLinks
         Whether this daemon reaches targets.
-    is_listed : callable
-        Returns whether an address is that of a target, which may be leaving.
+    targets : ForwardedTargets
+        The targets that tunnels may lead to.
     is_stopping : callable
         Returns whether new tunnels are refused, since the daemon is stopping.
 
@@ -53,17 +72,17 @@
         Number of open tunnels.
     """
 
-    __slots__ = ("_server", "_tasks", "_tunnels", "clock", "is_listed", "is_stopping", "links")
+    __slots__ = ("_server", "_tasks", "_tunnels", "clock", "is_stopping", "links", "targets")
 
     def __init__(
         self,
         links: TargetLinks,
-        is_listed: Callable[[str], bool],
+        targets: ForwardedTargets,
         is_stopping: Callable[[], bool],
         clock: Clock,
     ):
         self.links = links
-        self.is_listed = is_listed
+        self.targets = targets
         self.is_stopping = is_stopping
         self.clock = clock
         self._server: asyncio.Server | None = None
@@ -111,8 +130,10 @@
         """Return why a tunnel is refused without a try, or None."""
         if self.is_stopping() or len(self._tunnels) >= MAX_TUNNELS:
             return TunnelResult.BUSY
-        if not self.is_listed(address):
+        if not self.targets.is_listed(address):
             return TunnelResult.UNKNOWN
+        if self.targets.is_backed_off(address):
+            return TunnelResult.BACKED_OFF
         return TunnelResult.NO_LINKS if self.links.is_lost else None
 
     async def _connect_to_target(self, tunnel: "_CallerSide", address: str) -> TunnelResult:
@@ -181,8 +202,15 @@
             return
         if request is not None:
             self._timeout.cancel()
-            self.address, self.request_id = request
-            self.server.connect(self, self.address)
+            self._handle(request)
+
+    def _handle(self, request: TunnelRequest) -> None:
+        if request.backoff_s is not None:
+            self.server.targets.note_backoff(request.address, request.backoff_s)
+            self.cut()
+            return
+        self.address, self.request_id = request.address, request.request_id
+        self.server.connect(self, self.address)
 
     def reply(self, result: TunnelResult) -> None:
         """Answer the request; close the connection unless the target is connected."""
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -54,6 +54,7 @@
 from ..targets import TargetDirectory, WithdrawalLog
 from ..teams import TeamShares
 from ._deployment import Deployment
+from ._forwarded_targets import CatalogTargets
 from ._gauges import Gauges
 from ._late_imports import import_late
 from ._leadership import HallLeadership
@@ -220,7 +221,10 @@
         tunnel_address = self.settings.tunnel_address or ""
         self.tunnel_peers = TunnelPeers(self.settings.hall, tunnel_address, self.rng)
         self.tunnel_server = TunnelServer(
-            self.links, self._is_target_address, self._refuses_tunnels, self.clock
+            self.links,
+            CatalogTargets(self.catalog, self.clock),
+            self._refuses_tunnels,
+            self.clock,
         )
         self.dialer = TargetDialer(self.links, PeerTunnels(self.tunnel_peers, self.clock))
         self.deployment.control.dialer = self.dialer
@@ -410,9 +414,6 @@
         leader = self.leadership.known_leader_address()
         return [leader] if leader else []
 
-    def _is_target_address(self, address: str) -> bool:
-        return any(target.address == address for target in self.directory.targets.values())
-
     def _usable_target_addresses(self) -> list[str]:
         return [t.address for t in self.directory.targets.values() if not t.draining]
 
