A leader of an older version that does not know a method keeps its connection

Found by reading: during an upgrade a daemon calls TunnelPeers of a leader that does not have it. Any failure but a time-out closed the connection that all calls to that leader share, each 0.4 s. A method that is not known is an answer: the connection stays open, and the call is made each 2 s after ten.

test_a_method_that_an_older_leader_does_not_know_leaves_the_connection_open failed before.

--- a/ferrydock/links/_peer_exchange.py
+++ b/ferrydock/links/_peer_exchange.py
@@ -27,8 +27,10 @@
 EXCHANGE_EVERY_S = 2.0
 PAUSE_JITTER = (0.75, 1.25)
 
-# Pause until the first call has been answered.
+# Pause until the first call has been answered, for so many calls. A leader of an older version
+# answers none.
 FIRST_EXCHANGE_EVERY_S = 0.4
+FIRST_EXCHANGES = 10
 
 # Calls the daemon at an address: address, method, request; returns the reply or None.
 Call = Callable[[str, str, bytes], Awaitable[bytes | None]]
@@ -65,11 +67,11 @@
 
     async def run(self) -> None:
         """Call the leaders until the daemon ends."""
-        has_answer = False
+        calls_left = FIRST_EXCHANGES
         while True:
             answers = await asyncio.gather(*(self._exchange(leader) for leader in self.leaders()))
-            has_answer = has_answer or any(answers)
-            pause_s = EXCHANGE_EVERY_S if has_answer else FIRST_EXCHANGE_EVERY_S
+            calls_left = 0 if any(answers) else max(0, calls_left - len(answers))
+            pause_s = FIRST_EXCHANGE_EVERY_S if calls_left else EXCHANGE_EVERY_S
             await asyncio.sleep(pause_s * self.rng.uniform(*PAUSE_JITTER))
 
     async def _exchange(self, leader: str) -> bool:
--- a/ferrydock/relay/_peers.py
+++ b/ferrydock/relay/_peers.py
@@ -126,13 +126,17 @@
     ) -> None:
         """Log a failed call; close the connection if it is broken or unanswered for too long.
 
-        A time-out alone closes it only after `RECONNECT_AFTER_S`; any other failure closes it.
+        A time-out alone closes it only after `RECONNECT_AFTER_S`, a method that the daemon does not
+        know does not close it, and any other failure does.
         """
         import grpc.aio
 
         code = error.code() if isinstance(error, grpc.aio.AioRpcError) else None
         why = code.name if code else type(error).__name__
         log_event(_LOG, logging.INFO, "call_failed", address=address, method=method, why=why)
+        if code is grpc.StatusCode.UNIMPLEMENTED:  # answered, by a daemon of an older version
+            self._unanswered_since_s.pop(address, None)
+            return
         unanswered_since_s = self._unanswered_since_s.setdefault(address, began_s)
         unanswered_s = asyncio.get_running_loop().time() - unanswered_since_s
         if code is not grpc.StatusCode.DEADLINE_EXCEEDED or unanswered_s >= RECONNECT_AFTER_S:
--- a/ferrydock/relay/tests/test_relay.py
+++ b/ferrydock/relay/tests/test_relay.py
@@ -422,3 +422,17 @@
             assert await pair.client.poll(pair.address)
 
     run_scenario(scenario)
+
+
+def test_a_method_that_an_older_leader_does_not_know_leaves_the_connection_open():
+    async def scenario():
+        async with LeaderAndFollower() as pair:
+            calls = PeerCalls()
+            await calls.call(pair.address, "News", encode(UpdateRequest("", 0, -1)), 2.0)
+            channel = calls._channels[pair.address]
+            assert await calls.call(pair.address, "Unknown", b"{}", 2.0) is None
+            assert calls._channels[pair.address] is channel
+            assert await calls.call(pair.address, "News", encode(UpdateRequest("", 0, -1)), 2.0)
+            await calls.close()
+
+    run_scenario(scenario)
