--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -82,6 +82,9 @@
 # Targets that leave: several requests per daemon and target within each bound of 2 s.
 LEAVING_LOAD = Load(40.0, _MIX)
 
+# Fewest daemons of a hall where some of them lose their links.
+MIN_PEERS = 3
+
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
 DRAINS_LENGTH_S = 20.0
@@ -142,24 +145,14 @@
     tenth seed has 24 daemons in three halls, every fourth eight in one, the others two in each of
     two halls.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
+    halls, count, _ = _fleet_sizes(seed)
     length_s = 16.0
     troubles = draw_troubles(seed, length_s - 4.0, halls, 5)
     if seed % 3 == 0:
         daemons = [f"{hall}-daemon-{number}" for hall in halls for number in range(count)]
         troubles += draw_stops(seed, daemons, STOPS_BEGIN_WITHIN_S)
     troubles += draw_crashing(seed, length_s, halls)
-    return Experiment(
-        name=f"crashes {seed}",
-        seed=seed,
-        length_s=length_s,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=LOAD,
-        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
-        settle_s=10.0,
-    )
+    return _fleet_experiment(f"crashes {seed}", seed, length_s, LOAD, troubles)
 
 
 def leaving_experiment(seed: int) -> Experiment:
@@ -219,16 +212,29 @@
     load: Load,
     draw: Callable[[int, float, Sequence[str]], list[Trouble]],
 ) -> Experiment:
+    halls, _, _ = _fleet_sizes(seed)
+    return _fleet_experiment(name, seed, length_s, load, draw(seed, length_s, halls))
+
+
+def _fleet_experiment(
+    name: str,
+    seed: int,
+    length_s: float,
+    load: Load,
+    troubles: Sequence[Trouble],
+    min_daemons: int = 1,
+) -> Experiment:
+    """Return an experiment of the sizes of a seed, with at least `min_daemons` in each hall."""
     halls, count, domain_size = _fleet_sizes(seed)
     return Experiment(
         name=name,
         seed=seed,
         length_s=length_s,
         halls=halls,
-        daemons_per_hall=count,
+        daemons_per_hall=max(count, min_daemons),
         domain_size=domain_size,
         load=load,
-        troubles=tuple(draw(seed, length_s, halls)),
+        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
         settle_s=10.0,
     )
 
@@ -239,25 +245,14 @@
     Every second seed has four other faults of all kinds, and every fourth daemons that lose their
     links. Every tenth seed has 24 daemons, every fourth eight in one hall, the others six in two.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
-    count = max(count, 3)
+    halls, count, _ = _fleet_sizes(seed)
     length_s = 26.0
     troubles = draw_crashing_parts(seed, length_s)
     if seed % 2:
         troubles += draw_troubles(seed, length_s - 4.0, halls, 4)
     if seed % 4 == 3:
-        troubles += draw_links(seed, length_s, halls, count)
-    return Experiment(
-        name=f"parts {seed}",
-        seed=seed,
-        length_s=length_s,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=LOAD,
-        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
-        settle_s=10.0,
-    )
+        troubles += draw_links(seed, length_s, halls, max(count, MIN_PEERS))
+    return _fleet_experiment(f"parts {seed}", seed, length_s, LOAD, troubles, MIN_PEERS)
 
 
 def links_experiment(seed: int) -> Experiment:
@@ -267,25 +262,14 @@
     callers come to one daemon for some seconds. Every tenth seed has 24
     daemons, every fourth eight in one hall, the others six in two halls.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
-    count = max(count, 3)
+    halls, count, _ = _fleet_sizes(seed)
     length_s = 16.0
-    troubles = draw_links(seed, length_s, halls, count)
+    troubles = draw_links(seed, length_s, halls, max(count, MIN_PEERS))
     if seed % 2:
         troubles += draw_skew(seed, length_s, halls)
     if seed % 3:
         troubles += draw_troubles(seed, length_s - 4.0, halls, 4)
-    return Experiment(
-        name=f"links {seed}",
-        seed=seed,
-        length_s=length_s,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=LEAVING_LOAD,
-        troubles=tuple(sorted(troubles, key=lambda trouble: trouble.at_s)),
-        settle_s=10.0,
-    )
+    return _fleet_experiment(f"links {seed}", seed, length_s, LEAVING_LOAD, troubles, MIN_PEERS)
 
 
 PLAYS = {
--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -192,11 +192,10 @@
         return record.crash_count if record else 0
 
     def is_next_decisive(self, identity: str) -> bool:
-        """Return whether one more crash decides how the request that has it goes on."""
-        next_count = self.crash_count_of(identity) + 1
-        if is_part(identity):
-            return next_count >= SUSPICIOUS_CRASHES and not self._is_answered(identity)
-        return next_count >= rule_of(identity).threshold
+        """Return whether one more crash may decide how the request that has it goes on."""
+        can_be_suspicious = is_part(identity) and not self._is_answered(identity)
+        decisive = SUSPICIOUS_CRASHES if can_be_suspicious else rule_of(identity).threshold
+        return self.crash_count_of(identity) + 1 >= decisive
 
     def is_suspicious(self, identity: str) -> bool:
         """Return whether a part has crashed several targets and was never answered."""
--- a/ferrydock/emulator/_crashing.py
+++ b/ferrydock/emulator/_crashing.py
@@ -89,18 +89,21 @@
 def late_arrivals(
     seen: CrashingRequest,
     is_undisturbed: Callable[[str, float], bool] = lambda request_id, at_s: True,
+    crashes: int = CRASHES,
 ) -> list[float]:
-    """Return when a request reached targets although daemons had time to learn that it crashes.
+    """Return when requests reached targets although daemons had time to learn that they crash.
 
     Parameters
     ----------
     is_undisturbed : callable
         Takes a request id and a loop time; returns whether the daemon that the request was sent to
         had been undisturbed for `CONTACT_S` by then.
+    crashes : int
+        Number of crashes from which daemons learn.
     """
-    if len(seen.crashed_s) < CRASHES:
+    if len(seen.crashed_s) < crashes:
         return []
-    known_s = sorted(seen.crashed_s)[CRASHES - 1] + CONTACT_S
+    known_s = sorted(seen.crashed_s)[crashes - 1] + CONTACT_S
     late = [(at_s, request_id) for at_s, request_id in seen.arrived if at_s > known_s]
     return [at_s for at_s, request_id in late if is_undisturbed(request_id, at_s)]
 
--- a/ferrydock/emulator/_crashing_parts.py
+++ b/ferrydock/emulator/_crashing_parts.py
@@ -15,15 +15,16 @@
 from ._load import Call, Callers
 
 __all__ = [
+    "PART_CRASHES",
     "CrashingPartCallers",
     "crashes_targets",
     "describe_unserved_sharers",
     "draw_crashing_parts",
     "is_of_part_play",
-    "late_part_arrivals",
 ]
 
-CRASHES = 5
+# Targets that end before the platform counts further requests.
+PART_CRASHES = 5
 
 # From when sound requests must be served again, how many of them must have been sent, and how many
 # as a share of those served before.
@@ -104,27 +105,6 @@
     return bool(call.parts)
 
 
-def late_part_arrivals(
-    seen: CrashingRequest, is_undisturbed: Callable[[str, float], bool]
-) -> list[float]:
-    """Return when requests with a part reached targets although daemons had time to learn of it.
-
-    Parameters
-    ----------
-    is_undisturbed : callable
-        Takes a request id and a loop time; returns whether the daemon that the request was sent to
-        had been undisturbed for `CONTACT_S` by then.
-    """
-    if len(seen.crashed_s) < CRASHES:
-        return []
-    known_s = sorted(seen.crashed_s)[CRASHES - 1] + CONTACT_S
-    return [
-        at_s
-        for at_s, request_id in seen.arrived
-        if at_s > known_s and is_undisturbed(request_id, at_s)
-    ]
-
-
 def describe_unserved_sharers(
     calls: Sequence[Call],
     seen: CrashingRequest,
@@ -139,7 +119,7 @@
     if not seen.crashed_s:
         return []
     crashed_s = sorted(seen.crashed_s)
-    from_s = crashed_s[:CRASHES][-1] + SERVED_AGAIN_S
+    from_s = crashed_s[:PART_CRASHES][-1] + SERVED_AGAIN_S
     part_calls_s = [c.at_s + load_began_s for c in calls if c.body.startswith(_PART_BODY)]
     sound = [call for call in calls if call.body.startswith(_SOUND_BODY)]
     before = [c for c in sound if c.ended_s + load_began_s < crashed_s[0] and is_undisturbed(c)]
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -11,10 +11,10 @@
 from ..standins.fleet import LeavingArrival
 from ._crashing import CONTACT_S, MAX_LATE_ARRIVALS, describe_refused, late_arrivals
 from ._crashing_parts import (
+    PART_CRASHES,
     crashes_targets,
     describe_unserved_sharers,
     is_of_part_play,
-    late_part_arrivals,
 )
 from ._drains import DrainJudge, LateClass
 from ._hops import Arrival, Departure, analyse_hops
@@ -148,7 +148,7 @@
             return is_stable and self._was_undisturbed(daemon, from_s, at_s)
 
         for part, seen in self.parts.site.record.crashing_parts.items():
-            late = late_part_arrivals(seen, is_undisturbed)
+            late = late_arrivals(seen, is_undisturbed, PART_CRASHES)
             result.part_crashes += len(seen.crashed_s)
             result.part_late = max(result.part_late, len(late))
             if len(late) > MAX_LATE_ARRIVALS:
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -78,22 +78,20 @@
     def admit(self, exchange: Exchange) -> float:
         """Return 0 if a request may be sent, else the seconds until its caller may retry."""
         exchange.admitted_s = self.clock.now_s()
-        return self.history.admit(exchange.identity, *exchange.part_identities)
+        return self.history.admit(*exchange.identities)
 
     def is_known_since_admission(self, exchange: Exchange) -> bool:
         """Return whether a request was found to crash its targets after it had been admitted."""
-        identities = (exchange.identity, *exchange.part_identities)
-        return self.history.was_detected_since(exchange.admitted_s, *identities)
+        return self.history.was_detected_since(exchange.admitted_s, *exchange.identities)
 
     def refused_for_s(self, exchange: Exchange) -> float:
         """Return the seconds until a refused request may be retried."""
-        return self.history.refused_for_s(exchange.identity, *exchange.part_identities)
+        return self.history.refused_for_s(*exchange.identities)
 
     def record_answer(self, exchange: Exchange) -> None:
         """Record that a target answered a request completely."""
-        self.history.note_answer(exchange.identity)
-        for part in exchange.part_identities:
-            self.history.note_answer(part)
+        for identity in exchange.identities:
+            self.history.note_answer(identity)
 
     def is_suspicious(self, exchange: Exchange) -> bool:
         """Return whether a request that lost its target has a part that may be the cause.
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -214,6 +214,11 @@
         """Count the events of the next attempt from here."""
         self.events_before_attempt = self.events.count if self.events else 0
 
+    @property
+    def identities(self) -> tuple[str, ...]:
+        """Identities of the request and of the parts of its prompt."""
+        return (self.identity, *self.part_identities)
+
     @property
     def attempt_event_count(self) -> int:
         """Number of events that the current attempt has sent to the caller."""
--- a/ferrydock/forwarding/_lost_links.py
+++ b/ferrydock/forwarding/_lost_links.py
@@ -15,7 +15,6 @@
 # connection takes up to 0.15 s, and is followed by a check of 0.1 s.
 UNDO_EJECTIONS_S = 1.0
 
-
 # How long nothing may be received from any target before the links are checked, and how many
 # targets must have requests in flight: one or two may be slow, or stand still for a second.
 SILENT_S = 0.3
