Two parts that crash the same targets are both kept from them; an answered part is explained first

Cause: requests with either part run on the same targets, so the part with more ends explained the other one, which was let go.

A part that was answered is explained by one that never was, whatever the count.

Tests: test_two_parts_that_crash_the_same_targets_are_both_kept_from_them, test_a_part_that_was_answered_is_explained_by_one_that_never_was; both failed before.

--- a/ferrydock/crashes/_attribution.py
+++ b/ferrydock/crashes/_attribution.py
@@ -25,15 +25,17 @@
 
 
 def unexplained_crashes(identity: str, records: Records, refused: Collection[str]) -> list[Crash]:
-    """Return the crashes of a request not shared with a refused one with more consecutive crashes.
+    """Return the crashes of a request or part not shared with a refused one that is more suspect.
 
-    A request that merely ran on the same targets as one that crashes them is not the cause.
+    That is one with more crashes, or one that was never answered while this one was. What merely
+    ran on the same targets as the cause of their crashes is not the cause.
     """
     record = records[identity]
     explaining = [
         crash
         for other in refused_at_same_targets(identity, records, refused)
         if records[other].crash_count > record.crash_count
+        or (record.answered_id and not records[other].answered_id)
         for crash in records[other].crashes
     ]
     return [crash for crash in record.crashes if not is_same_termination(crash, explaining)]
--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -395,7 +395,7 @@
         threshold = self._threshold(record)
         if record.crash_count < threshold or not self._is_cause(identity):
             if record.detected_s is not None:
-                self._release(identity, record, EXPLAINED)
+                self._relax(identity, record)
             return
         rank_tied_requests(identity, self._records, self._refused)
         record.detected_s = self.clock.now_s()
@@ -404,7 +404,14 @@
             self.listener.refusal_started(identity, tuple(record.crashes), record.refusal_s)
         for other in refused_at_same_targets(identity, self._records, self._refused):
             if not self._is_cause(other):
-                self._release(other, self._records[other], EXPLAINED)
+                self._relax(other, self._records[other])
+
+    def _relax(self, identity: str, record: RequestRecord) -> None:
+        """Release what another one explains, or let it be tried sooner if it was never answered."""
+        if record.rule.is_released_if_explained or record.answered_id:
+            self._release(identity, record, EXPLAINED)
+        elif record.tie_rank is None:
+            record.tie_rank = 0
 
     def _is_cause(self, identity: str) -> bool:
         record = self._records[identity]
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -215,6 +215,9 @@
         Refusal while others share all of these crashes, and how much longer it is for each rank.
     answers_known_s : float
         How long after its first crash the second threshold applies in any case.
+    is_released_if_explained : bool
+        Whether it is no longer refused once another one explains its crashes; otherwise it is tried
+        after the shorter refusal. Two parts may both crash targets, at the same ones.
     """
 
     counted: Callable[[Iterable[Crash]], list[Crash]]
@@ -223,6 +226,7 @@
     tied_refusal_s: float
     tied_step_s: float
     answers_known_s: float
+    is_released_if_explained: bool
 
     def threshold_of(self, is_answered: bool) -> int:
         """Return the threshold for what a target has answered before, or has not."""
@@ -235,7 +239,8 @@
     CRASHES_TO_REFUSE_ANSWERED,
     TIED_REFUSAL_S,
     TIED_REFUSAL_STEP_S,
-    0.0,
+    answers_known_s=0.0,
+    is_released_if_explained=True,
 )
 PART_RULE = CrashRule(
     separate_crashes,
@@ -243,7 +248,8 @@
     PART_CRASHES_TO_REFUSE_ANSWERED,
     PART_TIED_REFUSAL_S,
     PART_TIED_REFUSAL_STEP_S,
-    PART_ANSWERS_KNOWN_S,
+    answers_known_s=PART_ANSWERS_KNOWN_S,
+    is_released_if_explained=False,
 )
 
 
--- a/ferrydock/crashes/tests/test_parts.py
+++ b/ferrydock/crashes/tests/test_parts.py
@@ -114,3 +114,21 @@
     assert history.is_suspicious(CRASHING)
     history.note_answer(CRASHING)
     assert not history.is_suspicious(CRASHING)
+
+
+def test_two_parts_that_crash_the_same_targets_are_both_kept_from_them(daemons):
+    other = part_identity("acme", "c2")
+    for _ in range(PART_CRASHES_TO_REFUSE):
+        crash_one(daemons, 0, CRASHING, other)
+    crash_one(daemons, 0, other)
+    assert daemons.histories[0].refused_for_s(CRASHING) > 0
+    assert daemons.histories[0].refused_for_s(other) > 0
+
+
+def test_a_part_that_was_answered_is_explained_by_one_that_never_was(daemons):
+    """While no target is left to answer, the shared part has as many crashes as the other one."""
+    daemons.histories[0].note_answer(SHARED)
+    for _ in range(4 * PART_CRASHES_TO_REFUSE):
+        crash_one(daemons, 0, SHARED, CRASHING)
+    assert [history.refused_for_s(SHARED) for history in daemons.histories] == [0, 0, 0]
+    assert all(history.refused_for_s(CRASHING) > 0 for history in daemons.histories)
