Idle targets that hold a model form a replica although it warms up faster than they rejoin

Cause: a target that was last in a replica of the model rejoins in 0.2 s; the planner took any time above the model's warm-up for a load, and forms no replica with loads. The emulator's small model warms up in 0.1 s, so a hall that had lost all its replicas of it formed none any more. The known sites' models warm up in 1.1 s and more.

test_targets_that_hold_the_model_form_a_replica_though_it_warms_up_faster_than_they_rejoin failed before.

--- a/ferrydock/replicas/_plan.py
+++ b/ferrydock/replicas/_plan.py
@@ -283,7 +283,7 @@
         formation = choose_members(domain.idle, model, loading)
         if formation is None or formation.loads > loads_left:
             continue
-        if not may_load and formation.ready_s > model.warm_s:
+        if not may_load and formation.ready_s > max(model.warm_s, REJOIN_S):
             continue
         if count >= without_extra[model.name] and model.name in domain.extra:
             formation = replace(formation, is_extra=True)
--- a/ferrydock/replicas/tests/test_spares.py
+++ b/ferrydock/replicas/tests/test_spares.py
@@ -1,6 +1,7 @@
 """Spares that serve while a model is short, and targets that rejoin a model they have served."""
 
 import asyncio
+from dataclasses import replace
 
 from ...standins.fleet import run_virtually
 from .._plan import DomainState, choose_members, next_formation, ready_in_s
@@ -50,6 +51,14 @@
     assert not found.is_extra
 
 
+def test_targets_that_hold_the_model_form_a_replica_though_it_warms_up_faster_than_they_rejoin():
+    engine = replace(two_models(), models=(LARGE, replace(SMALL, warm_s=0.1)))
+    domain = spares({"small": 3}, {})
+    domain.idle = [worker(f"s{n}", staged=("small",), last_model="small") for n in range(2)]
+    weights = {"large": 0.5, "small": 0.5}
+    assert next_formation(domain, engine, {}, weights, 5, may_load=False).model.name == "small"
+
+
 async def calm_hall(hall, **engine):
     hall.start_controller()
     assert await hall.until(lambda: hall.models() == ALL_REPLICAS, 60.0) is not None
