--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -295,7 +295,11 @@
         result = self.parts.result
         harmless = [call for call in result.calls if not crashes_targets(call)]
         result.broken += describe_unserved(
-            harmless, self.parts.links, self._was_in_contact, self.load_began_s
+            harmless,
+            self.parts.links,
+            self._was_in_contact,
+            lambda daemon, at_s: self._was_undisturbed(daemon, at_s, at_s),
+            self.load_began_s,
         )
 
     def _was_in_contact(self, call: Call) -> bool:
--- a/ferrydock/emulator/_link_troubles.py
+++ b/ferrydock/emulator/_link_troubles.py
@@ -60,23 +60,29 @@
     calls: Sequence[Call],
     links: dict[str, DaemonLinks],
     is_undisturbed: Callable[[Call], bool],
+    is_serving: Callable[[str, float], bool],
     load_began_s: float,
 ) -> list[str]:
     """Return a line if callers of daemons without links were served far worse than others.
 
     Counted are calls sent while some daemon has been without links for `CONTACT_S`: on the one side
     those to such daemons, on the other those to daemons that had all links for `CONTACT_S`. While
-    no daemon has links there are no others to compare with.
+    no daemon that runs has links there are no others to compare with.
 
     Parameters
     ----------
     is_undisturbed : callable
         Returns whether nothing else disturbed the daemon that a call was sent to.
+    is_serving : callable
+        Takes a daemon's name and a loop time; returns whether it was neither stopped nor frozen.
     """
     cut_off, others = [], []
     for call in calls:
         at_s = call.at_s + load_began_s
-        some_reach_targets = any(not _is_without_links(one, at_s) for one in links.values())
+        some_reach_targets = any(
+            not _is_without_links(one, at_s) and is_serving(name, at_s)
+            for name, one in links.items()
+        )
         if not some_reach_targets:
             continue
         if any(_is_cut_off(one, at_s) for one in links.values()) and is_undisturbed(call):
