--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -22,7 +22,6 @@
     "SUSPICIOUS_CRASHES",
     "Crash",
     "CrashRule",
-    "count_consecutive_crashes",
     "detection_threshold",
     "is_same_termination",
     "rule_of",
@@ -126,6 +125,15 @@
     Overlapping attempts count once: when many targets crash at once, a request that many callers
     send was running on several of them. So does each termination of a target: attempts that are
     sent to it before all daemons know of its end break one after another.
+
+    Examples
+    --------
+    >>> at_once = [Crash(f"d:{n}", f"t{n}", 0.0, 1.0) for n in range(5)]
+    >>> len(consecutive_crashes(at_once))
+    1
+    >>> later = [Crash("d:6", "t6", 1.1, 1.2), Crash("e:1", "t7", 1.3, 1.4)]
+    >>> len(consecutive_crashes([*at_once, *later]))
+    3
     """
     consecutive: list[Crash] = []
     for crash in sorted(crashes, key=lambda crash: crash.ended_s):
@@ -153,22 +161,6 @@
     return separate
 
 
-def count_consecutive_crashes(crashes: Iterable[Crash]) -> int:
-    """Return the length of the sequence that `consecutive_crashes` returns.
-
-    Examples
-    --------
-    >>> at_once = [Crash(f"d:{n}", f"t{n}", 0.0, 1.0) for n in range(5)]
-    >>> count_consecutive_crashes(at_once)
-    1
-    >>> count_consecutive_crashes(
-    ...     [*at_once, Crash("d:6", "t6", 1.1, 1.2), Crash("e:1", "t7", 1.3, 1.4)]
-    ... )
-    3
-    """
-    return len(consecutive_crashes(crashes))
-
-
 def select_retained(
     crashes: Sequence[Crash],
     limit: int,
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -143,9 +143,7 @@
         result, sent_to = self.parts.result, self._sent_to
 
         def is_undisturbed(request_id: str, at_s: float) -> bool:
-            from_s, daemon = at_s - CONTACT_S, sent_to[request_id]
-            is_stable = not any(d.affects(daemon, from_s, at_s) for d in self.store_disturbances)
-            return is_stable and self._was_undisturbed(daemon, from_s, at_s)
+            return self._had_contact(sent_to[request_id], at_s - CONTACT_S, at_s)
 
         for part, seen in self.parts.site.record.crashing_parts.items():
             late = late_arrivals(seen, is_undisturbed, PART_CRASHES)
@@ -306,8 +304,12 @@
         """Return whether daemon and store were undisturbed during a call and `CONTACT_S` before."""
         to_s = self.load_began_s + call.ended_s
         from_s = self.load_began_s + call.at_s - CONTACT_S
-        is_stable = not any(d.affects(call.daemon, from_s, to_s) for d in self.store_disturbances)
-        return is_stable and self._was_undisturbed(call.daemon, from_s, to_s)
+        return self._had_contact(call.daemon, from_s, to_s)
+
+    def _had_contact(self, daemon: str, from_s: float, to_s: float) -> bool:
+        """Return whether a daemon and the store were undisturbed between two loop times."""
+        is_stable = not any(d.affects(daemon, from_s, to_s) for d in self.store_disturbances)
+        return is_stable and self._was_undisturbed(daemon, from_s, to_s)
 
     def _check_stops(self) -> None:
         """Report planned stops, and calls under way during them, that did not end as promised."""
