Requests in a tunnel are checked by the daemon that forwards them, too

Callers of a daemon without links could have their request begin at a target that had left long before: the daemon that forwards bytes was suspended with the request unread, and passed it on when it woke.

The forwarding daemon now makes the same check as before its own requests (recent list, target and replica members in use, hall open) before the first bytes of a caller's request. If it may not begin, a frame of its own says that the target got nothing: the request goes to another target and no retry is spent; with a body that is not kept it is refused as not run. Calls of the daemons themselves (orders, reports, probes), which have no request id, are passed on unchecked as before.

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -31,7 +31,7 @@
     "not_sent": "the target could not be connected to",
     "links_lost": "its daemon lost its links to all targets, and the connection went silent",
     "no_path": "neither its daemon nor another one that was asked could reach any target",
-    "target_left": "the target left after it was chosen, and nothing was sent to it",
+    "target_left": "the target left after it was chosen, and it got nothing",
     "refused": "the target said that it did not run the request",
     "broken": "the target's answer broke off",
     "torn": "the target's stream ended in the middle of an event",
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -84,7 +84,8 @@
         An `AttemptReason`; ``broken_`` and the name of the error, if the connection failed before
         the head of the answer arrived; or the reason for which the attempt was interrupted.
     may_have_received : bool
-        Whether the target may have received any byte of the request.
+        Whether the target, or a daemon that was to pass it on, may have received any byte of the
+        request.
     status : int
         Status of the target's answer; 0 if there was none.
     """
--- a/ferrydock/forwarding/_send_check.py
+++ b/ferrydock/forwarding/_send_check.py
@@ -44,13 +44,21 @@
     ----------
     may_send : callable
         Returns whether the first byte of the request may be written now.
+
+    Attributes
+    ----------
+    is_withdrawn : bool
+        Whether the target gets nothing of the request.
+    is_body_used : bool
+        Whether bytes of the body were written nevertheless, to another daemon.
     """
 
-    __slots__ = ("is_withdrawn", "may_send")
+    __slots__ = ("is_body_used", "is_withdrawn", "may_send")
 
     def __init__(self, may_send: Callable[[], Awaitable[bool]]):
         self.may_send = may_send
         self.is_withdrawn = False
+        self.is_body_used = False
 
     async def check(self) -> None:
         """Raise `WithdrawnBeforeHead` if the request must not be sent."""
@@ -62,6 +70,10 @@
         self.is_withdrawn = True
         raise WithdrawnBeforeHead
 
+    def note_not_passed_on(self) -> None:
+        """Record that the daemon to which the request was sent did not send it to the target."""
+        self.is_withdrawn = self.is_body_used = True
+
 
 # Guard of the request that the running task sends; set by `Upstream.send`. Only a context variable
 # passes through aiohttp to the pool.
@@ -96,6 +108,10 @@
 class CheckedConnector(DialingConnector):
     """Hands out a connection only if the check of the running request allows it."""
 
+    def withdrawal_listener(self) -> Callable[[], None]:
+        """Return what is called if another daemon does not pass on the running request."""
+        return CURRENT_GUARD.get().note_not_passed_on
+
     async def connect(
         self, req: aiohttp.ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
--- a/ferrydock/forwarding/_upstream.py
+++ b/ferrydock/forwarding/_upstream.py
@@ -42,7 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SendWithdrawn:
-    """Nothing was sent: the target must not get the request any more."""
+    """The target has got nothing, and must not get the request any more.
+
+    Attributes
+    ----------
+    is_body_used : bool
+        Whether bytes of the body were written to another daemon, which did not pass them on.
+    """
+
+    is_body_used: bool
 
 
 class Upstream:
@@ -118,7 +126,7 @@
             )
         except (WithdrawnBeforeHead, aiohttp.ClientConnectionError):
             if guard.is_withdrawn:
-                return SendWithdrawn()
+                return SendWithdrawn(guard.is_body_used)
             raise
 
     def replace_pools(self) -> None:
--- a/ferrydock/forwarding/tests/test_lost_links.py
+++ b/ferrydock/forwarding/tests/test_lost_links.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ...configuration import RouteKind
-from ...links import TargetLinks
+from ...links import PeerTunnels, TargetDialer, TargetLinks, TunnelPeers, TunnelServer
 from .. import LostLinks, _lost_links
 from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
 
@@ -97,3 +97,62 @@
             assert [rig.loads.is_ejected(name, now_s) for name in ("t0", "t1")] == [True, False]
 
     play(scenario)
+
+
+class TargetsThatLeave:
+    """Targets of another daemon, of which the first one asked for leaves while it stands still."""
+
+    def __init__(self):
+        self.left = None
+
+    def is_listed(self, address):
+        return True
+
+    def is_backed_off(self, address):
+        return False
+
+    async def may_begin(self, address):
+        self.left = self.left or address
+        return address != self.left
+
+
+class TunnelRig(LinkRig):
+    """A gateway without links to its targets, and another daemon that reaches them."""
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        for target in self.targets:
+            target.scripts = [writes(complete_answer())]
+        links = TargetLinks(list, self.clock, random.Random(1))
+        self.passing_on = TunnelServer(links, TargetsThatLeave(), lambda: False, self.clock)
+        peers = TunnelPeers("a", "", random.Random(1))
+        peers.note_caller("a", await self.passing_on.start("127.0.0.1:0"), self.clock.now_s())
+        self.upstream.dialer = TargetDialer(self.links, PeerTunnels(peers, self.clock))
+        self.links.is_lost = True
+        return self
+
+    async def __aexit__(self, *exc):
+        await super().__aexit__(*exc)
+        await self.passing_on.close()
+
+
+@pytest.mark.parametrize("kind", [RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE])
+def test_request_that_the_other_daemon_did_not_pass_on_goes_to_another_target(kind):
+    async def scenario():
+        async with TunnelRig(kind) as rig:
+            assert (await rig.ask("POST", body=b"x")).startswith(b"HTTP/1.1 200")
+            assert sorted(len(target.requests) for target in rig.targets) == [0, 1]
+
+    play(scenario)
+
+
+def test_body_that_was_sent_to_the_other_daemon_as_it_came_is_not_sent_in_part():
+    async def scenario():
+        async with TunnelRig() as rig:
+            rig.gateway.memory_bytes = 0
+            answer = await rig.ask("POST", body=b"x" * 2**20)
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After" in answer
+            assert [target.requests for target in rig.targets] == [[], []]
+
+    play(scenario)
--- a/ferrydock/links/_connector.py
+++ b/ferrydock/links/_connector.py
@@ -1,6 +1,7 @@
 """An aiohttp connector that lets a `TargetDialer` make its connections; owns the pool only."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -36,6 +37,10 @@
     def note_dialed(self, dialed: Dialed) -> None:
         """Receive each new connection of the running task."""
 
+    def withdrawal_listener(self) -> Callable[[], None]:
+        """Return what is called if another daemon does not pass on the running task's request."""
+        return _ignore
+
     async def _wrap_create_connection(
         self,
         *args: Any,
@@ -54,14 +59,21 @@
             raise client_error(req.connection_key, error) from error
         self.note_dialed(dialed)
         make_protocol, *rest = args
-        loop = asyncio.get_running_loop()
+        loop, on_withdrawn = asyncio.get_running_loop(), self.withdrawal_listener()
         try:
             if not dialed.through:
                 return await loop.create_connection(*args, sock=dialed.opened, **kwargs)
             transport, tunnel = await loop.create_connection(
-                lambda: TunnelProtocol(make_protocol), *rest, sock=dialed.opened, **kwargs
+                lambda: TunnelProtocol(make_protocol, on_withdrawn),
+                *rest,
+                sock=dialed.opened,
+                **kwargs,
             )
             return transport, tunnel.inner
         except BaseException:
             dialed.opened.close()
             raise
+
+
+def _ignore() -> None:
+    """Do nothing: calls that are no request of a caller are never withdrawn."""
--- a/ferrydock/links/_tunnel_client.py
+++ b/ferrydock/links/_tunnel_client.py
@@ -16,7 +16,7 @@
 from ._tunnel_messages import FrameReader, TunnelRequest, TunnelResult, encode_request
 from ._tunnel_peers import TunnelPeers
 
-__all__ = ["PeerTunnels", "TunnelProtocol"]
+__all__ = ["PeerTunnels", "RequestWithdrawn", "TunnelProtocol"]
 
 _LOG = logging.getLogger("ferrydock.links")
 
@@ -124,6 +124,10 @@
     return (opened if result is TunnelResult.CONNECTED else None), result
 
 
+class RequestWithdrawn(ConnectionError):
+    """The other daemon sent nothing to the target, since the request must not begin there."""
+
+
 class TunnelProtocol(asyncio.Protocol):
     """Passes the target's bytes in a tunnel to the protocol that would read them directly.
 
@@ -134,12 +138,18 @@
     ----------
     make_inner : callable
         Creates the inner protocol.
+    on_withdrawn : callable
+        Called if the other daemon says that the target got none of the bytes, before the inner
+        protocol sees its connection end with `RequestWithdrawn`.
     """
 
-    __slots__ = ("_frames", "_is_cut", "_transport", "inner")
+    __slots__ = ("_frames", "_is_cut", "_on_withdrawn", "_transport", "inner")
 
-    def __init__(self, make_inner: Callable[[], asyncio.Protocol]):
+    def __init__(
+        self, make_inner: Callable[[], asyncio.Protocol], on_withdrawn: Callable[[], None]
+    ):
         self.inner = make_inner()
+        self._on_withdrawn = on_withdrawn
         self._frames = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._is_cut = False
@@ -155,7 +165,10 @@
         if found:
             self.inner.data_received(found)
         if self._frames.has_ended and self._transport is not None:
-            self.inner.eof_received()
+            if self._frames.is_withdrawn:
+                self._on_withdrawn()
+            else:
+                self.inner.eof_received()
             self._transport.close()
 
     def eof_received(self) -> bool:
@@ -165,7 +178,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Pass on the end of the connection, as a reset if the tunnel broke."""
-        if exc is None and self._is_cut:
+        if self._frames.is_withdrawn:
+            exc = RequestWithdrawn("the target must not get the request any more")
+        elif exc is None and self._is_cut:
             exc = ConnectionResetError("the tunnel ended before the target's connection did")
         self.inner.connection_lost(exc)
 
--- a/ferrydock/links/_tunnel_messages.py
+++ b/ferrydock/links/_tunnel_messages.py
@@ -5,7 +5,7 @@
 ``CONNECTED``, the caller's bytes go to the target unchanged. The target's bytes come back in
 frames, each with its length in four bytes before it; an empty frame says that the target has closed
 the connection in order. So the end of a daemon cannot pass for the end of an answer that has no
-length of its own.
+length of its own. Another length that no frame has says that the target got none of the bytes.
 
 A request with ``backoff_s`` opens no tunnel: it says that a target, asked through the other daemon,
 has requested a back-off of that daemon, which alone saw no answer. It has no reply.
@@ -19,6 +19,7 @@
 
 __all__ = [
     "END_FRAME",
+    "WITHDRAWN_FRAME",
     "MAX_REQUEST_BYTES",
     "FrameReader",
     "TunnelRequest",
@@ -31,6 +32,8 @@
 _REQUEST_LENGTH = struct.Struct(">H")
 _FRAME_LENGTH = struct.Struct(">I")
 END_FRAME = _FRAME_LENGTH.pack(0)
+_WITHDRAWN_LENGTH = 2**32 - 1
+WITHDRAWN_FRAME = _FRAME_LENGTH.pack(_WITHDRAWN_LENGTH)
 
 # An address and a request id; a longer request does not come from a daemon.
 MAX_REQUEST_BYTES = 4096
@@ -61,7 +64,8 @@
     Attributes
     ----------
     request_id : str
-        Request that the tunnel is for; empty for none.
+        Request of a caller that the tunnel is for, which must not begin at a target that has left;
+        empty for a call of the daemon itself.
     backoff_s : float or None
         Back-off that the target requested; None in a request for a tunnel.
     """
@@ -123,7 +127,9 @@
     Attributes
     ----------
     has_ended : bool
-        Whether the empty frame was read.
+        Whether the last frame was read.
+    is_withdrawn : bool
+        Whether that frame says that the target got none of the bytes.
 
     Examples
     --------
@@ -133,12 +139,12 @@
     [b'ab', b'c', True]
     """
 
-    __slots__ = ("_head", "_left_bytes", "has_ended")
+    __slots__ = ("_head", "_left_bytes", "has_ended", "is_withdrawn")
 
     def __init__(self):
         self._head = b""
         self._left_bytes = 0
-        self.has_ended = False
+        self.has_ended = self.is_withdrawn = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the target's bytes in the next piece of the stream."""
@@ -157,5 +163,6 @@
             if len(self._head) == _FRAME_LENGTH.size:
                 self._left_bytes = _FRAME_LENGTH.unpack(self._head)[0]
                 self._head = b""
-                self.has_ended = not self._left_bytes
+                self.is_withdrawn = self._left_bytes == _WITHDRAWN_LENGTH
+                self.has_ended = self.is_withdrawn or not self._left_bytes
         return found[0] if len(found) == 1 else b"".join(found)
--- a/ferrydock/links/_tunnel_server.py
+++ b/ferrydock/links/_tunnel_server.py
@@ -3,12 +3,15 @@
 Owns the listening socket and the open tunnels. A tunnel leads directly to a target that this daemon
 lists, never through a third daemon. Bytes are forwarded as they come; each side is read no faster
 than the other one takes them.
+
+The first bytes of a caller's request wait for a check whether it may begin at the target: this
+daemon may have stood still with these bytes unread, while the target left.
 """
 
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Protocol, cast
 
 from ..clock import Clock
@@ -17,6 +20,7 @@
 from ._target_links import TargetLinks
 from ._tunnel_messages import (
     END_FRAME,
+    WITHDRAWN_FRAME,
     TunnelRequest,
     TunnelResult,
     decode_request,
@@ -47,6 +51,9 @@
     def is_listed(self, address: str) -> bool:
         """Return whether an address is that of a target, which may be leaving."""
 
+    async def may_begin(self, address: str) -> bool:
+        """Wait until the target list is recent; return whether a request may begin there now."""
+
     def is_backed_off(self, address: str) -> bool:
         """Return whether the target has requested a back-off of this daemon."""
 
@@ -114,7 +121,17 @@
 
     def connect(self, tunnel: "_CallerSide", address: str) -> None:
         """Connect a tunnel to its target in a task."""
-        task = asyncio.get_running_loop().create_task(self._connect(tunnel, address))
+        self._spawn(self._connect(tunnel, address))
+
+    def check_request(self, tunnel: "_CallerSide") -> None:
+        """Find out in a task whether the request in a tunnel may begin at its target."""
+        self._spawn(self._check_request(tunnel))
+
+    async def _check_request(self, tunnel: "_CallerSide") -> None:
+        tunnel.end_check(await self.targets.may_begin(tunnel.address))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -161,6 +178,7 @@
                 target=tunnel.address,
                 sender=tunnel.sender,
                 bytes=tunnel.forwarded_bytes,
+                withdrawn=tunnel.is_withdrawn or None,
                 open_ms=(self.clock.now_s() - tunnel.began_s) * MS_PER_S,
             )
 
@@ -176,6 +194,9 @@
         self.forwarded_bytes = 0
         self.transport: asyncio.Transport | None = None
         self._request = b""
+        self._unchecked: list[bytes] = []
+        self._is_checked = False
+        self.is_withdrawn = False
         self._timeout = asyncio.get_running_loop().call_later(REQUEST_TIMEOUT_S, self.cut)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -184,12 +205,37 @@
 
     def data_received(self, data: bytes) -> None:
         if self.target is not None and self.target.transport is not None:
-            self.target.transport.write(data)
+            self._pass_on(data, self.target.transport)
         elif not self.address:
             self._read_request(data)
         else:  # the caller sends nothing before the reply
             self.cut()
 
+    def _pass_on(self, data: bytes, target: asyncio.Transport) -> None:
+        """Send bytes to the target, the first ones of a caller's request after a check."""
+        if self._is_checked or not self.request_id:
+            target.write(data)
+            return
+        self._unchecked.append(data)
+        if len(self._unchecked) == 1 and self.transport is not None:
+            self.transport.pause_reading()
+            self.server.check_request(self)
+
+    def end_check(self, may_begin: bool) -> None:
+        """Send the bytes that waited for the check, or tell the other daemon that none were."""
+        caller, target = self.transport, self.target.transport if self.target is not None else None
+        if caller is None or caller.is_closing() or target is None:
+            return
+        if may_begin:
+            self._is_checked = True
+            caller.resume_reading()  # before the target's side may pause it
+            target.write(b"".join(self._unchecked))
+        else:
+            self.is_withdrawn = True
+            caller.write(WITHDRAWN_FRAME)
+            caller.close()
+        self._unchecked.clear()
+
     def _read_request(self, data: bytes) -> None:
         self._request += data
         try:
--- a/ferrydock/links/tests/test_tunnels.py
+++ b/ferrydock/links/tests/test_tunnels.py
@@ -30,6 +30,11 @@
     def __init__(self, listed):
         self.listed = listed
         self.backoffs_s = {}
+        self.has_left = False
+
+    async def may_begin(self, address):
+        await asyncio.sleep(0.01)
+        return not self.has_left
 
     def is_listed(self, address):
         return address in self.listed
@@ -90,7 +95,8 @@
     return await reader.readexactly(size)
 
 
-def test_request_and_answer_pass_unchanged():
+@pytest.mark.parametrize("request_id", ["", "a1"])
+def test_request_and_answer_pass_unchanged(request_id):
     async def echo(reader, writer):
         body = await read_request(reader)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
@@ -98,9 +104,11 @@
 
     async def scenario():
         body = random.Random(1).randbytes(LARGE_BYTES)
-        async with Rig(echo) as rig, rig.post(body) as answer:
-            assert await answer.read() == body
-            await until(lambda: not rig.servers[0].tunnel_count)
+        async with Rig(echo) as rig:
+            rig.session.connector.request_id = lambda: request_id
+            async with rig.post(body) as answer:
+                assert await answer.read() == body
+                await until(lambda: not rig.servers[0].tunnel_count)
 
     asyncio.run(scenario())
 
@@ -174,6 +182,43 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("body", [b"", b"x" * LARGE_BYTES])
+def test_request_whose_target_left_meanwhile_is_not_passed_on_by_the_peer(body):
+    async def scenario():
+        received, withdrawn = [], []
+
+        async def serve(reader, writer):
+            received.append(await reader.read(1))
+            writer.close()
+
+        async with Rig(serve) as rig:
+            rig.servers[0].targets.has_left = True
+            connector = rig.session.connector
+            connector.request_id = lambda: "a1"
+            connector.withdrawal_listener = lambda: lambda: withdrawn.append(True)
+            with pytest.raises(aiohttp.ClientConnectionError):
+                await rig.post(body)
+            await until(lambda: received)
+        return received, withdrawn
+
+    assert asyncio.run(scenario()) == ([b""], [True])
+
+
+def test_daemon_s_own_call_reaches_a_target_that_has_left_through_the_peer():
+    async def answer(reader, writer):
+        await read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+
+    async def scenario():
+        async with Rig(answer) as rig:
+            rig.servers[0].targets.has_left = True
+            async with rig.post(b"x") as answered:
+                assert await answered.read() == b"ok"
+
+    asyncio.run(scenario())
+
+
 async def refuse(reader, writer):
     writer.close()
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -220,9 +220,10 @@
         self.links = TargetLinks(self._usable_target_addresses, self.clock, self.rng)
         tunnel_address = self.settings.tunnel_address or ""
         self.tunnel_peers = TunnelPeers(self.settings.hall, tunnel_address, self.rng)
+        self.forwarded_targets = CatalogTargets(self.catalog, self.clock)
         self.tunnel_server = TunnelServer(
             self.links,
-            CatalogTargets(self.catalog, self.clock),
+            self.forwarded_targets,
             self._refuses_tunnels,
             self.clock,
         )
@@ -304,6 +305,7 @@
         )
         send_check = self.gateway.forwarder.attempts.send_check
         send_check.confirmer = self.store_follower.list_confirmer
+        self.forwarded_targets.confirmer = self.store_follower.list_confirmer
         self.store_follower.max_keyed_age_s = self._max_keyed_age_s
         self.gateway.confirmer = self.store_follower.configuration_confirmer
 
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -7,6 +7,7 @@
 follower and the relay keep up to date.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..backpressure import ColdTargets, RateLimits, TargetBackoffs
@@ -113,11 +114,20 @@
         It may not if its target is not listed any more or at another address, if the target or
         another member of its replica leaves, or if its hall is closed.
         """
-        targets, target = self.directory.targets, endpoint.target
+        members = endpoint.replica.members if endpoint.replica is not None else ()
+        return self._may_take_requests(endpoint.target, members)
+
+    def is_usable_target(self, target: Target) -> bool:
+        """Return whether a target may get requests now, by the replica that it belongs to."""
+        key = target.membership and (target.membership.replica, target.membership.epoch)
+        members = self.directory.all_seen_members(key) if key else ()
+        return self._may_take_requests(target, members)
+
+    def _may_take_requests(self, target: Target, members: Iterable[Target]) -> bool:
+        targets = self.directory.targets
         listed = targets.get(target.target_id)
         if listed is None or listed.draining or listed.address != target.address:
             return False
-        members = endpoint.replica.members if endpoint.replica is not None else ()
         entries = (targets.get(member.target_id) for member in members)
         if any(entry is not None and entry.draining for entry in entries):
             return False
