A request whose time ends before it is sent is refused as not run

Callers got 504, which says that the request may have run, if the time limit ended while it waited for a recent target list or a connection. An attempt that times out or is interrupted now counts as run only if its first byte may have been written; SendTimes already knows that.

test_a_request_whose_time_ends_before_it_is_sent_is_refused_as_not_run failed before for both kinds of routes (504 time_over).

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -104,6 +104,7 @@
         """
         target_id = endpoint.target.target_id
         exchange.attempt_count += 1
+        exchange.send_times = None
         exchange.tried_target_ids.add(target_id)
         loop = asyncio.get_running_loop()
         timeout = asyncio.timeout_at(loop.time() + self._remaining_s(exchange))
@@ -114,7 +115,9 @@
             async with timeout:
                 end = await self._send(exchange, endpoint)
         except TimeoutError:
-            end = AttemptEnd(False, True, attempt.interrupt_reason or AttemptReason.TIME_OVER)
+            reason = attempt.interrupt_reason or AttemptReason.TIME_OVER
+            is_sent = exchange.send_times is not None and exchange.send_times.sent_s is not None
+            end = AttemptEnd(False, is_sent, reason, may_have_received=is_sent)
         finally:
             running.discard(attempt)
             self.selector.release(endpoint)
--- a/ferrydock/forwarding/tests/test_send_check.py
+++ b/ferrydock/forwarding/tests/test_send_check.py
@@ -14,9 +14,9 @@
 class LeavingRig(Rig):
     """A gateway that chooses target ``t0`` first; `leave` is called with the rig at that choice."""
 
-    def __init__(self, leave, kind=RouteKind.REPEATABLE, attempts=2):
+    def __init__(self, leave, kind=RouteKind.REPEATABLE, attempts=2, time_limit_s=2.0):
         targets = [ScriptedTarget(writes(complete_answer(name))) for name in (b"first", b"second")]
-        super().__init__([route(kind=kind, attempts=attempts)], targets)
+        super().__init__([route(kind=kind, attempts=attempts, time_limit_s=time_limit_s)], targets)
         rig = self
 
         class Selector(EndpointSelector):
@@ -109,3 +109,24 @@
             assert rig.loads.of("t0").in_flight == rig.loads.of("t1").in_flight == 0
 
     play(scenario)
+
+
+class SilentStore:
+    """A confirmer whose store does not answer."""
+
+    async def wait_until_recent(self):
+        await asyncio.sleep(60)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE])
+def test_a_request_whose_time_ends_before_it_is_sent_is_refused_as_not_run(kind):
+    """Failure: it ended with 504, and callers could not repeat a request that may run once."""
+
+    async def scenario():
+        async with LeavingRig(not_yet, kind, time_limit_s=0.2) as rig:
+            rig.forwarder.attempts.send_check.confirmer = SilentStore()
+            answer = await rig.ask("POST", body=b"x")
+            assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+            assert [target.requests for target in rig.targets] == [[], []]
+
+    play(scenario)
