A daemon that stood still waits up to 1 s for the store before it sends by an old list

Cause: the hold of 0.3 s is what a running daemon has left of its bound of 2 s. A daemon that wakes is past that bound, its list is known to be too old, and it gave the store as little time. Now it waits as long as a call to the store may take. Late turns count for at most 0.35 s, so that a process that stands still in series still holds a request for six turns at most (test_late_turns_do_not_hold_a_request_for_ever, unchanged). A request is still held once only; an unreachable store is found out after 1 s instead of 0.3 s.

--- a/ferrydock/freshness/_change_budget.py
+++ b/ferrydock/freshness/_change_budget.py
@@ -15,6 +15,9 @@
 A request that is not held begins at an age of at most `hold_after_s`, and one that is held begins
 at most `max_hold_s` later. Its first byte is written in the same turn of the loop as that check
 (`forwarding._send_check`).
+
+A daemon that has stood still is past this sum when it wakes. Its requests then wait for longer
+(`_confirmer.MAX_HOLD_AFTER_STANDSTILL_S`).
 """
 
 from dataclasses import dataclass
--- a/ferrydock/freshness/_confirmer.py
+++ b/ferrydock/freshness/_confirmer.py
@@ -29,6 +29,14 @@
 # unreachable, as decided before, is then void.
 STOOD_STILL_S = 0.5
 
+# Longest wait of a request after the process has stood still, as long as a call to the store may
+# take. The data is then known to be too old, and nothing shows yet that the store is unreachable.
+MAX_HOLD_AFTER_STANDSTILL_S = 1.0
+
+# The longest turn that counts as waiting then, so that a process that stands still in series holds
+# no request for more turns than otherwise.
+MAX_COUNTED_TURN_AFTER_STANDSTILL_S = 0.35
+
 # Shortest wait for an answer: a timer cannot wait for less than the resolution of the loop's clock.
 MIN_WAIT_S = 0.001
 
@@ -64,6 +72,7 @@
         "_failed_attempts",
         "_attempt_began_s",
         "_has_stood_still",
+        "_is_after_standstill",
         "_is_unreachable",
         "_last_turn_s",
         "_next_attempt_s",
@@ -95,6 +104,7 @@
         self._attempt_began_s = float("-inf")
         self._is_unreachable = False
         self._has_stood_still = False
+        self._is_after_standstill = False
         self._last_turn_s = float("inf")
 
     @property
@@ -133,16 +143,16 @@
     async def wait_until_recent(self) -> None:
         """Return once the data is recent enough for a request to begin, or cannot be confirmed.
 
-        A request waits for `max_hold_s` at most, in turns of the loop: one that comes late counts
-        as `MAX_COUNTED_TURN_S`. The wait begins anew, a few times, after one that comes so late
-        that the store is asked anew.
+        A request waits for `max_hold_s` at most, or longer after a standstill, in turns of the
+        loop, of which a late one counts only in part. The wait begins anew, a few times, after one
+        that comes so late that the store is asked anew.
         """
         held_s, turn_s, restarts = 0.0, self._note_turn(), 0
         while True:
             age_s = self.age_s(turn_s)
             if age_s is None or age_s <= self.budget.hold_after_s or self._is_unreachable:
                 return
-            if held_s >= self.budget.max_hold_s - MIN_WAIT_S:
+            if held_s >= self._max_hold_s() - MIN_WAIT_S:
                 self._is_unreachable = True
                 return
             self.request()
@@ -150,11 +160,22 @@
                 return  # in its back-off
             await asyncio.wait({self._running}, timeout=HOLD_TURN_S)
             before_s, turn_s = turn_s, self._note_turn()
-            held_s += min(turn_s - before_s, MAX_COUNTED_TURN_S)
+            held_s += min(turn_s - before_s, self._max_counted_turn_s())
             is_outdated = turn_s - before_s > self.budget.check_after_s
             if is_outdated and restarts < MAX_RESTARTED_HOLDS:
                 held_s, restarts = 0.0, restarts + 1
 
+    def _max_hold_s(self) -> float:
+        """Return how long a request waits; longer until the data is recent after a standstill."""
+        if self._is_after_standstill:
+            return max(self.budget.max_hold_s, MAX_HOLD_AFTER_STANDSTILL_S)
+        return self.budget.max_hold_s
+
+    def _max_counted_turn_s(self) -> float:
+        if self._is_after_standstill:
+            return MAX_COUNTED_TURN_AFTER_STANDSTILL_S
+        return MAX_COUNTED_TURN_S
+
     def _note_turn(self) -> float:
         """Return the local time; begin anew if the process has stood still since the last turn.
 
@@ -163,7 +184,7 @@
         now_s = self.clock.now_s()
         if now_s - self._last_turn_s > STOOD_STILL_S:
             self._note_recent()
-            self._has_stood_still = True
+            self._has_stood_still = self._is_after_standstill = True
             self._next_attempt_s = float("-inf")
             is_outdated = now_s - self._attempt_began_s > self.budget.check_after_s
             if self._running is not None and is_outdated:
@@ -174,7 +195,7 @@
 
     def _note_recent(self) -> None:
         self._failed_attempts = 0
-        self._is_unreachable = False
+        self._is_unreachable = self._is_after_standstill = False
 
     async def _attempt(self) -> None:
         """Ask the store, the first time after the data was recent by two calls; note the result.
@@ -199,7 +220,9 @@
         the process has stood still, both are made at once: the open connections may have been
         closed meanwhile, and requests wait.
         """
-        repeat_after_s = 0.0 if self._has_stood_still else REPEAT_AFTER_S
+        repeat_after_s, failed_after_s = REPEAT_AFTER_S, FAILED_AFTER_S
+        if self._has_stood_still:
+            repeat_after_s, failed_after_s = 0.0, max(FAILED_AFTER_S, self._max_hold_s())
         self._has_stood_still = False
         if not is_repeated:
             return await self._start_call(True)
@@ -207,7 +230,7 @@
         if await self._any_answered({first}, repeat_after_s):
             return True
         second = self._start_call(True)
-        return await self._any_answered({first, second}, FAILED_AFTER_S - repeat_after_s)
+        return await self._any_answered({first, second}, failed_after_s - repeat_after_s)
 
     async def _any_answered(self, calls: set[asyncio.Task], within_s: float) -> bool:
         """Return whether one of some calls gets an answer within a time, counted in turns.
