A harmless request is not refused for targets that it lost beside the one that crashes them

Callers of a harmless request got 503 crashes_targets for up to 5 s (60 s until the cause was known) if it had lost the same targets as a request that crashes them, three times in a row and without an answer known to this daemon.

Cause: attempts of the cause that overlap count once. The cause had ended four targets, the harmless one was at three of them, and both counted three: a tie, so both were refused. But the cause is at every target that it ends. So a request that lost only some of the targets of a refused one is explained by it. Parts are left alone: two of them may crash the same targets, and each is tried by itself.

test_a_request_that_lost_only_some_of_the_targets_of_the_cause_is_not_refused failed before in both orders. The tests of the crashes packages pass.

--- a/ferrydock/crashes/_attribution.py
+++ b/ferrydock/crashes/_attribution.py
@@ -27,8 +27,9 @@
 def unexplained_crashes(identity: str, records: Records, refused: Collection[str]) -> list[Crash]:
     """Return the crashes of a request or part not shared with a refused one that is more suspect.
 
-    That is one with more crashes, or one that was never answered while this one was. What merely
-    ran on the same targets as the cause of their crashes is not the cause.
+    That is one with more crashes that count, one that was never answered while this one was, or,
+    for a request, one that lost all targets that this one lost, and more. What merely ran on the
+    same targets as the cause of their crashes is not the cause.
     """
     record = records[identity]
     explaining = [
@@ -36,11 +37,19 @@
         for other in refused_at_same_targets(identity, records, refused)
         if records[other].crash_count > record.crash_count
         or (record.answered_id and not records[other].answered_id)
+        or (record.rule.is_released_if_explained and _lost_more(records[other], record))
         for crash in records[other].crashes
     ]
     return [crash for crash in record.crashes if not is_same_termination(crash, explaining)]
 
 
+def _lost_more(other: RequestRecord, record: RequestRecord) -> bool:
+    """Return whether `other` was at all terminations at which `record` was, and at another one."""
+    return all(is_same_termination(crash, other.crashes) for crash in record.crashes) and any(
+        not is_same_termination(crash, record.crashes) for crash in other.crashes
+    )
+
+
 def rank_tied_requests(identity: str, records: Records, refused: Collection[str]) -> None:
     """Rank a request and the refused requests that share all of its consecutive crashes.
 
