Benchmark of the gateway: it begins once a replica serves, not while one forms

Traced: 16 copies at once, 4 and 5 of 16 failed; in each of them the replica was whole, but in the phase 'forming', when the load began, and 'serving' in the others.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -61,12 +61,19 @@
         raise SystemExit(f"the table was refused: {outcome}")
     for _ in range(200):
         status = await client.get("/operator/status")
-        if isinstance(status, dict) and any(r["whole"] for r in status["replicas"]):
+        if isinstance(status, dict) and any(map(_serves, status["replicas"])):
             break
         await asyncio.sleep(0.1)
+    else:
+        raise SystemExit(f"no replica serves: {status}")
     await client.close()
 
 
+def _serves(replica: dict) -> bool:
+    """Return whether a replica takes requests; one that is forming may be whole, too."""
+    return replica["whole"] and replica["phase"] == "serving"
+
+
 async def read_stream(session, url: str, tokens: int) -> int:
     """Read one stream to its end; return the number of its chunks."""
     body = {
