--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -26,6 +26,11 @@
         return json.loads(response.read())
 
 
+def is_serving(replica: dict) -> bool:
+    """Return whether a replica takes requests; one that is forming may be whole, too."""
+    return replica["whole"] and replica["phase"] == "serving"
+
+
 class Fleet:
     """Daemons of several halls, with their stand-ins and a filled table.
 
@@ -110,13 +115,11 @@
         return call(daemon.url + "/operator/status")
 
     def wait_serving(self, replicas: int) -> None:
-        """Wait until the first and last daemon of each hall see `replicas` complete replicas."""
+        """Wait until the first and last daemon of each hall see `replicas` replicas that serve."""
         for daemons in self.daemons.values():
             for daemon in (daemons[0], daemons[-1]):
                 wait_until(
-                    lambda d=daemon: (
-                        sum(r["whole"] for r in self.status(d)["replicas"]) >= replicas
-                    ),
+                    lambda d=daemon: sum(map(is_serving, self.status(d)["replicas"])) >= replicas,
                     "all replicas serve",
                     120,
                 )
--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -16,6 +16,7 @@
 from ferrydock.cli._client import OperatorClient, set_cells
 from ferrydock.table import Change, Edit, RowKey, digest_key
 
+from ._fleet import is_serving
 from ._processes import Program
 from ._report import print_check, print_row
 
@@ -61,7 +62,7 @@
         raise SystemExit(f"the table was refused: {outcome}")
     for _ in range(200):
         status = await client.get("/operator/status")
-        if isinstance(status, dict) and any(map(_serves, status["replicas"])):
+        if isinstance(status, dict) and any(map(is_serving, status["replicas"])):
             break
         await asyncio.sleep(0.1)
     else:
@@ -69,11 +70,6 @@
     await client.close()
 
 
-def _serves(replica: dict) -> bool:
-    """Return whether a replica takes requests; one that is forming may be whole, too."""
-    return replica["whole"] and replica["phase"] == "serving"
-
-
 async def read_stream(session, url: str, tokens: int) -> int:
     """Read one stream to its end; return the number of its chunks."""
     body = {
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -12,7 +12,7 @@
 import time
 import urllib.request
 
-from ._fleet import HALL, Fleet
+from ._fleet import HALL, Fleet, is_serving
 from ._processes import wait_until
 from ._report import print_check, print_row
 
@@ -30,9 +30,7 @@
 def complete_generations(fleet: Fleet, daemon) -> dict[str, str]:
     """Return the generations by replica that may get work according to one daemon."""
     replicas = fleet.status(daemon)["replicas"]
-    return {
-        r["replica"]: r["generation"] for r in replicas if r["whole"] and r["phase"] == "serving"
-    }
+    return {r["replica"]: r["generation"] for r in replicas if is_serving(r)}
 
 
 def kill_member(fleet: Fleet, daemon) -> tuple[float, float, int]:
