Revert the release of requests that lost only some of another one's targets, and the rank that goes with it

Two requests that crash targets meet at the same few plain targets, so one of them often lost only some of the other's. It was released, and cost further targets.

--- a/ferrydock/crashes/_attribution.py
+++ b/ferrydock/crashes/_attribution.py
@@ -27,9 +27,8 @@
 def unexplained_crashes(identity: str, records: Records, refused: Collection[str]) -> list[Crash]:
     """Return the crashes of a request or part not shared with a refused one that is more suspect.
 
-    That is one with more crashes that count, one that was never answered while this one was, or,
-    for a request, one that lost all targets that this one lost, and more. What merely ran on the
-    same targets as the cause of their crashes is not the cause.
+    That is one with more crashes, or one that was never answered while this one was. What merely
+    ran on the same targets as the cause of their crashes is not the cause.
     """
     record = records[identity]
     explaining = [
@@ -37,33 +36,22 @@
         for other in refused_at_same_targets(identity, records, refused)
         if records[other].crash_count > record.crash_count
         or (record.answered_id and not records[other].answered_id)
-        or _explains_as_superset(records[other], record)
         for crash in records[other].crashes
     ]
     return [crash for crash in record.crashes if not is_same_termination(crash, explaining)]
 
 
-def _explains_as_superset(other: RequestRecord, record: RequestRecord) -> bool:
-    """Return whether `other` was at all terminations at which a request was, and at another one."""
-    return (
-        record.rule.is_released_if_explained
-        and all(is_same_termination(crash, other.crashes) for crash in record.crashes)
-        and any(not is_same_termination(crash, record.crashes) for crash in other.crashes)
-    )
-
-
 def rank_tied_requests(identity: str, records: Records, refused: Collection[str]) -> None:
     """Rank a request and the refused requests that share all of its consecutive crashes.
 
     Only a further attempt shows which of them is the cause. The ranks schedule those attempts at
-    different times. Requests that this one explains are not tied with it.
+    different times.
     """
     counted = records[identity].counted_crashes
     tied = [
         other
         for other in refused_at_same_targets(identity, records, refused)
         if all(is_same_termination(crash, records[other].crashes) for crash in counted)
-        and not _explains_as_superset(records[identity], records[other])
     ]
     records[identity].tie_rank = None
     if tied:
