A request is refused as crashing only 0.2 s after the first verdict, in which it waits

Callers of a harmless request got 503 or 502 crashes_targets although another daemon knew better: which request had more crashes at the same targets, or that this one had been answered. Its report takes some 0.05 s.

The verdict is reached and told at once as before, and nothing with it is sent; but a request that would be refused by it waits until it is 0.2 s old, and goes on if it was released. A daemon without others does not wait. test_request_is_not_refused_if_another_daemon_explains_its_crashes_in_time failed before (503).

--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -17,7 +17,14 @@
 from ._log import CrashLog
 from ._messages import CrashReport
 from ._record import RequestRecord
-from ._rule import SUSPICIOUS_CRASHES, Crash, detection_threshold, rule_of, select_retained
+from ._rule import (
+    SUSPICIOUS_CRASHES,
+    VERDICT_SETTLES_S,
+    Crash,
+    detection_threshold,
+    rule_of,
+    select_retained,
+)
 
 __all__ = ["CrashHistory", "CrashListener"]
 
@@ -186,6 +193,19 @@
             for record in self._refused_records(identities)
         )
 
+    def settling_s(self, *identities: str) -> float:
+        """Return the seconds until the verdicts on a request and its parts have settled.
+
+        0 without other daemons: nobody else can explain its crashes.
+        """
+        if self._last_exchange_s is None:
+            return 0.0
+        now_s = self.clock.now_s()
+        settled_s = (
+            r.first_detected_s + VERDICT_SETTLES_S for r in self._refused_records(identities)
+        )
+        return max(0.0, max(settled_s, default=now_s) - now_s)
+
     def crash_count_of(self, identity: str) -> int:
         """Return the number of crashes that count against a request or a part."""
         record = self._records.get(identity)
@@ -400,6 +420,7 @@
         rank_tied_requests(identity, self._records, self._refused)
         record.detected_s = self.clock.now_s()
         if identity not in self._refused:
+            record.first_detected_s = record.detected_s
             self._refused.add(identity)
             self.listener.refusal_started(identity, tuple(record.crashes), record.refusal_s)
         for other in refused_at_same_targets(identity, self._records, self._refused):
--- a/ferrydock/crashes/_record.py
+++ b/ferrydock/crashes/_record.py
@@ -30,6 +30,8 @@
         crashes; None if it shares them with none.
     detected_s : float or None
         When the request was last found to crash its targets; None if it is not refused.
+    first_detected_s : float
+        When this refusal was found to be due.
     last_trial_s : float
         When an attempt was last admitted after a refusal.
     """
@@ -41,6 +43,7 @@
     has_recurred: bool = False
     tie_rank: int | None = None
     detected_s: float | None = None
+    first_detected_s: float = float("-inf")
     last_trial_s: float = float("-inf")
     rule: CrashRule = REQUEST_RULE
     created_s: float = float("-inf")
--- a/ferrydock/crashes/_rule.py
+++ b/ferrydock/crashes/_rule.py
@@ -20,6 +20,7 @@
     "CRASHES_TARGETS",
     "CRASHES_TO_REFUSE",
     "SUSPICIOUS_CRASHES",
+    "VERDICT_SETTLES_S",
     "Crash",
     "CrashRule",
     "detection_threshold",
@@ -69,6 +70,10 @@
 # Several times the interval of the exchange, and about as long as a hall takes to get a new leader.
 OUT_OF_TOUCH_AFTER_S = 2.0
 
+# Time from the first verdict on a request until it is refused, in which it waits: what explains its
+# crashes may be known to other daemons only, which report it within some 0.05 s.
+VERDICT_SETTLES_S = 0.2
+
 # Maximum difference between the times at which two daemons observe the termination of one process.
 # Shorter than the seconds in which a target restarts; longer than a busy daemon takes to notice a
 # connection reset.
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -75,15 +75,22 @@
 
     # One request ----------------------------------------------------------------------------------
 
-    def admit(self, exchange: Exchange) -> float:
+    async def admit(self, exchange: Exchange) -> float:
         """Return 0 if a request may be sent, else the seconds until its caller may retry."""
+        await self._wait_until_settled(exchange)
         exchange.admitted_s = self.clock.now_s()
         return self.history.admit(*exchange.identities)
 
-    def is_known_since_admission(self, exchange: Exchange) -> bool:
+    async def is_known_since_admission(self, exchange: Exchange) -> bool:
         """Return whether a request was found to crash its targets after it had been admitted."""
+        await self._wait_until_settled(exchange)
         return self.history.was_detected_since(exchange.admitted_s, *exchange.identities)
 
+    async def _wait_until_settled(self, exchange: Exchange) -> None:
+        """Wait while other daemons may explain the crashes of a request that was just found."""
+        while (wait_s := self.history.settling_s(*exchange.identities)) > 0:
+            await asyncio.sleep(wait_s)
+
     def refused_for_s(self, exchange: Exchange) -> float:
         """Return the seconds until a refused request may be retried."""
         return self.history.refused_for_s(*exchange.identities)
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -97,7 +97,7 @@
 
     async def _attempt_until_final(self, exchange: Exchange) -> web.StreamResponse:
         """Make attempts until there is a final answer."""
-        retry_after_s = self.crashes.admit(exchange)
+        retry_after_s = await self.crashes.admit(exchange)
         if retry_after_s > 0:
             self._log.crashing_request_refused(
                 exchange, retry_after_s, self._since_arrival_s(exchange)
@@ -112,7 +112,7 @@
             exchange.queued_s += self.clock.now_s() - wait_started_s
             if endpoint is None:
                 return self._end_without_answer(exchange, exchange.no_endpoint.reason)
-            if self.crashes.is_known_since_admission(exchange):  # found while the request waited
+            if await self.crashes.is_known_since_admission(exchange):
                 self.selector.release(endpoint)
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
             exchange.note_attempt_begins()
@@ -131,7 +131,7 @@
             if end.reason == AttemptReason.TARGET_LEFT and not end.may_have_received:
                 continue  # nothing was sent, so this is no retry
             await self.crashes.check_failed_attempt(exchange, endpoint.target, end, sent_s)
-            if self.crashes.is_known_since_admission(exchange):
+            if await self.crashes.is_known_since_admission(exchange):
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
             if not self._may_retry(exchange, end):
                 return self._end_without_answer(exchange, end.reason)
--- a/ferrydock/forwarding/tests/test_crashes.py
+++ b/ferrydock/forwarding/tests/test_crashes.py
@@ -181,6 +181,34 @@
     play(scenario)
 
 
+def test_request_is_not_refused_if_another_daemon_explains_its_crashes_in_time(monkeypatch):
+    """Failure: a harmless request was refused until the report of the last crash had arrived."""
+
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route()], [target]) as rig:
+            acquire = rig.selector.acquire
+
+            def crash(identity, targets):
+                for n, name in enumerate(targets):
+                    at_s = rig.clock.now_s() - 3 + n / 2
+                    rig.history.note_crash(identity, name, at_s, at_s + 0.1)
+
+            async def acquire_late(exchange, max_queue_s):
+                endpoint = await acquire(exchange, max_queue_s)
+                crash(exchange.identity, ("x0", "x1", "x2"))
+                assert rig.history.refused_count == 1
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.1, crash, "worse", ("x0", "x1", "x2", "x3"))
+                return endpoint
+
+            monkeypatch.setattr(type(rig.selector), "acquire", lambda _, *a: acquire_late(*a))
+            rig.history.note_exchange()
+            assert (await rig.ask("POST", body=b"hi")).startswith(b"HTTP/1.1 200")
+
+    play(scenario)
+
+
 def test_log_lines_about_refusals_are_rate_limited(caplog):
     caplog.set_level("INFO", logger="ferrydock.forwarding")
 
