--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -176,7 +176,7 @@
     chosen_s : float
         Local time at which the last slot was assigned.
     send_times : SendTimes or None
-        Times of sending of the last attempt; None before the first one. For logs and metrics only.
+        Times of sending of the last attempt; None until it has begun to send.
     """
 
     request: web.BaseRequest
--- a/ferrydock/forwarding/_send_times.py
+++ b/ferrydock/forwarding/_send_times.py
@@ -1,7 +1,7 @@
 """Times of one attempt from the choice of its target to the first byte of its request.
 
-Owns the times of one attempt, for log lines and metrics; no decision reads them. `TimedConnector`
-makes the sessions of `Upstream` record them.
+Owns the times of one attempt, for log lines, metrics, and one decision: an attempt without a first
+byte has not run. `TimedConnector` makes the sessions of `Upstream` record them.
 """
 
 from contextvars import ContextVar
--- a/ferrydock/freshness/_confirmer.py
+++ b/ferrydock/freshness/_confirmer.py
@@ -33,8 +33,8 @@
 # take. The data is then known to be too old, and nothing shows yet that the store is unreachable.
 MAX_HOLD_AFTER_STANDSTILL_S = 1.0
 
-# The longest turn that counts as waiting then, so that a process that stands still in series holds
-# no request for more turns than otherwise.
+# `MAX_COUNTED_TURN_S` after a standstill: the longer wait takes no more turns of a process that
+# stands still in series.
 MAX_COUNTED_TURN_AFTER_STANDSTILL_S = 0.35
 
 # Shortest wait for an answer: a timer cannot wait for less than the resolution of the loop's clock.
