A request that another daemon does not pass on counts as an attempt

The two daemons' lists may differ, for up to 5 s where a hall is evacuated. The request was then offered to the other daemon for one target after the other, all of them if need be, before its caller was refused. Now such an attempt counts, with a reason of its own (not_passed_on), as one that surely did not run. test_request_that_other_daemons_do_not_pass_on_is_tried_as_often_as_its_route_allows failed before: five targets for a route of two attempts.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -246,10 +246,9 @@
         except _CONNECTION_ERRORS as error:
             return AttemptEnd(False, True, "broken_" + type(error).__name__)
         if isinstance(answer, SendWithdrawn):
-            is_body_lost = answer.is_body_used and exchange.body is None
-            return AttemptEnd(
-                False, False, AttemptReason.TARGET_LEFT, may_have_received=is_body_lost
-            )
+            if answer.was_handed_over:
+                return AttemptEnd(False, False, AttemptReason.NOT_PASSED_ON)
+            return AttemptEnd(False, False, AttemptReason.TARGET_LEFT, may_have_received=False)
         try:
             return await self._handle_answer(exchange, endpoint, answer, sent_s)
         except CallerGone:
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -62,6 +62,7 @@
     NOT_SENT = "not_sent"
     NO_PATH = "no_path"
     TARGET_LEFT = "target_left"
+    NOT_PASSED_ON = "not_passed_on"
     REFUSED = "refused"
     ERROR = "error"
     BROKEN = "broken"
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -128,7 +128,7 @@
                 return require(exchange.response, "the whole answer")
             exchange.last_reason = end.reason
             self._log.attempt_failed(exchange, end, endpoint)
-            if end.reason == AttemptReason.TARGET_LEFT and not end.may_have_received:
+            if end.reason == AttemptReason.TARGET_LEFT:
                 continue  # nothing was sent, so this is no retry
             await self.crashes.check_failed_attempt(exchange, endpoint.target, end, sent_s)
             if await self.crashes.is_known_since_admission(exchange):
--- a/ferrydock/forwarding/_send_check.py
+++ b/ferrydock/forwarding/_send_check.py
@@ -49,16 +49,16 @@
     ----------
     is_withdrawn : bool
         Whether the target gets nothing of the request.
-    is_body_used : bool
-        Whether bytes of the body were written nevertheless, to another daemon.
+    was_handed_over : bool
+        Whether another daemon, which passed none of them on, has received bytes nevertheless.
     """
 
-    __slots__ = ("is_body_used", "is_withdrawn", "may_send")
+    __slots__ = ("was_handed_over", "is_withdrawn", "may_send")
 
     def __init__(self, may_send: Callable[[], Awaitable[bool]]):
         self.may_send = may_send
         self.is_withdrawn = False
-        self.is_body_used = False
+        self.was_handed_over = False
 
     async def check(self) -> None:
         """Raise `WithdrawnBeforeHead` if the request must not be sent."""
@@ -72,7 +72,7 @@
 
     def note_not_passed_on(self) -> None:
         """Record that the daemon to which the request was sent did not send it to the target."""
-        self.is_withdrawn = self.is_body_used = True
+        self.is_withdrawn = self.was_handed_over = True
 
 
 # Guard of the request that the running task sends; set by `Upstream.send`. Only a context variable
--- a/ferrydock/forwarding/_upstream.py
+++ b/ferrydock/forwarding/_upstream.py
@@ -46,11 +46,11 @@
 
     Attributes
     ----------
-    is_body_used : bool
-        Whether bytes of the body were written to another daemon, which did not pass them on.
+    was_handed_over : bool
+        Whether another daemon, which passed none of them on, has received bytes.
     """
 
-    is_body_used: bool
+    was_handed_over: bool
 
 
 class Upstream:
@@ -126,7 +126,7 @@
             )
         except (WithdrawnBeforeHead, aiohttp.ClientConnectionError):
             if guard.is_withdrawn:
-                return SendWithdrawn(guard.is_body_used)
+                return SendWithdrawn(guard.was_handed_over)
             raise
 
     def replace_pools(self) -> None:
--- a/ferrydock/forwarding/tests/test_lost_links.py
+++ b/ferrydock/forwarding/tests/test_lost_links.py
@@ -104,6 +104,8 @@
 
     def __init__(self):
         self.left = None
+        self.have_all_left = False
+        self.asked = 0
 
     def is_listed(self, address):
         return True
@@ -112,8 +114,9 @@
         return False
 
     async def may_begin(self, address):
+        self.asked += 1
         self.left = self.left or address
-        return address != self.left
+        return address != self.left and not self.have_all_left
 
 
 class TunnelRig(LinkRig):
@@ -146,6 +149,19 @@
     play(scenario)
 
 
+def test_request_that_other_daemons_do_not_pass_on_is_tried_as_often_as_its_route_allows():
+    """Failure: if the other daemon's list differed, it was asked for each target in turn."""
+
+    async def scenario():
+        async with TunnelRig(target_count=5) as rig:
+            rig.passing_on.targets.have_all_left = True
+            answer = await rig.ask("POST", body=b"x")
+            assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+            assert rig.passing_on.targets.asked == 2
+
+    play(scenario)
+
+
 def test_body_that_was_sent_to_the_other_daemon_as_it_came_is_not_sent_in_part():
     async def scenario():
         async with TunnelRig() as rig:
