A hall whose daemons have all lost their links is left by the first request of each daemon

Callers of a hall of eight daemons without links got no_path for almost half of their requests: six daemons may be asked for a tunnel, and all six were of the own hall, which had none either. Only in the second after such a request were others asked.

Two of the own hall are asked first, then others and own ones in turn. test_a_hall_whose_daemons_have_all_lost_their_links_is_left_by_the_first_request failed before (NoPathToTargets).

--- a/ferrydock/links/_tunnel_peers.py
+++ b/ferrydock/links/_tunnel_peers.py
@@ -3,6 +3,7 @@
 Owns the addresses, as received from other daemons, and which of them failed, in memory.
 """
 
+import itertools
 import random
 from collections.abc import Mapping, Sequence
 
@@ -16,6 +17,9 @@
 # `_peer_exchange.EXCHANGE_EVERY_S`.
 CALLER_TIMEOUT_S = 8.0
 
+# Daemons of the own hall that are asked before any of another hall.
+OWN_HALL_PEERS = 2
+
 # Daemons of each hall that are named to another daemon. Each daemon names a different selection, so
 # that the load of many daemons without links is spread.
 MAX_NAMED_PER_HALL = 8
@@ -81,15 +85,18 @@
     def in_order(self, now_s: float) -> list[str]:
         """Return the other daemons in the order in which they are asked for a tunnel.
 
-        At random within each hall, since each takes its share of the load. Those of the own hall
-        come first: bytes between halls cost more. Those that failed come last.
+        At random within each hall, since each takes its share of the load. `OWN_HALL_PEERS` of the
+        own hall come first: bytes between halls cost more. Then those of other halls and of the own
+        one take turns: a whole hall may have lost its links. Those that failed come last.
         """
         known = self._known(now_s)
         own = sorted(known.pop(self.hall, set()) - {self.address})
         others = sorted(set().union(*known.values()) - {self.address})
         self.rng.shuffle(own)
         self.rng.shuffle(others)
-        return sorted([*own, *others], key=lambda address: self._is_backed_off(address, now_s))
+        in_turns = itertools.zip_longest(others, own[OWN_HALL_PEERS:])
+        ordered = [*own[:OWN_HALL_PEERS], *filter(None, itertools.chain(*in_turns))]
+        return sorted(ordered, key=lambda address: self._is_backed_off(address, now_s))
 
     def _is_backed_off(self, address: str, now_s: float) -> bool:
         return now_s - self._failed_s.get(address, float("-inf")) < BACKOFF_S
--- a/ferrydock/links/tests/test_tunnels.py
+++ b/ferrydock/links/tests/test_tunnels.py
@@ -247,6 +247,23 @@
     asyncio.run(scenario())
 
 
+def test_a_hall_whose_daemons_have_all_lost_their_links_is_left_by_the_first_request():
+    """Failure: as many daemons of the own hall were asked as may be, and none of another one."""
+
+    async def scenario():
+        async with Rig(refuse) as rig:
+            now_s, working = rig.servers[0].clock.now_s(), rig.peers.in_order(0.0)[0]
+            rig.peers = rig.dialer.tunnels.peers = TunnelPeers("a", "", random.Random(1))
+            for number in range(12):
+                rig.peers.note_caller("a", f"127.0.0.1:{number + 1}", now_s)
+            rig.peers.note_caller("b", working, now_s)
+            dialed = await rig.dialer.connect(rig.address, 1.0)
+            dialed.opened.close()
+            assert dialed.through == working
+
+    asyncio.run(scenario())
+
+
 def test_a_target_that_refuses_the_peer_is_at_fault():
     async def scenario():
         async with Rig(refuse) as rig:
