Tunnels use the check of the daemon's own requests for a recent target list

CatalogTargets repeated the first half of SendCheck.may_send and had a confirmer of its own, which the daemon set beside the other one. It takes the SendCheck instead, so there is one confirmer to set. No behaviour changes; the tests keep their assertions, and the packages concerned pass.

--- a/ferrydock/forwarding/_send_check.py
+++ b/ferrydock/forwarding/_send_check.py
@@ -100,9 +100,13 @@
 
     async def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether the first byte of a request may be written to an endpoint now."""
+        await self.wait_until_recent()
+        return self.catalog.is_usable(endpoint)
+
+    async def wait_until_recent(self) -> None:
+        """Wait until the target list is recent enough for a request to begin by it."""
         if self.confirmer is not None:
             await self.confirmer.wait_until_recent()
-        return self.catalog.is_usable(endpoint)
 
 
 class CheckedConnector(DialingConnector):
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -220,13 +220,6 @@
         self.links = TargetLinks(self._usable_target_addresses, self.clock, self.rng)
         tunnel_address = self.settings.tunnel_address or ""
         self.tunnel_peers = TunnelPeers(self.settings.hall, tunnel_address, self.rng)
-        self.forwarded_targets = CatalogTargets(self.catalog, self.clock)
-        self.tunnel_server = TunnelServer(
-            self.links,
-            self.forwarded_targets,
-            self._refuses_tunnels,
-            self.clock,
-        )
         self.dialer = TargetDialer(self.links, PeerTunnels(self.tunnel_peers, self.clock))
         self.deployment.control.dialer = self.dialer
         self.upstream = Upstream(self.dialer)
@@ -235,6 +228,12 @@
             self.selector, self.upstream, loads, dialect, self.clock, self.metrics
         )
         self.lost_links = LostLinks(attempts, self.links)
+        self.tunnel_server = TunnelServer(
+            self.links,
+            CatalogTargets(attempts.send_check, self.clock),
+            self._refuses_tunnels,
+            self.clock,
+        )
         self.retry_shares = RetryShares(self.live_settings, self.site_daemons.count)
         self.crashes = CrashGuard(
             self.crash_exchange.history, self.directory, self.metrics, self.clock, self.dialer
@@ -305,7 +304,6 @@
         )
         send_check = self.gateway.forwarder.attempts.send_check
         send_check.confirmer = self.store_follower.list_confirmer
-        self.forwarded_targets.confirmer = self.store_follower.list_confirmer
         self.store_follower.max_keyed_age_s = self._max_keyed_age_s
         self.gateway.confirmer = self.store_follower.configuration_confirmer
 
--- a/ferrydock/route_daemon/_forwarded_targets.py
+++ b/ferrydock/route_daemon/_forwarded_targets.py
@@ -1,34 +1,27 @@
 """What tunnels from other daemons need to know of targets; owns no state.
 
 Looks targets up by address in the directory, and reads and records their back-offs in the catalog.
-Relies on the confirmer of the target list for whether that is recent.
+Relies on the check of this daemon's own requests for whether the target list is recent.
 """
 
 from collections.abc import Iterator
 
 from ..clock import Clock
-from ..freshness import Confirmer
-from ..scheduling import EndpointCatalog
+from ..forwarding import SendCheck
 from ..targets import Target
 
 __all__ = ["CatalogTargets"]
 
 
 class CatalogTargets:
-    """The targets of a catalog by their address; implements `links.ForwardedTargets`.
+    """The targets of a catalog by their address; implements `links.ForwardedTargets`."""
 
-    Attributes
-    ----------
-    confirmer : Confirmer or None
-        Confirms the target list before a request is passed on; set by the daemon once it exists.
-    """
+    __slots__ = ("catalog", "clock", "send_check")
 
-    __slots__ = ("catalog", "clock", "confirmer")
-
-    def __init__(self, catalog: EndpointCatalog, clock: Clock):
-        self.catalog = catalog
+    def __init__(self, send_check: SendCheck, clock: Clock):
+        self.send_check = send_check
+        self.catalog = send_check.catalog
         self.clock = clock
-        self.confirmer: Confirmer | None = None
 
     def is_listed(self, address: str) -> bool:
         """Return whether an address is that of a target, which may be leaving."""
@@ -36,8 +29,7 @@
 
     async def may_begin(self, address: str) -> bool:
         """Wait until the target list is recent; return whether a request may begin there now."""
-        if self.confirmer is not None:
-            await self.confirmer.wait_until_recent()
+        await self.send_check.wait_until_recent()
         return any(map(self.catalog.is_usable_target, self._at(address)))
 
     def is_backed_off(self, address: str) -> bool:
--- a/ferrydock/route_daemon/tests/test_forwarded_targets.py
+++ b/ferrydock/route_daemon/tests/test_forwarded_targets.py
@@ -7,6 +7,7 @@
 
 from ...clock import ManualClock
 from ...evacuation import EvacuatedHalls
+from ...forwarding import SendCheck
 from ...scheduling import EndpointCatalog
 from ...store import Position
 from ...targets import Membership, ReplicaState, Target, TargetDirectory
@@ -40,7 +41,7 @@
     directory = TargetDirectory()
     for target in (HEAD, SECOND):
         directory.put(target)
-    return directory, CatalogTargets(EndpointCatalog(directory), ManualClock(0.0))
+    return directory, CatalogTargets(SendCheck(EndpointCatalog(directory)), ManualClock(0.0))
 
 
 def may_begin(targets):
@@ -64,7 +65,7 @@
     change,
 ):
     directory, targets = forwarded()
-    targets.confirmer = Confirmer(lambda: change(directory))
+    targets.send_check.confirmer = Confirmer(lambda: change(directory))
     assert not may_begin(targets)
 
 
