links: a request that is not passed on ends its connection as a cut tunnel does

RequestWithdrawn was raised in one place, and nothing told it from a reset connection: the listener has already recorded the withdrawal by then. ConnectionResetError, as beside it, does. Slots of SendGuard in order again.

--- a/ferrydock/forwarding/_send_check.py
+++ b/ferrydock/forwarding/_send_check.py
@@ -53,7 +53,7 @@
         Whether another daemon, which passed none of them on, has received bytes nevertheless.
     """
 
-    __slots__ = ("was_handed_over", "is_withdrawn", "may_send")
+    __slots__ = ("is_withdrawn", "may_send", "was_handed_over")
 
     def __init__(self, may_send: Callable[[], Awaitable[bool]]):
         self.may_send = may_send
--- a/ferrydock/links/_tunnel_client.py
+++ b/ferrydock/links/_tunnel_client.py
@@ -16,7 +16,7 @@
 from ._tunnel_messages import FrameReader, TunnelRequest, TunnelResult, encode_request
 from ._tunnel_peers import TunnelPeers
 
-__all__ = ["PeerTunnels", "RequestWithdrawn", "TunnelProtocol"]
+__all__ = ["PeerTunnels", "TunnelProtocol"]
 
 _LOG = logging.getLogger("ferrydock.links")
 
@@ -124,10 +124,6 @@
     return (opened if result is TunnelResult.CONNECTED else None), result
 
 
-class RequestWithdrawn(ConnectionError):
-    """The other daemon sent nothing to the target, since the request must not begin there."""
-
-
 class TunnelProtocol(asyncio.Protocol):
     """Passes the target's bytes in a tunnel to the protocol that would read them directly.
 
@@ -140,7 +136,7 @@
         Creates the inner protocol.
     on_withdrawn : callable
         Called if the other daemon says that the target got none of the bytes, before the inner
-        protocol sees its connection end with `RequestWithdrawn`.
+        protocol sees a reset connection.
     """
 
     __slots__ = ("_frames", "_is_cut", "_on_withdrawn", "_transport", "inner")
@@ -179,7 +175,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Pass on the end of the connection, as a reset if the tunnel broke."""
         if self._frames.is_withdrawn:
-            exc = RequestWithdrawn("the target must not get the request any more")
+            exc = ConnectionResetError("the request was not passed on to the target")
         elif exc is None and self._is_cut:
             exc = ConnectionResetError("the tunnel ended before the target's connection did")
         self.inner.connection_lost(exc)
