crashes: nothing is looked up for a request while no request is refused

Each request asks four times whether it is refused: twice for the verdict to have settled, for its admission, and before it is sent. While nothing is refused that is known from the set of refused ones. No behaviour changes: a record is refused if and only if it is in the set. The tests of crashes, requests and forwarding/test_crashes pass.

--- a/ferrydock/crashes/_history.py
+++ b/ferrydock/crashes/_history.py
@@ -174,6 +174,8 @@
         return max(wait_s, record.last_trial_s + TRIAL_INTERVAL_S - now_s)
 
     def _refused_records(self, identities: Iterable[str]) -> list[RequestRecord]:
+        if not self._refused:
+            return []
         records = (self._records.get(identity) for identity in identities)
         return [record for record in records if record and record.detected_s is not None]
 
@@ -198,13 +200,11 @@
 
         0 without other daemons: nobody else can explain its crashes.
         """
-        if self._last_exchange_s is None:
+        records = self._refused_records(identities)
+        if not records or self._last_exchange_s is None:
             return 0.0
-        now_s = self.clock.now_s()
-        settled_s = (
-            r.first_detected_s + VERDICT_SETTLES_S for r in self._refused_records(identities)
-        )
-        return max(0.0, max(settled_s, default=now_s) - now_s)
+        found_s = max(record.first_detected_s for record in records)
+        return max(0.0, found_s + VERDICT_SETTLES_S - self.clock.now_s())
 
     def crash_count_of(self, identity: str) -> int:
         """Return the number of crashes that count against a request or a part."""
