A failed read of the target list is logged, and repeated with a back-off

Cause: StoreFollower starts the task that reads the target list again in each turn (0.05 s) and never looks at how the last one ended. A task that fails on what it reads meets the same input at once, 20 times a second, with a call to the store each time.

Change: the end of the task is looked at: one line, targets_read_failed, with the error, and the next read after the store's back-off.

--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -121,6 +121,8 @@
         "_is_store_reached",
         "_last_read_version",
         "_is_reading_full_list",
+        "_reading_backoff",
+        "_reading_not_before_s",
         "_reading_task",
         "clock",
         "configuration_confirmer",
@@ -165,6 +167,8 @@
         self._wait_began_s = float("-inf")
         self._check_backoff = StoreBackoff(rng)
         self._reading_task: asyncio.Task | None = None
+        self._reading_backoff = StoreBackoff(rng)
+        self._reading_not_before_s = float("-inf")
         self._is_store_reached = True
         self._last_read_version = -1
         self._is_reading_full_list = False
@@ -311,14 +315,31 @@
                     self.list_confirmer.request()
                 if is_relayed or self._is_list_due:
                     self._stop_reading_targets()
-                if not is_relayed and (self._reading_task is None or self._reading_task.done()):
-                    self._reading_task = asyncio.ensure_future(self._read_targets())
+                if not is_relayed:
+                    self._keep_reading_targets()
                 await asyncio.sleep(LIST_CHECK_S)
         finally:
             self.list_confirmer.cancel()
             self.configuration_confirmer.cancel()
             self._stop_reading_targets()
 
+    def _keep_reading_targets(self) -> None:
+        """Start to read the target list unless that is under way; after a failure with a back-off.
+
+        What made it fail may be the first thing that the next attempt reads.
+        """
+        task = self._reading_task
+        if task is not None and not task.done():
+            return
+        self._reading_task = None
+        if task is not None and not task.cancelled() and (error := task.exception()) is not None:
+            pause_s = self._failure_pause_s(self._reading_backoff)
+            self._reading_not_before_s = self.clock.now_s() + pause_s
+            log_event(_LOG, logging.ERROR, "targets_read_failed", why=repr(error), pause_s=pause_s)
+            _LOG.error("reading the target list failed", exc_info=error)
+        if self.clock.now_s() >= self._reading_not_before_s:
+            self._reading_task = asyncio.ensure_future(self._read_targets())
+
     def _stop_reading_targets(self) -> None:
         if self._reading_task is not None:
             self._reading_task.cancel()
@@ -470,6 +491,7 @@
             backoff.reset()
             self._is_reading_full_list = False
             self._apply_changes(changes, self._wait_began_s, ListSource.STORE_WATCH)
+            self._reading_backoff.reset()
             self._wait_began_s = self.clock.now_s()
 
     def check_age(self) -> None:
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -530,3 +530,24 @@
         assert halls.count == 0
 
     run_virtually(daemon.run(scenario))
+
+
+def test_a_read_of_the_list_that_fails_each_time_is_logged_and_repeated_with_a_back_off(caplog):
+    """Failure: the list was read anew 20 times a second, and no line named the cause."""
+    daemon = Daemon()
+    began_s = []
+
+    async def scenario():
+        async def follow(known_position=None):
+            began_s.append(asyncio.get_running_loop().time())
+            raise TypeError("of the source")
+            yield
+
+        daemon.source.follow = follow
+        daemon.follower._stop_reading_targets()
+        await asyncio.sleep(10.0)
+        lines = [r.getMessage() for r in caplog.records if "targets_read_failed" in r.getMessage()]
+        assert len(began_s) <= 10.0 / (0.4 * 0.8)
+        assert len(lines) == len(began_s) and "of the source" in lines[0]
+
+    run_virtually(daemon.run(scenario))
