What a worker says of itself is decoded once, by declared types, or not used

Callers saw: six daemons in three halls ended again and again (9 to 11 ends each in 40 s) while the list had one entry of another writer, with a list as the name of a model: 6,459 of 9,449 requests served, the others cut, 502, 503 or no connection. With a text as the group, written before the start, no daemon became ready.

Cause: the decoder of entries checked hardly any types. Hypotheses told apart by logs: loop_failed names the leader's step in all 60 ends, never the read of the list; with the text as group there is no loop_failed at all, and the read failed 2,017 times.

Change: entries and reports are decoded by msgspec into declared types (platform/_worker_messages.py). One field that is missing or of another type, an unnamed state, an address that is not IP:PORT, or an id that cannot stand in a header, and the message names no target; the fault names the field. The types are those of targets.Target, which the relay checks as well: a leader of an older version can hand on what it did not check. Unnamed fields are ignored. Lines are bounded: a key once in 60 s, 100 keys in 60 s.

Whole numbers came as 8; 8.0 is taken too.

Why a library: one declaration serves both the store and the relay.

The stand-in list of test_ages lacked two fields that every worker writes; it has them now, its checks are the same.

--- a/ferrydock/platform/__init__.py
+++ b/ferrydock/platform/__init__.py
@@ -11,7 +11,7 @@
 from ._control import PlatformTargetControl
 from ._dialect import PlatformDialect
 from ._store import HistoryCompacted, PlatformStore
-from ._targets import PlatformTargetSource, parse_target
+from ._targets import PlatformTargetSource
 
 __all__ = [
     "HistoryCompacted",
@@ -22,6 +22,5 @@
     "PlatformTargetSource",
     "open_platform",
     "parse_configuration",
-    "parse_target",
     "read_boot_file",
 ]
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -14,7 +14,7 @@
 from ..http_client import open_session
 from ..links import DialingConnector, TargetDialer
 from ..logs import log_event
-from ..outcomes import Unavailable, Unknown
+from ..outcomes import Fault, Unavailable, Unknown
 from ..targets import (
     CloseOrder,
     JoinOrder,
@@ -27,8 +27,7 @@
     Target,
     TargetReport,
 )
-from ._decoding import get_or_log_default
-from ._targets import parse_membership
+from ._worker_messages import decode_report
 
 __all__ = ["PlatformTargetControl"]
 
@@ -111,20 +110,21 @@
             ):
                 if response.status != OK:
                     return Unavailable(f"status {response.status}")
-                fields = orjson.loads(await response.read())
-        except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError) as error:
+                body = await response.read()
+        except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
             return Unavailable(type(error).__name__)
-        try:
-            return _parse_report(fields)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        report = decode_report(body)
+        if isinstance(report, Fault):
             log_event(
                 _LOG,
                 logging.WARNING,
                 "report_unreadable",
                 target=target.target_id,
-                why=repr(error),
+                field=report.place,
+                why=report.problem,
             )
-            return Unavailable(f"report: {error!r}")
+            return Unavailable(f"report: {report}")
+        return report
 
     async def close(self) -> None:
         """Close the connections."""
@@ -141,26 +141,6 @@
         return self._session
 
 
-def _parse_report(fields: dict) -> TargetReport:
-    """Decode a report; its ``utilization`` says whether an order is under way, not a load.
-
-    Examples
-    --------
-    >>> report = _parse_report({"sequence": 3, "utilization": True, "staged": ["large"]})
-    >>> report.orders, report.is_order_under_way, report.staged
-    (3, True, ('large',))
-    """
-    membership = parse_membership(fields.get("group"))
-    return TargetReport(
-        orders=int(get_or_log_default("report", fields, "sequence", 0)),
-        replica=membership.replica if membership else None,
-        epoch=membership.epoch if membership else 0,
-        state=membership.state.value if membership else None,
-        is_order_under_way=bool(fields.get("utilization")),
-        staged=tuple(fields.get("staged") or ()),
-    )
-
-
 def _encode_order(order: Order) -> dict:
     """Return the body of an order; the platform's ``phase`` operation stages weights."""
     match order:
--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -1,31 +1,21 @@
 """Source of targets that reads the platform's list of workers from the platform's store.
 
-`PlatformTargetSource.follow` holds the position in the store up to which it has read the list. The
+`PlatformTargetSource.follow` holds the position in the store up to which it has read the list. An
+entry that cannot be decoded names no target; the others are used. The
 platform's worker, group and zone are ferrydock's target, replica and hall.
 """
 
 import asyncio
-import logging
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterator
 
-import orjson
-
-from ..logs import log_event
-from ..outcomes import Unavailable
+from ..outcomes import Fault, Unavailable
 from ..store import Position, WatchBatch, prefix_end
-from ..targets import Membership, ReplicaState, Target, TargetChanges
-from ._decoding import get_or_log_default
+from ..targets import Target, TargetChanges
 from ._store import MAX_WATCH_MS, TARGETS_PREFIX, HistoryCompacted, PlatformStore
+from ._unused_entries import UnusedEntryLog
+from ._worker_messages import decode_target
 
-__all__ = ["PlatformTargetSource", "parse_membership", "parse_target"]
-
-_LOG = logging.getLogger("ferrydock.platform")
-_DRAINING = "draining"
-
-MS_PER_S = 1000
-
-# Concurrent requests of a worker whose entry does not state its slots.
-_DEFAULT_SLOTS = 1
+__all__ = ["PlatformTargetSource"]
 
 
 class PlatformTargetSource:
@@ -40,10 +30,11 @@
         by one call.
     """
 
-    __slots__ = ("_store", "batch_window_s")
+    __slots__ = ("_store", "_unused_entries", "batch_window_s")
 
     def __init__(self, store: PlatformStore, batch_window_s: float):
         self._store = store
+        self._unused_entries = UnusedEntryLog()
         self.batch_window_s = batch_window_s
 
     async def follow(
@@ -85,87 +76,41 @@
         listing = await self._store.range(TARGETS_PREFIX, prefix_end(TARGETS_PREFIX))
         if isinstance(listing, Unavailable):
             return listing
-        entries = (_decode_entry(item.key, item.value) for item in listing.items)
+        entries = (self._decode(item.key, item.value) for item in listing.items)
         return TargetChanges(True, tuple(e for e in entries if e), (), listing.position)
 
     async def _read_changes_after(
         self, known: Position, wait_ms: int, is_on_new_connection: bool = False
     ) -> TargetChanges | HistoryCompacted | Unavailable:
         batch = await self._store.watch_once(TARGETS_PREFIX, known, wait_ms, is_on_new_connection)
-        return _merge_changes(batch) if isinstance(batch, WatchBatch) else batch
-
+        return self._merge_changes(batch) if isinstance(batch, WatchBatch) else batch
 
-def _merge_changes(batch: WatchBatch) -> TargetChanges:
-    """Return the last change of each worker.
+    def _merge_changes(self, batch: WatchBatch) -> TargetChanges:
+        """Return the last change of each worker.
 
-    A worker that was removed and then added again is in both the removed ids and the entries.
-    """
-    entries: dict[str, Target] = {}
-    removed: list[str] = []
-    for key, value in batch.changes:
-        target_id = key[len(TARGETS_PREFIX) :]
-        if value is None:
-            entries.pop(target_id, None)
-            removed.append(target_id)
-            continue
-        target = _decode_entry(key, value)
-        if target is not None:
-            entries[target_id] = target
-    return TargetChanges(False, tuple(entries.values()), tuple(removed), batch.position)
-
-
-def _decode_entry(key: str, value: bytes) -> Target | None:
-    """Return the target in an entry; log an entry that cannot be decoded and return None."""
-    try:
-        return parse_target(key[len(TARGETS_PREFIX) :], orjson.loads(value))
-    except (KeyError, TypeError, ValueError) as error:
-        log_event(_LOG, logging.WARNING, "target_unreadable", key=key, why=repr(error))
-        return None
-
-
-def parse_target(target_id: str, fields: Mapping) -> Target:
-    """Return the target that the fields of an entry describe.
-
-    ``state`` is the state of the worker itself (ready or draining); ``group`` has its replica's.
-
-    Raises
-    ------
-    KeyError, TypeError, ValueError
-        If a field is missing or of the wrong type.
-    """
-    return Target(
-        target_id=target_id,
-        service=fields["service"],
-        address=fields["address"],
-        hall=get_or_log_default("worker", fields, "zone", ""),
-        slots=int(get_or_log_default("worker", fields, "slots", _DEFAULT_SLOTS)),
-        draining=fields.get("state") == _DRAINING,
-        domain=str(fields.get("domain", "")),
-        staged=_model_names(fields.get("staged")),
-        models=_model_names(fields.get("models")),
-        membership=parse_membership(fields.get("group")),
-        age_mark=_parse_age_mark(fields),
-        cold_for_s=float(fields.get("cold-remaining-ms") or 0) / MS_PER_S,
-    )
-
-
-def _parse_age_mark(fields: Mapping) -> tuple[int, int]:
-    """Return a worker's start (``born``) and the number of its entries since; 0 if missing."""
-    return int(fields.get("born") or 0), int(fields.get("sequence") or 0)
-
-
-def parse_membership(fields: Mapping | None) -> Membership | None:
-    """Return a worker's membership in a replica, or None if it belongs to none."""
-    if not fields or not fields.get("name"):
-        return None
-    return Membership(
-        replica=fields["name"],
-        epoch=int(fields.get("epoch", 0)),
-        rank=int(fields.get("rank", 0)),
-        state=ReplicaState(fields["state"]),
-    )
-
-
-def _model_names(models: Iterable | None) -> tuple[str, ...]:
-    """Return the names of models; each is given as a string or as an object with a ``name``."""
-    return tuple(model if isinstance(model, str) else model["name"] for model in models or ())
+        A worker that was removed and then added again is in both the removed ids and the entries.
+        """
+        entries: dict[str, Target] = {}
+        removed: list[str] = []
+        for key, value in batch.changes:
+            target_id = _target_id(key)
+            if value is None:
+                entries.pop(target_id, None)
+                removed.append(target_id)
+                continue
+            target = self._decode(key, value)
+            if target is not None:
+                entries[target_id] = target
+        return TargetChanges(False, tuple(entries.values()), tuple(removed), batch.position)
+
+    def _decode(self, key: str, value: bytes) -> Target | None:
+        """Return the target in an entry; None if it cannot be decoded, which is logged."""
+        target = decode_target(_target_id(key), value)
+        if isinstance(target, Fault):
+            self._unused_entries.note(key, target, asyncio.get_running_loop().time())
+            return None
+        return target
+
+
+def _target_id(key: str) -> str:
+    return key.removeprefix(TARGETS_PREFIX)
--- a/ferrydock/platform/tests/ages_site.py
+++ b/ferrydock/platform/tests/ages_site.py
@@ -666,6 +666,8 @@
             "service": "s",
             "address": "127.0.0.1:1",
             "zone": "hall-0",
+            "version": "v1",
+            "cold-remaining-ms": 0,
             "slots": agent.serial,
             "state": agent.state,
             "born": agent.born,
--- a/ferrydock/relay/_messages.py
+++ b/ferrydock/relay/_messages.py
@@ -6,12 +6,13 @@
 
 from dataclasses import asdict, dataclass
 
+import msgspec
 import orjson
 
 from ..crashes import CrashUpdate, decode_crash_update
 from ..evacuation import EvacuationReport, decode_evacuation_report
 from ..store import Position
-from ..targets import Membership, ReplicaState, Target
+from ..targets import Target
 
 __all__ = [
     "UpdateReply",
@@ -203,6 +204,7 @@
 
     Examples
     --------
+    >>> from ferrydock.targets import Membership, ReplicaState
     >>> target = Target("t", "s", "127.0.0.1:1", "h", 2, staged=("m",),
     ...                 membership=Membership("g", 3, 0, ReplicaState.OPEN))
     >>> reply = UpdateReply(True, "x", 1, True, (target,), ("u",), 9, 4, "", 0.5)
@@ -210,7 +212,7 @@
     True
     """
     fields = orjson.loads(data)
-    fields["entries"] = tuple(_decode_target(entry) for entry in fields["entries"])
+    fields["entries"] = msgspec.convert(fields["entries"], tuple[Target, ...])
     fields["removed"] = tuple(fields["removed"])
     fields["broken"] = _decode_pairs(fields.get("broken", ()))
     fields["crashes"] = decode_crash_update(fields.get("crashes"))
@@ -221,16 +223,3 @@
 
 def _decode_pairs(pairs) -> tuple[tuple[str, int], ...]:
     return tuple((str(name), int(epoch)) for name, epoch in pairs)
-
-
-def _decode_target(fields: dict) -> Target:
-    membership = fields["membership"]
-    if membership is not None:
-        membership = Membership(**{**membership, "state": ReplicaState(membership["state"])})
-    decoded_fields = {
-        "membership": membership,
-        "staged": tuple(fields["staged"]),
-        "models": tuple(fields["models"]),
-        "age_mark": tuple(fields.get("age_mark", (0, 0))),
-    }
-    return Target(**{**fields, **decoded_fields})
--- a/ferrydock/targets/__init__.py
+++ b/ferrydock/targets/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from ._directory import ReplicaView, TargetDirectory
+from ._fields import MAX_COUNT, Address, ModelNames, Name, Seconds, TargetId
 from ._ports import (
     CloseOrder,
     JoinOrder,
@@ -25,22 +26,28 @@
 from ._withdrawals import ListSource, WithdrawalLog
 
 __all__ = [
+    "MAX_COUNT",
+    "Address",
     "CloseOrder",
     "ReplicaState",
     "JoinOrder",
     "LeaveOrder",
     "ListSource",
     "Membership",
+    "ModelNames",
+    "Name",
     "OpenOrder",
     "Order",
     "OrderDone",
     "OrderRefused",
     "ReplicaView",
+    "Seconds",
     "StageOrder",
     "Target",
     "TargetChanges",
     "TargetControl",
     "TargetDirectory",
+    "TargetId",
     "TargetReport",
     "TargetSource",
     "WithdrawalLog",
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -2,8 +2,12 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta
 
 from ..invariants import require
+from ._fields import MAX_COUNT, Address, Label, ModelNames, Name, Seconds, TargetId, Whole
 
 __all__ = ["ReplicaState", "Membership", "Target"]
 
@@ -32,9 +36,9 @@
         The replica's state as this member reports it.
     """
 
-    replica: str
-    epoch: int
-    rank: int
+    replica: Name
+    epoch: Whole
+    rank: Whole
     state: ReplicaState
 
 
@@ -71,19 +75,19 @@
         bears few requests (`configuration.ColdSpec`).
     """
 
-    target_id: str
-    service: str
-    address: str
-    hall: str
-    slots: int
+    target_id: TargetId
+    service: Name
+    address: Address
+    hall: Name
+    slots: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
     draining: bool = False
-    domain: str = ""
-    staged: tuple[str, ...] = ()
-    models: tuple[str, ...] = ()
-    last_model: str = ""
+    domain: Label = ""
+    staged: ModelNames = ()
+    models: ModelNames = ()
+    last_model: Label = ""
     membership: Membership | None = None
-    age_mark: tuple[int, int] = (0, 0)
-    cold_for_s: float = 0.0
+    age_mark: tuple[Whole, Whole] = (0, 0)
+    cold_for_s: Seconds = 0.0
 
     @property
     def existing_membership(self) -> Membership:
