An entry that cannot be decoded withdraws the target whose entry it replaces

Cause: a change that cannot be decoded was passed over, so the directory kept the entry before it, for as long as the store kept the other one. Nothing else would ever remove it.

Change: such a change counts as the removal of the target, and a sound entry adds it again. In the complete list too: in a new era of the store the directory keeps targets that are only missing from the first list. An id that was never listed is removed in vain, as with any removal.

Evidence: the new tests failed before (the target stayed listed, and got requests after 2 s; a sound entry over it brought it back in both).

--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 from ..outcomes import Fault, Unavailable
-from ..store import Position, WatchBatch, prefix_end
+from ..store import Position, prefix_end
 from ..targets import Target, TargetChanges
 from ._store import MAX_WATCH_MS, TARGETS_PREFIX, HistoryCompacted, PlatformStore
 from ._unused_entries import UnusedEntryLog
@@ -76,32 +76,37 @@
         listing = await self._store.range(TARGETS_PREFIX, prefix_end(TARGETS_PREFIX))
         if isinstance(listing, Unavailable):
             return listing
-        entries = (self._decode(item.key, item.value) for item in listing.items)
-        return TargetChanges(True, tuple(e for e in entries if e), (), listing.position)
+        entries = ((item.key, item.value) for item in listing.items)
+        return self._decode_changes(True, entries, listing.position)
 
     async def _read_changes_after(
         self, known: Position, wait_ms: int, is_on_new_connection: bool = False
     ) -> TargetChanges | HistoryCompacted | Unavailable:
         batch = await self._store.watch_once(TARGETS_PREFIX, known, wait_ms, is_on_new_connection)
-        return self._merge_changes(batch) if isinstance(batch, WatchBatch) else batch
+        if isinstance(batch, HistoryCompacted | Unavailable):
+            return batch
+        return self._decode_changes(False, batch.changes, batch.position)
 
-    def _merge_changes(self, batch: WatchBatch) -> TargetChanges:
+    def _decode_changes(
+        self, is_whole: bool, changes: Iterable[tuple[str, bytes | None]], position: Position
+    ) -> TargetChanges:
         """Return the last change of each worker.
 
         A worker that was removed and then added again is in both the removed ids and the entries.
+        An entry that cannot be decoded removes the worker whose entry it replaced; in the complete
+        list too, since a new era of the store may keep a worker that is only missing from it.
         """
         entries: dict[str, Target] = {}
         removed: list[str] = []
-        for key, value in batch.changes:
+        for key, value in changes:
             target_id = _target_id(key)
-            if value is None:
-                entries.pop(target_id, None)
-                removed.append(target_id)
-                continue
-            target = self._decode(key, value)
+            target = self._decode(key, value) if value is not None else None
             if target is not None:
                 entries[target_id] = target
-        return TargetChanges(False, tuple(entries.values()), tuple(removed), batch.position)
+            else:
+                entries.pop(target_id, None)
+                removed.append(target_id)
+        return TargetChanges(is_whole, tuple(entries.values()), tuple(removed), position)
 
     def _decode(self, key: str, value: bytes) -> Target | None:
         """Return the target in an entry; None if it cannot be decoded, which is logged."""
--- a/ferrydock/platform/tests/test_foreign_entries.py
+++ b/ferrydock/platform/tests/test_foreign_entries.py
@@ -7,6 +7,7 @@
 
 from ...outcomes import Fault
 from ...store import KeyValue, Position, RangeDone, WatchBatch
+from ...targets import TargetDirectory
 from .._targets import PlatformTargetSource
 from .._unused_entries import MAX_LINES_PER_PERIOD, PERIOD_S, UnusedEntryLog
 from .test_limited_targets import send_for, start_daemons
@@ -15,6 +16,9 @@
 
 SERVING_S = 4.0
 
+# The platform's bound on requests to a target that leaves.
+DRAIN_S = 2.0
+
 FOREIGN = {
     "models": MODEL | {"models": [{"name": ["large"], "version": 1, "adapters": []}]},
     "staged": MODEL | {"models": [], "staged": [["large"]], "group": None},
@@ -35,6 +39,7 @@
     def __init__(self):
         self.items = {}
         self.changes = []
+        self.era = 0
 
     def put(self, key, value):
         self.items[key] = value
@@ -42,10 +47,10 @@
 
     async def range(self, key, range_end):
         items = tuple(KeyValue(k, v, 1, 1) for k, v in sorted(self.items.items()))
-        return RangeDone(items, len(self.changes))
+        return RangeDone(items, len(self.changes), self.era)
 
     async def watch_once(self, prefix, known, wait_ms, is_on_new_connection=False):
-        return WatchBatch(len(self.changes), tuple(self.changes[known.revision :]))
+        return WatchBatch(len(self.changes), tuple(self.changes[known.revision :]), self.era)
 
 
 def put_sound_and_foreign(store):
@@ -73,6 +78,44 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("value", [b"\xff", b"{}", sound(state="resting")])
+def test_an_entry_over_one_in_use_withdraws_the_target_until_a_sound_one(value):
+    """Failure: an entry that cannot be decoded left the one before in force."""
+
+    async def scenario():
+        store = ListStore()
+        store.put("servers/a", sound())
+        store.put("servers/z", sound())
+        source = PlatformTargetSource(store, 0.0)
+        directory = TargetDirectory()
+        directory.apply(await anext(source.follow()))
+        for written, listed in ((value, ["z"]), (sound(sequence=9), ["a", "z"])):
+            store.put("servers/a", written)
+            directory.apply(await source.changes_after(directory.position))
+            assert sorted(directory.targets) == listed
+
+    asyncio.run(scenario())
+
+
+def test_an_entry_overwritten_in_an_older_copy_of_the_store_withdraws_the_target():
+    """Failure: of a new era's first list, a target without a usable entry was kept as missing."""
+
+    async def scenario():
+        store = ListStore()
+        directory = TargetDirectory()
+        for name in ("a", "b", "z"):
+            store.put(f"servers/{name}", sound())
+        source = PlatformTargetSource(store, 0.0)
+        directory.apply(await anext(source.follow()))
+        store.era = 1
+        store.put("servers/a", b"\xff")
+        del store.items["servers/b"]
+        directory.apply(await anext(source.follow()))
+        assert sorted(directory.targets) == ["b", "z"]
+
+    asyncio.run(scenario())
+
+
 def test_each_entry_that_is_not_used_is_logged_once_in_a_period(caplog):
     log = UnusedEntryLog()
     for now_s in range(int(PERIOD_S)):
@@ -112,6 +155,24 @@
     run_scenario(scenario)
 
 
+@pytest.mark.processes
+def test_a_target_whose_entry_is_overwritten_gets_no_more_requests(tmp_path):
+    """Failure: 677 requests reached such a target later than the bound on leaving targets."""
+
+    async def scenario():
+        async with Site(tmp_path, ("hall-a", "hall-b"), domain_size=6) as site:
+            await start_daemons(site)
+            site.site.store.put("servers/hall-a-plain", b"\xff")
+            await asyncio.sleep(DRAIN_S)
+            sent_to, statuses = await send_for(site, "/look/x", "", SERVING_S / 2)
+            assert set(statuses) == {200}
+            used = {worker for sent in sent_to for worker in site.site.record.workers[sent]}
+            assert used == {"hall-b-plain"}
+            site.assert_no_violations()
+
+    run_scenario(scenario)
+
+
 @pytest.mark.processes
 def test_daemons_start_and_form_replicas_beside_entries_of_another_writer(tmp_path):
     """Failure: no daemon became ready while the list had one entry that ended its reading."""
