A replica whose head has no entry but reports finishes its requests

Callers saw (in virtual time; by reading in real processes): an entry of another writer over that of a replica's head ended the replica's answers in the middle. With the entry counted as removed this came at once; before, with any other removal of a head that lives.

Cause: the leader asks members without an entry for their reports, and keeps the replica while all of them belong to it, but not if the head is among them: then the replica was given up as member_gone, its requests cut, and the head, which had no entry, got no order to close.

Change: the head is asked as well. While all report, the replica is kept for 1 s (the head is not listed, so it gets no new request; an overwritten entry is back with the next heartbeat), then it is dissolved like one with a leaving member: the head closes after its requests, all leave. A head that was never listed, or does not report, is given up as before, after one report of up to 0.3 s.

Evidence: both new tests failed before (broken replica; replicas formed anew).

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -312,10 +312,12 @@
     def _begin_dissolving(self, replica: ObservedReplica, result: HealthResult) -> None:
         """Start to dissolve a replica.
 
-        A complete replica finishes its requests first: one with a leaving member, or one whose
-        model has a surplus. The requests of any other replica are cut.
+        A complete replica finishes its requests first: one with a leaving member, one whose head
+        has no entry but still reports, or one whose model has a surplus. The requests of any other
+        replica are cut.
         """
         self._log_removal(replica, result)
+        replica = replica.with_members(result.missing)
         cut = result.reason not in (DissolveReason.LEAVING, DissolveReason.SURPLUS)
         if cut:
             self.on_broken(replica.key)
--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -162,7 +162,7 @@
         be open; a member may join another replica only once it has itself left this one.
         """
         head, others = members[0], members[1:]
-        if self._state_of(key, head.target_id) in _SERVING:
+        if await self._state_of_head(key, head) in _SERVING:
             await self._close(key, head, cut)
         has_left = [await self._leave(key, head)]
         has_left += await asyncio.gather(*(self._leave(key, member) for member in others))
@@ -287,10 +287,23 @@
             return
         until_s = self.clock.now_s() + (CUT_TIMEOUT_S if cut else CLOSE_TIMEOUT_S)
         while self.clock.now_s() < until_s:
-            if self._state_of(key, head.target_id) not in _SERVING:
+            if await self._state_of_head(key, head) not in _SERVING:
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _state_of_head(self, key: tuple[str, int], head: Target) -> ReplicaState | None:
+        """Return the state of a replica's head; None if it is no member or does not report.
+
+        A head without an entry is asked for its report, with a pause after it.
+        """
+        if head.target_id in self.directory.targets:
+            return self._state_of(key, head.target_id)
+        report = await self.orders.control.report(head, REPORT_TIMEOUT_S)
+        await asyncio.sleep(REPORT_DELAY_S)
+        if isinstance(report, Unavailable) or (report.replica, report.epoch) != key:
+            return None
+        return ReplicaState(report.state) if report.state else None
+
     # The target list --------------------------------------------------------------------------
 
     def _state_of(self, key: tuple[str, int], member_id: str) -> ReplicaState | None:
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -2,7 +2,8 @@
 
 Decides by the members' entries in the target list, by suspicions (raised by this daemon's requests
 and its peers': `forwarding._stalls`) and, for members without an entry, by their own reports. Owns,
-in memory, since when a replica has been orphaned and when its missing members last reported.
+in memory, since when a replica has been orphaned or without its head's entry, and when its missing
+members last reported.
 """
 
 import asyncio
@@ -15,7 +16,7 @@
 from ..configuration import EngineSpec, ModelSpec
 from ..logs import log_event
 from ..outcomes import Unavailable
-from ..targets import ReplicaState, TargetDirectory
+from ..targets import ReplicaState, Target, TargetDirectory
 from ._hall_state import HallState
 from ._observed import ObservedReplica
 from ._order_sender import OrderSender
@@ -35,6 +36,10 @@
 
 REPORT_TIMEOUT_S = 0.3
 
+# How long a replica is kept whose head has no entry but reports: an entry that was overwritten is
+# back with the head's next heartbeat. Meanwhile the head gets no new requests.
+HEAD_MISSING_GRACE_S = 1.0
+
 
 class Verdict(StrEnum):
     """What the controller does with a replica."""
@@ -61,11 +66,20 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthResult:
-    """A verdict, its reason, and the ids of the members that are suspected to be dead."""
+    """A verdict and its reason.
+
+    Attributes
+    ----------
+    dead : tuple of str
+        Ids of the members that are suspected to be dead.
+    missing : tuple of Target
+        Members without an entry that still report, and are to be dissolved with the others.
+    """
 
     verdict: Verdict
     reason: DissolveReason = DissolveReason.NONE
     dead: tuple[str, ...] = ()
+    missing: tuple[Target, ...] = ()
 
 
 class ReplicaHealthCheck:
@@ -80,6 +94,7 @@
     """
 
     __slots__ = (
+        "_headless_since_s",
         "_reports_s",
         "_requesting",
         "_orphaned_since_s",
@@ -102,6 +117,7 @@
         self.clock: Clock = order_sender.clock
         self.spawn = spawn
         self._orphaned_since_s: dict[tuple[str, int], float] = {}
+        self._headless_since_s: dict[tuple[str, int], float] = {}
         # By replica: when its missing members were last known to be alive, and when their reports
         # were last requested, in seconds.
         self._reports_s: dict[tuple[str, int], tuple[float, float]] = {}
@@ -112,9 +128,9 @@
 
         The first case that applies decides: a replica that is being formed stays; one whose members
         are being sent orders is left unchanged; one whose members are all dead needs no orders; one
-        that cannot serve is dissolved, unless all that is wrong is a member that has no entry but
-        still reports; an open one stays; one that another leader began to form is adopted; any
-        other is dissolved after `ORPHAN_GRACE_S`.
+        that cannot serve is dissolved, unless all that is wrong are members that have no entry but
+        still report (`_evaluate_incomplete`); an open one stays; one that another leader began to
+        form is adopted; any other is dissolved after `ORPHAN_GRACE_S`.
         """
         now_s = self.clock.now_s()
         if replica.key in self.state.forming:
@@ -126,13 +142,14 @@
             return HealthResult(Verdict.ALL_DEAD, DissolveReason.ALL_DEAD, dead)
         model = engine.model(replica.model)
         reason = _reason_to_dissolve(replica, model, bool(dead))
-        may_live = reason is DissolveReason.MEMBER_GONE and replica.head and not replica.is_leaving
+        may_live = reason is DissolveReason.MEMBER_GONE and not replica.is_leaving
         if (
             model is not None
             and may_live
+            and (replica.head or self._missing_head(replica))
             and self._are_missing_members_alive(replica, model, now_s)
         ):
-            return HealthResult(Verdict.STAYS)
+            return self._evaluate_incomplete(replica, now_s)
         if reason:
             return HealthResult(Verdict.DISSOLVE, reason, dead)
         if replica.is_open:
@@ -145,12 +162,38 @@
             return HealthResult(Verdict.STAYS)
         return HealthResult(Verdict.DISSOLVE, DissolveReason.ORPHANED)
 
+    def _evaluate_incomplete(self, replica: ObservedReplica, now_s: float) -> HealthResult:
+        """Return what to do with a replica whose members all report, some without an entry.
+
+        It stays, unless the head has had no entry for `HEAD_MISSING_GRACE_S`. It gets no new
+        requests then, and finishes those that it has.
+        """
+        if replica.head is not None:
+            self._headless_since_s.pop(replica.key, None)
+            return HealthResult(Verdict.STAYS)
+        since_s = self._headless_since_s.setdefault(replica.key, now_s)
+        if now_s - since_s < HEAD_MISSING_GRACE_S:
+            return HealthResult(Verdict.STAYS)
+        missing = self._missing_members(replica)
+        return HealthResult(Verdict.DISSOLVE, DissolveReason.LEAVING, missing=missing)
+
     def prune(self, keys: set[tuple[str, int]]) -> None:
         """Remove the state of replicas other than those in `keys`."""
-        for known in (self._orphaned_since_s, self._reports_s):
+        for known in (self._orphaned_since_s, self._headless_since_s, self._reports_s):
             for key in [key for key in known if key not in keys]:
                 del known[key]
 
+    def _missing_members(self, replica: ObservedReplica) -> tuple[Target, ...]:
+        """Return the members without an entry that were seen earlier, as they were then."""
+        present = {target.target_id for target in replica.members}
+        known = self.directory.all_seen_members(replica.key)
+        return tuple(target for target in known if target.target_id not in present)
+
+    def _missing_head(self, replica: ObservedReplica) -> Target | None:
+        """Return the head if it has no entry but was seen earlier, else None."""
+        missing = self._missing_members(replica)
+        return next((t for t in missing if t.existing_membership.rank == 0), None)
+
     def _are_missing_members_alive(
         self, replica: ObservedReplica, model: ModelSpec, now_s: float
     ) -> bool:
@@ -172,9 +215,7 @@
 
     async def _request_missing_reports(self, replica: ObservedReplica) -> None:
         """Ask the members without an entry for reports on whether they belong to the replica."""
-        present = {target.target_id for target in replica.members}
-        known = self.directory.all_seen_members(replica.key)
-        missing = [target for target in known if target.target_id not in present]
+        missing = self._missing_members(replica)
         control = self.order_sender.control
         try:
             reports = await asyncio.gather(
--- a/ferrydock/replicas/_observed.py
+++ b/ferrydock/replicas/_observed.py
@@ -1,7 +1,8 @@
 """Replicas as the entries of their members in the target list show them; stateless."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Self
 
 from ..targets import ReplicaState, Target
 
@@ -47,6 +48,11 @@
         """Name of the model that it serves; empty if no member reports one."""
         return next((t.models[0] for t in self.members if t.models), "")
 
+    def with_members(self, missing: Iterable[Target]) -> Self:
+        """Return the replica with further members, which have no entry."""
+        members = sorted([*self.members, *missing], key=lambda t: t.existing_membership.rank)
+        return replace(self, members=members)
+
 
 def observed_replicas(members: Iterable[Target]) -> list[ObservedReplica]:
     """Return the replicas that the given targets, each with a membership, belong to."""
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -107,6 +107,45 @@
     run_scenario(scenario)
 
 
+def test_a_head_whose_entry_is_overwritten_finishes_its_requests_and_is_replaced(caplog):
+    """Failure: a live replica whose head had no usable entry was cut in the middle of answers."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(5))
+        await asyncio.sleep(20.0)
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        key = head.group_key
+        hall.list.overwritten.add(head.worker_id)
+        hall.list._on_change(head)
+        assert await hall.until(lambda: head.group_key != key, 10.0) is not None
+        assert await hall.until(lambda: hall.models() == ALL_REPLICAS, 20.0) is not None
+        assert hall.broken == [] and hall.fleet.violations == []
+        text = " ".join(line for line in caplog.messages if head.worker_id in line)
+        assert text.index("order=CloseOrder") < text.index("order=LeaveOrder")
+        assert f"event=replica_dissolved replica={key[0]} epoch={key[1]} cut=False" in text
+
+    run_scenario(scenario)
+
+
+def test_a_head_whose_entry_is_back_within_a_second_keeps_its_replica():
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(10))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        for head in hall.fleet.open_heads():
+            hall.list.overwritten.add(head.worker_id)
+            hall.list._on_change(head)
+            await asyncio.sleep(0.5)
+            assert head.worker_id not in hall.directory.targets
+            hall.list.overwritten.clear()
+            hall.list._on_change(head)
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        assert hall.broken == []
+
+    run_scenario(scenario)
+
+
 def test_a_new_leader_with_an_empty_list_dissolves_no_live_replica():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(9))
