Targets that nobody can use shift no plan, delay no replica and tell of no lost links

Found on related paths, for entries of another writer whose fields all have their types: a service that is not named in the configuration, or a target of a service with replicas that has no fabric domain.

What went wrong: targets without a domain counted as idle members of a domain of their own, got orders to join and shifted which model gets which domain; any entry that came put off a site's first replicas, since the plan waits until the whole list has been unchanged for a while (0 of 6 replicas after 20 s with an entry every 0.2 s); and a daemon that reached none of a few random targets, among many foreign addresses, concluded that its own links are lost and passed its requests on.

Change: members are targets with a domain; the plan waits for targets of its own service; links are checked with targets of configured services.

--- a/ferrydock/platform/tests/test_foreign_entries.py
+++ b/ferrydock/platform/tests/test_foreign_entries.py
@@ -189,3 +189,24 @@
             await assert_all_served(site)
 
     run_scenario(scenario)
+
+
+@pytest.mark.processes
+def test_targets_of_services_that_are_not_configured_do_not_tell_of_lost_links(tmp_path):
+    """Failure: daemons that reached none of many foreign addresses passed all requests on."""
+
+    async def scenario():
+        async with Site(tmp_path, ("hall-a", "hall-b"), domain_size=6) as site:
+            await start_daemons(site)
+            for number in range(500):
+                entry = sound(service="unnamed", address="127.0.0.1:9")
+                site.site.store.put(f"servers/legacy-{number}", entry)
+            await site.wait_until(
+                lambda: all(len(daemon.directory.targets) >= 500 for daemon in site.daemons)
+            )
+            for daemon in site.daemons:
+                links = daemon.gateway.forwarder.attempts.upstream.dialer.links
+                assert not await links.check()
+            await assert_all_served(site)
+
+    run_scenario(scenario)
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -179,7 +179,7 @@
         targets = [
             target
             for target in self.directory.targets.values()
-            if target.service == service and target.hall == self.hall
+            if target.service == service and target.hall == self.hall and target.may_join_replicas
         ]
         self.state.prune(targets)
         self.loads.follow(service, targets, engine)
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -352,12 +352,15 @@
         engine: EngineSpec,
     ) -> HallSupply:
         """Return the hall's share of the demand, by its share of the targets, and its replicas."""
-        site_target_count = sum(
-            target.service == service for target in self.directory.targets.values()
-        )
+        site_target_count = len(self._site_targets_of(service))
         counts = Counter(replica.model for replica in replicas)
         return HallSupply(self.demand(service), len(targets) / max(1, site_target_count), counts)
 
+    def _site_targets_of(self, service: str) -> list[Target]:
+        """Return the targets of all halls that can be members of a service's replicas."""
+        targets = self.directory.targets.values()
+        return [t for t in targets if t.service == service and t.may_join_replicas]
+
     def _is_usable(self, target: Target) -> bool:
         return not target.draining and not self.state.is_paused(target)
 
@@ -392,13 +395,15 @@
     def _are_targets_settled(self, targets: list[Target], now_s: float) -> bool:
         """Return whether all of the hall's targets have probably registered.
 
-        That holds if the number of targets has not changed for `TARGETS_SETTLE_S`, or if one of the
-        hall's targets has ever got an order, since the hall was then planned before.
+        That holds if the number of the service's targets on the site has not changed for
+        `TARGETS_SETTLE_S`, or if one of the hall's targets has ever got an order, since the hall
+        was then planned before.
         """
         if not all(target.is_unused for target in targets):
             return True
-        if len(self.directory.targets) != self._last_target_count:
-            self._last_target_count = len(self.directory.targets)
+        count = len(self._site_targets_of(targets[0].service)) if targets else 0
+        if count != self._last_target_count:
+            self._last_target_count = count
             self._target_count_changed_s = now_s
         return now_s - self._target_count_changed_s >= TARGETS_SETTLE_S
 
--- a/ferrydock/replicas/_site_planner.py
+++ b/ferrydock/replicas/_site_planner.py
@@ -474,7 +474,10 @@
         others = [
             target
             for target in self.directory.targets.values()
-            if target.service == service and target.hall != self.hall and not target.draining
+            if target.service == service
+            and target.hall != self.hall
+            and target.may_join_replicas
+            and not target.draining
         ]
         sizes = {model.name: model.size for model in engine.models}
         remote_changes = self.observations.remote_changes()
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ...standins.fleet import run_virtually
+from ...targets import Target
 from .._order_sender import KnownOrders
 from .hall import Hall
 
@@ -49,6 +50,41 @@
     run_scenario(scenario)
 
 
+def foreign_target(number, service, domain=""):
+    """Return a target that no worker of the hall has registered."""
+    return Target(f"foreign-{number}", service, "127.0.0.1:9", "hall-a", 8, domain=domain)
+
+
+def test_entries_without_a_domain_form_no_replicas_and_change_no_plan(caplog):
+    """Failure: entries that lack what a member needs were ordered to join, and shifted the plan."""
+
+    async def scenario():
+        hall = Hall(1)
+        await asyncio.sleep(0.1)
+        for number in range(12):
+            hall.directory.put(foreign_target(number, "engines"))
+        await hall_with_all_replicas(hall)
+        await asyncio.sleep(30.0)
+        assert hall.models() == ALL_REPLICAS
+        assert not [line for line in caplog.messages if "foreign" in line]
+
+    run_scenario(scenario)
+
+
+def test_entries_of_another_service_that_keep_coming_do_not_delay_the_first_replicas():
+    """Failure: the first plan waits until the list has been unchanged for a while."""
+
+    async def scenario():
+        hall = Hall(1)
+        hall.start_controller()
+        for number in range(100):
+            hall.directory.put(foreign_target(number, "unnamed", "d0"))
+            await asyncio.sleep(0.2)
+        assert hall.models() == ALL_REPLICAS
+
+    run_scenario(scenario)
+
+
 def test_a_dead_member_is_replaced_by_a_spare_within_three_seconds():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(2))
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -415,7 +415,12 @@
         return [leader] if leader else []
 
     def _usable_target_addresses(self) -> list[str]:
-        return [t.address for t in self.directory.targets.values() if not t.draining]
+        """Return the addresses of targets in use: not of services that are not configured."""
+        return [
+            target.address
+            for target in self.directory.targets.values()
+            if not target.draining and self.current.service(target.service) is not None
+        ]
 
     def _leaderships(self) -> list[HallLeadership]:
         return [self.leadership, *self.remote_leaderships]
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -99,6 +99,11 @@
         """Incarnation of the target: start time of its process, by its own clock; 0 if unknown."""
         return self.age_mark[0]
 
+    @property
+    def may_join_replicas(self) -> bool:
+        """Whether it can be a member of replicas: a plain target has no fabric domain."""
+        return bool(self.domain)
+
     @property
     def is_unused(self) -> bool:
         """Whether it holds nothing and belongs to no replica, so it has certainly got no order."""
