An entry of another service that names a replica is not one of its members

Cause: the members seen of a replica were kept by its name and epoch only; all other readers look at the replicas of one service.

Change: they are kept by service too, and the loads that slow an adopted replica are those of its service.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -372,6 +372,7 @@
         joining = sum(
             target.membership is not None and target.membership.state is ReplicaState.JOINING
             for target in self.directory.targets.values()
+            if target.service == replica.service
         )
         ready_s = model.load_s * slowdown(joining, engine.loads_at_once)
         formation = Formation(model, members, 0, ready_s)
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -186,7 +186,7 @@
     def _missing_members(self, replica: ObservedReplica) -> tuple[Target, ...]:
         """Return the members without an entry that were seen earlier, as they were then."""
         present = {target.target_id for target in replica.members}
-        known = self.directory.all_seen_members(replica.key)
+        known = self.directory.all_seen_members(replica.service, replica.key)
         return tuple(target for target in known if target.target_id not in present)
 
     def _missing_head(self, replica: ObservedReplica) -> Target | None:
@@ -203,7 +203,7 @@
         restored. A replica is complete as long as its members report that they belong to it.
         """
         key = replica.key
-        if len(self.directory.all_seen_members(key)) < model.size:
+        if len(self.directory.all_seen_members(replica.service, key)) < model.size:
             first_s = self._orphaned_since_s.setdefault(key, now_s)
             return now_s - first_s < ORPHAN_GRACE_S
         alive_s, requested_s = self._reports_s.get(key, (now_s, -REPORT_INTERVAL_S))
--- a/ferrydock/replicas/_observed.py
+++ b/ferrydock/replicas/_observed.py
@@ -22,6 +22,11 @@
         """Name and epoch."""
         return self.name, self.epoch
 
+    @property
+    def service(self) -> str:
+        """Service of its members."""
+        return self.members[0].service
+
     @property
     def domain(self) -> str:
         """Fabric domain of its members."""
--- a/ferrydock/replicas/_site_planner.py
+++ b/ferrydock/replicas/_site_planner.py
@@ -269,7 +269,7 @@
         )
         self._note_shortage(known, short_models(engine, facts), now_s)
         known.plan = site_plan(engine, facts) if self.is_any_short(service) else None
-        self._note_unresponsive(known)
+        self._note_unresponsive(service, known)
         self._note_held_counts(known)
 
     def reassignments(
@@ -414,14 +414,14 @@
         change_s = model.load_s + model.warm_s + engine.form_s
         return self._new_change(given, "", 0, 0, change_s)
 
-    def _note_unresponsive(self, known: _ServiceState) -> None:
+    def _note_unresponsive(self, service: str, known: _ServiceState) -> None:
         """Record which halls have not begun to give away what the plan gives away."""
         now_s = self.clock.now_s()
         given = known.plan.given if known.plan is not None else ()
         planned = {g.key: g for g in given if g.hall != self.hall}
         known.planned_since_s = {key: known.planned_since_s.get(key, now_s) for key in planned}
         for key, since_s in known.planned_since_s.items():
-            members = self.directory.all_seen_members(key)
+            members = self.directory.all_seen_members(service, key)
             has_begun = any(planned[key].to_model in member.staged for member in members)
             if now_s - since_s > UNRESPONSIVE_AFTER_S and not has_begun:
                 known.unresponsive_until_s[planned[key].hall] = now_s + UNRESPONSIVE_FOR_S
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -1,6 +1,7 @@
 """The controller of a hall's replicas, on virtual time against workers in memory."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -85,6 +86,26 @@
     run_scenario(scenario)
 
 
+def test_entries_of_another_service_that_name_a_replica_are_not_its_members():
+    """Failure: a replica with a missing member was cut, as such an entry did not report either."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(1))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        for number, head in enumerate(hall.fleet.open_heads()):
+            member = hall.directory.targets[head.members[1]]
+            foreign = foreign_target(number, "unnamed", member.domain)
+            hall.directory.put(replace(foreign, membership=member.membership))
+            hall.list.overwritten.add(member.target_id)
+            hall.list._on_change(hall.fleet.workers[member.target_id])
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        assert hall.broken == []
+
+    run_scenario(scenario)
+
+
 def test_a_dead_member_is_replaced_by_a_spare_within_three_seconds():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(2))
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -120,7 +120,7 @@
     def is_usable_target(self, target: Target) -> bool:
         """Return whether a target may get requests now, by the replica that it belongs to."""
         key = target.membership and (target.membership.replica, target.membership.epoch)
-        members = self.directory.all_seen_members(key) if key else ()
+        members = self.directory.all_seen_members(target.service, key) if key else ()
         return self._may_take_requests(target, members)
 
     def _may_take_requests(self, target: Target, members: Iterable[Target]) -> bool:
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -116,7 +116,8 @@
         # after which no change is missing from `_changed_ids`.
         self._changed_positions: deque[Position] = deque(maxlen=MAX_CHANGES_REMEMBERED)
         self._changes_complete_after = Position()
-        self._members_by_replica: dict[tuple[str, int], dict[str, Target]] = {}
+        # By service, name and epoch of the replica; the members by id.
+        self._members_by_replica: dict[tuple[str, str, int], dict[str, Target]] = {}
         self._replicas_by_service: dict[str, list[ReplicaView]] | None = None
 
     def replace(self, targets: Iterable[Target]) -> None:
@@ -247,16 +248,25 @@
         return replace(target, last_model=previous.last_model) if previous else target
 
     def _note_member(self, target: Target) -> None:
-        key = (target.existing_membership.replica, target.existing_membership.epoch)
+        membership = target.existing_membership
+        key = (target.service, membership.replica, membership.epoch)
         if key not in self._members_by_replica:
             self._members_by_replica[key] = {}
             if len(self._members_by_replica) > MAX_REPLICAS_REMEMBERED:
                 del self._members_by_replica[next(iter(self._members_by_replica))]
         self._members_by_replica[key][target.target_id] = target
 
-    def all_seen_members(self, key: tuple[str, int]) -> tuple[Target, ...]:
-        """Return all targets that were seen in a replica, also those whose entry was removed."""
-        return tuple(self._members_by_replica.get(key, {}).values())
+    def all_seen_members(self, service: str, key: tuple[str, int]) -> tuple[Target, ...]:
+        """Return all targets that were seen in a replica, also those whose entry was removed.
+
+        Parameters
+        ----------
+        service : str
+            Service of the replica. Entries of another service may name the same replica.
+        key : (str, int)
+            Name and epoch.
+        """
+        return tuple(self._members_by_replica.get((service, *key), {}).values())
 
     def remove(self, target_id: str) -> None:
         """Remove a target's entry; the removal counts as a change even if there is no entry.
