A controller key that cannot be decoded ends no daemon

Found by reading for the same cause where our own records come in from the store: the value of a hall's controller key was decoded without a check, in the loop whose failure ends the process.

Change: the value is decoded by its declared types; one that cannot be decoded says nothing of the holder, with a line controller_unreadable. The key still holds the hall, as any key there does.

--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -6,12 +6,16 @@
 and when.
 """
 
+import logging
 import uuid
 from dataclasses import dataclass, replace
 
+import msgspec
 import orjson
+from msgspec import Struct
 
 from .clock import Clock
+from .logs import log_event
 from .outcomes import Conflict, Unavailable, Unknown
 from .store import (
     Compare,
@@ -36,6 +40,11 @@
     "placement_key",
 ]
 
+_LOG = logging.getLogger("ferrydock.hall_lease")
+
+# Bounds the log line on a value that cannot be decoded.
+MAX_WHY_CHARS = 200
+
 # How long before the store could let a lease expire its holder stops relying on it. Covers the time
 # between reading the clock and the end of an action under the lease.
 CLOCK_MARGIN_S = 0.25
@@ -250,16 +259,35 @@
             await self.store.revoke_lease(held.lease_id)
 
 
+class ControllerFields(Struct):
+    """What the value of a controller's key says of its holder."""
+
+    holder: str = "another daemon"
+    address: str = ""
+    processor_cores: float | None = None
+
+
 def controller_address(value: bytes) -> str:
     """Return ``IP:PORT`` of the holder from the value of a controller's key; empty if absent."""
-    return str(orjson.loads(value).get("address", ""))
+    return _decode_controller(value).address
 
 
 def controller_cores(value: bytes) -> float | None:
     """Return the holder's processor cores from the value of a controller's key; None if absent."""
-    cores = orjson.loads(value).get("processor_cores")
-    return float(cores) if isinstance(cores, int | float) else None
+    return _decode_controller(value).processor_cores
 
 
 def _holder_of(item: KeyValue | None) -> str:
-    return str(orjson.loads(item.value)["holder"]) if item is not None else "another daemon"
+    return _decode_controller(item.value).holder if item is not None else ControllerFields().holder
+
+
+def _decode_controller(value: bytes) -> ControllerFields:
+    """Decode the value of a controller's key; one that cannot be decoded tells nothing of it.
+
+    Whoever wrote it, the key exists, so the hall has a leader.
+    """
+    try:
+        return msgspec.json.decode(value, type=ControllerFields)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        log_event(_LOG, logging.WARNING, "controller_unreadable", why=str(error)[:MAX_WHY_CHARS])
+        return ControllerFields()
