A member without an entry is asked anew after its replica was complete

Cause: when a member has no entry, the leader asks it for its report and relies on the last good one for 1.5 s. The time of that report was kept while the replica was complete again, so the next missing member found an old one, and the replica was given up before anyone was asked: in the log replica_given_up why=member_gone at 15.971, members_missing alive=True at 15.976. Not new, and not only of foreign entries: it takes any two members whose entries lapse one after the other.

Change: what was reported is forgotten once the replica is complete.

Evidence: the new test failed before for three of three members, the head among them.

--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -142,6 +142,9 @@
             return HealthResult(Verdict.ALL_DEAD, DissolveReason.ALL_DEAD, dead)
         model = engine.model(replica.model)
         reason = _reason_to_dissolve(replica, model, bool(dead))
+        if reason is not DissolveReason.MEMBER_GONE:
+            self._reports_s.pop(replica.key, None)
+            self._headless_since_s.pop(replica.key, None)
         may_live = reason is DissolveReason.MEMBER_GONE and not replica.is_leaving
         if (
             model is not None
@@ -169,7 +172,6 @@
         requests then, and finishes those that it has.
         """
         if replica.head is not None:
-            self._headless_since_s.pop(replica.key, None)
             return HealthResult(Verdict.STAYS)
         since_s = self._headless_since_s.setdefault(replica.key, now_s)
         if now_s - since_s < HEAD_MISSING_GRACE_S:
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -184,6 +184,29 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("second", [0, 1, 2])
+def test_a_member_that_is_missing_after_another_one_was_is_asked_anew(second):
+    """Failure: the last report of the time before was too old, and a live replica was cut."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(12))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        for member_id in (head.members[3], head.members[second]):
+            member = hall.fleet.workers[member_id]
+            hall.list.overwritten.add(member_id)
+            hall.list._on_change(member)
+            await asyncio.sleep(0.5)
+            hall.list.overwritten.clear()
+            hall.list._on_change(member)
+            await asyncio.sleep(3.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        assert hall.broken == []
+
+    run_scenario(scenario)
+
+
 def test_a_head_whose_entry_is_back_within_a_second_keeps_its_replica():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(10))
