--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -176,15 +176,12 @@
         return engine if self.follows_site_plan else replace(engine, loads_at_once=0)
 
     async def _step_service(self, service: str, engine: EngineSpec, is_demand_due: bool) -> None:
-        targets = [
-            target
-            for target in self.directory.targets.values()
-            if target.service == service and target.hall == self.hall and target.may_join_replicas
-        ]
+        members = self.directory.possible_members(service)
+        targets = [target for target in members if target.hall == self.hall]
         self.state.prune(targets)
         self.loads.follow(service, targets, engine)
-        members = [t for t in targets if t.membership is not None and not self.state.has_left(t)]
-        observed = observed_replicas(members)
+        joined = [t for t in targets if t.membership is not None and not self.state.has_left(t)]
+        observed = observed_replicas(joined)
         staying = [replica for replica in observed if self._handle_replica(replica, engine)]
         self.health_check.prune({replica.key for replica in observed})
         self._follow_changes(service, staying, engine)
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -352,15 +352,10 @@
         engine: EngineSpec,
     ) -> HallSupply:
         """Return the hall's share of the demand, by its share of the targets, and its replicas."""
-        site_target_count = len(self._site_targets_of(service))
+        site_target_count = len(self.directory.possible_members(service))
         counts = Counter(replica.model for replica in replicas)
         return HallSupply(self.demand(service), len(targets) / max(1, site_target_count), counts)
 
-    def _site_targets_of(self, service: str) -> list[Target]:
-        """Return the targets of all halls that can be members of a service's replicas."""
-        targets = self.directory.targets.values()
-        return [t for t in targets if t.service == service and t.may_join_replicas]
-
     def _is_usable(self, target: Target) -> bool:
         return not target.draining and not self.state.is_paused(target)
 
@@ -401,7 +396,7 @@
         """
         if not all(target.is_unused for target in targets):
             return True
-        count = len(self._site_targets_of(targets[0].service)) if targets else 0
+        count = len(self.directory.possible_members(targets[0].service)) if targets else 0
         if count != self._last_target_count:
             self._last_target_count = count
             self._target_count_changed_s = now_s
--- a/ferrydock/replicas/_site_planner.py
+++ b/ferrydock/replicas/_site_planner.py
@@ -473,11 +473,8 @@
     ) -> tuple[SiteDomain, ...]:
         others = [
             target
-            for target in self.directory.targets.values()
-            if target.service == service
-            and target.hall != self.hall
-            and target.may_join_replicas
-            and not target.draining
+            for target in self.directory.possible_members(service)
+            if target.hall != self.hall and not target.draining
         ]
         sizes = {model.name: model.size for model in engine.models}
         remote_changes = self.observations.remote_changes()
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -293,6 +293,10 @@
         """Return the targets of a service that are not draining."""
         return [t for t in self.targets.values() if t.service == service and not t.draining]
 
+    def possible_members(self, service: str) -> list[Target]:
+        """Return the targets that can be members of a service's replicas, draining ones too."""
+        return [t for t in self.targets.values() if t.service == service and t.may_join_replicas]
+
     def replicas(self, service: str) -> list[ReplicaView]:
         """Return the open replicas of a service, without those that have a draining member."""
         if self._replicas_by_service is None:
