Log lines about a target whose entry comes and goes are bounded

An entry that another writer overwrites again and again wrote a line target_withdrawn each time (up to 100 a second for all targets), and a member whose entry stays overwritten one line members_missing a second for as long as it does. Now the same is logged of a target once in 60 s, with the number of lines left out, and members_missing when the missing members, or whether they are alive, have changed.

Evidence: the new tests failed before (1,000 lines for 1,000 changes; 55 lines in 60 s).

--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -95,6 +95,7 @@
 
     __slots__ = (
         "_headless_since_s",
+        "_logged_missing",
         "_reports_s",
         "_requesting",
         "_orphaned_since_s",
@@ -122,6 +123,8 @@
         # were last requested, in seconds.
         self._reports_s: dict[tuple[str, int], tuple[float, float]] = {}
         self._requesting: set[tuple[str, int]] = set()
+        # By replica: its missing members and whether they were alive, as logged last.
+        self._logged_missing: dict[tuple[str, int], tuple[str, bool]] = {}
 
     def evaluate(self, replica: ObservedReplica, engine: EngineSpec) -> HealthResult:
         """Return what the controller is to do with a replica.
@@ -181,7 +184,12 @@
 
     def prune(self, keys: set[tuple[str, int]]) -> None:
         """Remove the state of replicas other than those in `keys`."""
-        for known in (self._orphaned_since_s, self._headless_since_s, self._reports_s):
+        for known in (
+            self._orphaned_since_s,
+            self._headless_since_s,
+            self._reports_s,
+            self._logged_missing,
+        ):
             for key in [key for key in known if key not in keys]:
                 del known[key]
 
@@ -232,13 +240,17 @@
         )
         alive_s = now_s if are_alive else now_s - 2 * REPORT_VALID_S
         self._reports_s[replica.key] = (alive_s, now_s)
+        found = ",".join(sorted(target.target_id for target in missing)), are_alive
+        if self._logged_missing.get(replica.key) == found:
+            return
+        self._logged_missing[replica.key] = found
         log_event(
             _LOG,
             logging.WARNING,
             "members_missing",
             replica=replica.name,
             epoch=replica.epoch,
-            missing=",".join(target.target_id for target in missing),
+            missing=found[0],
             alive=are_alive,
         )
 
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -207,6 +207,24 @@
     run_scenario(scenario)
 
 
+def test_a_member_whose_entry_stays_overwritten_keeps_its_replica_and_is_logged_once(caplog):
+    """Failure: a line each second, for as long as the entry was there."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(11))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        member = hall.fleet.workers[hall.fleet.open_heads()[0].members[1]]
+        hall.list.overwritten.add(member.worker_id)
+        hall.list._on_change(member)
+        await asyncio.sleep(60.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        lines = [line for line in caplog.messages if "members_missing" in line]
+        assert len(lines) == 1 and f"missing={member.worker_id} alive=True" in lines[0]
+
+    run_scenario(scenario)
+
+
 def test_a_head_whose_entry_is_back_within_a_second_keeps_its_replica():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(10))
--- a/ferrydock/targets/_withdrawals.py
+++ b/ferrydock/targets/_withdrawals.py
@@ -7,6 +7,7 @@
 import logging
 from collections import deque
 from enum import StrEnum
+from math import inf
 
 from ..clock import Clock
 from ..logs import log_event
@@ -20,6 +21,9 @@
 # number of lines omitted before it.
 MAX_LINES_PER_S = 100
 
+# Time within which the same is logged once of a target whose entry comes and goes.
+REPEAT_AFTER_S = 60.0
+
 # Bounds the memory; a site has some hundreds of targets.
 MAX_TARGETS_REMEMBERED = 2000
 
@@ -39,11 +43,13 @@
 class WithdrawalLog:
     """Writes one line for each target that this daemon learns to be leaving or removed."""
 
-    __slots__ = ("_last_begun_s", "_line_times_s", "_omitted_lines", "clock")
+    __slots__ = ("_last_begun_s", "_last_lines_s", "_line_times_s", "_omitted_lines", "clock")
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self._last_begun_s: dict[str, float] = {}
+        # Time of the last line of each target and each way to learn it.
+        self._last_lines_s: dict[tuple[str, str], float] = {}
         self._line_times_s: deque[float] = deque(maxlen=MAX_LINES_PER_S)
         self._omitted_lines = 0
 
@@ -70,10 +76,15 @@
         """
         now_s = self.clock.now_s()
         times_s = self._line_times_s
-        if len(times_s) == MAX_LINES_PER_S and now_s - times_s[0] < 1.0:
+        is_repeated = now_s - self._last_lines_s.get((target_id, how), -inf) < REPEAT_AFTER_S
+        if is_repeated or (len(times_s) == MAX_LINES_PER_S and now_s - times_s[0] < 1.0):
             self._omitted_lines += 1
             return
         times_s.append(now_s)
+        self._last_lines_s.pop((target_id, how), None)
+        self._last_lines_s[target_id, how] = now_s
+        if len(self._last_lines_s) > MAX_TARGETS_REMEMBERED:
+            del self._last_lines_s[next(iter(self._last_lines_s))]
         begun_s = self._last_begun_s.get(target_id)
         log_event(
             _LOG,
--- a/ferrydock/targets/tests/test_withdrawals.py
+++ b/ferrydock/targets/tests/test_withdrawals.py
@@ -96,3 +96,16 @@
     for number in range(MAX_TARGETS_REMEMBERED + 5):
         log.note_begun(f"t{number}", float(number))
     assert len(log._last_begun_s) == MAX_TARGETS_REMEMBERED and "t4" not in log._last_begun_s
+
+
+def test_a_target_whose_entry_comes_and_goes_is_logged_once_in_a_while(caplog):
+    """Failure: an entry that another writer overwrites again and again wrote a line each time."""
+    listed = Listed(caplog, "a", "b")
+    for number in range(1000):
+        listed.clock.advance(0.1)
+        position = Position(0, 10 + 2 * number)
+        listed.directory.apply(TargetChanges(False, (), ("a",), position))
+        position = Position(0, 11 + 2 * number)
+        listed.directory.apply(TargetChanges(False, (entry("a", number + 2),), (), position))
+    lines = listed.lines()
+    assert len(lines) == 2 and int(lines[1]["left_out"]) > 500
