--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -33,6 +33,10 @@
 ``python -m benchmarks.soak --plays=links --seeds=50`` plays daemons that lose their links to all
 targets in different ways, with all other kinds of faults; ``tests/soak_link_seeds.txt``.
 
+``python -m benchmarks.soak --plays=foreign --seeds=50`` plays entries of another writer in the
+target list, before the start and later, over entries in use and under ids of their own, on two of
+three seeds among signals, restarts and changes; ``tests/soak_foreign_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=drains --seeds=50`` plays targets that leave all the time while
 store, leaders and callers are slow, silent or stopped, and measures how long each target that
 leaves still gets requests; ``tests/soak_drain_seeds.txt``. ``drains.txt`` in the logs of a seed
@@ -58,6 +62,7 @@
     draw_crashing_parts,
     draw_drains,
     draw_eras,
+    draw_foreign,
     draw_leaving,
     draw_leaving_announcements,
     draw_limits,
@@ -85,6 +90,9 @@
 # Fewest daemons of a hall where some of them lose their links.
 MIN_PEERS = 3
 
+# Daemons of a hall in the largest plays: as many processes as eight cores bear.
+FOREIGN_PEERS = 16
+
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
 DRAINS_LENGTH_S = 20.0
@@ -272,6 +280,30 @@
     return _fleet_experiment(f"links {seed}", seed, length_s, LEAVING_LOAD, troubles, MIN_PEERS)
 
 
+def foreign_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with entries of another writer in the target list.
+
+    Callers keep their connections until a process is gone. Every third seed has no other faults.
+    Every tenth seed has 48 daemons, every fourth eight in one hall, the others six in two halls.
+    """
+    halls, count, domain_size = _fleet_sizes(seed)
+    count = FOREIGN_PEERS if len(halls) == 3 else max(count, MIN_PEERS)
+    length_s = 14.0
+    return Experiment(
+        name=f"foreign {seed}",
+        seed=seed,
+        length_s=length_s,
+        halls=halls,
+        daemons_per_hall=count,
+        domain_size=domain_size,
+        load=LOAD,
+        troubles=tuple(draw_foreign(seed, length_s, halls)),
+        settle_s=10.0,
+        persistent_callers=1 if len(halls) * count > 12 else 2,
+        has_foreign_entries=True,
+    )
+
+
 PLAYS = {
     "all": soak_experiment,
     "stops": stops_experiment,
@@ -284,6 +316,7 @@
     "drains": drains_experiment,
     "links": links_experiment,
     "parts": parts_experiment,
+    "foreign": foreign_experiment,
 }
 
 
@@ -310,10 +343,12 @@
             at_limited=result.at_limited or None,
             leaving_said=result.leaving_said or None,
             shed=result.shed or None,
+            foreign=result.foreign_entries or None,
+            overwritten=result.overwritten or None,
             **_drain_figures(result),
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
-            excused=sum(result.excused.values()) if result.stops else None,
+            excused=sum(result.excused.values()) if result.stops or result.excused else None,
             broken=len(result.broken),
             first=result.broken[0] if result.broken else None,
         ),
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -14,6 +14,7 @@
     draw_troubles,
     read_experiment,
 )
+from ._foreign_entries import draw_entry, draw_foreign
 from ._leaving import (
     DRAIN_S,
     arrivals_after_leaving,
@@ -65,7 +66,9 @@
     "LateArrival",
     "LateClass",
     "draw_drains",
+    "draw_entry",
     "draw_eras",
+    "draw_foreign",
     "arrivals_after_leaving",
     "draw_leaving",
     "draw_leaving_announcements",
--- a/ferrydock/emulator/_drain_plays.py
+++ b/ferrydock/emulator/_drain_plays.py
@@ -5,7 +5,7 @@
 
 from ._experiment import Trouble
 
-__all__ = ["draw_drains"]
+__all__ = ["draw_drains", "draw_series"]
 
 # Pause between two leaving targets; two leave in a second on average.
 LEAVE_INTERVAL_S = (0.2, 0.8)
@@ -100,17 +100,17 @@
     if rng.random() < SINGLE_OUTAGES_SHARE:
         for outage_at in OUTAGES_AT:
             at_s = rng.uniform(*outage_at) * length_s
-            drawn += _draw_series(rng, rng.choice(_OUTAGES), at_s, 2, halls)
+            drawn += draw_series(rng, rng.choice(_OUTAGES), at_s, 2, halls)
     else:
         weights = rng.choice(_WEIGHTS)
         for _ in range(rng.choice(SERIES)):
             name = rng.choices(list(weights), list(weights.values()))[0]
             at_s = rng.uniform(0.8, length_s * 0.8)
-            drawn += _draw_series(rng, name, at_s, rng.choice(SERIES_LENGTH), halls)
+            drawn += draw_series(rng, name, at_s, rng.choice(SERIES_LENGTH), halls)
     return sorted(drawn, key=lambda trouble: trouble.at_s)
 
 
-def _draw_series(
+def draw_series(
     rng: random.Random, name: str, at_s: float, length: int, halls: Sequence[str]
 ) -> list[Trouble]:
     """Return `length` troubles of one kind of series, the first one at `at_s`."""
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -9,6 +9,7 @@
 from ._links import LinkFailure
 
 __all__ = [
+    "FOREIGN_KIND",
     "KINDS",
     "Experiment",
     "Load",
@@ -90,6 +91,11 @@
     "reset_hang, live_on, live_on_hang)",
     "callers_skewed": "most callers connect anew to one daemon for `for_s`",
 }
+FOREIGN_KIND = "entries_foreign"
+_FOREIGN_KINDS = {
+    FOREIGN_KIND: "another writer adds `count` entries at a time that name no target, for `for_s`, "
+    "and overwrites some of those in use",
+}
 KINDS = {
     **_SOAK_KINDS,
     **_STOP_KINDS,
@@ -99,6 +105,7 @@
     **_NOTICE_KINDS,
     **_DRAIN_KINDS,
     **_LINK_KINDS,
+    **_FOREIGN_KINDS,
 }
 _STORE_FAILURES = ("silent", "busy", "many", "reset")
 _FAILURES = (*_STORE_FAILURES, *(failure for failure in LinkFailure if failure != "reset"))
@@ -174,6 +181,8 @@
         Time that an answer of the undisturbed store takes on its way.
     has_small_buffers : bool
         Whether targets have a short queue of connections to accept and small receive buffers.
+    has_foreign_entries : bool
+        Whether the target list may hold entries of another writer before the daemons start.
     """
 
     name: str
@@ -189,6 +198,7 @@
     persistent_callers: int = 0
     store_latency_s: float = 0.0
     has_small_buffers: bool = False
+    has_foreign_entries: bool = False
 
 
 def _read_number(place, fields, name, default, low, high, faults, integer=False):
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -17,6 +17,7 @@
     is_of_part_play,
 )
 from ._drains import DrainJudge, LateClass
+from ._foreign_entries import describe_log_lines, describe_unserved_beside
 from ._hops import Arrival, Departure, analyse_hops
 from ._leaving import (
     DRAIN_S,
@@ -37,6 +38,7 @@
     PlannedStop,
     describe_broken,
     excuse_of_call,
+    excuse_of_emulation,
     excuse_of_stop,
     find_end_fault,
     is_as_promised,
@@ -107,6 +109,7 @@
         result.broken += describe_skew(calls, self.parts.skews_s, self._was_in_contact)
         self._check_limits()
         self._check_rests()
+        self._check_foreign_entries()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -260,6 +263,26 @@
                 refused_s = at_s - self.load_began_s
                 result.broken.append(describe_violations(shedding, daemon, refused_s, count))
 
+    def _check_foreign_entries(self) -> None:
+        """Report requests that failed, and logs that grew, beside entries of another writer."""
+        result, experiment = self.parts.result, self.parts.experiment
+        if not result.foreign_entries:
+            return
+        result.broken += describe_unserved_beside(
+            result.calls, experiment.troubles, self._note_excuse
+        )
+        for daemon in self.parts.daemons:
+            log = daemon.log_path.read_bytes()
+            result.broken += describe_log_lines(daemon.name, log, self.parts.now_s())
+
+    def _note_excuse(self, call: Call) -> str:
+        """Return why the emulation may have kept a call from being served, and count it."""
+        result = self.parts.result
+        excuse = excuse_of_emulation(call, result.stood_still, result.slow_answers)
+        if excuse:
+            result.excused[excuse] += 1
+        return excuse
+
     def _daemon_of(self, request_id: str) -> str:
         return self._sent_to[request_id]
 
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -26,6 +26,7 @@
     "callers of daemons that reach no target are served through other daemons",
     "callers are served on while most of them come to one daemon",
     "no request is refused for an old configuration by a daemon that reaches the store",
+    "an entry of another writer ends no process, fails no request and names no target to use",
 )
 
 
@@ -70,8 +71,11 @@
         Requests that targets refused and asked for a back-off.
     drains : DrainReport or None
         Times to the last requests at leaving targets, and the late ones; None in other plays.
+    foreign_entries, overwritten : int
+        Entries written by another writer, and how many of them over entries of targets.
     excused : Counter
-        Number of the `stop_calls` covered by an exception of the promise, by reason.
+        Number of the `stop_calls`, or of calls beside entries of another writer, covered by an
+        exception of the promise, by reason.
     """
 
     name: str
@@ -96,4 +100,6 @@
     leaving_said: int = 0
     shed: int = 0
     drains: DrainReport | None = None
+    foreign_entries: int = 0
+    overwritten: int = 0
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -15,6 +15,7 @@
 
 # Imported because they register troubles.
 from . import _daemon_troubles as _daemon_troubles
+from . import _foreign_entries as _foreign_entries
 from . import _link_troubles as _link_troubles
 from . import _pace_troubles as _pace_troubles
 from . import _skew as _skew
@@ -141,6 +142,8 @@
             for name in names:
                 self._parts.links[name] = DaemonLinks(self.site.worker_ip, loopback_address())
         await self.site.start()
+        if experiment.has_foreign_entries:
+            _foreign_entries.write_before_start(self.site, experiment.seed)
         for face in self.site.faces.values():
             face.event_s = experiment.event_s
         for hall in experiment.halls:
--- a/ferrydock/emulator/_stops.py
+++ b/ferrydock/emulator/_stops.py
@@ -28,6 +28,7 @@
     "describe_broken",
     "draw_stops",
     "excuse_of_call",
+    "excuse_of_emulation",
     "excuse_of_stop",
     "is_as_promised",
     "find_end_fault",
@@ -190,7 +191,20 @@
     stood_still: Sequence[Pause],
     slow_answers: Sequence[Pause] = (),
 ) -> str:
-    """Return why a request may end otherwise than promised; empty if it may not.
+    """Return why a request may end otherwise than promised; empty if it may not."""
+    if execution.worked_s >= stop.at_s + GRACE_S * (1 - CUT_SHARE):
+        return "at work at the end of the grace"
+    if execution.lost_s <= call.ended_s:
+        return "its target was lost"
+    if execution.may_be_unread and not execution.count and call.status == BAD_GATEWAY:
+        return "its target crashed, and no worker had read it"
+    return excuse_of_emulation(call, stood_still, slow_answers)
+
+
+def excuse_of_emulation(
+    call: Call, stood_still: Sequence[Pause], slow_answers: Sequence[Pause]
+) -> str:
+    """Return why the emulation itself may have kept a request from being served; empty if not.
 
     A request that exceeds its time limit is answered with 504, which does not say that it ran. If a
     worker does not answer the daemon's report request in time, the daemon considers the worker dead
@@ -198,12 +212,6 @@
     daemons, five requests of one daemon ended so: all members of their replicas were found silent
     while the emulation's own report request to a worker took up to 0.34 s.
     """
-    if execution.worked_s >= stop.at_s + GRACE_S * (1 - CUT_SHARE):
-        return "at work at the end of the grace"
-    if execution.lost_s <= call.ended_s:
-        return "its target was lost"
-    if execution.may_be_unread and not execution.count and call.status == BAD_GATEWAY:
-        return "its target crashed, and no worker had read it"
     if call.took_s >= REQUEST_LIMIT_S - LIMIT_TOLERANCE_S:
         return "its own time was over"
     if any(pause.causes_suspicion(call) for pause in stood_still):
--- a/ferrydock/emulator/tests/test_experiments.py
+++ b/ferrydock/emulator/tests/test_experiments.py
@@ -9,6 +9,7 @@
     KINDS,
     draw_crashing,
     draw_eras,
+    draw_foreign,
     draw_leaving,
     draw_troubles,
     free_ports,
@@ -64,7 +65,7 @@
     assert set(TROUBLES) == set(KINDS)
 
 
-@pytest.mark.parametrize("draw", [draw_leaving, draw_crashing, draw_eras])
+@pytest.mark.parametrize("draw", [draw_leaving, draw_crashing, draw_eras, draw_foreign])
 def test_drawn_series_of_troubles_are_reproducible_from_the_seed(draw):
     first = draw(5, 16.0, ("a", "b"))
     assert first == draw(5, 16.0, ("a", "b"))
--- a/ferrydock/platform/tests/test_foreign_entries.py
+++ b/ferrydock/platform/tests/test_foreign_entries.py
@@ -1,15 +1,18 @@
 """Entries of another writer in the target list, beside daemons that serve."""
 
 import asyncio
+import random
 
 import orjson
 import pytest
 
+from ...emulator import draw_entry
 from ...outcomes import Fault
 from ...store import KeyValue, Position, RangeDone, WatchBatch
 from ...targets import TargetDirectory
 from .._targets import PlatformTargetSource
 from .._unused_entries import MAX_LINES_PER_PERIOD, PERIOD_S, UnusedEntryLog
+from .._worker_messages import decode_target
 from .test_limited_targets import send_for, start_daemons
 from .test_site import REPLICAS, Site, run_scenario
 from .test_worker_messages import MODEL, PLAIN
@@ -116,6 +119,14 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("entry", [PLAIN, MODEL, MODEL | {"group": None, "models": []}])
+def test_the_entries_that_the_soak_draws_name_no_target_to_use(entry):
+    for seed in range(2000):
+        drawn = draw_entry(random.Random(seed), entry)
+        target = decode_target("i-1", drawn)
+        assert isinstance(target, Fault) or target.service == "unnamed", drawn[:300]
+
+
 def test_each_entry_that_is_not_used_is_logged_once_in_a_period(caplog):
     log = UnusedEntryLog()
     for now_s in range(int(PERIOD_S)):
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from ._caller import request_bytes
 from ._ports import FleetControl, FleetList
-from ._site import WRITTEN_AGAIN_S, FleetSite, small_engine
+from ._site import HEARTBEAT_S, WRITTEN_AGAIN_S, FleetSite, small_engine
 from ._store_http import StoreCall, StoreFace, StoreFaults
 from ._virtual import LoopClock, VirtualLoop, run_virtually
 from ._worker_http import (
@@ -29,6 +29,7 @@
 __all__ = [
     "CRASHING_BODY",
     "CRASHING_PART",
+    "HEARTBEAT_S",
     "WRITTEN_AGAIN_S",
     "ColdPeriod",
     "CrashingRequest",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -262,7 +262,7 @@
         for worker in (*self.fleet.workers.values(), *self.plain.values()):
             if worker.alive:
                 delay_s = self._store_rng.uniform(*WRITTEN_AGAIN_S)
-                loop.call_later(delay_s, self._write_entry_again, worker)
+                loop.call_later(delay_s, self.write_entry_again, worker)
             else:
                 born_ms = worker.born_ms
                 loop.call_later(3 * HEARTBEAT_S, self._remove_entry_if_dead, worker, born_ms)
@@ -278,14 +278,39 @@
             else:
                 self.store.remove(EVACUATION_PREFIX + hall)
 
-    def _write_entry_again(self, worker: Worker) -> None:
+    def write_entry_again(self, worker: Worker) -> None:
+        """Write a worker's entry if it is alive, as it does with each heartbeat."""
         if worker.alive:
             self._write_entry(worker)
 
+    def write_foreign_entry(self, worker_id: str, value: bytes) -> None:
+        """Write an entry as another writer does, under an id of its own or that of a worker.
+
+        The worker counts as leaving, from now until it writes its entry again.
+        """
+        self.store.put(f"servers/{worker_id}", value)
+        worker = self.fleet.workers.get(worker_id) or self.plain.get(worker_id)
+        if worker is not None:
+            worker.is_overwritten = True
+            if worker.left_s is None:
+                worker.left_s = asyncio.get_running_loop().time()
+
+    def remove_foreign_entry(self, worker_id: str) -> None:
+        """Remove an entry that another writer has added."""
+        self.store.remove(f"servers/{worker_id}")
+
     def _write_entry(self, worker: Worker) -> None:
         if worker.is_unlisted:
             return
         worker.entries += 1
+        if worker.is_overwritten:
+            worker.is_overwritten = False
+            if not worker.draining:
+                worker.left_s = None
+        self._put(f"servers/{worker.worker_id}", orjson.dumps(self.entry_fields(worker)))
+
+    def entry_fields(self, worker: Worker) -> dict:
+        """Return the fields of a worker's entry."""
         fields = {
             "service": worker.service,
             "address": worker.address,
@@ -305,7 +330,7 @@
                 "staged": worker.staged,
                 "group": entry_group(worker),
             }
-        self._put(f"servers/{worker.worker_id}", orjson.dumps(fields))
+        return fields
 
     def _remove_entry(self, worker: Worker) -> None:
         self.store.remove(f"servers/{worker.worker_id}")
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -208,6 +208,7 @@
     leaving_said: LeavingSaid | None = None
     cold: ColdPeriod | None = None
     is_unlisted: bool = False
+    is_overwritten: bool = False
 
     def restart(self) -> None:
         """Start a new incarnation under the same id; only the models staged on the host remain."""
