--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -152,7 +152,7 @@
         if (
             model is not None
             and may_live
-            and (replica.head or self._missing_head(replica))
+            and (replica.head or self._has_lost_entry_of_head(replica))
             and self._are_missing_members_alive(replica, model, now_s)
         ):
             return self._evaluate_incomplete(replica, now_s)
@@ -194,15 +194,20 @@
                 del known[key]
 
     def _missing_members(self, replica: ObservedReplica) -> tuple[Target, ...]:
-        """Return the members without an entry that were seen earlier, as they were then."""
+        """Return the members seen earlier whose entries do not show them in the replica now."""
         present = {target.target_id for target in replica.members}
         known = self.directory.all_seen_members(replica.service, replica.key)
         return tuple(target for target in known if target.target_id not in present)
 
-    def _missing_head(self, replica: ObservedReplica) -> Target | None:
-        """Return the head if it has no entry but was seen earlier, else None."""
-        missing = self._missing_members(replica)
-        return next((t for t in missing if t.existing_membership.rank == 0), None)
+    def _has_lost_entry_of_head(self, replica: ObservedReplica) -> bool:
+        """Return whether the head was seen earlier and has no entry now.
+
+        One that is listed elsewhere, or in no replica, has certainly left.
+        """
+        return any(
+            member.existing_membership.rank == 0 and member.target_id not in self.directory.targets
+            for member in self._missing_members(replica)
+        )
 
     def _are_missing_members_alive(
         self, replica: ObservedReplica, model: ModelSpec, now_s: float
