--- a/ferrydock/emulator/_foreign_entries.py
+++ b/ferrydock/emulator/_foreign_entries.py
@@ -36,6 +36,9 @@
 OVERWRITTEN_SHARE = 0.4
 MAX_OVERWRITTEN_COUNT = 3
 
+# Share of the overwritten entries that are those of targets which take requests themselves.
+SERVING_SHARE = 0.7
+
 # Shares of the overwritten targets that write their entry again with the next heartbeat, and of the
 # added entries that the other writer removes.
 RESTORED_SHARE = 0.5
@@ -161,18 +164,15 @@
     return [worker for worker in usable if worker.worker_id not in spared]
 
 
-async def _overwrite(parts: EmulationParts, rng: random.Random) -> None:
-    """Overwrite the entry of a worker, a plain one or a head as often as any other."""
+def _overwrite(parts: EmulationParts, rng: random.Random) -> None:
+    """Overwrite the entry of a worker, which may write it again with its next heartbeat."""
     candidates = _may_be_overwritten(parts)
     if not candidates:
         return
-    serving = [
-        worker
-        for worker in candidates
-        if worker.worker_id in parts.site.plain or worker in parts.site.fleet.open_heads()
-    ]
-    worker = rng.choice(serving if serving and rng.random() < 0.7 else candidates)
     site = parts.site
+    heads = site.fleet.open_heads()
+    serving = [w for w in candidates if w.worker_id in site.plain or w in heads]
+    worker = rng.choice(serving if serving and rng.random() < SERVING_SHARE else candidates)
     site.write_foreign_entry(worker.worker_id, draw_entry(rng, site.entry_fields(worker)))
     parts.result.overwritten += 1
     if rng.random() < RESTORED_SHARE:
@@ -181,9 +181,9 @@
 
 @trouble(FOREIGN_KIND)
 async def write_foreign_entries(parts: EmulationParts, spec: Trouble) -> str:
-    """Write `count` entries at a time for `for_s`; some over entries in use, until the end of it.
+    """Write `count` entries at a time for `for_s`, some of them over entries in use.
 
-    Some of the added ones stay for good.
+    At the end all workers write theirs again, and some of the added entries are removed.
     """
     rng = random.Random(f"foreign {parts.experiment.seed} {spec.at_s}")
     site, until_s = parts.site, parts.now_s() + spec.for_s
@@ -191,7 +191,7 @@
     while parts.now_s() < until_s:
         for _ in range(spec.count):
             if rng.random() < OVERWRITTEN_SHARE:
-                await _overwrite(parts, rng)
+                _overwrite(parts, rng)
             else:
                 added.append(f"{OWN_IDS}-{spec.at_s:.3f}-{len(added)}")
                 _add_entry(site, rng, added[-1])
--- a/ferrydock/platform/_worker_messages.py
+++ b/ferrydock/platform/_worker_messages.py
@@ -39,6 +39,9 @@
 _FIELD_SEPARATOR = " - at "
 _PATTERN = " matching regex"
 
+# Fields that the entries of workers of models have in common, and no others.
+_MODEL_FIELDS = ("models", "domain", "staged", "group")
+
 
 class WholeNumber(int):
     """A whole number of at least 0, which JSON may write as ``8`` or ``8.0``."""
@@ -109,9 +112,6 @@
             raise ValueError(f"Object missing required field `{missing[0]}`")
 
 
-_MODEL_FIELDS = ("models", "domain", "staged", "group")
-
-
 class ReportFields(Struct):
     """The report of a worker."""
 
