--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -1,14 +1,14 @@
 """Log lines and metrics for finished requests and failed attempts.
 
-Owns the times of recent refusal lines, which bound their rate. `ferrydock explain` parses these
+Owns the limit on refusal lines. `ferrydock explain` parses these
 lines, so their events and fields are also named there and in docs/OPERATIONS.md.
 """
 
 import logging
-from collections import deque
 
 from ..clock import Clock
 from ..crashes import CRASHES_TARGETS
+from ..log_limits import LineLimit
 from ..logs import log_event
 from ..route_metrics import RouteMetrics
 from ..scheduling import Endpoint
@@ -31,13 +31,12 @@
 class RequestLog:
     """Writes one line for each attempt that failed and one for each request that ended."""
 
-    __slots__ = ("_omitted_lines", "_refusal_log_times_s", "clock", "metrics")
+    __slots__ = ("_refusal_lines", "clock", "metrics")
 
     def __init__(self, metrics: RouteMetrics, clock: Clock):
         self.metrics = metrics
         self.clock = clock
-        self._refusal_log_times_s: deque[float] = deque(maxlen=MAX_REFUSAL_LINES_PER_S)
-        self._omitted_lines = 0
+        self._refusal_lines = LineLimit(MAX_REFUSAL_LINES_PER_S, period_s=1.0)
 
     def crashing_request_refused(
         self, exchange: Exchange, retry_after_s: float, since_arrival_s: float
@@ -53,12 +52,8 @@
         """
         self._count(exchange, "refused")
         self.metrics.crashing_refused.inc()
-        now_s = self.clock.now_s()
-        log_times_s = self._refusal_log_times_s
-        if len(log_times_s) == MAX_REFUSAL_LINES_PER_S and now_s - log_times_s[0] < 1.0:
-            self._omitted_lines += 1
+        if not self._refusal_lines.admits(self.clock.now_s()):
             return
-        log_times_s.append(now_s)
         log_event(
             _LOG,
             logging.INFO,
@@ -69,9 +64,8 @@
             identity=exchange.identity,
             again_s=retry_after_s,
             held_ms=since_arrival_s * MS_PER_S,
-            left_out=self._omitted_lines or None,
+            left_out=self._refusal_lines.take_left_out(),
         )
-        self._omitted_lines = 0
 
     def attempt_failed(self, exchange: Exchange, end: AttemptEnd, endpoint: Endpoint) -> None:
         """Log an attempt that ended without a final answer."""
--- a/ferrydock/platform/_unused_entries.py
+++ b/ferrydock/platform/_unused_entries.py
@@ -5,8 +5,8 @@
 """
 
 import logging
-from collections import deque
 
+from ..log_limits import LastTimes, LineLimit
 from ..logs import log_event
 from ..outcomes import Fault
 
@@ -31,23 +31,18 @@
     (True, False, True)
     """
 
-    __slots__ = ("_left_out", "_lines")
+    __slots__ = ("_last_lines_s", "_lines")
 
     def __init__(self):
-        # Key and time of each line of the last period.
-        self._lines: deque[tuple[str, float]] = deque()
-        self._left_out = 0
+        # As many keys as lines are written within the period that they are remembered for.
+        self._last_lines_s: LastTimes[str] = LastTimes(MAX_LINES_PER_PERIOD)
+        self._lines = LineLimit(MAX_LINES_PER_PERIOD, PERIOD_S)
 
     def note(self, key: str, fault: Fault, now_s: float) -> bool:
         """Write the line of an entry unless a limit is reached; return whether it was written."""
-        while self._lines and now_s - self._lines[0][1] >= PERIOD_S:
-            self._lines.popleft()
-        if any(key == logged_key for logged_key, _ in self._lines):
+        if self._last_lines_s.is_within(key, PERIOD_S, now_s) or not self._lines.admits(now_s):
             return False
-        if len(self._lines) >= MAX_LINES_PER_PERIOD:
-            self._left_out += 1
-            return False
-        self._lines.append((key, now_s))
+        self._last_lines_s.note(key, now_s)
         log_event(
             _LOG,
             logging.WARNING,
@@ -55,7 +50,6 @@
             key=key,
             field=fault.place,
             why=fault.problem,
-            left_out=self._left_out or None,
+            left_out=self._lines.take_left_out(),
         )
-        self._left_out = 0
         return True
--- a/ferrydock/targets/_withdrawals.py
+++ b/ferrydock/targets/_withdrawals.py
@@ -5,11 +5,10 @@
 """
 
 import logging
-from collections import deque
 from enum import StrEnum
-from math import inf
 
 from ..clock import Clock
+from ..log_limits import LastTimes, LineLimit
 from ..logs import log_event
 from ..store import Position
 
@@ -43,22 +42,18 @@
 class WithdrawalLog:
     """Writes one line for each target that this daemon learns to be leaving or removed."""
 
-    __slots__ = ("_last_begun_s", "_last_lines_s", "_line_times_s", "_omitted_lines", "clock")
+    __slots__ = ("_last_begun_s", "_last_lines_s", "_lines", "clock")
 
     def __init__(self, clock: Clock):
         self.clock = clock
-        self._last_begun_s: dict[str, float] = {}
-        # Time of the last line of each target and each way to learn it.
-        self._last_lines_s: dict[tuple[str, str], float] = {}
-        self._line_times_s: deque[float] = deque(maxlen=MAX_LINES_PER_S)
-        self._omitted_lines = 0
+        self._last_begun_s: LastTimes[str] = LastTimes(MAX_TARGETS_REMEMBERED)
+        # By target and the way it was learned.
+        self._last_lines_s: LastTimes[tuple[str, str]] = LastTimes(MAX_TARGETS_REMEMBERED)
+        self._lines = LineLimit(MAX_LINES_PER_S, period_s=1.0)
 
     def note_begun(self, target_id: str, now_s: float) -> None:
         """Record that a request begins at a target at local time `now_s`."""
-        self._last_begun_s.pop(target_id, None)
-        self._last_begun_s[target_id] = now_s
-        if len(self._last_begun_s) > MAX_TARGETS_REMEMBERED:
-            del self._last_begun_s[next(iter(self._last_begun_s))]
+        self._last_begun_s.note(target_id, now_s)
 
     def write(
         self, target_id: str, how: str, source: ListSource, position: Position, list_age_s: float
@@ -75,16 +70,12 @@
             Age of the list before the change, in seconds.
         """
         now_s = self.clock.now_s()
-        times_s = self._line_times_s
-        is_repeated = now_s - self._last_lines_s.get((target_id, how), -inf) < REPEAT_AFTER_S
-        if is_repeated or (len(times_s) == MAX_LINES_PER_S and now_s - times_s[0] < 1.0):
-            self._omitted_lines += 1
+        if self._last_lines_s.is_within((target_id, how), REPEAT_AFTER_S, now_s):
+            self._lines.leave_out()
             return
-        times_s.append(now_s)
-        self._last_lines_s.pop((target_id, how), None)
-        self._last_lines_s[target_id, how] = now_s
-        if len(self._last_lines_s) > MAX_TARGETS_REMEMBERED:
-            del self._last_lines_s[next(iter(self._last_lines_s))]
+        if not self._lines.admits(now_s):
+            return
+        self._last_lines_s.note((target_id, how), now_s)
         begun_s = self._last_begun_s.get(target_id)
         log_event(
             _LOG,
@@ -96,6 +87,5 @@
             revision=position.revision,
             list_age_ms=list_age_s * MS_PER_S,
             begun_ago_ms=(now_s - begun_s) * MS_PER_S if begun_s is not None else None,
-            left_out=self._omitted_lines or None,
+            left_out=self._lines.take_left_out(),
         )
-        self._omitted_lines = 0
