--- a/ferrydock/platform/_targets.py
+++ b/ferrydock/platform/_targets.py
@@ -99,8 +99,8 @@
         entries: dict[str, Target] = {}
         removed: list[str] = []
         for key, value in changes:
-            target_id = _target_id(key)
-            target = self._decode(key, value) if value is not None else None
+            target_id = key.removeprefix(TARGETS_PREFIX)
+            target = self._decode(target_id, value) if value is not None else None
             if target is not None:
                 entries[target_id] = target
             else:
@@ -108,14 +108,11 @@
                 removed.append(target_id)
         return TargetChanges(is_whole, tuple(entries.values()), tuple(removed), position)
 
-    def _decode(self, key: str, value: bytes) -> Target | None:
+    def _decode(self, target_id: str, value: bytes) -> Target | None:
         """Return the target in an entry; None if it cannot be decoded, which is logged."""
-        target = decode_target(_target_id(key), value)
+        target = decode_target(target_id, value)
         if isinstance(target, Fault):
-            self._unused_entries.note(key, target, asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            self._unused_entries.note(TARGETS_PREFIX + target_id, target, now_s)
             return None
         return target
-
-
-def _target_id(key: str) -> str:
-    return key.removeprefix(TARGETS_PREFIX)
