One decoder into declared types; a controller's value is decoded once

Decoding with a fault that names the field was written twice, for entries and reports and, with a bound and an error handling of its own, for the value of a hall's controller key; the latter was decoded twice by each follower, and logged twice if it could not be. Now ferrydock/typed_json.py serves both, and decode_controller returns all that the value says. The line controller_unreadable names the field; otherwise as before. The tests check the same values through the one function.

--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -16,7 +16,7 @@
 
 from .clock import Clock
 from .logs import log_event
-from .outcomes import Conflict, Unavailable, Unknown
+from .outcomes import Conflict, Fault, Unavailable, Unknown
 from .store import (
     Compare,
     CompareField,
@@ -30,21 +30,19 @@
     Store,
     Txn,
 )
+from .typed_json import decode
 
 __all__ = [
     "ControllerLease",
     "HeldLease",
-    "controller_address",
-    "controller_cores",
+    "ControllerFields",
     "controller_key",
+    "decode_controller",
     "placement_key",
 ]
 
 _LOG = logging.getLogger("ferrydock.hall_lease")
 
-# Bounds the log line on a value that cannot be decoded.
-MAX_WHY_CHARS = 200
-
 # How long before the store could let a lease expire its holder stops relying on it. Covers the time
 # between reading the clock and the end of an action under the lease.
 CLOCK_MARGIN_S = 0.25
@@ -260,34 +258,33 @@
 
 
 class ControllerFields(Struct):
-    """What the value of a controller's key says of its holder."""
+    """What the value of a controller's key says of its holder.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:PORT``; empty if absent.
+    """
 
     holder: str = "another daemon"
     address: str = ""
     processor_cores: float | None = None
 
 
-def controller_address(value: bytes) -> str:
-    """Return ``IP:PORT`` of the holder from the value of a controller's key; empty if absent."""
-    return _decode_controller(value).address
-
-
-def controller_cores(value: bytes) -> float | None:
-    """Return the holder's processor cores from the value of a controller's key; None if absent."""
-    return _decode_controller(value).processor_cores
+_CONTROLLER_DECODER = msgspec.json.Decoder(ControllerFields)
 
 
-def _holder_of(item: KeyValue | None) -> str:
-    return _decode_controller(item.value).holder if item is not None else ControllerFields().holder
-
-
-def _decode_controller(value: bytes) -> ControllerFields:
+def decode_controller(value: bytes) -> ControllerFields:
     """Decode the value of a controller's key; one that cannot be decoded tells nothing of it.
 
     Whoever wrote it, the key exists, so the hall has a leader.
     """
-    try:
-        return msgspec.json.decode(value, type=ControllerFields)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        log_event(_LOG, logging.WARNING, "controller_unreadable", why=str(error)[:MAX_WHY_CHARS])
+    fields = decode(_CONTROLLER_DECODER, value)
+    if isinstance(fields, Fault):
+        log_event(_LOG, logging.WARNING, "controller_unreadable", why=fields)
         return ControllerFields()
+    return fields
+
+
+def _holder_of(item: KeyValue | None) -> str:
+    return (decode_controller(item.value) if item is not None else ControllerFields()).holder
--- a/ferrydock/platform/_worker_messages.py
+++ b/ferrydock/platform/_worker_messages.py
@@ -27,18 +27,12 @@
     TargetId,
     TargetReport,
 )
+from ..typed_json import decode
 
 __all__ = ["decode_report", "decode_target"]
 
 MS_PER_S = 1000
 
-# Bounds the log lines that show it.
-MAX_PROBLEM_CHARS = 200
-
-# Parts of the messages of `msgspec`: what precedes the path of a field, and a regular expression.
-_FIELD_SEPARATOR = " - at "
-_PATTERN = " matching regex"
-
 # Fields that the entries of workers of models have in common, and no others.
 _MODEL_FIELDS = ("models", "domain", "staged", "group")
 
@@ -153,7 +147,7 @@
     >>> print(decode_target("i-1", entry.replace(b'"h"', b'["h"]')))
     zone: Expected `str`, got `array`
     """
-    fields = _decode(_ENTRY_DECODER, value)
+    fields = decode(_ENTRY_DECODER, value)
     if isinstance(fields, Fault):
         return fields
     try:
@@ -194,7 +188,7 @@
     >>> report.orders, report.is_order_under_way, report.staged
     (3, True, ('large',))
     """
-    fields = _decode(_REPORT_DECODER, value)
+    fields = decode(_REPORT_DECODER, value)
     if isinstance(fields, Fault):
         return fields
     membership = fields.group.membership() if fields.group else None
@@ -206,18 +200,3 @@
         is_order_under_way=fields.utilization,
         staged=fields.staged,
     )
-
-
-def _decode(decoder: msgspec.json.Decoder, value: bytes):
-    """Return the decoded fields, or the first fault.
-
-    Values that are nested too deeply end in a RecursionError, also in fields that are ignored.
-    """
-    try:
-        return decoder.decode(value)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        problem, _, path = str(error).partition(_FIELD_SEPARATOR)
-        if _PATTERN in problem:
-            problem = "not of the expected form"
-        place = path.strip("`").removeprefix("$").removeprefix(".") or "value"
-        return Fault(place[:MAX_PROBLEM_CHARS], problem[:MAX_PROBLEM_CHARS])
--- a/ferrydock/platform/tests/test_worker_messages.py
+++ b/ferrydock/platform/tests/test_worker_messages.py
@@ -8,7 +8,8 @@
 
 from ...outcomes import Fault
 from ...targets import Membership, ReplicaState, Target, TargetReport
-from .._worker_messages import MAX_PROBLEM_CHARS, decode_report, decode_target
+from ...typed_json import MAX_PROBLEM_CHARS
+from .._worker_messages import decode_report, decode_target
 
 PLAIN = {
     "service": "files",
--- a/ferrydock/route_daemon/_own_leadership.py
+++ b/ferrydock/route_daemon/_own_leadership.py
@@ -9,7 +9,7 @@
 import logging
 
 from ..freshness import change_budget
-from ..hall_lease import controller_address, controller_cores
+from ..hall_lease import decode_controller
 from ..logs import log_event
 from ..outcomes import Unavailable
 from ..relay import RelayClient
@@ -137,8 +137,9 @@
 
     async def _follow_until_key_removed(self, read: RangeDone) -> bool:
         """Poll the leader named in the key that was read; return whether the key was removed."""
-        self.leader_address = controller_address(read.items[0].value)
-        self._leader_cores = controller_cores(read.items[0].value)
+        leader = decode_controller(read.items[0].value)
+        self.leader_address = leader.address
+        self._leader_cores = leader.processor_cores
         await self._poll_leader()
         return await self._wait_until_key_removed(read.position, self.rng.uniform(*OWN_KEY_WATCH_S))
 
--- a/ferrydock/route_daemon/_remote_leadership.py
+++ b/ferrydock/route_daemon/_remote_leadership.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ..freshness import REMOTE_LEADER_MAX_AGE_S, Confirmation
-from ..hall_lease import controller_address
+from ..hall_lease import decode_controller
 from ..outcomes import Unavailable
 from ..store import Position, RangeDone
 from ._leadership import HallLeadership
@@ -75,14 +75,14 @@
         self.confirmation.note_known(read.position)
         self.confirmation.confirm(began_s)
         if read.items:
-            self.leader_address = controller_address(read.items[0].value)
+            self.leader_address = decode_controller(read.items[0].value).address
             return await self._wait_while_confirmed(read.position)
         jitter_s = self.rng.uniform(0, REMOTE_TAKEOVER_JITTER_S)
         await self._wait_until_key_written(read.position, REMOTE_TAKEOVER_AFTER_S + jitter_s)
         await self._wait_until_settled()
         reread = await self.store.range(self.key)
         if isinstance(reread, RangeDone) and reread.items:
-            self.leader_address = controller_address(reread.items[0].value)
+            self.leader_address = decode_controller(reread.items[0].value).address
         elif isinstance(reread, RangeDone) and self.is_candidate():
             await self._acquire_and_lead()
         return False
--- a/ferrydock/route_daemon/tests/test_controller_keys.py
+++ b/ferrydock/route_daemon/tests/test_controller_keys.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ...hall_lease import ControllerLease, controller_address, controller_cores, controller_key
+from ...hall_lease import ControllerLease, controller_key, decode_controller
 from ...outcomes import Conflict
 from ...standins.fleet import LoopClock, run_virtually
 from ...store import MemoryStore, Put, Txn
@@ -13,7 +13,8 @@
 @pytest.mark.parametrize("value", UNREADABLE)
 def test_a_key_whose_value_cannot_be_decoded_keeps_the_hall_and_ends_nothing(value):
     """Failure: such a value raised in the loop that leads the hall, which ends the process."""
-    assert controller_address(value) == "" and controller_cores(value) is None
+    found = decode_controller(value)
+    assert found.address == "" and found.processor_cores is None
 
     async def scenario():
         clock = LoopClock()
@@ -27,5 +28,7 @@
 
 def test_a_key_of_this_or_an_older_version_is_decoded():
     value = b'{"holder":"edge-1","nonce":"n","address":"10.0.0.1:80","processor_cores":2}'
-    assert (controller_address(value), controller_cores(value)) == ("10.0.0.1:80", 2.0)
-    assert (controller_address(b'{"holder":"x"}'), controller_cores(b"{}")) == ("", None)
+    found = decode_controller(value)
+    assert (found.address, found.processor_cores) == ("10.0.0.1:80", 2.0)
+    without_address, empty = decode_controller(b'{"holder":"x"}'), decode_controller(b"{}")
+    assert (without_address.address, empty.processor_cores) == ("", None)
