A report that the HTTP library cannot read counts as none again

The handler of report() covered every ValueError, of the library and of the decoder. When the decoder came to return its faults, ValueError was dropped from it, and with it those of the library, which reads what stands at an address that an entry names. None was seen; the handler is as it was.

--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -111,7 +111,7 @@
                 if response.status != OK:
                     return Unavailable(f"status {response.status}")
                 body = await response.read()
-        except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
+        except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError) as error:
             return Unavailable(type(error).__name__)
         report = decode_report(body)
         if isinstance(report, Fault):
