--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -368,8 +368,7 @@
         members = tuple(replica.members)
         joining = sum(
             target.membership is not None and target.membership.state is ReplicaState.JOINING
-            for target in self.directory.targets.values()
-            if target.service == replica.service
+            for target in self.directory.possible_members(replica.service)
         )
         ready_s = model.load_s * slowdown(joining, engine.loads_at_once)
         formation = Formation(model, members, 0, ready_s)
--- a/ferrydock/replicas/_weight_loads.py
+++ b/ferrydock/replicas/_weight_loads.py
@@ -90,8 +90,7 @@
             return
         now_s = self.clock.now_s()
         staging = self.state.staging
-        on_site = (t for t in self.directory.targets.values() if t.service == service)
-        staging.observe(service, on_site, engine, now_s)
+        staging.observe(service, self.directory.possible_members(service), engine, now_s)
         if service not in self._adopted_services:
             self._adopted_services.add(service)
             for target in targets:
