A begun answer is continued on a new connection

What callers see: a begun stream is resumed at another target and is cut there at once.

Cause: the resuming attempt took a pooled connection. One that its target is just closing loses the request (ClientOSError); a request that has not begun is sent once more, but a route of two attempts has none left for a begun one. Found as a failure of test_streams_moved_at_once_do_not_exceed_the_retry_budget while streams were handed over to a target that had just answered others.

Why this is safe: requests that may run only once already get a connection of their own for this reason. It costs one connection for each resumption, which are rare.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -281,7 +281,7 @@
             request.raw_path,
             headers,
             body,
-            runs_once=not exchange.route.kind.is_repeatable,
+            needs_new_connection=_needs_new_connection(exchange),
             may_send=functools.partial(self.send_check.may_send, endpoint),
             times=times,
         )
@@ -346,6 +346,15 @@
         yield piece
 
 
+def _needs_new_connection(exchange: Exchange) -> bool:
+    """Return whether a request must not be lost on a connection that its target is closing.
+
+    One that may run only once cannot be sent again, and a begun answer that loses its target once
+    more may have no attempt left to continue with.
+    """
+    return not exchange.route.kind.is_repeatable or exchange.response is not None
+
+
 def _release_connection(answer: aiohttp.ClientResponse) -> None:
     """Return a connection to its pool, or close it if bytes of this exchange are outstanding.
 
--- a/ferrydock/forwarding/_upstream.py
+++ b/ferrydock/forwarding/_upstream.py
@@ -63,7 +63,7 @@
 
     Notes
     -----
-    A request that may run only once uses a new connection. It can then neither receive an answer
+    A request that must not be lost uses a new connection. It can then neither receive an answer
     left over from an earlier request, nor be lost on a connection that the target has just closed.
 
     While new connections lead through another daemon, each request uses a new one: connections that
@@ -85,7 +85,7 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes | AsyncIterator[bytes],
-        runs_once: bool,
+        needs_new_connection: bool,
         may_send: Callable[[], Awaitable[bool]],
         times: SendTimes,
     ) -> aiohttp.ClientResponse | SendWithdrawn:
@@ -95,8 +95,8 @@
         ----------
         path : str
             Path and query as the caller sent them; they are not quoted again.
-        runs_once : bool
-            Whether the request may run only once, and so needs a new connection.
+        needs_new_connection : bool
+            Whether to send the request on a connection that has served no other one.
         may_send : callable
             Returns whether the request may be sent; called before connecting, and before the head.
         times : SendTimes
@@ -109,7 +109,7 @@
         aiohttp.ClientError, OSError
             The target may have received the request.
         """
-        session = self._session_for(target, runs_once)
+        session = self._session_for(target, needs_new_connection)
         url = URL(f"http://{target.address}{path}", encoded=True)
         guard = SendGuard(may_send)
         CURRENT_GUARD.set(guard)
@@ -134,8 +134,8 @@
         self._replaced_pools += self._pools.items()
         self._pools = {}
 
-    def _session_for(self, target: Target, runs_once: bool) -> aiohttp.ClientSession:
-        if runs_once or not self.dialer.is_direct:
+    def _session_for(self, target: Target, needs_new_connection: bool) -> aiohttp.ClientSession:
+        if needs_new_connection or not self.dialer.is_direct:
             if self._single_use_pool is None:
                 self._single_use_pool = self._open_session(keep_alive=False)
             return self._single_use_pool
--- a/ferrydock/forwarding/tests/test_interruptions.py
+++ b/ferrydock/forwarding/tests/test_interruptions.py
@@ -25,7 +25,7 @@
 from .._refusal import max_retry_queue_s
 from .._retry_rule import may_interrupt
 from .._stalls import MEMBER_DEAD, OWN_PAUSE_S, QUIET_S
-from .rig import Rig, ScriptedTarget, play, route
+from .rig import Rig, ScriptedTarget, play, resets, route
 from .test_forwarding import STREAM, body_of, event, events
 
 ENGINE = EngineSpec(slots=9, loads_per_s=5.0, models=(ModelSpec("large", 1, 1.0, 16.0, 1.6),))
@@ -386,3 +386,31 @@
         assert monitored.broken
 
     play(scenario)
+
+
+def test_resumed_stream_is_not_lost_on_a_connection_that_its_target_closes():
+    """Failure: it was sent on a pooled connection, was lost with it, and had no attempt left."""
+    never, pooled, is_warm = asyncio.Event(), set(), []
+
+    async def script(target, request, writer):
+        if not is_warm:
+            pooled.add(writer)
+            writer.write(STREAM + events(1, 2) + b"0\r\n\r\n")
+            await asyncio.sleep(0.02)
+            return True
+        if writer in pooled and b"Last-Event-Id" in request:
+            return await resets()(target, request, writer)
+        return await pauses(never)(target, request, writer)
+
+    async def scenario():
+        async with ReplicaRig([ScriptedTarget(script) for _ in KEYS], retries=5.0) as rig:
+            await asyncio.gather(rig.stream(), rig.stream())
+            assert [target.connections for target in rig.targets] == [1, 1]
+            is_warm.append(True)
+            streaming = asyncio.ensure_future(rig.stream())
+            await rig.until(lambda: any(a.count == 2 for a in _streams_of(rig)))
+            first = next(n for n, target in enumerate(rig.targets) if len(target.requests) == 2)
+            rig.stalls.mark_broken(KEYS[first], MEMBER_DEAD)
+            assert body_of(await streaming) == (COMPLETE_BODY, True)
+
+    play(scenario)
