A request leaves a silent replica only once another target has a slot for it

The streams it had begun were closed in the middle, requests that may run only once got 502 after 0.3 s, and so did repeatable ones without a retry left or a free slot elsewhere.

Cause: a poll without an answer interrupted the attempts at once. Whether the retry budget, the route's attempts and above all a free slot elsewhere allowed another attempt was found out afterwards; if not, the request ended, although its own target would have answered.

Now a request is handed over: a slot elsewhere is acquired first, in the order and within the times of any retry; then the retry is paid for and the attempt is interrupted, unless the replica has resumed the request meanwhile. A request that no other target may answer stays. interrupt_lost is for a replica that cannot answer any more: requests that have not begun are ended or retried at once, as before.

Why this is safe: a request gets its slot elsewhere as soon as before, since it is asked for at the same moment; while it waits, it now has its first target as well. The wait of begun streams counts against the budget, as it did. A caller that disconnects, a stop, and an attempt that ends cancel the search and release the slot (tests).

Checks changed: may_interrupt is may_hand_over. That such requests end at once when their replica is lost is stated by test_request_at_a_lost_replica_is_ended_at_once.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import functools
-from collections.abc import AsyncIterator, Iterable, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 
 import aiohttp
 
@@ -20,8 +20,9 @@
 from ._dialect import Outbound, RequestDialect
 from ._endpoint_selector import EndpointSelector
 from ._exchange import Attempt, AttemptEnd, AttemptReason, CallerGone, Exchange
+from ._handovers import Handovers
 from ._listener import caller_connection
-from ._retry_rule import may_interrupt, may_retry_server_error
+from ._retry_rule import may_retry_server_error
 from ._send_check import SendCheck
 from ._send_times import SendTimes
 from ._target_loads import FIRST_SERVER_ERROR_STATUS, TargetLoads
@@ -60,6 +61,8 @@
 
     Attributes
     ----------
+    handovers : Handovers
+        Finds slots elsewhere for attempts at a replica that seems broken.
     send_check : SendCheck
         Decides before the first byte whether the target may still get the request.
     """
@@ -69,6 +72,7 @@
         "_in_flight",
         "clock",
         "dialect",
+        "handovers",
         "loads",
         "metrics",
         "selector",
@@ -94,6 +98,7 @@
         self.metrics = metrics
         self.statements = TargetStatements(selector.catalog, clock)
         self.send_check = SendCheck(selector.catalog)
+        self.handovers = Handovers(selector, clock)
         self._relay = AnswerRelay(loads, clock)
         self._in_flight: dict[str, set[Attempt]] = {}
 
@@ -120,6 +125,8 @@
             end = AttemptEnd(False, is_sent, reason, may_have_received=is_sent)
         finally:
             running.discard(attempt)
+            if attempt.handover is not None:
+                attempt.handover.cancel()
             self.selector.release(endpoint)
         if exchange.send_times is not None:
             self.metrics.observe_send(exchange.send_times.send_s, exchange.send_times.list_age_s)
@@ -148,25 +155,33 @@
                 yield replica, sum(map(_is_read, attempts))
 
     def interrupt(self, key: tuple[str, int], reason: str) -> None:
-        """Interrupt the attempts in flight at a replica, so that their requests can be retried.
+        """Let other targets answer the requests in flight at a replica that seems broken.
 
-        Attempts whose answers have begun are interrupted only as far as the retry budget allows;
-        the others of them continue. The retries themselves are taken from the budget later.
+        Each attempt is interrupted when its request has a slot elsewhere, as far as the retry
+        budget allows. The others continue, since the replica may only be paused.
         """
-        self._interrupt(self._attempts_at(key), reason)
+        self.handovers.begin(self._attempts_at(key), reason)
+
+    def interrupt_lost(self, key: tuple[str, int], reason: str) -> None:
+        """Interrupt the attempts in flight at a replica that cannot answer them any more.
+
+        Requests whose answers have begun continue if no other target may answer them: the engine
+        may still send what it has computed.
+        """
+        self._interrupt_lost(self._attempts_at(key), reason)
 
     def move_streams(self, key: tuple[str, int], reason: str) -> None:
-        """Interrupt those begun streams at a replica that another target can continue.
+        """Let other targets continue the begun streams at a replica, as `interrupt` does.
 
-        Used while a replica is only suspected: no request is refused or cut by it. A stream that
-        waits for its caller is not moved, since another target would not continue it sooner.
+        A stream that waits for its caller is not moved, since another target would not continue it
+        sooner.
         """
         started = [
             attempt
             for attempt in self._attempts_at(key)
             if attempt.exchange.response is not None and _is_read(attempt)
         ]
-        self._interrupt(started, reason)
+        self.handovers.begin(started, reason)
 
     def silent_target_count(self, silent_s: float) -> int:
         """Return the number of targets with requests in flight, if nothing was received from any.
@@ -197,23 +212,19 @@
             and attempt.exchange.route.kind.is_repeatable
             and _is_read(attempt)
         ]
-        self._interrupt(silent, reason)
+        self._interrupt_lost(silent, reason)
 
     def _attempts_at(self, key: tuple[str, int]) -> list[Attempt]:
         """Return the attempts in flight at a replica."""
         running = (attempt for attempts in self._in_flight.values() for attempt in attempts)
         return [a for a in running if a.replica is not None and a.replica.key == key]
 
-    def _interrupt(self, attempts: Iterable[Attempt], reason: str) -> None:
-        """Interrupt those of the attempts that `may_interrupt` allows, within the retry budget."""
-        reserved_retries = 0
+    def _interrupt_lost(self, attempts: Sequence[Attempt], reason: str) -> None:
+        """Interrupt attempts whose answers have not begun, and hand over the others."""
         for attempt in attempts:
-            exchange = attempt.exchange
-            left_s = self._remaining_s(exchange)
-            may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
-            if may_interrupt(exchange, reserved_retries, left_s, may_go_elsewhere):
-                reserved_retries += exchange.response is not None
+            if attempt.exchange.response is None:
                 attempt.interrupt(reason)
+        self.handovers.begin([a for a in attempts if a.exchange.response is not None], reason)
 
     def _remaining_s(self, exchange: Exchange) -> float:
         return exchange.deadline_s - self.clock.now_s()
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -8,6 +8,7 @@
 from .. import http_server as web
 from ..configuration import Route, ServiceSpec
 from ..retry_budget import RetryBudget
+from ..scheduling import Endpoint
 from ..targets import ReplicaView
 from ._admission import queue_order_s
 from ._dialect import Inbound
@@ -106,6 +107,10 @@
     ----------
     began_s : float
         Local time at which it began.
+    handover : asyncio.Task or None
+        Looks for a slot elsewhere for the request (`_handovers`); None before the first search.
+    silent_since_s : float
+        Local time at which the replica was last found silent, and a search was due.
     """
 
     exchange: "Exchange"
@@ -113,6 +118,13 @@
     timeout: asyncio.Timeout
     began_s: float = 0.0
     interrupt_reason: str = ""
+    handover: asyncio.Task | None = None
+    silent_since_s: float = float("-inf")
+
+    @property
+    def is_being_handed_over(self) -> bool:
+        """Whether a slot elsewhere is being looked for."""
+        return self.handover is not None and not self.handover.done()
 
     def interrupt(self, reason: str) -> None:
         """End the attempt immediately; only the first reason counts."""
@@ -172,6 +184,8 @@
         Budget that retries are taken from; None until the forwarder has admitted the request.
     admitted_s : float
         Local time at which the request passed the check for requests that crash their targets.
+    next_endpoint : Endpoint or None
+        Slot for the next attempt, acquired while the current one runs; its retry is paid for.
     no_endpoint : NoEndpoint
         Why the last wait for a slot ended without a target.
     chosen_s : float
@@ -208,6 +222,7 @@
     may_have_run: bool = False
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
+    next_endpoint: Endpoint | None = None
     no_endpoint: NoEndpoint = NoEndpoint()
     chosen_s: float = 0.0
     send_times: SendTimes | None = None
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -74,6 +74,7 @@
         self.selector = attempts.selector
         self.budgets = budgets
         self.crashes = crashes
+        attempts.handovers.is_suspicious = crashes.is_suspicious
         self.clock = clock
         self.times = ObservedTimes()
         self.stop_limit = StopLimit()
@@ -94,6 +95,10 @@
                 return await self._attempt_until_final(exchange)
         except DaemonStopping:
             return self._end_without_answer(exchange, STOPPING_REASON)
+        finally:
+            next_endpoint = _take_next_endpoint(exchange)
+            if next_endpoint is not None:
+                self.selector.release(next_endpoint)
 
     async def _attempt_until_final(self, exchange: Exchange) -> web.StreamResponse:
         """Make attempts until there is a final answer."""
@@ -135,7 +140,7 @@
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
             if not self._may_retry(exchange, end):
                 return self._end_without_answer(exchange, end.reason)
-            if not budget.spend():
+            if exchange.next_endpoint is None and not budget.spend():
                 return self._end_without_answer(exchange, "retry_budget")
 
     def _may_retry(self, exchange: Exchange, end: AttemptEnd) -> bool:
@@ -148,10 +153,13 @@
     async def _acquire_open(self, exchange: Exchange) -> Endpoint | None:
         """Acquire a slot as `_acquire` does, of a target whose hall has not closed meanwhile.
 
-        A slot may have been assigned some time before this request's task runs again.
+        A slot may have been assigned some time before this request's task runs again, or while its
+        last attempt was still running.
         """
         while True:
-            endpoint = await self._acquire(exchange, self.clock.now_s())
+            endpoint = _take_next_endpoint(exchange)
+            if endpoint is None:
+                endpoint = await self._acquire(exchange, self.clock.now_s())
             if endpoint is None or not self.selector.catalog.is_closed(endpoint.target):
                 return endpoint
             self.selector.release(endpoint)
@@ -209,3 +217,9 @@
             return refusal(status, reason, self.crashes.refused_for_s(exchange))
         delay_s = retry_after_s(reason, exchange, self.selector.rng)
         return refusal(status, reason, delay_s)
+
+
+def _take_next_endpoint(exchange: Exchange) -> Endpoint | None:
+    """Return the slot acquired for the next attempt, if any, and remove it from the exchange."""
+    endpoint, exchange.next_endpoint = exchange.next_endpoint, None
+    return endpoint
--- /dev/null
+++ b/ferrydock/forwarding/_handovers.py
@@ -0,0 +1,96 @@
+"""Moves requests away from a replica that seems broken, each once another target has a slot for it.
+
+Owns the tasks that wait for these slots, one for each attempt. A replica that is silent may only be
+paused. Its requests therefore stay until a slot elsewhere is assigned to them, and are answered by
+the replica if it resumes before that.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+from ..clock import Clock
+from ..invariants import require
+from ..logs import log_event
+from ._endpoint_selector import EndpointSelector
+from ._exchange import Attempt, Exchange
+from ._refusal import max_retry_queue_s
+from ._retry_rule import may_hand_over
+
+__all__ = ["Handovers"]
+
+_LOG = logging.getLogger("ferrydock.forwarding")
+
+# Minimum time between two searches for a slot for one attempt. The first may end without a slot
+# long before the attempt does, for example because all targets are at their rate limits.
+SEARCH_INTERVAL_S = 0.4
+
+
+class Handovers:
+    """Finds slots for attempts at a silent replica, and interrupts those that get one.
+
+    Attributes
+    ----------
+    is_suspicious : callable
+        Returns whether a request may be what its target crashed by; it is not moved then.
+    """
+
+    __slots__ = ("clock", "is_suspicious", "selector")
+
+    def __init__(self, selector: EndpointSelector, clock: Clock):
+        self.selector = selector
+        self.clock = clock
+        self.is_suspicious: Callable[[Exchange], bool] = lambda exchange: False
+
+    def begin(self, attempts: Sequence[Attempt], reason: str) -> None:
+        """Start to look for slots elsewhere for attempts, as far as the retry budget goes.
+
+        Attempts that are already being handed over count against the budget as well.
+        """
+        now_s = self.clock.now_s()
+        reserved_retries = sum(attempt.is_being_handed_over for attempt in attempts)
+        for attempt in attempts:
+            if attempt.is_being_handed_over:
+                if attempt.exchange.last_received_s > attempt.silent_since_s:
+                    attempt.silent_since_s = now_s  # it resumed meanwhile, and is silent again
+                continue
+            if now_s - attempt.silent_since_s < SEARCH_INTERVAL_S:
+                continue
+            if self._may_hand_over(attempt.exchange, reserved_retries):
+                reserved_retries += 1
+                attempt.silent_since_s = now_s
+                task = asyncio.get_running_loop().create_task(self._hand_over(attempt, reason))
+                task.add_done_callback(_log_failure)
+                attempt.handover = task
+
+    def _may_hand_over(self, exchange: Exchange, reserved_retries: int) -> bool:
+        left_s = exchange.deadline_s - self.clock.now_s()
+        may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
+        return not self.is_suspicious(exchange) and may_hand_over(
+            exchange, reserved_retries, left_s, may_go_elsewhere
+        )
+
+    async def _hand_over(self, attempt: Attempt, reason: str) -> None:
+        """Acquire a slot elsewhere; then pay for the retry and interrupt the attempt.
+
+        The slot is released if the replica has resumed this request meanwhile.
+        """
+        exchange = attempt.exchange
+        endpoint = await self.selector.acquire(
+            exchange, max_retry_queue_s(exchange, self.clock.now_s())
+        )
+        if endpoint is None:
+            return
+        has_resumed = exchange.last_received_s > attempt.silent_since_s
+        is_closed = self.selector.catalog.is_closed(endpoint.target)
+        if has_resumed or is_closed or not self._may_hand_over(exchange, 0):
+            self.selector.release(endpoint)
+            return
+        require(exchange.budget, "the budget of an admitted request").spend()
+        exchange.next_endpoint = endpoint
+        attempt.interrupt(reason)
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log_event(_LOG, logging.ERROR, "handover_failed", why=repr(task.exception()))
--- a/ferrydock/forwarding/_retry_rule.py
+++ b/ferrydock/forwarding/_retry_rule.py
@@ -7,7 +7,7 @@
 from ._exchange import AttemptEnd, AttemptReason, Exchange
 from ._refusal import MIN_ATTEMPT_S
 
-__all__ = ["may_interrupt", "may_retry", "may_retry_server_error"]
+__all__ = ["may_hand_over", "may_retry", "may_retry_server_error"]
 
 # A server error is retried only while the caller's remaining time exceeds this share of the route's
 # objective for the first bytes. Otherwise the error is forwarded, since a second answer would be
@@ -48,23 +48,19 @@
     return may_go_elsewhere and left_s > MIN_ATTEMPT_S
 
 
-def may_interrupt(
+def may_hand_over(
     exchange: Exchange, reserved_retries: int, left_s: float, may_go_elsewhere: bool
 ) -> bool:
-    """Return whether an attempt at a replica that seems broken may be interrupted.
+    """Return whether another target may answer a request instead of a replica that seems broken.
 
-    An attempt whose answer has not begun may: its request is retried or refused immediately. One
-    whose answer has begun may only if the answer can be continued by another target. Otherwise the
-    caller's connection would be cut in the middle of an answer, although the replica may only be
-    slow.
+    Only if the retry is allowed and within the budget. Otherwise nothing is gained by ending the
+    attempt: the replica may only be paused, and then answers the request itself.
 
     Parameters
     ----------
     reserved_retries : int
-        Retries that attempts interrupted in the same pass will take from the budget.
+        Retries that other attempts handed over in the same pass will take from the budget.
     """
-    if exchange.response is None:
-        return True
     if exchange.budget is None or exchange.budget.available < reserved_retries + 1:
         return False
     interrupted = AttemptEnd(False, True, AttemptReason.TIME_OVER)
