Stand-in: a worker may stand still

FleetSite.pause_worker: the worker keeps its connections, answers nothing for a time, and then what it has received meanwhile; streams of a replica wait for each of its members. FleetControl does the same in virtual time: a report is not answered, an order is carried out afterwards.

--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -1,6 +1,7 @@
 """Target control and target list on a `Fleet` in memory, with delays and lost messages."""
 
 import asyncio
+import functools
 import random
 from collections.abc import AsyncIterator
 
@@ -62,6 +63,13 @@
         if worker is None:
             await asyncio.sleep(ANSWER_TIMEOUT_S)
             return Unavailable("silent")
+        pause_s = _pause_s(worker)
+        if pause_s > ANSWER_TIMEOUT_S:
+            carry_out = functools.partial(self.fleet.order, worker, order, expected_orders)
+            asyncio.get_running_loop().call_later(pause_s, carry_out)
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            return Unknown("no answer")
+        await asyncio.sleep(pause_s)
         answer = self.fleet.order(worker, order, expected_orders)
         if answer is None:
             await asyncio.sleep(ANSWER_TIMEOUT_S)
@@ -73,9 +81,10 @@
         self.reports += 1
         await asyncio.sleep(self.rng.uniform(0.001, 0.004))
         worker = self._reachable_worker(target)
-        if worker is None:
+        if worker is None or _pause_s(worker) > timeout_s:
             await asyncio.sleep(timeout_s)
             return Unavailable("silent")
+        await asyncio.sleep(_pause_s(worker))
         membership = worker.membership
         return TargetReport(
             orders=worker.orders,
@@ -90,6 +99,11 @@
         return None
 
 
+def _pause_s(worker: Worker) -> float:
+    """Return for how long a worker goes on standing still, in seconds; 0 if it does not."""
+    return max(0.0, worker.paused_until_s - asyncio.get_running_loop().time())
+
+
 class FleetList:
     """The list of targets, as one reader receives it.
 
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -161,6 +161,14 @@
         self.killed_s[worker_id] = loop.time()
         loop.call_later(3 * HEARTBEAT_S, self._remove_entry, worker)
 
+    def pause_worker(self, worker_id: str, for_s: float) -> None:
+        """Let a worker stand still for a time, and the requests of its replica with it.
+
+        Its entry stays: a short pause misses too few heartbeats for it to expire.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._worker(worker_id).paused_until_s = now_s + for_s
+
     def crash_worker(self, worker: Worker) -> None:
         """Crash the process of a worker; it starts again under the same id after a delay."""
         worker.alive = False
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -334,6 +334,7 @@
             if "X-Attempt-Id" in request.headers:
                 self.record.record_arrival(request, self.worker)
             await asyncio.sleep(60)
+        await self._wait_while_paused()
         expected_id = request.headers.get("X-Expect-Instance", self.worker.worker_id)
         if expected_id != self.worker.worker_id:
             headers = {"X-Instance-Id": self.worker.worker_id, "At-Server": self.worker.worker_id}
@@ -353,6 +354,12 @@
             return self._refuse(request, 400)
         return await self._answer(request)
 
+    async def _wait_while_paused(self) -> None:
+        """Wait while the worker stands still; it may be paused again meanwhile."""
+        now_s = asyncio.get_running_loop().time
+        while now_s() < self.worker.paused_until_s:
+            await asyncio.sleep(self.worker.paused_until_s - now_s())
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a caller's request, or refuse it while the worker sheds load."""
         self.record.record_arrival_at_leaving(request, self.worker)
@@ -409,6 +416,7 @@
         self.record.note(request)
         await self._crash_on_crashing_body(request, body)
         await asyncio.sleep(self.first_s)
+        await self._wait_while_paused()
         self.record.record_work(request)
         return web.Response(body=b"whole:" + body, headers=self._answer_headers(request))
 
@@ -425,6 +433,7 @@
             await self._crash_on_crashing_body(request, body)
             await self._crash_on_crashing_part(request)
             await asyncio.sleep(self.first_s)
+            await self._wait_while_paused()
             return await self._events(request)
         finally:
             if worker.born_ms == born_ms:
@@ -495,8 +504,16 @@
     async def _wait_until_complete(
         self, request: web.BaseRequest, key: tuple[str, int] | None
     ) -> None:
-        """Wait while a member of the group is missing; abort the connection if the group breaks."""
-        while not (self.worker.alive and require(self.fleet, "the fleet").is_complete(self.worker)):
+        """Wait while a member of the group is missing or stands still.
+
+        Abort the connection if the group breaks.
+        """
+        fleet, now_s = require(self.fleet, "the fleet"), asyncio.get_running_loop().time
+        while not (
+            self.worker.alive
+            and fleet.is_complete(self.worker)
+            and fleet.paused_until_s(self.worker) <= now_s()
+        ):
             membership = self.worker.membership
             if (
                 self.worker.group_key != key
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -178,6 +178,9 @@
         Last period in which the worker was cold; None if it never was.
     is_unlisted : bool
         Whether its entry was removed although it goes on answering.
+    paused_until_s : float
+        Loop time until which the worker stands still: it keeps its connections, and answers
+        afterwards what it has received meanwhile.
     """
 
     worker_id: str
@@ -209,6 +212,7 @@
     cold: ColdPeriod | None = None
     is_unlisted: bool = False
     is_overwritten: bool = False
+    paused_until_s: float = float("-inf")
 
     def restart(self) -> None:
         """Start a new incarnation under the same id; only the models staged on the host remain."""
@@ -502,6 +506,11 @@
             for member_id in head.members
         )
 
+    def paused_until_s(self, worker: Worker) -> float:
+        """Return the loop time until which a worker or a member of its group stands still."""
+        group = [worker, *(self.workers[i] for i in worker.members if i in self.workers)]
+        return max(each.paused_until_s for each in group)
+
     def _schedule_break(self, key: tuple[str, int] | None) -> None:
         """Break a serving group that lost a member, after `stall_s`."""
         for worker in self.workers.values():
