A silent replica is suspected, and given up only when it is lost

Cause: one unanswered poll of 0.12 s was taken for proof of death, for good, by the daemon, its peers and the hall's leader, which dissolved the replica at once and had the engines cut what ran there.

Now a replica is suspected at that moment, as fast as before: no new requests, requests handed over, peers and leader told. The leader dissolves a suspected replica at once only if no request is in flight there and less than half of the open replicas are silent.

Why this is safe: a dead member is found by the same poll as before, and its repair begins as early where nothing is lost by it.

--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -133,7 +133,7 @@
             if self.loads.is_ejected(target.target_id, now_s):
                 avoid.add(target.target_id)
         for replica in directory.replicas(exchange.service.name):
-            if replica.key in self.catalog.broken:
+            if self.catalog.is_avoided(replica.key):
                 avoid.add(replica.head.target_id)
         return tuple(sorted(avoid))
 
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -1,26 +1,25 @@
-"""Detection of replicas that are broken: requests are in flight but nothing is received.
+"""Detection of replicas that may be broken: requests are in flight but nothing is received.
 
 A replica that has lost a member still accepts requests, but sends nothing until the engine's own
 stall limit (seconds) ends them. This daemon detects that sooner by polling the members. Owns the
 time at which each replica was last polled; relies on `TargetLoads` for the time of the last
-progress, and on the targets' reports.
+progress, and on the targets' reports. What follows from a poll without an answer: `_suspicions`.
 """
 
 import asyncio
 import logging
 from collections.abc import Coroutine, Sequence
-from typing import Protocol
 
 from ..clock import Clock
 from ..links import TargetLinks
 from ..logs import log_event
-from ..outcomes import Unavailable
 from ..targets import ReplicaView, Target, TargetControl
 from ._attempts import AttemptRunner
 from ._move_rule import move_limit_s
 from ._observed_times import ObservedTimes
+from ._suspicions import Polled, Suspicions, poll_targets
 
-__all__ = ["FailureListener", "StallDetector"]
+__all__ = ["StallDetector"]
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
@@ -51,7 +50,6 @@
 
 # Reasons for interrupting an attempt, as written to log lines and read by `ferrydock explain`.
 SILENT = "silent"
-MEMBER_DEAD = "member_dead"
 STUCK = "stuck"
 GIVEN_UP = "given_up"
 
@@ -64,20 +62,10 @@
     return bool(others_quiet_s) and min(others_quiet_s) >= limit_s
 
 
-class FailureListener(Protocol):
-    """Receives the findings of a `StallDetector`."""
-
-    def on_targets_dead(self, target_ids: list[str], reason: str) -> None:
-        """Handle targets that did not answer a poll."""
-
-    def on_replica_broken(self, key: tuple[str, int]) -> None:
-        """Handle a replica, given by name and epoch, that this daemon stops using."""
-
-
 class StallDetector:
     """Polls the members of replicas that have requests in flight but make no progress.
 
-    A replica counts as broken if one of its members does not answer the poll. If all answer, but
+    A replica is suspected if one of its members does not answer the poll. If all answer, but
     several requests make no progress for `STUCK_S`, the head is ejected. Streams that have begun
     are retried on another replica before the poll has a result, while the pause is still within
     what their route allows and as far as the retry budget permits.
@@ -93,8 +81,8 @@
 
     Attributes
     ----------
-    listener : FailureListener or None
-        Notified of dead targets and broken replicas.
+    suspicions : Suspicions
+        The replicas that are suspected, and what becomes of them.
     links : TargetLinks or None
         Whether this daemon reaches any target; None if that is not known.
     """
@@ -109,7 +97,7 @@
         "clock",
         "control",
         "links",
-        "listener",
+        "suspicions",
         "times",
     )
 
@@ -121,7 +109,8 @@
         self.catalog = attempts.selector.catalog
         self.control = control
         self.clock = clock
-        self.listener: FailureListener | None = None
+        self.suspicions = Suspicions(attempts, control, clock, self._last_resumed_s, self._spawn)
+        self.suspicions.has_lost_links = self._has_lost_links
         self.links: TargetLinks | None = None
         self._last_poll_s: dict[tuple[str, int], float] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -132,6 +121,7 @@
         """Check all replicas in use for silence, and start polling the members of silent ones."""
         now_s = self.clock.now_s()
         self._record_own_pause(now_s)
+        self.suspicions.step()
         busy = []
         for replica, attempt_count in self.attempts.busy_replicas():
             if attempt_count:
@@ -146,7 +136,8 @@
             if quiet_s >= move_s and not _are_others_quiet(others_quiet_s, move_s):
                 self.attempts.move_streams(replica.key, SILENT)
             limit_s = min(move_s, QUIET_S if attempt_count > 1 else SINGLE_REQUEST_QUIET_S)
-            if quiet_s >= limit_s and self._may_poll(replica, now_s):
+            is_due = quiet_s >= limit_s and replica.key not in self.catalog.suspected
+            if is_due and self._may_poll(replica, now_s):
                 self._start_polling(replica, now_s, is_reported_by_peer=False)
 
     def _move_limit_s(self, replica: ReplicaView) -> float:
@@ -181,23 +172,15 @@
         The peer itself may be cut off from the members, so its report is verified first.
         """
         now_s = self.clock.now_s()
-        if replica.key not in self.catalog.broken and self._may_poll(replica, now_s):
+        if not self.catalog.is_avoided(replica.key) and self._may_poll(replica, now_s):
             self._start_polling(replica, now_s, is_reported_by_peer=True)
 
-    def mark_broken(self, key: tuple[str, int], reason: str) -> None:
-        """Stop sending requests to a replica, and interrupt its attempts for a retry."""
-        if key not in self.catalog.broken:
-            self.catalog.broken.add(key)
-            self.attempts.interrupt(key, reason)
-            if self.listener is not None:
-                self.listener.on_replica_broken(key)
-
     def handle_leader_decision(self, key: tuple[str, int]) -> None:
         """Handle a decision of the hall leader, which runs in this daemon, against a replica.
 
         The leader has decided that the replica cannot serve.
         """
-        self.mark_broken(key, GIVEN_UP)
+        self.suspicions.mark_broken(key, GIVEN_UP)
 
     def _may_poll(self, replica: ReplicaView, now_s: float) -> bool:
         return now_s - self._last_poll_s.get(replica.key, -POLL_INTERVAL_S) >= POLL_INTERVAL_S
@@ -215,11 +198,11 @@
         poll_started_s = self.clock.now_s()
         quiet_from_s = poll_started_s - self._quiet_s(replica, poll_started_s)
         attempt_count = self.attempts.attempt_count_at(replica.head.target_id)
-        unresponsive = await self._unresponsive_members(replica.members)
+        polled = await poll_targets(self.control, replica.members, REPORT_TIMEOUT_S)
         is_briefly_quiet = self.clock.now_s() - quiet_from_s < SINGLE_REQUEST_QUIET_S
-        if unresponsive and attempt_count <= 1 and is_briefly_quiet and not is_reported_by_peer:
-            unresponsive = await self._unresponsive_members(unresponsive)
-        if unresponsive and self.links is not None and await self.links.check():
+        if polled.failed and attempt_count <= 1 and is_briefly_quiet and not is_reported_by_peer:
+            polled = await poll_targets(self.control, polled.failed, REPORT_TIMEOUT_S)
+        if polled.failed and await self._has_lost_links():
             return  # this daemon reaches no target: that shows nothing about these
         now_s = self.clock.now_s()
         self._record_own_pause(now_s)
@@ -227,34 +210,23 @@
             return  # this daemon was paused during the poll: reports may still be unread
         if self._has_progressed_since(replica, poll_started_s) and not is_reported_by_peer:
             return
-        quiet_s = now_s - quiet_from_s
-        self._apply_poll_result(
-            replica,
-            [member.target_id for member in unresponsive],
-            quiet_s,
-            attempt_count,
-            is_reported_by_peer,
-        )
+        silent_since_s = poll_started_s if is_reported_by_peer else quiet_from_s
+        self._apply_poll_result(replica, polled, silent_since_s, attempt_count, is_reported_by_peer)
 
     def _has_progressed_since(self, replica: ReplicaView, poll_started_s: float) -> bool:
         """Return whether anything was received from a replica since its poll started."""
         return self.attempts.loads.of(replica.head.target_id).last_answer_s > poll_started_s
 
-    async def _unresponsive_members(self, members: Sequence[Target]) -> list[Target]:
-        """Poll members concurrently; return those that did not answer in time."""
-        reports = await asyncio.gather(*(self.control.report(m, REPORT_TIMEOUT_S) for m in members))
-        pairs = zip(members, reports, strict=True)
-        return [member for member, report in pairs if isinstance(report, Unavailable)]
-
     def _apply_poll_result(
         self,
         replica: ReplicaView,
-        unresponsive: list[str],
-        quiet_s: float,
+        polled: Polled,
+        silent_since_s: float,
         attempt_count: int,
         is_reported_by_peer: bool,
     ) -> None:
-        """Log the result of a poll, and break or interrupt the replica if it shows a fault."""
+        """Log the result of a poll, and suspect or interrupt the replica if it shows a fault."""
+        quiet_s = self.clock.now_s() - silent_since_s
         is_stuck = quiet_s > STUCK_S and attempt_count > 1 and not is_reported_by_peer
         log_event(
             _LOG,
@@ -264,20 +236,31 @@
             epoch=replica.epoch,
             quiet_ms=quiet_s * 1000,
             attempts=attempt_count,
-            silent=",".join(unresponsive) or None,
+            silent=_joined_ids(polled.silent),
+            refused=_joined_ids(polled.gone),
             stuck=is_stuck,
         )
-        if unresponsive:
-            if self.listener is not None:
-                self.listener.on_targets_dead(unresponsive, f"silent in {replica.name}")
-            self.mark_broken(replica.key, MEMBER_DEAD)
+        if polled.failed:
+            self.suspicions.begin(replica, polled, silent_since_s)
         elif is_stuck:
             self.attempts.loads.record_failure(
                 replica.head.target_id, self.clock.now_s(), eject_immediately=True
             )
             self.attempts.interrupt(replica.key, STUCK)
 
+    async def _has_lost_links(self) -> bool:
+        """Return whether this daemon reaches no target; False if that is not known."""
+        return self.links is not None and await self.links.check()
+
+    def _last_resumed_s(self) -> float:
+        self._record_own_pause(self.clock.now_s())
+        return self._resumed_s
+
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _joined_ids(targets: Sequence[Target]) -> str | None:
+    return ",".join(target.target_id for target in targets) or None
--- a/ferrydock/outcomes.py
+++ b/ferrydock/outcomes.py
@@ -7,7 +7,16 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-__all__ = ["Conflict", "Fault", "Invalid", "NotRun", "Run", "Unavailable", "Unknown"]
+__all__ = [
+    "Conflict",
+    "Fault",
+    "Invalid",
+    "NotListening",
+    "NotRun",
+    "Run",
+    "Unavailable",
+    "Unknown",
+]
 
 
 class Run(StrEnum):
@@ -25,6 +34,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotListening(Unavailable):
+    """The other side's host refused the connection: the process that was there has ended."""
+
+
 @dataclass(frozen=True, slots=True)
 class Unknown:
     """The operation may or may not have taken effect."""
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -14,7 +14,7 @@
 from ..http_client import open_session
 from ..links import DialingConnector, TargetDialer
 from ..logs import log_event
-from ..outcomes import Fault, Unavailable, Unknown
+from ..outcomes import Fault, NotListening, Unavailable, Unknown
 from ..targets import (
     CloseOrder,
     JoinOrder,
@@ -100,7 +100,10 @@
         return Unknown(f"status {status}")
 
     async def report(self, target: Target, timeout_s: float) -> TargetReport | Unavailable:
-        """Request a worker's report: its accepted orders and its membership in a replica."""
+        """Request a worker's report: its accepted orders and its membership in a replica.
+
+        `NotListening` if its address refuses the connection.
+        """
         headers = {"X-Expect-Instance": target.target_id}
         url = f"http://{target.address}/v1/report"
         try:
@@ -112,6 +115,8 @@
                     return Unavailable(f"status {response.status}")
                 body = await response.read()
         except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError) as error:
+            if isinstance(getattr(error, "os_error", None), ConnectionRefusedError):
+                return NotListening(type(error).__name__)
             return Unavailable(type(error).__name__)
         report = decode_report(body)
         if isinstance(report, Fault):
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -194,7 +194,7 @@
         self._apply_configuration(reply, sent_s)
         if not reply.serves:
             return False
-        self.broken.receive(reply.broken)
+        self.broken.receive_from_leader(reply.broken, self.clock.now_s())
         self.daemon_counter.receive(reply.daemons, sent_s)
         confirmed_s = sent_s - reply.age_s if reply.age_s is not None else float("-inf")
         if reply.position < self.directory.position:
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -168,13 +168,13 @@
         self.broken.receive(request.broken)
         self._receive_leaving(request)
         self.daemon_counter.record_request(request.sender, self.clock.now_s())
-        noted_before = self.broken.noted_count
+        avoided_before = self.broken.changes
         evacuations_before = self.evacuated.changes
         until_s = received_s + LONG_POLL_S
         while (
             self._is_up_to_date(request)
             and not self.crashes.has_update_for(request.crashes)
-            and self.broken.noted_count == noted_before
+            and self.broken.changes == avoided_before
             and self.evacuated.changes == evacuations_before
             and self.clock.now_s() < until_s
             and self.reads_store()
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -74,6 +74,8 @@
         Returns whether a hall may be used; by default all halls may.
     remote_changes : callable, optional
         Returns the replicas of other halls that are given to another model, and that model.
+    in_flight : callable, optional
+        Returns the number of requests in flight at a target; by default 0.
 
     Attributes
     ----------
@@ -99,6 +101,7 @@
         refused_slots: Callable[[str], Mapping[str, float]] = lambda service: {},
         is_hall_open: Callable[[str], bool] = lambda hall: True,
         remote_changes: Callable[[], Mapping[tuple[str, int], str]] = dict,
+        in_flight: Callable[[str], int] = lambda target_id: 0,
     ):
         self.hall = settings.hall
         self.follows_site_plan = settings.follows_site_plan
@@ -122,7 +125,7 @@
             lambda service: self.record.demand.get(service, {}),
             remote_changes,
         )
-        self.health_check = ReplicaHealthCheck(self.state, order_sender, self._spawn)
+        self.health_check = ReplicaHealthCheck(self.state, order_sender, self._spawn, in_flight)
         self.former = ReplicaFormer(order_sender)
         self.loads = WeightLoads(self.state, self.planner.loads, order_sender, self._spawn)
         self.changes = ModelChanges(self.state, self.planner.is_short, self.loads.adopt)
@@ -140,6 +143,14 @@
         """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`."""
         self.state.suspect(target_ids, reason)
 
+    def mark_lost(self, target_ids: Iterable[str], reason: str) -> None:
+        """Suspect targets that were silent for too long, or that refuse connections."""
+        self.state.mark_lost(target_ids, reason)
+
+    def end_suspicion(self, target_ids: Iterable[str]) -> None:
+        """Stop suspecting targets that answer again."""
+        self.state.end_suspicion(target_ids)
+
     def step_down(self) -> None:
         """Cancel all tasks and clear the state, after the lease was lost or released."""
         for task in list(self._tasks):
@@ -182,6 +193,7 @@
         self.loads.follow(service, targets, engine)
         joined = [t for t in targets if t.membership is not None and not self.state.has_left(t)]
         observed = observed_replicas(joined)
+        self.health_check.begin_round(observed)
         staying = [replica for replica in observed if self._handle_replica(replica, engine)]
         self.health_check.prune({replica.key for replica in observed})
         self._follow_changes(service, staying, engine)
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_left_replicas",
+        "_lost",
         "_paused_until_s",
         "_suspected_until_s",
         "busy",
@@ -71,6 +72,7 @@
         self._left_replicas: dict[str, tuple[str, int]] = {}
         self._paused_until_s: dict[str, float] = {}
         self._suspected_until_s: dict[str, float] = {}
+        self._lost: set[str] = set()
 
     def suspect(self, target_ids: Iterable[str], reason: str) -> None:
         """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`."""
@@ -79,10 +81,30 @@
                 log_event(_LOG, logging.WARNING, "target_suspected", target=target_id, why=reason)
             self._suspected_until_s[target_id] = self.clock.now_s() + SUSPICION_S
 
+    def mark_lost(self, target_ids: Iterable[str], reason: str) -> None:
+        """Suspect targets that a replica is not to wait for: they are longer silent than a pause.
+
+        Also those that refuse connections.
+        """
+        target_ids = list(target_ids)
+        self.suspect(target_ids, reason)
+        self._lost.update(target_ids)
+
+    def end_suspicion(self, target_ids: Iterable[str]) -> None:
+        """Stop suspecting targets that answer again."""
+        for target_id in target_ids:
+            if self._suspected_until_s.pop(target_id, None) is not None:
+                log_event(_LOG, logging.INFO, "target_answers", target=target_id)
+            self._lost.discard(target_id)
+
     def is_suspected(self, target_id: str) -> bool:
         """Return whether a target is suspected to be dead."""
         return self._suspected_until_s.get(target_id, 0.0) > self.clock.now_s()
 
+    def is_lost(self, target_id: str) -> bool:
+        """Return whether a suspected target is certain not to be in a short pause."""
+        return target_id in self._lost and self.is_suspected(target_id)
+
     def pause(self, target_id: str) -> None:
         """Send no orders to a target for `FAILED_ORDER_PAUSE_S`, after an order to it failed."""
         self._paused_until_s[target_id] = self.clock.now_s() + FAILED_ORDER_PAUSE_S
@@ -136,6 +158,7 @@
         for until in (self._paused_until_s, self._suspected_until_s):
             for target_id in [i for i, until_s in until.items() if until_s <= now_s]:
                 del until[target_id]
+        self._lost.intersection_update(self._suspected_until_s)
 
     def clear(self) -> None:
         """Clear what belongs to one term of leadership: all but suspicions and pauses."""
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -40,6 +40,11 @@
 # back with the head's next heartbeat. Meanwhile the head gets no new requests.
 HEAD_MISSING_GRACE_S = 1.0
 
+# Number of silent replicas, and their share of the open ones, above which they are more likely
+# paused than dead. A hall has two domains or more, so the loss of one is below that share.
+MASS_SILENCE_COUNT = 3
+MASS_SILENCE_SHARE = 0.5
+
 
 class Verdict(StrEnum):
     """What the controller does with a replica."""
@@ -91,9 +96,12 @@
         Its control asks members for reports.
     spawn : callable
         Starts a coroutine as a task, concurrent with the controller's rounds.
+    in_flight : callable
+        Returns the number of requests in flight at a target.
     """
 
     __slots__ = (
+        "_has_mass_silence",
         "_headless_since_s",
         "_logged_missing",
         "_reports_s",
@@ -101,6 +109,7 @@
         "_orphaned_since_s",
         "clock",
         "directory",
+        "in_flight",
         "order_sender",
         "spawn",
         "state",
@@ -111,8 +120,11 @@
         state: HallState,
         order_sender: OrderSender,
         spawn: Callable[[Coroutine], None],
+        in_flight: Callable[[str], int],
     ):
         self.state = state
+        self.in_flight = in_flight
+        self._has_mass_silence = False
         self.order_sender = order_sender
         self.directory: TargetDirectory = order_sender.directory
         self.clock: Clock = order_sender.clock
@@ -126,13 +138,22 @@
         # By replica: its missing members and whether they were alive, as logged last.
         self._logged_missing: dict[tuple[str, int], tuple[str, bool]] = {}
 
+    def begin_round(self, replicas: list[ObservedReplica]) -> None:
+        """Count the silent replicas, before each of them is evaluated."""
+        serving = [replica for replica in replicas if replica.is_open]
+        silent = [replica for replica in serving if self._suspected_members(replica)]
+        self._has_mass_silence = len(silent) >= MASS_SILENCE_COUNT and len(
+            silent
+        ) > MASS_SILENCE_SHARE * len(serving)
+
     def evaluate(self, replica: ObservedReplica, engine: EngineSpec) -> HealthResult:
         """Return what the controller is to do with a replica.
 
         The first case that applies decides: a replica that is being formed stays; one whose members
         are being sent orders is left unchanged; one whose members are all dead needs no orders; one
         that cannot serve is dissolved, unless all that is wrong are members that have no entry but
-        still report (`_evaluate_incomplete`); an open one stays; one that another leader began to
+        still report (`_evaluate_incomplete`), or some that may only be paused
+        (`_is_worth_waiting_for`); an open one stays; one that another leader began to
         form is adopted; any other is dissolved after `ORPHAN_GRACE_S`.
         """
         now_s = self.clock.now_s()
@@ -140,7 +161,7 @@
             return HealthResult(Verdict.STAYS)
         if self.state.is_busy(replica.members):
             return HealthResult(Verdict.UNDER_WAY)
-        dead = tuple(t.target_id for t in replica.members if self.state.is_suspected(t.target_id))
+        dead = self._dead_members(replica)
         if len(dead) == len(replica.members):
             return HealthResult(Verdict.ALL_DEAD, DissolveReason.ALL_DEAD, dead)
         model = engine.model(replica.model)
@@ -168,6 +189,25 @@
             return HealthResult(Verdict.STAYS)
         return HealthResult(Verdict.DISSOLVE, DissolveReason.ORPHANED)
 
+    def _suspected_members(self, replica: ObservedReplica) -> tuple[str, ...]:
+        return tuple(t.target_id for t in replica.members if self.state.is_suspected(t.target_id))
+
+    def _dead_members(self, replica: ObservedReplica) -> tuple[str, ...]:
+        """Return the suspected members of a replica that is not worth waiting for."""
+        suspected = self._suspected_members(replica)
+        return () if self._is_worth_waiting_for(replica, suspected) else suspected
+
+    def _is_worth_waiting_for(self, replica: ObservedReplica, suspected: tuple[str, ...]) -> bool:
+        """Return whether to wait until suspected members answer or are certainly lost.
+
+        A sound target may be silent for a second or so. Dissolving its replica cuts the requests
+        that have no place elsewhere. Without requests in flight only the repair is at stake, which
+        begins at once, unless so many replicas are silent that they are more likely paused.
+        """
+        if replica.head is None or any(self.state.is_lost(target_id) for target_id in suspected):
+            return False
+        return self._has_mass_silence or self.in_flight(replica.head.target_id) > 0
+
     def _evaluate_incomplete(self, replica: ObservedReplica, now_s: float) -> HealthResult:
         """Return what to do with a replica whose members all report, some without an entry.
 
--- a/ferrydock/replicas/tests/hall.py
+++ b/ferrydock/replicas/tests/hall.py
@@ -33,6 +33,7 @@
         self.directory = TargetDirectory()
         self.broken = []
         self.demand = {}
+        self.in_flight = {}
         self.following = asyncio.ensure_future(self._follow())
         self.controllers = 0
         self.task = None
@@ -74,6 +75,7 @@
             OrderSender(control, self.directory, self.clock),
             self.broken.append,
             demand=lambda service: self.demand,
+            in_flight=lambda target_id: self.in_flight.get(target_id, 0),
         )
         self.task = asyncio.ensure_future(self._drive(self.controller))
         return self.controller
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -120,6 +120,61 @@
     run_scenario(scenario)
 
 
+def test_a_replica_with_requests_in_flight_outlasts_a_short_silence_of_a_member():
+    """Failure: a leader dissolved it at the first unanswered poll, and its answers were cut."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(2))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        head = hall.fleet.open_heads()[0]
+        hall.in_flight = {head.worker_id: 1}
+        hall.controller.mark_suspected([head.members[1]], "test")
+        await asyncio.sleep(1.2)
+        hall.controller.end_suspicion([head.members[1]])
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        assert hall.broken == []
+
+    run_scenario(scenario)
+
+
+def test_a_replica_with_requests_in_flight_is_replaced_once_a_member_is_lost():
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(2))
+        await asyncio.sleep(30.0)
+        head = next(w for w in hall.fleet.open_heads() if w.model == "large")
+        hall.in_flight = {head.worker_id: 1}
+        hall.kill_worker(head.members[2])
+        hall.controller.mark_suspected([head.members[2]], "test")
+        await asyncio.sleep(0.5)
+        assert hall.broken == []
+        hall.controller.mark_lost([head.members[2]], "test")
+        took_s = await hall.until(lambda: hall.models() == ALL_REPLICAS, 20.0)
+        assert took_s is not None and took_s < 3.0
+        assert hall.fleet.violations == []
+
+    run_scenario(scenario)
+
+
+def test_replicas_of_which_most_are_silent_at_once_are_not_all_formed_anew():
+    """Failure: a hall whose workers stood still for a second formed its replicas again."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(2))
+        await asyncio.sleep(20.0)
+        heads = hall.fleet.open_heads()
+        before = {head.group_key for head in heads}
+        hall.controller.mark_suspected([head.worker_id for head in heads], "test")
+        await asyncio.sleep(1.2)
+        hall.controller.end_suspicion([head.worker_id for head in heads])
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        assert hall.broken == []
+
+    run_scenario(scenario)
+
+
 def test_a_dead_head_is_replaced_by_a_spare_within_three_seconds():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(3))
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -336,6 +336,7 @@
             self._refused_slots,
             is_hall_open=lambda hall: self.evacuated.is_open(hall, self.clock.now_s()),
             remote_changes=lambda: self.demand.remote_changes(self.clock.now_s()),
+            in_flight=lambda target_id: self.scheduler.counts.total(target_id),
         )
         return controller, store, self.clock, self.rng, self.stopping.is_set, self.settling
 
@@ -531,6 +532,7 @@
         self.steps.finish("listeners")
         self.tasks.every(UPKEEP_EVERY_S, self._run_upkeep)
         self.tasks.every(DETECT_STALLS_EVERY_S, self.stalls.step)
+        self.tasks.every(CHECK_LINKS_EVERY_S, self.failures.step)
         self.tasks.every(CHECK_LINKS_EVERY_S, self.links.step)
         self.tasks.every(CHECK_LINKS_EVERY_S, self.lost_links.step)
         self.tasks.every(SET_GATHER_TIME_EVERY_S, self._set_gather_time)
--- a/ferrydock/route_daemon/_replica_failures.py
+++ b/ferrydock/route_daemon/_replica_failures.py
@@ -1,10 +1,10 @@
-"""What a daemon does when it or a peer finds a replica or a target broken.
+"""What a daemon does when it or a peer suspects a replica or a target, or considers it lost.
 
 Owns no state: it forwards failures between the stall detector (this daemon's requests), the relay
 (peers) and the controllers (the hall leader's repairs).
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from ..clock import Clock
 from ..configuration import CurrentConfiguration
@@ -16,7 +16,7 @@
 
 __all__ = ["ReplicaFailures"]
 
-# Reason logged for an interruption because the hall leader reported the replica as broken.
+# Reason logged for an interruption because the hall leader reported that it avoids the replica.
 REPORTED = "told"
 
 
@@ -48,33 +48,59 @@
         self.leadership = leadership
         self.current = current
         self.clock = clock
-        stalls.listener = self
+        stalls.suspicions.listener = self
         broken.on_received = self.report_received
+        broken.on_withdrawn = stalls.suspicions.withdraw_report
 
-    def on_targets_dead(self, target_ids: list[str], reason: str) -> None:
-        """Report targets that did not answer to the controller of their hall."""
-        for target_id in target_ids:
-            target = self._directory.targets.get(target_id)
-            for controller in self.controllers:
-                if target is not None and target.hall == controller.hall:
-                    controller.mark_suspected([target_id], reason)
+    def on_targets_suspected(self, target_ids: Collection[str], reason: str) -> None:
+        """Report targets that did not answer to the controllers of their halls."""
+        for controller, target_id in self._controllers_of(target_ids):
+            controller.mark_suspected([target_id], reason)
 
-    def on_replica_broken(self, key: tuple[str, int]) -> None:
-        """Report to peers a replica that this daemon found broken."""
+    def on_targets_lost(self, target_ids: Collection[str], reason: str) -> None:
+        """Report lost targets to the controllers of their halls."""
+        for controller, target_id in self._controllers_of(target_ids):
+            controller.mark_lost([target_id], reason)
+
+    def on_targets_answered(self, target_ids: Collection[str]) -> None:
+        """Report targets that answer again to the controllers of their halls."""
+        for controller, target_id in self._controllers_of(target_ids):
+            controller.end_suspicion([target_id])
+
+    def on_replica_avoided(self, key: tuple[str, int]) -> None:
+        """Report to peers a replica that this daemon avoids."""
         self.broken.note(key, self.clock.now_s())
 
+    def on_replica_used_again(self, key: tuple[str, int]) -> None:
+        """Withdraw the report of a replica whose suspicion has ended."""
+        self.broken.withdraw(key)
+
+    async def step(self) -> None:
+        """Withdraw what a leader has reported that sends no reports any more."""
+        self.broken.expire_leader_report(self.clock.now_s())
+
     def report_received(self, key: tuple[str, int]) -> None:
-        """Handle a peer's report that a replica is broken.
+        """Handle a peer's report that it avoids a replica.
 
         A follower accepts the report of its hall leader. The leader checks the replica's members
         itself, because the follower that reported the replica may be cut off from them.
         """
         if not self.leadership.lease.is_valid:
-            self.stalls.mark_broken(key, REPORTED)
+            self.stalls.suspicions.report(key, REPORTED)
             return
         for replica in self._replicas_with(key):
             self.stalls.verify_reported(replica)
 
+    def _controllers_of(
+        self, target_ids: Collection[str]
+    ) -> Iterator[tuple[ReplicaController, str]]:
+        """Yield each listed target with the controller of its hall."""
+        for target_id in target_ids:
+            target = self._directory.targets.get(target_id)
+            for controller in self.controllers:
+                if target is not None and target.hall == controller.hall:
+                    yield controller, target_id
+
     def _replicas_with(self, key: tuple[str, int]) -> list[ReplicaView]:
         services = self.current.engine_services()
         replicas = (r for service in services for r in self._directory.replicas(service.name))
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -54,13 +54,24 @@
     broken : set of (str, int)
         Replicas, by name and epoch, that get no requests: a member was found dead, or the hall
         leader has abandoned them. Entries are never removed, since an epoch is not reused.
+    suspected : set of (str, int)
+        Replicas, by name and epoch, that get no requests for now: a member does not answer.
     limits : RateLimits
         Rate limits that targets have set.
     backoffs : TargetBackoffs
         Back-offs that targets have requested of this daemon.
     """
 
-    __slots__ = ("_evaluated", "backoffs", "broken", "cold", "directory", "evacuated", "limits")
+    __slots__ = (
+        "_evaluated",
+        "backoffs",
+        "broken",
+        "cold",
+        "directory",
+        "evacuated",
+        "limits",
+        "suspected",
+    )
 
     def __init__(
         self,
@@ -73,6 +84,7 @@
         self.directory = directory
         self.evacuated = evacuated or EvacuatedHalls((), None, SystemClock())
         self.broken: set[tuple[str, int]] = set()
+        self.suspected: set[tuple[str, int]] = set()
         self.limits = RateLimits(lambda target_id: target_id in directory.targets)
         self.backoffs = TargetBackoffs()
 
@@ -100,10 +112,14 @@
             Endpoint(replica.head, replica)
             for replica in self.directory.replicas(service.name)
             if replica.model == model
-            and replica.key not in self.broken
+            and not self.is_avoided(replica.key)
             and replica.head.hall not in closed
         ]
 
+    def is_avoided(self, key: tuple[str, int]) -> bool:
+        """Return whether a replica, by name and epoch, gets no requests from this daemon."""
+        return key in self.broken or key in self.suspected
+
     def is_closed(self, target: Target) -> bool:
         """Return whether a target is in a hall that is closed now."""
         return target.hall in self.evacuated.closed_halls()
