--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -309,7 +309,7 @@
             return
         self.catalog.suspected.add(key)
         self.attempts.interrupt(key, reason)
-        if self.listener is not None and key in self._own:
+        if self.listener is not None:
             self.listener.on_replica_avoided(key)
 
     def _use_again(self, key: ReplicaKey) -> None:
