Members of a closing replica leave when its requests have ended, not after 4 s

What callers saw: a replica that is given to another model, is a surplus, or has a leaving member is closed, and finishes its requests first. One that took longer than 4 s was stopped: its members were told to leave while the head was still closing, and nothing moves in a replica from which a member has left. A begun answer that could not be resumed, or had no attempt left, was cut, beside planned work: a change of the configuration that shifts the demand, spares released, workers that leave.

Cause: one constant of 4 s bounded the wait, where routes allow 8 s, and a leaving member goes on for 10 s while its head has work. Now the wait is the longest time limit of the service's routes, at least 10 s; a head that stops serving sooner is left sooner, as before.

Why this is safe: a closing head gets no new requests, so only long ones extend the wait. A head that dies loses its entry, one that loses a member breaks; both end the wait.

test_a_replica_with_a_leaving_member_finishes_a_request_of_eight_seconds failed with 4 s: a member had no group any more while the head was closing.

--- a/ferrydock/configuration/_current.py
+++ b/ferrydock/configuration/_current.py
@@ -85,6 +85,16 @@
         services = self.lookup.configuration.services.values() if self.lookup else ()
         return [s for s in services if s.engine is not None and s.engine.models]
 
+    def longest_request_s(self, service: str) -> float:
+        """Return the longest time limit of the routes to a service, in seconds; 0 without any."""
+        routes = self.lookup.configuration.routes if self.lookup else ()
+        limits_s = (
+            route.time_limit_s
+            for route in routes
+            if any(weighted.service == service for weighted in route.services)
+        )
+        return max(limits_s, default=0.0)
+
     def age_s(self, now_s: float) -> float:
         """Return seconds since the configuration was last confirmed; infinite if it never was."""
         return float("inf") if self.confirmed_s is None else now_s - self.confirmed_s
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -395,7 +395,8 @@
         ids = {target.target_id for target in members}
         self.state.busy |= ids
         try:
-            left = await self.former.dissolve(replica.key, members, cut)
+            finish_within_s = None if cut else self.current.longest_request_s(replica.service)
+            left = await self.former.dissolve(replica.key, members, finish_within_s)
             self.state.note_left(left, replica.key)
         finally:
             self.state.busy -= ids
--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -51,9 +51,10 @@
 # How long the open order is repeated while the head refuses it.
 OPEN_RETRY_TIMEOUT_S = 3.0
 
-# How long to wait for a closing head: while it finishes its requests, or after they are cut.
-CLOSE_TIMEOUT_S = 4.0
+# How long to wait for a closing head after its requests are cut, and at least while it finishes
+# them: requests of routes that a change of the configuration has removed may still be running.
 CUT_TIMEOUT_S = 1.5
+MIN_CLOSE_TIMEOUT_S = 10.0
 
 # An order to close or leave that gets no answer is sent again until this time is over.
 LEAVE_ORDER_TIMEOUT_S = 1.5
@@ -128,7 +129,7 @@
         why = f"no join: {','.join(refused)}" if refused else await self._open(plan)
         left: tuple[str, ...] = ()
         if why:
-            left = await self.dissolve(plan.key, plan.formation.members, cut=True)
+            left = await self.dissolve(plan.key, plan.formation.members)
         log_event(
             _LOG,
             logging.WARNING if why else logging.INFO,
@@ -142,7 +143,10 @@
         return FormingResult(why, left)
 
     async def dissolve(
-        self, key: tuple[str, int], members: tuple[Target, ...], cut: bool
+        self,
+        key: tuple[str, int],
+        members: tuple[Target, ...],
+        finish_within_s: float | None = None,
     ) -> tuple[str, ...]:
         """Dissolve a replica; return the ids of the members that have certainly left it.
 
@@ -152,8 +156,9 @@
             Name and epoch.
         members : tuple of Target
             The head first.
-        cut : bool
-            Whether to end its requests at once; else the head finishes them first.
+        finish_within_s : float, optional
+            How long the head may take to finish its requests, in seconds; by default they are ended
+            at once.
 
         Notes
         -----
@@ -163,7 +168,7 @@
         """
         head, others = members[0], members[1:]
         if await self._state_of_head(key, head) in _SERVING:
-            await self._close(key, head, cut)
+            await self._close(key, head, finish_within_s)
         has_left = [await self._leave(key, head)]
         has_left += await asyncio.gather(*(self._leave(key, member) for member in others))
         left = tuple(
@@ -178,7 +183,7 @@
             "replica_dissolved",
             replica=name,
             epoch=epoch,
-            cut=cut,
+            cut=finish_within_s is None,
             left=",".join(left),
         )
         return left
@@ -280,12 +285,19 @@
             return False
         return (report.replica, report.epoch) != key
 
-    async def _close(self, key: tuple[str, int], head: Target, cut: bool) -> None:
-        """Order an open head to close, and wait until it has stopped serving, or a timeout."""
+    async def _close(
+        self, key: tuple[str, int], head: Target, finish_within_s: float | None
+    ) -> None:
+        """Order an open head to close, and wait until it has stopped serving, or a timeout.
+
+        A member that leaves earlier stops the requests of the whole replica.
+        """
+        cut = finish_within_s is None
         outcome = await self.orders.send(head, CloseOrder(*key, cut), LEAVE_ORDER_TIMEOUT_S)
         if not isinstance(outcome, OrderDone):
             return
-        until_s = self.clock.now_s() + (CUT_TIMEOUT_S if cut else CLOSE_TIMEOUT_S)
+        within_s = max(MIN_CLOSE_TIMEOUT_S, finish_within_s or 0.0) if not cut else CUT_TIMEOUT_S
+        until_s = self.clock.now_s() + within_s
         while self.clock.now_s() < until_s:
             if await self._state_of_head(key, head) not in _SERVING:
                 return
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ...standins.fleet import run_virtually
-from ...targets import Target
+from ...targets import ReplicaState, Target
 from .._order_sender import KnownOrders
 from .hall import Hall
 
@@ -364,6 +364,30 @@
     run_scenario(scenario)
 
 
+def test_a_replica_with_a_leaving_member_finishes_a_request_of_eight_seconds():
+    """Failure: its members were told to leave after 4 s, which stopped the request."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(13))
+        await asyncio.sleep(30.0)
+        hall.fleet.closing_s = 8.0
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        members = [hall.fleet.workers[member_id] for member_id in head.members]
+        members[1].draining = True
+        hall.list._on_change(members[1])
+
+        def is_closing():
+            return head.current_membership.state is ReplicaState.CLOSING
+
+        assert await hall.until(is_closing, 5.0) is not None
+        await asyncio.sleep(7.8)
+        assert is_closing() and len({member.group_key for member in members}) == 1
+        assert await hall.until(lambda: members[1].membership is None, 5.0) is not None
+        assert hall.broken == []
+
+    run_scenario(scenario)
+
+
 def test_an_open_replica_is_not_opened_again_while_its_entry_lags():
     async def scenario():
         hall = Hall(5)
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -276,6 +276,11 @@
         Time after which a serving group with a missing member breaks.
     on_change : callable
         Called with each worker whose entry has changed.
+
+    Attributes
+    ----------
+    closing_s : float
+        Time that a head takes to finish its requests after an order to close.
     """
 
     def __init__(
@@ -288,6 +293,7 @@
         self.engine = engine
         self.rng = rng
         self.stall_s = stall_s
+        self.closing_s = 1.0
         self.on_change = on_change
         self.faults = FleetFaults()
         self.workers: dict[str, Worker] = {}
@@ -471,7 +477,7 @@
         if worker.current_membership.state is not ReplicaState.OPEN:
             return OrderRefused("state")
         self._set_state(worker, ReplicaState.CLOSING)
-        delay_s = 0.01 if order.cut else 1.0
+        delay_s = 0.01 if order.cut else self.closing_s
         key = worker.group_key
         asyncio.get_running_loop().call_later(delay_s, self._finish_closing, worker, key)
         return OrderDone(already=False)
