Failing test: a follower never finds a replica lost that its leader reported first

What callers see: requests at a dead replica that have not begun, and may run only once or have no slot elsewhere, wait until their deadline, or until the leader's report ends (8 s). Before the change they were ended when the report came.

Cause: StallDetector.step polls no replica that is in catalog.suspected, and Suspicions.step polls only this daemon's own suspicions. A reported replica is in the first and not in the second, and the wire does not tell a lost replica from a suspected one. The search for a slot is made once, for 1 s at most.

Fails: 0 polls, nothing lost 2.2 s after the report.

--- a/ferrydock/forwarding/tests/test_suspicions.py
+++ b/ferrydock/forwarding/tests/test_suspicions.py
@@ -2,9 +2,13 @@
 
 import pytest
 
+from .._stalls import QUIET_S
 from .._suspicions import MAX_SILENCE_S, RECHECK_INTERVAL_S
 from .rig import play
-from .test_interruptions import ANSWER, MonitoredReplica
+from .test_interruptions import ANSWER, KEYS, MEMBER_DEAD, MonitoredReplica
+
+# Time limit for a verdict on a silent replica, with room for two polls.
+LOST_WITHIN_S = MAX_SILENCE_S + 2 * RECHECK_INTERVAL_S
 
 
 @pytest.mark.parametrize("running", [1, 2])
@@ -24,3 +28,15 @@
         assert not monitored.lost and not monitored.avoided
 
     play(scenario)
+
+
+def test_requests_at_a_dead_replica_that_the_leader_reported_first_are_ended():
+    """Failure: a follower polled no replica that it avoided by report, and never found it lost."""
+
+    async def scenario():
+        monitored = MonitoredReplica()
+        monitored.detector.suspicions.report(KEYS[0], MEMBER_DEAD)
+        await monitored.steps(QUIET_S + LOST_WITHIN_S)
+        assert monitored.lost == [KEYS[0]], f"{monitored.poll_count} polls"
+
+    play(scenario)
