Failing test: a dead replica whose head is not listed any more is never lost

What callers see: requests at a dead replica that have not begun wait until their deadline.

Cause: Suspicions.step removes the suspicion of a replica without an entry of its head, and uses the replica again. The next poll suspects it anew, and the next step removes that. MAX_SILENCE_S is never reached; peers are told and told otherwise every 0.4 s.

--- a/ferrydock/forwarding/tests/test_suspicions.py
+++ b/ferrydock/forwarding/tests/test_suspicions.py
@@ -40,3 +40,17 @@
         assert monitored.lost == [KEYS[0]], f"{monitored.poll_count} polls"
 
     play(scenario)
+
+
+def test_requests_at_a_dead_replica_whose_head_is_not_listed_any_more_are_ended():
+    """Failure: each suspicion ended with the head's entry, and none led to a verdict."""
+
+    async def scenario():
+        monitored = MonitoredReplica()
+        await monitored.steps(QUIET_S + 0.1)
+        assert monitored.avoided == {KEYS[0]}
+        monitored.directory.remove("t0")
+        await monitored.steps(LOST_WITHIN_S)
+        assert monitored.lost == [KEYS[0]], f"{monitored.poll_count} polls"
+
+    play(scenario)
