Failing test: short pauses of a daemon keep it from finding a dead replica lost

What callers see: at a daemon that shares a core, requests at a dead replica wait until the engine or the target list ends them, and the leader does not replace it.

Cause: Suspicions._poll counts MAX_SILENCE_S from the daemon's last own pause (over 0.075 s between two steps), and drops each poll during which there was one. A pause each second is enough that 1.5 s are never reached, however many polls between the pauses were not answered.

Fails: 20 polls in 6 s without an answer, nothing lost. Without own pauses it is lost after 1.5 s (test_replica_that_is_silent_for_longer_than_a_sound_one_is_lost passes).

--- a/ferrydock/forwarding/tests/test_suspicions.py
+++ b/ferrydock/forwarding/tests/test_suspicions.py
@@ -54,3 +54,16 @@
         assert monitored.lost == [KEYS[0]], f"{monitored.poll_count} polls"
 
     play(scenario)
+
+
+def test_dead_replica_is_lost_although_the_daemon_pauses_briefly_each_second():
+    """Failure: each own pause of 0.1 s began the 1.5 s of silence anew, so they never ended."""
+
+    async def scenario():
+        monitored = MonitoredReplica()
+        for _ in range(6):
+            await monitored.steps(0.9)
+            await monitored.step_after(0.1)
+        assert monitored.lost == [KEYS[0]], f"{monitored.poll_count} polls"
+
+    play(scenario)
