Failing test: answers of members are dropped if the daemon paused during the poll

What callers see: a sound replica gets no requests for longer than its silence.

Cause: Suspicions._poll returns before it reads the reports if the daemon resumed during the poll. A pause of its own may hide an answer, but makes none.

--- a/ferrydock/forwarding/tests/test_suspicions.py
+++ b/ferrydock/forwarding/tests/test_suspicions.py
@@ -67,3 +67,18 @@
         assert monitored.lost == [KEYS[0]], f"{monitored.poll_count} polls"
 
     play(scenario)
+
+
+def test_members_that_answer_during_an_own_pause_of_the_daemon_have_answered():
+    """Failure: their answers were dropped with the poll, and the replica was avoided for longer."""
+
+    async def scenario():
+        monitored = MonitoredReplica()
+        await monitored.steps(QUIET_S + 0.1)
+        assert monitored.avoided == {KEYS[0]}
+        monitored.reports = [ANSWER] * 99
+        monitored.pause_during_poll_s = 0.1
+        await monitored.steps(2 * RECHECK_INTERVAL_S)
+        assert not monitored.avoided, f"{monitored.poll_count} polls"
+
+    play(scenario)
