A member without an entry may be silent for a moment before its replica is dissolved

What callers saw: the answers of a replica were cut because a member without an entry did not answer one request for a report within 0.3 s. A target that stands still as a whole misses heartbeats; entries are also missing while the store is away or another writer has overwritten them.

Cause: one missing report set the time of the last good one far back, so that it counted as a proof. Now a report of another membership or a refused connection is one; a silence counts after the time that a sound target may be silent (targets.MAX_SILENCE_S), with a request every 0.25 s, if requests are in flight; without any, at once as before.

--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -15,8 +15,8 @@
 from ..clock import Clock
 from ..configuration import EngineSpec, ModelSpec
 from ..logs import log_event
-from ..outcomes import Unavailable
-from ..targets import ReplicaState, Target, TargetDirectory
+from ..outcomes import NotListening, Unavailable
+from ..targets import MAX_SILENCE_S, ReplicaState, Target, TargetDirectory, TargetReport
 from ._hall_state import HallState
 from ._observed import ObservedReplica
 from ._order_sender import OrderSender
@@ -29,10 +29,10 @@
 # leader waits for members that it has never seen: the target list may lag behind.
 ORPHAN_GRACE_S = 3.0
 
-# Interval between two requests for reports from members without an entry, and how long their last
-# good reports are valid. The latter is longer, so that one lost report changes nothing.
+# Interval between two requests for reports from members without an entry, and the same while one of
+# them does not answer.
 REPORT_INTERVAL_S = 1.0
-REPORT_VALID_S = 1.5
+SILENT_REPORT_INTERVAL_S = 0.25
 
 REPORT_TIMEOUT_S = 0.3
 
@@ -87,6 +87,26 @@
     missing: tuple[Target, ...] = ()
 
 
+@dataclass(slots=True)
+class _MissingMembers:
+    """What is known of the members of a replica that have no entry.
+
+    Attributes
+    ----------
+    requested_s : float
+        Local time at which their reports were last requested.
+    silent_since_s : float or None
+        Local time of the first of the last requests that one of them did not answer; None if all
+        answered the last one.
+    has_left : bool
+        Whether one of them is certainly no member any more.
+    """
+
+    requested_s: float = float("-inf")
+    silent_since_s: float | None = None
+    has_left: bool = False
+
+
 class ReplicaHealthCheck:
     """Decides what the controller does with each observed replica.
 
@@ -104,7 +124,7 @@
         "_has_mass_silence",
         "_headless_since_s",
         "_logged_missing",
-        "_reports_s",
+        "_missing",
         "_requesting",
         "_orphaned_since_s",
         "clock",
@@ -131,9 +151,7 @@
         self.spawn = spawn
         self._orphaned_since_s: dict[tuple[str, int], float] = {}
         self._headless_since_s: dict[tuple[str, int], float] = {}
-        # By replica: when its missing members were last known to be alive, and when their reports
-        # were last requested, in seconds.
-        self._reports_s: dict[tuple[str, int], tuple[float, float]] = {}
+        self._missing: dict[tuple[str, int], _MissingMembers] = {}
         self._requesting: set[tuple[str, int]] = set()
         # By replica: its missing members and whether they were alive, as logged last.
         self._logged_missing: dict[tuple[str, int], tuple[str, bool]] = {}
@@ -167,7 +185,7 @@
         model = engine.model(replica.model)
         reason = _reason_to_dissolve(replica, model, bool(dead))
         if reason is not DissolveReason.MEMBER_GONE:
-            self._reports_s.pop(replica.key, None)
+            self._missing.pop(replica.key, None)
             self._headless_since_s.pop(replica.key, None)
         may_live = reason is DissolveReason.MEMBER_GONE and not replica.is_leaving
         if (
@@ -206,7 +224,13 @@
         """
         if replica.head is None or any(self.state.is_lost(target_id) for target_id in suspected):
             return False
-        return self._has_mass_silence or self.in_flight(replica.head.target_id) > 0
+        return self._has_mass_silence or self._has_requests(replica)
+
+    def _has_requests(self, replica: ObservedReplica) -> bool:
+        """Return whether requests are in flight at the head of a replica, listed or not."""
+        members = (*replica.members, *self._missing_members(replica))
+        heads = [member for member in members if member.existing_membership.rank == 0]
+        return any(self.in_flight(head.target_id) > 0 for head in heads)
 
     def _evaluate_incomplete(self, replica: ObservedReplica, now_s: float) -> HealthResult:
         """Return what to do with a replica whose members all report, some without an entry.
@@ -227,7 +251,7 @@
         for known in (
             self._orphaned_since_s,
             self._headless_since_s,
-            self._reports_s,
+            self._missing,
             self._logged_missing,
         ):
             for key in [key for key in known if key not in keys]:
@@ -252,7 +276,7 @@
     def _are_missing_members_alive(
         self, replica: ObservedReplica, model: ModelSpec, now_s: float
     ) -> bool:
-        """Return whether the members without an entry still report, or were not asked yet.
+        """Return whether the members without an entry still report, or may only be silent.
 
         The entries of many targets expire at once when the store is cut off from them, or is
         restored. A replica is complete as long as its members report that they belong to it.
@@ -261,12 +285,17 @@
         if len(self.directory.all_seen_members(replica.service, key)) < model.size:
             first_s = self._orphaned_since_s.setdefault(key, now_s)
             return now_s - first_s < ORPHAN_GRACE_S
-        alive_s, requested_s = self._reports_s.get(key, (now_s, -REPORT_INTERVAL_S))
-        if key not in self._requesting and now_s - requested_s >= REPORT_INTERVAL_S:
+        missing = self._missing.setdefault(key, _MissingMembers())
+        is_silent = missing.silent_since_s is not None
+        interval_s = SILENT_REPORT_INTERVAL_S if is_silent else REPORT_INTERVAL_S
+        if key not in self._requesting and now_s - missing.requested_s >= interval_s:
             self._requesting.add(key)
-            self._reports_s[key] = (alive_s, now_s)
+            missing.requested_s = now_s
             self.spawn(self._request_missing_reports(replica))
-        return now_s - alive_s <= REPORT_VALID_S
+        if missing.has_left or missing.silent_since_s is None:
+            return not missing.has_left
+        may_be_paused = now_s - missing.silent_since_s < MAX_SILENCE_S
+        return may_be_paused and self._has_requests(replica)
 
     async def _request_missing_reports(self, replica: ObservedReplica) -> None:
         """Ask the members without an entry for reports on whether they belong to the replica."""
@@ -278,13 +307,16 @@
             )
         finally:
             self._requesting.discard(replica.key)
-        now_s = self.clock.now_s()
-        are_alive = all(
-            not isinstance(report, Unavailable) and (report.replica, report.epoch) == replica.key
-            for report in reports
-        )
-        alive_s = now_s if are_alive else now_s - 2 * REPORT_VALID_S
-        self._reports_s[replica.key] = (alive_s, now_s)
+        known = self._missing.get(replica.key)
+        if known is None:
+            return
+        is_silent = any(isinstance(report, Unavailable) for report in reports)
+        known.has_left = any(_shows_departure(report, replica.key) for report in reports)
+        if not is_silent:
+            known.silent_since_s = None
+        elif known.silent_since_s is None:
+            known.silent_since_s = known.requested_s
+        are_alive = not (is_silent or known.has_left)
         found = ",".join(sorted(target.target_id for target in missing)), are_alive
         if self._logged_missing.get(replica.key) == found:
             return
@@ -300,6 +332,13 @@
         )
 
 
+def _shows_departure(report: TargetReport | Unavailable, key: tuple[str, int]) -> bool:
+    """Return whether a target is certainly no member of a replica, by its report or its refusal."""
+    if isinstance(report, Unavailable):
+        return isinstance(report, NotListening)
+    return (report.replica, report.epoch) != key
+
+
 def _reason_to_dissolve(
     replica: ObservedReplica, model: ModelSpec | None, has_dead: bool
 ) -> DissolveReason:
--- a/ferrydock/replicas/tests/test_silent_members.py
+++ b/ferrydock/replicas/tests/test_silent_members.py
@@ -23,7 +23,7 @@
         member = hall.fleet.workers[head.members[rank]]
         member.paused_until_s = asyncio.get_running_loop().time() + PAUSE_S
         await asyncio.sleep(PAUSE_S / 2)
-        hall.list.overwritten.add(member.worker_id)  # the third heartbeat in a row is missing
+        hall.list.overwritten.add(member.worker_id)  # three heartbeats are missing
         hall.list._on_change(member)
         await asyncio.sleep(PAUSE_S / 2)
         hall.list.overwritten.clear()
--- a/ferrydock/targets/__init__.py
+++ b/ferrydock/targets/__init__.py
@@ -9,6 +9,7 @@
 from ._directory import ReplicaView, TargetDirectory
 from ._fields import MAX_COUNT, Address, ModelNames, Name, Seconds, TargetId
 from ._ports import (
+    MAX_SILENCE_S,
     CloseOrder,
     JoinOrder,
     LeaveOrder,
@@ -27,6 +28,7 @@
 
 __all__ = [
     "MAX_COUNT",
+    "MAX_SILENCE_S",
     "Address",
     "CloseOrder",
     "ReplicaState",
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -10,6 +10,7 @@
 from ._target import Target
 
 __all__ = [
+    "MAX_SILENCE_S",
     "CloseOrder",
     "JoinOrder",
     "LeaveOrder",
@@ -24,6 +25,10 @@
     "TargetSource",
 ]
 
+# How long a sound target may answer nothing. One that is silent for longer is considered lost, and
+# its replica is formed anew.
+MAX_SILENCE_S = 1.5
+
 
 @dataclass(frozen=True, slots=True)
 class TargetChanges:
