A search for a slot elsewhere ends when the replica resumes the request

What callers saw: after a pause of a second, begun streams that had found no slot elsewhere stayed in the queue until they ended. Free slots were granted to them first, and released.

Cause: whether the replica had resumed was looked at only with the slot in hand. The search is a task of its own now, which ends within 0.1 s of the first bytes.

Found by the reviewer; test_a_stream_whose_replica_has_resumed_waits_for_no_slot_elsewhere failed before (queue_length 1 for 5 s).

--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -12,6 +12,7 @@
 from ..clock import Clock
 from ..invariants import require
 from ..logs import log_event
+from ..scheduling import Endpoint
 from ._endpoint_selector import EndpointSelector
 from ._exchange import Attempt, Exchange
 from ._refusal import max_retry_queue_s
@@ -25,6 +26,9 @@
 # long before the attempt does, for example because all targets are at their rate limits.
 SEARCH_INTERVAL_S = 0.4
 
+# Interval between two checks of whether the replica has resumed a request that is to leave it.
+RESUME_CHECK_INTERVAL_S = 0.1
+
 
 class Handovers:
     """Finds slots for attempts at a silent replica, and interrupts those that get one.
@@ -51,8 +55,6 @@
         reserved_retries = sum(attempt.is_being_handed_over for attempt in attempts)
         for attempt in attempts:
             if attempt.is_being_handed_over:
-                if attempt.exchange.last_received_s > attempt.silent_since_s:
-                    attempt.silent_since_s = now_s  # it resumed meanwhile, and is silent again
                 continue
             if now_s - attempt.silent_since_s < SEARCH_INTERVAL_S:
                 continue
@@ -73,22 +75,43 @@
     async def _hand_over(self, attempt: Attempt, reason: str) -> None:
         """Acquire a slot elsewhere; then pay for the retry and interrupt the attempt.
 
-        The slot is released if the replica has resumed this request meanwhile.
+        The search ends when the replica resumes this request.
         """
         exchange = attempt.exchange
-        endpoint = await self.selector.acquire(
-            exchange, max_retry_queue_s(exchange, self.clock.now_s())
+        max_queue_s = max_retry_queue_s(exchange, self.clock.now_s())
+        search = asyncio.get_running_loop().create_task(
+            self.selector.acquire(exchange, max_queue_s)
         )
-        if endpoint is None:
-            return
-        has_resumed = exchange.last_received_s > attempt.silent_since_s
+        try:
+            while not search.done() and not _has_resumed(attempt):
+                await asyncio.wait({search}, timeout=RESUME_CHECK_INTERVAL_S)
+            if search.done() and self._may_use(attempt, search.result()):
+                require(exchange.budget, "the budget of an admitted request").spend()
+                exchange.next_endpoint = search.result()
+                attempt.interrupt(reason)
+        finally:
+            self._end_search(search, exchange)
+
+    def _may_use(self, attempt: Attempt, endpoint: Endpoint | None) -> bool:
+        """Return whether to go on at an endpoint that was found for an attempt."""
+        if endpoint is None or _has_resumed(attempt):
+            return False
         is_closed = self.selector.catalog.is_closed(endpoint.target)
-        if has_resumed or is_closed or not self._may_hand_over(exchange, 0):
-            self.selector.release(endpoint)
-            return
-        require(exchange.budget, "the budget of an admitted request").spend()
-        exchange.next_endpoint = endpoint
-        attempt.interrupt(reason)
+        return not is_closed and self._may_hand_over(attempt.exchange, 0)
+
+    def _end_search(self, search: asyncio.Task, exchange: Exchange) -> None:
+        """Cancel a search that has not ended, or release its slot unless that is to be used."""
+        if not search.done():
+            search.cancel()
+        elif not search.cancelled() and search.exception() is None:
+            endpoint = search.result()
+            if endpoint is not None and endpoint is not exchange.next_endpoint:
+                self.selector.release(endpoint)
+
+
+def _has_resumed(attempt: Attempt) -> bool:
+    """Return whether the replica has sent anything for a request since it was found silent."""
+    return attempt.exchange.last_received_s > attempt.silent_since_s
 
 
 def _log_failure(task: asyncio.Task) -> None:
