A member to whose host no connection is made is lost sooner than a silent one

A process that stands still and one whose host is down look alike to a request, but not to a connection: the host of the first accepts it. So a member counts as lost after 0.6 s without a connection, which takes several polls; the log says which it was (unreached, silent, refused). Packets lost at random do not add up to that, since one connection begins it anew.

--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -249,6 +249,7 @@
             quiet_ms=quiet_s * 1000,
             attempts=attempt_count,
             silent=_joined_ids(polled.silent),
+            unreached=_joined_ids(polled.unreachable),
             refused=_joined_ids(polled.gone),
             stuck=is_stuck,
         )
--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -10,12 +10,12 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Collection, Coroutine, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..clock import Clock
 from ..logs import log_event
-from ..outcomes import NotListening, Unavailable
+from ..outcomes import NotListening, Unavailable, Unreachable
 from ..targets import MAX_SILENCE_S, ReplicaView, Target, TargetControl, TargetReport
 from ._attempts import AttemptRunner
 
@@ -23,6 +23,10 @@
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
+# How long no connection to a target is made until it is considered lost. Several polls fall into
+# this time, since a single connection may fail because packets were lost.
+MAX_UNREACHABLE_S = 0.6
+
 # Interval between two polls of the silent members of a suspected replica.
 RECHECK_INTERVAL_S = 0.25
 
@@ -62,12 +66,15 @@
     ----------
     silent : tuple of Target
         Targets that did not answer in time.
+    unreachable : tuple of Target
+        Those of them to which no connection was made.
     gone : tuple of Target
         Targets that cannot go on as members of the replica: nothing listens at their addresses, or
         they report that they do not belong to it.
     """
 
     silent: tuple[Target, ...] = ()
+    unreachable: tuple[Target, ...] = ()
     gone: tuple[Target, ...] = ()
 
     @property
@@ -93,13 +100,15 @@
         do.
     """
     reports = await asyncio.gather(*(control.report(target, timeout_s) for target in targets))
-    silent, gone = [], []
+    silent, unreachable, gone = [], [], []
     for target, report in zip(targets, reports, strict=True):
         if isinstance(report, NotListening) or not _may_belong(report, key):
             gone.append(target)
         elif isinstance(report, Unavailable):
             silent.append(target)
-    return Polled(tuple(silent), tuple(gone))
+            if isinstance(report, Unreachable):
+                unreachable.append(target)
+    return Polled(tuple(silent), tuple(unreachable), tuple(gone))
 
 
 def _may_belong(report: TargetReport | Unavailable, key: ReplicaKey | None) -> bool:
@@ -121,6 +130,9 @@
     silent_since_s : float or None
         When the first unanswered poll of them began, in seconds that this daemon has run
         (`Suspicions.running_s`); None before there is one.
+    unreachable_since_s : dict of str to float
+        When the first of the last polls began that did not reach a member, by its id, in the same
+        seconds.
     polled_s : float
         Local time of the last poll.
     is_reported : bool
@@ -132,6 +144,7 @@
     members: dict[str, Target]
     silent: dict[str, Target]
     silent_since_s: float | None = None
+    unreachable_since_s: dict[str, float] = field(default_factory=dict)
     polled_s: float = float("-inf")
     is_polling: bool = False
     is_reported: bool = False
@@ -275,6 +288,7 @@
             return
         if has_lost_links:
             suspicion.silent_since_s = None
+            suspicion.unreachable_since_s = {}
         elif not polled.silent or self.resumed_s() <= began_s:
             self._apply(suspicion, polled, self.running_s() - began_running_s)
 
@@ -286,16 +300,29 @@
             self.listener.on_targets_answered(answered)
         if not polled.failed:
             suspicion.silent_since_s = None
+            suspicion.unreachable_since_s = {}
             if not suspicion.is_reported:
                 self._end(suspicion)
             return
+        running_s = self.running_s()
         if suspicion.silent_since_s is None:
-            suspicion.silent_since_s = self.running_s() - took_s
+            suspicion.silent_since_s = running_s - took_s
+        suspicion.unreachable_since_s = {
+            target.target_id: suspicion.unreachable_since_s.get(
+                target.target_id, running_s - took_s
+            )
+            for target in polled.unreachable
+        }
+        unreached = [
+            target_id
+            for target_id, since_s in suspicion.unreachable_since_s.items()
+            if running_s - since_s >= MAX_UNREACHABLE_S
+        ]
         if self.listener is not None:
             self.listener.on_targets_suspected(suspicion.silent, f"silent in {suspicion.key[0]}")
-        if polled.gone:
-            self._consider_lost(suspicion, _by_id(polled.gone))
-        elif self.running_s() - suspicion.silent_since_s >= MAX_SILENCE_S:
+        if polled.gone or unreached:
+            self._consider_lost(suspicion, [*_by_id(polled.gone), *unreached])
+        elif running_s - suspicion.silent_since_s >= MAX_SILENCE_S:
             self._consider_lost(suspicion, _by_id(polled.silent))
         else:
             self.attempts.interrupt(suspicion.key, MEMBER_DEAD)
--- a/ferrydock/forwarding/tests/test_suspicions.py
+++ b/ferrydock/forwarding/tests/test_suspicions.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from ...outcomes import Unavailable, Unreachable
 from .._stalls import QUIET_S
-from .._suspicions import MAX_SILENCE_S, RECHECK_INTERVAL_S
+from .._suspicions import MAX_SILENCE_S, MAX_UNREACHABLE_S, RECHECK_INTERVAL_S
 from .rig import play
 from .test_interruptions import ANSWER, KEYS, MEMBER_DEAD, MonitoredReplica
 
@@ -30,6 +31,30 @@
     play(scenario)
 
 
+def test_member_that_no_connection_reaches_is_lost_sooner_than_one_that_is_silent():
+    """Failure: a hall with no free slot lacked each replica that lost a member for 1.5 s longer."""
+
+    async def scenario():
+        monitored = MonitoredReplica()
+        monitored.reports = [Unreachable("no connection")] * 99
+        await monitored.steps(QUIET_S + MAX_UNREACHABLE_S - 0.1)
+        assert monitored.avoided == {KEYS[0]} and not monitored.lost
+        await monitored.steps(2 * RECHECK_INTERVAL_S)
+        assert monitored.lost == [KEYS[0]]
+
+    play(scenario)
+
+
+def test_member_that_is_reached_between_two_failed_connections_is_not_lost_sooner():
+    async def scenario():
+        monitored = MonitoredReplica()
+        monitored.reports = [Unreachable("lost"), Unavailable("silent")] * 9
+        await monitored.steps(QUIET_S + MAX_SILENCE_S - 0.1)
+        assert monitored.avoided == {KEYS[0]} and not monitored.lost
+
+    play(scenario)
+
+
 def test_requests_at_a_dead_replica_that_the_leader_reported_first_are_ended():
     """Failure: a follower polled no replica that it avoided by report, and never found it lost."""
 
--- a/ferrydock/outcomes.py
+++ b/ferrydock/outcomes.py
@@ -39,6 +39,14 @@
     """The other side's host refused the connection: the process that was there has ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class Unreachable(Unavailable):
+    """No connection was made in time: the other side's host is down, or the network is cut.
+
+    A process that stands still is reached, since its host goes on accepting connections.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Unknown:
     """The operation may or may not have taken effect."""
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -14,7 +14,7 @@
 from ..http_client import open_session
 from ..links import DialingConnector, TargetDialer
 from ..logs import log_event
-from ..outcomes import Fault, NotListening, Unavailable, Unknown
+from ..outcomes import Fault, NotListening, Unavailable, Unknown, Unreachable
 from ..targets import (
     CloseOrder,
     JoinOrder,
@@ -38,6 +38,10 @@
 ORDER_TIMEOUT_S = 0.7
 CONNECT_TIMEOUT_S = 0.5
 
+# Share of the time for a report that connecting may take. A host that is up accepts a connection at
+# once, also for a process that stands still, so this tells the two apart.
+CONNECT_SHARE = 0.8
+
 OK = 200
 ACCEPTED = 202
 # Reason of a refused order by the status of the worker's answer (protocol of the platform).
@@ -102,14 +106,16 @@
     async def report(self, target: Target, timeout_s: float) -> TargetReport | Unavailable:
         """Request a worker's report: its accepted orders and its membership in a replica.
 
-        `NotListening` if its address refuses the connection.
+        `NotListening` if its address refuses the connection, `Unreachable` if none is made in time.
         """
         headers = {"X-Expect-Instance": target.target_id}
         url = f"http://{target.address}/v1/report"
+        connect_s = min(CONNECT_TIMEOUT_S, CONNECT_SHARE * timeout_s)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._open_session().get(url, headers=headers) as response,
+                self._open_session().get(url, headers=headers, timeout=timeout) as response,
             ):
                 if response.status != OK:
                     return Unavailable(f"status {response.status}")
@@ -117,6 +123,8 @@
         except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError) as error:
             if isinstance(getattr(error, "os_error", None), ConnectionRefusedError):
                 return NotListening(type(error).__name__)
+            if isinstance(error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
+                return Unreachable(type(error).__name__)
             return Unavailable(type(error).__name__)
         report = decode_report(body)
         if isinstance(report, Fault):
