Log by which error a begun answer broke off

An answer that breaks off was logged as why=broken whatever the error was: a target that closed its connection, one that reset it and an answer that cannot be read looked the same.

attempt_failed now has error=, the class of the error that ended the connection: ServerDisconnectedError (closed), ClientOSError (reset), or another one. aiohttp raises ClientPayloadError for all of these, so the class is taken from the connection's own error where there is one.

Evidence: the new test fails before with KeyError: 'error' in all four cases, closed and reset, for plain answers and streams. It passes now.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -264,8 +264,9 @@
             return await self._handle_answer(exchange, endpoint, answer, sent_s)
         except CallerGone:
             raise
-        except _CONNECTION_ERRORS:
-            return AttemptEnd(False, True, AttemptReason.BROKEN)
+        except _CONNECTION_ERRORS as error:
+            kind = _connection_error(answer, error)
+            return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
         finally:
             _release_connection(answer)
 
@@ -366,6 +367,17 @@
     return not exchange.route.kind.is_repeatable or exchange.response is not None
 
 
+def _connection_error(answer: aiohttp.ClientResponse, error: BaseException) -> type[BaseException]:
+    """Return the class of the error that ended a connection within an answer.
+
+    aiohttp raises the same error for a connection that was closed and one that was reset; the
+    difference is only found in its protocol object, a private attribute.
+    """
+    protocol = answer._protocol
+    lost = protocol.exception() if protocol is not None else None
+    return type(error if lost is None else lost)
+
+
 def _release_connection(answer: aiohttp.ClientResponse) -> None:
     """Return a connection to its pool, or close it if bytes of this exchange are outstanding.
 
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -90,6 +90,8 @@
         request.
     status : int
         Status of the target's answer; 0 if there was none.
+    error : type or None
+        Class of the error by which the connection to the target failed; None if it did not fail.
     """
 
     is_complete: bool
@@ -97,6 +99,7 @@
     reason: str
     may_have_received: bool = True
     status: int = 0
+    error: type[BaseException] | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -78,6 +78,7 @@
             target=endpoint.target.target_id,
             replica=endpoint.replica.name if endpoint.replica else None,
             why=end.reason,
+            error=end.error.__name__ if end.error else None,
             status=end.status or None,
             ran=end.may_have_run,
             attempt=exchange.attempt_count,
