A stop does not reset connections whose request lies unread in the socket

A caller whose complete request reached a daemon as it stopped got a reset instead of a refusal, if the event loop stood still from before listening ended until after: on a kept connection, and on a new one that still waited to be accepted.

Cause: close_idle closed by what the loop had read. Due timers run before the sockets are read, so what came during a standstill was still in the socket, or the connection in the listen queue.

Fix: a connection with unread bytes is not idle (both daemons), and the route daemon's listening socket stays open, and counts as unfinished, while a connection waits to be accepted. Both are read in the loop's next turn and refused as not run; the time for a stop bounds it as before. The table's daemon closes its listening socket as soon as listening ends, as before.

Evidence: the new tests fail before on asyncio and uvloop: ConnectionResetError on the kept connection, 0 connections counted and the socket closed over a waiting one.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -26,6 +26,7 @@
 from ..logs import log_event
 from ..outcomes import Invalid
 from ..planned_stop import STOPPING_REASON, STOPPING_RETRY_S, DaemonStopping, log_listeners
+from ..unread_bytes import has_waiting_connection
 from ._caller_buffers import CallerBuffers, CutReason
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
@@ -199,8 +200,11 @@
             asyncio.get_running_loop().call_later(CLOSE_IDLE_DELAY_S, self.close_idle)
 
     def close_idle(self) -> None:
-        """Close the listening socket and the idle connections."""
-        if self._sockets is not None:
+        """Close the listening socket and the idle connections.
+
+        Not the socket while a connection waits to be accepted: it would be reset.
+        """
+        if self._sockets is not None and not has_waiting_connection(self._sockets):
             self._sockets.close()
         if self._server is not None:
             for connection in self._server.caller_connections():
@@ -247,8 +251,14 @@
 
     @property
     def connection_count(self) -> int:
-        """Number of open connections from callers."""
-        return len(self._server.connections) if self._server is not None else 0
+        """Number of open connections from callers.
+
+        After listening has ended, 1 more if connections still wait to be accepted.
+        """
+        accepted = len(self._server.connections) if self._server is not None else 0
+        if not self.has_stopped_listening or self._sockets is None:
+            return accepted
+        return accepted + has_waiting_connection(self._sockets)
 
     # One request ----------------------------------------------------------------------------
 
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -12,6 +12,7 @@
     REQUEST,
     TIMEOUT_S,
     receive_all,
+    start_planned_stop,
     until,
 )
 
@@ -106,3 +107,35 @@
                 assert (await receive_answer(caller)).startswith(b"HTTP/1.1 200")
 
     play(loop_factory, scenario)
+
+
+@LOOPS
+def test_request_unread_when_idle_connections_are_closed_at_a_stop_is_refused(loop_factory):
+    async def scenario():
+        async with gateway() as rig:
+            caller, _ = await connect_and_wait(rig)
+            with caller:
+                rig.gateway.stop_listening()
+                caller.send(REQUEST)
+                rig.gateway.close_idle()
+                received = await receive_all(caller)
+                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                assert rig.targets[0].requests == []
+
+    play(loop_factory, scenario)
+
+
+@LOOPS
+def test_connection_not_accepted_when_the_socket_is_closed_at_a_stop_is_refused(loop_factory):
+    async def scenario():
+        async with gateway() as rig:
+            rig.gateway.stop_listening()
+            with connect(rig) as caller:
+                caller.send(REQUEST)
+                rig.gateway.close_idle()
+                assert rig.gateway.connection_count == 1
+                received = await receive_all(caller)
+                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+            assert await start_planned_stop(rig)
+
+    play(loop_factory, scenario)
--- a/ferrydock/gateway/_connections.py
+++ b/ferrydock/gateway/_connections.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from ..invariants import BrokenInvariant
-from ..planned_stop import is_idle
+from ..planned_stop import is_idle, is_waiting_for_request
 
 __all__ = ["ConnectionGuard"]
 
@@ -111,7 +111,7 @@
         self._pending_at_stop = {
             connection
             for connection in self.server.connections
-            if connection not in self._with_handler and not is_idle(connection)
+            if connection not in self._with_handler and not is_waiting_for_request(connection)
         }
 
     def close_idle(self) -> None:
--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -25,6 +25,7 @@
 
 from .clock import Clock
 from .logs import log_event
+from .unread_bytes import count_unread_bytes
 
 __all__ = [
     "STOPPING_REASON",
@@ -34,6 +35,7 @@
     "StoppingListener",
     "finish_requests",
     "is_idle",
+    "is_waiting_for_request",
     "log_listeners",
 ]
 
@@ -140,8 +142,8 @@
         """Accept no new connections, and close those without a request."""
 
 
-def is_idle(connection: RequestHandler) -> bool:
-    """Return whether a connection has no request that was read completely and is unanswered.
+def is_waiting_for_request(connection: RequestHandler) -> bool:
+    """Return whether every request that was read on a connection has been answered.
 
     aiohttp has no public interface for that, but its protocol waits for a request in exactly this
     state. A connection whose request was read but whose handler has not begun counts as in use,
@@ -151,6 +153,13 @@
     return waiter is not None and not waiter.done()
 
 
+def is_idle(connection: RequestHandler) -> bool:
+    """Return whether a connection can be closed: it waits for a request, and nothing is unread."""
+    if connection.transport is None or not is_waiting_for_request(connection):
+        return False
+    return not count_unread_bytes(connection.transport)
+
+
 async def finish_requests(
     listeners: Sequence[StoppingListener],
     listen_s: float,
--- a/ferrydock/unread_bytes.py
+++ b/ferrydock/unread_bytes.py
@@ -7,9 +7,10 @@
 import array
 import asyncio
 import fcntl
+import select
 import termios
 
-__all__ = ["count_unread_bytes"]
+__all__ = ["count_unread_bytes", "has_waiting_connection"]
 
 
 def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
@@ -36,3 +37,11 @@
     count = array.array("i", [0])
     fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
     return count[0]
+
+
+def has_waiting_connection(server: asyncio.Server) -> bool:
+    """Return whether a connection waits to be accepted by a listening server."""
+    poll = select.poll()
+    for listening in server.sockets:
+        poll.register(listening.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
