The rest of a refused request's body is not taken for a slow head

A caller whose request was refused before its body had come got 408 and a closed connection as long after it as the header timeout, though the connection was idle and within its idle timeout. A request sent on it at that moment was lost.

Cause: bytes received while no handler ran were taken for the begin of a head. aiohttp reads the rest of a body after the answer, so these may be of the request before.

Fix: only bytes that come while the connection waits for a request, or before its first one, begin a head.

Evidence: the new test fails before: 408 is logged as 'head too slow', and the next request gets ConnectionResetError. It passes now.

--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -21,7 +21,7 @@
 from ..clock import Clock
 from ..invariants import BrokenInvariant, require
 from ..logs import log_event
-from ..planned_stop import is_idle
+from ..planned_stop import is_idle, is_waiting_for_request
 from ..route_metrics import RouteMetrics
 from ..unread_bytes import count_unread_bytes
 from ._caller_buffers import (
@@ -121,10 +121,18 @@
             self.slow_readers.buffers.remove(self)
 
     def data_received(self, data: bytes) -> None:
-        if not self.in_flight and self.head_started_s is None:
+        if self.head_started_s is None and self._is_waiting_for_head:
             self.head_started_s = self._loop.time()
         super().data_received(data)
 
+    @property
+    def _is_waiting_for_head(self) -> bool:
+        """Whether received bytes begin a request; False if they may be the rest of a body.
+
+        aiohttp reads a rest that no handler has read after the request was answered.
+        """
+        return self._request_count == 0 or is_waiting_for_request(self)
+
     def pause_writing(self) -> None:
         """Handle that the caller reads more slowly than its answer is written.
 
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ...configuration import Configuration, RouteKind
+from ...planned_stop import is_waiting_for_request
 from ...targets import Target
 from .._admission import MAX_LATE_WAIT_S, MIN_WAIT_S, queue_times
 from .._refusal import max_retry_queue_s
@@ -529,6 +530,26 @@
     play(scenario)
 
 
+def test_rest_of_a_refused_requests_body_is_not_taken_for_a_slow_head():
+    async def scenario():
+        async with Rig([route()], [ScriptedTarget(writes(complete_answer()))]) as rig:
+            head = b"POST /none HTTP/1.1\r\nHost: h.example\r\nContent-Length: 8\r\n\r\n"
+            reader, writer, connection = await connected(rig, head + b"half")
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                assert b" 404 " in await reader.readuntil(b"\r\n\r\n")
+                while connection.in_flight:
+                    await asyncio.sleep(0.01)
+                writer.write(b"rest")
+                while not is_waiting_for_request(connection):
+                    await asyncio.sleep(0.01)
+                connection.close_if_timed_out(connection.idle_since_s + 10.1, 10.0, 60.0)
+                writer.write(b"GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n")
+                assert b"HTTP/1.1 200 OK" in await reader.readuntil(b"ok")
+            writer.close()
+
+    play(scenario)
+
+
 def test_daemon_does_not_exceed_its_share_of_a_targets_connections():
     async def scenario():
         release = asyncio.Event()
