Compressed bodies of callers are forwarded as received

What callers saw: a request with Content-Encoding: gzip got 504 at its time limit, or its target ran it with another body: the decompressed bytes cut to the declared length, beside the unchanged headers Content-Encoding and Content-Length. A body that is no gzip ended as 500 internal_error.

Cause: aiohttp's server decompresses request bodies unless told otherwise; the gateway forwards bytes. The same default decompressed a small body to any size below the limit on bodies.

Evidence: the new test failed on the code before: "assert b'504' == b'200'" (short) and "assert b'long and co...' == b'\x1f\x8b\x0...'" (long).

Why it works: with auto_decompress=False the parser hands over the bytes of the body unchanged.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -168,6 +168,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            auto_decompress=False,  # bodies are forwarded as received, beside their headers
             keepalive_timeout=DISABLED_KEEPALIVE_TIMEOUT_S,
             max_line_size=MAX_PARSED_HEAD_BYTES,
             max_field_size=MAX_PARSED_HEAD_BYTES,
--- /dev/null
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -0,0 +1,23 @@
+"""How the gateway reads what callers send: bytes, time and memory are bounded."""
+
+import gzip
+
+import pytest
+
+from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
+
+POST = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+
+
+@pytest.mark.parametrize("data", [b"short", b"long and compressible " * 100], ids=["short", "long"])
+def test_compressed_body_is_forwarded_as_received(data):
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        body = gzip.compress(data)
+        async with Rig([route()], [target]) as rig:
+            head = b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
+            received = await rig.raw(POST + head + body, until_closed=False)
+        assert received.split()[1] == b"200"
+        assert target.requests[0].partition(b"\r\n\r\n")[2] == body
+
+    play(scenario)
