A request body that does not end is refused at the time limit

What callers saw: a request whose body stopped arriving, or went on at one byte a second or inside a chunk extension, got no answer for as long as its caller stayed connected, whatever the time limit of its route. The header timeout and the idle timeout do not apply while a request is in flight.

Cause: nothing but a planned stop bounded the reading of a body before the first attempt.

Why it works: the deadline of the request, which bounds the attempts, now bounds the reading of its body too. The answer is 408, a promise that the request has not run, which is true: no attempt has begun. It closes the connection, since the rest of the body may follow.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -33,6 +33,7 @@
 from ._forwarder import Forwarder
 from ._listener import (
     HEADERS_TOO_LARGE,
+    REQUEST_TIMEOUT,
     CallerConnection,
     Listener,
     SlowReaders,
@@ -363,12 +364,16 @@
         service = lookup.configuration.services.get(self._pick_service(route.services))
         if service is None:
             return refusal(SERVICE_UNAVAILABLE, "no_service", NOT_CONFIGURED_RETRY_S)
-        left_s = min(route.time_limit_s, inbound.remaining_s or DEFAULT_DEADLINE_S)
+        deadline_s = now_s + min(route.time_limit_s, inbound.remaining_s or DEFAULT_DEADLINE_S)
+        body_left_s = deadline_s - self.clock.now_s()
         try:
-            async with self.forwarder.stop_limit.apply():
+            async with self.forwarder.stop_limit.apply(), asyncio.timeout(body_left_s):
                 read = await _read_body(request, length, limits)
         except DaemonStopping:
             return self._refuse_stopping(inbound, route)
+        except TimeoutError:
+            self._log_refused(inbound, route, "body_too_slow")
+            return refusal(REQUEST_TIMEOUT, "body_too_slow", None, close=True)
         if read is None:
             return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
         team_name = team.name if team else ""
@@ -380,7 +385,7 @@
             team=team_name,
             team_priority=team.priority if team else 0,
             received_s=now_s,
-            deadline_s=now_s + left_s,
+            deadline_s=deadline_s,
             body=read.data if read.is_complete else None,
             body_prefix=b"" if read.is_complete else read.data,
             identity=_identity(request, team_name, read, length),
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -35,6 +35,7 @@
 
 __all__ = [
     "HEADERS_TOO_LARGE",
+    "REQUEST_TIMEOUT",
     "CallerConnection",
     "Listener",
     "SlowReaders",
--- a/ferrydock/forwarding/tests/test_caller_bounds.py
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -21,3 +21,24 @@
         assert target.requests[0].partition(b"\r\n\r\n")[2] == body
 
     play(scenario)
+
+
+TIME_LIMIT_S = 0.3
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "begun",
+    [POST + b"Content-Length: 100\r\n\r\nabc", CHUNKED + b"3\r\nabc\r\n", CHUNKED + b"3;ext="],
+    ids=["length", "chunks", "chunk_extension"],
+)
+def test_body_that_does_not_end_is_refused_as_not_run_at_the_time_limit(begun):
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route(time_limit_s=TIME_LIMIT_S)], [target]) as rig:
+            received = await rig.raw(begun)
+        assert received.startswith(b"HTTP/1.1 408 ")
+        assert b"Connection: close" in received
+        assert target.requests == []
+
+    play(scenario)
