A request body that turns malformed is refused at once

Cause: aiohttp queues an error response behind the request in flight, but does not end the body that the error interrupts. The handler went on waiting for the body.

Evidence: the new test failed on the code before with TimeoutError, without an answer.

Why it works: the parser of a connection is wrapped by one that also fails the interrupted body. Its request is refused as 400 before any attempt, and the connection is closed.

Measured: the test passes, and all of test_forwarding, test_slow_readers and test_caller_bounds.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -40,6 +40,7 @@
     caller_connection,
 )
 from ._refusal import SERVICE_UNAVAILABLE, refusal
+from ._request_parser import UnreadableBody
 
 __all__ = ["RouteGateway"]
 
@@ -365,17 +366,9 @@
         if service is None:
             return refusal(SERVICE_UNAVAILABLE, "no_service", NOT_CONFIGURED_RETRY_S)
         deadline_s = now_s + min(route.time_limit_s, inbound.remaining_s or DEFAULT_DEADLINE_S)
-        body_left_s = deadline_s - self.clock.now_s()
-        try:
-            async with self.forwarder.stop_limit.apply(), asyncio.timeout(body_left_s):
-                read = await _read_body(request, length, limits)
-        except DaemonStopping:
-            return self._refuse_stopping(inbound, route)
-        except TimeoutError:
-            self._log_refused(inbound, route, "body_too_slow")
-            return refusal(REQUEST_TIMEOUT, "body_too_slow", None, close=True)
-        if read is None:
-            return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
+        read = await self._read_in_time(request, inbound, route, limits, deadline_s)
+        if isinstance(read, web.Response):
+            return read
         team_name = team.name if team else ""
         exchange = Exchange(
             request=request,
@@ -395,6 +388,32 @@
         )
         return await self.forwarder.forward(exchange)
 
+    async def _read_in_time(
+        self,
+        request: web.BaseRequest,
+        inbound: Inbound,
+        route: Route,
+        limits: IngressLimits,
+        deadline_s: float,
+    ) -> "_ReadBody | web.Response":
+        """Return the body that is read before a request is forwarded, or else its refusal."""
+        left_s = deadline_s - self.clock.now_s()
+        try:
+            async with self.forwarder.stop_limit.apply(), asyncio.timeout(left_s):
+                read = await _read_body(request, request.content_length, limits)
+        except DaemonStopping:
+            return self._refuse_stopping(inbound, route)
+        except TimeoutError:
+            self._log_refused(inbound, route, "body_too_slow")
+            return refusal(REQUEST_TIMEOUT, "body_too_slow", None, close=True)
+        except UnreadableBody as error:
+            log_event(_LOG, logging.INFO, "request_unreadable", status=BAD_REQUEST, why=str(error))
+            request.content.feed_eof()  # aiohttp would wait for the rest
+            return refusal(BAD_REQUEST, "bad_request", None, close=True)
+        if read is None:
+            return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
+        return read
+
     def _is_stopping(self) -> bool:
         return self.stopping
 
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -1,10 +1,11 @@
 """Connections of callers: timeouts, slow readers, responses to requests that cannot be parsed.
 
 Owns, for each connection, the number of requests in flight and the time since which it is idle.
-Relies on aiohttp's count of the requests its parser has read on a connection, a private attribute:
-a request counts as received once it is parsed, even if its handler has not started. Where the
-memory for slow readers is bounded, `CallerBuffers` decides whose answers are read further and which
-connections are cut; this module observes the connections and cuts them.
+Relies on private attributes of aiohttp: its parser, which is wrapped, and its count of the requests
+that the parser has read on a connection. A request counts as received once it is parsed, even if
+its handler has not started. Where the memory for slow readers is bounded, `CallerBuffers` decides
+whose answers are read further and which connections are cut; this module observes the connections
+and cuts them.
 """
 
 import asyncio
@@ -12,9 +13,11 @@
 import socket
 import sys
 from collections.abc import Iterable
+from typing import cast
 
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_exceptions import LineTooLong
+from aiohttp.http_parser import HttpParser
 from aiohttp.web_protocol import RequestHandler
 
 from .. import http_server as web
@@ -31,6 +34,7 @@
     CutReason,
 )
 from ._refusal import refusal
+from ._request_parser import BoundedParser
 from ._target_loads import FIRST_SERVER_ERROR_STATUS
 
 __all__ = [
@@ -106,6 +110,7 @@
         self.is_held_back = False
         # Unlike `transport`, it is kept while a closed connection still sends held bytes.
         self._caller_transport: asyncio.Transport | None = None
+        self._parser = cast(HttpParser, BoundedParser(self._parser))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
--- a/ferrydock/forwarding/tests/test_caller_bounds.py
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -1,10 +1,13 @@
 """How the gateway reads what callers send: bytes, time and memory are bounded."""
 
+import asyncio
 import gzip
+import logging
 
 import pytest
 
 from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
+from .test_forwarding import LONG_TIMEOUT_S, connected
 
 POST = b"POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
 
@@ -42,3 +45,21 @@
         assert target.requests == []
 
     play(scenario)
+
+
+def test_body_that_turns_malformed_is_refused_at_once(caplog):
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route(time_limit_s=LONG_TIMEOUT_S)], [target]) as rig:
+            reader, writer, connection = await connected(rig, CHUNKED + b"3\r\nabc\r\n")
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                while not connection.in_flight:
+                    await asyncio.sleep(0.01)
+                writer.write(b"no size\r\n")
+                received = await reader.read(-1)
+            writer.close()
+        assert received.startswith(b"HTTP/1.1 400 ")
+        assert not [each for each in caplog.records if each.levelno >= logging.ERROR]
+        assert target.requests == []
+
+    play(scenario)
