Bytes of a caller that complete no head and are no content are bounded

What callers saw: a daemon's memory and processor could be used up by a few callers, and with it the requests of all others.

Cause: the parser bounds a header field (64 KB) and their number (128), that is 8 MB for each head and as much for trailers; the configuration's limit is checked once the head is complete. Nothing bounds bytes between the contents of chunks, or empty lines before a request.

Why it works: the wrapped parser counts the bytes since it last yielded a head or content, and fails above 64 KB or the configuration's limit on heads, if that is larger. aiohttp answers that like any malformed request, in the order of the requests: 431 for a head, 400 for the request whose body it interrupts, which has not run; then the connection is closed. So one bound holds for heads, empty lines, extensions, sizes and trailers.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -46,8 +46,8 @@
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
-# Maximum length of a line and of a header field for the HTTP parser. The configuration's limit on
-# the complete head is checked afterwards.
+# Maximum length of a line and of a header field for the HTTP parser, and of an incomplete head. The
+# configuration's limit on the complete head is checked afterwards.
 MAX_PARSED_HEAD_BYTES = 65536
 
 # A body up to this size is read completely before the first attempt, so that the request can be
@@ -168,6 +168,7 @@
         host, port = listen.rsplit(":", 1)
         self._server = Listener(
             self._handle,
+            max_head_bytes=self._max_head_bytes,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,  # bodies are forwarded as received, beside their headers
@@ -186,6 +187,12 @@
         bound = self._sockets.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
+    def _max_head_bytes(self) -> int:
+        """Return above how many bytes an incomplete head is refused."""
+        lookup = self.current.lookup
+        configured = lookup.configuration.limits.header_bytes if lookup is not None else 0
+        return max(configured, MAX_PARSED_HEAD_BYTES)
+
     def announce_stop(self) -> None:
         """Make each connection close after its next answer."""
         self.stopping = True
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -12,7 +12,7 @@
 import logging
 import socket
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 from aiohttp.abc import AbstractStreamWriter
@@ -110,7 +110,10 @@
         self.is_held_back = False
         # Unlike `transport`, it is kept while a closed connection still sends held bytes.
         self._caller_transport: asyncio.Transport | None = None
-        self._parser = cast(HttpParser, BoundedParser(self._parser))
+
+    def bound_heads(self, max_head_bytes: Callable[[], int]) -> None:
+        """Refuse heads, and other bytes that are no content, above a number of bytes."""
+        self._parser = cast(HttpParser, BoundedParser(self._parser, max_head_bytes))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -322,6 +325,11 @@
 class Listener(web.Server):
     """Creates a `CallerConnection` for each new connection.
 
+    Parameters
+    ----------
+    max_head_bytes : callable
+        Returns how many bytes a caller may send without completing a head or sending content.
+
     Attributes
     ----------
     slow_readers : SlowReaders or None
@@ -331,9 +339,14 @@
     _is_refusing = False
     slow_readers: SlowReaders | None = None
 
+    def __init__(self, *arguments, max_head_bytes: Callable[[], int], **options):
+        super().__init__(*arguments, **options)
+        self.max_head_bytes = max_head_bytes
+
     def __call__(self) -> CallerConnection:
         connection = CallerConnection(self, loop=self._loop, **self._kwargs)
         connection.slow_readers = self.slow_readers
+        connection.bound_heads(self.max_head_bytes)
         if self._is_refusing:
             connection.refuse_new_requests()
         return connection
--- a/ferrydock/forwarding/tests/test_caller_bounds.py
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -63,3 +63,50 @@
         assert target.requests == []
 
     play(scenario)
+
+
+LONG_FIELD = b"X-A: " + b"b" * 16000 + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begun", "more", "status"),
+    [
+        (POST, LONG_FIELD * 30, b"431"),
+        (b"", b"\r\n" * 200_000, b"431"),
+        (CHUNKED + b"3\r\nabc\r\n3;", b"e" * 400_000, b"400"),
+        (CHUNKED + b"3\r\nabc\r\n", b"0" * 400_000, b"400"),
+        (CHUNKED + b"3\r\nabc\r\n0\r\n", LONG_FIELD * 30, b"400"),
+    ],
+    ids=["head", "empty_lines", "chunk_extension", "chunk_size", "trailers"],
+)
+def test_bytes_without_a_head_or_content_are_bounded(begun, more, status):
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route(time_limit_s=LONG_TIMEOUT_S)], [target]) as rig:
+            received = await rig.raw(begun + more, until_closed=False)
+        assert received.split()[1] == status
+        assert target.requests == []
+
+    play(scenario)
+
+
+def test_bound_on_bytes_without_a_head_counts_each_request_anew():
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route()], [target]) as rig:
+            body = b"a" * 200_000
+            request = (
+                POST + b"X-A: " + b"b" * 12_000 + b"\r\nContent-Length: %d\r\n\r\n" % len(body)
+            )
+            reader, writer, _ = await connected(rig, b"")
+            for _ in range(10):
+                for start in range(0, len(request), 5000):
+                    writer.write(request[start : start + 5000])
+                    await writer.drain()
+                writer.write(body)
+                async with asyncio.timeout(LONG_TIMEOUT_S):
+                    assert b"200 OK" in await reader.readuntil(b"ok")
+            writer.close()
+        assert len(target.requests) == 10
+
+    play(scenario)
