Refused bytes of callers are freed with their connection

Cause: the exception of a refused request refers by its traceback to the frame that queued it, which holds the bytes read (up to 256 KB) and, in its list of requests, the exception. Such a cycle lives until a collection of the oldest generation, which an idle process seldom makes.

Why it works: the traceback, of which nothing is logged, is dropped when the request is queued.

--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -18,7 +18,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.http_parser import HttpParser
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from .. import http_server as web
 from ..clock import Clock
@@ -132,6 +132,10 @@
         if not self.in_flight and self.head_started_s is None:
             self.head_started_s = self._loop.time()
         super().data_received(data)
+        newest = self._messages[-1][0] if self._messages else None
+        if isinstance(newest, _ErrInfo):
+            # Its frames hold the bytes, and the error: they would live until a garbage collection.
+            newest.exc.__traceback__ = newest.exc.__context__ = None
 
     def pause_writing(self) -> None:
         """Handle that the caller reads more slowly than its answer is written.
--- a/ferrydock/forwarding/tests/test_caller_bounds.py
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -1,10 +1,12 @@
 """How the gateway reads what callers send: bytes, time and memory are bounded."""
 
 import asyncio
+import gc
 import gzip
 import logging
 
 import pytest
+from aiohttp.http_exceptions import HttpProcessingError
 
 from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
 from .test_forwarding import LONG_TIMEOUT_S, connected
@@ -110,3 +112,22 @@
         assert len(target.requests) == 10
 
     play(scenario)
+
+
+@pytest.mark.parametrize("refused", [b"nonsense" * 10_000, POST + LONG_FIELD * 30])
+def test_refused_bytes_are_freed_without_a_garbage_collection(refused):
+    async def scenario():
+        async with Rig([route()], [ScriptedTarget(writes(complete_answer()))]) as rig:
+            for _ in range(3):
+                await rig.raw(refused, until_closed=False)
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                while rig.gateway.connection_count:
+                    await asyncio.sleep(0.01)
+            return [each for each in gc.get_objects() if isinstance(each, HttpProcessingError)]
+
+    gc.collect()
+    gc.disable()
+    try:
+        assert play(scenario) == []
+    finally:
+        gc.enable()
