--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -1,21 +1,24 @@
 """Connections of callers: timeouts, slow readers, responses to requests that cannot be parsed.
 
 Owns, for each connection, the number of requests in flight and the time since which it is idle.
-Relies on aiohttp's count of the requests its parser has read on a connection, a private attribute:
-a request counts as received once it is parsed, even if its handler has not started. Where the
-memory for slow readers is bounded, `CallerBuffers` decides whose answers are read further and which
-connections are cut; this module observes the connections and cuts them.
+Relies on private attributes of aiohttp: its parser, which is wrapped, and its count of the requests
+that the parser has read on a connection. A request counts as received once it is parsed, even if
+its handler has not started. Where the memory for slow readers is bounded, `CallerBuffers` decides
+whose answers are read further and which connections are cut; this module observes the connections
+and cuts them.
 """
 
 import asyncio
 import logging
 import socket
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import cast
 
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.http_parser import HttpParser
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from .. import http_server as web
 from ..clock import Clock
@@ -32,10 +35,12 @@
     CutReason,
 )
 from ._refusal import refusal
+from ._request_parser import BoundedParser
 from ._target_loads import FIRST_SERVER_ERROR_STATUS
 
 __all__ = [
     "HEADERS_TOO_LARGE",
+    "REQUEST_TIMEOUT",
     "CallerConnection",
     "Listener",
     "SlowReaders",
@@ -107,6 +112,10 @@
         # Unlike `transport`, it is kept while a closed connection still sends held bytes.
         self._caller_transport: asyncio.Transport | None = None
 
+    def bound_heads(self, max_head_bytes: Callable[[], int]) -> None:
+        """Refuse heads, and other bytes that are no content, above a number of bytes."""
+        self._parser = cast(HttpParser, BoundedParser(self._parser, max_head_bytes))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         if self.slow_readers is not None:
@@ -124,6 +133,10 @@
         if self.head_started_s is None and self._is_waiting_for_head:
             self.head_started_s = self._loop.time()
         super().data_received(data)
+        newest = self._messages[-1][0] if self._messages else None
+        if isinstance(newest, _ErrInfo):
+            # Its frames hold the bytes, and the error: they would live until a garbage collection.
+            newest.exc.__traceback__ = newest.exc.__context__ = None
 
     @property
     def _is_waiting_for_head(self) -> bool:
@@ -336,6 +349,11 @@
 class Listener(web.Server):
     """Creates a `CallerConnection` for each new connection.
 
+    Parameters
+    ----------
+    max_head_bytes : callable
+        Returns how many bytes a caller may send without completing a head or sending content.
+
     Attributes
     ----------
     slow_readers : SlowReaders or None
@@ -345,9 +363,14 @@
     _is_refusing = False
     slow_readers: SlowReaders | None = None
 
+    def __init__(self, *arguments, max_head_bytes: Callable[[], int], **options):
+        super().__init__(*arguments, **options)
+        self.max_head_bytes = max_head_bytes
+
     def __call__(self) -> CallerConnection:
         connection = CallerConnection(self, loop=self._loop, **self._kwargs)
         connection.slow_readers = self.slow_readers
+        connection.bound_heads(self.max_head_bytes)
         if self._is_refusing:
             connection.refuse_new_requests()
         return connection
