A silent member whose host accepts connections keeps its replica, idle or not

What a hall paid: one of its heads stands still for a second.

Cause: a replica without requests was replaced at the first unanswered poll, to repair losses soon. Whether the host of a silent member accepts connections now tells a pause from a loss: only a member that is not reached is replaced that soon.

test_an_idle_replica_outlasts_a_short_silence_of_a_member_whose_host_is_reached failed with the rule as it was.

--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -42,8 +42,10 @@
 class FailureListener(Protocol):
     """Receives what this daemon finds out about silent targets and their replicas."""
 
-    def on_targets_suspected(self, target_ids: Collection[str], reason: str) -> None:
-        """Handle targets that did not answer a poll."""
+    def on_targets_suspected(
+        self, target_ids: Collection[str], reached_ids: Collection[str], reason: str
+    ) -> None:
+        """Handle targets that did not answer a poll; their hosts accept connections if reached."""
 
     def on_targets_lost(self, target_ids: Collection[str], reason: str) -> None:
         """Handle suspected targets that refuse connections, or were silent for too long."""
@@ -319,7 +321,9 @@
             if running_s - since_s >= MAX_UNREACHABLE_S
         ]
         if self.listener is not None:
-            self.listener.on_targets_suspected(suspicion.silent, f"silent in {suspicion.key[0]}")
+            reached = _by_id(polled.silent).keys() - _by_id(polled.unreachable)
+            reason = f"silent in {suspicion.key[0]}"
+            self.listener.on_targets_suspected(suspicion.silent, reached, reason)
         if polled.gone or unreached:
             self._consider_lost(suspicion, [*_by_id(polled.gone), *unreached])
         elif running_s - suspicion.silent_since_s >= MAX_SILENCE_S:
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -139,9 +139,14 @@
         """Whether the daemon leads the hall and controller tasks are running."""
         return self.lease.is_valid and bool(self._tasks)
 
-    def mark_suspected(self, target_ids: Iterable[str], reason: str) -> None:
-        """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`."""
-        self.state.suspect(target_ids, reason)
+    def mark_suspected(
+        self, target_ids: Iterable[str], reason: str, is_reached: bool = False
+    ) -> None:
+        """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`.
+
+        If they are reached, their hosts accepted the connection.
+        """
+        self.state.suspect(target_ids, reason, is_reached)
 
     def mark_lost(self, target_ids: Iterable[str], reason: str) -> None:
         """Suspect targets that were silent for too long, or that refuse connections."""
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -51,6 +51,7 @@
         "_left_replicas",
         "_lost",
         "_paused_until_s",
+        "_reached",
         "_suspected_until_s",
         "busy",
         "changing",
@@ -73,9 +74,18 @@
         self._paused_until_s: dict[str, float] = {}
         self._suspected_until_s: dict[str, float] = {}
         self._lost: set[str] = set()
+        self._reached: set[str] = set()
 
-    def suspect(self, target_ids: Iterable[str], reason: str) -> None:
-        """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`."""
+    def suspect(self, target_ids: Iterable[str], reason: str, is_reached: bool = False) -> None:
+        """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`.
+
+        If they are reached, their hosts accepted the connection.
+        """
+        target_ids = list(target_ids)
+        if is_reached:
+            self._reached.update(target_ids)
+        else:
+            self._reached.difference_update(target_ids)
         for target_id in target_ids:
             if target_id not in self._suspected_until_s:
                 log_event(_LOG, logging.WARNING, "target_suspected", target=target_id, why=reason)
@@ -105,6 +115,10 @@
         """Return whether a suspected target is certain not to be in a short pause."""
         return target_id in self._lost and self.is_suspected(target_id)
 
+    def is_reached(self, target_id: str) -> bool:
+        """Return whether the host of a suspected target accepted the last connection to it."""
+        return target_id in self._reached and self.is_suspected(target_id)
+
     def pause(self, target_id: str) -> None:
         """Send no orders to a target for `FAILED_ORDER_PAUSE_S`, after an order to it failed."""
         self._paused_until_s[target_id] = self.clock.now_s() + FAILED_ORDER_PAUSE_S
@@ -159,6 +173,7 @@
             for target_id in [i for i, until_s in until.items() if until_s <= now_s]:
                 del until[target_id]
         self._lost.intersection_update(self._suspected_until_s)
+        self._reached.intersection_update(self._suspected_until_s)
 
     def clear(self) -> None:
         """Clear what belongs to one term of leadership: all but suspicions and pauses."""
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -218,12 +218,15 @@
     def _is_worth_waiting_for(self, replica: ObservedReplica, suspected: tuple[str, ...]) -> bool:
         """Return whether to wait until suspected members answer or are certainly lost.
 
-        A sound target may be silent for a second or so. Dissolving its replica cuts the requests
-        that have no place elsewhere. Without requests in flight only the repair is at stake, which
-        begins at once, unless so many replicas are silent that they are more likely paused.
+        A sound target may be silent for a second or so, and its host accepts connections meanwhile.
+        If the host does not, only the requests in flight are worth the wait, because those that
+        have no place elsewhere are cut with the replica; or so many replicas are silent that it is
+        more likely the network.
         """
         if replica.head is None or any(self.state.is_lost(target_id) for target_id in suspected):
             return False
+        if all(self.state.is_reached(target_id) for target_id in suspected):
+            return True
         return self._has_mass_silence or self._has_requests(replica)
 
     def _has_requests(self, replica: ObservedReplica) -> bool:
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -139,6 +139,26 @@
     run_scenario(scenario)
 
 
+def test_an_idle_replica_outlasts_a_short_silence_of_a_member_whose_host_is_reached():
+    """Failure: its requests had gone elsewhere, so the sound replica was formed anew."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(2))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        member_id = hall.fleet.open_heads()[0].members[1]
+        hall.controller.mark_suspected([member_id], "test", is_reached=True)
+        await asyncio.sleep(1.2)
+        hall.controller.end_suspicion([member_id])
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+        hall.controller.mark_suspected([member_id], "test", is_reached=True)
+        hall.controller.mark_lost([member_id], "test")
+        assert await hall.until(lambda: hall.broken, 1.0) is not None
+
+    run_scenario(scenario)
+
+
 def test_a_replica_with_requests_in_flight_is_replaced_once_a_member_is_lost():
     async def scenario():
         hall = await hall_with_all_replicas(Hall(2))
--- a/ferrydock/route_daemon/_replica_failures.py
+++ b/ferrydock/route_daemon/_replica_failures.py
@@ -53,10 +53,13 @@
         broken.on_leader_reported = self.leader_report_received
         broken.on_withdrawn = stalls.suspicions.withdraw_report
 
-    def on_targets_suspected(self, target_ids: Collection[str], reason: str) -> None:
+    def on_targets_suspected(
+        self, target_ids: Collection[str], reached_ids: Collection[str], reason: str
+    ) -> None:
         """Report targets that did not answer to the controllers of their halls."""
         for controller, target_id in self._controllers_of(target_ids):
-            controller.mark_suspected([target_id], reason)
+            is_reached = target_id in reached_ids
+            controller.mark_suspected([target_id], reason, is_reached)
 
     def on_targets_lost(self, target_ids: Collection[str], reason: str) -> None:
         """Report lost targets to the controllers of their halls."""
