A connection accepted in the turn that ends listening is not lost

On asyncio's loop a caller whose connection was accepted as a stop closed the listening socket got neither an answer nor a close: the request was never read.

Cause: asyncio accepts a connection and attaches it to the server in a task. If the server is closed between the two, the attach fails and the accepted socket is neither served nor closed.

Fix: the socket is closed by a callback that runs after the tasks of what has been accepted, and only if no connection waits; a stop goes on until the socket is closed.

Evidence: the new test fails before on asyncio with TimeoutError (call_later), and passes now on both loops.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -200,16 +200,25 @@
             asyncio.get_running_loop().call_later(CLOSE_IDLE_DELAY_S, self.close_idle)
 
     def close_idle(self) -> None:
-        """Close the listening socket and the idle connections.
+        """Close the idle connections, and soon the listening socket.
 
-        Not the socket while a connection waits to be accepted: it would be reset.
+        asyncio loses a connection, without closing it, if the socket is closed between accepting
+        it and the task that this starts. A timer runs after what a turn of the loop has accepted,
+        and what it calls runs after those tasks.
         """
-        if self._sockets is not None and not has_waiting_connection(self._sockets):
-            self._sockets.close()
+        if self._sockets is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.0, loop.call_soon, self._close_socket_if_unused)
         if self._server is not None:
             for connection in self._server.caller_connections():
                 connection.close_if_idle()
 
+    def _close_socket_if_unused(self) -> None:
+        """Close the listening socket unless a connection, which would be reset, waits at it."""
+        sockets = require(self._sockets, "the listening socket")
+        if not has_waiting_connection(sockets):
+            sockets.close()
+
     def enforce_timeouts(self) -> None:
         """Close connections that exceed the configuration's header timeout or idle timeout.
 
@@ -253,12 +262,12 @@
     def connection_count(self) -> int:
         """Number of open connections from callers.
 
-        After listening has ended, 1 more if connections still wait to be accepted.
+        After listening has ended, 1 more until the listening socket is closed.
         """
         accepted = len(self._server.connections) if self._server is not None else 0
         if not self.has_stopped_listening or self._sockets is None:
             return accepted
-        return accepted + has_waiting_connection(self._sockets)
+        return accepted + bool(self._sockets.sockets)
 
     # One request ----------------------------------------------------------------------------
 
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -139,3 +139,22 @@
             assert await start_planned_stop(rig)
 
     play(loop_factory, scenario)
+
+
+@LOOPS
+@pytest.mark.parametrize("schedule", ["call_soon", "call_later"])
+def test_connection_accepted_in_the_turn_that_closes_the_socket_is_refused(loop_factory, schedule):
+    async def scenario():
+        async with gateway() as rig:
+            loop = asyncio.get_running_loop()
+            rig.gateway.stop_listening()
+            with connect(rig) as caller:
+                caller.send(REQUEST)
+                if schedule == "call_soon":
+                    loop.call_soon(rig.gateway.close_idle)
+                else:
+                    loop.call_later(0.0, rig.gateway.close_idle)
+                received = await receive_all(caller)
+                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+
+    play(loop_factory, scenario)
