A request that was read and not begun is not refused as a slow head

A caller whose request had been read completely got 408 and a closed connection if the header timeout was over, or a configuration had shortened it, before the request's handler began: after a loop that stood still, for instance.

Cause: close_if_timed_out looked at the handlers that run. A request that was read waits one turn of the loop for its handler, and the time at which its head began stands until then.

Fix: only a connection that waits for a request is closed, as at a planned stop.

Evidence: the new test fails before on asyncio and uvloop (408 and closed), and passes now.

--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -220,13 +220,12 @@
     ) -> None:
         """Close the connection if it exceeds the header timeout or the idle timeout.
 
-        Not while bytes wait to be read: they may be the request, which came in time.
+        Not while a request is unanswered, its handler not begun included, and not while bytes wait
+        to be read: they may be the request, which came in time.
         """
-        if (
-            self.in_flight
-            or self.transport is None
-            or not self._is_timed_out(now_s, header_timeout_s, idle_timeout_s)
-        ):
+        if not is_waiting_for_request(self) or self.transport is None:
+            return
+        if not self._is_timed_out(now_s, header_timeout_s, idle_timeout_s):
             return
         if count_unread_bytes(self.transport):
             return
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -1,4 +1,4 @@
-"""Requests that lie unread in a socket when connections are closed are answered."""
+"""Requests that are unread or not begun when connections are closed are answered."""
 
 import asyncio
 import socket
@@ -109,6 +109,21 @@
     play(loop_factory, scenario)
 
 
+@LOOPS
+def test_request_not_begun_when_the_header_timeout_is_over_is_answered(loop_factory):
+    async def scenario():
+        async with gateway() as rig:
+            caller, connection = await connect_and_wait(rig)
+            with caller:
+                connection.data_received(REQUEST)
+                connection.head_started_s -= 1.0
+                apply_limits(rig, header_timeout_s=0.5)
+                rig.gateway.enforce_timeouts()
+                assert (await receive_answer(caller)).startswith(b"HTTP/1.1 200")
+
+    play(loop_factory, scenario)
+
+
 @LOOPS
 def test_request_unread_when_idle_connections_are_closed_at_a_stop_is_refused(loop_factory):
     async def scenario():
