Tests: requests under way when a configuration removes what they need

A begun stream, a queued request and a body on its way, when a version without their route, service and key and with the narrowest limits is applied, on asyncio and uvloop.

--- /dev/null
+++ b/ferrydock/forwarding/tests/test_configuration_changes.py
@@ -0,0 +1,77 @@
+"""Requests that were read before a configuration change are answered after it."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from ...configuration import Configuration, IngressLimits, RouteKind
+from .rig import TENANTS, Rig, ScriptedTarget, complete_answer, route, writes
+from .test_forwarding import STREAM, events
+from .test_planned_stop import FIELDS, REQUEST, Caller, pauses_until, until
+
+LOOPS = pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
+)
+
+
+def play(loop_factory, scenario):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(scenario())
+
+
+def remove_everything(rig):
+    """Apply a version without routes, services and teams, and with the narrowest limits."""
+    limits = IngressLimits(header_bytes=1, body_bytes=1, header_timeout_s=0.0, idle_timeout_s=0.0)
+    empty = Configuration(rig.current.version + 1, (), {}, (), limits=limits)
+    assert rig.current.apply_if_newer(empty, rig.clock.now_s())
+    rig.selector.assign_free_slots()
+    rig.gateway.enforce_timeouts()
+
+
+@LOOPS
+def test_begun_stream_is_completed_when_its_route_and_service_are_removed(loop_factory):
+    async def scenario():
+        release = asyncio.Event()
+        script = pauses_until(release, STREAM + events(1), events(2) + b"0\r\n\r\n")
+        async with Rig([route(kind=RouteKind.STREAM)], [ScriptedTarget(script)]) as rig:
+            caller = await Caller.connect(rig)
+            caller.send(REQUEST)
+            received = await caller.reader.readuntil(b"id: 1")
+            remove_everything(rig)
+            release.set()
+            received += await caller.reader.readuntil(b"0\r\n\r\n")
+            assert received.count(b"id: ") == 2
+
+    play(loop_factory, scenario)
+
+
+@LOOPS
+def test_queued_request_is_refused_when_its_route_and_service_are_removed(loop_factory):
+    async def scenario():
+        async with Rig([route(kind=RouteKind.AT_MOST_ONCE)], []) as rig:
+            caller = await Caller.connect(rig)
+            caller.send(REQUEST)
+            await until(lambda: rig.selector.queue_length)
+            remove_everything(rig)
+            assert (await caller.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503")
+
+    play(loop_factory, scenario)
+
+
+@LOOPS
+def test_request_whose_body_is_arriving_is_served_when_its_route_and_key_are_removed(loop_factory):
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route(public=False)], [target], tenants=TENANTS) as rig:
+            caller = await Caller.connect(rig)
+            key = b"Authorization: Bearer k1\r\n"
+            head = b"POST /a/x HTTP/1.1\r\n" + FIELDS + key + b"Content-Length: 4\r\n\r\n"
+            caller.send(head + b"ab")
+            await until(lambda: rig.gateway.in_flight)
+            remove_everything(rig)
+            caller.send(b"cd")
+            assert (await caller.reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+            assert target.requests[0].endswith(b"abcd")
+
+    play(loop_factory, scenario)
