ferrydockd: a first request that has arrived is not closed as too late

A caller of ferrydockd whose complete first request had arrived got no answer and a closed connection, if the time for first requests was over before the loop had read it or its handler had begun.

Cause: the timer closed any connection for which no handler had started.

Fix: a connection that has unread bytes or an unanswered request is checked again 50 ms later.

--- a/ferrydock/gateway/_connections.py
+++ b/ferrydock/gateway/_connections.py
@@ -13,6 +13,9 @@
 
 __all__ = ["ConnectionGuard"]
 
+# Pause until a connection that has received bytes is checked again for its first request.
+RECHECK_S = 0.05
+
 _REFUSAL_HEAD = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n"
     b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
@@ -82,11 +85,16 @@
     def _close_without_request(self, protocol) -> None:
         if protocol not in self._without_request:
             return
-        self._without_request.discard(protocol)
         transport = getattr(protocol, "transport", None)
         if transport is not None and not transport.is_closing():
+            if not is_idle(protocol):  # its first request has arrived, but not begun
+                asyncio.get_running_loop().call_later(
+                    RECHECK_S, self._close_without_request, protocol
+                )
+                return
             self.timed_out += 1
             transport.close()
+        self._without_request.discard(protocol)
 
     def begin_request(self, protocol) -> bool:
         """Record that a handler starts; return whether its request came before `end_listening`.
