--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -1,4 +1,4 @@
-"""Requests that lie unread in a socket when connections are closed are answered."""
+"""Requests that are unread or not begun when connections are closed are answered."""
 
 import asyncio
 import socket
@@ -109,6 +109,21 @@
     play(loop_factory, scenario)
 
 
+@LOOPS
+def test_request_not_begun_when_the_header_timeout_is_over_is_answered(loop_factory):
+    async def scenario():
+        async with gateway() as rig:
+            caller, connection = await connect_and_wait(rig)
+            with caller:
+                connection.data_received(REQUEST)
+                connection.head_started_s -= 1.0
+                apply_limits(rig, header_timeout_s=0.5)
+                rig.gateway.enforce_timeouts()
+                assert (await receive_answer(caller)).startswith(b"HTTP/1.1 200")
+
+    play(loop_factory, scenario)
+
+
 @LOOPS
 def test_request_unread_when_idle_connections_are_closed_at_a_stop_is_refused(loop_factory):
     async def scenario():
@@ -139,3 +154,22 @@
             assert await start_planned_stop(rig)
 
     play(loop_factory, scenario)
+
+
+@LOOPS
+@pytest.mark.parametrize("schedule", ["call_soon", "call_later"])
+def test_connection_accepted_in_the_turn_that_closes_the_socket_is_refused(loop_factory, schedule):
+    async def scenario():
+        async with gateway() as rig:
+            loop = asyncio.get_running_loop()
+            rig.gateway.stop_listening()
+            with connect(rig) as caller:
+                caller.send(REQUEST)
+                if schedule == "call_soon":
+                    loop.call_soon(rig.gateway.close_idle)
+                else:
+                    loop.call_later(0.0, rig.gateway.close_idle)
+                received = await receive_all(caller)
+                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+
+    play(loop_factory, scenario)
