Answers of the store are bounded in bytes, and ranges in pages

What callers could have seen: a daemon that reads an answer of the store without end holds all of it until the call's time limit (1 to 21.5 s), and a range of whose pages each says that more follow was read for ever, with a growing list and no bound in time. Neither was seen on a deployment; both are findings of tests with raw sockets.

Cause: the body of an answer was read without a bound, and the loop over pages had none and no check that a page advances.

Evidence: 4 of 5 new tests failed on the code before: an answer of 16 MB and a few bytes was accepted as RangeDone, an endless one was read until the time limit of 1 s, and both ranges had not ended after 8 s.

Why it works: the body is read in pieces; above 16 MB, the bound on messages of peers too, reading ends, the connection is closed, store_answer_too_large is logged and the answer counts as none, so the daemon goes on with what it knows. A range ends as unavailable after 64 pages (some 32,000 entries), or when the last key of a page does not follow that of the page before.

Measured: 5 of 5 pass; test_store_messages, test_slow_store and test_store_eras pass.

--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -71,6 +71,11 @@
 MAX_WATCH_MS = 20000
 WATCH_TIMEOUT_MARGIN_S = 1.5
 
+# Bytes of an answer's body, and pages of a range. Far above the complete target list of a large
+# site, a configuration of some hundred routes and the changes of the store's history.
+MAX_ANSWER_BYTES = 16 * 2**20
+MAX_RANGE_PAGES = 64
+
 # Key of the operators' configuration, and prefix of the keys of the workers.
 CONFIGURATION_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
@@ -160,7 +165,7 @@
         """
         items: list[KeyValue] = []
         first: RangePage | None = None
-        while True:
+        for _ in range(MAX_RANGE_PAGES):
             after_key = items[-1].key if items else None
             answer = await self._call("GET", "/kv-range", page_query(prefix, after_key), key=prefix)
             if isinstance(answer, Unavailable | Unknown):
@@ -173,9 +178,12 @@
             first = first or page
             if page.era != first.era:
                 return Unavailable("the store came back older between two pages")
+            if after_key is not None and page.items and page.items[-1].key <= after_key:
+                return Unavailable(f"the page after {after_key!r} ends before it")
             items += page.items
             if page.is_last:
                 return RangeDone(tuple(items), first.revision, first.era)
+        return Unavailable(f"more than {MAX_RANGE_PAGES} pages of {prefix!r}")
 
     async def transact(
         self, txn: Txn, is_on_new_connection: bool = False
@@ -334,7 +342,7 @@
                     method, self._base + path, params=query, data=data, headers=_JSON
                 ) as response,
             ):
-                encoded = await response.read()
+                encoded = await _read_body(response, kind)
                 fields = orjson.loads(encoded) if encoded else {}
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._count_call(kind, "unreached", began_s)
@@ -391,6 +399,24 @@
             )
 
 
+async def _read_body(response: aiohttp.ClientResponse, kind: str) -> bytes:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        The body is incomplete, or larger than `MAX_ANSWER_BYTES`.
+    """
+    pieces, size = [], 0
+    async for piece in response.content.iter_any():
+        size += len(piece)
+        if size > MAX_ANSWER_BYTES:
+            log_event(_LOG, logging.ERROR, "store_answer_too_large", kind=kind, bytes=size)
+            raise aiohttp.ClientPayloadError(f"more than {MAX_ANSWER_BYTES} bytes")
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
 def _key_of(txn: Txn) -> str:
     """Return the key of a transaction's first condition, by which its caller is known."""
     return txn.compares[0].key if txn.compares else ""
