Bodies of requests are bounded in memory for all callers together

What callers saw: a daemon's memory could be used up by callers that send large bodies and do not end them, and with it all other requests.

Cause: a body is bounded by the configuration (4 MB), but bodies of all callers together are not.

Evidence: the new test failed on the code before with TimeoutError: none of four callers that sent 400 KB to a daemon of 5 MB, and then nothing, was refused.

Why it works: a fifth of the daemon's memory may hold bodies. Above it, the reading of the body that began first is ended; ordinary bodies arrive within milliseconds. The request is refused as 503, which is true: no attempt has begun. Bodies of requests in flight are counted until they end.

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -44,6 +44,8 @@
     "crashes_targets": "one target after the other ended while it ran this request, in this try or "
     "in earlier ones",
     "unknown_key": "no tenant of the configuration in force holds the key",
+    "body_too_slow": "its body had not arrived completely at the time limit of its route",
+    "body_memory": "the daemon held too many bytes of bodies, and this one had arrived for longest",
     "dead": "a member did not answer any more",
     "all_dead": "none of its members answered any more",
     "member_gone": "the entry of a member is gone and it does not answer",
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from .. import http_server as web
 from ..clock import Clock
@@ -26,6 +27,7 @@
 from ..logs import log_event
 from ..outcomes import Invalid
 from ..planned_stop import STOPPING_REASON, STOPPING_RETRY_S, DaemonStopping, log_listeners
+from ._body_memory import BodyMemory, BodyMemoryExceeded
 from ._caller_buffers import CallerBuffers, CutReason
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
@@ -59,6 +61,10 @@
 # reachable again is detected within about that time.
 NOT_CONFIGURED_RETRY_S = 0.5
 
+# Retry-After for requests whose bodies exceed the daemon's memory for them. Most bodies that occupy
+# it have ended by then, at their routes' time limits or with their requests.
+BODY_MEMORY_RETRY_S = 1.0
+
 # Deadline of a request whose caller states none.
 DEFAULT_DEADLINE_S = 30.0
 
@@ -118,11 +124,12 @@
     address : str
         ``IP:PORT`` that the gateway listens on.
     memory_bytes : float or None
-        Memory limit of the daemon, which bounds the bytes held for callers that read slowly; None
-        for no such bound. Set before `start`.
+        Memory limit of the daemon, which bounds the bytes held for callers that read slowly and
+        those of requests' bodies; None for no such bounds. Set before `start`.
     """
 
     __slots__ = (
+        "_bodies",
         "_server",
         "_sockets",
         "address",
@@ -160,12 +167,14 @@
         self.in_flight = 0
         self.address = ""
         self.memory_bytes: float | None = None
+        self._bodies = BodyMemory(None)
         self._server: Listener | None = None
         self._sockets: asyncio.Server | None = None
 
     async def start(self, listen: str) -> None:
         """Start listening on ``IP:PORT``."""
         host, port = listen.rsplit(":", 1)
+        self._bodies = BodyMemory(self.memory_bytes)
         self._server = Listener(
             self._handle,
             max_head_bytes=self._max_head_bytes,
@@ -274,6 +283,7 @@
             return web.Response(status=CALLER_LEFT_STATUS)
         finally:
             self.in_flight -= 1
+            self._bodies.release(connection)
             connection.end_request()
         if self._ends_connection(connection, response):
             response.force_close()
@@ -405,14 +415,24 @@
     ) -> "_ReadBody | web.Response":
         """Return the body that is read before a request is forwarded, or else its refusal."""
         left_s = deadline_s - self.clock.now_s()
+        connection = caller_connection(request)
         try:
-            async with self.forwarder.stop_limit.apply(), asyncio.timeout(left_s):
-                read = await _read_body(request, request.content_length, limits)
+            async with (
+                self.forwarder.stop_limit.apply(),
+                self._bodies.reading(connection),
+                asyncio.timeout(left_s),
+            ):
+                read = await _read_body(
+                    request, request.content_length, limits, partial(self._bodies.add, connection)
+                )
         except DaemonStopping:
             return self._refuse_stopping(inbound, route)
         except TimeoutError:
             self._log_refused(inbound, route, "body_too_slow")
             return refusal(REQUEST_TIMEOUT, "body_too_slow", None, close=True)
+        except BodyMemoryExceeded:
+            self._log_refused(inbound, route, "body_memory")
+            return refusal(SERVICE_UNAVAILABLE, "body_memory", BODY_MEMORY_RETRY_S, close=True)
         except UnreadableBody as error:
             log_event(_LOG, logging.INFO, "request_unreadable", status=BAD_REQUEST, why=str(error))
             request.content.feed_eof()  # aiohttp would wait for the rest
@@ -474,7 +494,10 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, length: int | None, limits: IngressLimits
+    request: web.BaseRequest,
+    length: int | None,
+    limits: IngressLimits,
+    count_bytes: Callable[[int], None],
 ) -> _ReadBody | None:
     """Read a body completely, or only its beginning if it is too large to buffer.
 
@@ -487,6 +510,7 @@
     pieces, size = [], 0
     async for piece in request.content.iter_any():
         size += len(piece)
+        count_bytes(len(piece))
         if size > limits.body_bytes:
             return None
         pieces.append(piece)
--- a/ferrydock/forwarding/tests/test_caller_bounds.py
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -131,3 +131,28 @@
         assert play(scenario) == []
     finally:
         gc.enable()
+
+
+def test_bodies_that_do_not_end_leave_memory_for_others():
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        rig = Rig([route(time_limit_s=LONG_TIMEOUT_S)], [target])
+        rig.gateway.memory_bytes = 5_000_000.0
+        async with rig, asyncio.timeout(LONG_TIMEOUT_S / 2):
+            size = 400_000
+            begun = CHUNKED + b"%x\r\n%s\r\n" % (size, b"a" * size)
+            answers = [asyncio.create_task(rig.raw(begun, timeout_s=None)) for _ in range(4)]
+            done = set()
+            while len(done) < 2:
+                done, _ = await asyncio.wait(answers, return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.sleep(0.01)
+            for answer in done:
+                assert answer.result().startswith(b"HTTP/1.1 503 ")
+                assert b"Retry-After: " in answer.result()
+            assert target.requests == []
+            assert (await rig.ask("POST", body=b"a" * 10_000)).split()[1] == b"200"
+            for answer in answers:
+                answer.cancel()
+        assert len(target.requests) == 1
+
+    play(scenario)
