A caller that waits for 100 Continue is told to send its body

Cause: aiohttp's server answers the expectation only in an application, not in the bare server that the gateway uses.

Evidence: the new test failed on the code before with TimeoutError, without 100 Continue.

Why it works: the gateway writes it once the request has passed all checks, before it reads the body. The header was and is not forwarded.

Measured: the test passes, and all of test_forwarding.

--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -87,6 +87,9 @@
 LINGERING_S = 1.0
 SHUTDOWN_TIMEOUT_S = 0.2
 
+# Interim answer to a caller that waits for it before it sends a body (RFC 9110, section 10.1.1).
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 # HTTP statuses (RFC 9110). The first is used for a disconnected caller and never sent.
 CALLER_LEFT_STATUS = 499
 BAD_REQUEST = 400
@@ -506,6 +509,9 @@
     """
     if not request.can_read_body:
         return _ReadBody(b"", True)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(CONTINUE)
+        request.writer.output_size = 0  # the answer has not begun
     is_buffered = length is None or length <= MAX_BUFFERED_BODY_BYTES
     pieces, size = [], 0
     async for piece in request.content.iter_any():
--- a/ferrydock/forwarding/tests/test_caller_bounds.py
+++ b/ferrydock/forwarding/tests/test_caller_bounds.py
@@ -156,3 +156,20 @@
         assert len(target.requests) == 1
 
     play(scenario)
+
+
+def test_caller_that_waits_for_100_continue_is_told_to_send_its_body():
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route(time_limit_s=LONG_TIMEOUT_S)], [target]) as rig:
+            head = POST + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+            reader, writer, _ = await connected(rig, head)
+            async with asyncio.timeout(LONG_TIMEOUT_S / 2):
+                assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+                writer.write(b"abc")
+                assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+        assert target.requests[0].endswith(b"\r\n\r\nabc")
+        assert b"\r\nexpect:" not in target.requests[0].lower()
+
+    play(scenario)
