One place for the emulator's series, its workers and its foreign entries

`draw_weighted_series` draws the series of two plays, `FleetSite.all_workers` lists all workers, `_fleet_experiment` makes the experiments of three plays, and `field_paths` and `replace_field` serve the draws and the tests of entries.

Tests of the emulator, the stand-ins, the messages and the controller passed. One test failed beside them, with and without this change, and passes on: tests/test_outside.py::test_a_follower_understands_a_leader_and_a_controller_key_of_an_older_version.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -46,6 +46,7 @@
 import asyncio
 import sys
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -87,7 +88,7 @@
 # Targets that leave: several requests per daemon and target within each bound of 2 s.
 LEAVING_LOAD = Load(40.0, _MIX)
 
-# Fewest daemons of a hall where some of them lose their links.
+# Fewest daemons of a hall where some of them lose their links, or are signalled in series.
 MIN_PEERS = 3
 
 # Daemons of a hall in the largest plays: as many processes as eight cores bear.
@@ -195,19 +196,11 @@
 
     Every tenth seed has 24 daemons, every fourth eight in one hall, the others six in two halls.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
-    count = max(count, 3)
-    return Experiment(
-        name=f"drains {seed}",
-        seed=seed,
-        length_s=DRAINS_LENGTH_S,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=DRAINS_LOAD,
-        troubles=tuple(draw_drains(seed, DRAINS_LENGTH_S, halls)),
-        settle_s=10.0,
-        persistent_callers=1 if len(halls) * count > 12 else 4,
+    halls, _, _ = _fleet_sizes(seed)
+    name, troubles = f"drains {seed}", draw_drains(seed, DRAINS_LENGTH_S, halls)
+    return replace(
+        _fleet_experiment(name, seed, DRAINS_LENGTH_S, DRAINS_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 4,
         store_latency_s=DRAINS_STORE_LATENCY_S,
         has_small_buffers=seed % 2 == 0,
     )
@@ -286,20 +279,14 @@
     Callers keep their connections until a process is gone. Every third seed has no other faults.
     Every tenth seed has 48 daemons, every fourth eight in one hall, the others six in two halls.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
-    count = FOREIGN_PEERS if len(halls) == 3 else max(count, MIN_PEERS)
+    halls, _, _ = _fleet_sizes(seed)
+    is_largest = len(halls) == 3
     length_s = 14.0
-    return Experiment(
-        name=f"foreign {seed}",
-        seed=seed,
-        length_s=length_s,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=LOAD,
-        troubles=tuple(draw_foreign(seed, length_s, halls)),
-        settle_s=10.0,
-        persistent_callers=1 if len(halls) * count > 12 else 2,
+    troubles = draw_foreign(seed, length_s, halls)
+    min_daemons = FOREIGN_PEERS if is_largest else MIN_PEERS
+    return replace(
+        _fleet_experiment(f"foreign {seed}", seed, length_s, LOAD, troubles, min_daemons),
+        persistent_callers=1 if is_largest else 2,
         has_foreign_entries=True,
     )
 
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -14,7 +14,7 @@
     draw_troubles,
     read_experiment,
 )
-from ._foreign_entries import draw_entry, draw_foreign
+from ._foreign_entries import draw_entry, draw_foreign, field_paths, replace_field
 from ._leaving import (
     DRAIN_S,
     arrivals_after_leaving,
@@ -85,6 +85,7 @@
     "draw_troubles",
     "excuse_of_call",
     "excuse_of_stop",
+    "field_paths",
     "figures",
     "free_ports",
     "is_as_promised",
@@ -93,4 +94,5 @@
     "loopback_address",
     "page",
     "read_experiment",
+    "replace_field",
 ]
--- a/ferrydock/emulator/_drain_plays.py
+++ b/ferrydock/emulator/_drain_plays.py
@@ -1,11 +1,11 @@
 """Leaving targets among all other troubles, drawn from a seed. Pure."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from ._experiment import Trouble
 
-__all__ = ["draw_drains", "draw_series"]
+__all__ = ["draw_drains", "draw_weighted_series"]
 
 # Pause between two leaving targets; two leave in a second on average.
 LEAVE_INTERVAL_S = (0.2, 0.8)
@@ -100,17 +100,39 @@
     if rng.random() < SINGLE_OUTAGES_SHARE:
         for outage_at in OUTAGES_AT:
             at_s = rng.uniform(*outage_at) * length_s
-            drawn += draw_series(rng, rng.choice(_OUTAGES), at_s, 2, halls)
+            drawn += _draw_series(rng, rng.choice(_OUTAGES), at_s, 2, halls)
     else:
         weights = rng.choice(_WEIGHTS)
-        for _ in range(rng.choice(SERIES)):
-            name = rng.choices(list(weights), list(weights.values()))[0]
-            at_s = rng.uniform(0.8, length_s * 0.8)
-            drawn += draw_series(rng, name, at_s, rng.choice(SERIES_LENGTH), halls)
+        count = rng.choice(SERIES)
+        drawn += draw_weighted_series(rng, weights, count, (0.8, length_s * 0.8), halls)
     return sorted(drawn, key=lambda trouble: trouble.at_s)
 
 
-def draw_series(
+def draw_weighted_series(
+    rng: random.Random,
+    weights: Mapping[str, int],
+    count: int,
+    begin_s: tuple[float, float],
+    halls: Sequence[str],
+) -> list[Trouble]:
+    """Return the troubles of `count` series that may overlap.
+
+    Parameters
+    ----------
+    weights : mapping of str to int
+        How often each kind of series is drawn; the kinds are the keys of `_SERIES`.
+    begin_s : (float, float)
+        Earliest and latest time at which a series begins, in seconds of the load.
+    """
+    drawn = []
+    for _ in range(count):
+        name = rng.choices(list(weights), list(weights.values()))[0]
+        at_s = rng.uniform(*begin_s)
+        drawn += _draw_series(rng, name, at_s, rng.choice(SERIES_LENGTH), halls)
+    return drawn
+
+
+def _draw_series(
     rng: random.Random, name: str, at_s: float, length: int, halls: Sequence[str]
 ) -> list[Trouble]:
     """Return `length` troubles of one kind of series, the first one at `at_s`."""
--- a/ferrydock/emulator/_foreign_entries.py
+++ b/ferrydock/emulator/_foreign_entries.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import functools
+import operator
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
@@ -14,7 +16,7 @@
 import orjson
 
 from ..standins.fleet import HEARTBEAT_S, FleetSite, Worker
-from ._drain_plays import draw_series
+from ._drain_plays import draw_weighted_series
 from ._experiment import FOREIGN_KIND, Trouble
 from ._load import Call
 from ._troubles import EmulationParts, trouble
@@ -24,6 +26,8 @@
     "describe_unserved_beside",
     "draw_entry",
     "draw_foreign",
+    "field_paths",
+    "replace_field",
     "write_before_start",
 ]
 
@@ -51,7 +55,6 @@
 
 # Series of other troubles beside them, and how often each kind is drawn.
 SERIES_COUNTS = (2, 3, 4)
-SERIES_LENGTHS = (1, 2, 3, 4)
 _SERIES_WEIGHTS = {
     "ends": 4,
     "pace of leaders": 2,
@@ -102,12 +105,21 @@
     return type(value) is type(other) or {type(value), type(other)} <= numbers
 
 
-def _paths(value: Any, path: tuple = ()) -> list[tuple]:
+def field_paths(value: Any, path: tuple = ()) -> list[tuple]:
     """Return the path of each field of a JSON value."""
     items: Iterable = value.items() if isinstance(value, dict) else ()
     if isinstance(value, list):
         items = enumerate(value)
-    return [found for key, inner in items for found in ((*path, key), *_paths(inner, (*path, key)))]
+    return [
+        found for key, inner in items for found in ((*path, key), *field_paths(inner, (*path, key)))
+    ]
+
+
+def replace_field(value: Any, path: tuple, new: Any) -> Any:
+    """Return a copy of a JSON value with another value at a path."""
+    copy = orjson.loads(orjson.dumps(value))
+    functools.reduce(operator.getitem, path[:-1], copy)[path[-1]] = new
+    return copy
 
 
 def draw_entry(rng: random.Random, sound: Mapping[str, Any]) -> bytes:
@@ -125,14 +137,11 @@
         case "service":
             entry["service"] = "unnamed"
         case "replaced":
-            path = rng.choice(_paths(entry))
-            parent = entry
-            for key in path[:-1]:
-                parent = parent[key]
-            value = _draw_value(rng)
-            while _same_type(value, parent[path[-1]]) or path == ("group",) and value is None:
+            path = rng.choice(field_paths(entry))
+            before, value = functools.reduce(operator.getitem, path, entry), _draw_value(rng)
+            while _same_type(value, before) or path == ("group",) and value is None:
                 value = _draw_value(rng)
-            parent[path[-1]] = value
+            entry = replace_field(entry, path, value)
     return orjson.dumps(entry)
 
 
@@ -144,7 +153,7 @@
 
 
 def _add_entry(site: FleetSite, rng: random.Random, worker_id: str) -> None:
-    template = rng.choice([*site.fleet.workers.values(), *site.plain.values()])
+    template = rng.choice(site.all_workers())
     fields = site.entry_fields(template) | {"address": "127.0.0.1:9"}
     site.write_foreign_entry(worker_id, draw_entry(rng, fields))
 
@@ -152,7 +161,7 @@
 def _may_be_overwritten(parts: EmulationParts) -> list[Worker]:
     """Return the workers whose entries may be overwritten, so that others are left to serve."""
     site = parts.site
-    everyone = [*site.fleet.workers.values(), *site.plain.values()]
+    everyone = site.all_workers()
     if sum(worker.is_overwritten for worker in everyone) >= MAX_OVERWRITTEN_COUNT:
         return []
     usable = [w for w in everyone if w.alive and not (w.draining or w.is_overwritten)]
@@ -199,8 +208,8 @@
         await asyncio.sleep(rng.uniform(*WRITE_INTERVAL_S))
     for worker_id in added:
         if rng.random() < REMOVED_SHARE:
-            site.remove_foreign_entry(worker_id)
-    for worker in [*site.fleet.workers.values(), *site.plain.values()]:
+            site.remove_entry(worker_id)
+    for worker in site.all_workers():
         if worker.is_overwritten:
             site.write_entry_again(worker)
     return f"{spec.count} at a time for {spec.for_s:.1f} s"
@@ -215,10 +224,8 @@
         for_s = min(rng.uniform(*FOREIGN_S), length_s - at_s)
         drawn.append(Trouble(at_s, FOREIGN_KIND, rng.choice(COUNTS), for_s))
     if seed % 3:
-        for _ in range(rng.choice(SERIES_COUNTS)):
-            name = rng.choices(list(_SERIES_WEIGHTS), list(_SERIES_WEIGHTS.values()))[0]
-            at_s = rng.uniform(0.5, length_s * 0.7)
-            drawn += draw_series(rng, name, at_s, rng.choice(SERIES_LENGTHS), halls)
+        count, begin_s = rng.choice(SERIES_COUNTS), (0.5, length_s * 0.7)
+        drawn += draw_weighted_series(rng, _SERIES_WEIGHTS, count, begin_s, halls)
     return sorted(drawn, key=lambda spec: spec.at_s)
 
 
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -207,7 +207,7 @@
         site = self.parts.site
         departures = [
             Departure(worker.worker_id, worker.left_s + wall_offset_s)
-            for worker in (*site.fleet.workers.values(), *site.plain.values())
+            for worker in site.all_workers()
             if worker.left_s is not None
         ]
         arrived = [
--- a/ferrydock/platform/tests/test_worker_messages.py
+++ b/ferrydock/platform/tests/test_worker_messages.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ...emulator import field_paths, replace_field
 from ...outcomes import Fault
 from ...targets import Membership, ReplicaState, Target, TargetReport
 from ...typed_json import MAX_PROBLEM_CHARS
@@ -52,26 +53,6 @@
     return msgspec.convert(fields, type(decoded)) == decoded
 
 
-def paths(value, path=()):
-    """Return the path of each field of a JSON value."""
-    items = value.items() if isinstance(value, dict) else ()
-    if isinstance(value, list):
-        items = enumerate(value)
-    for key, inner in items:
-        yield (*path, key)
-        yield from paths(inner, (*path, key))
-
-
-def replaced(value, path, new):
-    """Return a copy of a JSON value with another value at a path."""
-    copy = orjson.loads(orjson.dumps(value))
-    parent = copy
-    for key in path[:-1]:
-        parent = parent[key]
-    parent[path[-1]] = new
-    return copy
-
-
 @given(st.binary() | JSON.map(orjson.dumps), st.text())
 def test_any_bytes_are_a_target_of_declared_types_or_none(value, target_id):
     """Failure: a list as the name of a model ended each daemon that led a hall."""
@@ -79,10 +60,10 @@
     assert isinstance(decoded, Fault) or has_declared_types(decoded)
 
 
-@given(st.sampled_from(list(paths(MODEL))), JSON)
+@given(st.sampled_from(field_paths(MODEL)), JSON)
 def test_an_entry_with_any_field_of_any_value_is_a_target_of_declared_types_or_none(path, new):
     """Failure: a text in place of a group kept each daemon from ever reading the list."""
-    value = orjson.dumps(replaced(MODEL, path, new))
+    value = orjson.dumps(replace_field(MODEL, path, new))
     decoded = decode_target("i-1", value)
     if isinstance(decoded, Fault):
         assert len(str(decoded)) <= 2 * MAX_PROBLEM_CHARS + 2
@@ -90,9 +71,9 @@
         assert has_declared_types(decoded)
 
 
-@given(st.sampled_from(list(paths(REPORT))), JSON)
+@given(st.sampled_from(field_paths(REPORT)), JSON)
 def test_a_report_with_any_field_of_any_value_has_declared_types_or_is_none(path, new):
-    decoded = decode_report(orjson.dumps(replaced(REPORT, path, new)))
+    decoded = decode_report(orjson.dumps(replace_field(REPORT, path, new)))
     assert isinstance(decoded, Fault) or has_declared_types(decoded)
 
 
--- a/ferrydock/replicas/tests/test_controller.py
+++ b/ferrydock/replicas/tests/test_controller.py
@@ -97,8 +97,7 @@
             member = hall.directory.targets[head.members[1]]
             foreign = foreign_target(number, "unnamed", member.domain)
             hall.directory.put(replace(foreign, membership=member.membership))
-            hall.list.overwritten.add(member.target_id)
-            hall.list._on_change(hall.fleet.workers[member.target_id])
+            hall.list.overwrite(hall.fleet.workers[member.target_id])
         await asyncio.sleep(5.0)
         assert {head.group_key for head in hall.fleet.open_heads()} == before
         assert hall.broken == []
@@ -227,8 +226,7 @@
         await asyncio.sleep(20.0)
         head = next(h for h in hall.fleet.open_heads() if h.model == "large")
         key = head.group_key
-        hall.list.overwritten.add(head.worker_id)
-        hall.list._on_change(head)
+        hall.list.overwrite(head)
         assert await hall.until(lambda: head.group_key != key, 10.0) is not None
         assert await hall.until(lambda: hall.models() == ALL_REPLICAS, 20.0) is not None
         assert hall.broken == [] and hall.fleet.violations == []
@@ -250,11 +248,9 @@
         head = next(h for h in hall.fleet.open_heads() if h.model == "large")
         for member_id in (head.members[3], head.members[second]):
             member = hall.fleet.workers[member_id]
-            hall.list.overwritten.add(member_id)
-            hall.list._on_change(member)
+            hall.list.overwrite(member)
             await asyncio.sleep(0.5)
-            hall.list.overwritten.clear()
-            hall.list._on_change(member)
+            hall.list.restore(member)
             await asyncio.sleep(3.0)
         assert {head.group_key for head in hall.fleet.open_heads()} == before
         assert hall.broken == []
@@ -270,8 +266,7 @@
         await asyncio.sleep(20.0)
         before = {head.group_key for head in hall.fleet.open_heads()}
         member = hall.fleet.workers[hall.fleet.open_heads()[0].members[1]]
-        hall.list.overwritten.add(member.worker_id)
-        hall.list._on_change(member)
+        hall.list.overwrite(member)
         await asyncio.sleep(60.0)
         assert {head.group_key for head in hall.fleet.open_heads()} == before
         lines = [line for line in caplog.messages if "members_missing" in line]
@@ -286,12 +281,10 @@
         await asyncio.sleep(20.0)
         before = {head.group_key for head in hall.fleet.open_heads()}
         for head in hall.fleet.open_heads():
-            hall.list.overwritten.add(head.worker_id)
-            hall.list._on_change(head)
+            hall.list.overwrite(head)
             await asyncio.sleep(0.5)
             assert head.worker_id not in hall.directory.targets
-            hall.list.overwritten.clear()
-            hall.list._on_change(head)
+            hall.list.restore(head)
         await asyncio.sleep(5.0)
         assert {head.group_key for head in hall.fleet.open_heads()} == before
         assert hall.broken == []
--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -114,27 +114,33 @@
         the worker falls silent.
     lag_s : float
         Delay before the reader receives a change.
-
-    Attributes
-    ----------
-    overwritten : set of str
-        Ids of workers whose entries another writer overwrites: the reader gets them as removed.
     """
 
     def __init__(self, fleet: Fleet, heartbeat_s: float = 1.2, lag_s: float = 0.05):
         self.fleet = fleet
         self.heartbeat_s = heartbeat_s
         self.lag_s = lag_s
-        self.overwritten: set[str] = set()
+        # Ids of workers whose entries another writer overwrites: the reader gets them as removed.
+        self._overwritten: set[str] = set()
         self._queue: asyncio.Queue = asyncio.Queue()
         fleet.on_change = self._on_change
         for worker in fleet.workers.values():
             self._on_change(worker)
 
     def _on_change(self, worker: Worker) -> None:
-        is_overwritten = worker.worker_id in self.overwritten
+        is_overwritten = worker.worker_id in self._overwritten
         self._queue.put_nowait((worker.worker_id, None if is_overwritten else worker.entry))
 
+    def overwrite(self, worker: Worker) -> None:
+        """Let another writer overwrite a worker's entry, now and whenever it changes."""
+        self._overwritten.add(worker.worker_id)
+        self._on_change(worker)
+
+    def restore(self, worker: Worker) -> None:
+        """Let a worker's entry be its own again."""
+        self._overwritten.discard(worker.worker_id)
+        self._on_change(worker)
+
     def on_silent(self, worker: Worker) -> None:
         """Remove the entry of a worker that fell silent, after three heartbeat intervals."""
         asyncio.get_running_loop().call_later(
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -148,6 +148,10 @@
         self._write_entry(worker)
         return worker
 
+    def all_workers(self) -> list[Worker]:
+        """Return the workers of models, then those of the plain service."""
+        return [*self.fleet.workers.values(), *self.plain.values()]
+
     def _worker(self, worker_id: str) -> Worker:
         return self.fleet.workers.get(worker_id) or self.plain[worker_id]
 
@@ -159,7 +163,7 @@
             self.fleet.kill(worker_id)
         loop = asyncio.get_running_loop()
         self.killed_s[worker_id] = loop.time()
-        loop.call_later(3 * HEARTBEAT_S, self._remove_entry, worker)
+        loop.call_later(3 * HEARTBEAT_S, self.remove_entry, worker.worker_id)
 
     def pause_worker(self, worker_id: str, for_s: float) -> None:
         """Let a worker stand still for a time, and the requests of its replica with it.
@@ -197,23 +201,21 @@
 
     def _remove_entry_if_dead(self, worker: Worker, born_ms: int) -> None:
         if not worker.alive and worker.born_ms == born_ms:
-            self._remove_entry(worker)
+            self.remove_entry(worker.worker_id)
 
     def drain_worker(self, worker_id: str) -> None:
         """Mark a worker as draining in its entry, because it will leave."""
         worker = self._worker(worker_id)
         worker.draining = True
         self._write_entry(worker)
-        if worker.left_s is None:
-            worker.left_s = asyncio.get_running_loop().time()
+        _note_left(worker)
 
     def unlist_worker(self, worker_id: str) -> None:
         """Remove the entry of a worker that goes on answering, without marking it as draining."""
         worker = self._worker(worker_id)
         worker.draining = worker.is_unlisted = True
-        self._remove_entry(worker)
-        if worker.left_s is None:
-            worker.left_s = asyncio.get_running_loop().time()
+        self.remove_entry(worker.worker_id)
+        _note_left(worker)
 
     def limit_worker(self, worker_id: str, per_s: float) -> None:
         """Make a worker name a rate limit in its answers, in requests per second."""
@@ -267,7 +269,7 @@
         if self.evacuate_ms is not None:
             delay_s = self._store_rng.uniform(*WRITTEN_AGAIN_S)
             loop.call_later(delay_s, self._write_evacuations_again)
-        for worker in (*self.fleet.workers.values(), *self.plain.values()):
+        for worker in self.all_workers():
             if worker.alive:
                 delay_s = self._store_rng.uniform(*WRITTEN_AGAIN_S)
                 loop.call_later(delay_s, self.write_entry_again, worker)
@@ -296,15 +298,14 @@
 
         The worker counts as leaving, from now until it writes its entry again.
         """
-        self.store.put(f"servers/{worker_id}", value)
+        self._put(f"servers/{worker_id}", value)
         worker = self.fleet.workers.get(worker_id) or self.plain.get(worker_id)
         if worker is not None:
             worker.is_overwritten = True
-            if worker.left_s is None:
-                worker.left_s = asyncio.get_running_loop().time()
+            _note_left(worker)
 
-    def remove_foreign_entry(self, worker_id: str) -> None:
-        """Remove an entry that another writer has added."""
+    def remove_entry(self, worker_id: str) -> None:
+        """Remove the entry under an id, of a worker or of another writer."""
         self.store.remove(f"servers/{worker_id}")
 
     def _write_entry(self, worker: Worker) -> None:
@@ -340,9 +341,6 @@
             }
         return fields
 
-    def _remove_entry(self, worker: Worker) -> None:
-        self.store.remove(f"servers/{worker.worker_id}")
-
     def _put(self, key: str, value: bytes) -> None:
         self.store.put(key, value)
 
@@ -472,6 +470,12 @@
     }
 
 
+def _note_left(worker: Worker) -> None:
+    """Record that a worker leaves from now on, unless it has left before."""
+    if worker.left_s is None:
+        worker.left_s = asyncio.get_running_loop().time()
+
+
 def _port_of(worker: Worker) -> int:
     return int(worker.address.rpartition(":")[2])
 
