Emulator: sound workers that stand still, and workers that send without end

Sound workers (a plain one, a member, a head, all members, the heads of a third or two thirds of the open replicas, a hall) stand still for 0.3 to 1.5 s and go on; their entries stay or expire after three missed heartbeats. Beside them daemons stop, restart, are killed or get SIGHUP, the configuration changes, workers die.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -37,6 +37,14 @@
 target list, before the start and later, over entries in use and under ids of their own, on two of
 three seeds among signals, restarts and changes; ``tests/soak_foreign_seeds.txt``.
 
+``python -m benchmarks.soak --plays=silences --seeds=50`` plays sound workers that stand still for
+about a second, from a plain one to all of a hall, on three of four seeds among stops, restarts,
+kills and changes of the configuration; ``tests/soak_silence_seeds.txt``.
+
+``python -m benchmarks.soak --plays=endless --seeds=50`` plays workers that answer with bytes
+without end, which are no answer, on half of the seeds among stops, restarts, kills and changes of
+the configuration; ``tests/soak_endless_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=drains --seeds=50`` plays targets that leave all the time while
 store, leaders and callers are slow, silent or stopped, and measures how long each target that
 leaves still gets requests; ``tests/soak_drain_seeds.txt``. ``drains.txt`` in the logs of a seed
@@ -62,6 +70,7 @@
     draw_crashing,
     draw_crashing_parts,
     draw_drains,
+    draw_endless,
     draw_eras,
     draw_foreign,
     draw_leaving,
@@ -69,6 +78,7 @@
     draw_limits,
     draw_links,
     draw_rests,
+    draw_silences,
     draw_skew,
     draw_stops,
     draw_troubles,
@@ -94,6 +104,10 @@
 # Daemons of a hall in the largest plays: as many processes as eight cores bear.
 FOREIGN_PEERS = 16
 
+# Targets that stand still: mostly streams of about 1 s, so that many are under way at each target.
+SILENCES_LOAD = Load(60.0, {"write-large": 3.0, "write-small": 3.0, "look": 1.0, "file": 1.0})
+SILENCES_EVENT_S = 0.1
+
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
 DRAINS_LENGTH_S = 20.0
@@ -291,6 +305,38 @@
     )
 
 
+def silences_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with sound workers that stand still for about a second.
+
+    Callers keep their connections until a process is gone. On three of four seeds daemons stop,
+    restart and are killed beside it, the configuration changes, or workers die. Every tenth seed
+    has 24 daemons, every fourth eight in one hall, the others six in two halls.
+    """
+    halls, _, _ = _fleet_sizes(seed)
+    length_s = 14.0
+    troubles = draw_silences(seed, length_s, halls)
+    return replace(
+        _fleet_experiment(f"silences {seed}", seed, length_s, SILENCES_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 4,
+        event_s=SILENCES_EVENT_S,
+    )
+
+
+def endless_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with workers that answer with bytes without end.
+
+    Callers keep their connections until a process is gone. Every tenth seed has 24 daemons, every
+    fourth eight in one hall, the others six in two halls.
+    """
+    halls, _, _ = _fleet_sizes(seed)
+    length_s = 14.0
+    troubles = draw_endless(seed, length_s, halls)
+    return replace(
+        _fleet_experiment(f"endless {seed}", seed, length_s, LEAVING_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 2,
+    )
+
+
 PLAYS = {
     "all": soak_experiment,
     "stops": stops_experiment,
@@ -304,6 +350,8 @@
     "links": links_experiment,
     "parts": parts_experiment,
     "foreign": foreign_experiment,
+    "silences": silences_experiment,
+    "endless": endless_experiment,
 }
 
 
@@ -332,6 +380,9 @@
             shed=result.shed or None,
             foreign=result.foreign_entries or None,
             overwritten=result.overwritten or None,
+            silences=result.silences or None,
+            endless=result.endless or None,
+            memory_mb=round(measured["memory_mb"]) if result.endless else None,
             **_drain_figures(result),
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -4,6 +4,7 @@
 from ._crashing_parts import draw_crashing_parts
 from ._drain_plays import draw_drains
 from ._drains import DrainJudge, DrainReport, LateArrival, LateClass
+from ._endless import draw_endless
 from ._eras import draw_eras
 from ._experiment import (
     KINDS,
@@ -31,6 +32,7 @@
 from ._rests import backoff_violations, draw_rests
 from ._result import PROMISES, Result
 from ._run import Emulation
+from ._silences import LossExcuse, draw_silences, excuse_of_loss
 from ._skew import draw_skew
 from ._stops import (
     Execution,
@@ -55,6 +57,7 @@
     "Experiment",
     "LinkFailure",
     "Load",
+    "LossExcuse",
     "Pause",
     "PlannedStop",
     "Result",
@@ -66,6 +69,7 @@
     "LateArrival",
     "LateClass",
     "draw_drains",
+    "draw_endless",
     "draw_entry",
     "draw_eras",
     "draw_foreign",
@@ -73,6 +77,8 @@
     "draw_leaving",
     "draw_leaving_announcements",
     "draw_limits",
+    "draw_silences",
+    "excuse_of_loss",
     "draw_links",
     "draw_rests",
     "draw_skew",
--- a/ferrydock/emulator/_drain_plays.py
+++ b/ferrydock/emulator/_drain_plays.py
@@ -66,6 +66,8 @@
     "ends": ("leader_killed", "leader_stopped", "daemon_stopped", "daemon_hung_up"),
     "configurations": ("configuration",),
     "streams": ("streams_torn", "workers_crash"),
+    "changes": ("configuration_changed", "configuration_changed", "daemon_hung_up"),
+    "losses": ("worker_dead",),
 }
 
 # How often a run draws each kind of series. A run disturbs leaders alone, so that all requests of
--- /dev/null
+++ b/ferrydock/emulator/_endless.py
@@ -0,0 +1,152 @@
+"""Workers that send bytes that are no answer, without end: drawn, carried out, and checked.
+
+Such a worker is sound by its entry and its health check, and turns sound again. The promises:
+requests that may be repeated are served by other workers, callers of other workers are served as
+before, callers get none of these bytes, and no daemon's memory grows beyond its limit. Stateless;
+`Worker.endless` holds what a worker sends, `RunRecord.endless` which requests it answered so.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from ..standins.fleet import EndlessKind, Worker
+from ._drain_plays import draw_weighted_series
+from ._experiment import ENDLESS_KIND, Trouble
+from ._load import Call
+from ._troubles import EmulationParts, trouble
+
+__all__ = ["describe_filler", "describe_memory", "describe_unserved_elsewhere", "draw_endless"]
+
+# Time during which a worker sends so, and numbers of the periods and of the workers at a time.
+ENDLESS_S = (2.0, 6.0)
+PERIODS = (1, 2, 3)
+WORKER_COUNTS = (1, 1, 2, 3)
+
+# Targets of the plain service that join each hall, so that others are left to serve.
+PLAIN_TARGETS = 3
+
+# Series of other troubles beside them.
+OTHER_SERIES = (0, 0, 1, 2)
+_SERIES_WEIGHTS = {"ends": 3, "changes": 4}
+
+# Share of requests that need not be served: the platform's limit on how much less often one kind of
+# request may be served than another.
+MAX_UNSERVED_SHARE = 0.05
+MIN_REQUESTS = 20
+
+# Limit on the memory of a daemon, as ``memory-mb`` in `FleetSite.settings`.
+MAX_MEMORY_BYTES = 300_000_000
+
+_REPEATABLE_CLASSES = ("write-large", "write-small", "look")
+
+
+def _chosen(parts: EmulationParts, spec: Trouble) -> list[Worker]:
+    """Return up to `count` workers that serve; one of each service and model is left sound."""
+    kind, rng = EndlessKind(spec.how), parts.rng
+    heads = parts.site.fleet.open_heads()
+    groups = [[h for h in heads if h.model == model] for model in {h.model for h in heads}]
+    if not (kind.is_of_stream or kind.is_of_report):
+        groups.append([w for w in parts.site.plain.values() if w.alive and not w.draining])
+    chosen: list[Worker] = []
+    for group in groups:
+        sound = [worker for worker in group if worker.endless is None]
+        rng.shuffle(sound)
+        chosen += sound[: max(0, min(spec.count, len(sound) - 1))]
+    rng.shuffle(chosen)
+    return chosen[: spec.count]
+
+
+@trouble(ENDLESS_KIND)
+async def send_without_end(parts: EmulationParts, spec: Trouble) -> str:
+    """Let `count` workers answer with bytes without end for `for_s`."""
+    chosen = _chosen(parts, spec)
+    for worker in chosen:
+        parts.site.answer_without_end(worker.worker_id, EndlessKind(spec.how), spec.for_s)
+    from_s = parts.now_s()
+    await asyncio.sleep(spec.for_s)
+    parts.endless_s.append((from_s, parts.now_s()))
+    parts.result.endless += len(chosen)
+    return f"{spec.how}: {','.join(worker.worker_id for worker in chosen)} for {spec.for_s:.1f} s"
+
+
+def draw_endless(seed: int, length_s: float, halls: Sequence[str]) -> list[Trouble]:
+    """Return periods of bytes without end; on half of the seeds among stops and changes."""
+    rng = random.Random(f"endless {seed}")
+    drawn = [Trouble(0.0, "targets_join", count=PLAIN_TARGETS)]
+    kinds = list(EndlessKind)
+    for number in range(rng.choice(PERIODS)):
+        # The first kind follows the seed, so that few seeds play every kind.
+        how = kinds[seed % len(kinds)] if number == 0 else rng.choice(kinds)
+        at_s, for_s = rng.uniform(1.0, length_s / 2), rng.uniform(*ENDLESS_S)
+        drawn.append(Trouble(at_s, ENDLESS_KIND, rng.choice(WORKER_COUNTS), for_s, how=how))
+    count = rng.choice(OTHER_SERIES)
+    drawn += draw_weighted_series(rng, _SERIES_WEIGHTS, count, (0.3, length_s * 0.8), halls)
+    return sorted(drawn, key=lambda spec: spec.at_s)
+
+
+def describe_filler(calls: Sequence[Call], answered: Mapping[str, EndlessKind]) -> list[str]:
+    """Return lines for callers that got such bytes, unless they were in a worker's event stream."""
+    return [
+        f"endless: {call.request_id} at {call.daemon} got bytes of {answered.get(call.request_id)}"
+        for call in calls
+        if call.has_filler and not _is_in_stream(call, answered)
+    ]
+
+
+def describe_unserved_elsewhere(
+    calls: Sequence[Call],
+    answered: Mapping[str, EndlessKind],
+    endless_s: Sequence[tuple[float, float]],
+    is_judged: Callable[[Call], bool],
+) -> list[str]:
+    """Return lines if too few requests were served while workers sent without end.
+
+    Two groups are judged: requests that reached such a worker and may be repeated, and requests
+    that reached none.
+
+    Parameters
+    ----------
+    endless_s : sequence of (float, float)
+        Seconds of the load between which workers sent without end.
+    is_judged : callable
+        Returns whether nothing else may have kept a request from being served.
+    """
+    during = [
+        call
+        for call in calls
+        if any(from_s <= call.at_s < to_s for from_s, to_s in endless_s) and is_judged(call)
+    ]
+    groups = {
+        "beside": [call for call in during if call.request_id not in answered],
+        "repeatable": [
+            call
+            for call in during
+            if call.request_id in answered
+            and call.kind in _REPEATABLE_CLASSES
+            and not _is_in_stream(call, answered)
+        ],
+    }
+    lines = []
+    for name, group in groups.items():
+        unserved = [call for call in group if call.outcome != "served"]
+        if len(group) >= MIN_REQUESTS and len(unserved) > MAX_UNSERVED_SHARE * len(group):
+            first = unserved[0]
+            lines.append(
+                f"endless: {len(unserved)} of {len(group)} requests {name} not served, first "
+                f"{first.request_id} {first.kind} at {first.daemon}, {first.at_s:.2f} s: "
+                f"{first.outcome} {first.code} after {first.took_s:.2f} s"
+            )
+    return lines
+
+
+def describe_memory(memory_bytes: int) -> list[str]:
+    """Return a line if a daemon's memory was above its limit."""
+    if memory_bytes <= MAX_MEMORY_BYTES:
+        return []
+    return [f"memory: a daemon held {memory_bytes / 1e6:.0f} MB"]
+
+
+def _is_in_stream(call: Call, answered: Mapping[str, EndlessKind]) -> bool:
+    kind = answered.get(call.request_id)
+    return kind is not None and kind.is_of_stream
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -4,15 +4,20 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 
 from ..outcomes import Fault, Invalid
+from ..standins.fleet import EndlessKind
 from ._links import LinkFailure
 
 __all__ = [
+    "ENDLESS_KIND",
     "FOREIGN_KIND",
+    "SILENCE_KIND",
     "KINDS",
     "Experiment",
     "Load",
+    "Silent",
     "Trouble",
     "demo_experiment",
     "draw_troubles",
@@ -96,6 +101,15 @@
     FOREIGN_KIND: "another writer adds `count` entries at a time that name no target, for `for_s`, "
     "and overwrites some of those in use",
 }
+ENDLESS_KIND = "workers_endless"
+SILENCE_KIND = "workers_silent"
+_LOST_KINDS = {
+    SILENCE_KIND: "sound workers stand still `count` times, up to `for_s` each time, and go on "
+    "(how: plain, member, head, replica, heads_third, heads_two_thirds, hall)",
+    ENDLESS_KIND: "`count` workers answer with bytes that are no answer, without end, for `for_s` "
+    "(how: the part of the answer)",
+    "configuration_changed": "the operator changes routes, limits and keys that no caller uses",
+}
 KINDS = {
     **_SOAK_KINDS,
     **_STOP_KINDS,
@@ -106,9 +120,29 @@
     **_DRAIN_KINDS,
     **_LINK_KINDS,
     **_FOREIGN_KINDS,
+    **_LOST_KINDS,
 }
+
+
+class Silent(StrEnum):
+    """Which workers stand still at the same time."""
+
+    PLAIN = "plain"
+    MEMBER = "member"
+    HEAD = "head"
+    REPLICA = "replica"
+    HEADS_THIRD = "heads_third"
+    HEADS_TWO_THIRDS = "heads_two_thirds"
+    HALL = "hall"
+
+
 _STORE_FAILURES = ("silent", "busy", "many", "reset")
-_FAILURES = (*_STORE_FAILURES, *(failure for failure in LinkFailure if failure != "reset"))
+_FAILURES = (
+    *_STORE_FAILURES,
+    *(failure for failure in LinkFailure if failure != "reset"),
+    *Silent,
+    *EndlessKind,
+)
 _REQUEST_CLASSES = ("write-large", "write-small", "look", "file")
 
 
@@ -149,7 +183,8 @@
     hall : str
         Hall that it is restricted to; empty for all halls.
     how : str
-        How the store fails, or the links.
+        How the store fails, or the links; or which workers stand still, or what workers send
+        without end.
     daemon : str
         Name of the daemon concerned; empty for any.
     """
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -17,6 +17,7 @@
     is_of_part_play,
 )
 from ._drains import DrainJudge, LateClass
+from ._endless import describe_filler, describe_memory, describe_unserved_elsewhere
 from ._foreign_entries import describe_log_lines, describe_unserved_beside
 from ._hops import Arrival, Departure, analyse_hops
 from ._leaving import (
@@ -30,6 +31,7 @@
 from ._link_troubles import describe_unserved
 from ._load import Call
 from ._rests import backoff_violations, describe_violations
+from ._silences import describe_lost
 from ._skew import describe_skew
 from ._stops import (
     PROMISES_NOT_RUN,
@@ -110,6 +112,8 @@
         self._check_limits()
         self._check_rests()
         self._check_foreign_entries()
+        self._check_lost()
+        self._check_endless()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -275,6 +279,30 @@
             log = daemon.log_path.read_bytes()
             result.broken += describe_log_lines(daemon.name, log, self.parts.now_s())
 
+    def _check_lost(self) -> None:
+        """Report lost requests and large daemons beside workers in the troubles of these plays."""
+        result = self.parts.result
+        if result.silences or result.endless:
+            result.broken += describe_memory(result.memory_bytes)
+            result.broken += describe_lost(result.calls, self._execution_of, self._killed_s)
+
+    def _check_endless(self) -> None:
+        """Report callers that suffered from workers that sent bytes without end."""
+        result, answered = self.parts.result, self.parts.site.record.endless
+        if not result.endless:
+            return
+        result.broken += describe_filler(result.calls, answered)
+        result.broken += describe_unserved_elsewhere(
+            result.calls,
+            answered,
+            self.parts.endless_s,
+            lambda call: self._was_in_contact(call) and not self._note_excuse(call),
+        )
+
+    def _killed_s(self, daemon: str) -> list[float]:
+        """Return when the named daemon was killed, in seconds since the load began."""
+        return [at_s - self.load_began_s for at_s in self._daemons[daemon].killed_s]
+
     def _note_excuse(self, call: Call) -> str:
         """Return why the emulation may have kept a call from being served, and count it."""
         result = self.parts.result
--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from ..standins.fleet import request_bytes
+from ..standins.fleet import ENDLESS_MARK, request_bytes
 
 __all__ = ["ANSWER_TIMEOUT_S", "Call", "Callers", "receive_answer", "encode_request"]
 
@@ -38,6 +38,8 @@
         Body of the request.
     complete : bool
         Whether the answer was received completely.
+    sent_after_s : float
+        Time until the last byte was sent; infinite while some were not.
     fault : str
         What was wrong with the content of a 200 answer; empty if nothing.
     code : str
@@ -46,6 +48,8 @@
         Ids of the events received so far.
     parts : tuple of str
         Ids of the parts of its prompt, if it names any.
+    has_filler : bool
+        Whether its caller got bytes that a worker sent without end.
     """
 
     request_id: str
@@ -56,11 +60,13 @@
     status: int = 0
     complete: bool = False
     took_s: float = 0.0
+    sent_after_s: float = 0.0
     time_to_header_s: float | None = None
     fault: str = ""
     code: str = ""
     event_ids: list[int] = field(default_factory=list)
     parts: tuple[str, ...] = ()
+    has_filler: bool = False
 
     @property
     def ended_s(self) -> float:
@@ -175,6 +181,7 @@
         Whether the connection stays open.
     """
     head = await reader.readuntil(b"\r\n\r\n")
+    call.has_filler = ENDLESS_MARK in head
     call.status = int(head.split()[1])
     call.time_to_header_s = now_s() - call.at_s
     body = await _read_body(reader, head, call, piece_pause_s)
@@ -208,14 +215,15 @@
         return await _read_chunks(reader, call)
     for line in lowered.split(b"\r\n"):
         if line.startswith(b"content-length:"):
-            return await _read_pieces(reader, int(line.split(b":")[1]), piece_pause_s)
+            return await _read_pieces(reader, int(line.split(b":")[1]), call, piece_pause_s)
     return b""
 
 
-async def _read_pieces(reader, size: int, piece_pause_s: float) -> bytes:
+async def _read_pieces(reader, size: int, call: Call, piece_pause_s: float) -> bytes:
     body = b""
     while len(body) < size:
         body += await reader.readexactly(min(READ_BYTES, size - len(body)))
+        call.has_filler |= ENDLESS_MARK in body
         await asyncio.sleep(piece_pause_s)
     return body
 
@@ -228,5 +236,6 @@
         if size == 0:
             return body
         body += data[:-2]
+        call.has_filler |= ENDLESS_MARK in data
         lines = body.split(b"\n")
         call.event_ids = [int(line[4:]) for line in lines if line.startswith(b"id: ")]
--- a/ferrydock/emulator/_persistent_callers.py
+++ b/ferrydock/emulator/_persistent_callers.py
@@ -122,6 +122,7 @@
         if self.manner != "slow_body":
             writer.write(request)
             return
+        call.sent_after_s = float("inf")
         head_bytes = len(request) - len(call.body)
         pause_s = self.rng.uniform(*SLOW_BODY_S) / BODY_PARTS
         writer.write(request[:head_bytes])
@@ -129,3 +130,4 @@
         for offset in range(head_bytes, len(request), part_bytes):
             await asyncio.sleep(pause_s)
             writer.write(request[offset : offset + part_bytes])
+        call.sent_after_s = self.now_s() - call.at_s
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -73,6 +73,8 @@
         Exit status of each end that the emulation did not cause.
     disturbances_s : list of (float, float)
         Loop times between which the daemon was disturbed.
+    killed_s : list of float
+        Loop times at which the process was sent SIGKILL.
     standstills_s : list of (float, float)
         Loop times between which the process was suspended, or short of processor time, while it
         went on being sent requests.
@@ -91,6 +93,7 @@
         self.unexpected_exit_statuses: list[int] = []
         self.disturbances_s: list[tuple[float, float]] = []
         self.standstills_s: list[tuple[float, float]] = []
+        self.killed_s: list[float] = []
         self._disturbed_since_s: float | None = None
         self._log_offset = 0
         self._module = ["ferrydock.route_daemon"]
@@ -192,6 +195,8 @@
         just ended, and the event loop would then report 255 instead.
         """
         if self.is_running:
+            if number == signal.SIGKILL:
+                self.killed_s.append(asyncio.get_running_loop().time())
             with suppress(ProcessLookupError):
                 os.kill(require(self.process, "the process").pid, number)
 
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -26,6 +26,8 @@
     "callers of daemons that reach no target are served through other daemons",
     "callers are served on while most of them come to one daemon",
     "no request is refused for an old configuration by a daemon that reaches the store",
+    "a sound worker that stands still for a second ends no answer and loses no request",
+    "bytes without end of a worker reach no caller, and requests are served by other workers",
     "an entry of another writer ends no process, fails no request and names no target to use",
 )
 
@@ -73,6 +75,8 @@
         Times to the last requests at leaving targets, and the late ones; None in other plays.
     foreign_entries, overwritten : int
         Entries written by another writer, and how many of them over entries of targets.
+    silences, endless : int
+        How often a sound worker stood still, and how often one sent bytes without end.
     excused : Counter
         Number of the `stop_calls`, or of calls beside entries of another writer, covered by an
         exception of the promise, by reason.
@@ -102,4 +106,6 @@
     drains: DrainReport | None = None
     foreign_entries: int = 0
     overwritten: int = 0
+    silences: int = 0
+    endless: int = 0
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -15,9 +15,11 @@
 
 # Imported because they register troubles.
 from . import _daemon_troubles as _daemon_troubles
+from . import _endless as _endless
 from . import _foreign_entries as _foreign_entries
 from . import _link_troubles as _link_troubles
 from . import _pace_troubles as _pace_troubles
+from . import _silences as _silences
 from . import _skew as _skew
 from . import _target_troubles as _target_troubles
 from ._crashing import CrashingCallers
--- /dev/null
+++ b/ferrydock/emulator/_silences.py
@@ -0,0 +1,158 @@
+"""Sound workers that stand still for about a second and go on: drawn, carried out, and checked.
+
+Their connections stay open, and they answer afterwards what came meanwhile. A sound worker may do
+this at any time, so it excuses nothing: no begun answer is cut, and each complete request gets an
+answer or a refusal. Stateless; `Worker.paused_until_s` holds until when a worker stands still.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+from enum import StrEnum
+
+from ..standins.fleet import HEARTBEAT_S, Worker
+from ._drain_plays import draw_weighted_series
+from ._experiment import SILENCE_KIND, Silent, Trouble
+from ._load import Call
+from ._stops import LIMIT_TOLERANCE_S, REQUEST_LIMIT_S, Execution
+from ._troubles import EmulationParts, trouble
+
+__all__ = ["LossExcuse", "describe_lost", "draw_silences", "excuse_of_loss"]
+
+# How long a worker stands still, and the pause between two silences of a series.
+SILENT_S = (0.3, 1.5)
+SILENCE_INTERVAL_S = (0.2, 2.5)
+SILENCES = (1, 2, 4, 8)
+
+# Share of the silences in which the worker misses its heartbeats too, and its entry is removed
+# three intervals after the last one.
+MISSED_HEARTBEATS_SHARE = 0.5
+MISSED_HEARTBEATS = 3
+
+# Series of silences in a run, and of other troubles beside them.
+SILENCE_SERIES = (1, 2, 3)
+OTHER_SERIES = (0, 2, 3, 4)
+_SERIES_WEIGHTS = {"ends": 4, "changes": 4, "losses": 1}
+
+# Time after the last byte of a request for which a connection may still end without an answer:
+# ``loss-slack-ms`` of the known sites.
+LOSS_SLACK_S = 0.2
+
+# How many lost requests are reported of one play.
+MAX_REPORTED_CALLS = 5
+
+
+class LossExcuse(StrEnum):
+    """Why a request may end without a complete answer."""
+
+    NONE = ""
+    NOT_READ = "it was not read completely, or nothing was passed on"
+    TIME_OVER = "its own time was over"
+    KILLED = "its daemon was killed"
+    TARGET_LOST = "its target was lost"
+
+
+def _silent_workers(parts: EmulationParts, spec: Trouble) -> list[Worker]:
+    """Return the workers that stand still at the same time, drawn anew for each silence."""
+    fleet, rng = parts.site.fleet, parts.rng
+    heads = [head for head in fleet.open_heads() if spec.hall in ("", head.hall)]
+    plain = [w for w in parts.site.plain.values() if w.alive and spec.hall in ("", w.hall)]
+    rng.shuffle(heads)
+    match Silent(spec.how):
+        case Silent.PLAIN:
+            return plain[:1]
+        case Silent.MEMBER:
+            return [fleet.workers[rng.choice(head.members[1:])] for head in heads[:1]]
+        case Silent.HEAD:
+            return heads[:1]
+        case Silent.REPLICA:
+            return [fleet.workers[member] for head in heads[:1] for member in head.members]
+        case Silent.HEADS_THIRD:
+            return heads[: max(1, len(heads) // 3)]
+        case Silent.HEADS_TWO_THIRDS:
+            return heads[: max(1, 2 * len(heads) // 3)]
+        case Silent.HALL:
+            hall = spec.hall or rng.choice(parts.site.halls)
+            return [w for w in parts.site.all_workers() if w.alive and w.hall == hall]
+
+
+@trouble(SILENCE_KIND)
+async def silence_workers(parts: EmulationParts, spec: Trouble) -> str:
+    """Let sound workers stand still `count` times, up to `for_s` each time."""
+    site, rng = parts.site, parts.rng
+    silent: set[str] = set()
+    for _ in range(spec.count):
+        for_s = rng.uniform(SILENT_S[0], max(SILENT_S[0], spec.for_s))
+        misses_heartbeats = rng.random() < MISSED_HEARTBEATS_SHARE
+        chosen = _silent_workers(parts, spec)
+        for worker in chosen:
+            site.pause_worker(worker.worker_id, for_s)
+            removed_after_s = (MISSED_HEARTBEATS - rng.random()) * HEARTBEAT_S
+            if misses_heartbeats and removed_after_s < for_s:
+                site.expire_entry(worker, removed_after_s, for_s)
+        silent.update(worker.worker_id for worker in chosen)
+        parts.result.silences += len(chosen)
+        await asyncio.sleep(for_s + rng.uniform(*SILENCE_INTERVAL_S))
+        if parts.now_s() > parts.experiment.length_s:
+            break
+    return f"{spec.how}: {','.join(sorted(silent))}"
+
+
+def draw_silences(seed: int, length_s: float, halls: Sequence[str]) -> list[Trouble]:
+    """Return series of silences; on most seeds among stops, changes and losses."""
+    rng = random.Random(f"silences {seed}")
+    drawn = []
+    for _ in range(rng.choice(SILENCE_SERIES)):
+        at_s, for_s = rng.uniform(0.3, length_s / 2), rng.uniform(*SILENT_S)
+        how, hall = rng.choice(list(Silent)), rng.choice(("", "", *halls))
+        drawn.append(Trouble(at_s, SILENCE_KIND, rng.choice(SILENCES), for_s, hall, how))
+    count = rng.choice(OTHER_SERIES)
+    drawn += draw_weighted_series(rng, _SERIES_WEIGHTS, count, (0.3, length_s * 0.8), halls)
+    return sorted(drawn, key=lambda spec: spec.at_s)
+
+
+def excuse_of_loss(call: Call, execution: Execution, killed_s: Iterable[float]) -> LossExcuse:
+    """Return why a request without a complete answer may have ended so.
+
+    Parameters
+    ----------
+    killed_s : iterable of float
+        When its daemon was killed, in seconds since the load began.
+
+    Examples
+    --------
+    >>> call = Call("r1", "look", 1.0, "d", status=200, took_s=0.5, sent_after_s=0.0)
+    >>> excuse_of_loss(call, Execution(1), [])
+    <LossExcuse.NONE: ''>
+    >>> excuse_of_loss(call, Execution(1), [1.2])
+    <LossExcuse.KILLED: 'its daemon was killed'>
+    """
+    if call.took_s >= REQUEST_LIMIT_S - LIMIT_TOLERANCE_S:
+        return LossExcuse.TIME_OVER
+    if any(call.at_s <= at_s <= call.ended_s for at_s in killed_s):
+        return LossExcuse.KILLED
+    if execution.lost_s <= call.ended_s:
+        return LossExcuse.TARGET_LOST
+    if call.status == 0 and not execution.count:
+        after_s = call.took_s - call.sent_after_s
+        return LossExcuse.NONE if after_s > LOSS_SLACK_S else LossExcuse.NOT_READ
+    return LossExcuse.NONE
+
+
+def describe_lost(
+    calls: Iterable[Call],
+    execution_of: Callable[[Call], Execution],
+    killed_s_of: Callable[[str], Iterable[float]],
+) -> list[str]:
+    """Return lines for requests without a complete answer, unless something excuses it."""
+    lost = []
+    for call in calls:
+        if call.outcome not in ("cut", "no_answer"):
+            continue
+        execution = execution_of(call)
+        if not excuse_of_loss(call, execution, killed_s_of(call.daemon)):
+            lost.append(
+                f"lost: {call.request_id} {call.kind} at {call.daemon}, {call.at_s:.2f} s: "
+                f"{call.outcome} after {call.took_s:.3f} s, ran {execution.count} times"
+            )
+    return [*lost[:MAX_REPORTED_CALLS], f"lost: {len(lost)} requests"] if lost else []
--- a/ferrydock/emulator/_store_troubles.py
+++ b/ferrydock/emulator/_store_troubles.py
@@ -13,6 +13,9 @@
 
 __all__ = ["REACHABLE_KINDS", "STORE_KINDS", "affected_daemons", "leaders"]
 
+# Routes that a changed configuration adds at most.
+MAX_ADDED_ROUTES = 40
+
 # Kinds of trouble that affect daemons' calls to the store.
 STORE_KINDS = (
     "store_down",
@@ -215,3 +218,24 @@
 async def write_configuration(parts: EmulationParts, spec: Trouble) -> str:
     """Write a new version of the configuration as the operator does."""
     return f"version {parts.site.write_configuration()}"
+
+
+@trouble("configuration_changed")
+async def change_configuration(parts: EmulationParts, spec: Trouble) -> str:
+    """Change routes, limits and keys that no caller uses, in a new version."""
+    site, rng = parts.site, parts.rng
+    usual = site.configuration()
+    changes = {
+        "routes": [*usual["routes"][: rng.choice((3, 4))], *_added_routes(rng, usual["routes"][0])],
+        "limits": usual["limits"] | {"idle-timeout-ms": rng.choice((10_000, 20_000))},
+        "tenants": usual["tenants"][: rng.choice((1, 2))],
+    }
+    changed = rng.sample(sorted(changes), rng.randint(1, len(changes)))
+    version = site.write_configuration(**{name: changes[name] for name in changed})
+    return f"version {version}: {','.join(changed)}"
+
+
+def _added_routes(rng: random.Random, template: dict) -> list[dict]:
+    """Return up to `MAX_ADDED_ROUTES` routes that no caller uses."""
+    count = rng.choice((0, 1, MAX_ADDED_ROUTES))
+    return [template | {"name": f"added-{n}", "path-prefix": f"/added-{n}/"} for n in range(count)]
--- a/ferrydock/emulator/_troubles.py
+++ b/ferrydock/emulator/_troubles.py
@@ -44,6 +44,8 @@
         Send the load; None before it begins.
     skews_s : list of (float, float)
         Seconds of the load between which most callers came to one daemon.
+    endless_s : list of (float, float)
+        Seconds of the load between which workers sent bytes without end.
     links : dict
         Links of each daemon to the workers, by its name; empty if none are ever lost.
     """
@@ -60,6 +62,7 @@
     part_callers: CrashingPartCallers | None = None
     callers: Callers | None = None
     skews_s: list[tuple[float, float]] = field(default_factory=list)
+    endless_s: list[tuple[float, float]] = field(default_factory=list)
     links: dict[str, DaemonLinks] = field(default_factory=dict)
 
     def store_of(self, daemon: DaemonProcess) -> StoreFace:
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Stand-in of the users' platform and its workers, called in memory or over its protocol."""
 
 from ._caller import request_bytes
+from ._endless import ENDLESS_MARK, EndlessKind
 from ._ports import FleetControl, FleetList
 from ._site import HEARTBEAT_S, WRITTEN_AGAIN_S, FleetSite, small_engine
 from ._store_http import StoreCall, StoreFace, StoreFaults
@@ -29,10 +30,12 @@
 __all__ = [
     "CRASHING_BODY",
     "CRASHING_PART",
+    "ENDLESS_MARK",
     "HEARTBEAT_S",
     "WRITTEN_AGAIN_S",
     "ColdPeriod",
     "CrashingRequest",
+    "EndlessKind",
     "Fleet",
     "FleetControl",
     "FleetFaults",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -9,6 +9,7 @@
 from ...clock import SystemClock
 from ...configuration import EngineSpec, ModelSpec
 from ...store import MemoryStore, StoreCopy
+from ._endless import EndlessKind
 from ._store_http import StoreFace
 from ._worker_http import (
     KV_CAPACITY_TOKENS,
@@ -18,7 +19,7 @@
     entry_group,
     entry_models,
 )
-from ._workers import ColdPeriod, Fleet, LeavingSaid, NamedLimit, Shedding, Worker
+from ._workers import ColdPeriod, EndlessPeriod, Fleet, LeavingSaid, NamedLimit, Shedding, Worker
 
 __all__ = ["WRITTEN_AGAIN_S", "FleetSite", "small_engine"]
 
@@ -173,6 +174,23 @@
         now_s = asyncio.get_running_loop().time()
         self._worker(worker_id).paused_until_s = now_s + for_s
 
+    def answer_without_end(self, worker_id: str, kind: EndlessKind, for_s: float) -> None:
+        """Let a worker answer with bytes without end for a time; entry and health stay sound."""
+        until_s = asyncio.get_running_loop().time() + for_s
+        self._worker(worker_id).endless = EndlessPeriod(kind, until_s)
+
+    def expire_entry(self, worker: Worker, after_s: float, until_s: float) -> None:
+        """Remove a worker's entry after a time, as when heartbeats are missed, until the next one.
+
+        Parameters
+        ----------
+        after_s, until_s : float
+            Seconds from now until it is removed, and until the worker writes it again.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_later(after_s, self.remove_entry, worker.worker_id)
+        loop.call_later(until_s, self.write_entry_again, worker)
+
     def crash_worker(self, worker: Worker) -> None:
         """Crash the process of a worker; it starts again under the same id after a delay."""
         worker.alive = False
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -19,7 +19,8 @@
     OrderRefused,
     StageOrder,
 )
-from ._workers import Fleet, LeavingSaid, NamedLimit, Shedding, Worker
+from ._endless import EndlessKind, send_without_end
+from ._workers import EndlessPeriod, Fleet, LeavingSaid, NamedLimit, Shedding, Worker
 
 __all__ = [
     "CRASHING_BODY",
@@ -160,6 +161,8 @@
         Loop time at which the store acknowledged the evacuation of each evacuated hall.
     at_evacuated : list of LeavingArrival
         Requests that reached workers of evacuated halls.
+    endless : dict
+        Where the bytes without end came in the last such answer to each request.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -175,6 +178,7 @@
     leaving_said: list[LeavingSaid] = field(default_factory=list)
     evacuated_s: dict[str, float] = field(default_factory=dict)
     at_evacuated: list[LeavingArrival] = field(default_factory=list)
+    endless: dict[str, EndlessKind] = field(default_factory=dict)
 
     def record_arrival_at_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
         """Record the arrival of a request at a worker whose entry says that it leaves."""
@@ -342,7 +346,7 @@
         if request.path == "/v1/order":
             return await self._order(request)
         if request.path == "/v1/report":
-            return self._report(request)
+            return await self._answer_report(request)
         if request.path == "/healthz":
             status = 503 if self.worker.draining else 200
             headers = {
@@ -369,10 +373,32 @@
             request, self.worker.shedding
         ):
             return self._refuse(request, 503, self.worker.shedding.rest_s)
+        period = self._endless_period()
+        if period is not None and not period.kind.is_of_report:
+            return await self._answer_without_end(request, period)
         if self.fleet is None:
             return await self._answer_plain(request)
         return await self._answer_stream(request)
 
+    def _endless_period(self) -> EndlessPeriod | None:
+        """Return the period in which the worker answers without end; None if it is over."""
+        period = self.worker.endless
+        if period is not None and asyncio.get_running_loop().time() >= period.until_s:
+            self.worker.endless = period = None
+        return period
+
+    async def _answer_without_end(
+        self, request: web.BaseRequest, period: EndlessPeriod
+    ) -> web.StreamResponse:
+        """Read a request, and answer it with bytes without end."""
+        await request.read()
+        self.record.record_arrival(request, self.worker)
+        self.record.note(request)
+        self.record.endless[request.headers["X-Attempt-Id"]] = period.kind
+        transport, headers = require(request.transport, "connection"), self._answer_headers(request)
+        await send_without_end(transport, period.kind, headers, period.until_s)
+        raise asyncio.CancelledError  # the connection is closed
+
     def _record_and_check_shedding(self, request: web.BaseRequest, shedding: Shedding) -> bool:
         """Record the arrival of a request; return whether the worker refuses it."""
         arrival = (asyncio.get_running_loop().time(), request.headers["X-Attempt-Id"])
@@ -538,6 +564,14 @@
         status = 200 if answer.already else 202
         return web.Response(status=status, headers=self._announcement_headers(request))
 
+    async def _answer_report(self, request: web.BaseRequest) -> web.StreamResponse:
+        period = self._endless_period()
+        if period is None or not period.kind.is_of_report:
+            return self._report(request)
+        transport = require(request.transport, "the connection")
+        await send_without_end(transport, period.kind, {}, period.until_s)
+        raise asyncio.CancelledError  # the connection is closed
+
     def _report(self, request: web.BaseRequest) -> web.Response:
         worker = self.worker
         fields = {
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -21,9 +21,11 @@
     StageOrder,
     Target,
 )
+from ._endless import EndlessKind
 
 __all__ = [
     "ColdPeriod",
+    "EndlessPeriod",
     "Fleet",
     "FleetFaults",
     "LeavingSaid",
@@ -131,6 +133,14 @@
     arrived: list[tuple[float, str]] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class EndlessPeriod:
+    """A period in which a worker answers with bytes without end, until a loop time."""
+
+    kind: EndlessKind
+    until_s: float
+
+
 @dataclass(slots=True)
 class FleetFaults:
     """Faults of the handling of orders.
@@ -213,6 +223,7 @@
     is_unlisted: bool = False
     is_overwritten: bool = False
     paused_until_s: float = float("-inf")
+    endless: EndlessPeriod | None = None
 
     def restart(self) -> None:
         """Start a new incarnation under the same id; only the models staged on the host remain."""
