Emulator: callers without end, dead members beside silences, and tests of the judges

Callers send heads and bodies without end as well. A replica that gets requests 2 s (`stall-ms`) after a member died, from a daemon in contact with the store, is a fault. The answers of endless workers are no lost requests; a request beside them that waited out its 4 s counts as not served, where the judge before excused it.

--- a/ferrydock/emulator/_endless.py
+++ b/ferrydock/emulator/_endless.py
@@ -1,18 +1,19 @@
 """Workers that send bytes that are no answer, without end: drawn, carried out, and checked.
 
-Such a worker is sound by its entry and its health check, and turns sound again. The promises:
-requests that may be repeated are served by other workers, callers of other workers are served as
-before, callers get none of these bytes, and no daemon's memory grows beyond its limit. Stateless;
-`Worker.endless` holds what a worker sends, `RunRecord.endless` which requests it answered so.
+Such a worker is sound by its entry and its health check, and turns sound again; callers may send
+without end too. The promises: requests that may be repeated are served by other workers, callers of
+other workers are served as before, callers get none of these bytes, and no daemon's memory grows
+beyond its limit. Stateless; `Worker.endless` holds what a worker sends, `RunRecord.endless` which
+requests it answered so.
 """
 
 import asyncio
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-from ..standins.fleet import EndlessKind, Worker
+from ..standins.fleet import ENDLESS_MARK, EndlessKind, Worker
 from ._drain_plays import draw_weighted_series
-from ._experiment import ENDLESS_KIND, Trouble
+from ._experiment import ENDLESS_CALLERS_KIND, ENDLESS_KIND, Trouble
 from ._load import Call
 from ._troubles import EmulationParts, trouble
 
@@ -38,6 +39,26 @@
 # Limit on the memory of a daemon, as ``memory-mb`` in `FleetSite.settings`.
 MAX_MEMORY_BYTES = 300_000_000
 
+# Callers that send without end: share of the plays with them, their numbers, the pause between two
+# writes, and what they repeat.
+ENDLESS_CALLERS_SHARE = 0.3
+CALLER_COUNTS = (1, 4, 10)
+WRITE_INTERVAL_S = 0.002
+FILLER_REPEATS = 500
+_FILLER = ENDLESS_MARK * FILLER_REPEATS
+_CALLER_BYTES = {
+    EndlessKind.HEADER_LINE: (b"X-Filler: ", _FILLER),
+    EndlessKind.HEADER_LINES: (b"", b"X-Filler: " + ENDLESS_MARK + b"\r\n"),
+    EndlessKind.BODY: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"%x\r\n%s\r\n" % (len(_FILLER), _FILLER),
+    ),
+    EndlessKind.CHUNK_SIZE: (b"Transfer-Encoding: chunked\r\n\r\n", b"0" * len(_FILLER)),
+}
+_REQUEST_LINES = (
+    b"POST /look/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key-acme\r\n"
+)
+
 _REPEATABLE_CLASSES = ("write-large", "write-small", "look")
 
 
@@ -70,6 +91,44 @@
     return f"{spec.how}: {','.join(worker.worker_id for worker in chosen)} for {spec.for_s:.1f} s"
 
 
+@trouble(ENDLESS_CALLERS_KIND)
+async def call_without_end(parts: EmulationParts, spec: Trouble) -> str:
+    """Let `count` callers send to daemons without end for `for_s`, or until they are closed."""
+    running = [daemon for daemon in parts.daemons if daemon.is_running]
+    chosen = [parts.rng.choice(running) for _ in range(spec.count)] if running else []
+    from_s = parts.now_s()
+    sending = (_call_until(parts, daemon.address, spec) for daemon in chosen)
+    sent_bytes = await asyncio.gather(*sending)
+    parts.endless_s.append((from_s, parts.now_s()))
+    parts.result.endless += len(chosen)
+    return f"{spec.how}: {','.join(daemon.name for daemon in chosen)}, {sum(sent_bytes)} bytes"
+
+
+async def _call_until(parts: EmulationParts, address: str, spec: Trouble) -> int:
+    """Send a request without end; return how many bytes were sent."""
+    begin, repeated = _CALLER_BYTES[EndlessKind(spec.how)]
+    until_s = parts.now_s() + spec.for_s
+    sent_bytes = 0
+    host, port = address.split(":")
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return 0  # the daemon has ended
+    try:
+        writer.write(_REQUEST_LINES + begin)
+        while parts.now_s() < until_s and not writer.is_closing():
+            writer.write(repeated)
+            sent_bytes += len(repeated)
+            async with asyncio.timeout(max(0.0, until_s - parts.now_s())):
+                await writer.drain()
+            await asyncio.sleep(WRITE_INTERVAL_S)
+    except (OSError, TimeoutError):
+        pass  # the daemon has closed the connection, or does not read on
+    finally:
+        writer.close()
+    return sent_bytes
+
+
 def draw_endless(seed: int, length_s: float, halls: Sequence[str]) -> list[Trouble]:
     """Return periods of bytes without end; on half of the seeds among stops and changes."""
     rng = random.Random(f"endless {seed}")
@@ -80,6 +139,11 @@
         how = kinds[seed % len(kinds)] if number == 0 else rng.choice(kinds)
         at_s, for_s = rng.uniform(1.0, length_s / 2), rng.uniform(*ENDLESS_S)
         drawn.append(Trouble(at_s, ENDLESS_KIND, rng.choice(WORKER_COUNTS), for_s, how=how))
+    if rng.random() < ENDLESS_CALLERS_SHARE:
+        at_s, for_s = rng.uniform(1.0, length_s / 2), rng.uniform(*ENDLESS_S)
+        how = rng.choice(list(_CALLER_BYTES))
+        count = rng.choice(CALLER_COUNTS)
+        drawn.append(Trouble(at_s, ENDLESS_CALLERS_KIND, count, for_s, how=how))
     count = rng.choice(OTHER_SERIES)
     drawn += draw_weighted_series(rng, _SERIES_WEIGHTS, count, (0.3, length_s * 0.8), halls)
     return sorted(drawn, key=lambda spec: spec.at_s)
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -11,6 +11,7 @@
 from ._links import LinkFailure
 
 __all__ = [
+    "ENDLESS_CALLERS_KIND",
     "ENDLESS_KIND",
     "FOREIGN_KIND",
     "SILENCE_KIND",
@@ -101,6 +102,7 @@
     FOREIGN_KIND: "another writer adds `count` entries at a time that name no target, for `for_s`, "
     "and overwrites some of those in use",
 }
+ENDLESS_CALLERS_KIND = "callers_endless"
 ENDLESS_KIND = "workers_endless"
 SILENCE_KIND = "workers_silent"
 _LOST_KINDS = {
@@ -108,6 +110,7 @@
     "(how: plain, member, head, replica, heads_third, heads_two_thirds, hall)",
     ENDLESS_KIND: "`count` workers answer with bytes that are no answer, without end, for `for_s` "
     "(how: the part of the answer)",
+    ENDLESS_CALLERS_KIND: "`count` callers send requests without end for `for_s` (how: the part)",
     "configuration_changed": "the operator changes routes, limits and keys that no caller uses",
 }
 KINDS = {
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -31,7 +31,7 @@
 from ._link_troubles import describe_unserved
 from ._load import Call
 from ._rests import backoff_violations, describe_violations
-from ._silences import describe_lost
+from ._silences import describe_dead, describe_lost
 from ._skew import describe_skew
 from ._stops import (
     PROMISES_NOT_RUN,
@@ -284,7 +284,10 @@
         result = self.parts.result
         if result.silences or result.endless:
             result.broken += describe_memory(result.memory_bytes)
-            result.broken += describe_lost(result.calls, self._execution_of, self._killed_s)
+            self._check_dead_replicas()
+            endless = self.parts.site.record.endless
+            sound = [call for call in result.calls if call.request_id not in endless]
+            result.broken += describe_lost(sound, self._execution_of, self._killed_s)
 
     def _check_endless(self) -> None:
         """Report callers that suffered from workers that sent bytes without end."""
@@ -296,7 +299,23 @@
             result.calls,
             answered,
             self.parts.endless_s,
-            lambda call: self._was_in_contact(call) and not self._note_excuse(call),
+            lambda call: self._was_in_contact(call) and not self._were_workers_suspected(call),
+        )
+
+    def _were_workers_suspected(self, call: Call) -> bool:
+        """Return whether a stall of the emulation made all workers silent during a call."""
+        return any(pause.causes_suspicion(call) for pause in self.parts.result.stood_still)
+
+    def _check_dead_replicas(self) -> None:
+        """Report requests to replicas long after one of their members had died."""
+        site = self.parts.site
+        self.parts.result.broken += describe_dead(
+            site.record.at_replicas,
+            site.killed_s,
+            lambda arrival: self._had_contact(
+                self._sent_to[arrival.request_id], arrival.at_s - CONTACT_S, arrival.at_s
+            ),
+            self.load_began_s,
         )
 
     def _killed_s(self, daemon: str) -> list[float]:
--- a/ferrydock/emulator/_silences.py
+++ b/ferrydock/emulator/_silences.py
@@ -7,17 +7,17 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from enum import StrEnum
 
-from ..standins.fleet import HEARTBEAT_S, Worker
+from ..standins.fleet import HEARTBEAT_S, ReplicaArrival, Worker
 from ._drain_plays import draw_weighted_series
 from ._experiment import SILENCE_KIND, Silent, Trouble
 from ._load import Call
 from ._stops import LIMIT_TOLERANCE_S, REQUEST_LIMIT_S, Execution
 from ._troubles import EmulationParts, trouble
 
-__all__ = ["LossExcuse", "describe_lost", "draw_silences", "excuse_of_loss"]
+__all__ = ["LossExcuse", "describe_dead", "describe_lost", "draw_silences", "excuse_of_loss"]
 
 # How long a worker stands still, and the pause between two silences of a series.
 SILENT_S = (0.3, 1.5)
@@ -38,6 +38,10 @@
 # ``loss-slack-ms`` of the known sites.
 LOSS_SLACK_S = 0.2
 
+# Time within which daemons must find a replica that lost a member: ``stall-ms`` as in
+# `FleetSite.settings`, after which its engine says so itself.
+FOUND_WITHIN_S = 2.0
+
 # How many lost requests are reported of one play.
 MAX_REPORTED_CALLS = 5
 
@@ -156,3 +160,30 @@
                 f"{call.outcome} after {call.took_s:.3f} s, ran {execution.count} times"
             )
     return [*lost[:MAX_REPORTED_CALLS], f"lost: {len(lost)} requests"] if lost else []
+
+
+def describe_dead(
+    arrivals: Iterable[ReplicaArrival],
+    killed_s: Mapping[str, float],
+    is_judged: Callable[[ReplicaArrival], bool],
+    load_began_s: float,
+) -> list[str]:
+    """Return lines for requests that reached replicas long after a member had died.
+
+    Parameters
+    ----------
+    killed_s : mapping of str to float
+        Loop time at which each dead worker died.
+    is_judged : callable
+        Returns whether the daemon of the request was in contact with the store.
+    """
+    lines = []
+    for arrival in arrivals:
+        died_s = min((killed_s[m] for m in arrival.members if m in killed_s), default=float("inf"))
+        if arrival.at_s > died_s + FOUND_WITHIN_S and is_judged(arrival):
+            lines.append(
+                f"dead: {arrival.request_id} reached {arrival.members[0]} "
+                f"{arrival.at_s - died_s:.2f} s after a member died, "
+                f"{arrival.at_s - load_began_s:.2f} s"
+            )
+    return lines[:MAX_REPORTED_CALLS]
--- /dev/null
+++ b/ferrydock/emulator/tests/test_silences.py
@@ -0,0 +1,52 @@
+"""Rules on requests that are lost beside silent workers, and on replicas of dead members."""
+
+import pytest
+
+from ...standins.fleet import ReplicaArrival
+from .. import Call, Execution, LossExcuse, excuse_of_loss
+from .._silences import FOUND_WITHIN_S, describe_dead, describe_lost
+
+
+def call(status=200, took_s=1.0, sent_after_s=0.0):
+    return Call("r", "look", 10.0, "one", status=status, took_s=took_s, sent_after_s=sent_after_s)
+
+
+@pytest.mark.parametrize(
+    ("ended", "execution", "killed_s", "excuse"),
+    [
+        (call(), Execution(1), [], LossExcuse.NONE),
+        (call(0), Execution(1), [], LossExcuse.NONE),
+        (call(0), Execution(), [], LossExcuse.NONE),
+        (call(0, 0.1), Execution(), [], LossExcuse.NOT_READ),
+        (call(0, 0.1), Execution(1), [], LossExcuse.NONE),
+        (call(0, 2.0, float("inf")), Execution(), [], LossExcuse.NOT_READ),
+        (call(0, 2.0, 1.9), Execution(), [], LossExcuse.NOT_READ),
+        (call(0, 2.0, 1.7), Execution(), [], LossExcuse.NONE),
+        (call(took_s=4.0), Execution(1), [], LossExcuse.TIME_OVER),
+        (call(), Execution(1), [10.5], LossExcuse.KILLED),
+        (call(), Execution(1), [9.5, 11.5], LossExcuse.NONE),
+        (call(), Execution(1, lost_s=10.9), [], LossExcuse.TARGET_LOST),
+        (call(), Execution(1, lost_s=11.1), [], LossExcuse.NONE),
+    ],
+)
+def test_only_what_the_platform_excuses_may_end_without_an_answer(
+    ended, execution, killed_s, excuse
+):
+    assert excuse_of_loss(ended, execution, killed_s) is excuse
+    assert bool(describe_lost([ended], lambda _: execution, lambda _: killed_s)) is not bool(excuse)
+
+
+def test_complete_answers_and_refusals_are_not_lost():
+    for status in (200, 429, 502, 503, 504):
+        answered = call(status)
+        answered.complete = True
+        assert describe_lost([answered], lambda _: Execution(1), lambda _: []) == []
+
+
+@pytest.mark.parametrize(("after_s", "is_fault"), [(-0.1, False), (0.1, True)])
+def test_a_replica_gets_no_requests_long_after_a_member_has_died(after_s, is_fault):
+    arrival = ReplicaArrival("r", 50.0 + FOUND_WITHIN_S + after_s, ("head", "member"))
+    found = describe_dead([arrival], {"member": 50.0}, lambda _: True, 0.0)
+    assert bool(found) is is_fault
+    assert describe_dead([arrival], {"other": 50.0}, lambda _: True, 0.0) == []
+    assert describe_dead([arrival], {"member": 50.0}, lambda _: False, 0.0) == []
--- a/ferrydock/standins/fleet/_endless.py
+++ b/ferrydock/standins/fleet/_endless.py
@@ -46,7 +46,11 @@
 _OK = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n"
 _LINE = b"X-Filler: " + ENDLESS_MARK + b"\r\n"
-_CHUNK = b"%x\r\n%s\r\n" % (len(ENDLESS_MARK), ENDLESS_MARK)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
 
 # Beginning of the answer, and what is repeated after it.
 _BYTES = {
@@ -56,16 +60,16 @@
     EndlessKind.NO_HTTP: (b"", b"\x00" + ENDLESS_MARK + b"\n"),
     EndlessKind.CHUNK_SIZE: (_CHUNKED + b"\r\n", b"0" * len(ENDLESS_MARK)),
     EndlessKind.BODY: (_OK + b"Connection: close\r\n\r\n", ENDLESS_MARK),
-    EndlessKind.CHUNKS: (_CHUNKED + b"\r\n", _CHUNK),
+    EndlessKind.CHUNKS: (_CHUNKED + b"\r\n", _chunk(ENDLESS_MARK)),
     EndlessKind.AFTER_LENGTH: (_OK + b"Content-Length: 10\r\n\r\n0123456789", ENDLESS_MARK),
     EndlessKind.TRAILERS: (_CHUNKED + b"\r\n0\r\n", _LINE),
     EndlessKind.REPORT_HEAD: (_OK, _LINE),
     EndlessKind.REPORT_BODY: (_OK + b"Connection: close\r\n\r\n{", b'"' + ENDLESS_MARK + b'":1,'),
 }
 _STREAM_BYTES = {
-    EndlessKind.COMMENTS: (b"", b": " + ENDLESS_MARK + b"\n\n"),
-    EndlessKind.EVENTS: (b"", b"data: " + ENDLESS_MARK + b"\n\n"),
-    EndlessKind.ONE_EVENT: (b"id: 1\ndata: ", ENDLESS_MARK),
+    EndlessKind.COMMENTS: (b"", _chunk(b": " + ENDLESS_MARK + b"\n\n")),
+    EndlessKind.EVENTS: (b"", _chunk(b"data: " + ENDLESS_MARK + b"\n\n")),
+    EndlessKind.ONE_EVENT: (_chunk(b"id: 1\ndata: "), _chunk(ENDLESS_MARK)),
 }
 
 
@@ -73,7 +77,7 @@
     if not kind.is_of_stream:
         return _BYTES[kind]
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    head = _OK + b"Content-Type: text/event-stream\r\nConnection: close\r\n" + lines.encode()
+    head = _CHUNKED + b"Content-Type: text/event-stream\r\n" + lines.encode()
     begin, repeated = _STREAM_BYTES[kind]
     return head + b"\r\n" + begin, repeated
 
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -28,6 +28,7 @@
     "KV_CAPACITY_TOKENS",
     "CrashingRequest",
     "LeavingArrival",
+    "ReplicaArrival",
     "RunRecord",
     "SocketSizes",
     "StreamFaults",
@@ -126,6 +127,15 @@
     after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaArrival:
+    """A request that reached the head of a replica, at a loop time."""
+
+    request_id: str
+    at_s: float
+    members: tuple[str, ...]
+
+
 @dataclass(slots=True)
 class RunRecord:
     """What the workers of a site have received and run.
@@ -161,6 +171,8 @@
         Loop time at which the store acknowledged the evacuation of each evacuated hall.
     at_evacuated : list of LeavingArrival
         Requests that reached workers of evacuated halls.
+    at_replicas : list of ReplicaArrival
+        Requests that reached heads of replicas, dead ones included.
     endless : dict
         Where the bytes without end came in the last such answer to each request.
     """
@@ -178,6 +190,7 @@
     leaving_said: list[LeavingSaid] = field(default_factory=list)
     evacuated_s: dict[str, float] = field(default_factory=dict)
     at_evacuated: list[LeavingArrival] = field(default_factory=list)
+    at_replicas: list[ReplicaArrival] = field(default_factory=list)
     endless: dict[str, EndlessKind] = field(default_factory=dict)
 
     def record_arrival_at_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
@@ -236,6 +249,9 @@
         """Record the arrival of a request at a worker and its replica."""
         request_id = request.headers["X-Attempt-Id"]
         self.workers.setdefault(request_id, set()).update((worker.worker_id, *worker.members))
+        if worker.members:
+            now_s = asyncio.get_running_loop().time()
+            self.at_replicas.append(ReplicaArrival(request_id, now_s, worker.members))
 
     def record_work(self, request: web.BaseRequest) -> None:
         """Record the time at which a worker works on a request."""
