--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -382,7 +382,8 @@
             overwritten=result.overwritten or None,
             silences=result.silences or None,
             endless=result.endless or None,
-            memory_mb=round(measured["memory_mb"]) if result.endless else None,
+            memory_mb=round(measured["memory_mb"]) if result.endless or result.silences else None,
+            **_failure_figures(result),
             **_drain_figures(result),
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
@@ -410,6 +411,14 @@
     return result.broken
 
 
+def _failure_figures(result: Result) -> dict[str, int | None]:
+    """Return how often callers got a 502, a 503 or a 504 beside silent or endless workers."""
+    if not (result.silences or result.endless):
+        return {}
+    statuses = [call.status for call in result.calls if call.complete]
+    return {f"got_{status}": statuses.count(status) or None for status in (502, 503, 504)}
+
+
 def _drain_figures(result: Result) -> dict[str, Any]:
     """Return the fields of a seed's line on leaving targets; none if they were not measured."""
     drains = result.drains
--- a/ferrydock/emulator/_endless.py
+++ b/ferrydock/emulator/_endless.py
@@ -15,6 +15,7 @@
 from ._drain_plays import draw_weighted_series
 from ._experiment import ENDLESS_CALLERS_KIND, ENDLESS_KIND, Trouble
 from ._load import Call
+from ._persistent_callers import SLOW_BODY_BYTES
 from ._troubles import EmulationParts, trouble
 
 __all__ = ["describe_filler", "describe_memory", "describe_unserved_elsewhere", "draw_endless"]
@@ -59,6 +60,8 @@
     b"POST /look/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key-acme\r\n"
 )
 
+# Largest body that daemons keep, to send it again; a larger one is forwarded as it arrives.
+MAX_KEPT_BODY_BYTES = SLOW_BODY_BYTES[0]
 _REPEATABLE_CLASSES = ("write-large", "write-small", "look")
 
 
@@ -188,6 +191,7 @@
             for call in during
             if call.request_id in answered
             and call.kind in _REPEATABLE_CLASSES
+            and len(call.body) <= MAX_KEPT_BODY_BYTES
             and not _is_in_stream(call, answered)
         ],
     }
--- a/ferrydock/emulator/_persistent_callers.py
+++ b/ferrydock/emulator/_persistent_callers.py
@@ -11,7 +11,7 @@
 from ._load import ANSWER_TIMEOUT_S, Call, encode_request, receive_answer
 from ._processes import DaemonProcess
 
-__all__ = ["PersistentCaller"]
+__all__ = ["SLOW_BODY_BYTES", "PersistentCaller"]
 
 # Pause between an answer and the next request, and between two attempts to connect.
 REQUEST_PAUSE_S = (0.05, 0.4)
--- a/ferrydock/emulator/tests/test_endless.py
+++ b/ferrydock/emulator/tests/test_endless.py
@@ -5,6 +5,7 @@
 from ...standins.fleet import EndlessKind
 from .. import Call
 from .._endless import (
+    MAX_KEPT_BODY_BYTES,
     MAX_MEMORY_BYTES,
     describe_filler,
     describe_memory,
@@ -47,6 +48,10 @@
 def test_own_answers_of_endless_workers_may_fail_if_the_request_may_not_be_repeated():
     group = calls(100, 100, "file")
     assert unserved(group, answered_with(EndlessKind.NO_HTTP, group)) == []
+    group = calls(100, 100)
+    for each in group:
+        each.body = b"x" * (MAX_KEPT_BODY_BYTES + 1)
+    assert unserved(group, answered_with(EndlessKind.NO_HTTP, group)) == []
     group = calls(100, 100, "write-large")
     assert unserved(group, answered_with(EndlessKind.COMMENTS, group)) == []
     assert unserved(group, answered_with(EndlessKind.CHUNKS, group))
