--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -37,6 +37,14 @@
 target list, before the start and later, over entries in use and under ids of their own, on two of
 three seeds among signals, restarts and changes; ``tests/soak_foreign_seeds.txt``.
 
+``python -m benchmarks.soak --plays=silences --seeds=50`` plays sound workers that stand still for
+about a second, from a plain one to all of a hall, on three of four seeds among stops, restarts,
+kills and changes of the configuration; ``tests/soak_silence_seeds.txt``.
+
+``python -m benchmarks.soak --plays=endless --seeds=50`` plays workers that answer with bytes
+without end, which are no answer, on half of the seeds among stops, restarts, kills and changes of
+the configuration; ``tests/soak_endless_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=drains --seeds=50`` plays targets that leave all the time while
 store, leaders and callers are slow, silent or stopped, and measures how long each target that
 leaves still gets requests; ``tests/soak_drain_seeds.txt``. ``drains.txt`` in the logs of a seed
@@ -46,6 +54,7 @@
 import asyncio
 import sys
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -61,6 +70,7 @@
     draw_crashing,
     draw_crashing_parts,
     draw_drains,
+    draw_endless,
     draw_eras,
     draw_foreign,
     draw_leaving,
@@ -68,6 +78,7 @@
     draw_limits,
     draw_links,
     draw_rests,
+    draw_silences,
     draw_skew,
     draw_stops,
     draw_troubles,
@@ -87,12 +98,16 @@
 # Targets that leave: several requests per daemon and target within each bound of 2 s.
 LEAVING_LOAD = Load(40.0, _MIX)
 
-# Fewest daemons of a hall where some of them lose their links.
+# Fewest daemons of a hall where some of them lose their links, or are signalled in series.
 MIN_PEERS = 3
 
 # Daemons of a hall in the largest plays: as many processes as eight cores bear.
 FOREIGN_PEERS = 16
 
+# Targets that stand still: mostly streams of about 1 s, so that many are under way at each target.
+SILENCES_LOAD = Load(60.0, {"write-large": 3.0, "write-small": 3.0, "look": 1.0, "file": 1.0})
+SILENCES_EVENT_S = 0.1
+
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
 DRAINS_LENGTH_S = 20.0
@@ -195,19 +210,11 @@
 
     Every tenth seed has 24 daemons, every fourth eight in one hall, the others six in two halls.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
-    count = max(count, 3)
-    return Experiment(
-        name=f"drains {seed}",
-        seed=seed,
-        length_s=DRAINS_LENGTH_S,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=DRAINS_LOAD,
-        troubles=tuple(draw_drains(seed, DRAINS_LENGTH_S, halls)),
-        settle_s=10.0,
-        persistent_callers=1 if len(halls) * count > 12 else 4,
+    halls, _, _ = _fleet_sizes(seed)
+    name, troubles = f"drains {seed}", draw_drains(seed, DRAINS_LENGTH_S, halls)
+    return replace(
+        _fleet_experiment(name, seed, DRAINS_LENGTH_S, DRAINS_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 4,
         store_latency_s=DRAINS_STORE_LATENCY_S,
         has_small_buffers=seed % 2 == 0,
     )
@@ -286,24 +293,50 @@
     Callers keep their connections until a process is gone. Every third seed has no other faults.
     Every tenth seed has 48 daemons, every fourth eight in one hall, the others six in two halls.
     """
-    halls, count, domain_size = _fleet_sizes(seed)
-    count = FOREIGN_PEERS if len(halls) == 3 else max(count, MIN_PEERS)
+    halls, _, _ = _fleet_sizes(seed)
+    is_largest = len(halls) == 3
     length_s = 14.0
-    return Experiment(
-        name=f"foreign {seed}",
-        seed=seed,
-        length_s=length_s,
-        halls=halls,
-        daemons_per_hall=count,
-        domain_size=domain_size,
-        load=LOAD,
-        troubles=tuple(draw_foreign(seed, length_s, halls)),
-        settle_s=10.0,
-        persistent_callers=1 if len(halls) * count > 12 else 2,
+    troubles = draw_foreign(seed, length_s, halls)
+    min_daemons = FOREIGN_PEERS if is_largest else MIN_PEERS
+    return replace(
+        _fleet_experiment(f"foreign {seed}", seed, length_s, LOAD, troubles, min_daemons),
+        persistent_callers=1 if is_largest else 2,
         has_foreign_entries=True,
     )
 
 
+def silences_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with sound workers that stand still for about a second.
+
+    Callers keep their connections until a process is gone. On three of four seeds daemons stop,
+    restart and are killed beside it, the configuration changes, or workers die. Every tenth seed
+    has 24 daemons, every fourth eight in one hall, the others six in two halls.
+    """
+    halls, _, _ = _fleet_sizes(seed)
+    length_s = 14.0
+    troubles = draw_silences(seed, length_s, halls)
+    return replace(
+        _fleet_experiment(f"silences {seed}", seed, length_s, SILENCES_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 4,
+        event_s=SILENCES_EVENT_S,
+    )
+
+
+def endless_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with workers that answer with bytes without end.
+
+    Callers keep their connections until a process is gone. Every tenth seed has 24 daemons, every
+    fourth eight in one hall, the others six in two halls.
+    """
+    halls, _, _ = _fleet_sizes(seed)
+    length_s = 14.0
+    troubles = draw_endless(seed, length_s, halls)
+    return replace(
+        _fleet_experiment(f"endless {seed}", seed, length_s, LEAVING_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 2,
+    )
+
+
 PLAYS = {
     "all": soak_experiment,
     "stops": stops_experiment,
@@ -317,6 +350,8 @@
     "links": links_experiment,
     "parts": parts_experiment,
     "foreign": foreign_experiment,
+    "silences": silences_experiment,
+    "endless": endless_experiment,
 }
 
 
@@ -345,6 +380,10 @@
             shed=result.shed or None,
             foreign=result.foreign_entries or None,
             overwritten=result.overwritten or None,
+            silences=result.silences or None,
+            endless=result.endless or None,
+            memory_mb=round(measured["memory_mb"]) if result.endless or result.silences else None,
+            **_failure_figures(result),
             **_drain_figures(result),
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
@@ -372,6 +411,14 @@
     return result.broken
 
 
+def _failure_figures(result: Result) -> dict[str, int | None]:
+    """Return how often callers got a 502, a 503 or a 504 beside silent or endless workers."""
+    if not (result.silences or result.endless):
+        return {}
+    statuses = [call.status for call in result.calls if call.complete]
+    return {f"got_{status}": statuses.count(status) or None for status in (502, 503, 504)}
+
+
 def _drain_figures(result: Result) -> dict[str, Any]:
     """Return the fields of a seed's line on leaving targets; none if they were not measured."""
     drains = result.drains
--- a/ferrydock/emulator/_persistent_callers.py
+++ b/ferrydock/emulator/_persistent_callers.py
@@ -11,7 +11,7 @@
 from ._load import ANSWER_TIMEOUT_S, Call, encode_request, receive_answer
 from ._processes import DaemonProcess
 
-__all__ = ["PersistentCaller"]
+__all__ = ["SLOW_BODY_BYTES", "PersistentCaller"]
 
 # Pause between an answer and the next request, and between two attempts to connect.
 REQUEST_PAUSE_S = (0.05, 0.4)
@@ -122,6 +122,7 @@
         if self.manner != "slow_body":
             writer.write(request)
             return
+        call.sent_after_s = float("inf")
         head_bytes = len(request) - len(call.body)
         pause_s = self.rng.uniform(*SLOW_BODY_S) / BODY_PARTS
         writer.write(request[:head_bytes])
@@ -129,3 +130,4 @@
         for offset in range(head_bytes, len(request), part_bytes):
             await asyncio.sleep(pause_s)
             writer.write(request[offset : offset + part_bytes])
+        call.sent_after_s = self.now_s() - call.at_s
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Stand-in of the users' platform and its workers, called in memory or over its protocol."""
 
 from ._caller import request_bytes
+from ._endless import ENDLESS_MARK, EndlessKind
 from ._ports import FleetControl, FleetList
 from ._site import HEARTBEAT_S, WRITTEN_AGAIN_S, FleetSite, small_engine
 from ._store_http import StoreCall, StoreFace, StoreFaults
@@ -10,6 +11,7 @@
     CRASHING_PART,
     CrashingRequest,
     LeavingArrival,
+    ReplicaArrival,
     RunRecord,
     SocketSizes,
     StreamFaults,
@@ -29,10 +31,12 @@
 __all__ = [
     "CRASHING_BODY",
     "CRASHING_PART",
+    "ENDLESS_MARK",
     "HEARTBEAT_S",
     "WRITTEN_AGAIN_S",
     "ColdPeriod",
     "CrashingRequest",
+    "EndlessKind",
     "Fleet",
     "FleetControl",
     "FleetFaults",
@@ -42,6 +46,7 @@
     "LeavingSaid",
     "LoopClock",
     "NamedLimit",
+    "ReplicaArrival",
     "RunRecord",
     "Shedding",
     "SocketSizes",
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -19,7 +19,8 @@
     OrderRefused,
     StageOrder,
 )
-from ._workers import Fleet, LeavingSaid, NamedLimit, Shedding, Worker
+from ._endless import EndlessKind, send_without_end
+from ._workers import EndlessPeriod, Fleet, LeavingSaid, NamedLimit, Shedding, Worker
 
 __all__ = [
     "CRASHING_BODY",
@@ -27,6 +28,7 @@
     "KV_CAPACITY_TOKENS",
     "CrashingRequest",
     "LeavingArrival",
+    "ReplicaArrival",
     "RunRecord",
     "SocketSizes",
     "StreamFaults",
@@ -125,6 +127,15 @@
     after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaArrival:
+    """A request that reached the head of a replica, at a loop time."""
+
+    request_id: str
+    at_s: float
+    members: tuple[str, ...]
+
+
 @dataclass(slots=True)
 class RunRecord:
     """What the workers of a site have received and run.
@@ -160,6 +171,10 @@
         Loop time at which the store acknowledged the evacuation of each evacuated hall.
     at_evacuated : list of LeavingArrival
         Requests that reached workers of evacuated halls.
+    at_replicas : list of ReplicaArrival
+        Requests that reached heads of replicas, dead ones included.
+    endless : dict
+        Where the bytes without end came in the last such answer to each request.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -175,6 +190,8 @@
     leaving_said: list[LeavingSaid] = field(default_factory=list)
     evacuated_s: dict[str, float] = field(default_factory=dict)
     at_evacuated: list[LeavingArrival] = field(default_factory=list)
+    at_replicas: list[ReplicaArrival] = field(default_factory=list)
+    endless: dict[str, EndlessKind] = field(default_factory=dict)
 
     def record_arrival_at_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
         """Record the arrival of a request at a worker whose entry says that it leaves."""
@@ -232,6 +249,9 @@
         """Record the arrival of a request at a worker and its replica."""
         request_id = request.headers["X-Attempt-Id"]
         self.workers.setdefault(request_id, set()).update((worker.worker_id, *worker.members))
+        if worker.members:
+            now_s = asyncio.get_running_loop().time()
+            self.at_replicas.append(ReplicaArrival(request_id, now_s, worker.members))
 
     def record_work(self, request: web.BaseRequest) -> None:
         """Record the time at which a worker works on a request."""
@@ -342,7 +362,7 @@
         if request.path == "/v1/order":
             return await self._order(request)
         if request.path == "/v1/report":
-            return self._report(request)
+            return await self._answer_report(request)
         if request.path == "/healthz":
             status = 503 if self.worker.draining else 200
             headers = {
@@ -369,10 +389,32 @@
             request, self.worker.shedding
         ):
             return self._refuse(request, 503, self.worker.shedding.rest_s)
+        period = self._endless_period()
+        if period is not None and not period.kind.is_of_report:
+            return await self._answer_without_end(request, period)
         if self.fleet is None:
             return await self._answer_plain(request)
         return await self._answer_stream(request)
 
+    def _endless_period(self) -> EndlessPeriod | None:
+        """Return the period in which the worker answers without end; None if it is over."""
+        period = self.worker.endless
+        if period is not None and asyncio.get_running_loop().time() >= period.until_s:
+            self.worker.endless = period = None
+        return period
+
+    async def _answer_without_end(
+        self, request: web.BaseRequest, period: EndlessPeriod
+    ) -> web.StreamResponse:
+        """Read a request, and answer it with bytes without end."""
+        await request.read()
+        self.record.record_arrival(request, self.worker)
+        self.record.note(request)
+        self.record.endless[request.headers["X-Attempt-Id"]] = period.kind
+        transport, headers = require(request.transport, "connection"), self._answer_headers(request)
+        await send_without_end(transport, period.kind, headers, period.until_s)
+        raise asyncio.CancelledError  # the connection is closed
+
     def _record_and_check_shedding(self, request: web.BaseRequest, shedding: Shedding) -> bool:
         """Record the arrival of a request; return whether the worker refuses it."""
         arrival = (asyncio.get_running_loop().time(), request.headers["X-Attempt-Id"])
@@ -538,6 +580,14 @@
         status = 200 if answer.already else 202
         return web.Response(status=status, headers=self._announcement_headers(request))
 
+    async def _answer_report(self, request: web.BaseRequest) -> web.StreamResponse:
+        period = self._endless_period()
+        if period is None or not period.kind.is_of_report:
+            return self._report(request)
+        transport = require(request.transport, "the connection")
+        await send_without_end(transport, period.kind, {}, period.until_s)
+        raise asyncio.CancelledError  # the connection is closed
+
     def _report(self, request: web.BaseRequest) -> web.Response:
         worker = self.worker
         fields = {
