A begun answer keeps its last attempt while its replica may only be paused

What callers saw, in the soak of silences: all members of a replica stand still, its begun streams are handed over, the other target refuses them, and they are cut, though their own replica goes on 0.4 s later.

Cause: a route allows two attempts. A slot in hand is no promise of the target, and the handover spends the last attempt.

Now a begun answer whose next attempt would be its last stays while the silent members' hosts accept connections, until the replica is lost; where a host does not, it is handed over as before. A stream that can still be in time is moved as before.

test_begun_stream_keeps_its_last_attempt_while_its_replica_may_be_paused failed before: two events, cut. Other tests call AttemptRunner.interrupt where they began a suspicion only to get a handover.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -154,13 +154,13 @@
             if replica is not None:
                 yield replica, sum(map(_is_read, attempts))
 
-    def interrupt(self, key: tuple[str, int], reason: str) -> None:
+    def interrupt(self, key: tuple[str, int], reason: str, may_be_paused: bool) -> None:
         """Let other targets answer the requests in flight at a replica that seems broken.
 
         Each attempt is interrupted when its request has a slot elsewhere, as far as the retry
-        budget allows. The others continue, since the replica may only be paused.
+        budget allows, and for a replica that may only be paused, as `Handovers.begin` allows.
         """
-        self.handovers.begin(self._attempts_at(key), reason)
+        self.handovers.begin(self._attempts_at(key), reason, may_be_paused)
 
     def interrupt_lost(self, key: tuple[str, int], reason: str) -> None:
         """Interrupt the attempts in flight at a replica that cannot answer them any more.
@@ -171,7 +171,7 @@
         self._interrupt_lost(self._attempts_at(key), reason)
 
     def move_streams(self, key: tuple[str, int], reason: str) -> None:
-        """Let other targets continue the begun streams at a replica, as `interrupt` does.
+        """Let other targets continue the begun streams at a replica while they are in time.
 
         A stream that waits for its caller is not moved, since another target would not continue it
         sooner.
--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -46,10 +46,16 @@
         self.clock = clock
         self.is_suspicious: Callable[[Exchange], bool] = lambda exchange: False
 
-    def begin(self, attempts: Sequence[Attempt], reason: str) -> None:
+    def begin(self, attempts: Sequence[Attempt], reason: str, may_be_paused: bool = False) -> None:
         """Start to look for slots elsewhere for attempts, as far as the retry budget goes.
 
         Attempts that are already being handed over count against the budget as well.
+
+        Parameters
+        ----------
+        may_be_paused : bool, default=False
+            Whether the replica may soon resume. A begun answer does not spend its last attempt
+            then: it would be cut if the other target fails as well, or refuses it.
         """
         now_s = self.clock.now_s()
         reserved_retries = sum(attempt.is_being_handed_over for attempt in attempts)
@@ -58,6 +64,8 @@
                 continue
             if now_s - attempt.silent_since_s < SEARCH_INTERVAL_S:
                 continue
+            if may_be_paused and _would_spend_last_attempt(attempt.exchange):
+                continue
             if self._may_hand_over(attempt.exchange, reserved_retries):
                 reserved_retries += 1
                 attempt.silent_since_s = now_s
@@ -109,6 +117,11 @@
                 self.selector.release(endpoint)
 
 
+def _would_spend_last_attempt(exchange: Exchange) -> bool:
+    """Return whether the next attempt is the last one for an answer that has begun."""
+    return exchange.response is not None and exchange.attempt_count + 1 >= exchange.route.attempts
+
+
 def _has_resumed(attempt: Attempt) -> bool:
     """Return whether the replica has sent anything for a request since it was found silent."""
     return attempt.exchange.last_received_s > attempt.silent_since_s
--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -226,7 +226,7 @@
             self.attempts.loads.record_failure(
                 replica.head.target_id, now_s, eject_immediately=True
             )
-            self.attempts.interrupt(replica.key, STUCK)
+            self.attempts.interrupt(replica.key, STUCK, may_be_paused=False)
 
     def _has_progressed_since(self, replica: ReplicaView, poll_started_s: float) -> bool:
         """Return whether anything was received from a replica since its poll started."""
--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -224,7 +224,7 @@
             suspicion = _Suspicion(replica.key, replica.head.target_id, members, members)
             self._suspicions[replica.key] = suspicion
         suspicion.polled_s = self.clock.now_s()
-        self._avoid(suspicion, MEMBER_DEAD)
+        self._avoid(suspicion)
         self._apply(suspicion, polled, took_s)
 
     def report(self, key: ReplicaKey, reason: str) -> None:
@@ -237,7 +237,8 @@
             head_id = next(iter(members), "")
             suspicion = self._suspicions[key] = _Suspicion(key, head_id, members, members)
         suspicion.is_reported = True
-        self._avoid(suspicion, reason)
+        self._avoid(suspicion)
+        self.attempts.interrupt(key, reason, may_be_paused=True)
 
     def withdraw_report(self, key: ReplicaKey) -> None:
         """Handle that the hall leader does not report a replica any more; poll its members."""
@@ -329,7 +330,8 @@
         elif running_s - suspicion.silent_since_s >= MAX_SILENCE_S:
             self._consider_lost(suspicion, _by_id(polled.silent))
         else:
-            self.attempts.interrupt(suspicion.key, MEMBER_DEAD)
+            may_be_paused = not polled.unreachable
+            self.attempts.interrupt(suspicion.key, MEMBER_DEAD, may_be_paused)
 
     def _end(self, suspicion: _Suspicion) -> None:
         """Use a replica again whose members have all answered."""
@@ -353,13 +355,12 @@
             self.listener.on_targets_lost(target_ids, f"lost in {name}")
         self.mark_broken(suspicion.key, MEMBER_DEAD)
 
-    def _avoid(self, suspicion: _Suspicion, reason: str) -> None:
-        """Send no new requests to a replica, and hand over those that it has."""
+    def _avoid(self, suspicion: _Suspicion) -> None:
+        """Send no new requests to a replica."""
         key = suspicion.key
         if key in self.catalog.broken or key in self.catalog.suspected:
             return
         self.catalog.suspected.add(key)
-        self.attempts.interrupt(key, reason)
         if self.listener is not None:
             self.listener.on_replica_avoided(key)
 
--- a/ferrydock/forwarding/tests/test_handovers.py
+++ b/ferrydock/forwarding/tests/test_handovers.py
@@ -7,7 +7,7 @@
 
 from ...configuration import Configuration, RouteKind, ServiceSpec
 from .._suspicions import MEMBER_DEAD
-from .rig import ScriptedTarget, complete_answer, play, route
+from .rig import ScriptedTarget, complete_answer, play, route, writes
 from .test_forwarding import body_of
 from .test_interruptions import (
     COMPLETE_BODY,
@@ -19,6 +19,8 @@
     pauses,
 )
 
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
 
 class HandoverRig(ReplicaRig):
     """A gateway with replicas that have a given number of slots, for one kind of request."""
@@ -58,7 +60,7 @@
         async with HandoverRig(targets, retries=5.0, slots=1) as rig:
             streaming = [asyncio.ensure_future(rig.stream()) for _ in range(2)]
             await rig.until_begun(2)
-            rig.stalls.suspicions.report(KEYS[0], MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(KEYS[0], MEMBER_DEAD, may_be_paused=False)
             await asyncio.sleep(0.2)
             resume.set()
             await rig.until(lambda: any(stream.done() for stream in streaming))
@@ -72,6 +74,26 @@
     play(scenario)
 
 
+def test_begun_stream_keeps_its_last_attempt_while_its_replica_may_be_paused():
+    """Failure: it was sent to a target that refused it, had no attempt left, and was cut."""
+
+    async def scenario():
+        resume = asyncio.Event()
+        targets = [ScriptedTarget(pauses(resume)) for _ in KEYS]
+        async with HandoverRig(targets, retries=5.0) as rig:
+            streaming = asyncio.ensure_future(rig.stream())
+            await rig.until_begun(1)
+            first = next(n for n, target in enumerate(targets) if target.requests)
+            targets[1 - first].scripts = [writes(REFUSAL)]
+            rig.stalls.suspicions.report(KEYS[first], MEMBER_DEAD)
+            await asyncio.sleep(0.1)
+            resume.set()
+            assert body_of(await streaming) == (COMPLETE_BODY, True)
+            assert not targets[1 - first].requests
+
+    play(scenario)
+
+
 def test_begun_stream_goes_on_elsewhere_as_soon_as_a_slot_is_free():
     async def scenario():
         never, soon = asyncio.Event(), asyncio.Event()
@@ -79,7 +101,7 @@
         async with HandoverRig(targets, retries=1.0, slots=1) as rig:
             streaming = [asyncio.ensure_future(rig.stream()) for _ in range(2)]
             await rig.until_begun(2)
-            rig.stalls.suspicions.report(KEYS[0], MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(KEYS[0], MEMBER_DEAD, may_be_paused=False)
             await asyncio.sleep(0.05)
             soon.set()
             answers = [body_of(answer) for answer in await asyncio.gather(*streaming)]
@@ -100,7 +122,7 @@
             request = asyncio.ensure_future(rig.stream())
             await rig.until(lambda: any(target.requests for target in targets))
             for key in KEYS:
-                rig.stalls.suspicions.report(key, MEMBER_DEAD)
+                rig.stalls.attempts.interrupt(key, MEMBER_DEAD, may_be_paused=False)
             await asyncio.sleep(0.1)
             resume.set()
             answer = await request
@@ -120,7 +142,7 @@
             request = asyncio.ensure_future(rig.stream())
             await rig.until(lambda: any(target.requests for target in targets))
             for key in KEYS:
-                rig.stalls.suspicions.report(key, MEMBER_DEAD)
+                rig.stalls.attempts.interrupt(key, MEMBER_DEAD, may_be_paused=False)
             await asyncio.sleep(0.1)
             resume.set()
             answer = await request
@@ -152,7 +174,7 @@
         async with HandoverRig(targets, retries=5.0, slots=2 if is_moved else 1) as rig:
             streaming = [asyncio.ensure_future(rig.stream()) for _ in range(2)]
             await rig.until_begun(2)
-            rig.stalls.suspicions.report(KEYS[0], MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(KEYS[0], MEMBER_DEAD, may_be_paused=False)
             await asyncio.sleep(0)
             for stream in streaming:
                 stream.cancel()
--- a/ferrydock/forwarding/tests/test_interruptions.py
+++ b/ferrydock/forwarding/tests/test_interruptions.py
@@ -81,7 +81,7 @@
 
     def break_all(self):
         for key in KEYS:
-            self.stalls.suspicions.report(key, MEMBER_DEAD)
+            self.stalls.attempts.interrupt(key, MEMBER_DEAD, may_be_paused=False)
 
     async def until(self, condition):
         async with asyncio.timeout(5.0):
@@ -133,7 +133,7 @@
             streaming = asyncio.ensure_future(rig.stream())
             await rig.until(lambda: any(a.count for a in _streams_of(rig)))
             first = next(n for n, target in enumerate(targets) if target.requests)
-            rig.stalls.suspicions.report(KEYS[first], MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(KEYS[first], MEMBER_DEAD, may_be_paused=False)
             assert body_of(await streaming) == (COMPLETE_BODY, True)
             assert [len(target.requests) for target in targets] == [1, 1]
             assert rig.budget.available == 0
@@ -174,7 +174,7 @@
             await rig.until(lambda: sum(a.count == 2 for a in _streams_of(rig)) == 6)
             # Both break at once: moved streams find no other replica and wait for one.
             first, second = KEYS
-            rig.stalls.suspicions.report(first, MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(first, MEMBER_DEAD, may_be_paused=False)
             moved = [len(target.requests) for target in targets]
             resume.set()
             answers = [body_of(await each) for each in streaming]
@@ -263,7 +263,7 @@
             selector=SimpleNamespace(catalog=EndpointCatalog(self.directory)),
             attempt_count_at=lambda target_id: running,
             responding_at=lambda target_id: begun,
-            interrupt=lambda key, reason: None,
+            interrupt=lambda key, reason, may_be_paused: None,
             interrupt_lost=lambda key, reason: self.lost.append(key),
             move_streams=lambda key, reason: self.moved_replicas.append(key),
         )
@@ -425,7 +425,7 @@
             streaming = asyncio.ensure_future(rig.stream())
             await rig.until(lambda: any(a.count == 2 for a in _streams_of(rig)))
             first = next(n for n, target in enumerate(rig.targets) if len(target.requests) == 2)
-            rig.stalls.suspicions.report(KEYS[first], MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(KEYS[first], MEMBER_DEAD, may_be_paused=False)
             assert body_of(await streaming) == (COMPLETE_BODY, True)
 
     play(scenario)
--- a/ferrydock/forwarding/tests/test_resumed_replicas.py
+++ b/ferrydock/forwarding/tests/test_resumed_replicas.py
@@ -35,7 +35,7 @@
         async with HandoverRig(targets, retries=5.0, slots=1, time_limit_s=8.0) as rig:
             streaming = [asyncio.ensure_future(rig.stream()) for _ in range(2)]
             await rig.until_begun(2)
-            rig.stalls.suspicions.report(KEYS[0], MEMBER_DEAD)
+            rig.stalls.attempts.interrupt(KEYS[0], MEMBER_DEAD, may_be_paused=False)
             await rig.until(lambda: rig.selector.queue_length == 1)
             resume.set()
             rig.stalls.suspicions.withdraw_report(KEYS[0])
--- a/ferrydock/route_daemon/tests/test_replica_failures.py
+++ b/ferrydock/route_daemon/tests/test_replica_failures.py
@@ -38,7 +38,7 @@
             loads=TargetLoads(),
             busy_replicas=list,
             attempt_count_at=lambda target_id: 0,
-            interrupt=lambda key, reason: None,
+            interrupt=lambda key, reason, may_be_paused: None,
             interrupt_lost=lambda key, reason: None,
         )
         self.stalls = StallDetector(attempts, self, clock, None)
