Bytes beside the bodies of answers are bounded on every connection

Callers saw: while one target sends informational heads (1xx) without end, requests to other targets wait out their time limits. A body whose framing cannot be parsed left its request waiting until its time limit.

Cause: aiohttp bounds a line and a header field, but not the informational heads before the final one, chunk extensions, or messages after the end of an answer. It parses all that was read (up to 256 KiB) and loops over all buffered heads within one turn of the loop. After an error in the framing of a body it closes the connection, but does not end the wait for the body.

--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -1,9 +1,14 @@
 """Opening HTTP client sessions with the options that apply to all of them; stateless."""
 
+import asyncio
+import functools
 import socket
 from collections.abc import Callable
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from .answer_protocol import AnswerProtocol
 
 __all__ = ["open_session"]
 
@@ -19,7 +24,8 @@
 
     aiohttp by default repeats a request if a pooled connection turns out to be closed. This is
     disabled, because only ferrydock may decide whether a request is sent twice; aiohttp has no
-    public setting for it.
+    public setting for it. Nor has it one for the protocol of a connection, `AnswerProtocol`, which
+    bounds what a server may send.
 
     Parameters
     ----------
@@ -40,6 +46,7 @@
     connector = connector_class(
         limit=0, use_dns_cache=False, socket_factory=socket_factory, **keep_alive_options
     )
+    connector._factory = functools.partial(_make_protocol)
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
@@ -47,3 +54,7 @@
     )
     session._retry_connection = False
     return session
+
+
+def _make_protocol() -> ResponseHandler:
+    return AnswerProtocol(asyncio.get_running_loop())
