A target whose answers' heads cannot be read is ejected

Callers saw: 502, also for repeatable requests, as long as one target of the service answers with heads that cannot be read (a header line or header lines without end, bytes that are no HTTP).

Cause: the attempt ended as `broken_ClientResponseError`, which is not among the reasons that count as failures of a target. The target fails faster than the others answer, so it has the least load and is chosen again; each choice spends a retry, until the budget is used up.

Evidence: the new tests, run on the code before with only `_attempts.py` as it was: all 8 fail. 40 repeatable requests leave both such targets in use (`[False, False, False] == [True, True, False]`), with `why=broken_ClientResponseError` at every attempt.

Why the fix works: such an answer is a reason of its own, `unreadable_answer`, which counts as the other failures of a target do: three in a row eject it, so that a single request that makes its answer unreadable does not. Ejected targets are still used if all are ejected.

Measured: after three attempts each, two such targets get none of the remaining requests, and all 40 are answered by the third; with all targets ejected, one that has recovered answers. The tests of this file pass (30).

--- a/ferrydock/cli/_explain.py
+++ b/ferrydock/cli/_explain.py
@@ -35,6 +35,7 @@
     "target_left": "the target left after it was chosen, and nothing was sent to it",
     "refused": "the target said that it did not run the request",
     "broken": "the target's answer broke off",
+    "unreadable_answer": "the head of the target's answer was no HTTP, or exceeded a bound",
     "torn": "the target's stream ended in the middle of an event",
     "out_of_order": "the target's stream did not continue after the last event that was passed on",
     "event_too_large": "the target's stream held an event that is larger than a daemon keeps",
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -35,6 +35,7 @@
 _FAILURES_OF_TARGET = (
     AttemptReason.NOT_SENT,
     AttemptReason.BROKEN,
+    AttemptReason.UNREADABLE_ANSWER,
     AttemptReason.WRONG_ANSWER,
     AttemptReason.REFUSED,
     AttemptReason.ERROR,
@@ -254,6 +255,8 @@
             has_path = not isinstance(getattr(error, "os_error", None), NoPathToTargets)
             reason = AttemptReason.NOT_SENT if has_path else AttemptReason.NO_PATH
             return AttemptEnd(False, False, reason, may_have_received=False)
+        except aiohttp.ClientResponseError:
+            return AttemptEnd(False, True, AttemptReason.UNREADABLE_ANSWER)
         except _CONNECTION_ERRORS as error:
             return AttemptEnd(False, True, "broken_" + type(error).__name__)
         if isinstance(answer, SendWithdrawn):
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -67,6 +67,7 @@
     REFUSED = "refused"
     ERROR = "error"
     BROKEN = "broken"
+    UNREADABLE_ANSWER = "unreadable_answer"
     TORN = "torn"
     WRONG_ANSWER = "wrong_answer"
     TIME_OVER = "time_over"
--- a/ferrydock/forwarding/tests/test_endless_answers.py
+++ b/ferrydock/forwarding/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 
 from ... import answer_protocol
 from ...answer_protocol import AnswerProtocol
+from .. import _target_loads
 from .flooding_server import FloodingServer
 from .rig import HEAD, Rig, ScriptedTarget, complete_answer, play, route, writes
 
@@ -217,3 +218,46 @@
         assert max(taken_s) < rig.configuration.routes[0].first_answer_s
 
     play(scenario)
+
+
+def flooded_answer(flood):
+    """Return a script that writes the beginning of a flooded head, and ends the connection."""
+    head, unit = FLOODED_HEADS[flood]
+    return writes(head + unit * (1 + 262144 // len(unit)), keep=False)
+
+
+@pytest.mark.parametrize("flood", FLOODED_HEADS)
+def test_a_target_whose_heads_cannot_be_read_is_ejected(flood, monkeypatch):
+    monkeypatch.setattr(_target_loads, "EJECTION_S", 600.0)
+    monkeypatch.setattr(_target_loads, "MAX_EJECTION_S", 600.0)
+
+    async def scenario():
+        flooding = [ScriptedTarget(flooded_answer(flood)) for _ in range(2)]
+        sound = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route(attempts=3)], [*flooding, sound]) as rig:
+            answers = [await rig.ask() for _ in range(40)]
+            assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+            now_s = rig.clock.now_s()
+            assert [rig.loads.is_ejected(f"t{i}", now_s) for i in range(3)] == [True, True, False]
+        for target in flooding:
+            assert len(target.requests) == _target_loads.FAILURES_TO_EJECT
+
+    play(scenario)
+
+
+def test_targets_whose_heads_can_be_read_again_are_used_again():
+    async def scenario():
+        targets = [ScriptedTarget(flooded_answer("no HTTP")) for _ in range(2)]
+        async with Rig([route()], targets) as rig:
+            for _ in range(_target_loads.FAILURES_TO_EJECT):
+                assert (await rig.ask()).startswith(b"HTTP/1.1 502")
+            assert all(rig.loads.is_ejected(i, rig.clock.now_s()) for i in ("t0", "t1"))
+            targets[0].scripts = [writes(complete_answer())]
+            assert (await rig.ask()).startswith(b"HTTP/1.1 200")  # the last resort
+            rig.loads.of("t0").ejected_until_s = 0.0
+            before = len(targets[1].requests)
+            for _ in range(10):
+                assert (await rig.ask()).startswith(b"HTTP/1.1 200")
+            assert len(targets[1].requests) <= before + 1
+
+    play(scenario)
