A worker's report is read up to a bounded size

Callers saw: nothing directly. A daemon held whatever a worker sent as its report until the time limit of the call.

Cause: the whole body was read without a limit on its size.

Why the fix works: `http_client.read_body` stops above 64 KiB, closes the connection and fails as a broken body does. The body of an order's answer is not read. Heads are bounded by the session.

The platform's other tests were not run to their end before this commit.

--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -10,7 +10,7 @@
 
 from .answer_protocol import AnswerProtocol
 
-__all__ = ["open_session"]
+__all__ = ["open_session", "read_body"]
 
 
 def open_session(
@@ -56,5 +56,23 @@
     return session
 
 
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        It is longer than `max_bytes`, or broken. Only so much of it is held.
+    """
+    pieces, size = [], 0
+    async for piece in response.content.iter_any():
+        pieces.append(piece)
+        size += len(piece)
+        if size > max_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(f"a body of more than {max_bytes} bytes")
+    return b"".join(pieces)
+
+
 def _make_protocol() -> ResponseHandler:
     return AnswerProtocol(asyncio.get_running_loop())
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -11,7 +11,7 @@
 import aiohttp
 import orjson
 
-from ..http_client import open_session
+from ..http_client import open_session, read_body
 from ..links import DialingConnector, TargetDialer
 from ..logs import log_event
 from ..outcomes import Fault, NotListening, Unavailable, Unknown
@@ -38,6 +38,9 @@
 ORDER_TIMEOUT_S = 0.7
 CONNECT_TIMEOUT_S = 0.5
 
+# Longest body of a report. Reports are small; anything longer is no report.
+MAX_REPORT_BYTES = 65536
+
 OK = 200
 ACCEPTED = 202
 # Reason of a refused order by the status of the worker's answer (protocol of the platform).
@@ -113,7 +116,7 @@
             ):
                 if response.status != OK:
                     return Unavailable(f"status {response.status}")
-                body = await response.read()
+                body = await read_body(response, MAX_REPORT_BYTES)
         except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError) as error:
             if isinstance(getattr(error, "os_error", None), ConnectionRefusedError):
                 return NotListening(type(error).__name__)
