Soak of silent workers: a request sent to a process that had ended is not lost

Trace: the stopped daemon had logged its end 1.3 s before the request was sent, and had logged nothing of it; the emulation, and with it the caller, stood still for 1.4 s from 0.4 s after the sending, so that the caller's 200 ms say nothing. A stall of 0.2 s or more excuses only a request that no worker ran and that got no status; cut answers stay faults.

--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -288,7 +288,9 @@
             result.broken += describe_late_answers(result.calls, self._is_in_steady_state)
             endless = self.parts.site.record.endless
             sound = [call for call in result.calls if call.request_id not in endless]
-            result.broken += describe_lost(sound, self._execution_of, self._killed_s)
+            result.broken += describe_lost(
+                sound, self._execution_of, self._killed_s, result.stood_still
+            )
 
     def _check_endless(self) -> None:
         """Report callers that suffered from workers that sent bytes without end."""
--- a/ferrydock/emulator/_silences.py
+++ b/ferrydock/emulator/_silences.py
@@ -14,7 +14,7 @@
 from ._drain_plays import draw_weighted_series
 from ._experiment import SILENCE_KIND, Silent, Trouble
 from ._load import Call
-from ._stops import LIMIT_TOLERANCE_S, REQUEST_LIMIT_S, Execution
+from ._stops import LIMIT_TOLERANCE_S, REQUEST_LIMIT_S, Execution, Pause
 from ._troubles import EmulationParts, trouble
 
 __all__ = [
@@ -65,6 +65,7 @@
     NONE = ""
     NOT_READ = "it was not read completely, or nothing was passed on"
     TIME_OVER = "its own time was over"
+    CALLER_STOOD_STILL = "nothing was passed on, and its caller stood still"
     KILLED = "its daemon was killed"
     TARGET_LOST = "its target was lost"
 
@@ -128,13 +129,18 @@
     return sorted(drawn, key=lambda spec: spec.at_s)
 
 
-def excuse_of_loss(call: Call, execution: Execution, killed_s: Iterable[float]) -> LossExcuse:
+def excuse_of_loss(
+    call: Call, execution: Execution, killed_s: Iterable[float], stood_still: Sequence[Pause] = ()
+) -> LossExcuse:
     """Return why a request without a complete answer may have ended so.
 
     Parameters
     ----------
     killed_s : iterable of float
         When its daemon was killed, in seconds since the load began.
+    stood_still : sequence of Pause
+        Stalls of the emulation. Its caller may have sent a request that did not run to a process
+        that had ended, and learned of that only after the stall.
 
     Examples
     --------
@@ -151,6 +157,8 @@
     if execution.lost_s <= call.ended_s:
         return LossExcuse.TARGET_LOST
     if call.status == 0 and not execution.count:
+        if any(pause.causes_suspicion(call) for pause in stood_still):
+            return LossExcuse.CALLER_STOOD_STILL
         after_s = call.took_s - call.sent_after_s
         return LossExcuse.NONE if after_s > LOSS_SLACK_S else LossExcuse.NOT_READ
     return LossExcuse.NONE
@@ -160,6 +168,7 @@
     calls: Iterable[Call],
     execution_of: Callable[[Call], Execution],
     killed_s_of: Callable[[str], Iterable[float]],
+    stood_still: Sequence[Pause] = (),
 ) -> list[str]:
     """Return lines for requests without a complete answer, unless something excuses it."""
     lost = []
@@ -167,7 +176,7 @@
         if call.outcome not in ("cut", "no_answer"):
             continue
         execution = execution_of(call)
-        if not excuse_of_loss(call, execution, killed_s_of(call.daemon)):
+        if not excuse_of_loss(call, execution, killed_s_of(call.daemon), stood_still):
             lost.append(
                 f"lost: {call.request_id} {call.kind} at {call.daemon}, {call.at_s:.2f} s: "
                 f"{call.outcome} after {call.took_s:.3f} s, ran {execution.count} times"
--- a/ferrydock/emulator/tests/test_silences.py
+++ b/ferrydock/emulator/tests/test_silences.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ...standins.fleet import ReplicaArrival
-from .. import Call, Execution, LossExcuse, excuse_of_loss
+from .. import Call, Execution, LossExcuse, Pause, excuse_of_loss
 from .._silences import FOUND_WITHIN_S, describe_dead, describe_late_answers, describe_lost
 
 
@@ -36,6 +36,15 @@
     assert bool(describe_lost([ended], lambda _: execution, lambda _: killed_s)) is not bool(excuse)
 
 
+def test_a_stall_of_the_caller_excuses_only_a_request_that_was_not_passed_on():
+    stalls = [Pause(10.2, 0.3)]
+    assert excuse_of_loss(call(0), Execution(), [], stalls) is LossExcuse.CALLER_STOOD_STILL
+    assert excuse_of_loss(call(0), Execution(), [], [Pause(10.2, 0.1)]) is LossExcuse.NONE
+    assert excuse_of_loss(call(0), Execution(), [], [Pause(12.0, 0.3)]) is LossExcuse.NONE
+    assert excuse_of_loss(call(0), Execution(1), [], stalls) is LossExcuse.NONE
+    assert excuse_of_loss(call(), Execution(1), [], stalls) is LossExcuse.NONE
+
+
 def test_complete_answers_and_refusals_are_not_lost():
     for status in (200, 429, 502, 503, 504):
         answered = call(status)
