--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -26,6 +26,7 @@
 from ..logs import log_event
 from ..outcomes import Invalid
 from ..planned_stop import STOPPING_REASON, STOPPING_RETRY_S, DaemonStopping, log_listeners
+from ..unread_bytes import has_waiting_connection
 from ._caller_buffers import CallerBuffers, CutReason
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
@@ -33,19 +34,21 @@
 from ._forwarder import Forwarder
 from ._listener import (
     HEADERS_TOO_LARGE,
+    REQUEST_TIMEOUT,
     CallerConnection,
     Listener,
     SlowReaders,
     caller_connection,
 )
 from ._refusal import SERVICE_UNAVAILABLE, refusal
+from ._request_parser import UnreadableBody
 
 __all__ = ["RouteGateway"]
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
-# Maximum length of a line and of a header field for the HTTP parser. The configuration's limit on
-# the complete head is checked afterwards.
+# Maximum length of a line and of a header field for the HTTP parser, and of an incomplete head. The
+# configuration's limit on the complete head is checked afterwards.
 MAX_PARSED_HEAD_BYTES = 65536
 
 # A body up to this size is read completely before the first attempt, so that the request can be
@@ -166,8 +169,10 @@
         host, port = listen.rsplit(":", 1)
         self._server = Listener(
             self._handle,
+            max_head_bytes=self._max_head_bytes,
             handler_cancellation=True,
             access_log=None,
+            auto_decompress=False,  # bodies are forwarded as received, beside their headers
             keepalive_timeout=DISABLED_KEEPALIVE_TIMEOUT_S,
             max_line_size=MAX_PARSED_HEAD_BYTES,
             max_field_size=MAX_PARSED_HEAD_BYTES,
@@ -183,6 +188,12 @@
         bound = self._sockets.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
+    def _max_head_bytes(self) -> int:
+        """Return above how many bytes an incomplete head is refused."""
+        lookup = self.current.lookup
+        configured = lookup.configuration.limits.header_bytes if lookup is not None else 0
+        return max(configured, MAX_PARSED_HEAD_BYTES)
+
     def announce_stop(self) -> None:
         """Make each connection close after its next answer."""
         self.stopping = True
@@ -199,8 +210,11 @@
             asyncio.get_running_loop().call_later(CLOSE_IDLE_DELAY_S, self.close_idle)
 
     def close_idle(self) -> None:
-        """Close the listening socket and the idle connections."""
-        if self._sockets is not None:
+        """Close the listening socket and the idle connections.
+
+        Not the socket while a connection waits to be accepted: it would be reset.
+        """
+        if self._sockets is not None and not has_waiting_connection(self._sockets):
             self._sockets.close()
         if self._server is not None:
             for connection in self._server.caller_connections():
@@ -247,8 +261,14 @@
 
     @property
     def connection_count(self) -> int:
-        """Number of open connections from callers."""
-        return len(self._server.connections) if self._server is not None else 0
+        """Number of open connections from callers.
+
+        After listening has ended, 1 more if connections still wait to be accepted.
+        """
+        accepted = len(self._server.connections) if self._server is not None else 0
+        if not self.has_stopped_listening or self._sockets is None:
+            return accepted
+        return accepted + has_waiting_connection(self._sockets)
 
     # One request ----------------------------------------------------------------------------
 
@@ -362,14 +382,10 @@
         service = lookup.configuration.services.get(self._pick_service(route.services))
         if service is None:
             return refusal(SERVICE_UNAVAILABLE, "no_service", NOT_CONFIGURED_RETRY_S)
-        left_s = min(route.time_limit_s, inbound.remaining_s or DEFAULT_DEADLINE_S)
-        try:
-            async with self.forwarder.stop_limit.apply():
-                read = await _read_body(request, length, limits)
-        except DaemonStopping:
-            return self._refuse_stopping(inbound, route)
-        if read is None:
-            return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
+        deadline_s = now_s + min(route.time_limit_s, inbound.remaining_s or DEFAULT_DEADLINE_S)
+        read = await self._read_in_time(request, inbound, route, limits, deadline_s)
+        if isinstance(read, web.Response):
+            return read
         team_name = team.name if team else ""
         exchange = Exchange(
             request=request,
@@ -379,7 +395,7 @@
             team=team_name,
             team_priority=team.priority if team else 0,
             received_s=now_s,
-            deadline_s=now_s + left_s,
+            deadline_s=deadline_s,
             body=read.data if read.is_complete else None,
             body_prefix=b"" if read.is_complete else read.data,
             identity=_identity(request, team_name, read, length),
@@ -389,6 +405,32 @@
         )
         return await self.forwarder.forward(exchange)
 
+    async def _read_in_time(
+        self,
+        request: web.BaseRequest,
+        inbound: Inbound,
+        route: Route,
+        limits: IngressLimits,
+        deadline_s: float,
+    ) -> "_ReadBody | web.Response":
+        """Return the body that is read before a request is forwarded, or else its refusal."""
+        left_s = deadline_s - self.clock.now_s()
+        try:
+            async with self.forwarder.stop_limit.apply(), asyncio.timeout(left_s):
+                read = await _read_body(request, request.content_length, limits)
+        except DaemonStopping:
+            return self._refuse_stopping(inbound, route)
+        except TimeoutError:
+            self._log_refused(inbound, route, "body_too_slow")
+            return refusal(REQUEST_TIMEOUT, "body_too_slow", None, close=True)
+        except UnreadableBody as error:
+            log_event(_LOG, logging.INFO, "request_unreadable", status=BAD_REQUEST, why=str(error))
+            request.content.feed_eof()  # aiohttp would wait for the rest
+            return refusal(BAD_REQUEST, "bad_request", None, close=True)
+        if read is None:
+            return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
+        return read
+
     def _is_stopping(self) -> bool:
         return self.stopping
 
