--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -10,7 +10,11 @@
 
 from .answer_protocol import AnswerProtocol
 
-__all__ = ["open_session", "read_body"]
+__all__ = ["BodyTooLarge", "open_session", "read_body"]
+
+
+class BodyTooLarge(aiohttp.ClientPayloadError):
+    """The body of an answer is longer than its reader accepts."""
 
 
 def open_session(
@@ -61,8 +65,10 @@
 
     Raises
     ------
+    BodyTooLarge
+        It is longer than `max_bytes`; only so much of it is held.
     aiohttp.ClientPayloadError
-        It is longer than `max_bytes`, or broken. Only so much of it is held.
+        It is broken.
     """
     pieces, size = [], 0
     async for piece in response.content.iter_any():
@@ -70,7 +76,7 @@
         size += len(piece)
         if size > max_bytes:
             response.close()
-            raise aiohttp.ClientPayloadError(f"a body of more than {max_bytes} bytes")
+            raise BodyTooLarge(f"a body of more than {max_bytes} bytes")
     return b"".join(pieces)
 
 
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -38,7 +38,6 @@
 ORDER_TIMEOUT_S = 0.7
 CONNECT_TIMEOUT_S = 0.5
 
-
 # Share of the time for a report that connecting may take. A host that is up accepts a connection at
 # once, also for a process that stands still, so this tells the two apart.
 CONNECT_SHARE = 0.8
@@ -46,7 +45,6 @@
 # Longest body of a report. Reports are small; anything longer is no report.
 MAX_REPORT_BYTES = 65536
 
-
 OK = 200
 ACCEPTED = 202
 # Reason of a refused order by the status of the worker's answer (protocol of the platform).
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -13,7 +13,7 @@
 import orjson
 
 from ..hall_lease import controller_key
-from ..http_client import open_session
+from ..http_client import BodyTooLarge, open_session, read_body
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..store import (
@@ -342,7 +342,7 @@
                     method, self._base + path, params=query, data=data, headers=_JSON
                 ) as response,
             ):
-                encoded = await _read_body(response, kind)
+                encoded = await read_body(response, MAX_ANSWER_BYTES)
                 fields = orjson.loads(encoded) if encoded else {}
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._count_call(kind, "unreached", began_s)
@@ -353,6 +353,14 @@
             ConnectionError,
             orjson.JSONDecodeError,
         ) as error:
+            if isinstance(error, BodyTooLarge):
+                log_event(
+                    _LOG,
+                    logging.ERROR,
+                    "store_answer_too_large",
+                    kind=kind,
+                    max_bytes=MAX_ANSWER_BYTES,
+                )
             self._count_call(kind, "unanswered", began_s)
             return Unknown(f"no answer of the store: {type(error).__name__}")
         self._count_call(kind, str(response.status), began_s)
@@ -399,24 +407,6 @@
             )
 
 
-async def _read_body(response: aiohttp.ClientResponse, kind: str) -> bytes:
-    """Return the body of an answer.
-
-    Raises
-    ------
-    aiohttp.ClientPayloadError
-        The body is incomplete, or larger than `MAX_ANSWER_BYTES`.
-    """
-    pieces, size = [], 0
-    async for piece in response.content.iter_any():
-        size += len(piece)
-        if size > MAX_ANSWER_BYTES:
-            log_event(_LOG, logging.ERROR, "store_answer_too_large", kind=kind, bytes=size)
-            raise aiohttp.ClientPayloadError(f"more than {MAX_ANSWER_BYTES} bytes")
-        pieces.append(piece)
-    return b"".join(pieces)
-
-
 def _key_of(txn: Txn) -> str:
     """Return the key of a transaction's first condition, by which its caller is known."""
     return txn.compares[0].key if txn.compares else ""
