A target whose events have no end is ejected

Callers saw: a retry or, on streams that cannot be resumed, a 502, for as long as one target answers with an event without end.

Cause: `event_too_large` was not among the reasons that count as failures of a target, so it was chosen again and again.

Evidence: the new test on the code before: of 30 requests 17 were sent to such a target (3 expected).

Why the fix works: the reason counts as the other failures of a target do; three in a row eject it.

Measured: the two new tests pass, and so do three that show that a stream goes on elsewhere after an event without end, or one repeated without end (these passed before as well).

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -19,6 +19,7 @@
 from ._answer_relay import AnswerRelay
 from ._dialect import Outbound, RequestDialect
 from ._endpoint_selector import EndpointSelector
+from ._events import RunFault
 from ._exchange import Attempt, AttemptEnd, AttemptReason, CallerGone, Exchange
 from ._handovers import Handovers
 from ._listener import caller_connection
@@ -36,6 +37,7 @@
     AttemptReason.NOT_SENT,
     AttemptReason.BROKEN,
     AttemptReason.UNREADABLE_ANSWER,
+    RunFault.EVENT_TOO_LARGE,
     AttemptReason.WRONG_ANSWER,
     AttemptReason.REFUSED,
     AttemptReason.ERROR,
--- a/ferrydock/forwarding/tests/test_endless_answers.py
+++ b/ferrydock/forwarding/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 
 from ... import answer_protocol
 from ...answer_protocol import AnswerProtocol
+from ...configuration import RouteKind
 from .. import _target_loads
 from .flooding_server import FloodingServer
 from .rig import HEAD, Rig, ScriptedTarget, complete_answer, play, route, writes
@@ -261,3 +262,51 @@
             assert len(targets[1].requests) <= before + 1
 
     play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("head", "unit"),
+    [
+        (b"id: 1\ndata: ", b"a"),
+        (b"id: 1\n", b"data: a\n"),
+        (b"", b"id: 1\ndata: a\n\n"),
+    ],
+    ids=["a line", "lines", "the same event"],
+)
+def test_a_stream_with_an_event_without_end_goes_on_elsewhere(head, unit):
+    async def scenario():
+        flooding = FloodingServer(HEAD + b"\r\n" + head, unit)
+        event = b"id: 1\ndata: a\n\n"
+        rest = b"id: 2\ndata: b\n\n"
+
+        async def serve_events(target, request, writer):
+            after_first = b"Last-Event-Id: 1" in request
+            writer.write(complete_answer(rest if after_first else event + rest))
+
+        sound = ScriptedTarget(serve_events)
+        streams = route(kind=RouteKind.RESUMABLE_STREAM, attempts=2, time_limit_s=10.0)
+        async with Rig([streams], [flooding, sound]) as rig:
+            while not flooding.requests:
+                received = await rig.ask(timeout_s=10.0)
+                assert received.startswith(b"HTTP/1.1 200")
+                assert received.count(event) == received.count(rest) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("unit", [b"a", b"data: a\n"], ids=["a line", "lines"])
+def test_a_target_whose_events_have_no_end_is_ejected(unit, monkeypatch):
+    monkeypatch.setattr(_target_loads, "EJECTION_S", 600.0)
+    monkeypatch.setattr(_target_loads, "MAX_EJECTION_S", 600.0)
+
+    async def scenario():
+        endless = HEAD + b"\r\n" + b"id: 1\ndata: " + unit * ((1 << 21) // len(unit))
+        flooding = ScriptedTarget(writes(endless, keep=False))
+        sound = ScriptedTarget(writes(complete_answer(b"id: 1\ndata: a\n\n")))
+        streams = route(kind=RouteKind.RESUMABLE_STREAM, attempts=2, time_limit_s=10.0)
+        async with Rig([streams], [flooding, sound]) as rig:
+            for _ in range(30):
+                assert (await rig.ask(timeout_s=10.0)).startswith(b"HTTP/1.1 200")
+        assert len(flooding.requests) == _target_loads.FAILURES_TO_EJECT
+
+    play(scenario)
