A retry goes to no target that has just failed while another one is free

What callers saw, in the soak of bytes without end: repeatable requests beside several targets whose answers cannot be read got 502, both attempts at such targets.

Cause: each daemon needs three failures in a row to eject a target, and until then its retries, which a route of two attempts has one of, went to targets whose last attempt had failed as well; these are the fastest, so the least loaded.

test_a_retry_goes_to_no_target_that_has_just_failed_while_another_is_free failed before.

--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -170,12 +170,17 @@
         """Choose an endpoint and count its slot as taken; return None if all are full.
 
         Excludes targets that were tried or are backed off. Ejected targets are used only if all
-        are ejected: the cause is then more likely this daemon than the targets.
+        are ejected: the cause is then more likely this daemon than the targets. A retry, which may
+        be the last attempt, goes to a target whose last attempt failed only if no other is free.
         """
         now_s = self.clock.now_s()
         untried = self._accepting(exchange, now_s)
         healthy = [e for e in untried if not self.loads.is_ejected(e.target.target_id, now_s)]
-        candidates = self._candidates(exchange, healthy or untried)
+        candidates = []
+        if exchange.attempt_count:
+            sound = [e for e in healthy if not self.loads.has_failed_last(e.target.target_id)]
+            candidates = self._candidates(exchange, sound)
+        candidates = candidates or self._candidates(exchange, healthy or untried)
         endpoint = least_loaded(candidates, self.hall, DAEMON_SELECTION, self.rng)
         if endpoint is not None:
             self.loads.request_started(endpoint.target.target_id, now_s)
--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -142,6 +142,11 @@
                 load.ejected_s, load.ejected_until_s = float("-inf"), 0.0
                 load.ejections_since_success = max(0, load.ejections_since_success - 1)
 
+    def has_failed_last(self, target_id: str) -> bool:
+        """Return whether the last counted attempt at a target has failed."""
+        load = self._loads.get(target_id)
+        return load is not None and load.consecutive_failures > 0
+
     def is_ejected(self, target_id: str, now_s: float) -> bool:
         """Return whether a target is ejected at `now_s`."""
         load = self._loads.get(target_id)
--- a/ferrydock/forwarding/tests/test_endless_answers.py
+++ b/ferrydock/forwarding/tests/test_endless_answers.py
@@ -246,6 +246,21 @@
     play(scenario)
 
 
+def test_a_retry_goes_to_no_target_that_has_just_failed_while_another_is_free():
+    """Failure: both attempts of a request went to targets whose answers cannot be read."""
+
+    async def scenario():
+        bad = [ScriptedTarget(writes(b"no HTTP\r\n\r\n", keep=False)) for _ in range(4)]
+        good = ScriptedTarget(writes(complete_answer(), keep=False))
+        async with Rig([route()], [*bad, good]) as rig:
+            for number in range(len(bad)):
+                rig.loads.record_failure(f"t{number}", rig.clock.now_s())
+            answers = [await rig.ask() for _ in range(8)]
+            assert all(answer.startswith(b"HTTP/1.1 200 ") for answer in answers)
+
+    play(scenario)
+
+
 def test_targets_whose_heads_can_be_read_again_are_used_again():
     async def scenario():
         targets = [ScriptedTarget(flooded_answer("no HTTP")) for _ in range(2)]
--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -1,6 +1,5 @@
 """Opening HTTP client sessions with the options that apply to all of them; stateless."""
 
-import asyncio
 import functools
 import socket
 from collections.abc import Callable
@@ -50,7 +49,10 @@
     connector = connector_class(
         limit=0, use_dns_cache=False, socket_factory=socket_factory, **keep_alive_options
     )
-    connector._factory = functools.partial(_make_protocol)
+    make_protocol: functools.partial[ResponseHandler] = functools.partial(
+        AnswerProtocol, loop=connector._loop
+    )
+    connector._factory = make_protocol
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
@@ -78,7 +80,3 @@
             response.close()
             raise BodyTooLarge(f"a body of more than {max_bytes} bytes")
     return b"".join(pieces)
-
-
-def _make_protocol() -> ResponseHandler:
-    return AnswerProtocol(asyncio.get_running_loop())
