--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -1,5 +1,6 @@
 """Opening HTTP client sessions with the options that apply to all of them; stateless."""
 
+import asyncio
 import functools
 import socket
 from collections.abc import Callable
@@ -49,10 +50,7 @@
     connector = connector_class(
         limit=0, use_dns_cache=False, socket_factory=socket_factory, **keep_alive_options
     )
-    make_protocol: functools.partial[ResponseHandler] = functools.partial(
-        AnswerProtocol, loop=connector._loop
-    )
-    connector._factory = make_protocol
+    connector._factory = functools.partial(_make_protocol, connector._loop)
     session = aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
@@ -80,3 +78,7 @@
             response.close()
             raise BodyTooLarge(f"a body of more than {max_bytes} bytes")
     return b"".join(pieces)
+
+
+def _make_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    return AnswerProtocol(loop)
