--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -310,17 +310,7 @@
         running_s = self.running_s()
         if suspicion.silent_since_s is None:
             suspicion.silent_since_s = running_s - took_s
-        suspicion.unreachable_since_s = {
-            target.target_id: suspicion.unreachable_since_s.get(
-                target.target_id, running_s - took_s
-            )
-            for target in polled.unreachable
-        }
-        unreached = [
-            target_id
-            for target_id, since_s in suspicion.unreachable_since_s.items()
-            if running_s - since_s >= MAX_UNREACHABLE_S
-        ]
+        unreached = self._note_unreachable(suspicion, polled.unreachable, running_s - took_s)
         if self.listener is not None:
             reached = _by_id(polled.silent).keys() - _by_id(polled.unreachable)
             reason = f"silent in {suspicion.key[0]}"
@@ -333,6 +323,18 @@
             may_be_paused = not polled.unreachable
             self.attempts.interrupt(suspicion.key, MEMBER_DEAD, may_be_paused)
 
+    def _note_unreachable(
+        self, suspicion: _Suspicion, unreachable: Collection[Target], poll_began_s: float
+    ) -> list[str]:
+        """Record the members that a poll did not reach; return the ids of those to give up."""
+        since_s = {
+            target.target_id: suspicion.unreachable_since_s.get(target.target_id, poll_began_s)
+            for target in unreachable
+        }
+        suspicion.unreachable_since_s = since_s
+        lost_before_s = self.running_s() - MAX_UNREACHABLE_S
+        return [target_id for target_id, from_s in since_s.items() if from_s <= lost_before_s]
+
     def _end(self, suspicion: _Suspicion) -> None:
         """Use a replica again whose members have all answered."""
         name, epoch = suspicion.key
