Test of silent heads: all requests have reached their targets, not all run at one moment

start_streams waited until as many streams ran as were started. It waits for arrivals now, which are counted and stay. Streams take 1.5 s, so that one with a pause of 1.2 s has 1.3 s left until its deadline of 4 s on a busy machine. What is asserted is unchanged.

--- a/ferrydock/platform/tests/test_silent_targets.py
+++ b/ferrydock/platform/tests/test_silent_targets.py
@@ -18,17 +18,17 @@
 
 
 async def start_streams(site, daemon, per_replica=8):
-    """Start so many streams of 2 s that all replicas are full; return their tasks."""
+    """Start so many streams of 1.5 s that all replicas are full; return their tasks."""
     for worker_face in site.site.faces.values():
-        worker_face.event_s = 0.2
+        worker_face.event_s = 0.15
     models = [head.model for head in site.site.fleet.open_heads()]
     tasks = [
         asyncio.ensure_future(send_request(daemon, "/write/x", model=model))
         for model in models
         for _ in range(per_replica)
     ]
-    heads = site.site.fleet.open_heads()
-    await site.wait_until(lambda: sum(head.running for head in heads) == len(tasks))
+    runs = site.site.record.runs
+    await site.wait_until(lambda: len(runs) >= len(tasks) or any(task.done() for task in tasks))
     await asyncio.sleep(0.3)  # until each has begun
     return tasks
 
