--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -246,12 +246,8 @@
         elif end.reason == AttemptReason.REFUSED and self.statements.expects_refusals(target):
             return
         elif end.reason in _FAILURES_OF_TARGET:
-            self.loads.record_failure(
-                target.target_id,
-                now_s,
-                eject_immediately=end.reason == AttemptReason.NOT_SENT,
-                is_unreadable=_is_no_answer(end),
-            )
+            eject_immediately = end.reason == AttemptReason.NOT_SENT
+            self.loads.record_failure(target.target_id, now_s, eject_immediately)
 
     async def _send(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
         sent_s = self.clock.now_s()
@@ -367,12 +363,6 @@
         yield piece
 
 
-def _is_no_answer(end: AttemptEnd) -> bool:
-    """Return whether an attempt got bytes that cannot come from a sound target."""
-    is_unsigned = end.reason == AttemptReason.ERROR and end.status < FIRST_NON_SUCCESS_STATUS
-    return is_unsigned or end.reason == AttemptReason.UNREADABLE_ANSWER
-
-
 def _needs_new_connection(exchange: Exchange) -> bool:
     """Return whether a request must not be lost on a connection that its target is closing.
 
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -128,19 +128,16 @@
     def _target_ids_to_avoid(self, exchange: Exchange, now_s: float) -> tuple[str, ...]:
         """Return the ids of targets that were tried, or that are ejected or broken here.
 
-        For a retry, which may be the last attempt, also those whose last answer was none, and at
-        a plain service those whose last attempt failed. If the scheduler knows no other target,
-        this daemon chooses by itself.
+        For a retry at a plain service, also those whose last attempt failed: it may be the last
+        attempt. If the scheduler knows no other target, this daemon chooses by itself.
         """
         avoid = set(exchange.tried_target_ids)
         directory = self.catalog.directory
-        is_retry, is_plain = exchange.attempt_count > 0, exchange.service.engine is None
+        is_plain_retry = exchange.attempt_count > 0 and exchange.service.engine is None
         for target in directory.of_service(exchange.service.name):
-            target_id = target.target_id
-            has_failed = is_plain and self.loads.has_failed_last(target_id)
-            may_fail_again = is_retry and (has_failed or self.loads.is_unreadable(target_id))
-            if may_fail_again or self.loads.is_ejected(target_id, now_s):
-                avoid.add(target_id)
+            has_failed = is_plain_retry and self.loads.has_failed_last(target.target_id)
+            if has_failed or self.loads.is_ejected(target.target_id, now_s):
+                avoid.add(target.target_id)
         for replica in directory.replicas(exchange.service.name):
             if self.catalog.is_avoided(replica.key):
                 avoid.add(replica.head.target_id)
--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -37,9 +37,6 @@
         Local time of the last event or answer received from the target.
     consecutive_failures : int
         Failures since the last success or ejection.
-    is_unreadable : bool
-        Whether the last of these failures was an answer that is none, such as bytes that are no
-        HTTP.
     ejections_since_success : int
         Ejections since the last success.
     ejected_s, ejected_until_s : float
@@ -50,7 +47,6 @@
     last_progress_s: float = 0.0
     last_answer_s: float = float("-inf")
     consecutive_failures: int = 0
-    is_unreadable: bool = False
     ejections_since_success: int = 0
     ejected_s: float = float("-inf")
     ejected_until_s: float = 0.0
@@ -121,27 +117,17 @@
         """Record a successful answer, and reset the counts of failures and ejections."""
         load = self.of(target_id)
         load.consecutive_failures = 0
-        load.is_unreadable = False
         load.ejections_since_success = 0
 
-    def record_failure(
-        self,
-        target_id: str,
-        now_s: float,
-        eject_immediately: bool = False,
-        is_unreadable: bool = False,
-    ) -> None:
+    def record_failure(self, target_id: str, now_s: float, eject_immediately: bool = False) -> None:
         """Record a failure caused by the target, and eject the target after too many.
 
         Parameters
         ----------
         eject_immediately : bool
             Whether this failure alone ejects the target, as when connecting to it failed.
-        is_unreadable : bool
-            Whether the answer was none.
         """
         load = self.of(target_id)
-        load.is_unreadable = is_unreadable
         load.consecutive_failures += 1
         if eject_immediately or load.consecutive_failures >= FAILURES_TO_EJECT:
             ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**load.ejections_since_success)
@@ -161,11 +147,6 @@
         load = self._loads.get(target_id)
         return load is not None and load.consecutive_failures > 0
 
-    def is_unreadable(self, target_id: str) -> bool:
-        """Return whether the last counted attempt at a target got an answer that is none."""
-        load = self._loads.get(target_id)
-        return load is not None and load.is_unreadable
-
     def is_ejected(self, target_id: str, now_s: float) -> bool:
         """Return whether a target is ejected at `now_s`."""
         load = self._loads.get(target_id)
