A target whose answer is none is ejected at once

Cause: each daemon had to fail three times at each of them before the target was ejected, and only ejected targets are named to the hall's scheduler, which then keeps them from the other daemons. Sound targets send no such answers, so one is enough, as one refused connection is. A request by which a sound target sends one ejects that target for 2 s at one daemon; if all are ejected, they are used.

--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -235,9 +235,9 @@
     def _record_result(self, target: Target, end: AttemptEnd) -> None:
         """Record the end of an attempt as a success or a failure of its target.
 
-        A target that could not be connected to is ejected immediately. Not counted as failures are
-        a passed deadline, an interruption, and a refusal by a target that is cold, has stated a
-        rate limit or requested a back-off.
+        A target that could not be connected to, or whose answer is none, is ejected immediately.
+        Not counted as failures are a passed deadline, an interruption, and a refusal by a target
+        that is cold, has stated a rate limit or requested a back-off.
         """
         self.metrics.attempts.labels("whole" if end.is_complete else str(end.reason)).inc()
         now_s = self.clock.now_s()
@@ -246,7 +246,7 @@
         elif end.reason == AttemptReason.REFUSED and self.statements.expects_refusals(target):
             return
         elif end.reason in _FAILURES_OF_TARGET:
-            eject_immediately = end.reason == AttemptReason.NOT_SENT
+            eject_immediately = end.reason == AttemptReason.NOT_SENT or _is_no_answer(end)
             self.loads.record_failure(target.target_id, now_s, eject_immediately)
 
     async def _send(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
@@ -363,6 +363,12 @@
         yield piece
 
 
+def _is_no_answer(end: AttemptEnd) -> bool:
+    """Return whether an attempt got bytes that do not come from a sound target."""
+    is_unsigned = end.reason == AttemptReason.ERROR and end.status < FIRST_NON_SUCCESS_STATUS
+    return is_unsigned or end.reason == AttemptReason.UNREADABLE_ANSWER
+
+
 def _needs_new_connection(exchange: Exchange) -> bool:
     """Return whether a request must not be lost on a connection that its target is closing.
 
