--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -177,7 +177,7 @@
         untried = self._accepting(exchange, now_s)
         healthy = [e for e in untried if not self.loads.is_ejected(e.target.target_id, now_s)]
         candidates = []
-        if exchange.attempt_count:
+        if exchange.tried_target_ids:
             sound = [e for e in healthy if not self.loads.has_failed_last(e.target.target_id)]
             candidates = self._candidates(exchange, sound)
         candidates = candidates or self._candidates(exchange, healthy or untried)
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -133,7 +133,7 @@
         """
         avoid = set(exchange.tried_target_ids)
         directory = self.catalog.directory
-        is_plain_retry = exchange.attempt_count > 0 and exchange.service.engine is None
+        is_plain_retry = bool(exchange.tried_target_ids) and exchange.service.engine is None
         for target in directory.of_service(exchange.service.name):
             has_failed = is_plain_retry and self.loads.has_failed_last(target.target_id)
             if has_failed or self.loads.is_ejected(target.target_id, now_s):
--- a/ferrydock/platform/tests/ages_site.py
+++ b/ferrydock/platform/tests/ages_site.py
@@ -321,8 +321,13 @@
     body: bytes
     headers: dict
 
-    async def read(self):
-        return self.body
+    @property
+    def content(self):
+        """Stands for the stream of the body."""
+        return self
+
+    async def iter_any(self):
+        yield self.body
 
 
 class Session:
--- a/ferrydock/replicas/tests/test_silent_members.py
+++ b/ferrydock/replicas/tests/test_silent_members.py
@@ -23,11 +23,9 @@
         member = hall.fleet.workers[head.members[rank]]
         member.paused_until_s = asyncio.get_running_loop().time() + PAUSE_S
         await asyncio.sleep(PAUSE_S / 2)
-        hall.list.overwritten.add(member.worker_id)  # three heartbeats are missing
-        hall.list._on_change(member)
+        hall.list.overwrite(member)  # three heartbeats are missing
         await asyncio.sleep(PAUSE_S / 2)
-        hall.list.overwritten.clear()
-        hall.list._on_change(member)
+        hall.list.restore(member)
         await asyncio.sleep(5.0)
         assert hall.broken == []
         assert {head.group_key for head in hall.fleet.open_heads()} == before
