--- a/ferrydock/relay/_broken_replicas.py
+++ b/ferrydock/relay/_broken_replicas.py
@@ -48,7 +48,7 @@
     >>> broken.to_report(now_s=11.0), broken.to_report(now_s=30.0)
     ((('g1', 4),), ())
 
-    The leader's reports are complete, so a replica that one of them does not name is usable again:
+    The leader's reports are complete, so one that does not name a replica withdraws it:
 
     >>> broken.on_leader_reported = broken.on_withdrawn = received.append
     >>> broken.receive_from_leader([("g3", 6)], now_s=30.0)
