A begun stream leaves a silent replica only once another target continues it

Cause: a stream that is silent for longer than usual is moved before its members are polled. Its connection was closed first, and the request then sent to the target with the slot, its last one of two. That target refused it, because several daemons moved their streams to the same replicas at once. Class: giving up what one has before there is a replacement.

Change: the target that has a slot is asked to continue the stream while the old answer is still waited for. Only when the head of its answer has arrived, and is one that can continue the stream, is the old attempt ended and the new answer forwarded. If it refuses, fails, or the old replica resumes first, the stream stays where it is. If the old target fails meanwhile, the attempt waits for the one that is being asked. Events that were written after the target was asked are not repeated (`NumberedEvents.start_run`). A failed attempt of this kind is logged, counted, and checked for crashes as any other.

Safe: no request reaches more targets than before, and each retry is paid for before it is sent. Weighed and not taken: no moves of streams on their last attempt (moves keep pauses short when a member dies); one more attempt (the route's number of attempts is the operators').

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -14,7 +14,7 @@
 from ..clock import Clock
 from ..invariants import require
 from ._events import NumberedEvents
-from ._exchange import AttemptEnd, AttemptReason, CallerGone, Exchange
+from ._exchange import AttemptEnd, AttemptReason, CallerGone, Exchange, OpenedAnswer
 from ._headers import end_to_end
 from ._listener import CallerConnection, caller_connection
 from ._resumptions import log_resumption
@@ -80,7 +80,7 @@
         return AttemptEnd(True, True, AttemptReason.ANSWERED, status=answer.status)
 
     async def relay_stream(
-        self, exchange: Exchange, target_id: str, answer: aiohttp.ClientResponse
+        self, exchange: Exchange, target_id: str, opened: OpenedAnswer
     ) -> AttemptEnd:
         """Forward the events of a stream, each as soon as it is complete.
 
@@ -88,8 +88,9 @@
         events do not continue those before, the stream can be resumed at another target after the
         last event written, without repeats.
         """
+        answer = opened.answer
         events = require(exchange.events, "the position in a stream")
-        events.start_run()
+        events.start_run(repeats_written=opened.after_event != events.last_id)
         connection = caller_connection(exchange.request)
         last_piece_s = self.clock.now_s() if events.count else None
         pieces: AsyncIterator[bytes] = answer.content.iter_any()
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -20,7 +20,7 @@
 from ._dialect import Outbound, RequestDialect
 from ._endpoint_selector import EndpointSelector
 from ._events import RunFault
-from ._exchange import Attempt, AttemptEnd, AttemptReason, CallerGone, Exchange
+from ._exchange import Attempt, AttemptEnd, AttemptReason, CallerGone, Exchange, OpenedAnswer
 from ._handovers import Handovers
 from ._listener import caller_connection
 from ._retry_rule import may_retry_server_error
@@ -29,7 +29,7 @@
 from ._target_loads import FIRST_SERVER_ERROR_STATUS, TargetLoads
 from ._upstream import SendWithdrawn, Upstream
 
-__all__ = ["AttemptRunner"]
+__all__ = ["AttemptRunner", "release_connection"]
 
 # Answers below this status are successes (RFC 9110, section 15.3); only these can be streams.
 FIRST_NON_SUCCESS_STATUS = 300
@@ -108,36 +108,60 @@
     async def run(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
         """Send a request to one target; its slot is released in any case.
 
-        An attempt that was withdrawn before the first byte is not counted.
+        What the target was asked before, and has begun to answer, is continued. An attempt that was
+        withdrawn before the first byte is not counted.
         """
         target_id = endpoint.target.target_id
-        exchange.attempt_count += 1
-        exchange.send_times = None
-        exchange.tried_target_ids.add(target_id)
-        loop = asyncio.get_running_loop()
-        timeout = asyncio.timeout_at(loop.time() + self._remaining_s(exchange))
+        opened, exchange.next_answer = exchange.next_answer, None
+        if opened is None:
+            _count_attempt(exchange, endpoint)
+        exchange.send_times = opened.times if opened is not None else None
+        timeout = self._timeout(exchange)
         attempt = Attempt(exchange, endpoint.replica, timeout, self.clock.now_s())
         running = self._in_flight.setdefault(target_id, set())
         running.add(attempt)
+        end = None
         try:
             async with timeout:
-                end = await self._send(exchange, endpoint)
+                end = await self._send(exchange, endpoint, opened)
         except TimeoutError:
-            reason = attempt.interrupt_reason or AttemptReason.TIME_OVER
-            is_sent = exchange.send_times is not None and exchange.send_times.sent_s is not None
-            end = AttemptEnd(False, is_sent, reason, may_have_received=is_sent)
+            end = _timed_out(exchange.send_times, attempt.interrupt_reason)
         finally:
             running.discard(attempt)
-            if attempt.handover is not None:
-                attempt.handover.cancel()
             self.selector.release(endpoint)
-        if exchange.send_times is not None:
-            self.metrics.observe_send(exchange.send_times.send_s, exchange.send_times.list_age_s)
-        if end.reason == AttemptReason.TARGET_LEFT:
-            exchange.attempt_count -= 1
-        self._record_result(endpoint.target, end)
+            await _end_handover(attempt, end)
+        self._record_end(exchange, endpoint.target, end, exchange.send_times)
         return end
 
+    async def open(
+        self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
+    ) -> OpenedAnswer | AttemptEnd:
+        """Ask one more target to continue a begun answer, while the attempt before goes on.
+
+        Counts as an attempt. The slot is not released.
+
+        Returns
+        -------
+        OpenedAnswer or AttemptEnd
+            The answer that `run` can forward; or why there is none.
+        """
+        _count_attempt(exchange, endpoint)
+        try:
+            async with self._timeout(exchange):
+                opened = await self._open(exchange, endpoint, times)
+        except TimeoutError:
+            opened = _timed_out(times)
+        if isinstance(opened, AttemptEnd):
+            self._record_end(exchange, endpoint.target, opened, times)
+        return opened
+
+    def send_times(self, exchange: Exchange, endpoint: Endpoint) -> SendTimes:
+        """Return a record of the times at which a request is sent to an endpoint."""
+        target_id, directory = endpoint.target.target_id, self.selector.catalog.directory
+        times = SendTimes(target_id, exchange.chosen_s, directory, self.clock)
+        times.request_id = exchange.inbound.request_id
+        return times
+
     def attempt_count_at(self, target_id: str) -> int:
         """Return the number of attempts in flight at a target whose answers are read."""
         return sum(map(_is_read, self._in_flight.get(target_id, ())))
@@ -232,6 +256,20 @@
     def _remaining_s(self, exchange: Exchange) -> float:
         return exchange.deadline_s - self.clock.now_s()
 
+    def _timeout(self, exchange: Exchange) -> asyncio.Timeout:
+        """Return a time limit that ends with the request's."""
+        return asyncio.timeout_at(asyncio.get_running_loop().time() + self._remaining_s(exchange))
+
+    def _record_end(
+        self, exchange: Exchange, target: Target, end: AttemptEnd, times: SendTimes | None
+    ) -> None:
+        """Record the times and the result of an attempt; one that was withdrawn is not counted."""
+        if times is not None:
+            self.metrics.observe_send(times.send_s, times.list_age_s)
+        if end.reason == AttemptReason.TARGET_LEFT:
+            exchange.attempt_count -= 1
+        self._record_result(target, end)
+
     def _record_result(self, target: Target, end: AttemptEnd) -> None:
         """Record the end of an attempt as a success or a failure of its target.
 
@@ -249,10 +287,33 @@
             eject_immediately = end.reason == AttemptReason.NOT_SENT or _is_no_answer(end)
             self.loads.record_failure(target.target_id, now_s, eject_immediately)
 
-    async def _send(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
+    async def _send(
+        self, exchange: Exchange, endpoint: Endpoint, opened: OpenedAnswer | AttemptEnd | None
+    ) -> AttemptEnd:
+        """Send a request, unless an answer has been opened, and forward the answer."""
+        if opened is None:
+            exchange.send_times = self.send_times(exchange, endpoint)
+            opened = await self._open(exchange, endpoint, exchange.send_times)
+        if isinstance(opened, AttemptEnd):
+            return opened
+        try:
+            return await self._relay_answer(exchange, endpoint.target, opened)
+        except CallerGone:
+            raise
+        except _CONNECTION_ERRORS as error:
+            kind = _connection_error(opened.answer, error)
+            return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
+        finally:
+            release_connection(opened.answer)
+
+    async def _open(
+        self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
+    ) -> OpenedAnswer | AttemptEnd:
+        """Send a request and return its answer if that is to be forwarded."""
         sent_s = self.clock.now_s()
+        after_event = exchange.events.last_id if exchange.events else None
         try:
-            answer = await self._send_request(exchange, endpoint)
+            answer = await self._send_request(exchange, endpoint, times)
         except _NOT_SENT_ERRORS as error:
             has_path = not isinstance(getattr(error, "os_error", None), NoPathToTargets)
             reason = AttemptReason.NOT_SENT if has_path else AttemptReason.NO_PATH
@@ -265,18 +326,15 @@
             if answer.was_handed_over:
                 return AttemptEnd(False, False, AttemptReason.NOT_PASSED_ON)
             return AttemptEnd(False, False, AttemptReason.TARGET_LEFT, may_have_received=False)
-        try:
-            return await self._handle_answer(exchange, endpoint, answer, sent_s)
-        except CallerGone:
-            raise
-        except _CONNECTION_ERRORS as error:
-            kind = _connection_error(answer, error)
-            return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
-        finally:
-            _release_connection(answer)
+        opened = OpenedAnswer(answer, after_event, sent_s, times)
+        end = self._check_answer(exchange, endpoint, opened)
+        if end is not None:
+            release_connection(answer)
+            return end
+        return opened
 
     async def _send_request(
-        self, exchange: Exchange, endpoint: Endpoint
+        self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
     ) -> aiohttp.ClientResponse | SendWithdrawn:
         """Send a request and return the head of its answer, or that nothing was sent."""
         request = exchange.request
@@ -288,10 +346,6 @@
         )
         headers = self.dialect.target_headers(request.headers.items(), exchange.inbound, outbound)
         body = exchange.body if exchange.body is not None else _streamed_body(exchange)
-        target_id, directory = endpoint.target.target_id, self.selector.catalog.directory
-        times = SendTimes(target_id, exchange.chosen_s, directory, self.clock)
-        times.request_id = exchange.inbound.request_id
-        exchange.send_times = times
         return await self.upstream.send(
             endpoint.target,
             request.method,
@@ -303,36 +357,36 @@
             times=times,
         )
 
-    async def _handle_answer(
-        self,
-        exchange: Exchange,
-        endpoint: Endpoint,
-        answer: aiohttp.ClientResponse,
-        sent_s: float,
-    ) -> AttemptEnd:
-        """Check the head of an answer, and forward the answer if it is the final one."""
-        target_id = endpoint.target.target_id
+    def _check_answer(
+        self, exchange: Exchange, endpoint: Endpoint, opened: OpenedAnswer
+    ) -> AttemptEnd | None:
+        """Check the head of an answer; return None if the answer is to be forwarded."""
+        answer, times = opened.answer, opened.times
         head = self.dialect.parse_answer(answer.status, answer.headers)
         if head.request_id and head.request_id != exchange.inbound.request_id:
             answer.close()  # left over in the connection from an earlier request
             return AttemptEnd(False, True, AttemptReason.WRONG_ANSWER)
-        if self.statements.apply(endpoint.target, head, sent_s):
+        if self.statements.apply(endpoint.target, head, opened.sent_s):
             self.selector.report()
-        times = exchange.send_times
-        if times is not None and times.through and isinstance(head.backoff_s, float):
+        if times.through and isinstance(head.backoff_s, float):
             address = endpoint.target.address
             self.upstream.dialer.report_backoff(times.through, address, head.backoff_s)
         if head.is_not_executed:
             return AttemptEnd(False, False, AttemptReason.REFUSED, status=answer.status)
-        exchange.last_received_s = self.clock.now_s()
-        self.loads.record_progress(target_id, exchange.last_received_s)
-        if self._is_unacceptable(exchange, answer, head.is_signed):
-            return AttemptEnd(False, True, AttemptReason.ERROR, status=answer.status)
-        if exchange.route.kind.is_stream and answer.status < FIRST_NON_SUCCESS_STATUS:
-            return await self._relay.relay_stream(exchange, target_id, answer)
-        if exchange.response is not None:
+        self.loads.record_progress(endpoint.target.target_id, self.clock.now_s())
+        cannot_continue = exchange.response is not None and not _is_stream(exchange, answer)
+        if cannot_continue or self._is_unacceptable(exchange, answer, head.is_signed):
             return AttemptEnd(False, True, AttemptReason.ERROR, status=answer.status)
-        return await self._relay.relay_plain(exchange, answer)
+        return None
+
+    async def _relay_answer(
+        self, exchange: Exchange, target: Target, opened: OpenedAnswer
+    ) -> AttemptEnd:
+        """Forward an answer to the caller."""
+        exchange.last_received_s = self.clock.now_s()
+        if _is_stream(exchange, opened.answer):
+            return await self._relay.relay_stream(exchange, target.target_id, opened)
+        return await self._relay.relay_plain(exchange, opened.answer)
 
     def _is_unacceptable(
         self, exchange: Exchange, answer: aiohttp.ClientResponse, is_signed: bool
@@ -351,6 +405,38 @@
         return may_retry_server_error(exchange, self._remaining_s(exchange), may_go_elsewhere)
 
 
+def _count_attempt(exchange: Exchange, endpoint: Endpoint) -> None:
+    exchange.attempt_count += 1
+    exchange.tried_target_ids.add(endpoint.target.target_id)
+
+
+def _timed_out(times: SendTimes | None, interrupt_reason: str = "") -> AttemptEnd:
+    """Return the end of an attempt that was interrupted, or whose time is over."""
+    is_sent = times is not None and times.sent_s is not None
+    reason = interrupt_reason or AttemptReason.TIME_OVER
+    return AttemptEnd(False, is_sent, reason, may_have_received=is_sent)
+
+
+async def _end_handover(attempt: Attempt, end: AttemptEnd | None) -> None:
+    """End the search for a slot elsewhere for an attempt that has ended.
+
+    If the attempt failed while another target is already being asked to continue the answer, waits
+    for that target first.
+    """
+    attempt.has_ended = True
+    if attempt.handover is None:
+        return
+    try:
+        if attempt.is_opening and end is not None and not end.is_complete:
+            await asyncio.wait({attempt.handover})
+    finally:
+        attempt.handover.cancel()
+
+
+def _is_stream(exchange: Exchange, answer: aiohttp.ClientResponse) -> bool:
+    return exchange.route.kind.is_stream and answer.status < FIRST_NON_SUCCESS_STATUS
+
+
 def _is_read(attempt: Attempt) -> bool:
     """Return whether the answer of an attempt is read from its target."""
     return not caller_connection(attempt.exchange.request).is_held_back
@@ -389,7 +475,7 @@
     return type(error if lost is None else lost)
 
 
-def _release_connection(answer: aiohttp.ClientResponse) -> None:
+def release_connection(answer: aiohttp.ClientResponse) -> None:
     """Return a connection to its pool, or close it if bytes of this exchange are outstanding.
 
     A target may answer before it has read the complete request body; it would then read the rest
--- a/ferrydock/forwarding/_crash_guard.py
+++ b/ferrydock/forwarding/_crash_guard.py
@@ -108,7 +108,12 @@
         return any(self.history.is_suspicious(part) for part in exchange.part_identities)
 
     async def check_failed_attempt(
-        self, exchange: Exchange, target: Target, end: AttemptEnd, sent_s: float
+        self,
+        exchange: Exchange,
+        target: Target,
+        end: AttemptEnd,
+        sent_s: float,
+        event_count: int,
     ) -> None:
         """Start checking whether an attempt failed because its target's process ended.
 
@@ -124,6 +129,8 @@
             The target's entry in the directory when the request was sent.
         sent_s : float
             Local time at which the request was sent.
+        event_count : int
+            Number of events of this attempt that were sent to the caller.
         """
         if (
             not end.may_have_run
@@ -132,7 +139,7 @@
         ):
             return
         blamed = [exchange.identity]
-        if exchange.attempt_event_count < EVENTS_OF_A_SOUND_ANSWER:
+        if event_count < EVENTS_OF_A_SOUND_ANSWER:
             blamed += exchange.part_identities
         else:  # a part that crashes targets does so as they begin to answer
             for part in exchange.part_identities:
--- a/ferrydock/forwarding/_events.py
+++ b/ferrydock/forwarding/_events.py
@@ -81,9 +81,21 @@
     >>> events.start_run()
     >>> events.feed(b"id: 2\\ndata: b\\n\\nid: 2\\ndata: b\\n\\n"), str(events.fault)
     (b'id: 2\\ndata: b\\n\\n', 'out_of_order')
+    >>> events.record_written()
+    >>> events.start_run(repeats_written=True)
+    >>> events.feed(b"id: 2\\ndata: b\\n\\nid: 3\\ndata: c\\n\\n")
+    b'id: 3\\ndata: c\\n\\n'
     """
 
-    __slots__ = ("_has_written", "_ready", "_splitter", "_started_at", "_written", "fault")
+    __slots__ = (
+        "_has_written",
+        "_ready",
+        "_repeats_written",
+        "_splitter",
+        "_started_at",
+        "_written",
+        "fault",
+    )
 
     def __init__(self, after: int | None):
         self._written = _Position(after)
@@ -110,8 +122,16 @@
         """Whether the bytes received of this run end within an event."""
         return self._splitter.partial_bytes > 0
 
-    def start_run(self) -> None:
-        """Start to read another target's answer; bytes that were not written are discarded."""
+    def start_run(self, repeats_written: bool = False) -> None:
+        """Start to read another target's answer; bytes that were not written are discarded.
+
+        Parameters
+        ----------
+        repeats_written : bool, default=False
+            Whether events were written after the target had been asked to continue. The run repeats
+            them, and they are not passed on again.
+        """
+        self._repeats_written = repeats_written
         self._splitter = EventSplitter(keeps_byte_order_mark=not self._has_written)
         self._started_at = self._ready = self._written
         self.fault: RunFault | None = None
@@ -124,6 +144,8 @@
         """
         passed: list[bytes] = []
         for block in self._splitter.feed(piece):
+            if self._is_repeat(block):
+                continue
             self.fault = self._fault_of(block)
             if self.fault is not None:
                 return b"".join(passed)
@@ -137,6 +159,13 @@
         self._written = self._ready
         self._has_written = True
 
+    def _is_repeat(self, block: Block) -> bool:
+        """Return whether a block is an event that was written before this run was read."""
+        written_id = self._started_at.last_id
+        if not self._repeats_written or block.number is None or written_id is None:
+            return False
+        return block.number <= written_id
+
     def _fault_of(self, block: Block) -> RunFault | None:
         """Return why a block must not be passed on; None if it may, which moves the position."""
         if len(block.data) > MAX_EVENT_BYTES:
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+import aiohttp
+
 from .. import http_server as web
 from ..configuration import Route, ServiceSpec
 from ..retry_budget import RetryBudget
@@ -23,6 +25,7 @@
     "Exchange",
     "NoEndpoint",
     "NoEndpointReason",
+    "OpenedAnswer",
 ]
 
 
@@ -103,6 +106,24 @@
     error: type[BaseException] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class OpenedAnswer:
+    """An answer whose head has arrived and is to be forwarded; its body has not been read.
+
+    Attributes
+    ----------
+    after_event : int or None
+        Id of the event after which the target was asked to continue; None for the beginning.
+    sent_s : float
+        Local time at which the request was sent.
+    """
+
+    answer: aiohttp.ClientResponse
+    after_event: int | None
+    sent_s: float
+    times: SendTimes
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """An attempt in flight, which can be interrupted when its replica is found to be broken.
@@ -113,6 +134,10 @@
         Local time at which it began.
     handover : asyncio.Task or None
         Looks for a slot elsewhere for the request (`_handovers`); None before the first search.
+    is_opening : bool
+        Whether another target, which has a slot for the request, is being asked to continue it.
+    has_ended : bool
+        Whether the target's answer is not waited for any more.
     silent_since_s : float
         Local time at which the replica was last found silent, and a search was due.
     """
@@ -124,6 +149,8 @@
     interrupt_reason: str = ""
     handover: asyncio.Task | None = None
     silent_since_s: float = float("-inf")
+    is_opening: bool = False
+    has_ended: bool = False
 
     @property
     def is_being_handed_over(self) -> bool:
@@ -132,7 +159,7 @@
 
     def interrupt(self, reason: str) -> None:
         """End the attempt immediately; only the first reason counts."""
-        if not self.interrupt_reason:
+        if not self.interrupt_reason and not self.has_ended:
             self.interrupt_reason = reason
             self.timeout.reschedule(asyncio.get_running_loop().time())
 
@@ -190,6 +217,8 @@
         Local time at which the request passed the check for requests that crash their targets.
     next_endpoint : Endpoint or None
         Slot for the next attempt, acquired while the current one runs; its retry is paid for.
+    next_answer : OpenedAnswer or None
+        What that target has begun to answer; None if it has not been sent the request.
     no_endpoint : NoEndpoint
         Why the last wait for a slot ended without a target.
     chosen_s : float
@@ -227,6 +256,7 @@
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
     next_endpoint: Endpoint | None = None
+    next_answer: OpenedAnswer | None = None
     no_endpoint: NoEndpoint = NoEndpoint()
     chosen_s: float = 0.0
     send_times: SendTimes | None = None
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -17,9 +17,9 @@
 from ..retry_budget import RetryBudget
 from ..scheduling import Endpoint
 from ._admission import queue_times
-from ._attempts import AttemptRunner
+from ._attempts import AttemptRunner, release_connection
 from ._crash_guard import CrashGuard
-from ._exchange import AttemptEnd, AttemptReason, Exchange
+from ._exchange import AttemptEnd, AttemptReason, Exchange, OpenedAnswer
 from ._observed_times import ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
@@ -75,6 +75,7 @@
         self.budgets = budgets
         self.crashes = crashes
         attempts.handovers.is_suspicious = crashes.is_suspicious
+        attempts.handovers.open_answer = self._open_answer
         self.clock = clock
         self.times = ObservedTimes()
         self.stop_limit = StopLimit()
@@ -99,6 +100,8 @@
             next_endpoint = _take_next_endpoint(exchange)
             if next_endpoint is not None:
                 self.selector.release(next_endpoint)
+            if exchange.next_answer is not None:
+                release_connection(exchange.next_answer.answer)
 
     async def _attempt_until_final(self, exchange: Exchange) -> web.StreamResponse:
         """Make attempts until there is a final answer."""
@@ -132,17 +135,30 @@
                 self._log.request_done(exchange, end, endpoint, self._since_arrival_s(exchange))
                 return require(exchange.response, "the whole answer")
             exchange.last_reason = end.reason
-            self._log.attempt_failed(exchange, end, endpoint)
+            self._log.attempt_failed(exchange, end, endpoint, exchange.send_times)
             if end.reason == AttemptReason.TARGET_LEFT:
                 continue  # nothing was sent, so this is no retry
-            await self.crashes.check_failed_attempt(exchange, endpoint.target, end, sent_s)
+            await self.crashes.check_failed_attempt(
+                exchange, endpoint.target, end, sent_s, exchange.attempt_event_count
+            )
             if await self.crashes.is_known_since_admission(exchange):
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
-            if not self._may_retry(exchange, end):
+            if exchange.next_answer is None and not self._may_retry(exchange, end):
                 return self._end_without_answer(exchange, end.reason)
             if exchange.next_endpoint is None and not budget.spend():
                 return self._end_without_answer(exchange, "retry_budget")
 
+    async def _open_answer(self, exchange: Exchange, endpoint: Endpoint) -> OpenedAnswer | None:
+        """Ask a target to continue a begun answer, and return its answer if it does."""
+        times = self.attempts.send_times(exchange, endpoint)
+        sent_s = self.clock.now_s()
+        opened = await self.attempts.open(exchange, endpoint, times)
+        if isinstance(opened, OpenedAnswer):
+            return opened
+        self._log.attempt_failed(exchange, opened, endpoint, times)
+        await self.crashes.check_failed_attempt(exchange, endpoint.target, opened, sent_s, 0)
+        return None
+
     def _may_retry(self, exchange: Exchange, end: AttemptEnd) -> bool:
         """Return whether to make another attempt after one without a final answer."""
         if end.may_have_run and self.crashes.is_suspicious(exchange):
@@ -160,7 +176,12 @@
             endpoint = _take_next_endpoint(exchange)
             if endpoint is None:
                 endpoint = await self._acquire(exchange, self.clock.now_s())
-            if endpoint is None or not self.selector.catalog.is_closed(endpoint.target):
+            has_answer = exchange.next_answer is not None
+            if (
+                endpoint is None
+                or has_answer
+                or not self.selector.catalog.is_closed(endpoint.target)
+            ):
                 return endpoint
             self.selector.release(endpoint)
 
--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -2,19 +2,20 @@
 
 Owns the tasks that wait for these slots, one for each attempt. A replica that is silent may only be
 paused. Its requests therefore stay until a slot elsewhere is assigned to them, and are answered by
-the replica if it resumes before that.
+the replica if it resumes before that. One whose answer has begun stays until the other target has
+begun to continue it: that target may refuse it, and may be the last one that may get it.
 """
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from ..clock import Clock
 from ..invariants import require
 from ..logs import log_event
 from ..scheduling import Endpoint
 from ._endpoint_selector import EndpointSelector
-from ._exchange import Attempt, Exchange
+from ._exchange import Attempt, Exchange, OpenedAnswer
 from ._refusal import max_retry_queue_s
 from ._retry_rule import may_hand_over
 
@@ -37,14 +38,19 @@
     ----------
     is_suspicious : callable
         Returns whether a request may be what its target crashed by; it is not moved then.
+    open_answer : callable
+        Asks a target to continue a begun answer, and returns its answer if it does.
     """
 
-    __slots__ = ("clock", "is_suspicious", "selector")
+    __slots__ = ("clock", "is_suspicious", "open_answer", "selector")
 
     def __init__(self, selector: EndpointSelector, clock: Clock):
         self.selector = selector
         self.clock = clock
         self.is_suspicious: Callable[[Exchange], bool] = lambda exchange: False
+        self.open_answer: Callable[[Exchange, Endpoint], Awaitable[OpenedAnswer | None]] = (
+            _open_none
+        )
 
     def begin(self, attempts: Sequence[Attempt], reason: str, may_be_paused: bool = False) -> None:
         """Start to look for slots elsewhere for attempts, as far as the retry budget goes.
@@ -83,7 +89,8 @@
     async def _hand_over(self, attempt: Attempt, reason: str) -> None:
         """Acquire a slot elsewhere; then pay for the retry and interrupt the attempt.
 
-        The search ends when the replica resumes this request.
+        A begun answer is first continued by the other target. The search ends when the replica
+        resumes this request.
         """
         exchange = attempt.exchange
         max_queue_s = max_retry_queue_s(exchange, self.clock.now_s())
@@ -93,16 +100,36 @@
         try:
             while not search.done() and not _has_resumed(attempt):
                 await asyncio.wait({search}, timeout=RESUME_CHECK_INTERVAL_S)
-            if search.done() and self._may_use(attempt, search.result()):
+            endpoint = search.result() if search.done() else None
+            if endpoint is not None and self._may_use(attempt, endpoint):
                 require(exchange.budget, "the budget of an admitted request").spend()
-                exchange.next_endpoint = search.result()
-                attempt.interrupt(reason)
+                if exchange.response is None or await self._is_opened(attempt, endpoint):
+                    exchange.next_endpoint = endpoint
+                    attempt.interrupt(reason)
         finally:
             self._end_search(search, exchange)
 
-    def _may_use(self, attempt: Attempt, endpoint: Endpoint | None) -> bool:
+    async def _is_opened(self, attempt: Attempt, endpoint: Endpoint) -> bool:
+        """Let a target continue a begun answer; keep what it answers for the next attempt.
+
+        Not kept if the replica has resumed meanwhile.
+        """
+        attempt.is_opening = True
+        try:
+            opened = await self.open_answer(attempt.exchange, endpoint)
+        finally:
+            attempt.is_opening = False
+        if opened is None:
+            return False
+        if _has_resumed(attempt) and not attempt.has_ended:
+            opened.answer.close()
+            return False
+        attempt.exchange.next_answer = opened
+        return True
+
+    def _may_use(self, attempt: Attempt, endpoint: Endpoint) -> bool:
         """Return whether to go on at an endpoint that was found for an attempt."""
-        if endpoint is None or _has_resumed(attempt):
+        if _has_resumed(attempt):
             return False
         is_closed = self.selector.catalog.is_closed(endpoint.target)
         return not is_closed and self._may_hand_over(attempt.exchange, 0)
@@ -127,6 +154,10 @@
     return attempt.exchange.last_received_s > attempt.silent_since_s
 
 
+async def _open_none(exchange: Exchange, endpoint: Endpoint) -> None:
+    """Open no answer."""
+
+
 def _log_failure(task: asyncio.Task) -> None:
     if not task.cancelled() and task.exception() is not None:
         log_event(_LOG, logging.ERROR, "handover_failed", why=repr(task.exception()))
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -67,7 +67,9 @@
             left_out=self._refusal_lines.take_left_out(),
         )
 
-    def attempt_failed(self, exchange: Exchange, end: AttemptEnd, endpoint: Endpoint) -> None:
+    def attempt_failed(
+        self, exchange: Exchange, end: AttemptEnd, endpoint: Endpoint, times: SendTimes | None
+    ) -> None:
         """Log an attempt that ended without a final answer."""
         log_event(
             _LOG,
@@ -85,7 +87,7 @@
             after_event=exchange.events.last_id if exchange.events else None,
             identity=exchange.identity if end.may_have_run else None,
             parts=",".join(exchange.inbound.shared_parts) or None if end.may_have_run else None,
-            **_send_fields(exchange.send_times, self.clock.now_s()),
+            **_send_fields(times, self.clock.now_s()),
         )
 
     def request_done(
