A stream of comments without end is no answer, and many small events leave the loop to others

Cause: the bound on what a run may send counted the bytes of one event only, and progress was any byte.

Change: at most 16384 bytes of comments and blank lines before, between and after events, then the run is at fault (`no_event`), the stream goes on elsewhere and the fault counts against the target. Comments are still passed on, show that the target is reached, and are no progress: replicas that send nothing else are polled, found stuck, and left. The bytes that have arrived are handled in parts of 16384, between which other tasks run.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -4,6 +4,7 @@
 target. `CallerConnection` states when its caller reads more slowly and how much is held for it.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -25,6 +26,10 @@
 # An answer up to this size is buffered until it is complete, so that the request can be retried if
 # the connection to the target fails. Larger answers are streamed.
 MAX_BUFFERED_BYTES = 65536
+
+# Bytes of a stream after which other tasks run. They may hold several thousand events, each of
+# which is checked.
+MAX_PART_BYTES = 16384
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -93,17 +98,17 @@
         events.start_run(repeats_written=opened.after_event != events.last_id)
         connection = caller_connection(exchange.request)
         last_piece_s = self.clock.now_s() if events.count else None
-        pieces: AsyncIterator[bytes] = answer.content.iter_any()
+        pieces = _parts(answer.content)
         if events.last_id is not None:
             pieces = log_resumption(exchange, target_id, pieces)
         async for piece in pieces:
             now_s = self.clock.now_s()
-            self.loads.record_progress(target_id, now_s)
-            exchange.last_received_s = now_s
-            if last_piece_s is not None:
-                exchange.longest_gap_s = max(exchange.longest_gap_s, now_s - last_piece_s)
-            last_piece_s = now_s
             complete = events.feed(piece)
+            if events.has_progressed:
+                self._record_progress(exchange, target_id, now_s, last_piece_s)
+                last_piece_s = now_s
+            else:
+                self.loads.record_received(target_id, now_s)
             if complete:
                 if exchange.response is None:
                     await self._start_answer(exchange, answer)
@@ -121,6 +126,15 @@
         await _write_end(require(exchange.response, "the begun answer"))
         return AttemptEnd(True, True, AttemptReason.STREAMED, status=answer.status)
 
+    def _record_progress(
+        self, exchange: Exchange, target_id: str, now_s: float, last_piece_s: float | None
+    ) -> None:
+        """Record bytes of an event, and the pause since those before, if there were any."""
+        self.loads.record_progress(target_id, now_s)
+        exchange.last_received_s = now_s
+        if last_piece_s is not None:
+            exchange.longest_gap_s = max(exchange.longest_gap_s, now_s - last_piece_s)
+
     async def _start_answer(
         self, exchange: Exchange, answer: aiohttp.ClientResponse
     ) -> web.StreamResponse:
@@ -146,6 +160,15 @@
         return response
 
 
+async def _parts(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Yield bytes as they arrive, few enough at a time that other tasks run between them."""
+    while piece := await content.readany():
+        for start in range(0, len(piece), MAX_PART_BYTES):
+            if start:
+                await asyncio.sleep(0)
+            yield piece[start : start + MAX_PART_BYTES]
+
+
 def _raise_if_reset(answer: aiohttp.ClientResponse) -> None:
     """Raise if an answer without a length was cut short by a connection reset.
 
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -38,6 +38,7 @@
     AttemptReason.BROKEN,
     AttemptReason.UNREADABLE_ANSWER,
     RunFault.EVENT_TOO_LARGE,
+    RunFault.NO_EVENT,
     AttemptReason.WRONG_ANSWER,
     AttemptReason.REFUSED,
     AttemptReason.ERROR,
--- a/ferrydock/forwarding/_events.py
+++ b/ferrydock/forwarding/_events.py
@@ -13,12 +13,17 @@
 
 __all__ = ["NumberedEvents", "RunFault"]
 
+# Most bytes of comments and blank lines before, between and after the events of a run. Comments may
+# keep a stream alive while a prompt is read; one each 15 s, as is usual, has some 20 bytes.
+MAX_BYTES_WITHOUT_EVENT = 16384
+
 
 class RunFault(StrEnum):
     """Why a run is not passed on any further, as written to log lines and metrics."""
 
     OUT_OF_ORDER = "out_of_order"
     EVENT_TOO_LARGE = "event_too_large"
+    NO_EVENT = "no_event"
 
 
 @dataclass(slots=True)
@@ -69,6 +74,9 @@
     ----------
     fault : RunFault or None
         Why nothing more is passed on of this run; None while it is.
+    has_progressed : bool
+        Whether the bytes that were added last hold any of an event, not only comments and blank
+        lines.
 
     Examples
     --------
@@ -88,6 +96,7 @@
     """
 
     __slots__ = (
+        "_bytes_without_event",
         "_has_written",
         "_ready",
         "_repeats_written",
@@ -95,6 +104,7 @@
         "_started_at",
         "_written",
         "fault",
+        "has_progressed",
     )
 
     def __init__(self, after: int | None):
@@ -135,6 +145,8 @@
         self._splitter = EventSplitter(keeps_byte_order_mark=not self._has_written)
         self._started_at = self._ready = self._written
         self.fault: RunFault | None = None
+        self.has_progressed = False
+        self._bytes_without_event = 0
 
     def feed(self, piece: bytes) -> bytes:
         """Add bytes of the run, and return those to be written to the caller.
@@ -143,6 +155,7 @@
         not continue the stream, and the run must not be fed again.
         """
         passed: list[bytes] = []
+        self.has_progressed = False
         for block in self._splitter.feed(piece):
             if self._is_repeat(block):
                 continue
@@ -150,6 +163,7 @@
             if self.fault is not None:
                 return b"".join(passed)
             passed.append(block.data)
+        self.has_progressed |= self._splitter.partial_bytes > 0
         if self._splitter.partial_bytes > MAX_EVENT_BYTES:
             self.fault = RunFault.EVENT_TOO_LARGE
         return b"".join(passed)
@@ -171,7 +185,11 @@
         if len(block.data) > MAX_EVENT_BYTES:
             return RunFault.EVENT_TOO_LARGE
         if not block.is_event:
-            return None
+            self._bytes_without_event += len(block.data)
+            is_too_much = self._bytes_without_event > MAX_BYTES_WITHOUT_EVENT
+            return RunFault.NO_EVENT if is_too_much else None
+        self.has_progressed = True
+        self._bytes_without_event = 0
         place, number = self._ready, block.number
         is_first = place is self._started_at
         starts_anywhere = place.last_id is None and place.count == 0
--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -34,7 +34,7 @@
         sent while the target had no other request in flight. It advances with the time while this
         daemon reads none of the target's answers.
     last_answer_s : float
-        Local time of the last event or answer received from the target.
+        Local time at which anything was last received from the target, also a comment.
     consecutive_failures : int
         Failures since the last success or ejection.
     ejections_since_success : int
@@ -109,6 +109,10 @@
         load = self.of(target_id)
         load.last_progress_s = load.last_answer_s = now_s
 
+    def record_received(self, target_id: str, now_s: float) -> None:
+        """Record that bytes were received from a target that are no progress."""
+        self.of(target_id).last_answer_s = now_s
+
     def restart_quiet_time(self, target_id: str, now_s: float) -> None:
         """Do not count the time until now as time without progress of a target."""
         self.of(target_id).last_progress_s = now_s
--- /dev/null
+++ b/ferrydock/forwarding/tests/test_comments.py
@@ -0,0 +1,78 @@
+"""Comments and blank lines of a stream: passed on, but neither an event nor progress."""
+
+import asyncio
+
+from ...configuration import RouteKind
+from .._answer_relay import MAX_PART_BYTES
+from .._events import MAX_BYTES_WITHOUT_EVENT, NumberedEvents, RunFault
+from .rig import HEAD, Rig, ScriptedTarget, play, route
+from .test_forwarding import body_of
+
+EVENT = b"id: 1\ndata: a\n\n"
+STREAM_ROUTE = route(kind=RouteKind.RESUMABLE_STREAM, attempts=2, time_limit_s=10.0)
+
+
+def test_comments_are_passed_on_between_two_events_up_to_their_bound():
+    events = NumberedEvents(None)
+    comment = b": a\n\n"
+    most = comment * (MAX_BYTES_WITHOUT_EVENT // len(comment))
+    for number in (1, 2):
+        data = most + b"id: %d\n\n" % number
+        assert events.feed(data) == data
+    assert events.fault is None
+    events.feed(most + comment)
+    assert events.fault is RunFault.NO_EVENT
+
+
+def test_comments_do_not_hide_that_a_target_makes_no_progress():
+    """Failure: a replica that sent only comments was never found to be stuck."""
+
+    async def scenario():
+        end = asyncio.Event()
+
+        async def comments(target, request, writer):
+            writer.write(HEAD + b"\r\n" + EVENT)
+            while not end.is_set():
+                await asyncio.sleep(0.02)
+                writer.write(b": a\n\n")
+            writer.write(b"id: 2\ndata: b\n\n")
+            return None
+
+        async with Rig([STREAM_ROUTE], [ScriptedTarget(comments)]) as rig:
+            streaming = asyncio.ensure_future(rig.ask())
+            await asyncio.sleep(0.3)
+            load, now_s = rig.loads.of("t0"), rig.clock.now_s()
+            assert now_s - load.last_progress_s > 0.2 > now_s - load.last_answer_s
+            end.set()
+            body, is_complete = body_of(await streaming)
+            assert is_complete and body.startswith(EVENT + b": a\n\n")
+
+    play(scenario)
+
+
+def test_other_tasks_run_between_the_parts_of_many_small_events():
+    """Failure: all blocks that had arrived were handled in one turn of the loop."""
+
+    async def scenario():
+        turns = 0
+        small_events = b"data:\n\n" * (MAX_PART_BYTES // 2)
+
+        async def write(target, request, writer):
+            writer.write(HEAD + b"\r\n" + small_events)
+            await writer.drain()
+            return None
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        async with Rig([STREAM_ROUTE], [ScriptedTarget(write)]) as rig:
+            counting = asyncio.ensure_future(count_turns())
+            body, is_complete = body_of(await rig.ask())
+            counting.cancel()
+            assert is_complete and body == small_events
+            assert turns >= len(small_events) // MAX_PART_BYTES
+
+    play(scenario)
--- a/ferrydock/forwarding/tests/test_endless_answers.py
+++ b/ferrydock/forwarding/tests/test_endless_answers.py
@@ -285,8 +285,11 @@
         (b"id: 1\ndata: ", b"a"),
         (b"id: 1\n", b"data: a\n"),
         (b"", b"id: 1\ndata: a\n\n"),
+        (b"id: 1\ndata: a\n\n", b": a\n\n"),
+        (b"id: 1\ndata: a\n\n", b": a\n\n\r\n"),
+        (b"", b"\n"),
     ],
-    ids=["a line", "lines", "the same event"],
+    ids=["a line", "lines", "the same event", "comments", "comments, blank lines", "blank lines"],
 )
 def test_a_stream_with_an_event_without_end_goes_on_elsewhere(head, unit):
     async def scenario():
@@ -309,13 +312,17 @@
     play(scenario)
 
 
-@pytest.mark.parametrize("unit", [b"a", b"data: a\n"], ids=["a line", "lines"])
-def test_a_target_whose_events_have_no_end_is_ejected(unit, monkeypatch):
+@pytest.mark.parametrize(
+    ("head", "unit"),
+    [(b"id: 1\ndata: ", b"a"), (b"id: 1\ndata: ", b"data: a\n"), (b"", b": a\n\n")],
+    ids=["a line", "lines", "comments"],
+)
+def test_a_target_whose_events_have_no_end_is_ejected(head, unit, monkeypatch):
     monkeypatch.setattr(_target_loads, "EJECTION_S", 600.0)
     monkeypatch.setattr(_target_loads, "MAX_EJECTION_S", 600.0)
 
     async def scenario():
-        endless = HEAD + b"\r\n" + b"id: 1\ndata: " + unit * ((1 << 21) // len(unit))
+        endless = HEAD + b"\r\n" + head + unit * ((1 << 21) // len(unit))
         flooding = ScriptedTarget(writes(endless, keep=False))
         sound = ScriptedTarget(writes(complete_answer(b"id: 1\ndata: a\n\n")))
         streams = route(kind=RouteKind.RESUMABLE_STREAM, attempts=2, time_limit_s=10.0)
