Soak: each emulation runs in a process of its own

Cause: `play_seeds` ran up to four emulations in one loop.

Change: a process for each emulation, up to the same number at once, in the tests and in benchmarks.soak.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -52,8 +52,10 @@
 """
 
 import asyncio
+import multiprocessing
 import sys
 from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -447,22 +449,27 @@
     return "\n".join((*lines, *result.troubles, *drains.hop_lines)) + "\n"
 
 
-async def main() -> int:
-    """Run all seeds with bounded concurrency; return the exit status."""
+def play_alone(seed: int, folder: Path, plays: str) -> list[str]:
+    """Run `play` in a process that runs nothing else."""
+    return asyncio.run(play(seed, folder, plays))
+
+
+def main() -> int:
+    """Run all seeds, each in a process of its own; return the exit status.
+
+    The store and the workers of an emulation share one loop. In one process, those of several
+    emulations would delay each other by seconds.
+    """
     values = flags.FLAGS
     if values.quick:
         values.seeds = 2
     folder = Path(values.failures)
-    semaphore = asyncio.Semaphore(values.at_once)
-    failed = []
-
-    async def play_seed(seed: int) -> None:
-        async with semaphore:
-            if await play(seed, folder, values.plays):
-                failed.append(seed)
-
-    await asyncio.gather(*(play_seed(values.first + n) for n in range(values.seeds)))
-    print(format_event("soak_ended", seeds=values.seeds, failed=",".join(map(str, sorted(failed)))))
+    seeds = [values.first + number for number in range(values.seeds)]
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(values.at_once, context, max_tasks_per_child=1) as pool:
+        plays = [pool.submit(play_alone, seed, folder, values.plays) for seed in seeds]
+        failed = [seed for seed, done in zip(seeds, plays, strict=True) if done.result()]
+    print(format_event("soak_ended", seeds=values.seeds, failed=",".join(map(str, failed))))
     return 1 if failed else 0
 
 
@@ -474,4 +481,4 @@
     flags.DEFINE_integer("at_once", 3, "Emulations at a time.", 1, 16)
     flags.DEFINE_string("failures", "build/soak", "Folder for logs.")
     flags.FLAGS(sys.argv)
-    sys.exit(asyncio.run(main()))
+    sys.exit(main())
--- a/tests/soak_plays.py
+++ b/tests/soak_plays.py
@@ -1,6 +1,8 @@
 """Run the emulations of a soak test, one per seed, with bounded concurrency."""
 
 import asyncio
+import multiprocessing
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 from ferrydock.emulator import Emulation
@@ -15,21 +17,18 @@
 
 
 def play_seeds(experiment, seeds, folder, concurrent_emulations):
-    """Run the emulation of each seed; return the results by seed.
+    """Run the emulation of each seed in a process of its own; return the results by seed.
 
-    Logs go to a subfolder of `folder` for each seed.
+    The store and the workers of an emulation share one loop. In one process, those of several
+    emulations would delay each other by seconds. Logs go to a subfolder of `folder` for each seed.
     """
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(concurrent_emulations, context, max_tasks_per_child=1) as pool:
+        plays = [pool.submit(_play, experiment, seed, folder) for seed in seeds]
+        return dict(zip(seeds, (play.result() for play in plays), strict=True))
 
-    async def play_all():
-        semaphore = asyncio.Semaphore(concurrent_emulations)
 
-        async def play(seed):
-            logs = folder / f"seed-{seed}"
-            logs.mkdir()
-            async with semaphore:
-                return await Emulation(experiment(seed), logs).run()
-
-        results = await asyncio.gather(*(play(seed) for seed in seeds))
-        return dict(zip(seeds, results, strict=True))
-
-    return asyncio.run(play_all())
+def _play(experiment, seed, folder):
+    logs = folder / f"seed-{seed}"
+    logs.mkdir()
+    return asyncio.run(Emulation(experiment(seed), logs).run())
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -8,9 +8,8 @@
 
 pytestmark = pytest.mark.soak
 
-# Emulations that run concurrently. Stores and workers of two in one process delay each other, so
-# that daemons cannot confirm their configurations in time.
-CONCURRENT_EMULATIONS = 1
+# Emulations that run concurrently.
+CONCURRENT_EMULATIONS = 2
 SEEDS = seeds_in("soak_silence_seeds.txt")
 
 
