Log lines name the attempt that failed, and a crash is dated by when its request was sent

Found by reading again: the number of an attempt was read after the next one had been opened, so a stream that was left read `attempt=2`; and an opened answer counted for the check of crashes as sent when it was taken up.

--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -126,7 +126,9 @@
             exchange.note_attempt_begins()
             may_have_run_before = exchange.may_have_run
             exchange.may_have_run = True  # updated when the attempt ends
-            sent_s = self.clock.now_s()
+            opened = exchange.next_answer
+            sent_s = self.clock.now_s() if opened is None else opened.sent_s
+            number = exchange.attempt_count + (opened is None)
             end = await self.attempts.run(exchange, endpoint)
             exchange.may_have_run = may_have_run_before or end.may_have_run
             if end.is_complete:
@@ -135,7 +137,7 @@
                 self._log.request_done(exchange, end, endpoint, self._since_arrival_s(exchange))
                 return require(exchange.response, "the whole answer")
             exchange.last_reason = end.reason
-            self._log.attempt_failed(exchange, end, endpoint, exchange.send_times)
+            self._log.attempt_failed(exchange, end, endpoint, number, exchange.send_times)
             if end.reason == AttemptReason.TARGET_LEFT:
                 continue  # nothing was sent, so this is no retry
             await self.crashes.check_failed_attempt(
@@ -155,7 +157,8 @@
         opened = await self.attempts.open(exchange, endpoint, times)
         if isinstance(opened, OpenedAnswer):
             return opened
-        self._log.attempt_failed(exchange, opened, endpoint, times)
+        number = exchange.attempt_count
+        self._log.attempt_failed(exchange, opened, endpoint, number, times)
         await self.crashes.check_failed_attempt(exchange, endpoint.target, opened, sent_s, 0)
         return None
 
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -68,9 +68,14 @@
         )
 
     def attempt_failed(
-        self, exchange: Exchange, end: AttemptEnd, endpoint: Endpoint, times: SendTimes | None
+        self,
+        exchange: Exchange,
+        end: AttemptEnd,
+        endpoint: Endpoint,
+        number: int,
+        times: SendTimes | None,
     ) -> None:
-        """Log an attempt that ended without a final answer."""
+        """Log an attempt that ended without a final answer; the first one has the number 1."""
         log_event(
             _LOG,
             logging.INFO,
@@ -83,7 +88,7 @@
             error=end.error.__name__ if end.error else None,
             status=end.status or None,
             ran=end.may_have_run,
-            attempt=exchange.attempt_count,
+            attempt=number,
             after_event=exchange.events.last_id if exchange.events else None,
             identity=exchange.identity if end.may_have_run else None,
             parts=",".join(exchange.inbound.shared_parts) or None if end.may_have_run else None,
--- a/ferrydock/forwarding/tests/test_opened_elsewhere.py
+++ b/ferrydock/forwarding/tests/test_opened_elsewhere.py
@@ -1,6 +1,7 @@
 """A begun stream leaves a silent replica only once another target has begun to continue it."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -66,6 +67,25 @@
     play(scenario)
 
 
+def test_log_lines_name_the_attempt_that_failed_and_the_one_that_was_opened(caplog):
+    """Failure: the attempt that was left had the number of the one that had been opened."""
+    caplog.set_level(logging.INFO, "ferrydock.forwarding")
+
+    async def scenario():
+        never = asyncio.Event()
+        async with HandoverRig([ScriptedTarget(pauses(never)) for _ in KEYS], retries=5.0) as rig:
+            streaming, old, new = await moved_stream(rig)
+            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
+            assert body_of(await streaming) == (COMPLETE_BODY, True)
+            lines = [line for line in caplog.messages if "attempt=" in line]
+            failed, resumed = sorted(lines, key=lambda line: "stream_resumed" in line)
+            assert f" target=t{old} " in failed and " why=silent " in failed
+            assert " attempt=1 " in failed and " sent_ago_ms=" in failed
+            assert f" target=t{new} attempt=2 after_event=2 " in resumed
+
+    play(scenario)
+
+
 def test_stream_that_resumes_while_another_target_opens_is_not_moved():
     async def scenario():
         resume, opens = asyncio.Event(), asyncio.Event()
