Repeated events are bounded and may stand among unnumbered ones; comment lines are no progress

Repeated ids must rise now; data without a number among them is bounded. - Such data among repeated events counted as the first event of the run, out of order: the stream was cut although the old answer had ended. - Lines of comments without the blank line that ends a block counted as progress, up to 1 MB.

--- a/ferrydock/forwarding/_event_splitter.py
+++ b/ferrydock/forwarding/_event_splitter.py
@@ -92,6 +92,12 @@
         """Number of bytes received of a block that is not complete; 0 between two blocks."""
         return len(self._partial)
 
+    @property
+    def holds_event(self) -> bool:
+        """Whether what is held may be part of an event, and not only of comments."""
+        has_field = self._has_data or bool(self._id_field)
+        return has_field or (bool(self._line) and not self._line.startswith(b":"))
+
     def feed(self, piece: bytes) -> list[Block]:
         """Add bytes, and return the blocks that they complete.
 
--- a/ferrydock/forwarding/_events.py
+++ b/ferrydock/forwarding/_events.py
@@ -99,6 +99,7 @@
         "_bytes_without_event",
         "_has_written",
         "_ready",
+        "_repeated_id",
         "_repeats_written",
         "_splitter",
         "_started_at",
@@ -142,6 +143,7 @@
             them, and they are not passed on again.
         """
         self._repeats_written = repeats_written
+        self._repeated_id = -1
         self._splitter = EventSplitter(keeps_byte_order_mark=not self._has_written)
         self._started_at = self._ready = self._written
         self.fault: RunFault | None = None
@@ -157,13 +159,15 @@
         passed: list[bytes] = []
         self.has_progressed = False
         for block in self._splitter.feed(piece):
-            if self._is_repeat(block):
-                continue
+            if self._repeats_written and block.is_event:
+                if self._is_repeat(block):
+                    continue
+                self._repeats_written = False
             self.fault = self._fault_of(block)
             if self.fault is not None:
                 return b"".join(passed)
             passed.append(block.data)
-        self.has_progressed |= self._splitter.partial_bytes > 0
+        self.has_progressed |= self._splitter.holds_event
         if self._splitter.partial_bytes > MAX_EVENT_BYTES:
             self.fault = RunFault.EVENT_TOO_LARGE
         return b"".join(passed)
@@ -174,11 +178,21 @@
         self._has_written = True
 
     def _is_repeat(self, block: Block) -> bool:
-        """Return whether a block is an event that was written before this run was read."""
+        """Return whether an event was written before this run was read.
+
+        Its number is one that rises up to the last one written, or it has none and stands before
+        that one.
+        """
         written_id = self._started_at.last_id
-        if not self._repeats_written or block.number is None or written_id is None:
+        if written_id is None or self._repeated_id == written_id:
+            return False
+        if block.number is None:
+            self._bytes_without_event += len(block.data)
+            return self._bytes_without_event <= MAX_BYTES_WITHOUT_EVENT
+        if block.number > written_id or block.number <= self._repeated_id:
             return False
-        return block.number <= written_id
+        self._repeated_id = block.number
+        return True
 
     def _fault_of(self, block: Block) -> RunFault | None:
         """Return why a block must not be passed on; None if it may, which moves the position."""
