While another target is asked to continue a stream, both may be lost, resume or refuse

What callers saw, and why: - A head alone counted as the continuation: a target that then sent nothing got the stream, which was cut though its replica resumed. The first bytes of the body are waited for. - The target that is asked was in no list of attempts, so its loss did not end the question; and the one call for a lost replica fell into the pause between two searches. It is an attempt now, and streams of lost replicas are handed over as often as the route allows. - One event after the question counted as the end of the silence for good, and the answer that was opened, the last attempt, was thrown away. The replica must be sending when that is decided; one that goes on sending ends the question. - A crash of the old target was checked only once the other one had answered. - A question that was withdrawn before its first byte cost a retry; one that was paid for reserved another. `stream_resumed` named the last event written instead of the one asked after, and split all lines again with each piece. - Comments voided each poll of a replica with a member that does not answer, and no longer showed that a connection lives. Events, answers, and anything received are three times now. - Lost links ended requests that may not be sent again, or nowhere else, though their connections may live: they got 502. They are left to their time limits.

Not mended: a request whose answer has not begun still leaves a replica that may be paused before the other target has accepted it, and gets 502 if that one, its last, refuses it.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -98,11 +98,11 @@
         events.start_run(repeats_written=opened.after_event != events.last_id)
         connection = caller_connection(exchange.request)
         last_piece_s = self.clock.now_s() if events.count else None
-        pieces = _parts(answer.content)
+        pieces = _parts(answer.content, opened.prefix)
         if events.last_id is not None:
-            pieces = log_resumption(exchange, target_id, pieces)
+            pieces = log_resumption(exchange, target_id, pieces, opened.after_event)
         async for piece in pieces:
-            now_s = self.clock.now_s()
+            exchange.last_received_s = now_s = self.clock.now_s()
             complete = events.feed(piece)
             if events.has_progressed:
                 self._record_progress(exchange, target_id, now_s, last_piece_s)
@@ -131,7 +131,7 @@
     ) -> None:
         """Record bytes of an event, and the pause since those before, if there were any."""
         self.loads.record_progress(target_id, now_s)
-        exchange.last_received_s = now_s
+        exchange.last_progress_s = now_s
         if last_piece_s is not None:
             exchange.longest_gap_s = max(exchange.longest_gap_s, now_s - last_piece_s)
 
@@ -160,13 +160,15 @@
         return response
 
 
-async def _parts(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+async def _parts(content: aiohttp.StreamReader, prefix: bytes) -> AsyncIterator[bytes]:
     """Yield bytes as they arrive, few enough at a time that other tasks run between them."""
-    while piece := await content.readany():
+    piece = prefix
+    while piece or (piece := await content.readany()):
         for start in range(0, len(piece), MAX_PART_BYTES):
             if start:
                 await asyncio.sleep(0)
             yield piece[start : start + MAX_PART_BYTES]
+        piece = b""
 
 
 def _raise_if_reset(answer: aiohttp.ClientResponse) -> None:
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 from collections.abc import AsyncIterator, Iterator, Sequence
+from dataclasses import replace
 
 import aiohttp
 
@@ -130,7 +131,7 @@
         finally:
             running.discard(attempt)
             self.selector.release(endpoint)
-            await _end_handover(attempt, end)
+            _end_handover(attempt, end)
         self._record_end(exchange, endpoint.target, end, exchange.send_times)
         return end
 
@@ -139,7 +140,7 @@
     ) -> OpenedAnswer | AttemptEnd:
         """Ask one more target to continue a begun answer, while the attempt before goes on.
 
-        Counts as an attempt. The slot is not released.
+        Counts as an attempt, unless nothing was sent. The slot is not released.
 
         Returns
         -------
@@ -147,11 +148,18 @@
             The answer that `run` can forward; or why there is none.
         """
         _count_attempt(exchange, endpoint)
+        timeout = self._timeout(exchange)
+        began_s = self.clock.now_s()
+        question = Attempt(exchange, endpoint.replica, timeout, began_s, is_question=True)
+        running = self._in_flight.setdefault(endpoint.target.target_id, set())
+        running.add(question)
         try:
-            async with self._timeout(exchange):
-                opened = await self._open(exchange, endpoint, times)
+            async with timeout:
+                opened = await self._open_with_body(exchange, endpoint, times)
         except TimeoutError:
-            opened = _timed_out(times)
+            opened = _timed_out(times, question.interrupt_reason)
+        finally:
+            running.discard(question)
         if isinstance(opened, AttemptEnd):
             self._record_end(exchange, endpoint.target, opened, times)
         return opened
@@ -170,7 +178,7 @@
     def responding_at(self, target_id: str) -> list[Exchange]:
         """Return the requests in flight at a target whose answers have begun."""
         running = self._in_flight.get(target_id, ())
-        return [a.exchange for a in running if a.exchange.response is not None]
+        return [a.exchange for a in running if _has_begun(a)]
 
     def busy_replicas(self) -> Iterator[tuple[ReplicaView, int]]:
         """Yield each replica in use, and the number of attempts at its head that are read.
@@ -207,7 +215,7 @@
         started = [
             attempt
             for attempt in self._attempts_at(key)
-            if attempt.exchange.response is not None and _is_read(attempt)
+            if _has_begun(attempt) and _is_read(attempt)
         ]
         self.handovers.begin(started, reason)
 
@@ -218,7 +226,7 @@
         whose callers have to read first, do not count.
         """
         since_s = self.clock.now_s() - silent_s
-        if any(load.last_answer_s > since_s for _, load in self.loads.items()):
+        if any(load.last_received_s > since_s for _, load in self.loads.items()):
             return 0
         return sum(
             any(attempt.began_s <= since_s and _is_read(attempt) for attempt in attempts)
@@ -228,7 +236,8 @@
     def interrupt_silent(self, began_before_s: float, silent_s: float, reason: str) -> None:
         """Interrupt repeatable requests begun before a local time that receive nothing any more.
 
-        Requests that may run only once are left to their time limits: their answers may still come.
+        Requests that may not be sent again are left to their time limits: their answers may still
+        come.
         """
         since_s = self.clock.now_s() - silent_s
         silent = [
@@ -239,6 +248,7 @@
             and max(attempt.began_s, attempt.exchange.last_received_s) <= since_s
             and attempt.exchange.route.kind.is_repeatable
             and _is_read(attempt)
+            and self.handovers.may_leave(attempt)
         ]
         self._interrupt_lost(silent, reason)
 
@@ -249,10 +259,13 @@
 
     def _interrupt_lost(self, attempts: Sequence[Attempt], reason: str) -> None:
         """Interrupt attempts whose answers have not begun, and hand over the others."""
+        begun = [attempt for attempt in attempts if _has_begun(attempt)]
         for attempt in attempts:
-            if attempt.exchange.response is None:
+            if attempt not in begun:
                 attempt.interrupt(reason)
-        self.handovers.begin([a for a in attempts if a.exchange.response is not None], reason)
+        for attempt in begun:
+            attempt.is_lost = True
+        self.handovers.begin(begun, reason)
 
     def _remaining_s(self, exchange: Exchange) -> float:
         return exchange.deadline_s - self.clock.now_s()
@@ -334,6 +347,30 @@
             return end
         return opened
 
+    async def _open_with_body(
+        self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
+    ) -> OpenedAnswer | AttemptEnd:
+        """Send a request and return its answer once the body has begun.
+
+        A head alone may be followed by nothing.
+        """
+        opened = await self._open(exchange, endpoint, times)
+        if isinstance(opened, AttemptEnd):
+            return opened
+        try:
+            prefix = await opened.answer.content.readany()
+        except _CONNECTION_ERRORS as error:
+            kind = _connection_error(opened.answer, error)
+            release_connection(opened.answer)
+            return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
+        except BaseException:
+            opened.answer.close()
+            raise
+        if not prefix:
+            release_connection(opened.answer)
+            return AttemptEnd(False, True, AttemptReason.TORN)
+        return replace(opened, prefix=prefix)
+
     async def _send_request(
         self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
     ) -> aiohttp.ClientResponse | SendWithdrawn:
@@ -384,7 +421,7 @@
         self, exchange: Exchange, target: Target, opened: OpenedAnswer
     ) -> AttemptEnd:
         """Forward an answer to the caller."""
-        exchange.last_received_s = self.clock.now_s()
+        exchange.last_received_s = exchange.last_progress_s = self.clock.now_s()
         if _is_stream(exchange, opened.answer):
             return await self._relay.relay_stream(exchange, target.target_id, opened)
         return await self._relay.relay_plain(exchange, opened.answer)
@@ -418,22 +455,26 @@
     return AttemptEnd(False, is_sent, reason, may_have_received=is_sent)
 
 
-async def _end_handover(attempt: Attempt, end: AttemptEnd | None) -> None:
+def _end_handover(attempt: Attempt, end: AttemptEnd | None) -> None:
     """End the search for a slot elsewhere for an attempt that has ended.
 
-    If the attempt failed while another target is already being asked to continue the answer, waits
-    for that target first.
+    If the attempt failed while another target is already being asked to continue the answer, that
+    goes on.
     """
     attempt.has_ended = True
     if attempt.handover is None:
         return
-    try:
-        if attempt.is_opening and end is not None and not end.is_complete:
-            await asyncio.wait({attempt.handover})
-    finally:
+    if attempt.is_opening and end is not None and not end.is_complete:
+        attempt.exchange.opening = attempt.handover
+    else:
         attempt.handover.cancel()
 
 
+def _has_begun(attempt: Attempt) -> bool:
+    """Return whether an attempt's own answer has begun."""
+    return attempt.exchange.response is not None and not attempt.is_question
+
+
 def _is_stream(exchange: Exchange, answer: aiohttp.ClientResponse) -> bool:
     return exchange.route.kind.is_stream and answer.status < FIRST_NON_SUCCESS_STATUS
 
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -108,10 +108,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenedAnswer:
-    """An answer whose head has arrived and is to be forwarded; its body has not been read.
+    """An answer whose head has arrived and is to be forwarded.
 
     Attributes
     ----------
+    prefix : bytes
+        The part of its body that was read to see that there is one.
     after_event : int or None
         Id of the event after which the target was asked to continue; None for the beginning.
     sent_s : float
@@ -122,6 +124,7 @@
     after_event: int | None
     sent_s: float
     times: SendTimes
+    prefix: bytes = b""
 
 
 @dataclass(slots=True, eq=False)
@@ -136,6 +139,10 @@
         Looks for a slot elsewhere for the request (`_handovers`); None before the first search.
     is_opening : bool
         Whether another target, which has a slot for the request, is being asked to continue it.
+    is_question : bool
+        Whether this is that other target's attempt: it has begun no answer of its own.
+    is_lost : bool
+        Whether the replica is known not to answer any more.
     has_ended : bool
         Whether the target's answer is not waited for any more.
     silent_since_s : float
@@ -150,6 +157,8 @@
     handover: asyncio.Task | None = None
     silent_since_s: float = float("-inf")
     is_opening: bool = False
+    is_question: bool = False
+    is_lost: bool = False
     has_ended: bool = False
 
     @property
@@ -197,6 +206,8 @@
         Seconds from receiving the request to the first bytes of its answer.
     last_received_s : float
         Local time at which anything was last received from a target.
+    last_progress_s : float
+        The same without comments and blank lines of a stream.
     longest_gap_s, queued_s : float
         Longest pause between two events, and time spent waiting for slots, in seconds.
     last_reason : str
@@ -219,6 +230,8 @@
         Slot for the next attempt, acquired while the current one runs; its retry is paid for.
     next_answer : OpenedAnswer or None
         What that target has begun to answer; None if it has not been sent the request.
+    opening : asyncio.Task or None
+        Asks another target to continue the answer although the last attempt has failed.
     no_endpoint : NoEndpoint
         Why the last wait for a slot ended without a target.
     chosen_s : float
@@ -246,6 +259,7 @@
     events: NumberedEvents | None = None
     first_bytes_s: float | None = None
     last_received_s: float = float("-inf")
+    last_progress_s: float = float("-inf")
     longest_gap_s: float = 0.0
     queued_s: float = 0.0
     last_reason: str = ""
@@ -257,6 +271,7 @@
     admitted_s: float = 0.0
     next_endpoint: Endpoint | None = None
     next_answer: OpenedAnswer | None = None
+    opening: asyncio.Task | None = None
     no_endpoint: NoEndpoint = NoEndpoint()
     chosen_s: float = 0.0
     send_times: SendTimes | None = None
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -97,6 +97,8 @@
         except DaemonStopping:
             return self._end_without_answer(exchange, STOPPING_REASON)
         finally:
+            if exchange.opening is not None:
+                exchange.opening.cancel()
             next_endpoint = _take_next_endpoint(exchange)
             if next_endpoint is not None:
                 self.selector.release(next_endpoint)
@@ -145,7 +147,7 @@
             )
             if await self.crashes.is_known_since_admission(exchange):
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
-            if exchange.next_answer is None and not self._may_retry(exchange, end):
+            if not await self._goes_on(exchange, end):
                 return self._end_without_answer(exchange, end.reason)
             if exchange.next_endpoint is None and not budget.spend():
                 return self._end_without_answer(exchange, "retry_budget")
@@ -157,11 +159,20 @@
         opened = await self.attempts.open(exchange, endpoint, times)
         if isinstance(opened, OpenedAnswer):
             return opened
+        if opened.reason == AttemptReason.TARGET_LEFT:
+            require(exchange.budget, "the budget of an admitted request").put_back()
         number = exchange.attempt_count
         self._log.attempt_failed(exchange, opened, endpoint, number, times)
         await self.crashes.check_failed_attempt(exchange, endpoint.target, opened, sent_s, 0)
         return None
 
+    async def _goes_on(self, exchange: Exchange, end: AttemptEnd) -> bool:
+        """Return whether there is another attempt; first waits for a target that is being asked."""
+        if exchange.opening is not None:
+            await asyncio.wait({exchange.opening})
+            exchange.opening = None
+        return exchange.next_answer is not None or self._may_retry(exchange, end)
+
     def _may_retry(self, exchange: Exchange, end: AttemptEnd) -> bool:
         """Return whether to make another attempt after one without a final answer."""
         if end.may_have_run and self.crashes.is_suspicious(exchange):
--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
 
 from ..clock import Clock
 from ..invariants import require
@@ -30,6 +31,12 @@
 # Interval between two checks of whether the replica has resumed a request that is to leave it.
 RESUME_CHECK_INTERVAL_S = 0.1
 
+# Consecutive checks that find a replica sending after which another target, which was asked to
+# continue, is not waited for; and the silence after which the replica counts as silent again. One
+# event may only have been under way when the replica fell silent.
+RESUMED_CHECKS = 4
+SILENT_AGAIN_S = 0.2
+
 
 class Handovers:
     """Finds slots for attempts at a silent replica, and interrupts those that get one.
@@ -48,9 +55,9 @@
         self.selector = selector
         self.clock = clock
         self.is_suspicious: Callable[[Exchange], bool] = lambda exchange: False
-        self.open_answer: Callable[[Exchange, Endpoint], Awaitable[OpenedAnswer | None]] = (
-            _open_none
-        )
+        self.open_answer: Callable[
+            [Exchange, Endpoint], Coroutine[Any, Any, OpenedAnswer | None]
+        ] = _open_none
 
     def begin(self, attempts: Sequence[Attempt], reason: str, may_be_paused: bool = False) -> None:
         """Start to look for slots elsewhere for attempts, as far as the retry budget goes.
@@ -64,11 +71,11 @@
             then: it would be cut if the other target fails as well, or refuses it.
         """
         now_s = self.clock.now_s()
-        reserved_retries = sum(attempt.is_being_handed_over for attempt in attempts)
+        reserved_retries = sum(a.is_being_handed_over and not a.is_opening for a in attempts)
         for attempt in attempts:
-            if attempt.is_being_handed_over:
+            if attempt.is_being_handed_over or attempt.is_question:
                 continue
-            if now_s - attempt.silent_since_s < SEARCH_INTERVAL_S:
+            if now_s - attempt.silent_since_s < SEARCH_INTERVAL_S and not attempt.is_lost:
                 continue
             if may_be_paused and _would_spend_last_attempt(attempt.exchange):
                 continue
@@ -79,6 +86,10 @@
                 task.add_done_callback(_log_failure)
                 attempt.handover = task
 
+    def may_leave(self, attempt: Attempt) -> bool:
+        """Return whether another target may answer a request, and a retry is left for it."""
+        return self._may_hand_over(attempt.exchange, 0)
+
     def _may_hand_over(self, exchange: Exchange, reserved_retries: int) -> bool:
         left_s = exchange.deadline_s - self.clock.now_s()
         may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
@@ -87,6 +98,14 @@
         )
 
     async def _hand_over(self, attempt: Attempt, reason: str) -> None:
+        """Hand over an attempt once; if its replica is lost, as often as it may be."""
+        while not await self._is_handed_over(attempt, reason):
+            await asyncio.sleep(RESUME_CHECK_INTERVAL_S)
+            is_wanted = attempt.is_lost and not attempt.has_ended and not _has_resumed(attempt)
+            if not is_wanted or not self._may_hand_over(attempt.exchange, 0):
+                return
+
+    async def _is_handed_over(self, attempt: Attempt, reason: str) -> bool:
         """Acquire a slot elsewhere; then pay for the retry and interrupt the attempt.
 
         A begun answer is first continued by the other target. The search ends when the replica
@@ -106,26 +125,36 @@
                 if exchange.response is None or await self._is_opened(attempt, endpoint):
                     exchange.next_endpoint = endpoint
                     attempt.interrupt(reason)
+                    return True
         finally:
             self._end_search(search, exchange)
+        return False
 
     async def _is_opened(self, attempt: Attempt, endpoint: Endpoint) -> bool:
         """Let a target continue a begun answer; keep what it answers for the next attempt.
 
-        Not kept if the replica has resumed meanwhile.
+        Not kept if the replica has resumed meanwhile and is not silent again.
         """
+        exchange = attempt.exchange
+        opening = asyncio.get_running_loop().create_task(self.open_answer(exchange, endpoint))
         attempt.is_opening = True
+        resumed_checks = 0
         try:
-            opened = await self.open_answer(attempt.exchange, endpoint)
+            while not opening.done() and resumed_checks < RESUMED_CHECKS:
+                await asyncio.wait({opening}, timeout=RESUME_CHECK_INTERVAL_S)
+                resumed_checks = resumed_checks + 1 if self._goes_on(attempt) else 0
+            if opening.done() and not self._goes_on(attempt):
+                exchange.next_answer = opening.result()
         finally:
             attempt.is_opening = False
-        if opened is None:
-            return False
-        if _has_resumed(attempt) and not attempt.has_ended:
-            opened.answer.close()
-            return False
-        attempt.exchange.next_answer = opened
-        return True
+            if exchange.next_answer is None:
+                _discard(opening)
+        return exchange.next_answer is not None
+
+    def _goes_on(self, attempt: Attempt) -> bool:
+        """Return whether the replica has resumed a request, and sent some of it just now."""
+        silent_s = self.clock.now_s() - attempt.exchange.last_progress_s
+        return not attempt.has_ended and _has_resumed(attempt) and silent_s < SILENT_AGAIN_S
 
     def _may_use(self, attempt: Attempt, endpoint: Endpoint) -> bool:
         """Return whether to go on at an endpoint that was found for an attempt."""
@@ -151,7 +180,15 @@
 
 def _has_resumed(attempt: Attempt) -> bool:
     """Return whether the replica has sent anything for a request since it was found silent."""
-    return attempt.exchange.last_received_s > attempt.silent_since_s
+    return attempt.exchange.last_progress_s > attempt.silent_since_s
+
+
+def _discard(opening: asyncio.Task) -> None:
+    """End an opening, or close the answer that it has opened."""
+    if not opening.done():
+        opening.cancel()
+    elif not opening.cancelled() and opening.exception() is None and opening.result() is not None:
+        opening.result().answer.close()
 
 
 async def _open_none(exchange: Exchange, endpoint: Endpoint) -> None:
--- a/ferrydock/forwarding/_resumptions.py
+++ b/ferrydock/forwarding/_resumptions.py
@@ -5,9 +5,9 @@
 """
 
 import logging
+import re
 from collections.abc import AsyncIterator
 
-from ..invariants import require
 from ..logs import log_event
 from ._exchange import Exchange
 
@@ -18,6 +18,8 @@
 # Bytes of a resumed stream within which its first event is looked for.
 MAX_FIRST_EVENT_BYTES = 65536
 
+_BLANK_LINE = re.compile(rb"(?:\A|\n)\r?\n")
+
 
 def first_event_id(data: bytes) -> str | None:
     """Return the id of the first event in `data`; None if that event is incomplete.
@@ -39,19 +41,24 @@
 
 
 async def log_resumption(
-    exchange: Exchange, target_id: str, pieces: AsyncIterator[bytes]
+    exchange: Exchange, target_id: str, pieces: AsyncIterator[bytes], after: int | None
 ) -> AsyncIterator[bytes]:
     """Yield the pieces of a resumed stream unchanged, and log the resumption once.
 
     The line is written with the first event or, without one, as the pieces end.
+
+    Parameters
+    ----------
+    after : int or None
+        Id of the event after which the target was asked to continue.
     """
-    after = require(exchange.events, "the event counter of a stream").last_id
-    head, is_logged = b"", False
+    head, is_logged = bytearray(), False
     try:
         async for piece in pieces:
             if not is_logged:
                 head += piece
-                found = first_event_id(head)
+                has_end = _BLANK_LINE.search(head, max(0, len(head) - len(piece) - 3))
+                found = first_event_id(bytes(head)) if has_end else None
                 if found is not None or len(head) > MAX_FIRST_EVENT_BYTES:
                     is_logged = True
                     _log_line(exchange, target_id, after, found)
--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -34,6 +34,8 @@
         sent while the target had no other request in flight. It advances with the time while this
         daemon reads none of the target's answers.
     last_answer_s : float
+        Local time of the last event or answer received from the target.
+    last_received_s : float
         Local time at which anything was last received from the target, also a comment.
     consecutive_failures : int
         Failures since the last success or ejection.
@@ -46,6 +48,7 @@
     in_flight: int = 0
     last_progress_s: float = 0.0
     last_answer_s: float = float("-inf")
+    last_received_s: float = float("-inf")
     consecutive_failures: int = 0
     ejections_since_success: int = 0
     ejected_s: float = float("-inf")
@@ -107,11 +110,11 @@
     def record_progress(self, target_id: str, now_s: float) -> None:
         """Record that an event or answer was received from a target."""
         load = self.of(target_id)
-        load.last_progress_s = load.last_answer_s = now_s
+        load.last_progress_s = load.last_answer_s = load.last_received_s = now_s
 
     def record_received(self, target_id: str, now_s: float) -> None:
         """Record that bytes were received from a target that are no progress."""
-        self.of(target_id).last_answer_s = now_s
+        self.of(target_id).last_received_s = now_s
 
     def restart_quiet_time(self, target_id: str, now_s: float) -> None:
         """Do not count the time until now as time without progress of a target."""
--- a/ferrydock/forwarding/tests/test_comments.py
+++ b/ferrydock/forwarding/tests/test_comments.py
@@ -3,10 +3,13 @@
 import asyncio
 
 from ...configuration import RouteKind
+from ...outcomes import Unavailable
 from .._answer_relay import MAX_PART_BYTES
 from .._events import MAX_BYTES_WITHOUT_EVENT, NumberedEvents, RunFault
+from .._lost_links import LINKS_LOST, LOST_SILENT_S
 from .rig import HEAD, Rig, ScriptedTarget, play, route
 from .test_forwarding import body_of
+from .test_interruptions import MonitoredReplica
 
 EVENT = b"id: 1\ndata: a\n\n"
 STREAM_ROUTE = route(kind=RouteKind.RESUMABLE_STREAM, attempts=2, time_limit_s=10.0)
@@ -42,7 +45,7 @@
             streaming = asyncio.ensure_future(rig.ask())
             await asyncio.sleep(0.3)
             load, now_s = rig.loads.of("t0"), rig.clock.now_s()
-            assert now_s - load.last_progress_s > 0.2 > now_s - load.last_answer_s
+            assert now_s - load.last_progress_s > 0.2 > now_s - load.last_received_s
             end.set()
             body, is_complete = body_of(await streaming)
             assert is_complete and body.startswith(EVENT + b": a\n\n")
@@ -76,3 +79,78 @@
             assert turns >= len(small_events) // MAX_PART_BYTES
 
     play(scenario)
+
+
+def test_lines_of_comments_do_not_hide_that_a_target_makes_no_progress():
+    """Failure: the bytes of a block that is not complete counted as progress, of whatever kind."""
+
+    async def scenario():
+        end = asyncio.Event()
+
+        async def comments(target, request, writer):
+            writer.write(HEAD + b"\r\n" + EVENT)
+            while not end.is_set():
+                await asyncio.sleep(0.02)
+                writer.write(b": a\n")
+            writer.write(b"\nid: 2\ndata: b\n\n")
+            return None
+
+        async with Rig([STREAM_ROUTE], [ScriptedTarget(comments)]) as rig:
+            streaming = asyncio.ensure_future(rig.ask())
+            await asyncio.sleep(0.3)
+            load, now_s = rig.loads.of("t0"), rig.clock.now_s()
+            assert now_s - load.last_progress_s > 0.2 > now_s - load.last_received_s
+            end.set()
+            assert body_of(await streaming)[1]
+
+    play(scenario)
+
+
+class CommentingReplica(MonitoredReplica):
+    """A replica whose head sends comments, and one of whose members does not answer."""
+
+    async def report(self, member, timeout_s):
+        self.poll_count += 1
+        self.clock.advance(0.05)
+        self.loads.record_received("t0", self.clock.now_s())
+        await asyncio.sleep(0)
+        return Unavailable("no answer")
+
+
+def test_comments_do_not_hide_that_a_member_does_not_answer():
+    """Failure: the result of each poll was dropped, because a comment arrived meanwhile."""
+
+    async def scenario():
+        monitored = CommentingReplica()
+        await monitored.steps(for_s=3.0)
+        assert monitored.poll_count > 1 and monitored.avoided == {("g0", 5)}
+
+    play(scenario)
+
+
+def test_stream_that_receives_comments_is_not_interrupted_as_silent():
+    """Failure: it was sent to another target although its connection lived on."""
+
+    async def scenario():
+        end = asyncio.Event()
+
+        async def comments(target, request, writer):
+            writer.write(HEAD + b"\r\n" + EVENT)
+            while not end.is_set():
+                await asyncio.sleep(0.02)
+                writer.write(b": a\n\n")
+            writer.write(b"id: 2\ndata: b\n\n")
+            return None
+
+        targets = [ScriptedTarget(comments), ScriptedTarget(comments)]
+        async with Rig([STREAM_ROUTE], targets) as rig:
+            streaming = asyncio.ensure_future(rig.ask())
+            await asyncio.sleep(LOST_SILENT_S + 0.1)
+            attempts = rig.forwarder.attempts
+            attempts.interrupt_silent(rig.clock.now_s(), LOST_SILENT_S, LINKS_LOST)
+            await asyncio.sleep(0.1)
+            assert sum(len(target.requests) for target in targets) == 1
+            end.set()
+            assert body_of(await streaming)[1]
+
+    play(scenario)
--- a/ferrydock/forwarding/tests/test_resumptions.py
+++ b/ferrydock/forwarding/tests/test_resumptions.py
@@ -1,12 +1,15 @@
 """The log line that tells after which event a stream was resumed, and which event came first."""
 
 import logging
+from types import SimpleNamespace
 
 import pytest
 
 from ...configuration import RouteKind
 from ...logs import parse_event
-from .._resumptions import first_event_id
+from .. import _resumptions
+from .._events import NumberedEvents
+from .._resumptions import MAX_FIRST_EVENT_BYTES, first_event_id
 from .rig import HEAD, Rig, ScriptedTarget, play, resets, route, writes
 
 STREAM = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -68,3 +71,32 @@
 )
 def test_the_id_of_the_first_complete_event_is_found(data, found):
     assert first_event_id(data) == found
+
+
+def test_the_first_event_of_a_resumed_stream_is_read_in_time_proportional_to_its_bytes(monkeypatch):
+    """Failure: all lines received so far were split again with each piece."""
+    line = b"data: a\n"
+    data = line * (MAX_FIRST_EVENT_BYTES // len(line) // 2)
+    read_bytes = 0
+
+    def count(head):
+        nonlocal read_bytes
+        read_bytes += len(head)
+        return first_event_id(head)
+
+    async def pieces():
+        for start in range(0, len(data), len(line)):
+            yield data[start : start + len(line)]
+
+    async def scenario():
+        exchange = SimpleNamespace(
+            events=NumberedEvents(3), inbound=SimpleNamespace(request_id="a1"), attempt_count=2
+        )
+        received = [
+            piece async for piece in _resumptions.log_resumption(exchange, "t0", pieces(), 3)
+        ]
+        assert b"".join(received) == data
+
+    monkeypatch.setattr(_resumptions, "first_event_id", count)
+    play(scenario)
+    assert read_bytes <= 8 * len(data)
--- a/ferrydock/retry_budget.py
+++ b/ferrydock/retry_budget.py
@@ -83,6 +83,11 @@
         self.spent += 1
         return True
 
+    def put_back(self) -> None:
+        """Return what was paid for a retry that was not made."""
+        self._available = min(self.max_saved, self._available + 1)
+        self.spent -= 1
+
 
 def backoff_s(attempt: int, random_source: random.Random) -> float:
     """Return the pause before retry number `attempt` (from 1): exponential, with full jitter."""
