Connections that a daemon closes are counted and logged by reason

What callers saw: two tries were cut without an answer beside changes of the idle timeout, and no daemon had a line about them: a connection closed as idle, for a slow head or at a stop left no trace unless a request had been read on it.

Recorded once a connection, nothing a request.

The decisions to close are unchanged.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -14,6 +14,7 @@
 from .. import http_server as web
 from ..clock import Clock
 from ..invariants import require
+from ._closed_connections import CloseReason
 from ._events import NumberedEvents
 from ._exchange import AttemptEnd, AttemptReason, CallerGone, Exchange, OpenedAnswer
 from ._headers import end_to_end
@@ -152,6 +153,7 @@
         exchange.first_bytes_s = self.clock.now_s() - exchange.received_s
         if exchange.is_last_on_connection():
             response.force_close()
+            caller_connection(exchange.request).note_close(CloseReason.STOPPING)
         exchange.response = response
         try:
             await response.prepare(exchange.request)
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -20,6 +20,7 @@
 from ._attempts import AttemptRunner, release_connection
 from ._crash_guard import CrashGuard
 from ._exchange import AttemptEnd, AttemptReason, Exchange, OpenedAnswer
+from ._listener import caller_connection
 from ._observed_times import ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
@@ -228,8 +229,7 @@
             queued=self.selector.queue_length,
         )
         if exchange.response is not None:
-            if exchange.request.transport is not None:
-                exchange.request.transport.abort()
+            caller_connection(exchange.request).break_answer()
             return exchange.response
         status = final_status(exchange.may_have_run, self._remaining_s(exchange))
         if status != SERVICE_UNAVAILABLE:
--- a/ferrydock/forwarding/_gateway.py
+++ b/ferrydock/forwarding/_gateway.py
@@ -30,6 +30,7 @@
 from ..unread_bytes import has_waiting_connection
 from ._body_memory import BodyMemory, BodyMemoryExceeded
 from ._caller_buffers import CallerBuffers, CutReason
+from ._closed_connections import ClosedConnections, CloseReason
 from ._dialect import Inbound, RequestDialect
 from ._events import NumberedEvents
 from ._exchange import CallerGone, Exchange
@@ -190,9 +191,10 @@
             max_field_size=MAX_PARSED_HEAD_BYTES,
             lingering_time=LINGERING_S,
         )
+        metrics = self.forwarder.attempts.metrics
+        self._server.closed = ClosedConnections(metrics, self.clock)
         if self.memory_bytes is not None:
             buffers: CallerBuffers[CallerConnection] = CallerBuffers(self.memory_bytes)
-            metrics = self.forwarder.attempts.metrics
             self._server.slow_readers = SlowReaders(buffers, metrics, self.clock)
         self._sockets = await asyncio.get_running_loop().create_server(
             self._server, host, int(port), backlog=LISTEN_BACKLOG
@@ -265,6 +267,8 @@
         self.forwarder.stop_limit.end()
         if self._server is not None:
             connections = self._server.caller_connections()
+            for connection in connections:
+                connection.note_close(CloseReason.STOPPING)
             await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
             self._cut_unread(connections)
 
@@ -276,7 +280,7 @@
 
     @property
     def caller_bytes_held(self) -> int:
-        """Bytes held for callers that read slowly; 0 if they are not bounded."""
+        """Bytes held for callers that read slowly."""
         connections = self._server.caller_connections() if self._server is not None else ()
         return sum(connection.held_bytes for connection in connections)
 
@@ -308,6 +312,7 @@
             self._bodies.release(connection)
             connection.end_request()
         if self._ends_connection(connection, response):
+            connection.note_close(CloseReason.STOPPING)
             response.force_close()
         return response
 
@@ -335,7 +340,9 @@
         if lookup is None:
             return refusal(SERVICE_UNAVAILABLE, "no_configuration", NOT_CONFIGURED_RETRY_S)
         if _head_bytes(request) > lookup.configuration.limits.header_bytes:
-            return refusal(HEADERS_TOO_LARGE, "headers_too_large", None, close=True)
+            return _refuse_and_close(
+                request, HEADERS_TOO_LARGE, "headers_too_large", CloseReason.REFUSED
+            )
         inbound = self.dialect.parse_request(request.headers)
         if isinstance(inbound, Invalid):
             log_event(
@@ -351,7 +358,7 @@
         if route is None:
             return refusal(NOT_FOUND, "no_route", None)
         if not was_read_before_stop:
-            return self._refuse_stopping(inbound, route)
+            return self._refuse_stopping(request, inbound, route)
         team: Team | None = None
         if _needs_key(lookup, route):
             found = self._authenticate(inbound, lookup, route)
@@ -382,8 +389,11 @@
             return refusal(UNAUTHORIZED, "unknown_key", None)
         return team
 
-    def _refuse_stopping(self, inbound: Inbound, route: Route) -> web.Response:
+    def _refuse_stopping(
+        self, request: web.BaseRequest, inbound: Inbound, route: Route
+    ) -> web.Response:
         """Refuse a request, which no target has received, because this daemon is stopping."""
+        caller_connection(request).note_close(CloseReason.STOPPING)
         self._log_refused(inbound, route, STOPPING_REASON)
         return refusal(SERVICE_UNAVAILABLE, STOPPING_REASON, STOPPING_RETRY_S, close=True)
 
@@ -400,7 +410,9 @@
         limits = lookup.configuration.limits
         length = request.content_length
         if length is not None and length > limits.body_bytes:
-            return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
+            return _refuse_and_close(
+                request, BODY_TOO_LARGE_STATUS, "body_too_large", CloseReason.REFUSED
+            )
         service = lookup.configuration.services.get(self._pick_service(route.services))
         if service is None:
             return refusal(SERVICE_UNAVAILABLE, "no_service", NOT_CONFIGURED_RETRY_S)
@@ -448,19 +460,24 @@
                     request, request.content_length, limits, partial(self._bodies.add, connection)
                 )
         except DaemonStopping:
-            return self._refuse_stopping(inbound, route)
+            return self._refuse_stopping(request, inbound, route)
         except TimeoutError:
             self._log_refused(inbound, route, "body_too_slow")
-            return refusal(REQUEST_TIMEOUT, "body_too_slow", None, close=True)
+            return _refuse_and_close(
+                request, REQUEST_TIMEOUT, "body_too_slow", CloseReason.BODY_TOO_SLOW
+            )
         except BodyMemoryExceeded:
             self._log_refused(inbound, route, "body_memory")
+            connection.note_close(CloseReason.REFUSED)
             return refusal(SERVICE_UNAVAILABLE, "body_memory", BODY_MEMORY_RETRY_S, close=True)
         except UnreadableBody as error:
             log_event(_LOG, logging.INFO, "request_unreadable", status=BAD_REQUEST, why=str(error))
             request.content.feed_eof()  # aiohttp would wait for the rest
-            return refusal(BAD_REQUEST, "bad_request", None, close=True)
+            return _refuse_and_close(request, BAD_REQUEST, "bad_request", CloseReason.MALFORMED)
         if read is None:
-            return refusal(BODY_TOO_LARGE_STATUS, "body_too_large", None, close=True)
+            return _refuse_and_close(
+                request, BODY_TOO_LARGE_STATUS, "body_too_large", CloseReason.REFUSED
+            )
         return read
 
     def _is_stopping(self) -> bool:
@@ -486,6 +503,14 @@
         )
 
 
+def _refuse_and_close(
+    request: web.BaseRequest, status: int, reason: str, why: CloseReason
+) -> web.Response:
+    """Return an error response after which the connection is closed, for a recorded reason."""
+    caller_connection(request).note_close(why)
+    return refusal(status, reason, None, close=True)
+
+
 def _find_route(lookup: ConfigurationLookup, request: web.BaseRequest) -> Route | None:
     return lookup.route(request.headers.get("Host", ""), request.raw_path)
 
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -26,7 +26,7 @@
 from ..logs import log_event
 from ..planned_stop import is_idle, is_waiting_for_request
 from ..route_metrics import RouteMetrics
-from ..unread_bytes import count_unread_bytes
+from ..unread_bytes import count_left_bytes, count_unread_bytes
 from ._caller_buffers import (
     BACKLOG_BYTES,
     CALLER_BOUND_BYTES,
@@ -34,6 +34,7 @@
     CallerBuffers,
     CutReason,
 )
+from ._closed_connections import ClosedConnections, CloseReason
 from ._refusal import refusal
 from ._request_parser import BoundedParser
 from ._target_loads import FIRST_SERVER_ERROR_STATUS
@@ -77,6 +78,8 @@
         Number of requests whose handlers have started.
     request_id : str
         Id of the last request; empty before the first one.
+    closed : ClosedConnections or None
+        Records the end of this connection.
     slow_readers : SlowReaders or None
         Observes how this caller reads; None if the memory for slow readers is not bounded.
     is_backlogged : bool
@@ -87,7 +90,12 @@
 
     __slots__ = (
         "_caller_transport",
+        "_close_reason",
+        "_has_caller_left",
+        "_has_finished",
         "_read_before_stop",
+        "_was_in_use",
+        "closed",
         "handlers_started",
         "head_started_s",
         "in_flight",
@@ -106,6 +114,11 @@
         self.handlers_started = 0
         self._read_before_stop: int | None = None
         self.request_id = ""
+        self.closed: ClosedConnections | None = None
+        self._close_reason: CloseReason | None = None
+        self._has_caller_left = self._has_finished = False
+        # Whether a request was in progress when the daemon closed the connection; else None.
+        self._was_in_use: bool | None = None
         self.slow_readers: SlowReaders | None = None
         self.is_backlogged = False
         self.is_held_back = False
@@ -118,17 +131,78 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self._caller_transport = require(self.transport, "the transport of a new connection")
         if self.slow_readers is not None:
-            self._caller_transport = require(self.transport, "the transport of a new connection")
             self._caller_transport.set_write_buffer_limits(high=BACKLOG_BYTES)
 
+    async def start(self) -> None:
+        """Handle requests until the connection is to be closed; then aiohttp closes it."""
+        await super().start()
+        self._has_finished = True
+
+    def eof_received(self) -> None:
+        """Handle that the caller sends nothing more."""
+        self._has_caller_left = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None:
+            self._has_caller_left = True
+        self._record_close()
         super().connection_lost(exc)
         self._caller_transport = None
         self.is_backlogged = self.is_held_back = False
         if self.slow_readers is not None:
             self.slow_readers.buffers.remove(self)
 
+    def note_close(self, why: CloseReason) -> None:
+        """Record why the connection is about to be closed; the first reason counts."""
+        if self._close_reason is None:
+            self._close_reason = why
+
+    def close(self) -> None:
+        """Close the connection after an answer; aiohttp does so if its body was not read."""
+        self.note_close(CloseReason.BODY_UNREAD)
+        super().close()
+
+    def force_close(self) -> None:
+        """Close the connection now."""
+        self._note_use()
+        super().force_close()
+
+    def break_answer(self) -> None:
+        """Reset the connection, so that its caller does not take a part for the whole answer."""
+        if self.transport is not None:
+            self._abort(CloseReason.ANSWER_BROKEN)
+
+    def _abort(self, why: CloseReason) -> None:
+        if self._caller_transport is not None:
+            self.note_close(why)
+            self._note_use()
+            self._caller_transport.abort()
+
+    def _note_use(self) -> None:
+        if self._was_in_use is None:
+            has_begun = self._request_count > 0 and not self._has_finished
+            self._was_in_use = has_begun and not is_waiting_for_request(self)
+
+    def _record_close(self) -> None:
+        self._note_use()
+        why = self._close_reason
+        if why is None and self._has_caller_left:
+            why = CloseReason.CALLER_LEFT
+        if why is None:
+            why = CloseReason.ANSWERED if self._has_finished else CloseReason.UNKNOWN
+        if self.closed is not None and self._caller_transport is not None:
+            self.closed.record(
+                why,
+                is_in_use=bool(self._was_in_use),
+                unread_bytes=count_left_bytes(self._caller_transport),
+                request_id=self.request_id,
+                requests=self.handlers_started,
+                idle_s=self._loop.time() - self.idle_since_s,
+            )
+
     def data_received(self, data: bytes) -> None:
         if self.head_started_s is None and self._is_waiting_for_head:
             self.head_started_s = self._loop.time()
@@ -199,7 +273,7 @@
 
     def cut(self) -> None:
         """Discard the held bytes and close the connection; its request ends as disconnected."""
-        require(self._caller_transport, "an open connection").abort()
+        self._abort(CloseReason.ANSWER_UNREAD)
 
     def begin_request(self) -> bool:
         """Count a request as in flight; return whether it was read before listening ended."""
@@ -226,6 +300,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request was read that is not answered yet."""
         if is_idle(self):
+            self.note_close(CloseReason.STOPPING)
             self.force_close()
 
     def close_if_timed_out(
@@ -242,7 +317,9 @@
             return
         if count_unread_bytes(self.transport):
             return
-        if self.head_started_s is not None:
+        has_head_begun = self.head_started_s is not None
+        self.note_close(CloseReason.HEAD_TOO_SLOW if has_head_begun else CloseReason.IDLE)
+        if has_head_begun:
             log_event(
                 _LOG,
                 logging.INFO,
@@ -272,6 +349,7 @@
         if is_own_fault:
             _LOG.error("a handler failed", exc_info=exc)
             return refusal(status, "internal_error", None, close=True)
+        self.note_close(CloseReason.MALFORMED)
         reason = "headers_too_large" if status == HEADERS_TOO_LARGE else "bad_request"
         return refusal(status, reason, None, close=True)
 
@@ -357,9 +435,12 @@
     ----------
     slow_readers : SlowReaders or None
         Observes how callers read; None if the memory for slow readers is not bounded.
+    closed : ClosedConnections or None
+        Records the end of each connection.
     """
 
     _is_refusing = False
+    closed: ClosedConnections | None = None
     slow_readers: SlowReaders | None = None
 
     def __init__(self, *arguments, max_head_bytes: Callable[[], int], **options):
@@ -369,6 +450,7 @@
     def __call__(self) -> CallerConnection:
         connection = CallerConnection(self, loop=self._loop, **self._kwargs)
         connection.slow_readers = self.slow_readers
+        connection.closed = self.closed
         connection.bound_heads(self.max_head_bytes)
         if self._is_refusing:
             connection.refuse_new_requests()
--- a/ferrydock/route_metrics.py
+++ b/ferrydock/route_metrics.py
@@ -124,6 +124,12 @@
             ("why",),
             registry=registry,
         )
+        self.connections_closed = Counter(
+            "ferrydock_connections_closed",
+            "Connections of callers that have ended, by the reason and by what they held then.",
+            ("why", "state"),
+            registry=registry,
+        )
         self.caller_bytes_held = Gauge(
             "ferrydock_caller_bytes_held",
             "Bytes of answers that callers have not read yet, held in the daemon's memory.",
--- a/ferrydock/unread_bytes.py
+++ b/ferrydock/unread_bytes.py
@@ -10,7 +10,7 @@
 import select
 import termios
 
-__all__ = ["count_unread_bytes", "has_waiting_connection"]
+__all__ = ["count_left_bytes", "count_unread_bytes", "has_waiting_connection"]
 
 
 def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
@@ -32,8 +32,18 @@
     >>> asyncio.run(scenario())
     4
     """
-    if transport.is_closing():
-        return 0
+    return 0 if transport.is_closing() else _count(transport)
+
+
+def count_left_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the number of bytes that are never read; to be called when the connection is lost.
+
+    Both event loops close the socket after they have reported that the connection is lost.
+    """
+    return _count(transport)
+
+
+def _count(transport: asyncio.BaseTransport) -> int:
     count = array.array("i", [0])
     fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
     return count[0]
