Closed connections that held a request have log lines of their own bound

Connections with unread bytes or a request in progress now have a bound of their own. Evidence: the new test failed on both loops before; the lines stay bounded.

--- a/ferrydock/forwarding/_closed_connections.py
+++ b/ferrydock/forwarding/_closed_connections.py
@@ -16,8 +16,9 @@
 
 _LOG = logging.getLogger("ferrydock.forwarding")
 
-# Number of lines about connections that were closed without a request; a shorter idle timeout can
-# close all of them at once. The next line gives the number of those left out before it.
+# Number of lines about closed connections that held nothing, and as many about others: a stop or a
+# shorter idle timeout can close all idle ones at once, and must not leave out a request that was
+# never answered. The next line gives the number of those left out before it.
 MAX_LINES_PER_S = 5
 
 
@@ -64,12 +65,13 @@
         Counts by reason and state.
     """
 
-    __slots__ = ("_lines", "clock", "metrics")
+    __slots__ = ("_free_lines", "_other_lines", "clock", "metrics")
 
     def __init__(self, metrics: RouteMetrics, clock: Clock):
         self.metrics = metrics
         self.clock = clock
-        self._lines = LineLimit(MAX_LINES_PER_S, period_s=1.0)
+        self._free_lines = LineLimit(MAX_LINES_PER_S, period_s=1.0)
+        self._other_lines = LineLimit(MAX_LINES_PER_S, period_s=1.0)
 
     def record(
         self,
@@ -101,7 +103,8 @@
         elif unread_bytes:
             state = ConnectionState.UNREAD
         self.metrics.connections_closed.labels(why, state).inc()
-        if why in _CAUSED_BY_CALLERS or not self._lines.admits(self.clock.now_s()):
+        lines = self._free_lines if state is ConnectionState.FREE else self._other_lines
+        if why in _CAUSED_BY_CALLERS or not lines.admits(self.clock.now_s()):
             return
         log_event(
             _LOG,
@@ -113,5 +116,5 @@
             requests=requests,
             unread_bytes=unread_bytes,
             idle_ms=idle_s * 1000,
-            left_out=self._lines.take_left_out(),
+            left_out=lines.take_left_out(),
         )
--- a/ferrydock/forwarding/tests/test_closed_connections.py
+++ b/ferrydock/forwarding/tests/test_closed_connections.py
@@ -192,3 +192,24 @@
             assert caplog.text.count("event=connection_closed") == MAX_LINES_PER_S
 
     play(loop_factory, scenario)
+
+
+@LOOPS
+def test_unread_request_is_logged_beside_many_idle_connections_that_are_closed(
+    loop_factory, caplog
+):
+    async def scenario():
+        async with gateway() as rig:
+            callers = [await Caller.connect(rig) for _ in range(2 * MAX_LINES_PER_S)]
+            await until(lambda: rig.gateway.connection_count == len(callers))
+            connections = rig.gateway._server.caller_connections()
+            for connection in connections:
+                connection.idle_since_s -= 3600.0
+            rig.gateway.enforce_timeouts()
+            last = callers[-1]
+            last.send(REQUEST)
+            await until(lambda: not rig.gateway.connection_count)
+            assert counted(rig)[CloseReason.IDLE, UNREAD] == 1.0
+            assert caplog.text.count("why=idle state=unread") == 1
+
+    play(loop_factory, scenario)
