A stop does not close a connection whose request is on its way

What callers saw: a try ended cut, without an answer and without a line of a daemon, beside planned stops.

Cause: 50 ms after listening ended, connections without a request were closed if no byte lay unread: also one opened a moment before, whose caller sends its first request a round trip later, and one of whose request the head had been read in part.

Such a connection is now kept for 0.3 s since it was opened, or since the head began; the request that arrives is refused as not run, as others read after the end of listening. Evidence: two new tests, on asyncio and uvloop, failed before (the caller read nothing, or a reset). Safe: the wait is bounded, so a stop takes at most 0.3 s longer for callers that connect and send nothing. The test of counting an idle connection at a stop now closes one that has had its answer; it used a new one.

--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -40,6 +40,7 @@
 from ._target_loads import FIRST_SERVER_ERROR_STATUS
 
 __all__ = [
+    "EXPECTED_REQUEST_WAIT_S",
     "HEADERS_TOO_LARGE",
     "REQUEST_TIMEOUT",
     "CallerConnection",
@@ -54,6 +55,11 @@
 HEADERS_TOO_LARGE = 431
 REQUEST_TIMEOUT = 408
 
+# For how long a connection is not closed at a stop although no request was read: a new one, whose
+# caller has connected in order to send a request, or one of which a part of the head was read. The
+# rest can still be on its way; the time is longer than a packet takes to any hall.
+EXPECTED_REQUEST_WAIT_S = 0.3
+
 # Written to the transport directly: while a head is incomplete, aiohttp has no request to answer.
 _REQUEST_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -298,11 +304,19 @@
             self._read_before_stop = self._request_count
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request was read that is not answered yet."""
-        if is_idle(self):
+        """Close the connection unless a request is unanswered, unread or about to be sent."""
+        if is_idle(self) and not self._expects_request:
             self.note_close(CloseReason.STOPPING)
             self.force_close()
 
+    @property
+    def _expects_request(self) -> bool:
+        """Whether the first request, or the rest of a head, is probably on its way."""
+        since_s = self.head_started_s
+        if since_s is None and self.handlers_started == 0:
+            since_s = self.idle_since_s
+        return since_s is not None and self._loop.time() - since_s < EXPECTED_REQUEST_WAIT_S
+
     def close_if_timed_out(
         self, now_s: float, header_timeout_s: float, idle_timeout_s: float
     ) -> None:
--- a/ferrydock/forwarding/tests/test_closed_connections.py
+++ b/ferrydock/forwarding/tests/test_closed_connections.py
@@ -98,8 +98,11 @@
 def test_idle_connection_closed_at_a_stop_is_counted(loop_factory):
     async def scenario():
         async with gateway() as rig:
-            caller, _ = await connect_and_wait(rig)
+            caller, connection = await connect_and_wait(rig)
             with caller:
+                caller.send(REQUEST)
+                await receive_answer(caller)
+                await until_idle(rig, connection)
                 rig.gateway.stop_listening()
                 await until_counted(rig, CloseReason.STOPPING, FREE)
 
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from ...configuration import Configuration, IngressLimits
+from .._listener import EXPECTED_REQUEST_WAIT_S
 from .rig import Rig, ScriptedTarget, complete_answer, route, writes
 from .test_planned_stop import (
     REQUEST,
@@ -173,3 +174,59 @@
                 assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
 
     play(loop_factory, scenario)
+
+
+@LOOPS
+def test_request_that_follows_its_new_connection_at_the_end_of_listening_is_refused(loop_factory):
+    """Failure: the connection was accepted, and closed as idle while the request was under way."""
+
+    async def scenario():
+        async with gateway() as rig:
+            caller, _ = await connect_and_wait(rig)
+            with caller:
+                rig.gateway.stop_listening()
+                rig.gateway.close_idle()
+                await asyncio.sleep(0)
+                caller.send(REQUEST)
+                received = await receive_all(caller)
+                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                assert rig.targets[0].requests == []
+
+    play(loop_factory, scenario)
+
+
+@LOOPS
+def test_new_connection_without_a_request_does_not_hold_up_a_stop(loop_factory):
+    async def scenario():
+        async with gateway() as rig:
+            caller, connection = await connect_and_wait(rig)
+            with caller:
+                rig.gateway.stop_listening()
+                connection.idle_since_s -= EXPECTED_REQUEST_WAIT_S
+                rig.gateway.close_idle()
+                assert await receive_all(caller) == b""
+
+    play(loop_factory, scenario)
+
+
+@LOOPS
+def test_request_whose_head_is_arriving_at_the_end_of_listening_is_refused(loop_factory):
+    """Failure: the connection was closed as idle between two segments of the head."""
+
+    async def scenario():
+        async with gateway() as rig:
+            caller, connection = await connect_and_wait(rig)
+            with caller:
+                caller.send(REQUEST)
+                await receive_answer(caller)
+                await until_idle(rig, connection)
+                caller.send(REQUEST[:20])
+                await until(lambda: has_passed(connection.head_started_s))
+                rig.gateway.stop_listening()
+                rig.gateway.close_idle()
+                await asyncio.sleep(0)
+                caller.send(REQUEST[20:])
+                received = await receive_all(caller)
+                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+
+    play(loop_factory, scenario)
