A shorter idle timeout holds for connections that become idle after it

What callers see: a request sent on a kept connection within the time the caller knew is cut without an answer or a refusal, right after the idle timeout was shortened.

Cause: the new time was applied at once to connections that had become idle under the longer one. Their close and a request of a caller that keeps to the longer time cross on the network; bytes that lie unread are waited for, those on their way cannot be.

A connection now keeps the longest time configured since it became idle. Evidence: the new test failed on both loops before (closed with the request unread). Safe: a connection is kept no longer than the time that was in force before; the rule runs once a second and costs nothing a request.

--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -35,6 +35,7 @@
     CutReason,
 )
 from ._closed_connections import ClosedConnections, CloseReason
+from ._idle_limits import IdleLimits
 from ._refusal import refusal
 from ._request_parser import BoundedParser
 from ._target_loads import FIRST_SERVER_ERROR_STATUS
@@ -460,6 +461,7 @@
     def __init__(self, *arguments, max_head_bytes: Callable[[], int], **options):
         super().__init__(*arguments, **options)
         self.max_head_bytes = max_head_bytes
+        self._idle_limits = IdleLimits()
 
     def __call__(self) -> CallerConnection:
         connection = CallerConnection(self, loop=self._loop, **self._kwargs)
@@ -481,7 +483,12 @@
         return [each for each in self.connections if isinstance(each, CallerConnection)]
 
     def close_timed_out(self, header_timeout_s: float, idle_timeout_s: float) -> None:
-        """Close the connections that exceed the header timeout or the idle timeout."""
+        """Close the connections that exceed the header timeout or the idle timeout.
+
+        One that was idle before a shorter idle timeout came into force keeps the longer one.
+        """
         now_s = self._loop.time()
+        self._idle_limits.update(idle_timeout_s, now_s)
         for connection in self.caller_connections():
-            connection.close_if_timed_out(now_s, header_timeout_s, idle_timeout_s)
+            idle_limit_s = self._idle_limits.limit_s(connection.idle_since_s)
+            connection.close_if_timed_out(now_s, header_timeout_s, idle_limit_s)
--- a/ferrydock/forwarding/tests/test_configuration_changes.py
+++ b/ferrydock/forwarding/tests/test_configuration_changes.py
@@ -6,9 +6,16 @@
 import uvloop
 
 from ...configuration import Configuration, IngressLimits, RouteKind
+from .._idle_limits import IdleLimits
 from .rig import TENANTS, Rig, ScriptedTarget, complete_answer, route, writes
 from .test_forwarding import STREAM, events
 from .test_planned_stop import FIELDS, REQUEST, Caller, pauses_until, until
+from .test_unread_requests import (
+    apply_limits,
+    connect_and_wait,
+    gateway,
+    receive_answer,
+)
 
 LOOPS = pytest.mark.parametrize(
     "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
@@ -75,3 +82,41 @@
             assert target.requests[0].endswith(b"abcd")
 
     play(loop_factory, scenario)
+
+
+@LOOPS
+def test_connection_idle_before_a_shorter_idle_timeout_is_kept_for_the_longer_one(loop_factory):
+    """Failure: callers that knew the longer time sent requests on connections being closed."""
+
+    async def scenario():
+        async with gateway() as rig:
+            caller, connection = await connect_and_wait(rig)
+            with caller:
+                rig.gateway.enforce_timeouts()
+                connection.idle_since_s -= 50.0
+                for idle_timeout_s in (30.0, 10.0):
+                    apply_limits(rig, idle_timeout_s=idle_timeout_s)
+                    rig.gateway.enforce_timeouts()
+                caller.send(REQUEST)
+                assert (await receive_answer(caller)).startswith(b"HTTP/1.1 200")
+
+    play(loop_factory, scenario)
+
+
+@pytest.mark.parametrize(
+    ("idle_since_s", "limit_s"), [(0.0, 60.0), (9.0, 60.0), (11.0, 30.0), (21.0, 10.0)]
+)
+def test_idle_limit_is_the_longest_in_force_since_the_connection_was_idle(idle_since_s, limit_s):
+    limits = IdleLimits()
+    for now_s, configured_s in ((0.0, 60.0), (10.0, 30.0), (20.0, 10.0)):
+        limits.update(configured_s, now_s)
+    assert limits.limit_s(idle_since_s) == limit_s
+
+
+def test_longer_idle_limit_holds_for_all_and_the_shorter_one_is_forgotten_when_its_time_is_over():
+    limits = IdleLimits()
+    for now_s, configured_s in ((0.0, 10.0), (5.0, 60.0), (6.0, 10.0)):
+        limits.update(configured_s, now_s)
+    assert limits.limit_s(5.5) == 60.0
+    limits.update(10.0, 66.1)
+    assert limits.limit_s(5.5) == 10.0
