Emulator: a store and peers that send bytes without end

What was missing: only workers and callers could send without end; the store and other daemons' addresses could not.

New troubles: store_endless and store_endless_for_some (a share of reads and watches, waiting ones included, is answered with an endless head or body for 2 to 6 s; writes and leases are answered), and peers_endless (daemons are killed, leaders first; their leases go on being renewed, and what listens at their internal ports sends bytes of no protocol, HTTP/2 control, header or data frames, tunnel frames, or gRPC replies of 16 MB).

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -43,7 +43,8 @@
 
 ``python -m benchmarks.soak --plays=endless --seeds=50`` plays workers that answer with bytes
 without end, which are no answer, on half of the seeds among stops, restarts, kills and changes of
-the configuration; ``tests/soak_endless_seeds.txt``.
+the configuration; on every fourth seed the store answers so too, and on the next one peers;
+``tests/soak_endless_seeds.txt``.
 
 ``python -m benchmarks.soak --plays=drains --seeds=50`` plays targets that leave all the time while
 store, leaders and callers are slow, silent or stopped, and measures how long each target that
@@ -71,6 +72,7 @@
     draw_crashing_parts,
     draw_drains,
     draw_endless,
+    draw_endless_senders,
     draw_eras,
     draw_foreign,
     draw_leaving,
@@ -330,7 +332,7 @@
     """
     halls, _, _ = _fleet_sizes(seed)
     length_s = 14.0
-    troubles = draw_endless(seed, length_s, halls)
+    troubles = draw_endless(seed, length_s, halls) + draw_endless_senders(seed, length_s, halls)
     return replace(
         _fleet_experiment(f"endless {seed}", seed, length_s, LEAVING_LOAD, troubles, MIN_PEERS),
         persistent_callers=1 if len(halls) == 3 else 2,
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -5,6 +5,7 @@
 from ._drain_plays import draw_drains
 from ._drains import DrainJudge, DrainReport, LateArrival, LateClass
 from ._endless import draw_endless
+from ._endless_senders import draw_endless_senders
 from ._eras import draw_eras
 from ._experiment import (
     KINDS,
@@ -70,6 +71,7 @@
     "LateClass",
     "draw_drains",
     "draw_endless",
+    "draw_endless_senders",
     "draw_entry",
     "draw_eras",
     "draw_foreign",
--- a/ferrydock/emulator/_daemon_troubles.py
+++ b/ferrydock/emulator/_daemon_troubles.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from collections.abc import Awaitable, Callable
 
 from ..invariants import require
 from ._experiment import Trouble
@@ -12,7 +13,7 @@
 from ._stops import GRACE_S, PlannedStop, had_to_be_killed
 from ._troubles import EmulationParts, trouble
 
-__all__ = ["end_daemons"]
+__all__ = ["end_daemons", "undisturbed_daemons"]
 
 # Pause between the end of a daemon and its restart, and between the restart and the earliest time
 # from which the daemon counts as undisturbed.
@@ -30,7 +31,7 @@
     return ",".join(daemon.name for daemon in daemons)
 
 
-def _undisturbed_daemons(parts: EmulationParts, spec: Trouble) -> list[DaemonProcess]:
+def undisturbed_daemons(parts: EmulationParts, spec: Trouble) -> list[DaemonProcess]:
     """Return up to `count` random daemons that run, are undisturbed and not about to be stopped."""
     candidates = [
         daemon
@@ -44,24 +45,30 @@
 @trouble("daemon_killed")
 async def kill_daemons(parts: EmulationParts, spec: Trouble) -> str:
     """Kill daemons and start them again."""
-    return await end_daemons(parts, _undisturbed_daemons(parts, spec), signal.SIGKILL)
+    return await end_daemons(parts, undisturbed_daemons(parts, spec), signal.SIGKILL)
 
 
 @trouble("daemon_stopped")
 async def stop_daemons(parts: EmulationParts, spec: Trouble) -> str:
     """Stop daemons as planned and start them again."""
-    return await end_daemons(parts, _undisturbed_daemons(parts, spec), signal.SIGTERM)
+    return await end_daemons(parts, undisturbed_daemons(parts, spec), signal.SIGTERM)
 
 
 async def end_daemons(
-    parts: EmulationParts, chosen: list[DaemonProcess], signal_number: signal.Signals
+    parts: EmulationParts,
+    chosen: list[DaemonProcess],
+    signal_number: signal.Signals,
+    meanwhile: Callable[[], Awaitable[None]] | None = None,
 ) -> str:
-    """End daemons by a signal and start them again; return their names."""
+    """End daemons by a signal and start them again; return their names.
+
+    They are started after `meanwhile` has been awaited, or else after a short pause.
+    """
     for daemon in chosen:
         daemon.is_disturbed = True
         daemon.signal(signal_number)
     await asyncio.gather(*(daemon.end() for daemon in chosen))
-    await asyncio.sleep(RESTART_AFTER_S)
+    await (asyncio.sleep(RESTART_AFTER_S) if meanwhile is None else meanwhile())
     for daemon in chosen:
         await daemon.start()
     await asyncio.gather(*(_end_disturbance(parts, daemon) for daemon in chosen))
@@ -82,7 +89,7 @@
 @trouble("daemon_frozen")
 async def freeze_daemons(parts: EmulationParts, spec: Trouble) -> str:
     """Suspend daemons with SIGSTOP for `for_s` seconds."""
-    chosen = _undisturbed_daemons(parts, spec)
+    chosen = undisturbed_daemons(parts, spec)
     for daemon in chosen:
         daemon.is_disturbed = True
         daemon.signal(signal.SIGSTOP)
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -7,12 +7,15 @@
 from enum import StrEnum
 
 from ..outcomes import Fault, Invalid
-from ..standins.fleet import EndlessKind
+from ..standins.fleet import EndlessKind, EndlessPeerKind
 from ._links import LinkFailure
 
 __all__ = [
     "ENDLESS_CALLERS_KIND",
     "ENDLESS_KIND",
+    "ENDLESS_PEERS_KIND",
+    "ENDLESS_STORE_KIND",
+    "ENDLESS_STORE_OF_SOME_KIND",
     "FOREIGN_KIND",
     "SILENCE_KIND",
     "KINDS",
@@ -104,6 +107,9 @@
 }
 ENDLESS_CALLERS_KIND = "callers_endless"
 ENDLESS_KIND = "workers_endless"
+ENDLESS_PEERS_KIND = "peers_endless"
+ENDLESS_STORE_KIND = "store_endless"
+ENDLESS_STORE_OF_SOME_KIND = "store_endless_for_some"
 SILENCE_KIND = "workers_silent"
 _LOST_KINDS = {
     SILENCE_KIND: "sound workers stand still `count` times, up to `for_s` each time, and go on "
@@ -111,6 +117,11 @@
     ENDLESS_KIND: "`count` workers answer with bytes that are no answer, without end, for `for_s` "
     "(how: the part of the answer)",
     ENDLESS_CALLERS_KIND: "`count` callers send requests without end for `for_s` (how: the part)",
+    ENDLESS_STORE_KIND: "the store answers a share of the reads and watches with bytes without end "
+    "for `for_s` (how: as for workers_endless)",
+    ENDLESS_STORE_OF_SOME_KIND: "as store_endless, for `count` daemons",
+    ENDLESS_PEERS_KIND: "`count` daemons are killed, leaders first, and restarted `for_s` later; "
+    "until then those that connect to their internal ports get bytes without end (how: which)",
     "configuration_changed": "the operator changes routes, limits and keys that no caller uses",
 }
 KINDS = {
@@ -145,6 +156,7 @@
     *(failure for failure in LinkFailure if failure != "reset"),
     *Silent,
     *EndlessKind,
+    *EndlessPeerKind,
 )
 _REQUEST_CLASSES = ("write-large", "write-small", "look", "file")
 
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -18,6 +18,7 @@
 )
 from ._drains import DrainJudge, LateClass
 from ._endless import describe_filler, describe_memory, describe_unserved_elsewhere
+from ._endless_senders import describe_unserved_after
 from ._foreign_entries import describe_log_lines, describe_unserved_beside
 from ._hops import Arrival, Departure, analyse_hops
 from ._leaving import (
@@ -304,6 +305,9 @@
             self.parts.endless_s,
             self._is_in_steady_state,
         )
+        result.broken += describe_unserved_after(
+            result.calls, self.parts.endless_s, self._is_in_steady_state
+        )
 
     def _is_in_steady_state(self, call: Call) -> bool:
         """Return whether nothing disturbed daemon and store, and no stall silenced all workers."""
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -16,6 +16,7 @@
 # Imported because they register troubles.
 from . import _daemon_troubles as _daemon_troubles
 from . import _endless as _endless
+from . import _endless_senders as _endless_senders
 from . import _foreign_entries as _foreign_entries
 from . import _link_troubles as _link_troubles
 from . import _pace_troubles as _pace_troubles
--- a/ferrydock/emulator/_store_troubles.py
+++ b/ferrydock/emulator/_store_troubles.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 import orjson
 
 from ..hall_lease import controller_key
 from ..standins.fleet import WRITTEN_AGAIN_S
-from ._experiment import Trouble
+from ._experiment import ENDLESS_STORE_KIND, ENDLESS_STORE_OF_SOME_KIND, Trouble
 from ._processes import DaemonProcess
 from ._troubles import EmulationParts, trouble
 
-__all__ = ["REACHABLE_KINDS", "STORE_KINDS", "affected_daemons", "leaders"]
+__all__ = ["REACHABLE_KINDS", "STORE_KINDS", "affected_daemons", "held_leases", "leaders"]
 
 # Routes that a changed configuration adds at most.
 MAX_ADDED_ROUTES = 40
@@ -34,6 +35,8 @@
     "leader_connections_silent",
     "calls_lost",
     "leader_calls_lost",
+    ENDLESS_STORE_KIND,
+    ENDLESS_STORE_OF_SOME_KIND,
 )
 
 # Kinds of trouble in which the store answers new calls on new connections.
@@ -78,16 +81,33 @@
     if spec.kind in STORE_KINDS and spec.kind.startswith("leader_"):
         names = leaders(parts)
         return [daemon for daemon in candidates if daemon.name in names]
-    if spec.kind in ("store_down_for_some", "store_slow_for_some"):
+    if spec.kind in ("store_down_for_some", "store_slow_for_some", ENDLESS_STORE_OF_SOME_KIND):
         return random.Random(f"{spec.at_s}").sample(candidates, min(spec.count, len(candidates)))
     return candidates
 
 
-def leaders(parts: EmulationParts) -> set[str]:
-    """Return the names of the daemons that currently hold the halls' leases."""
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """The lease of a hall's leader: name of the daemon, and id in the store."""
+
+    holder: str
+    lease_id: int
+
+
+def held_leases(parts: EmulationParts) -> list[HeldLease]:
+    """Return the leases of the halls' leaders."""
     keys, _ = parts.site.store.snapshot()
     held = (keys.get(controller_key(hall)) for hall in parts.site.halls)
-    return {str(orjson.loads(item.value)["holder"]) for item in held if item is not None}
+    return [
+        HeldLease(str(orjson.loads(item.value)["holder"]), item.lease_id)
+        for item in held
+        if item is not None
+    ]
+
+
+def leaders(parts: EmulationParts) -> set[str]:
+    """Return the names of the daemons that currently hold the halls' leases."""
+    return {lease.holder for lease in held_leases(parts)}
 
 
 @trouble("waits_silent")
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from ._caller import request_bytes
 from ._endless import ENDLESS_MARK, EndlessKind
+from ._endless_peer import EndlessPeer, EndlessPeerKind
 from ._ports import FleetControl, FleetList
 from ._site import HEARTBEAT_S, WRITTEN_AGAIN_S, FleetSite, small_engine
 from ._store_http import StoreCall, StoreFace, StoreFaults
@@ -37,6 +38,8 @@
     "ColdPeriod",
     "CrashingRequest",
     "EndlessKind",
+    "EndlessPeer",
+    "EndlessPeerKind",
     "Fleet",
     "FleetControl",
     "FleetFaults",
--- a/ferrydock/standins/fleet/_endless.py
+++ b/ferrydock/standins/fleet/_endless.py
@@ -1,9 +1,9 @@
-"""Bytes that are no answer and do not end, as a worker in trouble sends them. Stateless."""
+"""Bytes that are no answer and do not end, as a worker or store sends them. Stateless."""
 
 import asyncio
 from enum import StrEnum
 
-__all__ = ["ENDLESS_MARK", "EndlessKind", "send_without_end"]
+__all__ = ["BLOCK_BYTES", "BLOCK_INTERVAL_S", "ENDLESS_MARK", "EndlessKind", "send_without_end"]
 
 # In all bytes of these answers: what a caller must not get.
 ENDLESS_MARK = b"endless-filler"
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -21,6 +21,7 @@
     WatchBatch,
     prefix_end,
 )
+from ._endless import EndlessKind, send_without_end
 
 __all__ = ["StoreCall", "StoreFace", "StoreFaults"]
 
@@ -36,6 +37,9 @@
 SILENCE_S = 60.0
 
 
+# Calls that can be answered without end; writes and leases are answered as usual meanwhile.
+ENDLESS_CALLS = ("key", "range", "watch")
+
 # Turns of the event loop within which a change reaches a watch that waits for it.
 WAKE_UP_TURNS = 3
 
@@ -75,6 +79,12 @@
         Delay of each answer.
     silent_share : float
         Share of the calls of any kind that are neither executed nor answered.
+    endless : EndlessKind or None
+        What reads and watches are answered with without end.
+    endless_share : float
+        Share of the reads and watches that are answered so.
+    endless_until_s : float
+        Loop time until which.
     """
 
     down: str = ""
@@ -82,6 +92,9 @@
     refused_share: float = 0.0
     slow_s: float = 0.0
     silent_share: float = 0.0
+    endless: EndlessKind | None = None
+    endless_share: float = 1.0
+    endless_until_s: float = 0.0
 
 
 class StoreFace:
@@ -104,6 +117,8 @@
         ``IP:PORT``, once started.
     latency_s : float
         Delay of each answer, that of the network to an undisturbed store.
+    endless_answers, endless_bytes : int
+        How many calls were answered without end, and the bytes of these answers.
     """
 
     def __init__(self, store: MemoryStore, rng: random.Random):
@@ -114,6 +129,10 @@
         self.calls: dict[str, int] = {}
         self.answered: list[StoreCall] = []
         self.address = ""
+        self.endless_answers = 0
+        self.endless_bytes = 0
+        self._waiting: set[asyncio.Transport] = set()
+        self._sending: set[asyncio.Task[None]] = set()
         self._oldest_revision = 0
         self._silence_count = 0
         self._silent_connections: set[object] = set()
@@ -142,9 +161,44 @@
 
     async def close(self) -> None:
         """Stop listening."""
+        for task in list(self._sending):
+            task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def answer_without_end(self, kind: EndlessKind, share: float, for_s: float) -> None:
+        """Answer a share of the reads and watches with bytes without end for a time.
+
+        So do the watches that wait now, without a change.
+        """
+        self.faults.endless, self.faults.endless_share = kind, share
+        self.faults.endless_until_s = asyncio.get_running_loop().time() + for_s
+        for transport in list(self._waiting):
+            if self._is_endless("watch"):
+                self._waiting.discard(transport)
+                task = asyncio.ensure_future(self._send_without_end(transport))
+                self._sending.add(task)
+                task.add_done_callback(self._sending.discard)
+
+    def _is_endless(self, kind: str) -> bool:
+        """Return whether a call is answered without end, by a draw if it can be."""
+        faults = self.faults
+        if faults.endless is None or kind not in ENDLESS_CALLS:
+            return False
+        if asyncio.get_running_loop().time() >= faults.endless_until_s:
+            faults.endless = None
+            return False
+        return self.rng.random() < faults.endless_share
+
+    async def _send_without_end(self, transport: asyncio.Transport) -> None:
+        faults = self.faults
+        if faults.endless is None:
+            return
+        self.endless_answers += 1
+        self.endless_bytes += await send_without_end(
+            transport, faults.endless, {}, faults.endless_until_s
+        )
+
     def forget_history(self) -> None:
         """Compact the store's history: watches from an earlier revision get status 410."""
         self._oldest_revision = self.store.revision
@@ -181,7 +235,7 @@
             refusal = await self._refusal(request)
             if refusal is not None:
                 return refusal
-            answer = await handler(request)
+            answer = await self._execute(request, kind, handler)
             await asyncio.sleep(self.latency_s + self.faults.slow_s)
             if silence_count != self._silence_count:
                 await asyncio.sleep(SILENCE_S)
@@ -193,6 +247,24 @@
 
         return handle
 
+    async def _execute(self, request: web.Request, kind: str, handler) -> web.Response:
+        transport = request.transport
+        if transport is None:
+            return web.Response(status=503)  # the caller has closed the connection
+        if self._is_endless(kind):
+            await self._send_without_end(transport)
+            return web.Response(status=503)  # the connection is closed
+        if kind != "watch":
+            return await handler(request)
+        self._waiting.add(transport)
+        try:
+            answer = await handler(request)
+            if transport not in self._waiting:
+                await asyncio.sleep(SILENCE_S)  # it is being answered without end
+            return answer
+        finally:
+            self._waiting.discard(transport)
+
     def _record(self, request: web.Request, kind: str, received_s: float) -> None:
         answered_s = asyncio.get_running_loop().time()
         transport = request.transport
