An unreadable reply of the hall's scheduler fails no request

What callers saw: 500 for a request whose daemon asked the hall's leader for a slot while something else answered at that address with well-framed bytes that are no reply.

Cause: SchedulerClient.request_slot decoded the reply unguarded, unlike the replies to reports and between halls, so the error ended the request.

Evidence: test_an_unreadable_reply_of_the_scheduler_fails_no_request, 5 of 5 cases failed before (the decoder's error came out of request_slot), all pass now.

The failure is logged as slot_unreadable.

--- a/ferrydock/scheduling/_client.py
+++ b/ferrydock/scheduling/_client.py
@@ -115,14 +115,11 @@
         elif not address or self._is_scheduler_skipped():
             return None
         else:
-            timeout_s = request.hold_s + REPLY_TIMEOUT_S
-            if filled.team and not self._accepts_team(address):
-                filled = replace(filled, team="")
-            data = await self.calls.call(address, PLACE, encode(filled), timeout_s)
-            if data is None:
+            remote_reply = await self._call_scheduler(address, filled)
+            if remote_reply is None:
                 self._skip_scheduler(address)
                 return None
-            reply = decode_reply(data)
+            reply = remote_reply
             self._limits.merge(reply.limits, sent_s)
         if is_grant_too_old(reply.waited_s, self.clock.now_s() - sent_s):
             log_event(_LOG, logging.WARNING, "cold_grant_late", target=reply.target_id)
@@ -131,6 +128,21 @@
             self._grants.append((self.clock.now_s(), reply.grant))
         return reply
 
+    async def _call_scheduler(self, address: str, request: SlotRequest) -> SlotReply | None:
+        """Return the reply of the scheduler at `address`; None if there is none to be read."""
+        timeout_s = request.hold_s + REPLY_TIMEOUT_S
+        if request.team and not self._accepts_team(address):
+            request = replace(request, team="")
+        data = await self.calls.call(address, PLACE, encode(request), timeout_s)
+        if data is None:
+            return None
+        try:
+            return decode_reply(data)
+        except (ValueError, TypeError, AttributeError) as error:
+            why = repr(error)
+            log_event(_LOG, logging.ERROR, "slot_unreadable", address=address, why=why)
+            return None
+
     def _accepts_team(self, address: str) -> bool:
         """Return whether the scheduler at `address` has stated that it accepts a team.
 
--- a/ferrydock/scheduling/tests/test_scheduler.py
+++ b/ferrydock/scheduling/tests/test_scheduler.py
@@ -274,6 +274,25 @@
         await self.server.close()
 
 
+@pytest.mark.parametrize("data", [b"", b"endless-filler", b"[]", b"{}", b'{"grant": []}'])
+def test_an_unreadable_reply_of_the_scheduler_fails_no_request(data):
+    """Failure: callers got 500 while something else answered at the address of the leader."""
+
+    class Calls:
+        async def call(self, address, method, request, timeout_s):
+            return data
+
+    async def scenario():
+        network = SchedulerOverNetwork()
+        network.address = "127.0.0.1:2"
+        network.client.calls = Calls()
+        request = SlotRequest("", service="engines", model="large", hold_s=2.0)
+        assert await network.client.request_slot(request) is None
+        assert network.client._is_scheduler_skipped()
+
+    asyncio.run(scenario())
+
+
 def test_a_slot_is_granted_over_the_network_and_its_end_is_reported():
     async def scenario():
         async with SchedulerOverNetwork() as network:
