Replies of other daemons are bounded by method

Cause: the bound on a message, 16 MB for target lists and configurations, held for every method. Calls for slots are made for many requests at once, and each reply is held and copied.

Now only News may be so large; replies of the other methods end at 1 MB, as received (a service configuration of the channel) and as unpacked.

Evidence: test_reply_bounds.py, 2 of 4 cases failed before (a reply of 1 MB and one byte was read, plain and packed).

Safe because replies of the other methods hold some 100 bytes for a target; a larger one counts as a missing reply, which is logged as call_failed why=RESOURCE_EXHAUSTED or answer_unreadable.

--- a/ferrydock/platform/tests/ages_site.py
+++ b/ferrydock/platform/tests/ages_site.py
@@ -22,7 +22,7 @@
 from ...freshness import EraSettling
 from ...hall_lease import ControllerLease
 from ...relay import RelayClient, RelayServer
-from ...relay._server import NEWS_METHOD
+from ...relay._peers import NEWS_METHOD
 from ...route_daemon import RouteDaemon
 from ...route_daemon._own_leadership import OwnHallLeadership
 from ...route_daemon._store_follower import StoreFollower
--- a/ferrydock/relay/_client.py
+++ b/ferrydock/relay/_client.py
@@ -18,8 +18,8 @@
 from ._broken_replicas import BrokenReplicas
 from ._daemon_counter import DaemonCounter
 from ._messages import UpdateReply, UpdateRequest, decode_reply, encode, encode_known_position
-from ._peers import PeerCalls
-from ._server import ACCEPTS_EVACUATED, ACCEPTS_LEAVING, NEWS_METHOD
+from ._peers import NEWS_METHOD, PeerCalls
+from ._server import ACCEPTS_EVACUATED, ACCEPTS_LEAVING
 
 __all__ = ["RelayClient"]
 
--- a/ferrydock/relay/_packing.py
+++ b/ferrydock/relay/_packing.py
@@ -38,19 +38,19 @@
     return zlib.compress(reply, ZLIB_LEVEL) if len(reply) >= COMPRESSION_THRESHOLD_BYTES else reply
 
 
-def decompress(reply: bytes) -> bytes:
+def decompress(reply: bytes, max_bytes: int = MAX_DECOMPRESSED_BYTES) -> bytes:
     """Undo `compress`; a reply that is not compressed is returned unchanged.
 
     Raises
     ------
     ValueError
-        If the data is invalid or incomplete, or decompresses to more than `MAX_DECOMPRESSED_BYTES`.
+        If the data is invalid or incomplete, or decompresses to more than `max_bytes`.
     """
     if not reply.startswith(ZLIB_FIRST_BYTE):
         return reply
     decompressor = zlib.decompressobj()
     try:
-        decompressed = decompressor.decompress(reply, MAX_DECOMPRESSED_BYTES)
+        decompressed = decompressor.decompress(reply, max_bytes)
     except zlib.error as error:
         raise ValueError(f"the answer cannot be unpacked: {error}") from error
     if not decompressor.eof:
--- a/ferrydock/relay/_peers.py
+++ b/ferrydock/relay/_peers.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+import orjson
+
 from ..invariants import require
 from ..logs import log_event
 from ._packing import decompress
@@ -15,7 +17,7 @@
 if TYPE_CHECKING:
     import grpc.aio
 
-__all__ = ["GRPC_OPTIONS", "SERVICE_NAME", "PeerCalls", "PeerMethod"]
+__all__ = ["GRPC_OPTIONS", "NEWS_METHOD", "SERVICE_NAME", "PeerCalls", "PeerMethod"]
 
 _LOG = logging.getLogger("ferrydock.relay")
 
@@ -28,9 +30,16 @@
 # Name of the gRPC service.
 SERVICE_NAME = "ferrydock.Peer"
 
+# Name of the gRPC method by which followers read target list and configuration from their leader.
+NEWS_METHOD = "News"
+
 # Far above the complete target list of a large site and a configuration of some hundred routes.
 MAX_MESSAGE_BYTES = 16 * 2**20
 
+# Replies of the other methods. A daemon makes such calls for many requests at once, and each reply
+# that arrives is held; some 100 bytes for each target of a large site are far less.
+MAX_REPLY_BYTES = 2**20
+
 # Concurrent connections: a daemon calls its hall leader, and a leader calls those of other halls.
 MAX_CONNECTIONS = 8
 
@@ -49,6 +58,17 @@
     ("grpc.enable_http_proxy", 0),
 )
 
+# Bounds replies by method.
+_METHOD_CONFIG = {
+    "methodConfig": [
+        {"name": [{"service": SERVICE_NAME}], "maxResponseMessageBytes": MAX_REPLY_BYTES},
+        {
+            "name": [{"service": SERVICE_NAME, "method": NEWS_METHOD}],
+            "maxResponseMessageBytes": MAX_MESSAGE_BYTES,
+        },
+    ]
+}
+
 # With these back-offs a restarted peer is reached again within half a second. The subchannel pool
 # is local, so that closing a channel closes its connection, which a global pool could keep open.
 CHANNEL_OPTIONS = (
@@ -57,6 +77,7 @@
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
     ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.service_config", orjson.dumps(_METHOD_CONFIG).decode()),
 )
 
 
@@ -65,6 +86,10 @@
     return data
 
 
+def _max_reply_bytes(method: str) -> int:
+    return MAX_MESSAGE_BYTES if method == NEWS_METHOD else MAX_REPLY_BYTES
+
+
 class PeerCalls:
     """Makes calls to other daemons."""
 
@@ -113,7 +138,7 @@
 
     def _decompressed(self, address: str, method: str, reply: bytes) -> bytes | None:
         try:
-            return decompress(reply)
+            return decompress(reply, _max_reply_bytes(method))
         except ValueError as error:
             why = str(error)
             log_event(
--- a/ferrydock/relay/_server.py
+++ b/ferrydock/relay/_server.py
@@ -21,15 +21,12 @@
 from ._daemon_counter import DaemonCounter
 from ._messages import UpdateReply, UpdateRequest, decode_known_position, decode_request, encode
 from ._packing import compress
-from ._peers import GRPC_OPTIONS, SERVICE_NAME, PeerMethod
+from ._peers import GRPC_OPTIONS, NEWS_METHOD, SERVICE_NAME, PeerMethod
 
 if TYPE_CHECKING:
     import grpc.aio
 
-__all__ = ["ACCEPTS_EVACUATED", "ACCEPTS_LEAVING", "NEWS_METHOD", "RelayServer"]
-
-# Name of the gRPC method.
-NEWS_METHOD = "News"
+__all__ = ["ACCEPTS_EVACUATED", "ACCEPTS_LEAVING", "RelayServer"]
 
 # gRPC metadata of a follower's request: it can decode the field `evacuated`, or `leaving`, of the
 # reply. A follower of an older version rejects a reply with a field that it does not know. A leader
