An engine's control answer is read up to a bound, in its head and its body

Callers saw nothing of it directly: the table's daemon read whatever an engine sent to a poll of its state, an order or a poll of cache events until the time limit of the call (1 s), and held it.

Cause: the answers were read with `response.read()`, over sessions without `AnswerProtocol`, so that neither bodies nor heads had a bound in bytes. Class: a bound in time without one in bytes.

Change: bodies are read by `read_body` up to 1 MiB, cache events up to 8 MiB, and the session is one of `open_session`, which bounds heads and framing. An answer above a bound is a failure as any other of the call: `Unavailable`, or `Unknown` for an order, with the error's name in its reason.

Safe: the time limit of each call is as before. `open_session` gains `repeats_reads`, off by default, so that polls over a connection that the engine has closed are still repeated, as before; orders never were. `FloodingServer` now reads the body of a request before it answers.

--- a/ferrydock/engines/_http.py
+++ b/ferrydock/engines/_http.py
@@ -5,6 +5,7 @@
 import aiohttp
 import orjson
 
+from ..http_client import open_session, read_body
 from ..outcomes import Unavailable, Unknown
 from ._port import (
     BoxPhase,
@@ -20,6 +21,13 @@
 
 __all__ = ["HttpEngineControl", "state_from_json", "state_to_json"]
 
+IDLE_CONNECTION_TIMEOUT_S = 30.0
+
+# Bytes of an answer's body. A state names the members of one replica and the weights of one box;
+# cache events list the hashes of the blocks stored since the last poll.
+MAX_ANSWER_BYTES = 2**20
+MAX_EVENTS_BYTES = 8 * 2**20
+
 _FAILURES = (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError, KeyError)
 
 
@@ -80,9 +88,9 @@
 
     async def state(self, url: str) -> BoxState | Unavailable:
         try:
-            async with self._http().get(f"{url}/control/state") as response:
+            async with self._http().get(f"{url}/control/state", timeout=self._timeout) as response:
                 response.raise_for_status()
-                return state_from_json(orjson.loads(await response.read()))
+                return state_from_json(orjson.loads(await read_body(response, MAX_ANSWER_BYTES)))
         except _FAILURES as error:
             return Unavailable(f"no state from the box: {type(error).__name__}")
 
@@ -102,9 +110,9 @@
         }
         try:
             async with self._http().post(
-                f"{url}/control/order", data=orjson.dumps(body)
+                f"{url}/control/order", data=orjson.dumps(body), timeout=self._timeout
             ) as response:
-                fields = orjson.loads(await response.read())
+                fields = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))
                 if response.status == 409:
                     return OrderRefused(Fence(*fields["fence"]))
                 response.raise_for_status()
@@ -117,10 +125,10 @@
     async def cache_events(self, url: str, after: int) -> CacheEvents | Unavailable:
         try:
             async with self._http().get(
-                f"{url}/control/events", params={"after": str(after)}
+                f"{url}/control/events", params={"after": str(after)}, timeout=self._timeout
             ) as response:
                 response.raise_for_status()
-                fields = orjson.loads(await response.read())
+                fields = orjson.loads(await read_body(response, MAX_EVENTS_BYTES))
             events = tuple(
                 CacheEvent(e["sequence"], e["stored"], tuple(e["blocks"])) for e in fields["events"]
             )
@@ -130,7 +138,9 @@
 
     async def cancel(self, url: str, request_id: str) -> None:
         try:
-            async with self._http().post(f"{url}/control/cancel/{request_id}"):
+            async with self._http().post(
+                f"{url}/control/cancel/{request_id}", timeout=self._timeout
+            ):
                 pass
         except _FAILURES:
             return
@@ -139,9 +149,13 @@
         if self._session is not None:
             await self._session.close()
 
+    @property
+    def _timeout(self) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(total=self.timeout_s)
+
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=self.timeout_s)
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
-            self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+            self._session = open_session(
+                self.timeout_s, IDLE_CONNECTION_TIMEOUT_S, repeats_reads=True
+            )
         return self._session
--- a/ferrydock/forwarding/tests/flooding_server.py
+++ b/ferrydock/forwarding/tests/flooding_server.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import re
 import socket
 import threading
 
@@ -68,11 +69,20 @@
 
 
 def _read_request(connection):
-    """Read a request without a body; empty at the end of the connection."""
+    """Read a request, with its body if the head says how long it is; empty at the end."""
     request = b""
-    while not request.endswith(b"\r\n\r\n"):
+    while (left_bytes := _left_bytes(request)) is None or left_bytes > 0:
         received = connection.recv(65536)
         if not received:
             return b""
         request += received
     return request
+
+
+def _left_bytes(request):
+    """Return how many bytes of a request's body are missing; None while its head is incomplete."""
+    head, end, body = request.partition(b"\r\n\r\n")
+    if not end:
+        return None
+    found = re.search(rb"\r\ncontent-length: *(\d+)", head, re.IGNORECASE)
+    return (int(found[1]) if found else 0) - len(body)
--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -22,14 +22,15 @@
     idle_timeout_s: float | None,
     socket_factory: Callable[..., socket.socket] | None = None,
     connector_class: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
+    repeats_reads: bool = False,
     **options,
 ) -> aiohttp.ClientSession:
     """Open a session without a limit on connections and without a time limit on whole calls.
 
     aiohttp by default repeats a request if a pooled connection turns out to be closed. This is
-    disabled, because only ferrydock may decide whether a request is sent twice; aiohttp has no
-    public setting for it. Nor has it one for the protocol of a connection, `AnswerProtocol`, which
-    bounds what a server may send.
+    disabled unless `repeats_reads`, because only ferrydock may decide whether a caller's request is
+    sent twice; aiohttp has no public setting for it. Nor has it one for the protocol of a
+    connection, `AnswerProtocol`, which bounds what a server may send.
 
     Parameters
     ----------
@@ -41,6 +42,9 @@
         Creates sockets with custom options.
     connector_class : callable, default=aiohttp.TCPConnector
         Creates the pool of connections.
+    repeats_reads : bool, default=False
+        Whether aiohttp may send a GET once more if a pooled connection turns out to be closed. Only
+        for sessions that carry ferrydock's own calls.
     **options
         Additional arguments of `aiohttp.ClientSession`.
     """
@@ -56,7 +60,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         **options,
     )
-    session._retry_connection = False
+    session._retry_connection = repeats_reads
     return session
 
 
