Answers of the box list and of the weight store are read up to a bound

Callers saw nothing of it directly: the table's daemon read and held whatever these two sent until the time limit of the call (2 s).

Cause: `response.json()` over sessions without `AnswerProtocol`; neither bodies nor heads had a bound in bytes. Class: a bound in time without one in bytes.

Change: `read_body` up to 16 MiB for the box list and 64 KiB for the rate, over sessions of `open_session`. An answer above a bound makes the call `Unavailable`, with the error's name.

Safe: time limits as before, and a read over a closed pooled connection is still repeated. An answer whose content type is not JSON was refused before, and is now decoded; if it is no JSON, it is refused as before.

--- a/ferrydock/store/_box_list.py
+++ b/ferrydock/store/_box_list.py
@@ -7,11 +7,18 @@
 from typing import Protocol
 
 import aiohttp
+import orjson
 
+from ..http_client import open_session, read_body
 from ..outcomes import Unavailable
 
 __all__ = ["Box", "BoxList", "HttpBoxList", "StaticBoxList"]
 
+IDLE_CONNECTION_TIMEOUT_S = 15.0
+
+# Bytes of an answer's body; a box takes some 200, so this is a hall of tens of thousands.
+MAX_ANSWER_BYTES = 16 * 2**20
+
 
 @dataclass(frozen=True, slots=True)
 class Box:
@@ -86,14 +93,16 @@
 
     async def fetch(self, hall: str) -> tuple[Box, ...] | Unavailable:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = open_session(
+                self.timeout_s, IDLE_CONNECTION_TIMEOUT_S, repeats_reads=True
+            )
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         try:
             async with self._session.get(
                 f"{self.url}/boxes", params={"hall": hall}, timeout=timeout
             ) as response:
                 response.raise_for_status()
-                entries = (await response.json())["boxes"]
+                entries = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))["boxes"]
             return tuple(_decode_box(fields) for fields in entries)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             return Unavailable(f"the box list cannot be read: {type(error).__name__}")
--- a/ferrydock/store/_weight_store.py
+++ b/ferrydock/store/_weight_store.py
@@ -7,11 +7,18 @@
 from typing import Protocol
 
 import aiohttp
+import orjson
 
+from ..http_client import open_session, read_body
 from ..outcomes import Unavailable
 
 __all__ = ["HttpWeightStore", "StaticWeightStore", "WeightStore", "WeightStoreRate"]
 
+IDLE_CONNECTION_TIMEOUT_S = 15.0
+
+# Bytes of an answer's body, which holds one number.
+MAX_ANSWER_BYTES = 65536
+
 
 @dataclass(frozen=True, slots=True)
 class WeightStoreRate:
@@ -57,12 +64,15 @@
 
     async def rate(self) -> WeightStoreRate | Unavailable:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = open_session(
+                self.timeout_s, IDLE_CONNECTION_TIMEOUT_S, repeats_reads=True
+            )
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         try:
             async with self._session.get(f"{self.url}/rate", timeout=timeout) as response:
                 response.raise_for_status()
-                return WeightStoreRate(float((await response.json())["rate_bytes_per_s"]))
+                fields = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))
+                return WeightStoreRate(float(fields["rate_bytes_per_s"]))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             return Unavailable(f"the weight store cannot be read: {type(error).__name__}")
 
