A closing head without an entry that stands still finishes its requests

What callers saw: a begun answer was cut when the head of its replica had no entry, its replica was to finish its requests, and the head stood still for about a second.

Cause: `ReplicaFormer` asks such a head for its report. One unanswered request, of 0.5 s, read as "serves no longer", before the order to close (which was then not sent) as well as while the head was closing; its members were ordered to leave, which stops the requests of the whole replica.

Change: where requests may finish, the head is asked again for `MAX_SILENCE_S`. Where they are cut, nothing changes. A head whose host refuses the connection, or makes none in time, is still not waited for.

Evidence: both cases of the test failed before (left at `open` and at `closing`) and pass now. The test that a head that has ended is not waited for passes before and after; without the exception for `NotListening` it takes 3.62 s of 2.5 s and fails. ferrydock/replicas: 225 passed. A head that never answers again on a host that accepts connections is the price: the members of such a replica, if it may finish its requests and its head has no entry, are free after 3.92 s, 2.32 s before (virtual time, one trial each); with a head that has ended, 1.82 s.

--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -10,8 +10,9 @@
 
 from ..clock import Clock
 from ..logs import log_event
-from ..outcomes import Unavailable
+from ..outcomes import NotListening, Unavailable, Unreachable
 from ..targets import (
+    MAX_SILENCE_S,
     CloseOrder,
     JoinOrder,
     LeaveOrder,
@@ -21,6 +22,7 @@
     ReplicaState,
     Target,
     TargetDirectory,
+    TargetReport,
 )
 from ._order_sender import OrderSender
 from ._plan import Formation
@@ -167,7 +169,8 @@
         be open; a member may join another replica only once it has itself left this one.
         """
         head, others = members[0], members[1:]
-        if await self._state_of_head(key, head) in _SERVING:
+        max_silence_s = 0.0 if finish_within_s is None else MAX_SILENCE_S
+        if await self._state_of_head(key, head, max_silence_s) in _SERVING:
             await self._close(key, head, finish_within_s)
         has_left = [await self._leave(key, head)]
         has_left += await asyncio.gather(*(self._leave(key, member) for member in others))
@@ -297,24 +300,32 @@
         if not isinstance(outcome, OrderDone):
             return
         within_s = max(MIN_CLOSE_TIMEOUT_S, finish_within_s or 0.0) if not cut else CUT_TIMEOUT_S
+        max_silence_s = 0.0 if cut else MAX_SILENCE_S
         until_s = self.clock.now_s() + within_s
         while self.clock.now_s() < until_s:
-            if await self._state_of_head(key, head) not in _SERVING:
+            if await self._state_of_head(key, head, max_silence_s) not in _SERVING:
                 return
             is_listed = head.target_id in self.directory.targets
             await asyncio.sleep(POLL_INTERVAL_S if is_listed else REPORT_DELAY_S)
 
-    async def _state_of_head(self, key: tuple[str, int], head: Target) -> ReplicaState | None:
+    async def _state_of_head(
+        self, key: tuple[str, int], head: Target, max_silence_s: float
+    ) -> ReplicaState | None:
         """Return the state of a replica's head; None if it is no member or does not report.
 
-        A head without an entry is asked for its report.
+        A head without an entry is asked for its report, again if it was silent for less than
+        `max_silence_s`: it may only stand still, and go on with its requests afterwards.
         """
-        if head.target_id in self.directory.targets:
-            return self._state_of(key, head.target_id)
-        report = await self.orders.control.report(head, REPORT_TIMEOUT_S)
-        if isinstance(report, Unavailable) or (report.replica, report.epoch) != key:
-            return None
-        return ReplicaState(report.state) if report.state else None
+        silent_until_s = self.clock.now_s() + max_silence_s
+        while head.target_id not in self.directory.targets:
+            is_last = self.clock.now_s() >= silent_until_s
+            report = await self.orders.control.report(head, REPORT_TIMEOUT_S)
+            if not isinstance(report, Unavailable):
+                return _state_in_report(report, key)
+            if is_last or isinstance(report, NotListening | Unreachable):
+                return None
+            await asyncio.sleep(REPORT_DELAY_S)
+        return self._state_of(key, head.target_id)
 
     # The target list --------------------------------------------------------------------------
 
@@ -325,3 +336,10 @@
         if membership is None or (membership.replica, membership.epoch) != key:
             return None
         return membership.state
+
+
+def _state_in_report(report: TargetReport, key: tuple[str, int]) -> ReplicaState | None:
+    """Return the state that a report shows for a replica; None if its target is no member."""
+    if (report.replica, report.epoch) != key or not report.state:
+        return None
+    return ReplicaState(report.state)
--- /dev/null
+++ b/ferrydock/replicas/tests/test_silent_closing_heads.py
@@ -0,0 +1,70 @@
+"""Heads without an entry that stand still for a second while their replica is to close."""
+
+import asyncio
+
+import pytest
+
+from ...outcomes import NotListening
+from ...targets import ReplicaState
+from .hall import Hall
+from .test_controller import hall_with_all_replicas, run_scenario
+
+PAUSE_S = 1.2
+CLOSING_S = 6.0
+
+# Time for a request for a report, and for the orders to leave, the head's without an answer.
+FREED_WITHIN_S = 2.5
+
+
+@pytest.mark.parametrize("paused_after_s", [0.9, 3.0], ids=["before_the_order", "while_closing"])
+def test_a_head_that_stands_still_finishes_its_requests_before_any_member_leaves(paused_after_s):
+    """Failure: one unanswered request for its report was taken for the end of its requests."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(5))
+        await asyncio.sleep(20.0)
+        hall.fleet.closing_s = CLOSING_S
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        key = head.group_key
+        members = [hall.fleet.workers[member_id] for member_id in head.members]
+        hall.in_flight = {head.worker_id: 1}
+        hall.list.overwrite(head)
+        await asyncio.sleep(paused_after_s)
+        head.paused_until_s = asyncio.get_running_loop().time() + PAUSE_S
+        states = []
+        while all(member.group_key == key for member in members):
+            states.append(head.current_membership.state)
+            await asyncio.sleep(0.01)
+        assert states[-1] is ReplicaState.READY
+
+    run_scenario(scenario)
+
+
+def test_the_members_of_a_closing_head_that_has_ended_leave_without_waiting_for_it():
+    """Failure: its members, free for another replica, would be kept for the time of a pause."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(5))
+        await asyncio.sleep(20.0)
+        hall.fleet.closing_s = CLOSING_S
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        key = head.group_key
+        members = [hall.fleet.workers[member_id] for member_id in head.members]
+        hall.list.overwrite(head)
+        await hall.until(lambda: head.current_membership.state is ReplicaState.CLOSING, 5.0)
+        control = hall.controller.order_sender.control
+        report_of = control.report
+
+        async def report(target, timeout_s):
+            if target.target_id == head.worker_id:
+                return NotListening("refused")
+            return await report_of(target, timeout_s)
+
+        control.report = report
+        hall.fleet.kill(head.worker_id)
+        took_s = await hall.until(
+            lambda: all(member.group_key != key for member in members[1:]), 10.0
+        )
+        assert took_s is not None and took_s < FREED_WITHIN_S
+
+    run_scenario(scenario)
