An order to open or close that was carried out late counts as done when its copy is refused

What callers saw: begun answers were cut when a head stood still for about a second as it was told to close; and a replica that had just opened was dissolved, with its requests, when its head stood still as it was told to open.

Cause: the order got no answer and was sent again. The head then carried out the first copy and refused the second. The report showed one more order, the third copy was refused as well, since the head was open or closing already, and that refusal was taken for a failure: the members of the closing head left, and the opened replica was dissolved.

Change: after such a refusal the report, which is read anyway, also tells whether the effect is in place (open; or closing, for an order that lets requests finish). Then the order is done. An order to cut the requests is judged as before: its head may be closing by an earlier order to finish them. No order and no report is sent that was not sent before; a lost head is found as before.

--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -15,11 +15,14 @@
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..targets import (
+    CloseOrder,
     JoinOrder,
     LeaveOrder,
+    OpenOrder,
     Order,
     OrderDone,
     OrderRefused,
+    ReplicaState,
     Target,
     TargetControl,
     TargetDirectory,
@@ -123,8 +126,9 @@
                     self._note_done(target, order, expected, outcome)
                     return outcome
                 if isinstance(outcome, OrderRefused):
-                    if not await self._may_resend(target, order, expected, outcome):
-                        return outcome
+                    refused = await self._resolve_refusal(target, order, expected, outcome)
+                    if refused is not None:
+                        return refused
                 elif isinstance(outcome, Unknown):
                     unknown = outcome
             if self.clock.now_s() + RESEND_PAUSE_S >= until_s:
@@ -169,22 +173,28 @@
             replica = None
         self._known[target.target_id] = KnownOrders(orders, replica)
 
-    async def _may_resend(
+    async def _resolve_refusal(
         self, target: Target, order: Order, expected: int, refused: OrderRefused
-    ) -> bool:
-        """Read a target's number of accepted orders; return whether to send the order with it.
+    ) -> OrderDone | OrderRefused | None:
+        """Read a target's report after it refused an order; return None to send the order again.
 
-        The number may be lower than expected: an order whose effect was already in place raises it
-        on some targets and not on others.
+        It is sent again if the target has accepted another number of orders than expected. That
+        number may be lower: an order whose effect was already in place raises it on some targets
+        and not on others. `OrderDone` if the effect is in place: the target has carried out an
+        earlier copy of the order, which it did not answer.
         """
         if refused.reason != WRONG_STATE:
-            return False
+            return refused
         await asyncio.sleep(REPORT_LAG_S)
         report = await self.control.report(target, REPORT_TIMEOUT_S)
-        if isinstance(report, Unavailable) or report.orders == expected:
-            return False
+        if isinstance(report, Unavailable):
+            return refused
+        if report.orders == expected and not _shows_effect(report, order):
+            return refused
         known = self._known[target.target_id] = KnownOrders.from_report(report)
-        return not known.is_in_other_replica(order)
+        if _shows_effect(report, order):
+            return OrderDone(already=True)
+        return refused if known.is_in_other_replica(order) else None
 
     def _log(
         self, target: Target, order: Order, expected: int | None, outcome: OrderOutcome
@@ -203,3 +213,18 @@
             answer=type(outcome).__name__,
             why=getattr(outcome, "reason", None),
         )
+
+
+def _shows_effect(report: TargetReport, order: Order) -> bool:
+    """Return whether a report shows the effect of an order to open, or to finish and close.
+
+    A head that is to cut its requests may be closing by an earlier order to finish them.
+    """
+    match order:
+        case OpenOrder():
+            state = ReplicaState.OPEN
+        case CloseOrder(cut=False):
+            state = ReplicaState.CLOSING
+        case _:
+            return False
+    return (report.replica, report.epoch, report.state) == (order.replica, order.epoch, state)
--- a/ferrydock/replicas/tests/test_silent_closing_heads.py
+++ b/ferrydock/replicas/tests/test_silent_closing_heads.py
@@ -1,4 +1,4 @@
-"""Heads without an entry that stand still for a second while their replica is to close."""
+"""Heads that stand still for a second while their replica is to open or to close."""
 
 import asyncio
 
@@ -68,3 +68,55 @@
         assert took_s is not None and took_s < FREED_WITHIN_S
 
     run_scenario(scenario)
+
+
+def test_a_head_that_stands_still_as_it_is_told_to_close_finishes_its_requests():
+    """Failure: its late order was carried out, the repeated one refused, and the members left."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(13))
+        await asyncio.sleep(30.0)
+        hall.fleet.closing_s = CLOSING_S
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        key = head.group_key
+        members = [hall.fleet.workers[member_id] for member_id in head.members]
+        hall.in_flight = {head.worker_id: 1}
+        head.paused_until_s = asyncio.get_running_loop().time() + PAUSE_S
+        members[1].draining = True
+        hall.list._on_change(members[1])
+        states = []
+        while all(member.group_key == key for member in members):
+            states.append(head.current_membership.state)
+            await asyncio.sleep(0.01)
+        assert states[-1] is ReplicaState.READY
+
+    run_scenario(scenario)
+
+
+def test_a_head_that_stands_still_as_it_is_told_to_open_goes_on_serving():
+    """Failure: its late order was carried out, the repeated one refused, and it was dissolved."""
+
+    async def scenario():
+        hall = Hall(12)
+        hall.start_controller()
+
+        def ready_head():
+            for worker in hall.fleet.workers.values():
+                members = [hall.fleet.workers[member_id] for member_id in worker.members]
+                if members[:1] == [worker] and all(
+                    member.group_key == worker.group_key
+                    and member.current_membership.state is ReplicaState.READY
+                    for member in members
+                ):
+                    return worker
+            return None
+
+        while (head := ready_head()) is None:
+            await asyncio.sleep(0.002)
+        key = head.group_key
+        head.paused_until_s = asyncio.get_running_loop().time() + PAUSE_S
+        await asyncio.sleep(PAUSE_S + 5.0)
+        assert head.group_key == key
+        assert head.current_membership.state is ReplicaState.OPEN
+
+    run_scenario(scenario)
