ferrydockd does not close a new connection whose first request is on its way

What callers see: at a planned stop of ferrydockd, a request sent right after its connection was opened is cut without an answer or a refusal.

Cause: the same as in the route daemon: a connection without a request was closed once listening had ended, however short a time ago it was opened. It is now kept for 0.3 s (EXPECTED_REQUEST_WAIT_S, moved to planned_stop since both daemons use it).

Safe: the wait is bounded, which a second test shows.

--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -24,7 +24,7 @@
 from ..clock import Clock
 from ..invariants import BrokenInvariant, require
 from ..logs import log_event
-from ..planned_stop import is_idle, is_waiting_for_request
+from ..planned_stop import EXPECTED_REQUEST_WAIT_S, is_idle, is_waiting_for_request
 from ..route_metrics import RouteMetrics
 from ..unread_bytes import count_left_bytes, count_unread_bytes
 from ._caller_buffers import (
@@ -41,7 +41,6 @@
 from ._target_loads import FIRST_SERVER_ERROR_STATUS
 
 __all__ = [
-    "EXPECTED_REQUEST_WAIT_S",
     "HEADERS_TOO_LARGE",
     "REQUEST_TIMEOUT",
     "CallerConnection",
@@ -56,11 +55,6 @@
 HEADERS_TOO_LARGE = 431
 REQUEST_TIMEOUT = 408
 
-# For how long a connection is not closed at a stop although no request was read: a new one, whose
-# caller has connected in order to send a request, or one of which a part of the head was read. The
-# rest can still be on its way; the time is longer than a packet takes to any hall.
-EXPECTED_REQUEST_WAIT_S = 0.3
-
 # Written to the transport directly: while a head is incomplete, aiohttp has no request to answer.
 _REQUEST_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from ...configuration import Configuration, IngressLimits
-from .._listener import EXPECTED_REQUEST_WAIT_S
+from ...planned_stop import EXPECTED_REQUEST_WAIT_S
 from .rig import Rig, ScriptedTarget, complete_answer, route, writes
 from .test_planned_stop import (
     REQUEST,
--- a/ferrydock/gateway/_connections.py
+++ b/ferrydock/gateway/_connections.py
@@ -1,7 +1,7 @@
 """Limits on callers' connections, and which of their requests are served during a planned stop.
 
-Owns the sets of connections that have sent no request yet or whose handler is running, and counts
-connections that were refused or timed out.
+Owns the connections that have sent no request yet, with the time at which they were accepted, and
+those whose handler is running; counts connections that were refused or timed out.
 """
 
 import asyncio
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from ..invariants import BrokenInvariant
-from ..planned_stop import is_idle, is_waiting_for_request
+from ..planned_stop import EXPECTED_REQUEST_WAIT_S, is_idle, is_waiting_for_request
 
 __all__ = ["ConnectionGuard"]
 
@@ -67,7 +67,7 @@
         self.first_request_s = first_request_s
         self.refused = 0
         self.timed_out = 0
-        self._without_request: set[asyncio.Protocol] = set()
+        self._without_request: dict[asyncio.Protocol, float] = {}
         self._with_handler: set[asyncio.Protocol] = set()
         self._pending_at_stop: set[asyncio.Protocol] = set()
 
@@ -76,10 +76,9 @@
             self.refused += 1
             return _RefusingProtocol()
         protocol = self.server()
-        self._without_request.add(protocol)
-        asyncio.get_running_loop().call_later(
-            self.first_request_s, self._close_without_request, protocol
-        )
+        loop = asyncio.get_running_loop()
+        self._without_request[protocol] = loop.time()
+        loop.call_later(self.first_request_s, self._close_without_request, protocol)
         return protocol
 
     def _close_without_request(self, protocol) -> None:
@@ -94,14 +93,14 @@
                 return
             self.timed_out += 1
             transport.close()
-        self._without_request.discard(protocol)
+        self._without_request.pop(protocol, None)
 
     def begin_request(self, protocol) -> bool:
         """Record that a handler starts; return whether its request came before `end_listening`.
 
         Always False while the daemon listens.
         """
-        self._without_request.discard(protocol)
+        self._without_request.pop(protocol, None)
         self._with_handler.add(protocol)
         was_pending = protocol in self._pending_at_stop
         self._pending_at_stop.discard(protocol)
@@ -123,7 +122,9 @@
         }
 
     def close_idle(self) -> None:
-        """Close connections that have no request in progress."""
+        """Close connections without a request in progress, except new ones, which expect one."""
+        recent_s = asyncio.get_running_loop().time() - EXPECTED_REQUEST_WAIT_S
         for connection in self.server.connections:
-            if is_idle(connection):
+            is_new = self._without_request.get(connection, float("-inf")) > recent_s
+            if is_idle(connection) and not is_new:
                 connection.force_close()
--- a/ferrydock/gateway/tests/test_connections.py
+++ b/ferrydock/gateway/tests/test_connections.py
@@ -7,6 +7,7 @@
 import uvloop
 from aiohttp import web
 
+from ...planned_stop import EXPECTED_REQUEST_WAIT_S, is_idle
 from .._connections import ConnectionGuard
 
 LIMIT_S = 5.0
@@ -70,3 +71,35 @@
             assert listener.guard.timed_out == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
+)
+def test_request_that_follows_its_new_connection_at_a_stop_is_answered(loop_factory):
+    """Failure: the connection was closed as idle while its first request was under way."""
+
+    async def scenario():
+        async with Listener() as listener:
+            listener.guard.close_idle()
+            await asyncio.sleep(0)
+            listener.caller.send(REQUEST)
+            assert (await listener.receive()).startswith(b"HTTP/1.1 200")
+            async with asyncio.timeout(LIMIT_S):
+                while not is_idle(listener.connection):
+                    await asyncio.sleep(0.005)
+            listener.guard.close_idle()
+            assert await listener.receive() == b""
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(scenario())
+
+
+def test_new_connection_without_a_request_does_not_hold_up_a_stop():
+    async def scenario():
+        async with Listener() as listener:
+            listener.guard._without_request[listener.connection] -= EXPECTED_REQUEST_WAIT_S
+            listener.guard.close_idle()
+            assert await listener.receive() == b""
+
+    asyncio.run(scenario())
--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -28,6 +28,7 @@
 from .unread_bytes import count_unread_bytes
 
 __all__ = [
+    "EXPECTED_REQUEST_WAIT_S",
     "STOPPING_REASON",
     "STOPPING_RETRY_S",
     "DaemonStopping",
@@ -53,6 +54,11 @@
 # that are still unread in the sockets before their connections are closed.
 CHECK_EVERY_S = 0.05
 
+# For how long a connection is not closed at a stop although no request was read: a new one, whose
+# caller has connected in order to send a request, or one of which a part of the head was read. The
+# rest can still be on its way; the time is longer than a packet takes to any hall.
+EXPECTED_REQUEST_WAIT_S = 0.3
+
 
 class DaemonStopping(Exception):
     """The daemon's time to stop is over; a handler must end its work with the applicable answer."""
