Answers of the etcd store to ranges and transactions are read up to a bound

Callers saw nothing of it directly: the table's daemon read and held whatever the store sent to a call until its time limit (2 s).

Cause: `response.read()` over a session without `AnswerProtocol`; neither bodies nor heads had a bound in bytes. Class: a bound in time without one in bytes.

Change: `read_body` up to 32 MiB, over a session of `open_session`. An answer above a bound is a lost one: `Unknown` for a transaction, `Unavailable` for a range, with the error's name.

Safe: time limits as before; calls and watches are POST, which aiohttp never repeated. The session no longer limits connections to 100. A watch has no bound on its total, as before; its lines were bounded by aiohttp already (`readline`).

--- a/ferrydock/store/_etcd.py
+++ b/ferrydock/store/_etcd.py
@@ -12,6 +12,7 @@
 import aiohttp
 import orjson
 
+from ..http_client import open_session, read_body
 from ..outcomes import Unavailable, Unknown
 from ._position import Position
 from ._store import (
@@ -29,6 +30,12 @@
 
 __all__ = ["EtcdStore", "decode_key_value", "encode_text"]
 
+IDLE_CONNECTION_TIMEOUT_S = 15.0
+
+# Bytes of an answer's body, which holds keys and values in base64: far above the complete table of
+# a large site.
+MAX_ANSWER_BYTES = 32 * 2**20
+
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
 
 
@@ -184,7 +191,7 @@
 
     def _http_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = open_session(self.timeout_s, IDLE_CONNECTION_TIMEOUT_S)
         return self._session
 
     async def _call(self, path: str, body: dict) -> dict | Unavailable | Unknown:
@@ -205,7 +212,7 @@
             async with self._http_session().post(
                 url, data=orjson.dumps(body), timeout=timeout
             ) as response:
-                raw = await response.read()
+                raw = await read_body(response, MAX_ANSWER_BYTES)
                 if response.status == 200:
                     return orjson.loads(raw)
                 return Unknown(f"the store answered with status {response.status}")
