A refusal after an unanswered order is judged by a report that is recent enough

What callers saw: begun answers were cut when a head stood still for about a second as it was told to close, if its report still showed the state from before the late order.

Cause: the report, which shows the state of some hundred milliseconds ago, is read once, 0.2 s after the refusal. One older than that showed the head open with its number unchanged, so the order was taken for refused, and the members of the closing head left.

Change: if a copy of the refused order had got no answer, the report is read for up to 1 s, every 0.2 s, until it shows another number of orders or the effect. Without such a copy nothing changes, and a target that doesn't answer the report ends the wait at once, so a lost one is found as before. At most five more reports an order, only after a silence.

--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -41,6 +41,10 @@
 # number: the number in the report may lag behind by this much.
 REPORT_LAG_S = 0.2
 
+# How long the report is requested again, at the interval above, while its number is unchanged and
+# the refused order had been sent before without an answer.
+MAX_REPORT_LAG_S = 1.0
+
 # Reasons of `OrderRefused` that this module sets or checks.
 WRONG_STATE = "state"
 ELSEWHERE = "elsewhere"
@@ -126,7 +130,9 @@
                     self._note_done(target, order, expected, outcome)
                     return outcome
                 if isinstance(outcome, OrderRefused):
-                    refused = await self._resolve_refusal(target, order, expected, outcome)
+                    refused = await self._resolve_refusal(
+                        target, order, expected, outcome, is_sent_before=unknown is not None
+                    )
                     if refused is not None:
                         return refused
                 elif isinstance(outcome, Unknown):
@@ -174,23 +180,33 @@
         self._known[target.target_id] = KnownOrders(orders, replica)
 
     async def _resolve_refusal(
-        self, target: Target, order: Order, expected: int, refused: OrderRefused
+        self,
+        target: Target,
+        order: Order,
+        expected: int,
+        refused: OrderRefused,
+        is_sent_before: bool,
     ) -> OrderDone | OrderRefused | None:
         """Read a target's report after it refused an order; return None to send the order again.
 
         It is sent again if the target has accepted another number of orders than expected. That
         number may be lower: an order whose effect was already in place raises it on some targets
         and not on others. `OrderDone` if the effect is in place: the target has carried out an
-        earlier copy of the order, which it did not answer.
+        earlier copy of the order, which it did not answer. If there is such a copy
+        (`is_sent_before`), an unchanged report may be older than the execution of that copy.
         """
         if refused.reason != WRONG_STATE:
             return refused
-        await asyncio.sleep(REPORT_LAG_S)
-        report = await self.control.report(target, REPORT_TIMEOUT_S)
-        if isinstance(report, Unavailable):
-            return refused
-        if report.orders == expected and not _shows_effect(report, order):
-            return refused
+        until_s = self.clock.now_s() + (MAX_REPORT_LAG_S if is_sent_before else 0.0)
+        while True:
+            await asyncio.sleep(REPORT_LAG_S)
+            report = await self.control.report(target, REPORT_TIMEOUT_S)
+            if isinstance(report, Unavailable):
+                return refused
+            if report.orders != expected or _shows_effect(report, order):
+                break
+            if self.clock.now_s() >= until_s:
+                return refused
         known = self._known[target.target_id] = KnownOrders.from_report(report)
         if _shows_effect(report, order):
             return OrderDone(already=True)
