--- a/ferrydock/emulator/_endless_senders.py
+++ b/ferrydock/emulator/_endless_senders.py
@@ -39,8 +39,8 @@
 # Of four seeds, the remainder of those with such a store and of those with such peers, and the
 # share of the latter with the store too. The others play workers and callers only.
 SEEDS_PER_ROUND = 4
-STORE_REMAINDER = 2
-PEERS_REMAINDER = 3
+STORE_SEEDS_REMAINDER = 2
+PEER_SEEDS_REMAINDER = 3
 BOTH_SHARE = 0.3
 
 # From and until when after such a period requests are judged as served again or not. The time of a
@@ -121,9 +121,9 @@
     """Return periods in which the store or peers send without end; none on half of the seeds."""
     rng = random.Random(f"endless senders {seed}")
     remainder = seed % SEEDS_PER_ROUND
-    has_peers = remainder == PEERS_REMAINDER
+    has_peers = remainder == PEER_SEEDS_REMAINDER
     drawn = []
-    if remainder == STORE_REMAINDER or (has_peers and rng.random() < BOTH_SHARE):
+    if remainder == STORE_SEEDS_REMAINDER or (has_peers and rng.random() < BOTH_SHARE):
         drawn += _draw_store(rng, seed, length_s, halls)
     if has_peers:
         drawn += _draw_peers(rng, seed, length_s)
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -126,26 +126,14 @@
             if await self.crashes.is_known_since_admission(exchange):
                 self.selector.release(endpoint)
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
-            exchange.note_attempt_begins()
-            may_have_run_before = exchange.may_have_run
-            exchange.may_have_run = True  # updated when the attempt ends
-            opened = exchange.next_answer
-            sent_s = self.clock.now_s() if opened is None else opened.sent_s
-            number = exchange.attempt_count + (opened is None)
-            end = await self.attempts.run(exchange, endpoint)
-            exchange.may_have_run = may_have_run_before or end.may_have_run
+            end = await self._run_attempt(exchange, endpoint)
             if end.is_complete:
                 self.crashes.record_answer(exchange)
                 self._record_times(exchange)
                 self._log.request_done(exchange, end, endpoint, self._since_arrival_s(exchange))
                 return require(exchange.response, "the whole answer")
-            exchange.last_reason = end.reason
-            self._log.attempt_failed(exchange, end, endpoint, number, exchange.send_times)
             if end.reason == AttemptReason.TARGET_LEFT:
                 continue  # nothing was sent, so this is no retry
-            await self.crashes.check_failed_attempt(
-                exchange, endpoint.target, end, sent_s, exchange.attempt_event_count
-            )
             if await self.crashes.is_known_since_admission(exchange):
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
             if not await self._goes_on(exchange, end):
@@ -153,6 +141,25 @@
             if exchange.next_endpoint is None and not budget.spend():
                 return self._end_without_answer(exchange, "retry_budget")
 
+    async def _run_attempt(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
+        """Make an attempt; one that fails is logged, and its target checked for a crash."""
+        exchange.note_attempt_begins()
+        may_have_run_before = exchange.may_have_run
+        exchange.may_have_run = True  # updated when the attempt ends
+        opened = exchange.next_answer
+        sent_s = self.clock.now_s() if opened is None else opened.sent_s
+        number = exchange.attempt_count + (opened is None)
+        end = await self.attempts.run(exchange, endpoint)
+        exchange.may_have_run = may_have_run_before or end.may_have_run
+        if not end.is_complete:
+            exchange.last_reason = end.reason
+            self._log.attempt_failed(exchange, end, endpoint, number, exchange.send_times)
+            if end.reason != AttemptReason.TARGET_LEFT:
+                await self.crashes.check_failed_attempt(
+                    exchange, endpoint.target, end, sent_s, exchange.attempt_event_count
+                )
+        return end
+
     async def _open_answer(self, exchange: Exchange, endpoint: Endpoint) -> OpenedAnswer | None:
         """Ask a target to continue a begun answer, and return its answer if it does."""
         times = self.attempts.send_times(exchange, endpoint)
