--- a/tests/test_outside.py
+++ b/tests/test_outside.py
@@ -131,6 +131,7 @@
     "ferrydock_callers_cut": "counter",
     "ferrydock_configuration_age_seconds": "gauge",
     "ferrydock_configuration_version": "gauge",
+    "ferrydock_connections_closed": "counter",
     "ferrydock_crashes_remembered": "gauge",
     "ferrydock_crashing_known": "gauge",
     "ferrydock_crashing_refused": "counter",
