--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -59,8 +59,12 @@
     assert results[seed].broken == [], results[seed].troubles
 
 
-def test_callers_are_served_on_while_most_of_them_come_to_one_daemon(tmp_path):
+def skew_experiment(seed):
+    """Return an emulation in which most callers come to one daemon for a time."""
     skewed = Trouble(6.0, "callers_skewed", for_s=8.0)
-    experiment = replace(cut_experiment(1), name="skew", length_s=14.0, troubles=(skewed,))
-    result = play_seeds(lambda seed: experiment, [1], tmp_path, 1)[1]
+    return replace(cut_experiment(seed), name="skew", length_s=14.0, troubles=(skewed,))
+
+
+def test_callers_are_served_on_while_most_of_them_come_to_one_daemon(tmp_path):
+    result = play_seeds(skew_experiment, [1], tmp_path, 1)[1]
     assert result.broken == []
