--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -30,7 +30,7 @@
 from ._target_loads import FIRST_SERVER_ERROR_STATUS, TargetLoads
 from ._upstream import SendWithdrawn, Upstream
 
-__all__ = ["AttemptRunner", "release_connection"]
+__all__ = ["AttemptRunner"]
 
 # Answers below this status are successes (RFC 9110, section 15.3); only these can be streams.
 FIRST_NON_SUCCESS_STATUS = 300
@@ -259,12 +259,13 @@
 
     def _interrupt_lost(self, attempts: Sequence[Attempt], reason: str) -> None:
         """Interrupt attempts whose answers have not begun, and hand over the others."""
-        begun = [attempt for attempt in attempts if _has_begun(attempt)]
+        begun = []
         for attempt in attempts:
-            if attempt not in begun:
+            if _has_begun(attempt):
+                attempt.is_lost = True
+                begun.append(attempt)
+            else:
                 attempt.interrupt(reason)
-        for attempt in begun:
-            attempt.is_lost = True
         self.handovers.begin(begun, reason)
 
     def _remaining_s(self, exchange: Exchange) -> float:
@@ -302,23 +303,23 @@
             self.loads.record_failure(target.target_id, now_s, eject_immediately)
 
     async def _send(
-        self, exchange: Exchange, endpoint: Endpoint, opened: OpenedAnswer | AttemptEnd | None
+        self, exchange: Exchange, endpoint: Endpoint, opened: OpenedAnswer | None
     ) -> AttemptEnd:
         """Send a request, unless an answer has been opened, and forward the answer."""
         if opened is None:
             exchange.send_times = self.send_times(exchange, endpoint)
-            opened = await self._open(exchange, endpoint, exchange.send_times)
-        if isinstance(opened, AttemptEnd):
-            return opened
+            found = await self._open(exchange, endpoint, exchange.send_times)
+            if isinstance(found, AttemptEnd):
+                return found
+            opened = found
         try:
             return await self._relay_answer(exchange, endpoint.target, opened)
         except CallerGone:
             raise
         except _CONNECTION_ERRORS as error:
-            kind = _connection_error(opened.answer, error)
-            return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
+            return _broken(opened.answer, error)
         finally:
-            release_connection(opened.answer)
+            _release_connection(opened.answer)
 
     async def _open(
         self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
@@ -343,7 +344,7 @@
         opened = OpenedAnswer(answer, after_event, sent_s, times)
         end = self._check_answer(exchange, endpoint, opened)
         if end is not None:
-            release_connection(answer)
+            _release_connection(answer)
             return end
         return opened
 
@@ -357,17 +358,15 @@
         opened = await self._open(exchange, endpoint, times)
         if isinstance(opened, AttemptEnd):
             return opened
+        prefix = b""
         try:
             prefix = await opened.answer.content.readany()
         except _CONNECTION_ERRORS as error:
-            kind = _connection_error(opened.answer, error)
-            release_connection(opened.answer)
-            return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
-        except BaseException:
-            opened.answer.close()
-            raise
+            return _broken(opened.answer, error)
+        finally:
+            if not prefix:
+                opened.discard()
         if not prefix:
-            release_connection(opened.answer)
             return AttemptEnd(False, True, AttemptReason.TORN)
         return replace(opened, prefix=prefix)
 
@@ -506,6 +505,12 @@
     return not exchange.route.kind.is_repeatable or exchange.response is not None
 
 
+def _broken(answer: aiohttp.ClientResponse, error: BaseException) -> AttemptEnd:
+    """Return the end of an attempt whose connection failed within the answer."""
+    kind = _connection_error(answer, error)
+    return AttemptEnd(False, True, AttemptReason.BROKEN, error=kind)
+
+
 def _connection_error(answer: aiohttp.ClientResponse, error: BaseException) -> type[BaseException]:
     """Return the class of the error that ended a connection within an answer.
 
@@ -517,7 +522,7 @@
     return type(error if lost is None else lost)
 
 
-def release_connection(answer: aiohttp.ClientResponse) -> None:
+def _release_connection(answer: aiohttp.ClientResponse) -> None:
     """Return a connection to its pool, or close it if bytes of this exchange are outstanding.
 
     A target may answer before it has read the complete request body; it would then read the rest
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -126,6 +126,10 @@
     times: SendTimes
     prefix: bytes = b""
 
+    def discard(self) -> None:
+        """Close its connection, on which no other request is sent."""
+        self.answer.close()
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -17,7 +17,7 @@
 from ..retry_budget import RetryBudget
 from ..scheduling import Endpoint
 from ._admission import queue_times
-from ._attempts import AttemptRunner, release_connection
+from ._attempts import AttemptRunner
 from ._crash_guard import CrashGuard
 from ._exchange import AttemptEnd, AttemptReason, Exchange, OpenedAnswer
 from ._listener import caller_connection
@@ -104,7 +104,7 @@
             if next_endpoint is not None:
                 self.selector.release(next_endpoint)
             if exchange.next_answer is not None:
-                release_connection(exchange.next_answer.answer)
+                exchange.next_answer.discard()
 
     async def _attempt_until_final(self, exchange: Exchange) -> web.StreamResponse:
         """Make attempts until there is a final answer."""
@@ -198,12 +198,9 @@
             endpoint = _take_next_endpoint(exchange)
             if endpoint is None:
                 endpoint = await self._acquire(exchange, self.clock.now_s())
-            has_answer = exchange.next_answer is not None
-            if (
-                endpoint is None
-                or has_answer
-                or not self.selector.catalog.is_closed(endpoint.target)
-            ):
+            if endpoint is None or exchange.next_answer is not None:
+                return endpoint
+            if not self.selector.catalog.is_closed(endpoint.target):
                 return endpoint
             self.selector.release(endpoint)
 
--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -62,13 +62,14 @@
     def begin(self, attempts: Sequence[Attempt], reason: str, may_be_paused: bool = False) -> None:
         """Start to look for slots elsewhere for attempts, as far as the retry budget goes.
 
-        Attempts that are already being handed over count against the budget as well.
+        Attempts that are already being handed over count against the budget as well, until they
+        have paid.
 
         Parameters
         ----------
         may_be_paused : bool, default=False
             Whether the replica may soon resume. A begun answer does not spend its last attempt
-            then: it would be cut if the other target fails as well, or refuses it.
+            then: it would be cut if the other target fails as well.
         """
         now_s = self.clock.now_s()
         reserved_retries = sum(a.is_being_handed_over and not a.is_opening for a in attempts)
@@ -188,7 +189,7 @@
     if not opening.done():
         opening.cancel()
     elif not opening.cancelled() and opening.exception() is None and opening.result() is not None:
-        opening.result().answer.close()
+        opening.result().discard()
 
 
 async def _open_none(exchange: Exchange, endpoint: Endpoint) -> None:
--- a/ferrydock/unread_bytes.py
+++ b/ferrydock/unread_bytes.py
@@ -32,7 +32,7 @@
     >>> asyncio.run(scenario())
     4
     """
-    return 0 if transport.is_closing() else _count(transport)
+    return 0 if transport.is_closing() else count_left_bytes(transport)
 
 
 def count_left_bytes(transport: asyncio.BaseTransport) -> int:
@@ -40,10 +40,6 @@
 
     Both event loops close the socket after they have reported that the connection is lost.
     """
-    return _count(transport)
-
-
-def _count(transport: asyncio.BaseTransport) -> int:
     count = array.array("i", [0])
     fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
     return count[0]
