--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -451,26 +451,41 @@
     return "\n".join((*lines, *result.troubles, *drains.hop_lines)) + "\n"
 
 
+def play_in_processes(
+    play_seed: Callable[..., Any], seeds: Sequence[int], at_once: int, *arguments: Any
+) -> list[Any]:
+    """Call a function of a module for each seed in a process of its own; return the results.
+
+    The store and the workers of an emulation share one loop. In one process, those of several
+    emulations would delay each other by seconds.
+
+    Parameters
+    ----------
+    play_seed : callable
+        Called with the seed and `arguments`.
+    at_once : int
+        Largest number of processes at a time.
+    """
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(at_once, context, max_tasks_per_child=1) as pool:
+        plays = [pool.submit(play_seed, seed, *arguments) for seed in seeds]
+        return [play.result() for play in plays]
+
+
 def play_alone(seed: int, folder: Path, plays: str) -> list[str]:
-    """Run `play` in a process that runs nothing else."""
+    """Run `play` in a loop of its own."""
     return asyncio.run(play(seed, folder, plays))
 
 
 def main() -> int:
-    """Run all seeds, each in a process of its own; return the exit status.
-
-    The store and the workers of an emulation share one loop. In one process, those of several
-    emulations would delay each other by seconds.
-    """
+    """Run all seeds; return the exit status."""
     values = flags.FLAGS
     if values.quick:
         values.seeds = 2
     folder = Path(values.failures)
     seeds = [values.first + number for number in range(values.seeds)]
-    context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(values.at_once, context, max_tasks_per_child=1) as pool:
-        plays = [pool.submit(play_alone, seed, folder, values.plays) for seed in seeds]
-        failed = [seed for seed, done in zip(seeds, plays, strict=True) if done.result()]
+    broken = play_in_processes(play_alone, seeds, values.at_once, folder, values.plays)
+    failed = [seed for seed, lines in zip(seeds, broken, strict=True) if lines]
     print(format_event("soak_ended", seeds=values.seeds, failed=",".join(map(str, failed))))
     return 1 if failed else 0
 
--- a/ferrydock/emulator/_endless.py
+++ b/ferrydock/emulator/_endless.py
@@ -18,7 +18,13 @@
 from ._persistent_callers import SLOW_BODY_BYTES
 from ._troubles import EmulationParts, trouble
 
-__all__ = ["describe_filler", "describe_memory", "describe_unserved_elsewhere", "draw_endless"]
+__all__ = [
+    "describe_filler",
+    "describe_memory",
+    "describe_unserved",
+    "describe_unserved_elsewhere",
+    "draw_endless",
+]
 
 # Time during which a worker sends so, and numbers of the periods and of the workers at a time.
 ENDLESS_S = (2.0, 6.0)
@@ -195,17 +201,20 @@
             and not _is_in_stream(call, answered)
         ],
     }
-    lines = []
-    for name, group in groups.items():
-        unserved = [call for call in group if call.outcome != "served"]
-        if len(group) >= MIN_REQUESTS and len(unserved) > MAX_UNSERVED_SHARE * len(group):
-            first = unserved[0]
-            lines.append(
-                f"endless: {len(unserved)} of {len(group)} requests {name} not served, first "
-                f"{first.request_id} {first.kind} at {first.daemon}, {first.at_s:.2f} s: "
-                f"{first.outcome} {first.code} after {first.took_s:.2f} s"
-            )
-    return lines
+    return [line for name, group in groups.items() for line in describe_unserved(group, name)]
+
+
+def describe_unserved(group: Sequence[Call], name: str) -> list[str]:
+    """Return a line if too few requests of a group were served."""
+    unserved = [call for call in group if call.outcome != "served"]
+    if len(group) < MIN_REQUESTS or len(unserved) <= MAX_UNSERVED_SHARE * len(group):
+        return []
+    first = unserved[0]
+    return [
+        f"endless: {len(unserved)} of {len(group)} requests {name} not served, first "
+        f"{first.request_id} {first.kind} at {first.daemon}, {first.at_s:.2f} s: "
+        f"{first.outcome} {first.code} after {first.took_s:.2f} s"
+    ]
 
 
 def describe_memory(memory_bytes: int) -> list[str]:
--- a/ferrydock/emulator/_endless_senders.py
+++ b/ferrydock/emulator/_endless_senders.py
@@ -13,7 +13,7 @@
 
 from ..standins.fleet import EndlessKind, EndlessPeer, EndlessPeerKind
 from ._daemon_troubles import end_daemons, undisturbed_daemons
-from ._endless import ENDLESS_S, MAX_UNSERVED_SHARE, MIN_REQUESTS
+from ._endless import ENDLESS_S, describe_unserved
 from ._experiment import (
     ENDLESS_PEERS_KIND,
     ENDLESS_STORE_KIND,
@@ -179,12 +179,4 @@
         and not any(began_s <= call.at_s < to_s + from_s for began_s, to_s in endless_s)
         and is_judged(call)
     ]
-    unserved = [call for call in after if call.outcome != "served"]
-    if len(after) < MIN_REQUESTS or len(unserved) <= MAX_UNSERVED_SHARE * len(after):
-        return []
-    first = unserved[0]
-    return [
-        f"endless: {len(unserved)} of {len(after)} requests after it not served, first "
-        f"{first.request_id} {first.kind} at {first.daemon}, {first.at_s:.2f} s: "
-        f"{first.outcome} {first.code} after {first.took_s:.2f} s"
-    ]
+    return describe_unserved(after, "after it")
--- a/tests/soak_plays.py
+++ b/tests/soak_plays.py
@@ -1,10 +1,9 @@
 """Run the emulations of a soak test, one per seed, with bounded concurrency."""
 
 import asyncio
-import multiprocessing
-from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from benchmarks.soak import play_in_processes
 from ferrydock.emulator import Emulation
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -19,16 +18,13 @@
 def play_seeds(experiment, seeds, folder, concurrent_emulations):
     """Run the emulation of each seed in a process of its own; return the results by seed.
 
-    The store and the workers of an emulation share one loop. In one process, those of several
-    emulations would delay each other by seconds. Logs go to a subfolder of `folder` for each seed.
+    Logs go to a subfolder of `folder` for each seed. `experiment` is a function of a module.
     """
-    context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(concurrent_emulations, context, max_tasks_per_child=1) as pool:
-        plays = [pool.submit(_play, experiment, seed, folder) for seed in seeds]
-        return dict(zip(seeds, (play.result() for play in plays), strict=True))
+    results = play_in_processes(_play, seeds, concurrent_emulations, experiment, folder)
+    return dict(zip(seeds, results, strict=True))
 
 
-def _play(experiment, seed, folder):
+def _play(seed, experiment, folder):
     logs = folder / f"seed-{seed}"
     logs.mkdir()
     return asyncio.run(Emulation(experiment(seed), logs).run())
