--- a/ferrydock/forwarding/tests/test_closed_connections.py
+++ b/ferrydock/forwarding/tests/test_closed_connections.py
@@ -1,34 +1,26 @@
 """Each connection of a caller that the daemon closes is counted and logged with the reason."""
 
-import asyncio
 import logging
 
 import pytest
-import uvloop
 
 from .._closed_connections import MAX_LINES_PER_S, CloseReason, ConnectionState
 from .rig import Rig, ScriptedTarget, route
 from .test_planned_stop import REQUEST, Caller, never_answers, until
 from .test_unread_requests import (
+    LOOPS,
     apply_limits,
     connect_and_wait,
     gateway,
     has_passed,
+    play,
     receive_answer,
     until_idle,
 )
 
-LOOPS = pytest.mark.parametrize(
-    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
-)
 FREE, UNREAD, IN_USE = ConnectionState.FREE, ConnectionState.UNREAD, ConnectionState.IN_USE
 
 
-def play(loop_factory, scenario):
-    with asyncio.Runner(loop_factory=loop_factory) as runner:
-        runner.run(scenario())
-
-
 def counted(rig):
     """Return the number of closed connections by reason and state, without those of 0."""
     counter = rig.gateway.forwarder.attempts.metrics.connections_closed
--- a/ferrydock/forwarding/tests/test_comments.py
+++ b/ferrydock/forwarding/tests/test_comments.py
@@ -15,6 +15,20 @@
 STREAM_ROUTE = route(kind=RouteKind.RESUMABLE_STREAM, attempts=2, time_limit_s=10.0)
 
 
+def sends_comments(end, comment=b": a\n\n", last=b"id: 2\ndata: b\n\n"):
+    """Return a script that sends an event, comments until `end` is set, and then the last bytes."""
+
+    async def script(target, request, writer):
+        writer.write(HEAD + b"\r\n" + EVENT)
+        while not end.is_set():
+            await asyncio.sleep(0.02)
+            writer.write(comment)
+        writer.write(last)
+        return None
+
+    return script
+
+
 def test_comments_are_passed_on_between_two_events_up_to_their_bound():
     events = NumberedEvents(None)
     comment = b": a\n\n"
@@ -32,16 +46,7 @@
 
     async def scenario():
         end = asyncio.Event()
-
-        async def comments(target, request, writer):
-            writer.write(HEAD + b"\r\n" + EVENT)
-            while not end.is_set():
-                await asyncio.sleep(0.02)
-                writer.write(b": a\n\n")
-            writer.write(b"id: 2\ndata: b\n\n")
-            return None
-
-        async with Rig([STREAM_ROUTE], [ScriptedTarget(comments)]) as rig:
+        async with Rig([STREAM_ROUTE], [ScriptedTarget(sends_comments(end))]) as rig:
             streaming = asyncio.ensure_future(rig.ask())
             await asyncio.sleep(0.3)
             load, now_s = rig.loads.of("t0"), rig.clock.now_s()
@@ -86,16 +91,8 @@
 
     async def scenario():
         end = asyncio.Event()
-
-        async def comments(target, request, writer):
-            writer.write(HEAD + b"\r\n" + EVENT)
-            while not end.is_set():
-                await asyncio.sleep(0.02)
-                writer.write(b": a\n")
-            writer.write(b"\nid: 2\ndata: b\n\n")
-            return None
-
-        async with Rig([STREAM_ROUTE], [ScriptedTarget(comments)]) as rig:
+        lines = sends_comments(end, b": a\n", b"\nid: 2\ndata: b\n\n")
+        async with Rig([STREAM_ROUTE], [ScriptedTarget(lines)]) as rig:
             streaming = asyncio.ensure_future(rig.ask())
             await asyncio.sleep(0.3)
             load, now_s = rig.loads.of("t0"), rig.clock.now_s()
@@ -133,16 +130,7 @@
 
     async def scenario():
         end = asyncio.Event()
-
-        async def comments(target, request, writer):
-            writer.write(HEAD + b"\r\n" + EVENT)
-            while not end.is_set():
-                await asyncio.sleep(0.02)
-                writer.write(b": a\n\n")
-            writer.write(b"id: 2\ndata: b\n\n")
-            return None
-
-        targets = [ScriptedTarget(comments), ScriptedTarget(comments)]
+        targets = [ScriptedTarget(sends_comments(end)) for _ in range(2)]
         async with Rig([STREAM_ROUTE], targets) as rig:
             streaming = asyncio.ensure_future(rig.ask())
             await asyncio.sleep(LOST_SILENT_S + 0.1)
--- a/ferrydock/forwarding/tests/test_configuration_changes.py
+++ b/ferrydock/forwarding/tests/test_configuration_changes.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-import uvloop
 
 from ...configuration import Configuration, IngressLimits, RouteKind
 from .._idle_limits import IdleLimits
@@ -11,21 +10,14 @@
 from .test_forwarding import STREAM, events
 from .test_planned_stop import FIELDS, REQUEST, Caller, pauses_until, until
 from .test_unread_requests import (
+    LOOPS,
     apply_limits,
     connect_and_wait,
     gateway,
+    play,
     receive_answer,
 )
 
-LOOPS = pytest.mark.parametrize(
-    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
-)
-
-
-def play(loop_factory, scenario):
-    with asyncio.Runner(loop_factory=loop_factory) as runner:
-        runner.run(scenario())
-
 
 def remove_everything(rig):
     """Apply a version without routes, services and teams, and with the narrowest limits."""
--- a/ferrydock/forwarding/tests/test_opened_elsewhere.py
+++ b/ferrydock/forwarding/tests/test_opened_elsewhere.py
@@ -37,14 +37,22 @@
     return script
 
 
-async def moved_stream(rig):
-    """Begin a stream and move it; return its task and the numbers of its targets, first the old."""
+async def begun_stream(rig):
+    """Begin a stream; return its task, the number of its target, and that of the other one."""
     streaming = asyncio.ensure_future(rig.stream())
     await rig.until_begun(1)
     old = next(n for n, target in enumerate(rig.targets) if target.requests)
     return streaming, old, 1 - old
 
 
+async def moved_stream(rig):
+    """Begin a stream and move it, until the other target is asked; return as `begun_stream`."""
+    streaming, old, new = await begun_stream(rig)
+    rig.stalls.attempts.move_streams(KEYS[old], SILENT)
+    await rig.until(lambda: rig.targets[new].requests)
+    return streaming, old, new
+
+
 @pytest.mark.parametrize(
     "answer", [REFUSAL, NO_STREAM, NOT_HTTP], ids=["refuses", "answers_no_stream", "is_no_answer"]
 )
@@ -54,7 +62,7 @@
     async def scenario():
         resume = asyncio.Event()
         async with HandoverRig([ScriptedTarget(pauses(resume)) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             rig.targets[new].scripts = [writes(answer)]
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             await rig.until(lambda: rig.targets[new].requests)
@@ -74,7 +82,7 @@
     async def scenario():
         never = asyncio.Event()
         async with HandoverRig([ScriptedTarget(pauses(never)) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             assert body_of(await streaming) == (COMPLETE_BODY, True)
             lines = [line for line in caplog.messages if "attempt=" in line]
@@ -92,8 +100,6 @@
         targets = [ScriptedTarget(opens_late(opens, resume)) for _ in KEYS]
         async with HandoverRig(targets, retries=5.0) as rig:
             streaming, old, new = await moved_stream(rig)
-            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
-            await rig.until(lambda: rig.targets[new].requests)
             resume.set()
             assert body_of(await streaming) == (COMPLETE_BODY, True)
             await rig.until(lambda: rig.in_flight() == [0, 0])
@@ -107,8 +113,6 @@
         targets = [ScriptedTarget(opens_late(opens, None, fails)) for _ in KEYS]
         async with HandoverRig(targets, retries=5.0) as rig:
             streaming, old, new = await moved_stream(rig)
-            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
-            await rig.until(lambda: rig.targets[new].requests)
             fails.set()
             await rig.until(lambda: rig.in_flight()[old] == 0)
             opens.set()
@@ -125,8 +129,6 @@
         targets = [ScriptedTarget(opens_late(opens, never)) for _ in KEYS]
         async with HandoverRig(targets, retries=5.0) as rig:
             streaming, old, new = await moved_stream(rig)
-            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
-            await rig.until(lambda: rig.targets[new].requests)
             if opens_first:
                 opens.set()
             streaming.cancel()
--- a/ferrydock/forwarding/tests/test_opening_races.py
+++ b/ferrydock/forwarding/tests/test_opening_races.py
@@ -10,7 +10,7 @@
 from .test_forwarding import STREAM, body_of, events
 from .test_handovers import REFUSAL, HandoverRig
 from .test_interruptions import COMPLETE_BODY, KEYS, pauses
-from .test_opened_elsewhere import SILENT, moved_stream, opens_late
+from .test_opened_elsewhere import SILENT, begun_stream, moved_stream, opens_late
 
 THREE_KEYS = [*KEYS, ("g2", 5)]
 IN_TIME_S = 1.0
@@ -93,7 +93,7 @@
     async def scenario():
         resume = asyncio.Event()
         async with HandoverRig([ScriptedTarget(pauses(resume)) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             rig.targets[new].scripts = [writes(STREAM, keep=new_keeps)]
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             await rig.until(lambda: rig.targets[new].requests)
@@ -125,8 +125,6 @@
 
         async with HandoverRig([ScriptedTarget(resumes) for _ in KEYS], retries=5.0) as rig:
             streaming, old, new = await moved_stream(rig)
-            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
-            await rig.until(lambda: rig.targets[new].requests)
             resume.set()
             async with asyncio.timeout(IN_TIME_S):
                 await rig.until(lambda: rig.in_flight()[new] == 0)
@@ -153,7 +151,7 @@
             await never.wait()
 
         async with HandoverRig([ScriptedTarget(script) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             position = rig.forwarder.attempts.responding_at(f"t{old}")[0].events
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             await rig.until(lambda: rig.targets[new].requests)
@@ -174,7 +172,7 @@
     async def scenario():
         resume = asyncio.Event()
         async with HandoverRig([ScriptedTarget(pauses(resume)) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             checked = []
 
             async def may_send(check, endpoint):
@@ -199,8 +197,6 @@
         targets = [ScriptedTarget(opens_late(opens, None, fails)) for _ in KEYS]
         async with HandoverRig(targets, retries=5.0) as rig:
             streaming, old, new = await moved_stream(rig)
-            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
-            await rig.until(lambda: rig.targets[new].requests)
             identity = rig.forwarder.attempts.responding_at(f"t{old}")[0].identity
             targets[old].close()
             fails.set()
@@ -242,8 +238,6 @@
         targets = [ScriptedTarget(opens_late(opens, None, fails)) for _ in KEYS]
         async with HandoverRig(targets, retries=5.0) as rig:
             streaming, old, new = await moved_stream(rig)
-            rig.stalls.attempts.move_streams(KEYS[old], SILENT)
-            await rig.until(lambda: rig.targets[new].requests)
             fails.set()
             await rig.until(lambda: rig.in_flight()[old] == 0)
             rig.forwarder.stop_limit.end()
--- a/ferrydock/forwarding/tests/test_opening_records.py
+++ b/ferrydock/forwarding/tests/test_opening_records.py
@@ -9,7 +9,7 @@
 from .test_forwarding import STREAM, body_of, events
 from .test_handovers import HandoverRig
 from .test_interruptions import COMPLETE_BODY, KEYS, pauses
-from .test_opened_elsewhere import SILENT, moved_stream, opens_late
+from .test_opened_elsewhere import SILENT, begun_stream, opens_late
 
 
 def lines_of(caplog, name):
@@ -24,7 +24,7 @@
     async def scenario():
         targets = [ScriptedTarget(pauses(asyncio.Event())) for _ in KEYS]
         async with HandoverRig(targets, retries=5.0) as rig:
-            streaming, old, _ = await moved_stream(rig)
+            streaming, old, _ = await begun_stream(rig)
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             assert body_of(await streaming) == (COMPLETE_BODY, True)
 
@@ -51,7 +51,7 @@
             return None
 
         async with HandoverRig([ScriptedTarget(script) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             position = rig.forwarder.attempts.responding_at(f"t{old}")[0].events
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             await rig.until(lambda: rig.targets[new].requests)
@@ -93,7 +93,7 @@
             return None
 
         async with HandoverRig([ScriptedTarget(script) for _ in KEYS], retries=5.0) as rig:
-            streaming, old, new = await moved_stream(rig)
+            streaming, old, new = await begun_stream(rig)
             rig.stalls.attempts.move_streams(KEYS[old], SILENT)
             await rig.until(lambda: asked_s)
             await asyncio.sleep(0.1)
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -70,6 +70,12 @@
     return received
 
 
+async def receive_stopping_refusal(caller):
+    """Receive until the connection is closed; assert that it is the refusal of a stop."""
+    received = await receive_all(caller)
+    assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+
+
 def gateway():
     return Rig([route()], [ScriptedTarget(writes(complete_answer()))])
 
@@ -134,8 +140,7 @@
                 rig.gateway.stop_listening()
                 caller.send(REQUEST)
                 rig.gateway.close_idle()
-                received = await receive_all(caller)
-                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                await receive_stopping_refusal(caller)
                 assert rig.targets[0].requests == []
 
     play(loop_factory, scenario)
@@ -150,8 +155,7 @@
                 caller.send(REQUEST)
                 rig.gateway.close_idle()
                 assert rig.gateway.connection_count == 1
-                received = await receive_all(caller)
-                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                await receive_stopping_refusal(caller)
             assert await start_planned_stop(rig)
 
     play(loop_factory, scenario)
@@ -170,8 +174,7 @@
                     loop.call_soon(rig.gateway.close_idle)
                 else:
                     loop.call_later(0.0, rig.gateway.close_idle)
-                received = await receive_all(caller)
-                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                await receive_stopping_refusal(caller)
 
     play(loop_factory, scenario)
 
@@ -188,8 +191,7 @@
                 rig.gateway.close_idle()
                 await asyncio.sleep(0)
                 caller.send(REQUEST)
-                received = await receive_all(caller)
-                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                await receive_stopping_refusal(caller)
                 assert rig.targets[0].requests == []
 
     play(loop_factory, scenario)
@@ -226,7 +228,6 @@
                 rig.gateway.close_idle()
                 await asyncio.sleep(0)
                 caller.send(REQUEST[20:])
-                received = await receive_all(caller)
-                assert received.startswith(b"HTTP/1.1 503") and b"stopping" in received
+                await receive_stopping_refusal(caller)
 
     play(loop_factory, scenario)
