--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -188,9 +188,12 @@
             self._was_in_use = has_begun and not is_waiting_for_request(self)
 
     def _record_close(self) -> None:
+        has_caller_ended_it = self._has_caller_left and self._was_in_use is None
         self._note_use()
         why = self._close_reason
-        if why is None and self._has_caller_left:
+        # A reason noted before, such as a stop, would have ended the connection only after the
+        # answer that the caller did not wait for.
+        if self._has_caller_left and (why is None or (has_caller_ended_it and self._was_in_use)):
             why = CloseReason.CALLER_LEFT
         if why is None:
             why = CloseReason.ANSWERED if self._has_finished else CloseReason.UNKNOWN
--- a/ferrydock/forwarding/tests/test_closed_connections.py
+++ b/ferrydock/forwarding/tests/test_closed_connections.py
@@ -1,12 +1,15 @@
 """Each connection of a caller that the daemon closes is counted and logged with the reason."""
 
+import asyncio
 import logging
 
 import pytest
 
+from ...configuration import RouteKind
 from .._closed_connections import MAX_LINES_PER_S, CloseReason, ConnectionState
 from .rig import Rig, ScriptedTarget, route
-from .test_planned_stop import REQUEST, Caller, never_answers, until
+from .test_forwarding import STREAM, events
+from .test_planned_stop import REQUEST, Caller, never_answers, pauses_until, until
 from .test_unread_requests import (
     LOOPS,
     apply_limits,
@@ -101,6 +104,24 @@
     play(loop_factory, scenario)
 
 
+@LOOPS
+def test_caller_that_leaves_a_stopping_daemon_is_not_counted_as_cut_by_the_stop(
+    loop_factory, caplog
+):
+    async def scenario():
+        begun = pauses_until(asyncio.Event(), STREAM + events(1), b"")
+        async with Rig([route(kind=RouteKind.STREAM)], [ScriptedTarget(begun)]) as rig:
+            caller, _ = await connect_and_wait(rig)
+            with caller:
+                rig.gateway.announce_stop()
+                caller.send(REQUEST)
+                assert await asyncio.get_running_loop().sock_recv(caller, 65536)
+            await until_counted(rig, CloseReason.CALLER_LEFT, IN_USE)
+            assert "why=stopping" not in caplog.text
+
+    play(loop_factory, scenario)
+
+
 @LOOPS
 def test_request_that_the_end_of_the_process_cuts_is_counted_as_in_use(loop_factory):
     async def scenario():
