--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -21,7 +21,7 @@
 from ._crash_guard import CrashGuard
 from ._exchange import AttemptEnd, AttemptReason, Exchange, OpenedAnswer
 from ._listener import caller_connection
-from ._observed_times import ObservedTimes
+from ._observed_times import AnswerTime, ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
     final_status,
@@ -31,6 +31,7 @@
 )
 from ._request_log import RequestLog
 from ._retry_rule import may_retry
+from ._stop_rule import can_end_in_time
 
 __all__ = ["Forwarder"]
 
@@ -51,6 +52,8 @@
     ----------
     stop_limit : StopLimit
         Ends the remaining requests when the time for a planned stop is over.
+    has_peers : callable
+        Returns whether another daemon may be in service.
     """
 
     __slots__ = (
@@ -59,6 +62,7 @@
         "budgets",
         "clock",
         "crashes",
+        "has_peers",
         "selector",
         "stop_limit",
         "times",
@@ -80,6 +84,7 @@
         self.clock = clock
         self.times = ObservedTimes()
         self.stop_limit = StopLimit()
+        self.has_peers: Callable[[], bool] = lambda: True
         self._log = RequestLog(attempts.metrics, clock)
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse:
@@ -92,6 +97,8 @@
 
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
         """Serve one request; end it if the time for a planned stop is over first."""
+        if not self._can_end_in_time(exchange):
+            return self._end_without_answer(exchange, STOPPING_REASON)
         try:
             async with self.stop_limit.apply():
                 return await self._attempt_until_final(exchange)
@@ -123,9 +130,10 @@
             exchange.queued_s += self.clock.now_s() - wait_started_s
             if endpoint is None:
                 return self._end_without_answer(exchange, exchange.no_endpoint.reason)
-            if await self.crashes.is_known_since_admission(exchange):
+            reason = await self._reason_not_to_send(exchange)
+            if reason:
                 self.selector.release(endpoint)
-                return self._end_without_answer(exchange, CRASHES_TARGETS)
+                return self._end_without_answer(exchange, reason)
             end = await self._run_attempt(exchange, endpoint)
             if end.is_complete:
                 self.crashes.record_answer(exchange)
@@ -141,6 +149,13 @@
             if exchange.next_endpoint is None and not budget.spend():
                 return self._end_without_answer(exchange, "retry_budget")
 
+    async def _reason_not_to_send(self, exchange: Exchange) -> str:
+        """Return why not to use the slot that a request has waited for; empty to use it."""
+        if not self._can_end_in_time(exchange):
+            return STOPPING_REASON
+        is_crashing = await self.crashes.is_known_since_admission(exchange)
+        return CRASHES_TARGETS if is_crashing else ""
+
     async def _run_attempt(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
         """Make an attempt; one that fails is logged, and its target checked for a crash."""
         exchange.note_attempt_begins()
@@ -217,12 +232,40 @@
         exchange.is_late = not queue_wait.in_time_s
         return await self.selector.acquire(exchange, queue_wait.in_time_s or queue_wait.late_s)
 
+    def _can_end_in_time(self, exchange: Exchange) -> bool:
+        """Return whether a planned stop leaves time for a request; True while there is none.
+
+        A request that a target may have run already is not refused: its caller could not tell that
+        repeating it is safe.
+        """
+        ends_s = self.stop_limit.ends_s
+        if ends_s is None or exchange.may_have_run or exchange.response is not None:
+            return True
+        inbound = exchange.inbound
+        usual_answer_s = self.times.usual_answer_s(
+            exchange.service.name, inbound.model, exchange.route.name, inbound.max_answer_tokens
+        )
+        return can_end_in_time(
+            ends_s - self.clock.now_s(),
+            self._remaining_s(exchange),
+            usual_answer_s,
+            exchange.route.kind.is_repeatable,
+            self.has_peers(),
+        )
+
     def _record_times(self, exchange: Exchange) -> None:
         """Record the observed times of a request that was answered at the first attempt."""
         if exchange.attempt_count == 1 and exchange.first_bytes_s is not None:
             first_s = exchange.first_bytes_s - exchange.queued_s
             kind = exchange.service.name, exchange.inbound.model
             self.times.record_first_bytes(*kind, first_s)
+            took_s = self._since_arrival_s(exchange) - exchange.queued_s
+            self.times.record_answer(
+                *kind,
+                exchange.route.name,
+                AnswerTime(first_s, took_s),
+                exchange.inbound.max_answer_tokens,
+            )
             if exchange.longest_gap_s:
                 self.times.record_longest_pause(*kind, exchange.longest_gap_s)
 
--- a/ferrydock/forwarding/tests/rig.py
+++ b/ferrydock/forwarding/tests/rig.py
@@ -136,6 +136,11 @@
     return script
 
 
+def plain_target(number, target):
+    """Return the entry of a scripted target."""
+    return Target(f"t{number}", "plain", target.address, "hall-a", 6)
+
+
 class Rig:
     """A gateway with its parts and targets, and methods that act as a caller."""
 
@@ -176,8 +181,7 @@
         )
         for number, target in enumerate(self.targets):
             await target.start()
-            entry = Target(f"t{number}", "plain", target.address, "hall-a", 6)
-            self.directory.put(entry)
+            self.directory.put(plain_target(number, target))
         await self.gateway.start("127.0.0.1:0")
         return self
 
--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -71,6 +71,8 @@
     ----------
     is_over : bool
         Whether the limit was reached; work that begins later ends at once.
+    ends_s : float or None
+        Local time at which it will be reached; None unless a stop with a limit has begun.
 
     Examples
     --------
@@ -88,11 +90,12 @@
     'ended'
     """
 
-    __slots__ = ("_limits", "is_over")
+    __slots__ = ("_limits", "ends_s", "is_over")
 
     def __init__(self):
         self._limits: set[asyncio.Timeout] = set()
         self.is_over = False
+        self.ends_s: float | None = None
 
     @asynccontextmanager
     async def apply(self) -> AsyncIterator[None]:
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -54,9 +54,7 @@
     def parse_request(self, headers: Mapping[str, str]) -> Inbound | Invalid:
         """Parse the headers of a caller's request; `Invalid` if one of them cannot be parsed."""
         try:
-            # The token counts are not used, but a request with a malformed one is invalid.
-            for count in headers.get("X-Token-Count", "0,0").split(",")[:2]:
-                int(count)
+            token_counts = [int(n) for n in headers.get("X-Token-Count", "0,0").split(",")[:2]]
             remaining_ms = headers.get("X-Deadline-Ms")
             last_event_header = headers.get("Last-Event-Id")
             key = headers.get("Authorization", "")
@@ -67,6 +65,7 @@
                 model=headers.get("X-Model", ""),
                 last_event_id=int(last_event_header) if last_event_header else None,
                 shared_parts=_read_shared_parts(headers),
+                max_answer_tokens=max(0, token_counts[1]) if len(token_counts) > 1 else 0,
             )
         except ValueError as error:
             return Invalid((Fault("headers", str(error)),))
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -239,6 +239,7 @@
             self.crash_exchange.history, self.directory, self.metrics, self.clock, self.dialer
         )
         forwarder = Forwarder(attempts, self.retry_shares.budget, self.crashes, self.clock)
+        forwarder.has_peers = lambda: self.site_daemons.count() > 1
         self.gateway = RouteGateway(
             self.current, forwarder, dialect, self._max_keyed_age_s, self.clock, self.rng
         )
@@ -583,6 +584,7 @@
         """Stop as planned: report not ready, let requests in flight finish, then close."""
         self.stopping.set()
         within_s = self.settings.stop_within_s - CLOSE_BEFORE_KILL_S
+        self.gateway.forwarder.stop_limit.ends_s = self.clock.now_s() + within_s
         await finish_requests(
             [self.gateway],
             LISTEN_AFTER_NOT_READY_S,
