--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -241,18 +241,21 @@
         ends_s = self.stop_limit.ends_s
         if ends_s is None or exchange.may_have_run or exchange.response is not None:
             return True
-        inbound = exchange.inbound
-        usual_answer_s = self.times.usual_answer_s(
-            exchange.service.name, inbound.model, exchange.route.name, inbound.max_answer_tokens
-        )
         return can_end_in_time(
             ends_s - self.clock.now_s(),
             self._remaining_s(exchange),
-            usual_answer_s,
+            self._usual_answer_s(exchange),
             exchange.route.kind.is_repeatable,
             self.has_peers(),
         )
 
+    def _usual_answer_s(self, exchange: Exchange) -> float | None:
+        """Return the time within which 19 of 20 answers to requests like one end."""
+        inbound = exchange.inbound
+        return self.times.usual_answer_s(
+            exchange.service.name, inbound.model, exchange.route.name, inbound.max_answer_tokens
+        )
+
     def _record_times(self, exchange: Exchange) -> None:
         """Record the observed times of a request that was answered at the first attempt."""
         if exchange.attempt_count == 1 and exchange.first_bytes_s is not None:
@@ -288,6 +291,7 @@
             since_arrival_s=self._since_arrival_s(exchange),
             endpoint_count=self.selector.endpoint_count(exchange),
             queued=self.selector.queue_length,
+            usual_answer_s=self._usual_answer_s(exchange) if reason == STOPPING_REASON else None,
         )
         if exchange.response is not None:
             caller_connection(exchange.request).break_answer()
--- a/ferrydock/forwarding/_observed_times.py
+++ b/ferrydock/forwarding/_observed_times.py
@@ -29,7 +29,7 @@
 ANSWER_QUANTILE = 0.95
 
 # With fewer than `MIN_OBSERVATIONS` answers, the usual time is this many times the longest.
-FEW_ANSWERS_FACTOR = 2.0
+FEW_ANSWERS_FACTOR = 1.5
 
 # Quantile of the remaining times of a route's requests that is taken as the time a caller gives a
 # request it sends for the first time. Repeated requests have less time left, and up to three in
--- a/ferrydock/forwarding/_request_log.py
+++ b/ferrydock/forwarding/_request_log.py
@@ -126,6 +126,7 @@
         since_arrival_s: float,
         endpoint_count: int,
         queued: int,
+        usual_answer_s: float | None = None,
     ) -> None:
         """Log and count a request that ends without a complete answer.
 
@@ -137,6 +138,8 @@
             Endpoints that could have served it, full ones included.
         queued : int
             Requests in this daemon's queue.
+        usual_answer_s : float or None
+            Time within which 19 of 20 answers like this one end, for a request that a stop ends.
         """
         if exchange.response is not None:
             outcome = "cut"
@@ -158,6 +161,7 @@
             waiting=queued,
             attempts=exchange.attempt_count,
             held_ms=since_arrival_s * MS_PER_S,
+            usual_ms=_to_ms(usual_answer_s),
         )
 
     def caller_left(self, exchange: Exchange, error: BaseException, since_arrival_s: float) -> None:
--- a/ferrydock/forwarding/_stop_rule.py
+++ b/ferrydock/forwarding/_stop_rule.py
@@ -10,6 +10,10 @@
 
 __all__ = ["can_end_in_time"]
 
+# Factor on the usual time of an answer: one in twenty takes longer. A refusal costs its caller a
+# new connection, a cut costs it the answer.
+ANSWER_TIME_FACTOR = 1.25
+
 
 def can_end_in_time(
     left_s: float,
@@ -51,4 +55,4 @@
         return True
     if not has_peers and (is_repeatable or usual_answer_s is None):
         return True
-    return usual_answer_s is not None and usual_answer_s <= left_s
+    return usual_answer_s is not None and usual_answer_s * ANSWER_TIME_FACTOR <= left_s
