--- a/ferrydock/emulator/_long_answers.py
+++ b/ferrydock/emulator/_long_answers.py
@@ -52,6 +52,12 @@
 SILENCE_SERIES = (0, 0, 1, 2)
 SILENT_S = (0.3, 1.2)
 
+# Signals to daemons that are stopping: how often a run has them, when after the first stop they
+# begin, and for how long they are repeated.
+SIGNALS_SHARE = 0.4
+SIGNALS_AFTER_S = (0.0, 7.0)
+SIGNALS_S = (0.1, 2.0)
+
 # How many unanswered requests are reported of one play.
 MAX_REPORTED_CALLS = 5
 
@@ -80,9 +86,21 @@
         drawn.append(Trouble(at_s, SILENCE_KIND, rng.choice((1, 2, 4)), for_s, hall, how))
     count = rng.choice(OTHER_SERIES)
     drawn += draw_weighted_series(rng, _SERIES_WEIGHTS, count, (1.0, length_s * 0.7), halls)
+    drawn += _draw_signals(seed, min(spec.at_s for spec in drawn))
     return sorted(drawn, key=lambda spec: spec.at_s)
 
 
+def _draw_signals(seed: int, after_s: float) -> list[Trouble]:
+    """Return signals to the daemons that are stopping, from about a time on."""
+    rng = random.Random(f"signals in stops {seed}")
+    drawn = []
+    for kind in ("stop_hangup", "stop_repeated"):
+        while rng.random() < SIGNALS_SHARE:
+            at_s, for_s = after_s + rng.uniform(*SIGNALS_AFTER_S), rng.uniform(*SIGNALS_S)
+            drawn.append(Trouble(at_s, kind, for_s=for_s))
+    return drawn
+
+
 @trouble(STOPS_IN_TURN_KIND)
 async def stop_in_turn(parts: EmulationParts, spec: Trouble) -> str:
     """Stop daemons as planned, leaders first, `for_s` apart; they are started again."""
