--- a/ferrydock/platform/tests/test_planned_stop.py
+++ b/ferrydock/platform/tests/test_planned_stop.py
@@ -1,10 +1,14 @@
 """A planned stop of a daemon cuts no answer to a request that the daemon has accepted."""
 
 import asyncio
+import random
+
+import pytest
 
 from ...forwarding import RouteGateway
 from ...forwarding._gateway import SHUTDOWN_TIMEOUT_S
 from ...hall_lease import ControllerLease
+from ...links import NoPathToTargets, PeerTunnels, TunnelPeers
 from ...route_daemon import _own_leadership
 from ...route_daemon._daemon import (
     BALANCER_CHECK_S,
@@ -179,6 +183,26 @@
     run_scenario(scenario)
 
 
+def test_a_stopping_daemon_opens_no_tunnel_whose_answer_its_end_would_cut(tmp_path):
+    async def scenario():
+        async with Site(tmp_path) as site:
+            daemon = await site.start_daemon("one")
+            site.site.write_configuration()
+            await site.wait_until(lambda: site.is_formed(REPLICAS))
+            address = await daemon.tunnel_server.start("127.0.0.1:0")
+            target = next(iter(daemon.directory.targets.values()))
+            peers = TunnelPeers("hall-b", "", random.Random(1))
+            peers.receive({"hall-a": [address]})
+            tunnels = PeerTunnels(peers, daemon.clock)
+            (await tunnels.open(target.address, "r1")).opened.close()
+            daemon.stopping.set()
+            assert not daemon.gateway.has_stopped_listening
+            with pytest.raises(NoPathToTargets):
+                await tunnels.open(target.address, "r2")
+
+    run_scenario(scenario)
+
+
 def test_remaining_requests_are_ended_in_time_to_answer_them_and_to_close():
     """The server closes a connection in up to two time limits: one to answer, one to cancel."""
     grace_s = 8.0
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -396,7 +396,7 @@
     # Functions that are passed to components --------------------------------------------------
 
     def _refuses_tunnels(self) -> bool:
-        return self.gateway.has_stopped_listening
+        return self.stopping.is_set()
 
     async def _call_peer(self, address: str, method: str, data: bytes) -> bytes | None:
         """Call the leader of the own hall, or of another one while this daemon leads its own."""
