--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -3,8 +3,8 @@
 Owns no state of a daemon except `StopLimit`, which ends the remaining requests when the time for a
 stop is over. `finish_requests` defines the order of a stop:
 
-1. The daemon reports that it is not ready. It still serves requests, and closes each connection
-   after the next answer.
+1. The daemon reports that it is not ready. It still serves the requests that can end before the
+   stop does (`forwarding._stop_rule`), and closes each connection after the next answer.
 2. When the balancer has stopped sending callers to the daemon, it stops listening. Requests read
    before are served, and requests read later are refused as not run; then the listening socket and
    the connections without a request are closed.
