--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -35,6 +35,10 @@
 
 __all__ = ["Forwarder"]
 
+# First status of answers that are errors (RFC 9110). Most are sent at once, and tell nothing about
+# the time of an answer.
+FIRST_ERROR_STATUS = 400
+
 
 class Forwarder:
     """Serves requests until each has a complete answer or is refused.
@@ -137,7 +141,7 @@
             end = await self._run_attempt(exchange, endpoint)
             if end.is_complete:
                 self.crashes.record_answer(exchange)
-                self._record_times(exchange)
+                self._record_times(exchange, end)
                 self._log.request_done(exchange, end, endpoint, self._since_arrival_s(exchange))
                 return require(exchange.response, "the whole answer")
             if end.reason == AttemptReason.TARGET_LEFT:
@@ -256,22 +260,28 @@
             exchange.service.name, inbound.model, exchange.route.name, inbound.max_answer_tokens
         )
 
-    def _record_times(self, exchange: Exchange) -> None:
+    def _record_times(self, exchange: Exchange, end: AttemptEnd) -> None:
         """Record the observed times of a request that was answered at the first attempt."""
         if exchange.attempt_count == 1 and exchange.first_bytes_s is not None:
             first_s = exchange.first_bytes_s - exchange.queued_s
             kind = exchange.service.name, exchange.inbound.model
             self.times.record_first_bytes(*kind, first_s)
-            took_s = self._since_arrival_s(exchange) - exchange.queued_s
-            self.times.record_answer(
-                *kind,
-                exchange.route.name,
-                AnswerTime(first_s, took_s),
-                exchange.inbound.max_answer_tokens,
-            )
+            if end.status < FIRST_ERROR_STATUS:
+                self._record_answer(exchange, first_s)
             if exchange.longest_gap_s:
                 self.times.record_longest_pause(*kind, exchange.longest_gap_s)
 
+    def _record_answer(self, exchange: Exchange, first_s: float) -> None:
+        """Record the time of a complete answer that is no error."""
+        took_s = self._since_arrival_s(exchange) - exchange.queued_s
+        self.times.record_answer(
+            exchange.service.name,
+            exchange.inbound.model,
+            exchange.route.name,
+            AnswerTime(first_s, took_s),
+            exchange.inbound.max_answer_tokens,
+        )
+
     def _remaining_s(self, exchange: Exchange) -> float:
         return exchange.deadline_s - self.clock.now_s()
 
--- a/ferrydock/forwarding/tests/rig.py
+++ b/ferrydock/forwarding/tests/rig.py
@@ -144,9 +144,9 @@
 class Rig:
     """A gateway with its parts and targets, and methods that act as a caller."""
 
-    def __init__(self, routes, targets, tenants=(), is_confirmed=True, daemons=1):
+    def __init__(self, routes, targets, tenants=(), is_confirmed=True, daemons=1, clock=None):
         self.targets = targets
-        self.clock = SystemClock()
+        self.clock = clock or SystemClock()
         self.current = CurrentConfiguration()
         self.configuration = Configuration(
             1, tuple(routes), {"plain": ServiceSpec("plain", 10, None)}, tuple(tenants)
--- /dev/null
+++ b/ferrydock/forwarding/tests/test_stop_estimates.py
@@ -0,0 +1,82 @@
+"""The times by which a planned stop judges requests are those of requests like them."""
+
+import asyncio
+
+import pytest
+
+from ...clock import SystemClock
+from ...configuration import RouteKind
+from .._observed_times import MIN_OBSERVATIONS
+from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
+from .test_forwarding import STREAM, events
+from .test_stop_rule import LEFT_S, LIMIT_S, is_refused_as_not_run
+
+USUAL_S = 5.5
+TOKENS = 100
+BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+SERVER_ERROR = BAD_REQUEST.replace(b"400 Bad Request", b"500 Internal Server Error")
+STREAMED = STREAM + events(1) + b"0\r\n\r\n"
+
+
+class SteppedClock(SystemClock):
+    """A clock that tests move forward."""
+
+    offset_s = 0.0
+
+    def now_s(self):
+        return super().now_s() + self.offset_s
+
+
+def answers_after(clock, first_s, rest_s=0.0, answer=None):
+    """Return a script whose answer takes `first_s` to its head and `rest_s` more to its end."""
+
+    async def script(target, request, writer):
+        clock.offset_s += first_s
+        head, rest = answer or (complete_answer(), b"")
+        writer.write(head)
+        await writer.drain()
+        if rest:
+            await asyncio.sleep(0.05)
+            clock.offset_s += rest_s
+            writer.write(rest)
+            await writer.drain()
+        return True
+
+    return script
+
+
+def answer_after_others(kind, observe, headers=()):
+    """Return the answer to a request read in a stop, and whether a target received it.
+
+    Parameters
+    ----------
+    observe : callable
+        Makes the requests before, given the site, its clock and its target.
+    """
+
+    async def scenario():
+        target = ScriptedTarget(writes(complete_answer()))
+        clock = SteppedClock()
+        async with Rig([route(kind=kind, time_limit_s=LIMIT_S)], [target], clock=clock) as site:
+            await observe(site, clock, target)
+            sent_before = len(target.requests)
+            target.scripts = [writes(STREAMED if kind.is_stream else complete_answer())]
+            site.forwarder.stop_limit.ends_s = clock.now_s() + LEFT_S
+            site.gateway.announce_stop()
+            received = await site.ask(headers=headers)
+            return received, len(target.requests) - sent_before
+
+    return play(scenario)
+
+
+@pytest.mark.parametrize("error", [BAD_REQUEST, SERVER_ERROR])
+def test_errors_of_targets_do_not_make_long_answers_look_short(error):
+    async def observe(site, clock, target):
+        target.scripts = [answers_after(clock, USUAL_S)]
+        for _ in range(MIN_OBSERVATIONS):
+            await site.ask()
+        target.scripts = [writes(error)]
+        for _ in range(70):
+            await site.ask()
+
+    assert is_refused_as_not_run(*answer_after_others(RouteKind.AT_MOST_ONCE, observe))
