--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -266,13 +266,14 @@
             first_s = exchange.first_bytes_s - exchange.queued_s
             kind = exchange.service.name, exchange.inbound.model
             self.times.record_first_bytes(*kind, first_s)
-            if end.status < FIRST_ERROR_STATUS:
+            is_resumed = exchange.inbound.last_event_id is not None
+            if end.status < FIRST_ERROR_STATUS and not is_resumed:
                 self._record_answer(exchange, first_s)
             if exchange.longest_gap_s:
                 self.times.record_longest_pause(*kind, exchange.longest_gap_s)
 
     def _record_answer(self, exchange: Exchange, first_s: float) -> None:
-        """Record the time of a complete answer that is no error."""
+        """Record the time of an answer that is no error, from its beginning to its end."""
         took_s = self._since_arrival_s(exchange) - exchange.queued_s
         self.times.record_answer(
             exchange.service.name,
--- a/ferrydock/forwarding/tests/test_stop_estimates.py
+++ b/ferrydock/forwarding/tests/test_stop_estimates.py
@@ -80,3 +80,20 @@
             await site.ask()
 
     assert is_refused_as_not_run(*answer_after_others(RouteKind.AT_MOST_ONCE, observe))
+
+
+def test_ends_of_resumed_streams_do_not_make_whole_streams_look_short():
+    tokens = (f"X-Token-Count: 100,{TOKENS}",)
+    whole = STREAM + events(1), events(99) + b"0\r\n\r\n"
+    rest = STREAM + events(100) + b"0\r\n\r\n", b""
+
+    async def observe(site, clock, target):
+        target.scripts = [answers_after(clock, 0.1, USUAL_S, whole)]
+        for _ in range(MIN_OBSERVATIONS):
+            await site.ask(headers=tokens)
+        target.scripts = [answers_after(clock, 0.1, 0.0, rest)]
+        for _ in range(70):
+            await site.ask(headers=(*tokens, "Last-Event-Id: 99"))
+
+    ended = answer_after_others(RouteKind.RESUMABLE_STREAM, observe, tokens)
+    assert is_refused_as_not_run(*ended)
