--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -268,18 +268,25 @@
             self.times.record_first_bytes(*kind, first_s)
             is_resumed = exchange.inbound.last_event_id is not None
             if end.status < FIRST_ERROR_STATUS and not is_resumed:
-                self._record_answer(exchange, first_s)
+                self._record_answer(exchange)
             if exchange.longest_gap_s:
                 self.times.record_longest_pause(*kind, exchange.longest_gap_s)
 
-    def _record_answer(self, exchange: Exchange, first_s: float) -> None:
-        """Record the time of an answer that is no error, from its beginning to its end."""
-        took_s = self._since_arrival_s(exchange) - exchange.queued_s
+    def _record_answer(self, exchange: Exchange) -> None:
+        """Record the time of an answer that is no error, from its beginning to its end.
+
+        Neither the time that the caller took to send its request counts, nor that in the queue.
+        """
+        first_bytes_s = require(exchange.first_bytes_s, "the time to first bytes of an answer")
+        before_sending_s = exchange.admitted_s - exchange.received_s + exchange.queued_s
         self.times.record_answer(
             exchange.service.name,
             exchange.inbound.model,
             exchange.route.name,
-            AnswerTime(first_s, took_s),
+            AnswerTime(
+                first_bytes_s - before_sending_s,
+                self._since_arrival_s(exchange) - before_sending_s,
+            ),
             exchange.inbound.max_answer_tokens,
         )
 
--- a/ferrydock/forwarding/_observed_times.py
+++ b/ferrydock/forwarding/_observed_times.py
@@ -64,11 +64,20 @@
     [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.7999999999999998, 0.0]
     """
 
-    __slots__ = ("_answers_s", "_first_bytes_s", "_pauses_s", "_remaining_s", "_token_times_s")
+    __slots__ = (
+        "_answer_starts_s",
+        "_answers_s",
+        "_first_bytes_s",
+        "_pauses_s",
+        "_remaining_s",
+        "_token_times_s",
+    )
 
     def __init__(self):
         self._answers_s: dict[str, deque[float]] = {}
-        # By service and model: time of an answer from its first bytes on, per permitted token.
+        # By service and model, for requests that state their tokens: time from sending to the first
+        # bytes, and time from these on per permitted token.
+        self._answer_starts_s: dict[tuple[str, str], deque[float]] = {}
         self._token_times_s: dict[tuple[str, str], deque[float]] = {}
         self._first_bytes_s: dict[tuple[str, str], deque[float]] = {}
         self._remaining_s: dict[str, deque[float]] = {}
@@ -102,9 +111,10 @@
         """
         self._answers_s.setdefault(route, _new_observations()).append(answer.took_s)
         if max_tokens:
+            kind = service, model
             token_s = (answer.took_s - answer.first_s) / max_tokens
-            observed_s = self._token_times_s.setdefault((service, model), _new_observations())
-            observed_s.append(token_s)
+            self._answer_starts_s.setdefault(kind, _new_observations()).append(answer.first_s)
+            self._token_times_s.setdefault(kind, _new_observations()).append(token_s)
 
     def usual_answer_s(self, service: str, model: str, route: str, max_tokens: int) -> float | None:
         """Return the time within which 19 of 20 answers end; None if there was none.
@@ -115,7 +125,7 @@
         if not max_tokens:
             return _usual_s(self._answers_s.get(route, ()), ANSWER_QUANTILE)
         kind = service, model
-        first_s = _usual_s(self._first_bytes_s.get(kind, ()), FIRST_BYTES_QUANTILE)
+        first_s = _usual_s(self._answer_starts_s.get(kind, ()), FIRST_BYTES_QUANTILE)
         token_s = _usual_s(self._token_times_s.get(kind, ()), ANSWER_QUANTILE)
         if first_s is None or token_s is None:
             return None
--- a/ferrydock/forwarding/tests/test_stop_estimates.py
+++ b/ferrydock/forwarding/tests/test_stop_estimates.py
@@ -97,3 +97,22 @@
 
     ended = answer_after_others(RouteKind.RESUMABLE_STREAM, observe, tokens)
     assert is_refused_as_not_run(*ended)
+
+
+@pytest.mark.parametrize("headers", [(), (f"X-Token-Count: 100,{TOKENS}",)])
+def test_bodies_that_arrive_slowly_do_not_make_short_answers_look_long(headers):
+    async def observe(site, clock, target):
+        for _ in range(MIN_OBSERVATIONS):
+            host, port = site.gateway.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            lines = ["POST /a/x HTTP/1.1", "Host: h.example", "Connection: close", *headers]
+            head = "\r\n".join([*lines, "X-Attempt-Id: a1", "Content-Length: 2", "", ""])
+            writer.write(head.encode() + b"h")
+            await asyncio.sleep(0.05)
+            clock.offset_s += USUAL_S
+            writer.write(b"i")
+            assert (await reader.read(-1)).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    received, sent = answer_after_others(RouteKind.AT_MOST_ONCE, observe, headers)
+    assert received.startswith(b"HTTP/1.1 200") and sent == 1
