--- a/ferrydock/forwarding/_stop_rule.py
+++ b/ferrydock/forwarding/_stop_rule.py
@@ -14,6 +14,10 @@
 # new connection, a cut costs it the answer.
 ANSWER_TIME_FACTOR = 1.25
 
+# Share of its deadline that an answer of unknown duration may take: few take all of it, and daemons
+# that stop together would refuse it one after the other.
+UNKNOWN_ANSWER_SHARE = 0.75
+
 
 def can_end_in_time(
     left_s: float,
@@ -48,6 +52,8 @@
     True
     >>> can_end_in_time(4.9, 8.0, None, is_repeatable=False, has_peers=True)
     False
+    >>> can_end_in_time(6.4, 8.0, None, is_repeatable=False, has_peers=True)
+    True
     >>> can_end_in_time(4.9, 8.0, 5.5, is_repeatable=True, has_peers=False)
     True
     """
@@ -55,4 +61,6 @@
         return True
     if not has_peers and (is_repeatable or usual_answer_s is None):
         return True
-    return usual_answer_s is not None and usual_answer_s * ANSWER_TIME_FACTOR <= left_s
+    if usual_answer_s is None:
+        return deadline_in_s * UNKNOWN_ANSWER_SHARE <= left_s
+    return usual_answer_s * ANSWER_TIME_FACTOR <= left_s
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -396,6 +396,10 @@
     # Functions that are passed to components --------------------------------------------------
 
     def _refuses_tunnels(self) -> bool:
+        """Return whether other daemons get no more tunnels here.
+
+        How long an answer in a tunnel takes is not known, and the end of a stop would cut it.
+        """
         return self.stopping.is_set()
 
     async def _call_peer(self, address: str, method: str, data: bytes) -> bytes | None:
