--- a/ferrydock/forwarding/_dialect.py
+++ b/ferrydock/forwarding/_dialect.py
@@ -33,8 +33,8 @@
         Id of the event after which a stream is to resume; None for its beginning.
     shared_parts : tuple of str
         Ids of the parts of its prompt that it may share with other requests.
-    max_answer_tokens : int
-        Largest number of tokens of its answer; 0 if unknown.
+    max_answer_tokens, prompt_tokens : int
+        Largest number of tokens of its answer, and number of those of its prompt; 0 if unknown.
     """
 
     request_id: str
@@ -44,6 +44,7 @@
     last_event_id: int | None
     shared_parts: tuple[str, ...] = ()
     max_answer_tokens: int = 0
+    prompt_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from .. import http_server as web
@@ -17,11 +18,12 @@
 from ..retry_budget import RetryBudget
 from ..scheduling import Endpoint
 from ._admission import queue_times
+from ._answer_times import AnswerKind, AnswerTime, AnswerTimes
 from ._attempts import AttemptRunner
 from ._crash_guard import CrashGuard
 from ._exchange import AttemptEnd, AttemptReason, Exchange, OpenedAnswer
 from ._listener import caller_connection
-from ._observed_times import AnswerTime, ObservedTimes
+from ._observed_times import ObservedTimes
 from ._refusal import (
     SERVICE_UNAVAILABLE,
     final_status,
@@ -31,7 +33,7 @@
 )
 from ._request_log import RequestLog
 from ._retry_rule import may_retry
-from ._stop_rule import can_end_in_time
+from ._stop_rule import time_to_send_s
 
 __all__ = ["Forwarder"]
 
@@ -62,6 +64,7 @@
 
     __slots__ = (
         "_log",
+        "answer_times",
         "attempts",
         "budgets",
         "clock",
@@ -87,6 +90,7 @@
         attempts.handovers.open_answer = self._open_answer
         self.clock = clock
         self.times = ObservedTimes()
+        self.answer_times = AnswerTimes()
         self.stop_limit = StopLimit()
         self.has_peers: Callable[[], bool] = lambda: True
         self._log = RequestLog(attempts.metrics, clock)
@@ -101,7 +105,7 @@
 
     async def _serve(self, exchange: Exchange) -> web.StreamResponse:
         """Serve one request; end it if the time for a planned stop is over first."""
-        if not self._can_end_in_time(exchange):
+        if self._time_to_send_s(exchange) < 0:
             return self._end_without_answer(exchange, STOPPING_REASON)
         try:
             async with self.stop_limit.apply():
@@ -133,7 +137,7 @@
             endpoint = await self._acquire_open(exchange)
             exchange.queued_s += self.clock.now_s() - wait_started_s
             if endpoint is None:
-                return self._end_without_answer(exchange, exchange.no_endpoint.reason)
+                return self._end_without_answer(exchange, self._reason_for_no_endpoint(exchange))
             reason = await self._reason_not_to_send(exchange)
             if reason:
                 self.selector.release(endpoint)
@@ -155,11 +159,17 @@
 
     async def _reason_not_to_send(self, exchange: Exchange) -> str:
         """Return why not to use the slot that a request has waited for; empty to use it."""
-        if not self._can_end_in_time(exchange):
+        if self._time_to_send_s(exchange) < 0:
             return STOPPING_REASON
         is_crashing = await self.crashes.is_known_since_admission(exchange)
         return CRASHES_TARGETS if is_crashing else ""
 
+    def _reason_for_no_endpoint(self, exchange: Exchange) -> str:
+        """Return why a request got no slot in the time that it had."""
+        return (
+            STOPPING_REASON if self._time_to_send_s(exchange) < 0 else exchange.no_endpoint.reason
+        )
+
     async def _run_attempt(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
         """Make an attempt; one that fails is logged, and its target checked for a crash."""
         exchange.note_attempt_begins()
@@ -225,8 +235,10 @@
 
     async def _acquire(self, exchange: Exchange, now_s: float) -> Endpoint | None:
         """Acquire a slot for the next attempt; return None if none became free in time."""
+        max_wait_s = max(0.0, self._time_to_send_s(exchange))
         if exchange.attempt_count:
-            return await self.selector.acquire(exchange, max_retry_queue_s(exchange, now_s))
+            retry_wait_s = min(max_wait_s, max_retry_queue_s(exchange, now_s))
+            return await self.selector.acquire(exchange, retry_wait_s)
         left_s = self._remaining_s(exchange)
         exchange.since_first_sent_s = self.times.request_age_s(exchange.route.name, left_s)
         usual_first_s = self.times.usual_first_s(exchange.service.name, exchange.inbound.model)
@@ -234,32 +246,26 @@
             exchange.route.first_answer_s, exchange.since_first_sent_s, usual_first_s, left_s
         )
         exchange.is_late = not queue_wait.in_time_s
-        return await self.selector.acquire(exchange, queue_wait.in_time_s or queue_wait.late_s)
+        queue_s = queue_wait.in_time_s or queue_wait.late_s
+        return await self.selector.acquire(exchange, min(max_wait_s, queue_s))
 
-    def _can_end_in_time(self, exchange: Exchange) -> bool:
-        """Return whether a planned stop leaves time for a request; True while there is none.
+    def _time_to_send_s(self, exchange: Exchange) -> float:
+        """Return for how long a planned stop leaves time to send a request; infinite without one.
 
         A request that a target may have run already is not refused: its caller could not tell that
         repeating it is safe.
         """
         ends_s = self.stop_limit.ends_s
         if ends_s is None or exchange.may_have_run or exchange.response is not None:
-            return True
-        return can_end_in_time(
+            return math.inf
+        return time_to_send_s(
             ends_s - self.clock.now_s(),
             self._remaining_s(exchange),
-            self._usual_answer_s(exchange),
+            self.answer_times.usual_s(_answer_kind(exchange)),
             exchange.route.kind.is_repeatable,
             self.has_peers(),
         )
 
-    def _usual_answer_s(self, exchange: Exchange) -> float | None:
-        """Return the time within which 19 of 20 answers to requests like one end."""
-        inbound = exchange.inbound
-        return self.times.usual_answer_s(
-            exchange.service.name, inbound.model, exchange.route.name, inbound.max_answer_tokens
-        )
-
     def _record_times(self, exchange: Exchange, end: AttemptEnd) -> None:
         """Record the observed times of a request that was answered at the first attempt."""
         if exchange.attempt_count == 1 and exchange.first_bytes_s is not None:
@@ -279,16 +285,9 @@
         """
         first_bytes_s = require(exchange.first_bytes_s, "the time to first bytes of an answer")
         before_sending_s = exchange.admitted_s - exchange.received_s + exchange.queued_s
-        self.times.record_answer(
-            exchange.service.name,
-            exchange.inbound.model,
-            exchange.route.name,
-            AnswerTime(
-                first_bytes_s - before_sending_s,
-                self._since_arrival_s(exchange) - before_sending_s,
-            ),
-            exchange.inbound.max_answer_tokens,
-        )
+        first_s = first_bytes_s - before_sending_s
+        took_s = self._since_arrival_s(exchange) - before_sending_s
+        self.answer_times.record(_answer_kind(exchange), AnswerTime(first_s, took_s))
 
     def _remaining_s(self, exchange: Exchange) -> float:
         return exchange.deadline_s - self.clock.now_s()
@@ -309,7 +308,9 @@
             since_arrival_s=self._since_arrival_s(exchange),
             endpoint_count=self.selector.endpoint_count(exchange),
             queued=self.selector.queue_length,
-            usual_answer_s=self._usual_answer_s(exchange) if reason == STOPPING_REASON else None,
+            usual_answer_s=self.answer_times.usual_s(_answer_kind(exchange))
+            if reason == STOPPING_REASON
+            else None,
         )
         if exchange.response is not None:
             caller_connection(exchange.request).break_answer()
@@ -323,6 +324,18 @@
         return refusal(status, reason, delay_s)
 
 
+def _answer_kind(exchange: Exchange) -> AnswerKind:
+    inbound = exchange.inbound
+    return AnswerKind(
+        exchange.service.name,
+        inbound.model,
+        exchange.route.name,
+        inbound.max_answer_tokens,
+        inbound.prompt_tokens,
+        exchange.route.kind.is_stream,
+    )
+
+
 def _take_next_endpoint(exchange: Exchange) -> Endpoint | None:
     """Return the slot acquired for the next attempt, if any, and remove it from the exchange."""
     endpoint, exchange.next_endpoint = exchange.next_endpoint, None
--- a/ferrydock/forwarding/_observed_times.py
+++ b/ferrydock/forwarding/_observed_times.py
@@ -1,13 +1,12 @@
-"""Observed request times: first bytes, pauses in streams, whole answers, and callers' deadlines.
+"""Observed request times: time to the first bytes, pauses in streams, and callers' deadlines.
 
-Used by `_admission`, `_stalls` and `_stop_rule`. Owns the most recent observations by model and by
-route, in memory only, so that a daemon that has just started has none.
+Used by `_admission` and `_stalls`. Owns the most recent observations by model and by route, in
+memory only, so that a daemon that has just started has none.
 """
 
 from collections import deque
-from dataclasses import dataclass
 
-__all__ = ["AnswerTime", "ObservedTimes"]
+__all__ = ["ObservedTimes"]
 
 # Most recent observations kept for each model and each route. At two to ten requests a second they
 # are 6 to 30 s old at most.
@@ -24,13 +23,6 @@
 # pause on account of this daemon or of a slow reader.
 PAUSE_QUANTILE = 0.95
 
-# Share of the answers that end within the usual time of an answer. A request that takes longer may
-# be cut by a planned stop; one that would have been quicker is served by another daemon.
-ANSWER_QUANTILE = 0.95
-
-# With fewer than `MIN_OBSERVATIONS` answers, the usual time is this many times the longest.
-FEW_ANSWERS_FACTOR = 1.5
-
 # Quantile of the remaining times of a route's requests that is taken as the time a caller gives a
 # request it sends for the first time. Repeated requests have less time left, and up to three in
 # four requests may be repeated; a few callers give more time than the rest.
@@ -41,14 +33,6 @@
 MIN_REQUEST_AGE_S = 0.15
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerTime:
-    """Seconds from sending a request to the first bytes of its answer, and to its end."""
-
-    first_s: float
-    took_s: float
-
-
 class ObservedTimes:
     """Times to the first bytes and pauses by service and model, and callers' deadlines by route.
 
@@ -64,28 +48,16 @@
     [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.7999999999999998, 0.0]
     """
 
-    __slots__ = (
-        "_answer_starts_s",
-        "_answers_s",
-        "_first_bytes_s",
-        "_pauses_s",
-        "_remaining_s",
-        "_token_times_s",
-    )
+    __slots__ = ("_first_bytes_s", "_remaining_s", "_pauses_s")
 
     def __init__(self):
-        self._answers_s: dict[str, deque[float]] = {}
-        # By service and model, for requests that state their tokens: time from sending to the first
-        # bytes, and time from these on per permitted token.
-        self._answer_starts_s: dict[tuple[str, str], deque[float]] = {}
-        self._token_times_s: dict[tuple[str, str], deque[float]] = {}
         self._first_bytes_s: dict[tuple[str, str], deque[float]] = {}
         self._remaining_s: dict[str, deque[float]] = {}
         self._pauses_s: dict[tuple[str, str], deque[float]] = {}
 
     def record_longest_pause(self, service: str, model: str, pause_s: float) -> None:
         """Record the longest pause between two events of a stream that one target completed."""
-        self._pauses_s.setdefault((service, model), _new_observations()).append(pause_s)
+        self._pauses_s.setdefault((service, model), deque(maxlen=MAX_OBSERVATIONS)).append(pause_s)
 
     def usual_pause_s(self, service: str, model: str) -> float | None:
         """Return the pause that 19 of 20 streams do not exceed; None with too few observations."""
@@ -93,44 +65,14 @@
 
     def record_first_bytes(self, service: str, model: str, first_s: float) -> None:
         """Record the time from sending a request to the first bytes of its answer."""
-        self._first_bytes_s.setdefault((service, model), _new_observations()).append(first_s)
+        self._first_bytes_s.setdefault((service, model), deque(maxlen=MAX_OBSERVATIONS)).append(
+            first_s
+        )
 
     def usual_first_s(self, service: str, model: str) -> float | None:
         """Return the time to first bytes that nine of ten requests keep to; None if unknown."""
         return _quantile(self._first_bytes_s.get((service, model), ()), FIRST_BYTES_QUANTILE)
 
-    def record_answer(
-        self, service: str, model: str, route: str, answer: AnswerTime, max_tokens: int
-    ) -> None:
-        """Record the time of a complete answer.
-
-        Parameters
-        ----------
-        max_tokens : int
-            Largest number of tokens that the request permitted; 0 if unknown.
-        """
-        self._answers_s.setdefault(route, _new_observations()).append(answer.took_s)
-        if max_tokens:
-            kind = service, model
-            token_s = (answer.took_s - answer.first_s) / max_tokens
-            self._answer_starts_s.setdefault(kind, _new_observations()).append(answer.first_s)
-            self._token_times_s.setdefault(kind, _new_observations()).append(token_s)
-
-    def usual_answer_s(self, service: str, model: str, route: str, max_tokens: int) -> float | None:
-        """Return the time within which 19 of 20 answers end; None if there was none.
-
-        A request that states how long its answer may become is compared with all requests of its
-        model, by the time per token; any other one with the requests of its route.
-        """
-        if not max_tokens:
-            return _usual_s(self._answers_s.get(route, ()), ANSWER_QUANTILE)
-        kind = service, model
-        first_s = _usual_s(self._answer_starts_s.get(kind, ()), FIRST_BYTES_QUANTILE)
-        token_s = _usual_s(self._token_times_s.get(kind, ()), ANSWER_QUANTILE)
-        if first_s is None or token_s is None:
-            return None
-        return first_s + max_tokens * token_s
-
     def request_age_s(self, route: str, left_s: float) -> float:
         """Estimate how many seconds ago a caller first sent its request; 0 if it is not repeated.
 
@@ -142,25 +84,13 @@
         left_s : float
             Time until the caller's deadline.
         """
-        observed_s = self._remaining_s.setdefault(route, _new_observations())
+        observed_s = self._remaining_s.setdefault(route, deque(maxlen=MAX_OBSERVATIONS))
         observed_s.append(left_s)
         usual_s = _quantile(observed_s, DEADLINE_QUANTILE)
         age_s = usual_s - left_s if usual_s is not None else 0.0
         return age_s if age_s >= MIN_REQUEST_AGE_S else 0.0
 
 
-def _new_observations() -> deque[float]:
-    return deque(maxlen=MAX_OBSERVATIONS)
-
-
-def _usual_s(observed, quantile: float) -> float | None:
-    """Return a quantile, or an upper estimate from few observations; None without any."""
-    if not observed:
-        return None
-    found = _quantile(observed, quantile)
-    return FEW_ANSWERS_FACTOR * max(observed) if found is None else found
-
-
 def _quantile(observed, quantile: float) -> float | None:
     if len(observed) < MIN_OBSERVATIONS:
         return None
--- a/ferrydock/forwarding/_stop_rule.py
+++ b/ferrydock/forwarding/_stop_rule.py
@@ -1,6 +1,6 @@
-"""Rule: whether a request can be answered before this daemon's planned stop ends it.
+"""Rule: until when a request may be sent although this daemon's planned stop will end it.
 
-Pure. Its inputs come from `_observed_times`, `_exchange` and `planned_stop.StopLimit`.
+Pure. Its inputs come from `_answer_times`, `_exchange` and `planned_stop.StopLimit`.
 
 A stop gives each answer a limited time, while a route may allow a longer one. A request that is
 accepted late in a stop may then be cut in the middle of its answer, and one that may not be sent
@@ -8,7 +8,9 @@
 serves it at once.
 """
 
-__all__ = ["can_end_in_time"]
+import math
+
+__all__ = ["time_to_send_s"]
 
 # Factor on the usual time of an answer: one in twenty takes longer. A refusal costs its caller a
 # new connection, a cut costs it the answer.
@@ -19,14 +21,16 @@
 UNKNOWN_ANSWER_SHARE = 0.75
 
 
-def can_end_in_time(
+def time_to_send_s(
     left_s: float,
     deadline_in_s: float,
     usual_answer_s: float | None,
     is_repeatable: bool,
     has_peers: bool,
-) -> bool:
-    """Return whether to send a request to a target although this daemon is stopping.
+) -> float:
+    """Return for how many seconds a request may still wait before it is sent to a target.
+
+    Negative if it is too late. Infinite if the stop does not matter to the request.
 
     Parameters
     ----------
@@ -44,23 +48,21 @@
 
     Examples
     --------
-    >>> can_end_in_time(4.9, 8.0, 1.2, is_repeatable=False, has_peers=True)
-    True
-    >>> can_end_in_time(4.9, 8.0, 5.5, is_repeatable=False, has_peers=True)
-    False
-    >>> can_end_in_time(4.9, 3.0, 5.5, is_repeatable=False, has_peers=True)
-    True
-    >>> can_end_in_time(4.9, 8.0, None, is_repeatable=False, has_peers=True)
-    False
-    >>> can_end_in_time(6.4, 8.0, None, is_repeatable=False, has_peers=True)
-    True
-    >>> can_end_in_time(4.9, 8.0, 5.5, is_repeatable=True, has_peers=False)
-    True
+    >>> time_to_send_s(4.5, 8.0, 2.0, is_repeatable=False, has_peers=True)
+    2.0
+    >>> time_to_send_s(4.5, 8.0, 5.6, is_repeatable=False, has_peers=True)
+    -2.5
+    >>> time_to_send_s(4.5, 3.0, 5.6, is_repeatable=False, has_peers=True)
+    inf
+    >>> time_to_send_s(6.5, 8.0, None, is_repeatable=False, has_peers=True)
+    0.5
+    >>> time_to_send_s(4.5, 8.0, 5.6, is_repeatable=True, has_peers=False)
+    inf
     """
     if deadline_in_s <= left_s:
-        return True
+        return math.inf
     if not has_peers and (is_repeatable or usual_answer_s is None):
-        return True
+        return math.inf
     if usual_answer_s is None:
-        return deadline_in_s * UNKNOWN_ANSWER_SHARE <= left_s
-    return usual_answer_s * ANSWER_TIME_FACTOR <= left_s
+        return left_s - deadline_in_s * UNKNOWN_ANSWER_SHARE
+    return left_s - usual_answer_s * ANSWER_TIME_FACTOR
--- a/ferrydock/forwarding/tests/test_stop_estimates.py
+++ b/ferrydock/forwarding/tests/test_stop_estimates.py
@@ -6,7 +6,7 @@
 
 from ...clock import SystemClock
 from ...configuration import RouteKind
-from .._observed_times import MIN_OBSERVATIONS
+from .._answer_times import MIN_OBSERVATIONS, AnswerKind, AnswerTime
 from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
 from .test_forwarding import STREAM, events
 from .test_stop_rule import LEFT_S, LIMIT_S, is_refused_as_not_run
@@ -116,3 +116,43 @@
 
     received, sent = answer_after_others(RouteKind.AT_MOST_ONCE, observe, headers)
     assert received.startswith(b"HTTP/1.1 200") and sent == 1
+
+
+def test_tokens_count_for_answers_that_are_sent_in_one_piece():
+    async def observe(site, clock, target):
+        target.scripts = [answers_after(clock, 1.0)]
+        for _ in range(MIN_OBSERVATIONS):
+            await site.ask(headers=("X-Token-Count: 100,20",))
+
+    ended = answer_after_others(RouteKind.AT_MOST_ONCE, observe, ("X-Token-Count: 100,200",))
+    assert is_refused_as_not_run(*ended)
+
+
+def test_known_times_of_long_prompts_count_for_long_prompts():
+    short, long = ("X-Token-Count: 100,10",), ("X-Token-Count: 20000,10",)
+
+    async def observe(site, clock, target):
+        for number in range(64):
+            is_long = number % 16 == 0
+            target.scripts = [answers_after(clock, USUAL_S if is_long else 0.1)]
+            await site.ask(headers=long if is_long else short)
+
+    ended = answer_after_others(RouteKind.AT_MOST_ONCE, observe, long)
+    assert is_refused_as_not_run(*ended)
+
+
+def test_a_queued_request_is_not_kept_when_the_stop_leaves_no_time_for_its_answer():
+    async def scenario():
+        async with Rig([route(time_limit_s=LIMIT_S, first_answer_s=4.0)], []) as site:
+            for _ in range(MIN_OBSERVATIONS):
+                site.forwarder.answer_times.record(
+                    AnswerKind("plain", "", "r"), AnswerTime(0.1, 0.8)
+                )
+            limit = site.forwarder.stop_limit
+            limit.ends_s = site.clock.now_s() + 1.2
+            asyncio.get_running_loop().call_later(1.2, limit.end)
+            received = await site.ask()
+            assert is_refused_as_not_run(received, 0)
+            assert site.clock.now_s() < limit.ends_s
+
+    play(scenario)
--- a/ferrydock/forwarding/tests/test_stop_rule.py
+++ b/ferrydock/forwarding/tests/test_stop_rule.py
@@ -1,11 +1,19 @@
 """Requests that a planned stop leaves too little time for are refused before they are sent."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from ...configuration import RouteKind
-from .._observed_times import ANSWER_QUANTILE, MIN_OBSERVATIONS, AnswerTime, ObservedTimes
+from .._answer_times import (
+    ANSWER_QUANTILE,
+    FEW_ANSWERS_FACTOR,
+    MIN_OBSERVATIONS,
+    AnswerKind,
+    AnswerTime,
+    AnswerTimes,
+)
 from .rig import Rig, ScriptedTarget, complete_answer, plain_target, play, route, writes
 from .test_forwarding import STREAM, events
 from .test_planned_stop import until
@@ -24,10 +32,9 @@
         answer = STREAM + events(1) + b"0\r\n\r\n" if kind.is_stream else complete_answer()
         target = ScriptedTarget(writes(answer))
         async with Rig([route(kind=kind, time_limit_s=limit_s)], [target]) as site:
-            times = site.forwarder.times
+            observed = AnswerKind("plain", "", "r", 50, 100, kind.is_stream)
             for _ in range(MIN_OBSERVATIONS if usual_s else 0):
-                times.record_first_bytes("plain", "", 0.0)
-                times.record_answer("plain", "", "r", AnswerTime(0.0, usual_s), max_tokens=50)
+                site.forwarder.answer_times.record(observed, AnswerTime(0.0, usual_s))
             site.forwarder.stop_limit.ends_s = site.clock.now_s() + LEFT_S
             site.forwarder.has_peers = lambda: daemons > 1
             site.gateway.announce_stop()
@@ -78,7 +85,8 @@
     async def scenario():
         target = ScriptedTarget(writes(complete_answer()))
         async with Rig([route(time_limit_s=LIMIT_S, first_answer_s=4.0)], []) as site:
-            site.forwarder.times.record_answer("plain", "", "r", AnswerTime(0.1, 0.4), 0)
+            observed = AnswerKind("plain", "", "r")
+            site.forwarder.answer_times.record(observed, AnswerTime(0.1, 0.4))
             site.forwarder.stop_limit.ends_s = site.clock.now_s() + 2.0
             answering = asyncio.ensure_future(site.ask())
             await until(lambda: site.selector.queue_length)
@@ -94,15 +102,18 @@
 
 
 def test_usual_answer_times_are_quantiles_and_estimates_from_few_observations():
-    times = ObservedTimes()
-    assert times.usual_answer_s("s", "m", "r", 0) is None
-    times.record_answer("s", "m", "r", AnswerTime(0.2, 1.0), 0)
-    assert times.usual_answer_s("s", "m", "r", 0) == 1.5
-    assert times.usual_answer_s("s", "m", "other", 0) is None
-    assert times.usual_answer_s("s", "m", "r", 10) is None
+    times, plain = AnswerTimes(), AnswerKind("s", "m", "r")
+    counted = replace(plain, max_tokens=10)
+    assert times.usual_s(plain) is None
+    times.record(plain, AnswerTime(0.2, 1.0))
+    assert times.usual_s(plain) == FEW_ANSWERS_FACTOR
+    assert times.usual_s(replace(plain, route="other")) is None
+    assert times.usual_s(counted) is None
     for number in range(1, 41):
-        times.record_answer("s", "m", "r", AnswerTime(0.2, 0.2 + number), 10)
-        times.record_first_bytes("s", "m", 0.2)
+        times.record(counted, AnswerTime(0.2, 0.2 + number))
     share = ANSWER_QUANTILE
-    assert times.usual_answer_s("s", "m", "r", 0) == pytest.approx(0.2 + share * 40, abs=1.1)
-    assert times.usual_answer_s("s", "m", "any", 5) == pytest.approx(0.2 + share * 20, abs=1.1)
+    assert times.usual_s(plain) == pytest.approx(0.2 + share * 40, abs=1.1)
+    half = replace(counted, route="any", max_tokens=5)
+    assert times.usual_s(half) == pytest.approx(0.2 + share * 20, abs=1.1)
+    assert times.usual_s(replace(counted, prompt_tokens=20_000)) is None
+    assert times.usual_s(replace(counted, is_stream=False)) is None
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -66,6 +66,7 @@
                 last_event_id=int(last_event_header) if last_event_header else None,
                 shared_parts=_read_shared_parts(headers),
                 max_answer_tokens=max(0, token_counts[1]) if len(token_counts) > 1 else 0,
+                prompt_tokens=max(0, token_counts[0]),
             )
         except ValueError as error:
             return Invalid((Fault("headers", str(error)),))
