--- a/ferrydock/platform/tests/test_simultaneous_stops.py
+++ b/ferrydock/platform/tests/test_simultaneous_stops.py
@@ -1,11 +1,17 @@
-"""Planned stops of all daemons of a site at once."""
+"""Planned stops of all daemons of a site at once, and of a daemon that stood still at SIGTERM."""
 
 import asyncio
+import os
+import signal
+import time
 
+from ...forwarding._gateway import SHUTDOWN_TIMEOUT_S
 from ...standins.fleet import request_bytes
+from ...startup import DaemonSignals, run_until_stopped
 from .test_site import REPLICAS, Site, run_scenario
 
 ANSWER_LIMIT_S = 8.0
+STANDSTILL_S = 0.7
 
 
 async def answer_of(daemon, path):
@@ -36,3 +42,30 @@
             assert any(answer.startswith(b"HTTP/1.1 200") for answer in answers), answers
 
     run_scenario(scenario)
+
+
+def test_a_daemon_that_stood_still_at_sigterm_ends_its_requests_before_the_kill(tmp_path):
+    """The time for a stop was counted from when the loop ran again, not from the signal."""
+
+    async def scenario():
+        async with Site(tmp_path) as site:
+            daemon = await site.start_daemon("one")
+            site.site.write_configuration()
+            await site.wait_until(lambda: site.is_formed(REPLICAS))
+            signals = DaemonSignals()
+            signals.install(asyncio.get_running_loop())
+            stopped = asyncio.ensure_future(
+                run_until_stopped(signals, asyncio.Event(), daemon.stop, daemon.close, lambda: None)
+            )
+            await asyncio.sleep(0)
+            signalled_s = daemon.clock.now_s()
+            os.kill(os.getpid(), signal.SIGTERM)
+            time.sleep(STANDSTILL_S)
+            limit = daemon.gateway.forwarder.stop_limit
+            await site.wait_until(lambda: limit.ends_s is not None)
+            killed_s = signalled_s + daemon.settings.stop_within_s
+            await stopped
+            site.daemons.clear()
+            assert limit.ends_s + 2 * SHUTDOWN_TIMEOUT_S <= killed_s
+
+    run_scenario(scenario)
