--- a/ferrydock/platform/tests/test_simultaneous_stops.py
+++ b/ferrydock/platform/tests/test_simultaneous_stops.py
@@ -55,7 +55,13 @@
             signals = DaemonSignals()
             signals.install(asyncio.get_running_loop())
             stopped = asyncio.ensure_future(
-                run_until_stopped(signals, asyncio.Event(), daemon.stop, daemon.close, lambda: None)
+                run_until_stopped(
+                    signals,
+                    asyncio.Event(),
+                    lambda: daemon.stop(signals.since_stop_s()),
+                    daemon.close,
+                    lambda: None,
+                )
             )
             await asyncio.sleep(0)
             signalled_s = daemon.clock.now_s()
--- a/ferrydock/route_daemon/__main__.py
+++ b/ferrydock/route_daemon/__main__.py
@@ -61,8 +61,12 @@
     async def run(self, signals: DaemonSignals) -> int:
         """Serve until a signal stops the daemon; return the exit status."""
         daemon = self.daemon
+
+        async def stop() -> None:
+            await daemon.stop(signals.since_stop_s())
+
         return await run_until_stopped(
-            signals, daemon.failed, daemon.stop, daemon.close, daemon.reread_settings
+            signals, daemon.failed, stop, daemon.close, daemon.reread_settings
         )
 
 
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -579,10 +579,17 @@
         await self.readiness.wait()
         log_event(_LOG, logging.INFO, "ready", name=self.settings.name, **self.steps.report())
 
-    async def stop(self) -> None:
-        """Stop as planned: report not ready, let requests in flight finish, then close."""
+    async def stop(self, since_signal_s: float = 0.0) -> None:
+        """Stop as planned: report not ready, let requests in flight finish, then close.
+
+        Parameters
+        ----------
+        since_signal_s : float, optional
+            Seconds since the signal to stop, from which the time until the kill counts. A daemon
+            that starts or stands still then stops later.
+        """
         self.stopping.set()
-        within_s = self.settings.stop_within_s - CLOSE_BEFORE_KILL_S
+        within_s = self.settings.stop_within_s - CLOSE_BEFORE_KILL_S - since_signal_s
         self.gateway.forwarder.stop_limit.ends_s = self.clock.now_s() + within_s
         await finish_requests(
             [self.gateway],
--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -12,13 +12,15 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import NoReturn
+from types import FrameType
+from typing import NoReturn, cast
 
 import uvloop
 from absl import flags
 from aiomisc import Service, entrypoint
 
 from . import __version__
+from .clock import SystemClock
 from .environment import apply_environment
 from .logs import log_event
 from .outcomes import Invalid
@@ -90,10 +92,12 @@
         Set by SIGTERM and SIGINT; a second signal has no effect.
     """
 
-    __slots__ = ("_hangup_handler", "_is_hangup_pending", "stopping")
+    __slots__ = ("_clock", "_hangup_handler", "_is_hangup_pending", "_stop_arrived_s", "stopping")
 
     def __init__(self):
         self.stopping = asyncio.Event()
+        self._clock = SystemClock()
+        self._stop_arrived_s: float | None = None
         self._hangup_handler: Callable[[], None] | None = None
         self._is_hangup_pending = False
 
@@ -101,8 +105,26 @@
         """Install the signal handlers on an event loop, which need not be running yet."""
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.stopping.set)
+            self._note_arrival(number)
         loop.add_signal_handler(signal.SIGHUP, self._handle_hangup)
 
+    def _note_arrival(self, number: int) -> None:
+        """Note when a signal arrives: its handler on the loop runs later while the loop is busy."""
+        handle = cast(Callable[[int, FrameType | None], object], signal.getsignal(number))
+
+        def note(received: int, frame: FrameType | None) -> None:
+            if self._stop_arrived_s is None:
+                self._stop_arrived_s = self._clock.now_s()
+            handle(received, frame)
+
+        signal.signal(number, note)
+        signal.siginterrupt(number, False)  # as the loop sets it
+
+    def since_stop_s(self) -> float:
+        """Return the seconds since the first signal to stop; 0 if there was none."""
+        arrived_s = self._stop_arrived_s
+        return 0.0 if arrived_s is None else self._clock.now_s() - arrived_s
+
     def on_hangup(self, handler: Callable[[], None]) -> None:
         """Call `handler` for each SIGHUP, and once if one arrived during the start."""
         self._hangup_handler = handler
