--- a/ferrydock/forwarding/_closed_connections.py
+++ b/ferrydock/forwarding/_closed_connections.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from ..clock import Clock
+from ..idle_close import ClosingConnection
 from ..log_limits import LineLimit
 from ..logs import log_event
 from ..route_metrics import RouteMetrics
@@ -52,6 +53,9 @@
     FREE = "free"
     # Bytes had arrived, perhaps a complete request, which the daemon has not read.
     UNREAD = "unread"
+    # Bytes arrived only after the daemon had said that it runs nothing more on the connection. A
+    # request among them was answered so, and was not run.
+    CROSSED = "crossed"
     # A request had been read, and its answer was not complete.
     IN_USE = "in_use"
 
@@ -78,6 +82,7 @@
         why: CloseReason,
         is_in_use: bool,
         unread_bytes: int,
+        closing: ClosingConnection | None,
         request_id: str,
         requests: int,
         idle_s: float,
@@ -90,18 +95,18 @@
             Whether a request that was read had no complete answer.
         unread_bytes : int
             Number of bytes that had arrived and were not read.
+        closing : ClosingConnection or None
+            What arrived after the daemon had answered that it runs nothing more; None without that
+            answer.
         request_id : str
             Id of the last request on the connection; empty without one.
         requests : int
             Number of requests on the connection.
         idle_s : float
-            Time since the last answer, or since the connection was opened, in seconds.
+            Time from the last answer, or from the connection's start, to the close, in seconds.
         """
-        state = ConnectionState.FREE
-        if is_in_use:
-            state = ConnectionState.IN_USE
-        elif unread_bytes:
-            state = ConnectionState.UNREAD
+        state = _state(is_in_use, unread_bytes, closing)
+        after_close_s = closing.first_byte_after_s if closing is not None else None
         self.metrics.connections_closed.labels(why, state).inc()
         lines = self._free_lines if state is ConnectionState.FREE else self._other_lines
         if why in _CAUSED_BY_CALLERS or not lines.admits(self.clock.now_s()):
@@ -114,7 +119,19 @@
             state=state,
             request=request_id or None,
             requests=requests,
-            unread_bytes=unread_bytes,
+            unread_bytes=unread_bytes + (closing.discarded_bytes if closing is not None else 0),
+            after_close_ms=after_close_s * 1000 if after_close_s is not None else None,
             idle_ms=idle_s * 1000,
             left_out=lines.take_left_out(),
         )
+
+
+def _state(
+    is_in_use: bool, unread_bytes: int, closing: ClosingConnection | None
+) -> ConnectionState:
+    """Return what a connection held; the arguments are those of `ClosedConnections.record`."""
+    if is_in_use:
+        return ConnectionState.IN_USE
+    if closing is not None and (closing.discarded_bytes or unread_bytes):
+        return ConnectionState.CROSSED
+    return ConnectionState.UNREAD if unread_bytes else ConnectionState.FREE
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -22,11 +22,12 @@
 
 from .. import http_server as web
 from ..clock import Clock
+from ..idle_close import ClosingConnection, close_with_answer
 from ..invariants import BrokenInvariant, require
 from ..logs import log_event
 from ..planned_stop import EXPECTED_REQUEST_WAIT_S, is_idle, is_waiting_for_request
 from ..route_metrics import RouteMetrics
-from ..unread_bytes import count_left_bytes, count_unread_bytes
+from ..unread_bytes import count_left_bytes
 from ._caller_buffers import (
     BACKLOG_BYTES,
     CALLER_BOUND_BYTES,
@@ -55,11 +56,6 @@
 HEADERS_TOO_LARGE = 431
 REQUEST_TIMEOUT = 408
 
-# Written to the transport directly: while a head is incomplete, aiohttp has no request to answer.
-_REQUEST_TIMEOUT_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
 # Place of the acknowledged bytes, a 64-bit number, in Linux's `struct tcp_info`.
 _ACKNOWLEDGED_BYTES = slice(120, 128)
 
@@ -92,6 +88,7 @@
     __slots__ = (
         "_caller_transport",
         "_close_reason",
+        "_closing",
         "_has_caller_left",
         "_has_finished",
         "_read_before_stop",
@@ -120,6 +117,7 @@
         self._has_caller_left = self._has_finished = False
         # Whether a request was in progress when the daemon closed the connection; else None.
         self._was_in_use: bool | None = None
+        self._closing: ClosingConnection | None = None
         self.slow_readers: SlowReaders | None = None
         self.is_backlogged = False
         self.is_held_back = False
@@ -150,6 +148,7 @@
         if exc is not None:
             self._has_caller_left = True
         self._record_close()
+        self._closing = None
         super().connection_lost(exc)
         self._caller_transport = None
         self.is_backlogged = self.is_held_back = False
@@ -197,14 +196,16 @@
             why = CloseReason.CALLER_LEFT
         if why is None:
             why = CloseReason.ANSWERED if self._has_finished else CloseReason.UNKNOWN
+        ended_s = self._closing.closed_s if self._closing is not None else self._loop.time()
         if self.closed is not None and self._caller_transport is not None:
             self.closed.record(
                 why,
                 is_in_use=bool(self._was_in_use),
+                closing=self._closing,
                 unread_bytes=count_left_bytes(self._caller_transport),
                 request_id=self.request_id,
                 requests=self.handlers_started,
-                idle_s=self._loop.time() - self.idle_since_s,
+                idle_s=ended_s - self.idle_since_s,
             )
 
     def data_received(self, data: bytes) -> None:
@@ -304,8 +305,13 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is unanswered, unread or about to be sent."""
         if is_idle(self) and not self._expects_request:
-            self.note_close(CloseReason.STOPPING)
-            self.force_close()
+            self._close_with_answer(CloseReason.STOPPING)
+
+    def _close_with_answer(self, why: CloseReason) -> None:
+        """Close the connection; a request on its way, or the rest of a head, is refused."""
+        self.note_close(why)
+        self._note_use()
+        self._closing = close_with_answer(self)
 
     @property
     def _expects_request(self) -> bool:
@@ -323,14 +329,9 @@
         Not while a request is unanswered, its handler not begun included, and not while bytes wait
         to be read: they may be the request, which came in time.
         """
-        if not is_waiting_for_request(self) or self.transport is None:
-            return
-        if not self._is_timed_out(now_s, header_timeout_s, idle_timeout_s):
-            return
-        if count_unread_bytes(self.transport):
+        if not self._is_timed_out(now_s, header_timeout_s, idle_timeout_s) or not is_idle(self):
             return
         has_head_begun = self.head_started_s is not None
-        self.note_close(CloseReason.HEAD_TOO_SLOW if has_head_begun else CloseReason.IDLE)
         if has_head_begun:
             log_event(
                 _LOG,
@@ -339,8 +340,7 @@
                 status=REQUEST_TIMEOUT,
                 why="head too slow",
             )
-            self.transport.write(_REQUEST_TIMEOUT_RESPONSE)
-        self.force_close()
+        self._close_with_answer(CloseReason.HEAD_TOO_SLOW if has_head_begun else CloseReason.IDLE)
 
     def _is_timed_out(self, now_s: float, header_timeout_s: float, idle_timeout_s: float) -> bool:
         if self.head_started_s is not None:
--- a/ferrydock/forwarding/tests/test_closed_connections.py
+++ b/ferrydock/forwarding/tests/test_closed_connections.py
@@ -22,6 +22,7 @@
 )
 
 FREE, UNREAD, IN_USE = ConnectionState.FREE, ConnectionState.UNREAD, ConnectionState.IN_USE
+CROSSED = ConnectionState.CROSSED
 
 
 def counted(rig):
@@ -60,7 +61,9 @@
 
 
 @LOOPS
-def test_request_that_crosses_the_close_of_its_connection_is_logged_as_unread(loop_factory, caplog):
+def test_request_that_crosses_the_close_of_its_connection_is_logged_as_crossed(
+    loop_factory, caplog
+):
     async def scenario():
         async with gateway() as rig:
             caller, connection = await connect_and_wait(rig)
@@ -68,7 +71,21 @@
                 connection.idle_since_s -= 3600.0
                 rig.gateway.enforce_timeouts()
                 caller.send(REQUEST)
-                await until_counted(rig, CloseReason.IDLE, UNREAD)
+                await until_counted(rig, CloseReason.IDLE, CROSSED)
+                assert f"unread_bytes={len(REQUEST)}" in caplog.text
+
+    play(loop_factory, scenario)
+
+
+@LOOPS
+def test_request_unread_when_its_connection_fails_is_logged_as_unread(loop_factory, caplog):
+    async def scenario():
+        async with gateway() as rig:
+            caller, connection = await connect_and_wait(rig)
+            with caller:
+                connection.force_close()
+                caller.send(REQUEST)
+                await until_counted(rig, CloseReason.UNKNOWN, UNREAD)
                 assert f"unread_bytes={len(REQUEST)}" in caplog.text
 
     play(loop_factory, scenario)
@@ -211,7 +228,7 @@
 
 
 @LOOPS
-def test_unread_request_is_logged_beside_many_idle_connections_that_are_closed(
+def test_crossing_request_is_logged_beside_many_idle_connections_that_are_closed(
     loop_factory, caplog
 ):
     async def scenario():
@@ -225,7 +242,7 @@
             last = callers[-1]
             last.send(REQUEST)
             await until(lambda: not rig.gateway.connection_count)
-            assert counted(rig)[CloseReason.IDLE, UNREAD] == 1.0
-            assert caplog.text.count("why=idle state=unread") == 1
+            assert counted(rig)[CloseReason.IDLE, CROSSED] == 1.0
+            assert caplog.text.count("why=idle state=crossed") == 1
 
     play(loop_factory, scenario)
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ...configuration import Configuration, RouteKind
+from ...idle_close import NOT_RUN_ANSWER
 from ...planned_stop import is_waiting_for_request
 from ...targets import Target
 from .._admission import MAX_LATE_WAIT_S, MIN_WAIT_S, queue_times
@@ -376,7 +377,7 @@
             await reader.readuntil(b"ok")
             rig.gateway.stop_listening()
             async with asyncio.timeout(2):
-                assert await reader.read() == b""
+                assert await reader.read() == NOT_RUN_ANSWER
             writer.close()
 
     play(scenario)
@@ -501,7 +502,7 @@
                 connection.close_if_timed_out(idle_since_s + 59.9, 10.0, 60.0)
                 assert not connection.transport.is_closing()
                 connection.close_if_timed_out(idle_since_s + 60.1, 10.0, 60.0)
-                assert await reader.read(-1) == b""
+                assert await reader.read(-1) == NOT_RUN_ANSWER
             writer.close()
 
     play(scenario)
--- a/ferrydock/forwarding/tests/test_unread_requests.py
+++ b/ferrydock/forwarding/tests/test_unread_requests.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from ...configuration import Configuration, IngressLimits
+from ...idle_close import NOT_RUN_ANSWER
 from ...planned_stop import EXPECTED_REQUEST_WAIT_S
 from .rig import Rig, ScriptedTarget, complete_answer, route, writes
 from .test_planned_stop import (
@@ -95,7 +96,7 @@
                 assert (await receive_answer(caller)).startswith(b"HTTP/1.1 200")
                 await until_idle(rig, connection)
                 rig.gateway.enforce_timeouts()
-                assert await receive_all(caller) == b""
+                assert await receive_all(caller) == NOT_RUN_ANSWER
 
     play(loop_factory, scenario)
 
@@ -206,7 +207,7 @@
                 rig.gateway.stop_listening()
                 connection.idle_since_s -= EXPECTED_REQUEST_WAIT_S
                 rig.gateway.close_idle()
-                assert await receive_all(caller) == b""
+                assert await receive_all(caller) == NOT_RUN_ANSWER
 
     play(loop_factory, scenario)
 
--- a/ferrydock/planned_stop.py
+++ b/ferrydock/planned_stop.py
@@ -7,7 +7,8 @@
    after the next answer.
 2. When the balancer has stopped sending callers to the daemon, it stops listening. Requests read
    before are served, and requests read later are refused as not run; then the listening socket and
-   the connections without a request are closed.
+   the connections without a request are closed, which answers a request on its way as not run
+   (`idle_close`). Such a connection counts as open until its end.
 3. The stop waits until no caller's connection is open. Counting requests is not sufficient: a
    request that has been read but not begun, or answered but not yet sent, is in no count and would
    be cut off.
@@ -163,10 +164,14 @@
 
 
 def is_idle(connection: RequestHandler) -> bool:
-    """Return whether a connection can be closed: it waits for a request, and nothing is unread."""
-    if connection.transport is None or not is_waiting_for_request(connection):
+    """Return whether a connection can be closed: it waits for a request, and nothing is unread.
+
+    Not one that is ending already, because its caller has closed it.
+    """
+    transport = connection.transport
+    if transport is None or transport.is_closing() or not is_waiting_for_request(connection):
         return False
-    return not count_unread_bytes(connection.transport)
+    return not count_unread_bytes(transport)
 
 
 async def finish_requests(
