--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -167,11 +167,17 @@
         The head closes and leaves first: after that, an open order that was sent earlier and
         arrives late has no effect, and the members are free. A head that does not answer may still
         be open; a member may join another replica only once it has itself left this one.
+
+        No member leaves a head that reports for all that time that it is open: it has carried out
+        no order to close, and its requests would be cut.
         """
         head, others = members[0], members[1:]
         max_silence_s = 0.0 if finish_within_s is None else MAX_SILENCE_S
         if await self._state_of_head(key, head, max_silence_s) in _SERVING:
-            await self._close(key, head, finish_within_s)
+            if finish_within_s is None:
+                await self._cut(key, head)
+            elif not await self._finish(key, head, max(MIN_CLOSE_TIMEOUT_S, finish_within_s)):
+                return ()
         has_left = [await self._leave(key, head)]
         has_left += await asyncio.gather(*(self._leave(key, member) for member in others))
         left = tuple(
@@ -288,19 +294,54 @@
             return False
         return (report.replica, report.epoch) != key
 
-    async def _close(
-        self, key: tuple[str, int], head: Target, finish_within_s: float | None
-    ) -> None:
-        """Order an open head to close, and wait until it has stopped serving, or a timeout.
+    async def _cut(self, key: tuple[str, int], head: Target) -> None:
+        """Order an open head to cut its requests, and wait until it has stopped serving."""
+        order = CloseOrder(*key, cut=True)
+        outcome = await self.orders.send(head, order, LEAVE_ORDER_TIMEOUT_S)
+        if isinstance(outcome, OrderDone):
+            await self._wait_until_closed(key, head, CUT_TIMEOUT_S, max_silence_s=0.0)
 
-        A member that leaves earlier stops the requests of the whole replica.
+    async def _finish(self, key: tuple[str, int], head: Target, within_s: float) -> bool:
+        """Order an open head to finish its requests; return whether its members may leave.
+
+        A member that leaves earlier stops the requests of the whole replica. An order without an
+        answer may be carried out late or not at all, so the head is asked for its state, and
+        ordered again while it is open. Its members may leave once it has stopped serving, has been
+        silent for longer than a sound target may be, or has had `within_s` for its requests.
         """
-        cut = finish_within_s is None
-        outcome = await self.orders.send(head, CloseOrder(*key, cut), LEAVE_ORDER_TIMEOUT_S)
-        if not isinstance(outcome, OrderDone):
-            return
-        within_s = max(MIN_CLOSE_TIMEOUT_S, finish_within_s or 0.0) if not cut else CUT_TIMEOUT_S
-        max_silence_s = 0.0 if cut else MAX_SILENCE_S
+        order = CloseOrder(*key, cut=False)
+        until_s = self.clock.now_s() + within_s
+        while True:
+            outcome = await self.orders.send(head, order, LEAVE_ORDER_TIMEOUT_S)
+            is_closing = isinstance(outcome, OrderDone)
+            if not is_closing:
+                state = await self._reported_state(key, head, MAX_SILENCE_S)
+                if state not in _SERVING:
+                    return True
+                is_closing = state is ReplicaState.CLOSING
+            if is_closing:
+                await self._wait_until_closed(key, head, within_s, MAX_SILENCE_S)
+                return True
+            if self.clock.now_s() >= until_s:
+                self._log_not_dissolved(key, head)
+                return False
+
+    def _log_not_dissolved(self, key: tuple[str, int], head: Target) -> None:
+        name, epoch = key
+        log_event(
+            _LOG,
+            logging.WARNING,
+            "replica_not_dissolved",
+            replica=name,
+            epoch=epoch,
+            head=head.target_id,
+            why="no order to close accepted",
+        )
+
+    async def _wait_until_closed(
+        self, key: tuple[str, int], head: Target, within_s: float, max_silence_s: float
+    ) -> None:
+        """Wait until a closing head has stopped serving, for at most `within_s`."""
         until_s = self.clock.now_s() + within_s
         while self.clock.now_s() < until_s:
             if await self._state_of_head(key, head, max_silence_s) not in _SERVING:
@@ -313,11 +354,24 @@
     ) -> ReplicaState | None:
         """Return the state of a replica's head; None if it is no member or does not report.
 
-        A head without an entry is asked for its report, again if it was silent for less than
-        `max_silence_s`: it may only stand still, and go on with its requests afterwards.
+        A head without an entry is asked for its report.
+        """
+        if head.target_id not in self.directory.targets:
+            state = await self._reported_state(key, head, max_silence_s)
+            if state is not None or head.target_id not in self.directory.targets:
+                return state
+        return self._state_of(key, head.target_id)
+
+    async def _reported_state(
+        self, key: tuple[str, int], head: Target, max_silence_s: float
+    ) -> ReplicaState | None:
+        """Return the state that a head reports; None if it is no member or does not report.
+
+        It is asked again if it was silent for less than `max_silence_s`: it may only stand still,
+        and go on with its requests afterwards.
         """
         silent_until_s = self.clock.now_s() + max_silence_s
-        while head.target_id not in self.directory.targets:
+        while True:
             is_last = self.clock.now_s() >= silent_until_s
             report = await self.orders.control.report(head, REPORT_TIMEOUT_S)
             if not isinstance(report, Unavailable):
@@ -325,7 +379,6 @@
             if is_last or isinstance(report, NotListening | Unreachable):
                 return None
             await asyncio.sleep(REPORT_DELAY_S)
-        return self._state_of(key, head.target_id)
 
     # The target list --------------------------------------------------------------------------
 
