--- a/ferrydock/forwarding/_stalls.py
+++ b/ferrydock/forwarding/_stalls.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Coroutine, Sequence
+from dataclasses import replace
 
 from ..clock import Clock
 from ..links import TargetLinks
@@ -174,7 +175,7 @@
         return now_s - max(last_progress_s, self._resumed_s)
 
     def verify_reported(self, replica: ReplicaView) -> None:
-        """Poll the members of a replica that a peer reports as broken.
+        """Poll the members of a replica that a peer, or the own controller, reports as broken.
 
         The peer itself may be cut off from the members, so its report is verified first.
         """
@@ -199,9 +200,14 @@
     async def _poll_members(self, replica: ReplicaView, is_reported_by_peer: bool) -> None:
         """Poll all members concurrently, and apply the result.
 
+        Also those without an entry: a member may die, and its entry be removed, before its replica
+        serves.
+
         If the replica has one request, quiet for less than `SINGLE_REQUEST_QUIET_S`, members that
         do not answer are polled once more: a single poll may have been lost in the network.
         """
+        unlisted = self.catalog.directory.unlisted_members(replica.head.service, replica.key)
+        replica = replace(replica, members=replica.members + unlisted)
         poll_started_s = self.clock.now_s()
         quiet_from_s = poll_started_s - self._quiet_s(replica, poll_started_s)
         attempt_count = self.attempts.attempt_count_at(replica.head.target_id)
--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -126,7 +126,7 @@
     Attributes
     ----------
     members : dict of str to Target
-        Its members by id, as listed when the suspicion began.
+        Its members by id when the suspicion began, also those that had no entry then.
     silent : dict of str to Target
         Those of them that have not answered since.
     silent_since_s : float or None
@@ -235,6 +235,9 @@
         if suspicion is None:
             members = self._listed_members(key)
             head_id = next(iter(members), "")
+            if members:
+                service = members[head_id].service
+                members |= _by_id(self.catalog.directory.unlisted_members(service, key))
             suspicion = self._suspicions[key] = _Suspicion(key, head_id, members, members)
         suspicion.is_reported = True
         self._avoid(suspicion)
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -76,6 +76,8 @@
         Returns the replicas of other halls that are given to another model, and that model.
     in_flight : callable, optional
         Returns the number of requests in flight at a target; by default 0.
+    on_members_silent : callable, optional
+        Called with name and epoch of a replica of which a member without an entry did not report.
 
     Attributes
     ----------
@@ -102,6 +104,7 @@
         is_hall_open: Callable[[str], bool] = lambda hall: True,
         remote_changes: Callable[[], Mapping[tuple[str, int], str]] = dict,
         in_flight: Callable[[str], int] = lambda target_id: 0,
+        on_members_silent: Callable[[tuple[str, int]], None] = lambda key: None,
     ):
         self.hall = settings.hall
         self.follows_site_plan = settings.follows_site_plan
@@ -111,6 +114,7 @@
         self.directory: TargetDirectory = order_sender.directory
         self.clock: Clock = order_sender.clock
         self.on_broken = on_broken
+        self.on_members_silent = on_members_silent
         self.metrics = metrics or RouteMetrics()
         self.record = PlacementRecord(store, self.hall, lease.holder)
         self.state = HallState(self.clock)
@@ -125,7 +129,13 @@
             lambda service: self.record.demand.get(service, {}),
             remote_changes,
         )
-        self.health_check = ReplicaHealthCheck(self.state, order_sender, self._spawn, in_flight)
+        self.health_check = ReplicaHealthCheck(
+            self.state,
+            order_sender,
+            self._spawn,
+            in_flight,
+            lambda key: self.on_members_silent(key),
+        )
         self.former = ReplicaFormer(order_sender)
         self.loads = WeightLoads(self.state, self.planner.loads, order_sender, self._spawn)
         self.changes = ModelChanges(self.state, self.planner.is_short, self.loads.adopt)
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -118,6 +118,8 @@
         Starts a coroutine as a task, concurrent with the controller's rounds.
     in_flight : callable
         Returns the number of requests in flight at a target.
+    on_members_silent : callable
+        Called with name and epoch of a replica of which a member without an entry did not report.
     """
 
     __slots__ = (
@@ -130,6 +132,7 @@
         "clock",
         "directory",
         "in_flight",
+        "on_members_silent",
         "order_sender",
         "spawn",
         "state",
@@ -141,8 +144,10 @@
         order_sender: OrderSender,
         spawn: Callable[[Coroutine], None],
         in_flight: Callable[[str], int],
+        on_members_silent: Callable[[tuple[str, int]], None],
     ):
         self.state = state
+        self.on_members_silent = on_members_silent
         self.in_flight = in_flight
         self._has_mass_silence = False
         self.order_sender = order_sender
@@ -301,7 +306,11 @@
         return may_be_paused and self._has_requests(replica)
 
     async def _request_missing_reports(self, replica: ObservedReplica) -> None:
-        """Ask the members without an entry for reports on whether they belong to the replica."""
+        """Ask the members without an entry for reports on whether they belong to the replica.
+
+        While one of them is silent, the replica is kept for the requests in flight, but must get no
+        new ones: the daemons do not find the silence before they have requests there.
+        """
         missing = self._missing_members(replica)
         control = self.order_sender.control
         try:
@@ -319,6 +328,8 @@
             known.silent_since_s = None
         elif known.silent_since_s is None:
             known.silent_since_s = known.requested_s
+        if is_silent:
+            self.on_members_silent(replica.key)
         are_alive = not (is_silent or known.has_left)
         found = ",".join(sorted(target.target_id for target in missing)), are_alive
         if self._logged_missing.get(replica.key) == found:
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -333,6 +333,7 @@
             is_hall_open=lambda hall: self.evacuated.is_open(hall, self.clock.now_s()),
             remote_changes=lambda: self.demand.remote_changes(self.clock.now_s()),
             in_flight=lambda target_id: self.scheduler.counts.total(target_id),
+            on_members_silent=lambda key: self.failures.on_members_silent(key),
         )
         return controller, store, self.clock, self.rng, self.stopping.is_set, self.settling
 
--- a/ferrydock/route_daemon/_replica_failures.py
+++ b/ferrydock/route_daemon/_replica_failures.py
@@ -88,6 +88,13 @@
 
         The follower may be cut off from them.
         """
+        self._check_members(key)
+
+    def on_members_silent(self, key: tuple[str, int]) -> None:
+        """Check the members of a replica after one without an entry did not report."""
+        self._check_members(key)
+
+    def _check_members(self, key: tuple[str, int]) -> None:
         for replica in self._replicas_with(key):
             self.stalls.verify_reported(replica)
 
--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -268,6 +268,22 @@
         """
         return tuple(self._members_by_replica.get((service, *key), {}).values())
 
+    def unlisted_members(self, service: str, key: tuple[str, int]) -> tuple[Target, ...]:
+        """Return the targets that were seen in a replica and have no entry now.
+
+        An entry of another writer may have named the replica: a target counts only if it can be a
+        member, and if no listed member has its rank.
+        """
+        seen = self.all_seen_members(service, key)
+        ranks = {t.existing_membership.rank for t in seen if t.target_id in self.targets}
+        return tuple(
+            target
+            for target in seen
+            if target.target_id not in self.targets
+            and target.may_join_replicas
+            and target.existing_membership.rank not in ranks
+        )
+
     def remove(self, target_id: str) -> None:
         """Remove a target's entry; the removal counts as a change even if there is no entry.
 
