--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -128,6 +128,7 @@
                 end = await self._send(exchange, endpoint, opened)
         except TimeoutError:
             end = _timed_out(exchange.send_times, attempt.interrupt_reason)
+            _note_left(attempt, target_id)
         finally:
             running.discard(attempt)
             self.selector.release(endpoint)
@@ -445,6 +446,13 @@
 def _count_attempt(exchange: Exchange, endpoint: Endpoint) -> None:
     exchange.attempt_count += 1
     exchange.tried_target_ids.add(endpoint.target.target_id)
+    exchange.left_target_ids.discard(endpoint.target.target_id)
+
+
+def _note_left(attempt: Attempt, target_id: str) -> None:
+    """Record a target that a request leaves, unless it had returned there."""
+    if attempt.interrupt_reason and not attempt.exchange.is_returning:
+        attempt.exchange.left_target_ids.add(target_id)
 
 
 def _timed_out(times: SendTimes | None, interrupt_reason: str = "") -> AttemptEnd:
--- a/ferrydock/forwarding/_endpoint_selector.py
+++ b/ferrydock/forwarding/_endpoint_selector.py
@@ -121,7 +121,7 @@
             needs,
             exchange,
             max_queue_s,
-            excluded_targets=tuple(sorted(exchange.tried_target_ids)),
+            excluded_targets=self._excluded_target_ids(exchange),
             release=self.release,
             team=team,
             is_late=exchange.is_late,
@@ -166,21 +166,29 @@
             e.target.target_id not in exchange.tried_target_ids for e in self._endpoints(exchange)
         )
 
+    def has_left_target(self, exchange: Exchange) -> bool:
+        """Return whether a target that a request has left serves, or may only be silent."""
+        endpoints = self.catalog.endpoints(
+            exchange.service, exchange.inbound.model, includes_suspected=True
+        )
+        return any(e.target.target_id in exchange.left_target_ids for e in endpoints)
+
     def _acquire_free(self, exchange: Exchange) -> Endpoint | None:
         """Choose an endpoint and count its slot as taken; return None if all are full.
 
-        Excludes targets that were tried or are backed off. Ejected targets are used only if all
-        are ejected: the cause is then more likely this daemon than the targets. A retry, which may
-        be the last attempt, goes to a target whose last attempt failed only if no other is free.
+        Excludes targets that may not get the request (`_may_be_sent_to`) or are backed off.
+        Ejected targets are used only if all are ejected: the cause is then more likely this daemon
+        than the targets. A retry, which may be the last attempt, goes to a target whose last
+        attempt failed only if no other is free.
         """
         now_s = self.clock.now_s()
-        untried = self._accepting(exchange, now_s)
-        healthy = [e for e in untried if not self.loads.is_ejected(e.target.target_id, now_s)]
+        accepting = self._accepting(exchange, now_s)
+        healthy = [e for e in accepting if not self.loads.is_ejected(e.target.target_id, now_s)]
         candidates = []
         if exchange.tried_target_ids:
             sound = [e for e in healthy if not self.loads.has_failed_last(e.target.target_id)]
             candidates = self._candidates(exchange, sound)
-        candidates = candidates or self._candidates(exchange, healthy or untried)
+        candidates = candidates or self._candidates(exchange, healthy or accepting)
         endpoint = least_loaded(candidates, self.hall, DAEMON_SELECTION, self.rng)
         if endpoint is not None:
             self.loads.request_started(endpoint.target.target_id, now_s)
@@ -188,14 +196,21 @@
             self.pacer.note_sent(endpoint.target.target_id, now_s)
         return endpoint
 
-    def _untried(self, exchange: Exchange) -> list[Endpoint]:
+    def _permitted(self, exchange: Exchange) -> list[Endpoint]:
         endpoints = self._endpoints(exchange)
-        return [e for e in endpoints if e.target.target_id not in exchange.tried_target_ids]
+        return [e for e in endpoints if _may_be_sent_to(exchange, e.target.target_id)]
+
+    def _excluded_target_ids(self, exchange: Exchange) -> tuple[str, ...]:
+        """Return the ids of tried and of listed targets that may not get a request."""
+        known = {*exchange.tried_target_ids}
+        if exchange.is_returning:
+            known.update(e.target.target_id for e in self._endpoints(exchange))
+        return tuple(sorted(t for t in known if not _may_be_sent_to(exchange, t)))
 
     def _accepting(self, exchange: Exchange, now_s: float) -> list[Endpoint]:
-        """Return the endpoints that a request has not tried and that are not backed off."""
+        """Return the endpoints that may get a request and that are not backed off."""
         backoffs = self.catalog.backoffs
-        return [e for e in self._untried(exchange) if backoffs.remaining_s(e.target, now_s) <= 0]
+        return [e for e in self._permitted(exchange) if backoffs.remaining_s(e.target, now_s) <= 0]
 
     def _is_evacuated(self, exchange: Exchange) -> bool:
         """Return whether evacuations leave a request without targets; record it as the reason."""
@@ -239,7 +254,7 @@
             return 0.0
         now_s = self.clock.now_s()
         return min(
-            (backoffs.remaining_s(e.target, now_s) for e in self._untried(exchange)), default=0.0
+            (backoffs.remaining_s(e.target, now_s) for e in self._permitted(exchange)), default=0.0
         )
 
     def _is_blocked_by_limits(self, exchange: Exchange) -> bool:
@@ -271,3 +286,10 @@
 
     def _endpoints(self, exchange: Exchange) -> list[Endpoint]:
         return self.catalog.endpoints(exchange.service, exchange.inbound.model)
+
+
+def _may_be_sent_to(exchange: Exchange, target_id: str) -> bool:
+    """Return whether the next attempt of a request may be made at a target."""
+    if exchange.is_returning:
+        return target_id in exchange.left_target_ids
+    return target_id not in exchange.tried_target_ids
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -200,6 +200,11 @@
         (`crashes.part_identity`).
     tried_target_ids : set of str
         Ids of the targets to which this request was sent.
+    left_target_ids : set of str
+        Ids of those of them that it left because they seemed broken, while they may only have been
+        silent; each until it is sent there again.
+    is_returning : bool
+        Whether only these may get it: its attempts are spent on other targets.
     attempt_count : int
         Attempts started so far.
     response : web.StreamResponse or None
@@ -258,6 +263,8 @@
     part_identities: tuple[str, ...] = ()
     is_last_on_connection: Callable[[], bool] = lambda: False
     tried_target_ids: set[str] = field(default_factory=set)
+    left_target_ids: set[str] = field(default_factory=set)
+    is_returning: bool = False
     attempt_count: int = 0
     response: web.StreamResponse | None = None
     events: NumberedEvents | None = None
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -30,7 +30,7 @@
     retry_after_s,
 )
 from ._request_log import RequestLog
-from ._retry_rule import may_retry
+from ._retry_rule import may_retry, may_return
 from ._stop_rule import can_end_in_time
 
 __all__ = ["Forwarder"]
@@ -194,7 +194,10 @@
         if exchange.opening is not None:
             await asyncio.wait({exchange.opening})
             exchange.opening = None
-        return exchange.next_answer is not None or self._may_retry(exchange, end)
+        if exchange.next_answer is not None or self._may_retry(exchange, end):
+            return True
+        exchange.is_returning = self._may_return(exchange, end)
+        return exchange.is_returning
 
     def _may_retry(self, exchange: Exchange, end: AttemptEnd) -> bool:
         """Return whether to make another attempt after one without a final answer."""
@@ -203,6 +206,13 @@
         may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
         return may_retry(exchange, end, self._remaining_s(exchange), may_go_elsewhere)
 
+    def _may_return(self, exchange: Exchange, end: AttemptEnd) -> bool:
+        """Return whether a request without an attempt left may return to a target it has left."""
+        if end.may_have_run and self.crashes.is_suspicious(exchange):
+            return False
+        has_left_target = self.selector.has_left_target(exchange)
+        return may_return(exchange, end, self._remaining_s(exchange), has_left_target)
+
     async def _acquire_open(self, exchange: Exchange) -> Endpoint | None:
         """Acquire a slot as `_acquire` does, of a target whose hall has not closed meanwhile.
 
--- a/ferrydock/forwarding/_hall_endpoint_selector.py
+++ b/ferrydock/forwarding/_hall_endpoint_selector.py
@@ -90,12 +90,12 @@
     def _find_usable(self, exchange: Exchange, reply: SlotReply) -> Endpoint | None:
         """Return the endpoint of a granted slot; None if it may not get the request.
 
-        It may not if it is not listed here, is backed off, is in a closed hall, or is cold here
-        although the scheduler has granted it as a warm one: the list of a leader that is cut off
-        from the store is old.
+        It may not if it is not listed here or excluded for this request, is backed off, is in a
+        closed hall, or is cold here although the scheduler has granted it as a warm one: the list
+        of a leader that is cut off from the store is old.
         """
         now_s = self.clock.now_s()
-        for endpoint in self._endpoints(exchange):
+        for endpoint in self._permitted(exchange):
             target = endpoint.target
             if target.target_id == reply.target_id:
                 is_unpaced = not reply.waited_s and self.catalog.cold.remaining_s(target, now_s) > 0
@@ -126,12 +126,12 @@
         return tuple(sorted(resting))
 
     def _target_ids_to_avoid(self, exchange: Exchange, now_s: float) -> tuple[str, ...]:
-        """Return the ids of targets that were tried, or that are ejected or broken here.
+        """Return the ids of targets that may not get a request, or are ejected or broken here.
 
         For a retry at a plain service, also those whose last attempt failed: it may be the last
         attempt. If the scheduler knows no other target, this daemon chooses by itself.
         """
-        avoid = set(exchange.tried_target_ids)
+        avoid = set(self._excluded_target_ids(exchange))
         directory = self.catalog.directory
         is_plain_retry = bool(exchange.tried_target_ids) and exchange.service.engine is None
         for target in directory.of_service(exchange.service.name):
--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -80,7 +80,7 @@
                 continue
             if may_be_paused and _would_spend_last_attempt(attempt.exchange):
                 continue
-            if self._may_hand_over(attempt.exchange, reserved_retries):
+            if self._may_hand_over(attempt, reserved_retries):
                 reserved_retries += 1
                 attempt.silent_since_s = now_s
                 task = asyncio.get_running_loop().create_task(self._hand_over(attempt, reason))
@@ -89,21 +89,27 @@
 
     def may_leave(self, attempt: Attempt) -> bool:
         """Return whether another target may answer a request, and a retry is left for it."""
-        return self._may_hand_over(attempt.exchange, 0)
+        return self._may_hand_over(attempt, 0)
 
-    def _may_hand_over(self, exchange: Exchange, reserved_retries: int) -> bool:
+    def _may_hand_over(self, attempt: Attempt, reserved_retries: int) -> bool:
+        """Return whether another target may answer a request.
+
+        One that the request has left before may if the replica does not answer any more.
+        """
+        exchange = attempt.exchange
+        if self.is_suspicious(exchange):
+            return False
         left_s = exchange.deadline_s - self.clock.now_s()
+        has_left_target = attempt.is_lost and self.selector.has_left_target(exchange)
         may_go_elsewhere = self.selector.may_go_elsewhere(exchange)
-        return not self.is_suspicious(exchange) and may_hand_over(
-            exchange, reserved_retries, left_s, may_go_elsewhere
-        )
+        return may_hand_over(exchange, reserved_retries, left_s, may_go_elsewhere, has_left_target)
 
     async def _hand_over(self, attempt: Attempt, reason: str) -> None:
         """Hand over an attempt once; if its replica is lost, as often as it may be."""
         while not await self._is_handed_over(attempt, reason):
             await asyncio.sleep(RESUME_CHECK_INTERVAL_S)
             is_wanted = attempt.is_lost and not attempt.has_ended and not _has_resumed(attempt)
-            if not is_wanted or not self._may_hand_over(attempt.exchange, 0):
+            if not is_wanted or not self._may_hand_over(attempt, 0):
                 return
 
     async def _is_handed_over(self, attempt: Attempt, reason: str) -> bool:
@@ -113,6 +119,8 @@
         resumes this request.
         """
         exchange = attempt.exchange
+        if exchange.attempt_count >= exchange.route.attempts:
+            exchange.is_returning = True
         max_queue_s = max_retry_queue_s(exchange, self.clock.now_s())
         search = asyncio.get_running_loop().create_task(
             self.selector.acquire(exchange, max_queue_s)
@@ -162,7 +170,7 @@
         if _has_resumed(attempt):
             return False
         is_closed = self.selector.catalog.is_closed(endpoint.target)
-        return not is_closed and self._may_hand_over(attempt.exchange, 0)
+        return not is_closed and self._may_hand_over(attempt, 0)
 
     def _end_search(self, search: asyncio.Task, exchange: Exchange) -> None:
         """Cancel a search that has not ended, or release its slot unless that is to be used."""
--- a/ferrydock/forwarding/_refusal.py
+++ b/ferrydock/forwarding/_refusal.py
@@ -9,6 +9,7 @@
 
 from .. import http_server as web
 from ..planned_stop import STOPPING_REASON, STOPPING_RETRY_S
+from ..targets import MAX_SILENCE_S
 from ._exchange import Exchange, NoEndpointReason
 
 __all__ = [
@@ -23,6 +24,10 @@
 # safely repeat it after a refusal, so an answer is worth a longer wait.
 MAX_RETRY_QUEUE_S = 1.0
 
+# Maximum wait of a stream for a target that it has left. In this time a silent target answers again
+# or is considered lost.
+MAX_RETURN_QUEUE_S = MAX_SILENCE_S
+
 # Retry-After is drawn from this range, so that callers refused together do not retry together.
 RETRY_AFTER_RANGE_S = (0.4, 1.4)
 
@@ -39,9 +44,12 @@
     """Return how many seconds a request may wait for the slot of a retry.
 
     Never beyond the caller's deadline. A request whose answer has begun may wait until then: ending
-    it would cut the answer in the middle, and a caller that cannot wait disconnects by itself.
+    it would cut the answer in the middle, and a caller that cannot wait disconnects by itself. The
+    wait for a target that it has left is bounded, since no other target can take its place.
     """
     left_s = exchange.deadline_s - now_s
+    if exchange.is_returning:
+        return min(left_s, MAX_RETURN_QUEUE_S)
     return left_s if exchange.response is not None else min(left_s, MAX_RETRY_QUEUE_S)
 
 
--- a/ferrydock/forwarding/tests/test_cold_targets.py
+++ b/ferrydock/forwarding/tests/test_cold_targets.py
@@ -121,6 +121,7 @@
         service=SERVICES[service],
         inbound=SimpleNamespace(model=""),
         tried_target_ids=set(),
+        is_returning=False,
         rank=(1, 1, 0, 5.0),
         no_endpoint=None,
         team="",
--- a/ferrydock/forwarding/tests/test_evacuated_halls.py
+++ b/ferrydock/forwarding/tests/test_evacuated_halls.py
@@ -149,6 +149,7 @@
         inbound=SimpleNamespace(model=""),
         rank=(0, 0, 0, 101.0),
         tried_target_ids=set(),
+        is_returning=False,
         no_endpoint=None,
         team="",
         is_late=False,
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -647,7 +647,7 @@
 
 
 def test_request_that_may_have_run_waits_longer_for_a_slot():
-    exchange = SimpleNamespace(attempt_count=1, response=None, deadline_s=56.0)
+    exchange = SimpleNamespace(attempt_count=1, response=None, is_returning=False, deadline_s=56.0)
     assert max_retry_queue_s(exchange, 50.0) == 1.0
     assert max_retry_queue_s(exchange, 55.5) == 0.5
 
--- a/ferrydock/forwarding/tests/test_team_shares.py
+++ b/ferrydock/forwarding/tests/test_team_shares.py
@@ -100,6 +100,7 @@
         inbound=SimpleNamespace(model=""),
         rank=(0, 0, 0, by_s),
         tried_target_ids=set(),
+        is_returning=False,
         team=team,
         is_late=False,
     )
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -98,11 +98,13 @@
             self.cold.evaluate(self.directory.targets, now_s)
         return self.cold.has_cold(now_s)
 
-    def endpoints(self, service: ServiceSpec, model: str) -> list[Endpoint]:
+    def endpoints(
+        self, service: ServiceSpec, model: str, includes_suspected: bool = False
+    ) -> list[Endpoint]:
         """Return the targets of a plain service, or the heads of the open replicas of `model`.
 
-        Leaves out the targets of closed halls. The directory leaves out draining targets and
-        replicas with a draining or broken member.
+        Leaves out the targets of closed halls and, unless wanted, suspected replicas. The directory
+        leaves out draining targets and replicas with a draining or broken member.
         """
         closed = self.evacuated.closed_halls()
         if service.engine is None:
@@ -112,7 +114,8 @@
             Endpoint(replica.head, replica)
             for replica in self.directory.replicas(service.name)
             if replica.model == model
-            and not self.is_avoided(replica.key)
+            and replica.key not in self.broken
+            and (includes_suspected or replica.key not in self.suspected)
             and replica.head.hall not in closed
         ]
 
