--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -48,6 +48,8 @@
         Largest number of tokens of the answer; 0 if the request states none.
     limit_s : float
         Time limit of its route.
+    is_on_kept_connection : bool
+        Whether another request was answered on its connection before.
     complete : bool
         Whether the answer was received completely.
     sent_after_s : float
@@ -81,6 +83,7 @@
     has_filler: bool = False
     max_tokens: int = 0
     limit_s: float = ROUTE_LIMIT_S
+    is_on_kept_connection: bool = False
 
     @property
     def ended_s(self) -> float:
@@ -169,7 +172,7 @@
         return call
 
     async def _exchange(self, call: Call, daemon: str, address: str) -> None:
-        reader, writer = await self._connection(daemon, address)
+        reader, writer, call.is_on_kept_connection = await self._connection(daemon, address)
         keep_open = False
         try:
             writer.write(encode_request(call))
@@ -185,9 +188,9 @@
         while idle:
             reader, writer = idle.pop()
             if not reader.at_eof() and not writer.is_closing():
-                return reader, writer
+                return reader, writer, True
         host, port = address.split(":")
-        return await asyncio.open_connection(host, int(port))
+        return *await asyncio.open_connection(host, int(port)), False
 
     def _close_idle(self, daemon: str) -> None:
         for _, writer in self._idle.pop(daemon, ()):
--- a/ferrydock/emulator/_long_answers.py
+++ b/ferrydock/emulator/_long_answers.py
@@ -153,7 +153,8 @@
 ) -> list[str]:
     """Return lines for requests that stopping daemons accepted and did not answer completely.
 
-    A 502 counts if the caller may not send the request again, since it may have run.
+    A 502 counts if the caller may not send the request again, since it may have run. So does a
+    request on a connection that was kept open for it and ends without an answer.
 
     Parameters
     ----------
@@ -168,15 +169,23 @@
             continue
         stop = next((stop for stop in stops if stop.covers(call)), None)
         execution = execution_of(call)
-        if stop is None or not execution.count:
-            continue
-        if (
-            excuse_of_loss(call, execution, killed_s_of(call.daemon), stood_still)
-            is LossExcuse.NONE
-        ):
-            lines.append(
-                f"unanswered: {call.request_id} {call.kind} at {stop.daemon}, "
-                f"{call.at_s - stop.at_s:.3f} s after SIGTERM: {call.outcome} "
-                f"{call.ended_s - stop.at_s:.3f} s after it, ran {execution.count} times"
-            )
+        excuse = excuse_of_loss(call, execution, killed_s_of(call.daemon), stood_still)
+        if stop is not None and _is_lost(call, execution, excuse):
+            lines.append(_describe(call, stop, execution))
     return [*lines[:MAX_REPORTED_CALLS], f"unanswered: {len(lines)} requests"] if lines else []
+
+
+def _is_lost(call: Call, execution: Execution, excuse: LossExcuse) -> bool:
+    """Return whether the daemon had accepted a request, or a connection that was kept for it."""
+    if execution.count:
+        return excuse is LossExcuse.NONE
+    is_sent = call.sent_after_s < float("inf")
+    return call.is_on_kept_connection and is_sent and excuse is not LossExcuse.KILLED
+
+
+def _describe(call: Call, stop: PlannedStop, execution: Execution) -> str:
+    return (
+        f"unanswered: {call.request_id} {call.kind} at {stop.daemon}, "
+        f"{call.at_s - stop.at_s:.3f} s after SIGTERM: {call.outcome} "
+        f"{call.ended_s - stop.at_s:.3f} s after it, ran {execution.count} times"
+    )
--- a/ferrydock/emulator/_persistent_callers.py
+++ b/ferrydock/emulator/_persistent_callers.py
@@ -76,9 +76,11 @@
                 continue
             reader, writer = connection
             try:
+                is_kept = False
                 while self.now_s() < until_s and not reader.at_eof():
-                    if not await self._call(reader, writer):
+                    if not await self._call(reader, writer, is_kept):
                         break
+                    is_kept = True
                     await asyncio.sleep(self.rng.uniform(*REQUEST_PAUSE_S))
             finally:
                 writer.close()
@@ -110,9 +112,10 @@
             body = b"y" * self.rng.choice(SLOW_BODY_BYTES)
         return Call(request_id, kind, self.now_s(), self.daemon.name, body)
 
-    async def _call(self, reader, writer) -> bool:
+    async def _call(self, reader, writer, is_kept: bool) -> bool:
         """Send one request and record how it ended; return whether the connection stays open."""
         call = self._new_call()
+        call.is_on_kept_connection = is_kept
         self.prepare(call)
         self.calls.append(call)
         sending = asyncio.ensure_future(self._send(writer, call))
--- a/ferrydock/emulator/tests/test_long_answers.py
+++ b/ferrydock/emulator/tests/test_long_answers.py
@@ -43,6 +43,15 @@
     assert not describe(call(), Execution(1, lost_s=13.0))
 
 
+def test_a_request_that_meets_the_close_of_a_kept_connection_is_reported():
+    crossed = call(status=0, took_s=0.01)
+    crossed.is_on_kept_connection = True
+    assert "no_answer" in describe(crossed, Execution())[0]
+    assert not describe(crossed, Execution(), killed_s=[12.005])
+    crossed.sent_after_s = float("inf")
+    assert not describe(crossed, Execution())
+
+
 def test_long_answers_take_several_seconds_and_end_within_the_limit_of_their_route():
     rng = random.Random(1)
     calls = [Call(f"r{number}", "write-long", 0.0, "one") for number in range(100)]
