--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -49,9 +49,9 @@
         self.loads = loads
         self.clock = clock
 
-    async def relay_plain(self, exchange: Exchange, answer: aiohttp.ClientResponse) -> AttemptEnd:
+    async def relay_plain(self, exchange: Exchange, opened: OpenedAnswer) -> AttemptEnd:
         """Forward an answer that is not an event stream; a small one only once it is complete."""
-        pieces, size = [], 0
+        answer, pieces, size = opened.answer, [opened.prefix], len(opened.prefix)
         pending = answer.content.iter_any()
         async for piece in pending:
             pieces.append(piece)
--- a/ferrydock/forwarding/_attempts.py
+++ b/ferrydock/forwarding/_attempts.py
@@ -139,7 +139,7 @@
     async def open(
         self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
     ) -> OpenedAnswer | AttemptEnd:
-        """Ask one more target to continue a begun answer, while the attempt before goes on.
+        """Ask one more target to answer, or continue the answer, while the attempt before goes on.
 
         Counts as an attempt, unless nothing was sent. The slot is not released.
 
@@ -352,22 +352,28 @@
     async def _open_with_body(
         self, exchange: Exchange, endpoint: Endpoint, times: SendTimes
     ) -> OpenedAnswer | AttemptEnd:
-        """Send a request and return its answer once the body has begun.
+        """Send a request and return its answer once the body has begun, or is complete.
 
-        A head alone may be followed by nothing.
+        A head alone may be followed by nothing, in a stream by no event. A server error is no
+        answer: the attempt before may still bring a better one.
         """
         opened = await self._open(exchange, endpoint, times)
         if isinstance(opened, AttemptEnd):
             return opened
-        prefix = b""
+        answer = opened.answer
+        if answer.status >= FIRST_SERVER_ERROR_STATUS:
+            _release_connection(answer)
+            return AttemptEnd(False, True, AttemptReason.ERROR, status=answer.status)
+        is_begun = False
         try:
-            prefix = await opened.answer.content.readany()
+            prefix = await answer.content.readany()
+            is_begun = bool(prefix) or not _is_stream(exchange, answer)
         except _CONNECTION_ERRORS as error:
-            return _broken(opened.answer, error)
+            return _broken(answer, error)
         finally:
-            if not prefix:
+            if not is_begun:
                 opened.discard()
-        if not prefix:
+        if not is_begun:
             return AttemptEnd(False, True, AttemptReason.TORN)
         return replace(opened, prefix=prefix)
 
@@ -420,11 +426,13 @@
     async def _relay_answer(
         self, exchange: Exchange, target: Target, opened: OpenedAnswer
     ) -> AttemptEnd:
-        """Forward an answer to the caller."""
+        """Forward an answer to the caller, unless another one was begun that it cannot continue."""
+        if not exchange.can_go_on_elsewhere:
+            return AttemptEnd(False, True, AttemptReason.BROKEN)
         exchange.last_received_s = exchange.last_progress_s = self.clock.now_s()
         if _is_stream(exchange, opened.answer):
             return await self._relay.relay_stream(exchange, target.target_id, opened)
-        return await self._relay.relay_plain(exchange, opened.answer)
+        return await self._relay.relay_plain(exchange, opened)
 
     def _is_unacceptable(
         self, exchange: Exchange, answer: aiohttp.ClientResponse, is_signed: bool
@@ -465,8 +473,7 @@
 def _end_handover(attempt: Attempt, end: AttemptEnd | None) -> None:
     """End the search for a slot elsewhere for an attempt that has ended.
 
-    If the attempt failed while another target is already being asked to continue the answer, that
-    goes on.
+    If the attempt failed while another target is already being asked, that goes on.
     """
     attempt.has_ended = True
     if attempt.handover is None:
--- a/ferrydock/forwarding/_exchange.py
+++ b/ferrydock/forwarding/_exchange.py
@@ -142,7 +142,7 @@
     handover : asyncio.Task or None
         Looks for a slot elsewhere for the request (`_handovers`); None before the first search.
     is_opening : bool
-        Whether another target, which has a slot for the request, is being asked to continue it.
+        Whether another target, which has a slot for the request, is being asked to answer it.
     is_question : bool
         Whether this is that other target's attempt: it has begun no answer of its own.
     is_lost : bool
@@ -231,6 +231,8 @@
         Events that had been sent to the caller when the current attempt began.
     may_have_run : bool
         Whether a target may have run the request; True while an attempt is in flight.
+    may_have_run_before : bool
+        Whether it may have run in an attempt that has ended.
     budget : RetryBudget or None
         Budget that retries are taken from; None until the forwarder has admitted the request.
     admitted_s : float
@@ -240,7 +242,8 @@
     next_answer : OpenedAnswer or None
         What that target has begun to answer; None if it has not been sent the request.
     opening : asyncio.Task or None
-        Asks another target to continue the answer although the last attempt has failed.
+        Asks another target to answer, or to continue the answer, although the last attempt has
+        failed.
     no_endpoint : NoEndpoint
         Why the last wait for a slot ended without a target.
     chosen_s : float
@@ -278,6 +281,7 @@
     is_late: bool = False
     events_before_attempt: int = 0
     may_have_run: bool = False
+    may_have_run_before: bool = False
     budget: RetryBudget | None = None
     admitted_s: float = 0.0
     next_endpoint: Endpoint | None = None
@@ -306,6 +310,13 @@
         """Whether the answer is a stream that another target may continue."""
         return self.events is not None and self.route.kind.is_repeatable
 
+    @property
+    def can_go_on_elsewhere(self) -> bool:
+        """Whether another target's answer may follow what was sent to the caller."""
+        if self.response is None:
+            return True
+        return self.can_resume and self.events is not None and self.events.can_continue
+
     @property
     def rank(self) -> tuple[int, int, int, float]:
         """Sort key among waiting requests, smallest first: team, route, lateness, time."""
--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -140,7 +140,7 @@
                 self._record_times(exchange)
                 self._log.request_done(exchange, end, endpoint, self._since_arrival_s(exchange))
                 return require(exchange.response, "the whole answer")
-            if end.reason == AttemptReason.TARGET_LEFT:
+            if end.reason == AttemptReason.TARGET_LEFT and exchange.opening is None:
                 continue  # nothing was sent, so this is no retry
             if await self.crashes.is_known_since_admission(exchange):
                 return self._end_without_answer(exchange, CRASHES_TARGETS)
@@ -159,13 +159,14 @@
     async def _run_attempt(self, exchange: Exchange, endpoint: Endpoint) -> AttemptEnd:
         """Make an attempt; one that fails is logged, and its target checked for a crash."""
         exchange.note_attempt_begins()
-        may_have_run_before = exchange.may_have_run
         exchange.may_have_run = True  # updated when the attempt ends
         opened = exchange.next_answer
         sent_s = self.clock.now_s() if opened is None else opened.sent_s
         number = exchange.attempt_count + (opened is None)
         end = await self.attempts.run(exchange, endpoint)
-        exchange.may_have_run = may_have_run_before or end.may_have_run
+        exchange.may_have_run_before |= end.may_have_run
+        is_asked = exchange.opening is not None or exchange.next_answer is not None
+        exchange.may_have_run = exchange.may_have_run_before or is_asked
         if not end.is_complete:
             exchange.last_reason = end.reason
             self._log.attempt_failed(exchange, end, endpoint, number, exchange.send_times)
@@ -176,12 +177,13 @@
         return end
 
     async def _open_answer(self, exchange: Exchange, endpoint: Endpoint) -> OpenedAnswer | None:
-        """Ask a target to continue a begun answer, and return its answer if it does."""
+        """Ask a target to answer, or to continue a begun answer; return its answer if it does."""
         times = self.attempts.send_times(exchange, endpoint)
         sent_s = self.clock.now_s()
         opened = await self.attempts.open(exchange, endpoint, times)
         if isinstance(opened, OpenedAnswer):
             return opened
+        exchange.may_have_run_before |= opened.may_have_run
         if opened.reason == AttemptReason.TARGET_LEFT:
             require(exchange.budget, "the budget of an admitted request").put_back()
         number = exchange.attempt_count
@@ -194,6 +196,8 @@
         if exchange.opening is not None:
             await asyncio.wait({exchange.opening})
             exchange.opening = None
+            is_answered = exchange.next_answer is not None
+            exchange.may_have_run = exchange.may_have_run_before or is_answered
         if exchange.next_answer is not None or self._may_retry(exchange, end):
             return True
         exchange.is_returning = self._may_return(exchange, end)
--- a/ferrydock/forwarding/_handovers.py
+++ b/ferrydock/forwarding/_handovers.py
@@ -1,9 +1,9 @@
 """Moves requests away from a replica that seems broken, each once another target has a slot for it.
 
 Owns the tasks that wait for these slots, one for each attempt. A replica that is silent may only be
-paused. Its requests therefore stay until a slot elsewhere is assigned to them, and are answered by
-the replica if it resumes before that. One whose answer has begun stays until the other target has
-begun to continue it: that target may refuse it, and may be the last one that may get it.
+paused. Its requests therefore stay until another target, which had a slot for them, has begun to
+answer: that target may refuse, and may be the last one that may get the request. They are answered
+by the replica if it resumes before that.
 """
 
 import asyncio
@@ -46,7 +46,8 @@
     is_suspicious : callable
         Returns whether a request may be what its target crashed by; it is not moved then.
     open_answer : callable
-        Asks a target to continue a begun answer, and returns its answer if it does.
+        Asks a target to answer a request, or to continue a begun answer, and returns its answer if
+        it does.
     """
 
     __slots__ = ("clock", "is_suspicious", "open_answer", "selector")
@@ -74,6 +75,8 @@
         now_s = self.clock.now_s()
         reserved_retries = sum(a.is_being_handed_over and not a.is_opening for a in attempts)
         for attempt in attempts:
+            if attempt.is_question:
+                self._end_question(attempt, reason)
             if attempt.is_being_handed_over or attempt.is_question:
                 continue
             if now_s - attempt.silent_since_s < SEARCH_INTERVAL_S and not attempt.is_lost:
@@ -87,6 +90,11 @@
                 task.add_done_callback(_log_failure)
                 attempt.handover = task
 
+    def _end_question(self, question: Attempt, reason: str) -> None:
+        """Ask a silent target no longer, if the request may go on to one more."""
+        if question.exchange.response is None and self._may_hand_over(question, 0):
+            question.interrupt(reason)
+
     def may_leave(self, attempt: Attempt) -> bool:
         """Return whether another target may answer a request, and a retry is left for it."""
         return self._may_hand_over(attempt, 0)
@@ -113,10 +121,9 @@
                 return
 
     async def _is_handed_over(self, attempt: Attempt, reason: str) -> bool:
-        """Acquire a slot elsewhere; then pay for the retry and interrupt the attempt.
+        """Acquire a slot elsewhere, pay for the retry, and interrupt the attempt once it is used.
 
-        A begun answer is first continued by the other target. The search ends when the replica
-        resumes this request.
+        The search ends when the replica resumes this request.
         """
         exchange = attempt.exchange
         if exchange.attempt_count >= exchange.route.attempts:
@@ -131,7 +138,7 @@
             endpoint = search.result() if search.done() else None
             if endpoint is not None and self._may_use(attempt, endpoint):
                 require(exchange.budget, "the budget of an admitted request").spend()
-                if exchange.response is None or await self._is_opened(attempt, endpoint):
+                if await self._is_opened(attempt, endpoint):
                     exchange.next_endpoint = endpoint
                     attempt.interrupt(reason)
                     return True
@@ -140,9 +147,10 @@
         return False
 
     async def _is_opened(self, attempt: Attempt, endpoint: Endpoint) -> bool:
-        """Let a target continue a begun answer; keep what it answers for the next attempt.
+        """Let a target answer, or continue a begun answer; keep that for the next attempt.
 
-        Not kept if the replica has resumed meanwhile and is not silent again.
+        Not kept if the replica has resumed meanwhile and is not silent again, or if what it has
+        sent to the caller cannot be continued.
         """
         exchange = attempt.exchange
         opening = asyncio.get_running_loop().create_task(self.open_answer(exchange, endpoint))
@@ -152,7 +160,7 @@
             while not opening.done() and resumed_checks < RESUMED_CHECKS:
                 await asyncio.wait({opening}, timeout=RESUME_CHECK_INTERVAL_S)
                 resumed_checks = resumed_checks + 1 if self._goes_on(attempt) else 0
-            if opening.done() and not self._goes_on(attempt):
+            if opening.done() and not self._goes_on(attempt) and exchange.can_go_on_elsewhere:
                 exchange.next_answer = opening.result()
         finally:
             attempt.is_opening = False
