--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -115,6 +115,7 @@
         self.clock: Clock = order_sender.clock
         self.on_broken = on_broken
         self.on_members_silent = on_members_silent
+        self.in_flight = in_flight
         self.metrics = metrics or RouteMetrics()
         self.record = PlacementRecord(store, self.hall, lease.holder)
         self.state = HallState(self.clock)
@@ -133,7 +134,7 @@
             self.state,
             order_sender,
             self._spawn,
-            in_flight,
+            self._may_have_requests,
             lambda key: self.on_members_silent(key),
         )
         self.former = ReplicaFormer(order_sender)
@@ -143,6 +144,8 @@
         self._reported_all_dead: set[tuple[str, int]] = set()
         self.plans: dict[str, HallPlan] = {}
         self._demand_checked_s = -DEMAND_CHECK_INTERVAL_S
+        # Local time of the first round of the term; None before it.
+        self._term_began_s: float | None = None
 
     @property
     def is_acting(self) -> bool:
@@ -177,6 +180,7 @@
         self._reported_all_dead.clear()
         self.plans.clear()
         self.loads.reset()
+        self._term_began_s = None
 
     # One round --------------------------------------------------------------------------------
 
@@ -187,6 +191,8 @@
         if not await self.record.read():
             return
         now_s = self.clock.now_s()
+        if self._term_began_s is None:
+            self._term_began_s = now_s
         is_demand_due = now_s - self._demand_checked_s >= DEMAND_CHECK_INTERVAL_S
         if is_demand_due:
             self._demand_checked_s = now_s
@@ -319,6 +325,19 @@
             _LOG, logging.INFO, "spares_serve", replica=plan.name, epoch=plan.epoch, model=model
         )
 
+    def _may_have_requests(self, head: Target) -> bool:
+        """Return whether requests may be in flight at a head.
+
+        The counts of a new leader begin empty, and a daemon reports its requests only when one
+        begins or ends. Until all requests that are older than the term must have ended, each head
+        may have some.
+        """
+        if self._term_began_s is None:
+            return True
+        led_s = self.clock.now_s() - self._term_began_s
+        has_uncounted = led_s < self.current.longest_request_s(head.service)
+        return has_uncounted or self.in_flight(head.target_id) > 0
+
     def _handle_replica(self, replica: ObservedReplica, engine: EngineSpec) -> bool:
         """Act on the health of a replica; return whether it is kept."""
         result = self.health_check.evaluate(replica, engine)
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -116,8 +116,8 @@
         Its control asks members for reports.
     spawn : callable
         Starts a coroutine as a task, concurrent with the controller's rounds.
-    in_flight : callable
-        Returns the number of requests in flight at a target.
+    may_have_requests : callable
+        Returns whether requests may be in flight at the head of a replica.
     on_members_silent : callable
         Called with name and epoch of a replica of which a member without an entry did not report.
     """
@@ -131,7 +131,7 @@
         "_orphaned_since_s",
         "clock",
         "directory",
-        "in_flight",
+        "may_have_requests",
         "on_members_silent",
         "order_sender",
         "spawn",
@@ -143,12 +143,12 @@
         state: HallState,
         order_sender: OrderSender,
         spawn: Callable[[Coroutine], None],
-        in_flight: Callable[[str], int],
+        may_have_requests: Callable[[Target], bool],
         on_members_silent: Callable[[tuple[str, int]], None],
     ):
         self.state = state
         self.on_members_silent = on_members_silent
-        self.in_flight = in_flight
+        self.may_have_requests = may_have_requests
         self._has_mass_silence = False
         self.order_sender = order_sender
         self.directory: TargetDirectory = order_sender.directory
@@ -235,10 +235,10 @@
         return self._has_mass_silence or self._has_requests(replica)
 
     def _has_requests(self, replica: ObservedReplica) -> bool:
-        """Return whether requests are in flight at the head of a replica, listed or not."""
+        """Return whether requests may be in flight at the head of a replica, listed or not."""
         members = (*replica.members, *self._missing_members(replica))
         heads = [member for member in members if member.existing_membership.rank == 0]
-        return any(self.in_flight(head.target_id) > 0 for head in heads)
+        return any(self.may_have_requests(head) for head in heads)
 
     def _evaluate_incomplete(self, replica: ObservedReplica, now_s: float) -> HealthResult:
         """Return what to do with a replica whose members all report, some without an entry.
