--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -12,6 +12,7 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from types import FrameType
 from typing import NoReturn
 
 import uvloop
@@ -98,10 +99,23 @@
         self._is_hangup_pending = False
 
     def install(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Install the signal handlers on an event loop, which need not be running yet."""
+        """Install the signal handlers for an event loop, which need not be running yet.
+
+        Not with ``loop.add_signal_handler``: uvloop loses a signal that arrives before it runs, or
+        between two runs.
+        """
+
+        def install(number: signal.Signals, callback: Callable[[], None]) -> None:
+            def handle(_number: int, _frame: FrameType | None) -> None:
+                if not loop.is_closed():
+                    loop.call_soon_threadsafe(callback)
+
+            signal.signal(number, handle)
+            signal.siginterrupt(number, False)
+
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._handle_hangup)
+            install(number, self.stopping.set)
+        install(signal.SIGHUP, self._handle_hangup)
 
     def on_hangup(self, handler: Callable[[], None]) -> None:
         """Call `handler` for each SIGHUP, and once if one arrived during the start."""
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -20,7 +20,8 @@
 PROGRAM = """
 import asyncio, os, signal, sys, threading
 import aiomisc
-from ferrydock.startup import run_service, run_until_stopped
+import ferrydock.startup
+from ferrydock.startup import DaemonSignals, run_service, run_until_stopped
 
 def hurt():
     for name in sys.argv[2].split(","):
@@ -31,6 +32,8 @@
         if sys.argv[1] == "starting":
             hurt()
             await asyncio.sleep(0)
+        elif sys.argv[1] in ("before_run", "between_runs"):
+            pass
         elif sys.argv[1] == "with_a_thread":
             threading.Thread(target=threading.Event().wait).start()
             hurt()
@@ -46,21 +49,32 @@
 async def close():
     print("closed at once", flush=True)
 
-async def run(signals):
+def run(signals):
+    if sys.argv[1] == "between_runs":
+        hurt()
     failed = asyncio.Event()
-    return await run_until_stopped(signals, failed, stop, close, lambda: print("hangup"))
+    return run_until_stopped(signals, failed, stop, close, lambda: print("hangup"))
+
+class Signals(DaemonSignals):
+    def install(self, loop):
+        super().install(loop)
+        if sys.argv[1] == "before_run":
+            hurt()
+
+ferrydock.startup.DaemonSignals = Signals
 
 sys.exit(run_service(service := Service(), run))
 """
 
 
-@pytest.mark.parametrize("phase", ["starting", "started"])
+@pytest.mark.parametrize("phase", ["before_run", "starting", "between_runs", "started"])
 @pytest.mark.parametrize("signals", ["SIGTERM", "SIGTERM,SIGTERM", "SIGHUP,SIGTERM", "SIGINT"])
 def test_a_daemon_that_is_signalled_while_it_starts_stops_as_planned(phase, signals):
     """Guards against signal handlers that are installed only after the daemon has begun to listen.
 
     SIGTERM, SIGINT or SIGHUP before that ended the process at once, with the requests that it had
-    accepted and exit status -15, -2 or -1 instead of 0.
+    accepted and exit status -15, -2 or -1 instead of 0. While the event loop did not run, they were
+    lost.
     """
     completed = subprocess.run(
         [sys.executable, "-c", PROGRAM, phase, signals],
