--- a/ferrydock/__init__.py
+++ b/ferrydock/__init__.py
@@ -3,7 +3,11 @@
 import gc
 import time
 
-from ._compiled import use_compiled
+from ._early_signals import guard_start
+
+guard_start()  # before the other imports, during which a signal would end a daemon
+
+from ._compiled import use_compiled  # noqa: E402
 
 __version__ = "0.1.0"
 
--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -20,6 +20,7 @@
 from aiomisc import Service, entrypoint
 
 from . import __version__
+from ._early_signals import release_hangup
 from .environment import apply_environment
 from .logs import log_event
 from .outcomes import Invalid
@@ -81,9 +82,9 @@
 class DaemonSignals:
     """Handles signals to a daemon from before it begins to listen.
 
-    With handlers installed only after the start, a SIGTERM or SIGHUP between the opening of the
-    listener and their installation would end the process at once, with the requests that it has
-    accepted.
+    Before that, `_early_signals` defers SIGHUP and ends the process for the others. With handlers
+    installed only after the start, a SIGTERM or SIGHUP between the opening of the listener and
+    their installation would end the process at once, with the requests that it has accepted.
 
     Attributes
     ----------
@@ -116,6 +117,7 @@
         for number in STOP_SIGNALS:
             install(number, self.stopping.set)
         install(signal.SIGHUP, self._handle_hangup)
+        release_hangup()
 
     def on_hangup(self, handler: Callable[[], None]) -> None:
         """Call `handler` for each SIGHUP, and once if one arrived during the start."""
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,13 +2,13 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
 
+from ferrydock.emulator import free_ports, loopback_address
 from ferrydock.logs import parse_event
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -28,7 +28,7 @@
     """A copy of a small part of the package, compiled as the build does it."""
     package = tmp_path / "ferrydock"
     package.mkdir()
-    for name in ("__init__.py", "_compiled.py", "clock.py"):
+    for name in ("__init__.py", "_compiled.py", "_early_signals.py", "clock.py"):
         (package / name).write_bytes((ROOT / "ferrydock" / name).read_bytes())
     arguments = ("-m", "compileall", "-q", "--invalidation-mode", "checked-hash", "ferrydock")
     done = run_python(tmp_path, "-X", "pycache_prefix=target/pycache", *arguments)
@@ -111,32 +111,22 @@
     assert not {name for name in added if name.partition(".")[0] == ONLY_WITH_AIOMISC}
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 def write_settings(path):
     """Write the settings of a daemon whose store refuses connections."""
-    listen, ready, control, peer, store = free_ports(5)
+    address = loopback_address()
+    listen, ready, control, peer, store = free_ports(5, address)
     fields = {
         "node-name": "edge-1",
         "zone": "hall-a",
         "zones": {"hall-a": {}},
-        "ip": "127.0.0.1",
+        "ip": address,
         "internal-ports": [peer],
         "listen": {
-            "frontend": f"127.0.0.1:{listen}",
-            "ready": f"127.0.0.1:{ready}",
-            "control": f"127.0.0.1:{control}",
+            "frontend": f"{address}:{listen}",
+            "ready": f"{address}:{ready}",
+            "control": f"{address}:{control}",
         },
-        "platform": {"address": f"127.0.0.1:{store}"},
+        "platform": {"address": f"{address}:{store}"},
         "limits": {"memory-mb": 256},
         "bounds": {
             "grace-s": 8,
