--- a/ferrydock/startup.py
+++ b/ferrydock/startup.py
@@ -13,13 +13,14 @@
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from types import FrameType
-from typing import NoReturn, cast
+from typing import NoReturn
 
 import uvloop
 from absl import flags
 from aiomisc import Service, entrypoint
 
 from . import __version__
+from ._early_signals import release_hangup
 from .clock import SystemClock
 from .environment import apply_environment
 from .logs import log_event
@@ -82,9 +83,9 @@
 class DaemonSignals:
     """Handles signals to a daemon from before it begins to listen.
 
-    With handlers installed only after the start, a SIGTERM or SIGHUP between the opening of the
-    listener and their installation would end the process at once, with the requests that it has
-    accepted.
+    Before that, `_early_signals` defers SIGHUP and ends the process for the others. With handlers
+    installed only after the start, a SIGTERM or SIGHUP between the opening of the listener and
+    their installation would end the process at once, with the requests that it has accepted.
 
     Attributes
     ----------
@@ -102,26 +103,32 @@
         self._is_hangup_pending = False
 
     def install(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Install the signal handlers on an event loop, which need not be running yet."""
-        for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self.stopping.set)
-            self._note_arrival(number)
-        loop.add_signal_handler(signal.SIGHUP, self._handle_hangup)
+        """Install the signal handlers for an event loop, which need not be running yet.
+
+        Not with ``loop.add_signal_handler``: uvloop loses a signal that arrives before it runs, or
+        between two runs.
+        """
 
-    def _note_arrival(self, number: int) -> None:
-        """Note when a signal arrives: its handler on the loop runs later while the loop is busy."""
-        handle = cast(Callable[[int, FrameType | None], object], signal.getsignal(number))
+        def install(number: signal.Signals, callback: Callable[[], None]) -> None:
+            def handle(_number: int, _frame: FrameType | None) -> None:
+                if number in STOP_SIGNALS and self._stop_arrived_s is None:
+                    self._stop_arrived_s = self._clock.now_s()
+                if not loop.is_closed():
+                    loop.call_soon_threadsafe(callback)
 
-        def note(received: int, frame: FrameType | None) -> None:
-            if self._stop_arrived_s is None:
-                self._stop_arrived_s = self._clock.now_s()
-            handle(received, frame)
+            signal.signal(number, handle)
+            signal.siginterrupt(number, False)
 
-        signal.signal(number, note)
-        signal.siginterrupt(number, False)  # as the loop sets it
+        for number in STOP_SIGNALS:
+            install(number, self.stopping.set)
+        install(signal.SIGHUP, self._handle_hangup)
+        release_hangup()
 
     def since_stop_s(self) -> float:
-        """Return the seconds since the first signal to stop; 0 if there was none."""
+        """Return the seconds since the first signal to stop arrived; 0 if there was none.
+
+        The callback on the loop runs later while the loop is busy.
+        """
         arrived_s = self._stop_arrived_s
         return 0.0 if arrived_s is None else self._clock.now_s() - arrived_s
 
