--- a/ferrydock/emulator/_daemon_troubles.py
+++ b/ferrydock/emulator/_daemon_troubles.py
@@ -1,6 +1,8 @@
 """Faults of daemons: they are killed, stopped as planned, frozen or signalled. Stateless."""
 
 import asyncio
+import contextlib
+import os
 import random
 import signal
 import time
@@ -13,7 +15,13 @@
 from ._stops import GRACE_S, PlannedStop, had_to_be_killed
 from ._troubles import EmulationParts, trouble
 
-__all__ = ["RESTART_AFTER_S", "end_daemons", "end_disturbance", "undisturbed_daemons"]
+__all__ = [
+    "RESTART_AFTER_S",
+    "end_as_planned",
+    "end_daemons",
+    "end_disturbance",
+    "undisturbed_daemons",
+]
 
 # Pause between the end of a daemon and its restart, and between the restart and the earliest time
 # from which the daemon counts as undisturbed.
@@ -125,9 +133,15 @@
     callers = StopCallers(daemon, signal_s, rng, now_s, result.calls)
     calling = asyncio.ensure_future(callers.run())
     await asyncio.sleep(max(0.0, signal_s - now_s()))
+    await end_as_planned(parts, daemon)
+    await calling
+
+
+async def end_as_planned(parts: EmulationParts, daemon: DaemonProcess) -> None:
+    """Send SIGTERM, then SIGKILL after the grace; record how the process ended."""
     daemon.is_disturbed = True
-    stop = PlannedStop(daemon.name, now_s(), was_started=daemon.has_started)
-    result.stops.append(stop)
+    stop = PlannedStop(daemon.name, parts.now_s(), was_started=daemon.has_started)
+    parts.result.stops.append(stop)
     parts.stops[daemon.name] = stop
     terminated_s = time.time()
     daemon.signal(signal.SIGTERM)
@@ -136,13 +150,14 @@
         async with asyncio.timeout(GRACE_S):
             await process.wait()
     except TimeoutError:
-        daemon.signal(signal.SIGKILL)
+        # Not by `DaemonProcess.signal`, whose kills excuse the requests that they end.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process.pid, signal.SIGKILL)
         await process.wait()
         ended_after_s = daemon.last_logged_s - terminated_s
         stop.was_killed = had_to_be_killed(process.returncode, ended_after_s)
     del parts.stops[daemon.name]
-    stop.status, stop.ended_s = process.returncode, now_s()
-    await calling
+    stop.status, stop.ended_s = process.returncode, parts.now_s()
 
 
 def _stopping_daemons(parts: EmulationParts, spec: Trouble) -> list[DaemonProcess]:
--- a/ferrydock/emulator/_long_answers.py
+++ b/ferrydock/emulator/_long_answers.py
@@ -10,14 +10,18 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 
-from ..invariants import require
-from ._daemon_troubles import RESTART_AFTER_S, end_disturbance, undisturbed_daemons
+from ._daemon_troubles import (
+    RESTART_AFTER_S,
+    end_as_planned,
+    end_disturbance,
+    undisturbed_daemons,
+)
 from ._drain_plays import draw_weighted_series
 from ._experiment import SILENCE_KIND, STOPS_IN_TURN_KIND, Silent, Trouble
 from ._load import Call
 from ._processes import DaemonProcess
 from ._silences import LossExcuse, excuse_of_loss
-from ._stops import GRACE_S, Execution, Pause, PlannedStop
+from ._stops import Execution, Pause, PlannedStop
 from ._store_troubles import leaders
 from ._troubles import EmulationParts, trouble
 
@@ -122,22 +126,7 @@
     if not daemon.is_running or daemon.is_disturbed:
         parts.to_be_stopped.discard(daemon.name)
         return
-    daemon.is_disturbed = True
-    stop = PlannedStop(daemon.name, parts.now_s(), was_started=daemon.has_started)
-    parts.result.stops.append(stop)
-    parts.stops[daemon.name] = stop
-    process = require(daemon.process, "the process")
-    process.terminate()
-    try:
-        async with asyncio.timeout(GRACE_S):
-            await process.wait()
-    except TimeoutError:
-        # Not by `DaemonProcess.signal`, whose kills excuse the requests that they end.
-        process.kill()
-        await process.wait()
-        stop.was_killed = True
-    del parts.stops[daemon.name]
-    stop.status, stop.ended_s = process.returncode, parts.now_s()
+    await end_as_planned(parts, daemon)
     await asyncio.sleep(RESTART_AFTER_S)
     await daemon.start()
     await end_disturbance(parts, daemon)
