--- a/ferrydock/gateway/_app.py
+++ b/ferrydock/gateway/_app.py
@@ -121,9 +121,13 @@
         return self.address
 
     def connection_counts(self) -> dict[str, int]:
-        """Return the counts of refused connections and of those that sent no request in time."""
+        """Return the counts of refused, timed out and crossed connections."""
         guard = require(self._guard, "the connection guard")
-        return {"refused": guard.refused, "timed_out": guard.timed_out}
+        return {
+            "refused": guard.refused,
+            "timed_out": guard.timed_out,
+            "crossed": guard.crossed,
+        }
 
     @property
     def connection_count(self) -> int:
--- a/ferrydock/gateway/_connections.py
+++ b/ferrydock/gateway/_connections.py
@@ -1,18 +1,25 @@
 """Limits on callers' connections, and which of their requests are served during a planned stop.
 
 Owns the connections that have sent no request yet, with the time at which they were accepted, and
-those whose handler is running; counts connections that were refused or timed out.
+those whose handler is running; counts connections that were refused or timed out, and those on
+which something arrived after they were closed.
 """
 
 import asyncio
+import logging
+from functools import partial
 
 from aiohttp import web
 
+from ..idle_close import ClosingConnection, close_with_answer
 from ..invariants import BrokenInvariant
-from ..planned_stop import EXPECTED_REQUEST_WAIT_S, is_idle, is_waiting_for_request
+from ..logs import log_event
+from ..planned_stop import EXPECTED_REQUEST_WAIT_S, STOPPING_REASON, is_idle, is_waiting_for_request
 
 __all__ = ["ConnectionGuard"]
 
+_LOG = logging.getLogger("ferrydock.gateway")
+
 # Pause until a connection that has received bytes is checked again for its first request.
 RECHECK_S = 0.05
 
@@ -48,12 +55,22 @@
         Limit on concurrent connections.
     first_request_s : float
         How long a new connection may take to send the head of its first request.
+
+    Attributes
+    ----------
+    refused : int
+        Number of connections above the limit.
+    timed_out : int
+        Number of connections that were closed without a request.
+    crossed : int
+        Number of connections on which bytes arrived after the daemon had closed its side.
     """
 
     __slots__ = (
         "_with_handler",
         "_pending_at_stop",
         "_without_request",
+        "crossed",
         "first_request_s",
         "max_connections",
         "refused",
@@ -67,6 +84,7 @@
         self.first_request_s = first_request_s
         self.refused = 0
         self.timed_out = 0
+        self.crossed = 0
         self._without_request: dict[asyncio.Protocol, float] = {}
         self._with_handler: set[asyncio.Protocol] = set()
         self._pending_at_stop: set[asyncio.Protocol] = set()
@@ -92,7 +110,7 @@
                 )
                 return
             self.timed_out += 1
-            transport.close()
+            self._close(protocol, "no_request")
         self._without_request.pop(protocol, None)
 
     def begin_request(self, protocol) -> bool:
@@ -127,4 +145,23 @@
         for connection in self.server.connections:
             is_new = self._without_request.get(connection, float("-inf")) > recent_s
             if is_idle(connection) and not is_new:
-                connection.force_close()
+                self._close(connection, STOPPING_REASON)
+
+    def _close(self, connection, why: str) -> None:
+        """Close an idle connection; a request on its way is refused as not run."""
+        close_with_answer(connection, partial(self._record_end, why))
+
+    def _record_end(self, why: str, closing: ClosingConnection) -> None:
+        """Count and log a connection on which something arrived after it was closed."""
+        if closing.first_byte_after_s is None:
+            return
+        self.crossed += 1
+        log_event(
+            _LOG,
+            logging.INFO,
+            "connection_closed",
+            why=why,
+            state="crossed",
+            unread_bytes=closing.discarded_bytes,
+            after_close_ms=closing.first_byte_after_s * 1000,
+        )
--- a/ferrydock/gateway/tests/test_gateway.py
+++ b/ferrydock/gateway/tests/test_gateway.py
@@ -14,6 +14,7 @@
 from ...clock import SystemClock
 from ...demo import DemoSite, complete_answer_text, serving_replicas, streamed_answer_text, until
 from ...demo_keys import DEMO_OPERATOR_KEY, DEMO_TEAM_KEY
+from ...idle_close import NOT_RUN_ANSWER
 
 TEAM = {"Authorization": f"Bearer {DEMO_TEAM_KEY}"}
 OPERATOR = {"Authorization": f"Bearer {DEMO_OPERATOR_KEY}"}
@@ -372,7 +373,7 @@
         guard.first_request_s = 0.05
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"POST /v1/completions HTTP/1.1\r\nHost:")
-        assert await reader.read() == b""
+        assert await reader.read() == NOT_RUN_ANSWER
         guard.max_connections = 0
         reader, writer = await asyncio.open_connection(host, int(port))
         answer = await reader.read()
--- a/ferrydock/gateway/tests/test_planned_stop.py
+++ b/ferrydock/gateway/tests/test_planned_stop.py
@@ -12,6 +12,7 @@
 
 from ...demo import until
 from ...forwarding.tests.rig import ScriptedTarget
+from ...idle_close import NOT_RUN_ANSWER
 from ...membership import Gossip
 from ...requests import ClaimStore, ReplicaGate, claim_key
 from ...table import RowKey, Table
@@ -61,6 +62,11 @@
         async with asyncio.timeout(LIMIT_S):
             return await self.reader.read()
 
+    @property
+    def is_ended(self):
+        """Whether the daemon has ended its side; unlike `at_eof`, also if an answer is unread."""
+        return self.reader._eof
+
     async def send_and_read_one(self):
         """Send one request and read its answer, so that the connection is kept alive and idle."""
         self.send("/v1/models", None, method="GET")
@@ -187,7 +193,7 @@
                 with contextlib.suppress(ConnectionError):
                     kept.send(COMPLETIONS, chat_body(stream=True, text=TEXT * 20))
                     await kept.writer.drain()
-                await until(lambda: node.gateway.in_flight or kept.reader.at_eof(), LIMIT_S)
+                await until(lambda: node.gateway.in_flight or kept.is_ended, LIMIT_S)
                 await original_leave(gossip)
 
             monkeypatch.setattr(Gossip, "announce_leaving", delayed_leave)
@@ -196,7 +202,7 @@
             with contextlib.suppress(ConnectionError):
                 answer = await kept.read_to_end()
             assert site.site.fleet.runs == {}
-            assert not answer or answer.startswith(b"HTTP/1.1 503")
+            assert answer == NOT_RUN_ANSWER
 
     run(check)
 
--- a/ferrydock/idle_close.py
+++ b/ferrydock/idle_close.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from aiohttp.web_protocol import RequestHandler
 
@@ -43,6 +44,8 @@
         Protocol of the connection until now; it learns of the connection's end.
     closed_s : float
         Loop time at which the daemon ended its side.
+    on_end : callable or None
+        Called with this object when the connection has ended.
 
     Attributes
     ----------
@@ -54,11 +57,17 @@
         Time from the close to the first of these bytes, in seconds; None while there is none.
     """
 
-    __slots__ = ("_connection", "closed_s", "discarded_bytes", "first_byte_after_s")
+    __slots__ = ("_connection", "closed_s", "discarded_bytes", "first_byte_after_s", "on_end")
 
-    def __init__(self, connection: RequestHandler, closed_s: float):
+    def __init__(
+        self,
+        connection: RequestHandler,
+        closed_s: float,
+        on_end: "Callable[[ClosingConnection], None] | None" = None,
+    ):
         self._connection = connection
         self.closed_s = closed_s
+        self.on_end = on_end
         self.discarded_bytes = 0
         self.first_byte_after_s: float | None = None
 
@@ -79,9 +88,13 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle that the connection has ended: by its caller, or after `CLOSE_LINGER_S`."""
         self._connection.connection_lost(exc)
+        if self.on_end is not None:
+            self.on_end(self)
 
 
-def close_with_answer(connection: RequestHandler) -> ClosingConnection:
+def close_with_answer(
+    connection: RequestHandler, on_end: Callable[[ClosingConnection], None] | None = None
+) -> ClosingConnection:
     """Close a connection that waits for a request; one on its way is answered as not run.
 
     The connection counts as open until its caller has closed its side, at most `CLOSE_LINGER_S`. A
@@ -89,7 +102,7 @@
     """
     transport = require(connection.transport, "the transport of an idle connection")
     loop = asyncio.get_running_loop()
-    closing = ClosingConnection(connection, loop.time())
+    closing = ClosingConnection(connection, loop.time(), on_end)
     transport.set_protocol(closing)
     connection.close()  # ends only the handler's wait for a request
     transport.write(NOT_RUN_ANSWER)
