--- a/ferrydock/emulator/_pace_troubles.py
+++ b/ferrydock/emulator/_pace_troubles.py
@@ -15,7 +15,9 @@
 from ._store_troubles import leaders
 from ._troubles import EmulationParts, trouble
 
-__all__: list[str] = []
+__all__ = ["HANG_UP_KIND", "hang_up_starts"]
+
+HANG_UP_KIND = "daemon_hung_up"
 
 # Shortest suspension, and pause between two suspensions of a series.
 MIN_SUSPENDED_S = 0.3
@@ -28,6 +30,11 @@
 # Pause between two SIGHUP to a daemon.
 HANG_UP_INTERVAL_S = (0.02, 0.8)
 
+# Pause between two searches for processes that are starting, whose imports take 0.3 s and more, and
+# the chance that one of them gets SIGHUP.
+START_CHECK_INTERVAL_S = 0.03
+START_HANG_UP_FRACTION = 0.3
+
 _BUSY_PROGRAM = "import sys, time\nend = time.monotonic() + float(sys.argv[1])\n" + (
     "while time.monotonic() < end: sum(range(10000))\n"
 )
@@ -148,7 +155,7 @@
     return await end_daemons(parts, _chosen(parts, spec, True), signal.SIGTERM)
 
 
-@trouble("daemon_hung_up")
+@trouble(HANG_UP_KIND)
 async def hang_up_daemons(parts: EmulationParts, spec: Trouble) -> str:
     """Send SIGHUP to random daemons, leaders among them, several times in series."""
     reached: set[str] = set()
@@ -159,3 +166,20 @@
                 reached.add(daemon.name)
         await asyncio.sleep(parts.rng.uniform(*HANG_UP_INTERVAL_S))
     return ",".join(sorted(reached))
+
+
+async def hang_up_starts(parts: EmulationParts, until_s: float) -> str:
+    """Send SIGHUP to random processes in their first moments, until `until_s` of the load.
+
+    An experiment with reloads plays this beside them: by themselves they rarely meet a start.
+    """
+    rng = random.Random(f"{parts.experiment.seed} starts hung up")
+    reached: set[str] = set()
+    while parts.now_s() < until_s:
+        for daemon in parts.daemons:
+            is_starting = daemon.is_running and daemon.is_hangup_deferred
+            if is_starting and rng.random() < START_HANG_UP_FRACTION:
+                daemon.signal(signal.SIGHUP)
+                reached.add(daemon.name)
+        await asyncio.sleep(START_CHECK_INTERVAL_S)
+    return ",".join(sorted(reached)) or "none"
--- a/ferrydock/emulator/_processes.py
+++ b/ferrydock/emulator/_processes.py
@@ -160,6 +160,17 @@
         """Whether the current process has logged that it started."""
         return self._has_logged("started")
 
+    @property
+    def is_hangup_deferred(self) -> bool:
+        """Whether the process runs code of ferrydock, and does not handle SIGHUP yet."""
+        try:
+            status = Path(f"/proc/{require(self.process, 'the process').pid}/status").read_text()
+        except OSError:  # it has ended
+            return False
+        fields = dict(line.split(":\t", 1) for line in status.splitlines())
+        hangup_bit = 1 << (signal.SIGHUP - 1)
+        return bool(int(fields["SigBlk"], 16) & hangup_bit)
+
     @property
     def has_been_ready(self) -> bool:
         """Whether the current process has logged that it is ready for callers."""
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -21,7 +21,6 @@
 from . import _foreign_entries as _foreign_entries
 from . import _link_troubles as _link_troubles
 from . import _long_answers as _long_answers
-from . import _pace_troubles as _pace_troubles
 from . import _silences as _silences
 from . import _skew as _skew
 from . import _target_troubles as _target_troubles
@@ -34,6 +33,7 @@
 from ._links import DaemonLinks
 from ._load import Call, Callers
 from ._own_pace import StallMonitor
+from ._pace_troubles import HANG_UP_KIND, hang_up_starts
 from ._persistent_callers import PersistentCaller
 from ._processes import DaemonProcess, describe_not_ready, free_ports, loopback_address
 from ._result import Result
@@ -284,11 +284,17 @@
     # Troubles ---------------------------------------------------------------------------------
 
     async def _inject(self) -> None:
+        if any(trouble.kind == HANG_UP_KIND for trouble in self.experiment.troubles):
+            self._tasks.add(asyncio.ensure_future(self._play_hang_ups_of_starts()))
         for trouble in sorted(self.experiment.troubles, key=_begins_s):
             await asyncio.sleep(max(0.0, _begins_s(trouble) - self.now_s()))
             task = asyncio.ensure_future(self._play(trouble))
             self._tasks.add(task)
 
+    async def _play_hang_ups_of_starts(self) -> None:
+        reached = await hang_up_starts(self._parts, self.experiment.length_s)
+        self.result.troubles.append(f"{HANG_UP_KIND} while starting: {reached}")
+
     async def _play(self, trouble: Trouble) -> None:
         from_s = asyncio.get_running_loop().time()
         affected = frozenset(daemon.name for daemon in affected_daemons(self._parts, trouble))
