--- a/ferrydock/forwarding/_forwarder.py
+++ b/ferrydock/forwarding/_forwarder.py
@@ -20,6 +20,7 @@
 from ._admission import queue_times
 from ._answer_times import AnswerKind, AnswerTime, AnswerTimes
 from ._attempts import AttemptRunner
+from ._closed_connections import CloseReason
 from ._crash_guard import CrashGuard
 from ._exchange import AttemptEnd, AttemptReason, Exchange, OpenedAnswer
 from ._listener import caller_connection
@@ -327,7 +328,9 @@
             else None,
         )
         if exchange.response is not None:
-            caller_connection(exchange.request).break_answer()
+            is_cut_by_stop = reason == STOPPING_REASON
+            why = CloseReason.STOPPING if is_cut_by_stop else CloseReason.ANSWER_BROKEN
+            caller_connection(exchange.request).break_answer(why)
             return exchange.response
         status = final_status(exchange.may_have_run, self._remaining_s(exchange))
         if status != SERVICE_UNAVAILABLE:
--- a/ferrydock/forwarding/_listener.py
+++ b/ferrydock/forwarding/_listener.py
@@ -170,10 +170,14 @@
         self._note_use()
         super().force_close()
 
-    def break_answer(self) -> None:
-        """Reset the connection, so that its caller does not take a part for the whole answer."""
+    def break_answer(self, why: CloseReason = CloseReason.ANSWER_BROKEN) -> None:
+        """Reset the connection, so that its caller does not take a part for the whole answer.
+
+        A reason noted before, such as a stop, would have closed it only after the answer.
+        """
         if self.transport is not None:
-            self._abort(CloseReason.ANSWER_BROKEN)
+            self._close_reason = why
+            self._abort(why)
 
     def _abort(self, why: CloseReason) -> None:
         if self._caller_transport is not None:
--- a/ferrydock/forwarding/tests/test_closed_connections.py
+++ b/ferrydock/forwarding/tests/test_closed_connections.py
@@ -7,7 +7,7 @@
 
 from ...configuration import RouteKind
 from .._closed_connections import MAX_LINES_PER_S, CloseReason, ConnectionState
-from .rig import Rig, ScriptedTarget, route
+from .rig import Rig, ScriptedTarget, resets, route
 from .test_forwarding import STREAM, events
 from .test_planned_stop import REQUEST, Caller, never_answers, pauses_until, until
 from .test_unread_requests import (
@@ -139,6 +139,23 @@
     play(loop_factory, scenario)
 
 
+@LOOPS
+def test_answer_that_a_target_breaks_off_in_a_stop_is_not_counted_as_cut_by_the_stop(
+    loop_factory, caplog
+):
+    async def scenario():
+        begun = ScriptedTarget(resets(STREAM + events(1)))
+        async with Rig([route(kind=RouteKind.STREAM)], [begun]) as rig:
+            caller, _ = await connect_and_wait(rig)
+            with caller:
+                rig.gateway.announce_stop()
+                caller.send(REQUEST)
+                await until_counted(rig, CloseReason.ANSWER_BROKEN, IN_USE)
+            assert "event=connection_closed why=stopping" not in caplog.text
+
+    play(loop_factory, scenario)
+
+
 @LOOPS
 def test_request_that_the_end_of_the_process_cuts_is_counted_as_in_use(loop_factory):
     async def scenario():
