--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -32,6 +32,10 @@
 # platform's own bound.
 EXTRA_LOADS = 3
 
+# Addition to the window in which this controller counts loads. A load begins when its order
+# arrives, so those of one round may begin later than their orders, and the next ones sooner.
+ORDER_DELAY_S = 0.25
+
 # Minimum interval between two reassignments in a hall, so that the second is decided from the
 # effect of the first.
 REASSIGNMENT_PAUSE_S = 3.0
@@ -160,7 +164,7 @@
             SiteObservations(demand, refused_slots, is_hall_open, remote_changes, recorded_demand),
         )
         self._weights: dict[str, SteadyWeights] = {}
-        self.loads = WeightLoadBudget(settings.load_window_s)
+        self.loads = WeightLoadBudget(settings.load_window_s + ORDER_DELAY_S)
         self._models_held: dict[str, Counter[str]] = {}
         self._last_reassignment_s = 0.0
         self._short_since_s: dict[tuple[str, str], float] = {}
