--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -193,6 +193,7 @@
         now_s = self.clock.now_s()
         if self._term_began_s is None:
             self._term_began_s = now_s
+            self.planner.loads.close_for_window(now_s)
         is_demand_due = now_s - self._demand_checked_s >= DEMAND_CHECK_INTERVAL_S
         if is_demand_due:
             self._demand_checked_s = now_s
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -197,6 +197,8 @@
         is_first = self._is_first_plan(targets)
         # Before the first replica no target serves, and the platform does not count loads.
         loads_left = len(targets) if is_first else self._loads_left(engine, now_s)
+        if is_first:
+            self.loads.open()  # no earlier leader has loaded anything here
         loading = self.state.staging.loading(now_s)
         domains = _by_domain(targets)
         weights = self.weights(service, engine)
--- /dev/null
+++ b/ferrydock/replicas/tests/test_loads_across_leaders.py
@@ -0,0 +1,71 @@
+"""Loads from the weight store that begin while the leader of a hall changes."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from ...standins.fleet import run_virtually
+from .hall import Hall
+from .specs import two_models
+from .test_load_window import (
+    MAX_LOADS,
+    WINDOW_S,
+    hall_with_many_new_workers,
+    load_times,
+    most_loads_in_a_window,
+)
+
+
+async def change_leader(hall):
+    """Stop the leader as planned, and start another one."""
+    hall.kill_controller()
+    await hall.controller.lease.release()
+    hall.start_controller()
+
+
+@pytest.mark.parametrize("led_for_s", [0.6, 1.0, 2.5, 6.0])
+def test_leaders_that_follow_each_other_begin_no_more_loads_than_one(led_for_s):
+    """Failure: each new leader began its whole share again within the same window."""
+
+    async def scenario():
+        hall = await hall_with_many_new_workers()
+        began_s = hall.clock.now_s()
+        for _ in range(4):
+            await asyncio.sleep(led_for_s)
+            await change_leader(hall)
+        await asyncio.sleep(3 * WINDOW_S)
+        times_s = [at_s for at_s in load_times(hall) if at_s >= began_s]
+        assert most_loads_in_a_window(times_s) <= MAX_LOADS
+
+    run_virtually(scenario())
+
+
+def test_a_new_leader_loads_again_after_one_window():
+    """Failure: a count that is not known would keep the new workers empty for longer."""
+
+    async def scenario():
+        hall = await hall_with_many_new_workers()
+        await asyncio.sleep(1.0)
+        await change_leader(hall)
+        began_s, before = hall.clock.now_s(), len(load_times(hall))
+        assert await hall.until(lambda: len(load_times(hall)) > before, 10.0) is not None
+        assert hall.clock.now_s() - began_s < WINDOW_S + 1.0
+
+    run_virtually(scenario())
+
+
+def test_the_first_leader_of_a_hall_loads_its_spares_at_once():
+    """Failure: waiting for loads of an earlier leader where no target holds any weights."""
+
+    async def scenario():
+        hall = Hall(1)
+        engine = two_models()
+        models = tuple(replace(model, load_s=model.load_s / 10) for model in engine.models)
+        hall.set_engine(replace(engine, models=models))
+        hall.start_controller()
+        all_count = len(hall.fleet.workers)
+        took_s = await hall.until(lambda: len(load_times(hall)) == all_count, 20.0)
+        assert took_s is not None and took_s < WINDOW_S - 1.0
+
+    run_virtually(scenario())
