--- a/ferrydock/forwarding/_stop_rule.py
+++ b/ferrydock/forwarding/_stop_rule.py
@@ -18,7 +18,7 @@
 
 # Share of its deadline that an answer of unknown duration may take: few take all of it, and daemons
 # that stop together would refuse it one after the other.
-UNKNOWN_ANSWER_SHARE = 0.75
+UNKNOWN_ANSWER_SHARE = 0.85
 
 
 def time_to_send_s(
@@ -54,7 +54,7 @@
     -2.5
     >>> time_to_send_s(4.5, 3.0, 5.6, is_repeatable=False, has_peers=True)
     inf
-    >>> time_to_send_s(6.5, 8.0, None, is_repeatable=False, has_peers=True)
+    >>> round(time_to_send_s(7.3, 8.0, None, is_repeatable=False, has_peers=True), 3)
     0.5
     >>> time_to_send_s(4.5, 8.0, 5.6, is_repeatable=True, has_peers=False)
     inf
