--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -135,7 +135,6 @@
 # to 3.2 s on an overloaded machine. Nothing depends on it: the process ends either way.
 CLOSE_COMPONENTS_S = 0.1
 
-
 # The same for the daemon's own tasks, which usually end within one iteration of the loop.
 CLOSE_TASKS_S = 0.05
 
