--- a/ferrydock/forwarding/_answer_times.py
+++ b/ferrydock/forwarding/_answer_times.py
@@ -4,20 +4,18 @@
 """
 
 from collections import deque
-from collections.abc import Hashable, Sequence
+from collections.abc import Collection, Hashable
 from dataclasses import dataclass
 
-__all__ = ["AnswerKind", "AnswerTime", "AnswerTimes"]
+from ._observed_times import MAX_OBSERVATIONS, quantile_of
 
-# Most recent answers kept of each kind, and the number below which a quantile is not computed.
-MAX_OBSERVATIONS = 64
-MIN_OBSERVATIONS = 8
+__all__ = ["AnswerKind", "AnswerTime", "AnswerTimes"]
 
 # Share of the answers that end within the usual time. A request that takes longer may be cut by a
 # planned stop; one that would have been quicker is served by another daemon.
 ANSWER_QUANTILE = 0.95
 
-# With fewer than `MIN_OBSERVATIONS` answers, the usual time is this many times the longest.
+# With too few answers for a quantile, the usual time is this many times the longest.
 FEW_ANSWERS_FACTOR = 1.5
 
 # Prompts are told apart by their tokens in classes of this many bits: each class holds prompts of
@@ -110,10 +108,9 @@
     return by_key.setdefault(key, deque(maxlen=MAX_OBSERVATIONS))
 
 
-def _usual_s(observed_s: Sequence[float]) -> float | None:
+def _usual_s(observed_s: Collection[float]) -> float | None:
     """Return a quantile, or an upper estimate from few observations; None without any."""
     if not observed_s:
         return None
-    if len(observed_s) < MIN_OBSERVATIONS:
-        return FEW_ANSWERS_FACTOR * max(observed_s)
-    return sorted(observed_s)[int(ANSWER_QUANTILE * len(observed_s))]
+    usual_s = quantile_of(observed_s, ANSWER_QUANTILE)
+    return FEW_ANSWERS_FACTOR * max(observed_s) if usual_s is None else usual_s
--- a/ferrydock/forwarding/_observed_times.py
+++ b/ferrydock/forwarding/_observed_times.py
@@ -5,8 +5,9 @@
 """
 
 from collections import deque
+from collections.abc import Collection
 
-__all__ = ["ObservedTimes"]
+__all__ = ["MAX_OBSERVATIONS", "MIN_OBSERVATIONS", "ObservedTimes", "quantile_of"]
 
 # Most recent observations kept for each model and each route. At two to ten requests a second they
 # are 6 to 30 s old at most.
@@ -61,7 +62,7 @@
 
     def usual_pause_s(self, service: str, model: str) -> float | None:
         """Return the pause that 19 of 20 streams do not exceed; None with too few observations."""
-        return _quantile(self._pauses_s.get((service, model), ()), PAUSE_QUANTILE)
+        return quantile_of(self._pauses_s.get((service, model), ()), PAUSE_QUANTILE)
 
     def record_first_bytes(self, service: str, model: str, first_s: float) -> None:
         """Record the time from sending a request to the first bytes of its answer."""
@@ -71,7 +72,7 @@
 
     def usual_first_s(self, service: str, model: str) -> float | None:
         """Return the time to first bytes that nine of ten requests keep to; None if unknown."""
-        return _quantile(self._first_bytes_s.get((service, model), ()), FIRST_BYTES_QUANTILE)
+        return quantile_of(self._first_bytes_s.get((service, model), ()), FIRST_BYTES_QUANTILE)
 
     def request_age_s(self, route: str, left_s: float) -> float:
         """Estimate how many seconds ago a caller first sent its request; 0 if it is not repeated.
@@ -86,12 +87,13 @@
         """
         observed_s = self._remaining_s.setdefault(route, deque(maxlen=MAX_OBSERVATIONS))
         observed_s.append(left_s)
-        usual_s = _quantile(observed_s, DEADLINE_QUANTILE)
+        usual_s = quantile_of(observed_s, DEADLINE_QUANTILE)
         age_s = usual_s - left_s if usual_s is not None else 0.0
         return age_s if age_s >= MIN_REQUEST_AGE_S else 0.0
 
 
-def _quantile(observed, quantile: float) -> float | None:
+def quantile_of(observed: Collection[float], quantile: float) -> float | None:
+    """Return a quantile of observations; None with fewer than `MIN_OBSERVATIONS`."""
     if len(observed) < MIN_OBSERVATIONS:
         return None
     return sorted(observed)[min(len(observed) - 1, int(quantile * len(observed)))]
--- a/ferrydock/forwarding/tests/test_stop_estimates.py
+++ b/ferrydock/forwarding/tests/test_stop_estimates.py
@@ -6,7 +6,8 @@
 
 from ...clock import SystemClock
 from ...configuration import RouteKind
-from .._answer_times import MIN_OBSERVATIONS, AnswerKind, AnswerTime
+from .._answer_times import AnswerKind, AnswerTime
+from .._observed_times import MIN_OBSERVATIONS
 from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
 from .test_forwarding import STREAM, events
 from .test_stop_rule import LEFT_S, LIMIT_S, is_refused_as_not_run
--- a/ferrydock/forwarding/tests/test_stop_rule.py
+++ b/ferrydock/forwarding/tests/test_stop_rule.py
@@ -9,11 +9,11 @@
 from .._answer_times import (
     ANSWER_QUANTILE,
     FEW_ANSWERS_FACTOR,
-    MIN_OBSERVATIONS,
     AnswerKind,
     AnswerTime,
     AnswerTimes,
 )
+from .._observed_times import MIN_OBSERVATIONS
 from .rig import Rig, ScriptedTarget, complete_answer, plain_target, play, route, writes
 from .test_forwarding import STREAM, events
 from .test_planned_stop import until
