--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -30,7 +30,7 @@
     "write-long": ("/write/x", "large"),
     "tell": ("/tell/x", "large"),
     "tell-long": ("/tell/x", "large"),
-    "work": ("/work/x", ""),
+    "work": ("/long/x", ""),
 }
 
 
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -46,7 +46,7 @@
 CRASHING_PART = "dead"
 
 # Requests to a worker of the plain service whose path begins so are worked on for this time.
-LONG_WORK_PATH = "/work/"
+LONG_WORK_PATH = "/long/"
 LONG_WORK_S = (4.5, 6.0)
 
 # Share of these requests whose answers get a head before the crash.
