Logs of orders and plans name the source of a number and the position of the list

The users' record could not tell whether a leader's number of accepted orders came from a report, from its own count or from an earlier term, nor from which list it had planned. `order` lines say number_from, known_for_s, incarnation and already; `replicas_planned` says the term, the list's position and its age. The lease keeps the store position at which it was created, which both are compared with.

--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -75,6 +75,9 @@
         Era of the store to which the other attributes belong.
     value : bytes
         Value that the holder wrote to the key; unique to this write.
+    created : Position
+        Position of the store at which the key was created, or found again in a new era: all that
+        earlier leaders wrote is no later.
     """
 
     term: int
@@ -82,6 +85,7 @@
     valid_until_s: float
     era: int
     value: bytes
+    created: Position = Position()
 
 
 class ControllerLease:
@@ -206,7 +210,9 @@
         self, created: Position, lease: LeaseGranted, sent_s: float, value: bytes
     ) -> HeldLease:
         valid_until_s = sent_s + lease.ttl_s - CLOCK_MARGIN_S
-        self.held = HeldLease(created.rank(), lease.lease_id, valid_until_s, created.era, value)
+        self.held = HeldLease(
+            created.rank(), lease.lease_id, valid_until_s, created.era, value, created
+        )
         return self.held
 
     async def reclaim(self) -> bool:
@@ -227,8 +233,8 @@
         is_own = item.value == held.value and item.lease_id == held.lease_id
         if not is_own or self.clock.now_s() >= held.valid_until_s:
             return False
-        term = Position(read.era, item.create_revision).rank()
-        self.held = replace(held, term=term, era=read.era)
+        created = Position(read.era, item.create_revision)
+        self.held = replace(held, term=created.rank(), era=read.era, created=created)
         return self.is_valid
 
     async def renew(self) -> HeldLease | LeaseLost | Unavailable:
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -461,6 +461,7 @@
         epoch = await self.record.write(plans, self._demand_to_record())
         if epoch is None or not self.lease.is_valid:
             return
+        self._log_plans(epoch, plans)
         for name, formation in plans.items():
             self.planner.loads.begin(formation.loads, self.clock.now_s())
             plan = PlannedReplica(name, epoch, formation)
@@ -469,6 +470,24 @@
                 self._note_spares_used(service, plan)
             self._spawn(self._form(plan))
 
+    def _log_plans(self, epoch: int, plans: Mapping[str, Formation]) -> None:
+        """Log from which list, and under which lease, replicas are planned."""
+        held = require(self.lease.held, "the lease under which replicas are planned")
+        log_event(
+            _LOG,
+            logging.INFO,
+            "replicas_planned",
+            hall=self.hall,
+            epoch=epoch,
+            term=held.term,
+            list_position=self.directory.position.rank(),
+            list_age_s=round(self.directory.age_s(self.clock.now_s()), 3),
+            members=";".join(
+                f"{name}:{','.join(member.target_id for member in formation.members)}"
+                for name, formation in plans.items()
+            ),
+        )
+
     def _demand_to_record(self) -> dict[str, Mapping[str, float]]:
         """Return the demand that a new leader begins with, by service and model."""
         services = [
--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Container
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Self
 
 from ..clock import Clock
@@ -29,7 +30,7 @@
     TargetReport,
 )
 
-__all__ = ["KnownOrders", "OrderOutcome", "OrderSender"]
+__all__ = ["KnownOrders", "NumberSource", "OrderOutcome", "OrderSender"]
 
 _LOG = logging.getLogger("ferrydock.replicas")
 
@@ -52,6 +53,14 @@
 OrderOutcome = OrderDone | OrderRefused | Unavailable | Unknown
 
 
+class NumberSource(StrEnum):
+    """From what the number of a target's accepted orders is known; the values appear in logs."""
+
+    REPORT = "report"
+    ANSWER = "answer"
+    UNUSED = "unused"
+
+
 @dataclass(frozen=True, slots=True)
 class KnownOrders:
     """State of a target after a number of orders.
@@ -62,15 +71,22 @@
         Number of orders that it has accepted.
     replica : (str, int) or None
         Name and epoch of the replica that it belonged to after these orders; None for none.
+    source : NumberSource
+        From what the number is known.
+    known_s : float
+        Local time from which it is known.
     """
 
     orders: int
     replica: tuple[str, int] | None
+    source: NumberSource = NumberSource.REPORT
+    known_s: float = 0.0
 
     @classmethod
-    def from_report(cls, report: TargetReport) -> Self:
+    def from_report(cls, report: TargetReport, now_s: float) -> Self:
         """Return the state that a target reports."""
-        return cls(report.orders, (report.replica, report.epoch) if report.replica else None)
+        replica = (report.replica, report.epoch) if report.replica else None
+        return cls(report.orders, replica, NumberSource.REPORT, now_s)
 
     def is_in_other_replica(self, order: Order) -> bool:
         """Return whether this is an order to join, and the target belongs to another replica."""
@@ -150,12 +166,12 @@
         """Return how many orders a target has accepted, or why the order must not be sent."""
         known = self._known.get(target.target_id)
         if known is None and target.is_unused:
-            known = KnownOrders(0, None)
+            known = KnownOrders(0, None, NumberSource.UNUSED, self.clock.now_s())
         if known is None or known.is_in_other_replica(order):
             report = await self.control.report(target, REPORT_TIMEOUT_S)
             if isinstance(report, Unavailable):
                 return Unavailable("no report")
-            known = KnownOrders.from_report(report)
+            known = KnownOrders.from_report(report, self.clock.now_s())
         self._known[target.target_id] = known
         return OrderRefused(ELSEWHERE) if known.is_in_other_replica(order) else known.orders
 
@@ -177,7 +193,8 @@
             replica = (order.replica, order.epoch)
         elif isinstance(order, LeaveOrder) and replica == (order.replica, order.epoch):
             replica = None
-        self._known[target.target_id] = KnownOrders(orders, replica)
+        now_s = self.clock.now_s()
+        self._known[target.target_id] = KnownOrders(orders, replica, NumberSource.ANSWER, now_s)
 
     async def _resolve_refusal(
         self,
@@ -207,7 +224,8 @@
                 break
             if self.clock.now_s() >= until_s:
                 return refused
-        known = self._known[target.target_id] = KnownOrders.from_report(report)
+        known = KnownOrders.from_report(report, self.clock.now_s())
+        self._known[target.target_id] = known
         if _shows_effect(report, order):
             return OrderDone(already=True)
         return refused if known.is_in_other_replica(order) else None
@@ -216,17 +234,22 @@
         self, target: Target, order: Order, expected: int | None, outcome: OrderOutcome
     ) -> None:
         is_done = isinstance(outcome, OrderDone)
+        known = self._known.get(target.target_id)
         log_event(
             _LOG,
             logging.INFO if is_done else logging.WARNING,
             "order",
             order=type(order).__name__,
             target=target.target_id,
+            incarnation=target.incarnation or None,
             replica=getattr(order, "replica", None),
             epoch=getattr(order, "epoch", None),
             model=getattr(order, "model", None),
             expected=expected,
+            number_from=known.source if known is not None else None,
+            known_for_s=round(self.clock.now_s() - known.known_s, 3) if known is not None else None,
             answer=type(outcome).__name__,
+            already=getattr(outcome, "already", None),
             why=getattr(outcome, "reason", None),
         )
 
