Stand-in's workers count and report orders as the users' targets do

Seen by callers: nothing; this is the stand-in. Faults of the counting of orders stayed hidden from the tests, because the stand-in refused orders that the users' targets answer with 200.

- An order to leave a group that the worker is not in is done (200) and does not count, so it makes no other order void.
FleetFaults has an attribute for whether it is also done when its expected number is wrong, which the protocol leaves open; it is refused by default.
- A leave acts at once in each state, open and closing included.
- An open order to an open head and a close order to a closing one are done and do not count, as a join of the same group or a staging of the same model was.
- Orders that begin nothing do not write the entry again.
- A report tells the current group, but the number of orders as of `Fleet.report_lag_s` (0.2 s) ago, of the worker's present incarnation only; in memory (virtual time) and over HTTP alike.

--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -87,7 +87,7 @@
         await asyncio.sleep(_pause_s(worker))
         membership = worker.membership
         return TargetReport(
-            orders=worker.orders,
+            orders=self.fleet.reported_orders(worker),
             replica=membership.replica if membership else None,
             epoch=membership.epoch if membership else 0,
             state=membership.state.value if membership else None,
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -612,7 +612,7 @@
             "phase": "colocated",
             "models": entry_models(worker),
             "utilization": self.fleet is not None and self.fleet.is_order_under_way(worker),
-            "sequence": worker.orders,
+            "sequence": self.fleet.reported_orders(worker) if self.fleet is not None else 0,
             "born": worker.born_ms,
             "waiting": 0,
             "running": worker.running,
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -37,6 +38,7 @@
 
 REJOIN_DURATION_S = 0.2
 MAX_STAGED_MODELS = 1
+REPORT_LAG_S = 0.2
 
 # After the end of a load, the times of the others are computed this much later, so that rounding
 # does not count it as running.
@@ -151,11 +153,15 @@
         Share of the orders that get no answer and are executed later.
     late_from_s, late_to_s : float
         Range of the delay of these orders.
+    confirms_needless_leave_at_any_number : bool
+        Whether an order to leave a group that the worker is not in is answered as done also if it
+        expects another number of orders; it is refused by default.
     """
 
     late_share: float = 0.0
     late_from_s: float = 2.0
     late_to_s: float = 12.0
+    confirms_needless_leave_at_any_number: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -172,6 +178,8 @@
         Whether the process runs and answers.
     left_s : float or None
         Loop time at which the worker's entry said that it leaves; None if it does not leave.
+    order_times : list of float
+        Loop time of each order that has begun something since the last start.
     was_ready : set
         ``(name, epoch, members)`` of each group in which the worker has been ready.
     loads : int
@@ -204,7 +212,7 @@
     alive: bool = True
     draining: bool = False
     left_s: float | None = None
-    orders: int = 0
+    order_times: list[float] = field(default_factory=list)
     highest_epoch: int = 0
     last_model: str = ""
     staged: list[str] = field(default_factory=list)
@@ -237,7 +245,7 @@
         self.leaving_said = None
         self.cold = None
         self.is_unlisted = False
-        self.orders = 0
+        self.order_times = []
         self.highest_epoch = 0
         self.last_model = ""
         self.membership = None
@@ -246,6 +254,11 @@
         self.ready_groups = set()
         self.running = 0
 
+    @property
+    def orders(self) -> int:
+        """Number of orders that have begun something since the last start."""
+        return len(self.order_times)
+
     @property
     def entry(self) -> Target:
         """Entry of the worker in the list of targets."""
@@ -292,6 +305,8 @@
     ----------
     closing_s : float
         Time that a head takes to finish its requests after an order to close.
+    report_lag_s : float
+        Age of the number of orders in a report; the group in it is current.
     """
 
     def __init__(
@@ -305,6 +320,7 @@
         self.rng = rng
         self.stall_s = stall_s
         self.closing_s = 1.0
+        self.report_lag_s = REPORT_LAG_S
         self.on_change = on_change
         self.faults = FleetFaults()
         self.workers: dict[str, Worker] = {}
@@ -359,10 +375,16 @@
     def execute(
         self, worker: Worker, order: Order, expected: int | None
     ) -> OrderDone | OrderRefused | None:
-        """Execute an order if the worker is alive and its order count is the expected one."""
+        """Execute an order if the worker is alive and its order count is the expected one.
+
+        Only an order that begins something raises the count: one whose effect is in place already
+        is confirmed, and orders that expect the same count are still accepted after it.
+        """
         if not worker.alive:
             return None
         if expected is not None and expected != worker.orders:
+            if self.faults.confirms_needless_leave_at_any_number and _is_needless(worker, order):
+                return OrderDone(already=True)
             return OrderRefused("state")
         handlers: dict[type, Callable[..., OrderDone | OrderRefused]] = {
             JoinOrder: self._join,
@@ -374,12 +396,17 @@
         answer = handlers[type(order)](worker, order)
         if not isinstance(answer, OrderDone):
             return answer
-        if not answer.already:
-            worker.orders += 1
+        if answer.already:
+            return answer
+        worker.order_times.append(self.now_s())
         self.on_change(worker)
         # A leave is complete at once, unlike other orders, and still counts as an order.
         return OrderDone(already=True) if isinstance(order, LeaveOrder) else answer
 
+    def reported_orders(self, worker: Worker) -> int:
+        """Return the number of orders in a worker's report, which is `report_lag_s` old."""
+        return bisect_right(worker.order_times, self.now_s() - self.report_lag_s)
+
     def _join(self, worker: Worker, order: JoinOrder) -> OrderDone | OrderRefused:
         if order.epoch < worker.highest_epoch:
             return OrderRefused("epoch")
@@ -477,6 +504,8 @@
     def _open(self, worker: Worker, order: OpenOrder) -> OrderDone | OrderRefused:
         if worker.group_key != (order.replica, order.epoch) or worker.current_membership.rank != 0:
             return OrderRefused("state")
+        if worker.current_membership.state is ReplicaState.OPEN:
+            return OrderDone(already=True)
         if worker.current_membership.state is not ReplicaState.READY:
             return OrderRefused("state")
         self._set_state(worker, ReplicaState.OPEN)
@@ -485,6 +514,8 @@
     def _close(self, worker: Worker, order: CloseOrder) -> OrderDone | OrderRefused:
         if worker.group_key != (order.replica, order.epoch):
             return OrderRefused("state")
+        if worker.current_membership.state is ReplicaState.CLOSING:
+            return OrderDone(already=True)
         if worker.current_membership.state is not ReplicaState.OPEN:
             return OrderRefused("state")
         self._set_state(worker, ReplicaState.CLOSING)
@@ -497,13 +528,12 @@
         if worker.group_key == key and worker.current_membership.state is ReplicaState.CLOSING:
             self._set_state(worker, ReplicaState.READY)
 
-    def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone | OrderRefused:
-        key = (order.replica, order.epoch)
-        if worker.group_key != key or worker.current_membership.state in SERVING_STATES:
-            return OrderRefused("state")
+    def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone:
+        if _is_needless(worker, order):
+            return OrderDone(already=True)
         worker.membership = None
         worker.members = ()
-        self._schedule_break(key)
+        self._schedule_break((order.replica, order.epoch))
         return OrderDone(already=False)
 
     def _stage(self, worker: Worker, order: StageOrder) -> OrderDone | OrderRefused:
@@ -575,3 +605,8 @@
             and worker.current_membership.state is ReplicaState.OPEN
             and self.is_complete(worker)
         ]
+
+
+def _is_needless(worker: Worker, order: Order) -> bool:
+    """Return whether this is an order to leave a group that a worker is not in."""
+    return isinstance(order, LeaveOrder) and worker.group_key != (order.replica, order.epoch)
