Failing test: a join by a number of orders that counts a leave without effect

Two leaders in turn, order by order, as the users' two cases suggest: the number of the second member's orders is one too high at a leader that remembers it from an earlier term, and the join of another leader brings the target to just that number. On the present code the target accepts the next join while the head of its own replica is open (rule TWO).

--- /dev/null
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -0,0 +1,100 @@
+"""Numbers of accepted orders that a leader remembers: past a term, a restart, or counted too high."""
+
+import asyncio
+import random
+
+from ...hall_lease import ControllerLease
+from ...standins.fleet import Fleet, FleetControl, LoopClock, run_virtually
+from ...store import MemoryStore
+from ...targets import (
+    JoinOrder,
+    LeaveOrder,
+    OpenOrder,
+    OrderDone,
+    OrderRefused,
+    TargetDirectory,
+)
+from .. import OrderSender
+from .specs import two_models
+
+LEASE_S = 2.0
+WITHIN_S = 3.0
+
+# Longer than a load, and than the number of a report lags behind.
+READY_S = 30.0
+
+# Members of the replicas, the head first; names and epochs.
+MEMBERS = ("w0", "w1")
+FIRST, SECOND, THIRD = ("g1", 11), ("g2", 12), ("g3", 13)
+
+
+class Daemon:
+    """A daemon that can lead the hall: its lease, target list and order sender."""
+
+    def __init__(self, hall, name):
+        self.clock = hall.clock
+        self.directory = TargetDirectory()
+        self.directory.replace(worker.entry for worker in hall.fleet.workers.values())
+        self.control = FleetControl(hall.fleet, hall.rng)
+        self.lease = ControllerLease(hall.store, hall.clock, "hall-a", name)
+        self.sender = OrderSender(self.control, self.directory, hall.clock)
+
+    async def send(self, worker, order):
+        """Send an order within the present term, or within a term of its own."""
+        is_own = not self.lease.is_valid
+        if is_own:
+            await self.lease.acquire(LEASE_S)
+        outcome = await self.sender.send(worker.entry, order, WITHIN_S)
+        if is_own:
+            await self.lease.release()
+        return outcome
+
+    async def form(self, workers, key):
+        """Form a replica and open it."""
+        for worker in workers:
+            assert await self.send(worker, JoinOrder(*key, "small", MEMBERS)) == OrderDone(False)
+        await asyncio.sleep(READY_S)
+        assert await self.send(workers[0], OpenOrder(*key)) == OrderDone(False)
+
+
+class OrderHall:
+    """Two workers, enough for one replica, and two daemons with target lists of their own."""
+
+    def __init__(self):
+        self.rng = random.Random(1)
+        self.clock = LoopClock()
+        self.store = MemoryStore(self.clock)
+        self.fleet = Fleet(two_models(), self.rng)
+        self.workers = [self.fleet.add(name, "hall-a", "d0") for name in MEMBERS]
+        self.first, self.second = Daemon(self, "daemon-1"), Daemon(self, "daemon-2")
+
+    async def order_late(self, worker, order):
+        """Let a worker receive an order now that it carries out 4 s later, without an answer."""
+        faults = self.fleet.faults
+        faults.late_share, faults.late_from_s, faults.late_to_s = 1.0, 4.0, 4.0
+        assert self.fleet.order(worker, order, worker.orders) is None
+        faults.late_share = 0.0
+
+
+def play(scenario):
+    async def run():
+        await scenario(OrderHall())
+
+    run_virtually(run())
+
+
+def test_a_target_does_not_join_by_a_number_that_counts_a_leave_without_effect():
+    async def scenario(hall):
+        member = hall.workers[1]
+        assert await hall.first.send(member, JoinOrder(*FIRST, "small", MEMBERS)) == OrderDone(
+            False
+        )
+        await hall.order_late(member, LeaveOrder(*FIRST))
+        await asyncio.sleep(5.0)
+        await hall.first.send(member, LeaveOrder(*FIRST))
+        await hall.second.form(hall.workers, SECOND)
+        join = JoinOrder(*THIRD, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+        assert hall.fleet.violations == []
+
+    play(scenario)
