Numbers of accepted orders belong to one term of leadership

What callers saw: a target joined a new replica while its own served (rule TWO); its requests stood still. Cause: a leader remembered, past the end of its term, how many orders each target had accepted. The number was one too high (a leave without effect was counted) or of an earlier start of the target; another leader's join brought the target to just that number, and the next join by a list that did not show the replica was accepted. Change: an order sender belongs to one controller and its lease, and forgets the numbers when the term of the lease changes, a lease reclaimed in a new era included. What is needed again is read from the target's report. Why safe: a number that is missing costs a report; none is invented.

--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -1,8 +1,8 @@
 """Sending orders to targets so that a lost, late or duplicate order does no harm.
 
 Owns, for each target, the number of orders that it has accepted and the replica that it then
-belonged to, in memory; after a restart both are read from the target's report. Relies on the
-targets to refuse an order that expects another number of accepted orders.
+belonged to, in memory, for one term of leadership. Relies on the targets to refuse an order that
+expects another number of accepted orders.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 from typing import Self
 
 from ..clock import Clock
+from ..hall_lease import ControllerLease
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..targets import (
@@ -104,6 +105,8 @@
         Sends single orders to targets and requests their reports.
     directory : TargetDirectory
         The target list.
+    lease : ControllerLease
+        Lease of the hall, whose term the numbers belong to.
 
     Notes
     -----
@@ -111,18 +114,30 @@
     orders that it expects, so it becomes void once the target accepts another order. Therefore an
     order is sent again, with the same number, until it is answered.
 
+    A number is used only in the term in which the target reported it or answered the order that
+    raised it: one that the target has not reached yet may be reached by orders of other leaders.
+
     The number is stored together with the replica that the target belonged to. A target that
     belongs to another replica is not ordered to join: the order was decided from a target list that
     is older than that membership (incident: docs/incidents/2026-12-02-late-joins.md).
     """
 
-    __slots__ = ("_known", "clock", "control", "directory")
+    __slots__ = ("_known", "_known_term", "clock", "control", "directory", "lease")
 
-    def __init__(self, control: TargetControl, directory: TargetDirectory, clock: Clock):
+    def __init__(
+        self,
+        control: TargetControl,
+        directory: TargetDirectory,
+        clock: Clock,
+        lease: ControllerLease,
+    ):
         self.control = control
         self.directory = directory
         self.clock = clock
+        self.lease = lease
         self._known: dict[str, KnownOrders] = {}
+        # Term of leadership that the numbers belong to.
+        self._known_term: int | None = None
 
     async def send(self, target: Target, order: Order, within_s: float) -> OrderOutcome:
         """Send an order until it is answered, for at most `within_s`.
@@ -162,9 +177,22 @@
         for target_id in [i for i in self._known if i not in target_ids]:
             del self._known[target_id]
 
+    def _current_term(self) -> int | None:
+        """Return the term of the lease; None if this daemon may not act under it now."""
+        held = self.lease.held
+        return held.term if held is not None and self.lease.is_valid else None
+
+    def _known_of(self, target: Target) -> KnownOrders | None:
+        """Return what is known of a target in this term."""
+        term = self._current_term()
+        if term != self._known_term:
+            self._known.clear()
+            self._known_term = term
+        return self._known.get(target.target_id)
+
     async def _expected(self, target: Target, order: Order) -> int | OrderRefused | Unavailable:
         """Return how many orders a target has accepted, or why the order must not be sent."""
-        known = self._known.get(target.target_id)
+        known = self._known_of(target)
         if known is None and target.is_unused:
             known = KnownOrders(0, None, NumberSource.UNUSED, self.clock.now_s())
         if known is None or known.is_in_other_replica(order):
--- a/ferrydock/replicas/tests/hall.py
+++ b/ferrydock/replicas/tests/hall.py
@@ -72,7 +72,7 @@
             lease,
             self.store,
             self.current,
-            OrderSender(control, self.directory, self.clock),
+            OrderSender(control, self.directory, self.clock, lease),
             self.broken.append,
             demand=lambda service: self.demand,
             in_flight=lambda target_id: self.in_flight.get(target_id, 0),
--- a/ferrydock/replicas/tests/site.py
+++ b/ferrydock/replicas/tests/site.py
@@ -92,7 +92,7 @@
             lease,
             self.store,
             self.current,
-            OrderSender(FleetControl(self.fleet, self.rng), self.directory, self.clock),
+            OrderSender(FleetControl(self.fleet, self.rng), self.directory, self.clock, lease),
             lambda key: None,
             demand=lambda service: dict(self.demand),
             refused_slots=self.refused_slots,
--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers of accepted orders that a leader remembers: past a term, a restart, or counted too high."""
+"""Numbers of orders that a leader remembers: past a term, a restart, or counted too high."""
 
 import asyncio
 import random
@@ -12,6 +12,7 @@
     OpenOrder,
     OrderDone,
     OrderRefused,
+    StageOrder,
     TargetDirectory,
 )
 from .. import OrderSender
@@ -37,7 +38,7 @@
         self.directory.replace(worker.entry for worker in hall.fleet.workers.values())
         self.control = FleetControl(hall.fleet, hall.rng)
         self.lease = ControllerLease(hall.store, hall.clock, "hall-a", name)
-        self.sender = OrderSender(self.control, self.directory, hall.clock)
+        self.sender = OrderSender(self.control, self.directory, hall.clock, self.lease)
 
     async def send(self, worker, order):
         """Send an order within the present term, or within a term of its own."""
@@ -98,3 +99,20 @@
         assert hall.fleet.violations == []
 
     play(scenario)
+
+
+def test_a_target_that_was_started_again_does_not_join_by_a_number_of_an_earlier_term():
+    async def scenario(hall):
+        member = hall.workers[1]
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        await hall.first.send(member, LeaveOrder(*FIRST))
+        member.restart()
+        assert await hall.second.send(member, StageOrder("large")) == OrderDone(False)
+        await hall.second.form(hall.workers, SECOND)
+        assert member.orders == 2  # what the first daemon remembers of the earlier start
+        join = JoinOrder(*THIRD, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+        assert hall.fleet.violations == []
+
+    play(scenario)
--- a/ferrydock/route_daemon/_daemon.py
+++ b/ferrydock/route_daemon/_daemon.py
@@ -275,7 +275,6 @@
 
     def _build_leadership(self) -> None:
         """Create the leadership of each hall, its controller, and the follower of the store."""
-        self.order_sender = OrderSender(self.deployment.control, self.directory, self.clock)
         self.leadership = OwnHallLeadership(
             *self._leadership_arguments(self.settings.hall),
             relay=self.relay_client,
@@ -330,7 +329,7 @@
             lease,
             store,
             self.current,
-            self.order_sender,
+            OrderSender(self.deployment.control, self.directory, self.clock, lease),
             self.stalls.handle_leader_decision,
             self.metrics,
             self._slots_wanted,
@@ -384,7 +383,8 @@
 
     def _build_upkeep(self) -> None:
         """Create what serves readiness and metrics, and the periodic upkeep."""
-        self.upkeep = Upkeep(self.gateway, self.directory, self.order_sender, self.live_settings)
+        order_senders = [controller.order_sender for controller in self.controllers]
+        self.upkeep = Upkeep(self.gateway, self.directory, order_senders, self.live_settings)
         self.readiness = Readiness(self.stopping, self.current, self.directory, self.steps)
         self.deployment.call_counts.own_hall = self.settings.hall
         self.deployment.call_counts.state = self._store_call_state
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -3,6 +3,8 @@
 Owns the number of the last change of the target list for which free slots were assigned.
 """
 
+from collections.abc import Sequence
+
 from ..forwarding import RouteGateway, TargetLoads, Upstream
 from ..replicas import OrderSender
 from ..targets import TargetDirectory
@@ -20,18 +22,18 @@
         Its time limits are enforced, and the state of its forwarder's components is pruned.
     """
 
-    __slots__ = ("_last_handled_change", "directory", "gateway", "order_sender", "settings")
+    __slots__ = ("_last_handled_change", "directory", "gateway", "order_senders", "settings")
 
     def __init__(
         self,
         gateway: RouteGateway,
         directory: TargetDirectory,
-        order_sender: OrderSender,
+        order_senders: Sequence[OrderSender],
         settings: LiveSettings,
     ):
         self.gateway = gateway
         self.directory = directory
-        self.order_sender = order_sender
+        self.order_senders = order_senders
         self.settings = settings
         self._last_handled_change = 0
 
@@ -51,7 +53,8 @@
         attempts.selector.pacer.prune(now_s)
         attempts.selector.catalog.backoffs.prune(now_s)
         attempts.selector.catalog.cold.evaluate(listed_targets, now_s)
-        self.order_sender.prune(listed_targets)
+        for order_sender in self.order_senders:
+            order_sender.prune(listed_targets)
         self.gateway.enforce_timeouts()
         self.settings.reread()
 
