--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -116,3 +116,18 @@
         assert hall.fleet.violations == []
 
     play(scenario)
+
+
+def test_a_leave_without_effect_is_not_counted_within_a_term():
+    async def scenario(hall):
+        member = hall.workers[1]
+        hall.first.directory.replace(worker.entry for worker in hall.workers)
+        await hall.order_late(member, JoinOrder(*FIRST, "small", MEMBERS))
+        await hall.first.lease.acquire(60.0)
+        await hall.first.send(member, LeaveOrder(*FIRST))
+        await asyncio.sleep(5.0)
+        assert member.group_key == FIRST
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+
+    play(scenario)
