A leave without effect is not counted as an accepted order

Cause: a target answers an order to leave alike whether it was in the replica or not, and counts it only if it was; the sender counted both. Its number was then one too high, and a late order of another leader brought the target to just that number: the next join was accepted by a target that was in another replica. A leave without effect also makes no late order void, as the comments had it. Change: a number is raised only where it is certain that the target carried the order out: the answer says so, or the target is known to have been in the replica that it leaves. Otherwise it is read from the report again. Evidence: test_a_leave_without_effect_is_not_counted_within_a_term failed before and passes; controller tests pass.

--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Container
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Self
 
@@ -95,6 +95,27 @@
             return False
         return self.replica != (order.replica, order.epoch)
 
+    def after(self, order: Order, done: OrderDone, now_s: float) -> "KnownOrders | None":
+        """Return the state after an order that the target accepted; None if it cannot be known.
+
+        A target counts an order that it carries out, and not one whose effect is in place already.
+        It answers an order to leave alike in both cases, so only the replica that it is known to
+        have been in tells them apart.
+        """
+        orders, in_replica = self.orders + 1, self.replica
+        match order:
+            case LeaveOrder():
+                if self.replica != (order.replica, order.epoch):
+                    return None
+                in_replica = None
+            case JoinOrder():
+                in_replica = (order.replica, order.epoch)
+                orders = self.orders if done.already else orders
+            case _ if done.already:
+                return None
+        source = NumberSource.ANSWER
+        return replace(self, orders=orders, replica=in_replica, source=source, known_s=now_s)
+
 
 class OrderSender:
     """Sends each order with the number of orders that its target has accepted so far.
@@ -111,8 +132,8 @@
     Notes
     -----
     An order without an answer may be executed seconds later. It carries the number of accepted
-    orders that it expects, so it becomes void once the target accepts another order. Therefore an
-    order is sent again, with the same number, until it is answered.
+    orders that it expects, so it becomes void once the target carries out another order. Therefore
+    an order is sent again, with the same number, until it is answered.
 
     A number is used only in the term in which the target reported it or answered the order that
     raised it: one that the target has not reached yet may be reached by orders of other leaders.
@@ -209,20 +230,13 @@
         return outcome
 
     def _note_done(self, target: Target, order: Order, expected: int, done: OrderDone) -> None:
-        """Record the state of a target after an order that it accepted.
-
-        An order whose effect was already in place (`OrderDone.already`) does not raise the number
-        of accepted orders, unless it is an order to leave.
-        """
-        counts = isinstance(order, LeaveOrder) or not done.already
-        orders = expected + 1 if counts else expected
-        replica = self._known[target.target_id].replica
-        if isinstance(order, JoinOrder):
-            replica = (order.replica, order.epoch)
-        elif isinstance(order, LeaveOrder) and replica == (order.replica, order.epoch):
-            replica = None
-        now_s = self.clock.now_s()
-        self._known[target.target_id] = KnownOrders(orders, replica, NumberSource.ANSWER, now_s)
+        """Record the state of a target after an order that it accepted, if it is certain."""
+        known = self._known.pop(target.target_id, None)
+        if known is None or known.orders != expected:
+            return
+        after = known.after(order, done, self.clock.now_s())
+        if after is not None:
+            self._known[target.target_id] = after
 
     async def _resolve_refusal(
         self,
@@ -235,10 +249,10 @@
         """Read a target's report after it refused an order; return None to send the order again.
 
         It is sent again if the target has accepted another number of orders than expected. That
-        number may be lower: an order whose effect was already in place raises it on some targets
-        and not on others. `OrderDone` if the effect is in place: the target has carried out an
-        earlier copy of the order, which it did not answer. If there is such a copy
-        (`is_sent_before`), an unchanged report may be older than the execution of that copy.
+        number is lower after the target was started again. `OrderDone` if the effect is in place:
+        the target has carried out an earlier copy of the order, which it did not answer. If there
+        is such a copy (`is_sent_before`), an unchanged report may be older than the execution of
+        that copy.
         """
         if refused.reason != WRONG_STATE:
             return refused
