--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -131,3 +131,18 @@
         assert await hall.first.send(member, join) == OrderRefused("elsewhere")
 
     play(scenario)
+
+
+def test_a_target_that_was_started_again_within_a_term_does_not_join_by_its_earlier_number():
+    async def scenario(hall):
+        member = hall.workers[1]
+        await hall.first.lease.acquire(60.0)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        member.restart()
+        await hall.order_late(member, JoinOrder(*FIRST, "small", MEMBERS))
+        await asyncio.sleep(5.0)
+        assert member.group_key == FIRST
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+
+    play(scenario)
