An order to join relies on a report of the target's present incarnation

Cause: a target that is started again under its id counts from 0, and may come to the number that its leader knew before; the target list shows the start only later. A join by that number was accepted in another replica. Change: reports say the incarnation (the platform's born), and a number is dropped once the list shows a later one. Only the number 0 needs no report: a target that has accepted no order belongs to no replica.

--- a/ferrydock/platform/_worker_messages.py
+++ b/ferrydock/platform/_worker_messages.py
@@ -113,6 +113,7 @@
     utilization: bool = False
     staged: ModelNames = ()
     group: GroupFields | None = None
+    born: WholeNumber | UnsetType = UNSET
 
 
 def _decode_number(kind: type, value: Any) -> WholeNumber:
@@ -184,9 +185,9 @@
 
     Examples
     --------
-    >>> report = decode_report(b'{"sequence":3,"utilization":true,"staged":["large"]}')
-    >>> report.orders, report.is_order_under_way, report.staged
-    (3, True, ('large',))
+    >>> report = decode_report(b'{"sequence":3,"utilization":true,"staged":["large"],"born":7}')
+    >>> report.orders, report.is_order_under_way, report.staged, report.incarnation
+    (3, True, ('large',), 7)
     """
     fields = decode(_REPORT_DECODER, value)
     if isinstance(fields, Fault):
@@ -199,4 +200,5 @@
         state=membership.state.value if membership else None,
         is_order_under_way=fields.utilization,
         staged=fields.staged,
+        incarnation=int(fields.born or 0),
     )
--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -1,8 +1,8 @@
 """Sending orders to targets so that a lost, late or duplicate order does no harm.
 
 Owns, for each target, the number of orders that it has accepted and the replica that it then
-belonged to, in memory, for one term of leadership. Relies on the targets to refuse an order that
-expects another number of accepted orders.
+belonged to, in memory, for one term of leadership and one incarnation of the target. Relies on the
+targets to refuse an order that expects another number of accepted orders.
 """
 
 import asyncio
@@ -72,6 +72,8 @@
         Number of orders that it has accepted.
     replica : (str, int) or None
         Name and epoch of the replica that it belonged to after these orders; None for none.
+    incarnation : int
+        Incarnation of the target that the number belongs to; 0 if unknown.
     source : NumberSource
         From what the number is known.
     known_s : float
@@ -80,6 +82,7 @@
 
     orders: int
     replica: tuple[str, int] | None
+    incarnation: int = 0
     source: NumberSource = NumberSource.REPORT
     known_s: float = 0.0
 
@@ -87,7 +90,15 @@
     def from_report(cls, report: TargetReport, now_s: float) -> Self:
         """Return the state that a target reports."""
         replica = (report.replica, report.epoch) if report.replica else None
-        return cls(report.orders, replica, NumberSource.REPORT, now_s)
+        return cls(report.orders, replica, report.incarnation, NumberSource.REPORT, now_s)
+
+    def is_ahead_of(self, reported: "KnownOrders") -> bool:
+        """Return whether this is the later state of what a target reports.
+
+        A report names the replica as of now, but its number may lag behind.
+        """
+        is_same = (self.replica, self.incarnation) == (reported.replica, reported.incarnation)
+        return is_same and self.orders > reported.orders
 
     def is_in_other_replica(self, order: Order) -> bool:
         """Return whether this is an order to join, and the target belongs to another replica."""
@@ -135,12 +146,15 @@
     orders that it expects, so it becomes void once the target carries out another order. Therefore
     an order is sent again, with the same number, until it is answered.
 
-    A number is used only in the term in which the target reported it or answered the order that
-    raised it: one that the target has not reached yet may be reached by orders of other leaders.
+    A number protects a target only if it is not too high: one that the target has not reached yet
+    may be reached by orders of other leaders. So a number is used only in the term of leadership,
+    and for the incarnation of the target, in which the target itself has reported it or has
+    answered the order that raised it. The number 0 needs no report: a target that has accepted no
+    order belongs to no replica.
 
-    The number is stored together with the replica that the target belonged to. A target that
-    belongs to another replica is not ordered to join: the order was decided from a target list that
-    is older than that membership (incident: docs/incidents/2026-12-02-late-joins.md).
+    An order to join needs a report requested by the same call of `send`, since the target list may
+    be older than a membership. A target that belongs to another replica is not ordered to join
+    (incidents: docs/incidents/2026-12-02-late-joins.md, 2026-12-05-target-in-two-replicas.md).
     """
 
     __slots__ = ("_known", "_known_term", "clock", "control", "directory", "lease")
@@ -168,8 +182,9 @@
         """
         until_s = self.clock.now_s() + within_s
         unknown: Unknown | None = None
+        is_reported = False
         while True:
-            expected = await self._expected(target, order)
+            expected = await self._expected(target, order, is_reported)
             if isinstance(expected, OrderRefused):
                 self._log(target, order, None, expected)
                 return expected
@@ -177,6 +192,7 @@
             if isinstance(expected, Unavailable):
                 outcome = expected
             else:
+                is_reported = True
                 outcome = await self._send_once(target, order, expected)
                 if isinstance(outcome, OrderDone):
                     self._note_done(target, order, expected, outcome)
@@ -204,23 +220,42 @@
         return held.term if held is not None and self.lease.is_valid else None
 
     def _known_of(self, target: Target) -> KnownOrders | None:
-        """Return what is known of a target in this term."""
+        """Return what is known of a target in this term, unless it has been started again since."""
         term = self._current_term()
         if term != self._known_term:
             self._known.clear()
             self._known_term = term
-        return self._known.get(target.target_id)
-
-    async def _expected(self, target: Target, order: Order) -> int | OrderRefused | Unavailable:
-        """Return how many orders a target has accepted, or why the order must not be sent."""
+        known = self._known.get(target.target_id)
+        if known is not None and self._incarnation(target) > known.incarnation:
+            del self._known[target.target_id]
+            return None
+        return known
+
+    def _incarnation(self, target: Target) -> int:
+        """Return the incarnation of a target by its present entry, or else by the one given."""
+        return self.directory.targets.get(target.target_id, target).incarnation
+
+    async def _expected(
+        self, target: Target, order: Order, is_reported: bool
+    ) -> int | OrderRefused | Unavailable:
+        """Return how many orders a target has accepted, or why the order must not be sent.
+
+        Parameters
+        ----------
+        is_reported : bool
+            Whether the target has reported its number since the call to `send`, or needs not.
+        """
         known = self._known_of(target)
         if known is None and target.is_unused:
-            known = KnownOrders(0, None, NumberSource.UNUSED, self.clock.now_s())
-        if known is None or known.is_in_other_replica(order):
+            incarnation, now_s = self._incarnation(target), self.clock.now_s()
+            known = KnownOrders(0, None, incarnation, NumberSource.UNUSED, now_s)
+        elif known is None or (isinstance(order, JoinOrder) and not is_reported):
             report = await self.control.report(target, REPORT_TIMEOUT_S)
             if isinstance(report, Unavailable):
                 return Unavailable("no report")
-            known = KnownOrders.from_report(report, self.clock.now_s())
+            reported = KnownOrders.from_report(report, self.clock.now_s())
+            if known is None or not known.is_ahead_of(reported):
+                known = reported
         self._known[target.target_id] = known
         return OrderRefused(ELSEWHERE) if known.is_in_other_replica(order) else known.orders
 
--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -93,6 +93,7 @@
             state=membership.state.value if membership else None,
             is_order_under_way=self.fleet.is_order_under_way(worker),
             staged=tuple(worker.staged),
+            incarnation=worker.born_ms,
         )
 
     async def close(self) -> None:
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -273,6 +273,7 @@
             staged=tuple(self.staged),
             models=(self.model,) if self.model and self.membership else (),
             membership=self.membership,
+            age_mark=(self.born_ms, self.entries),
         )
 
     @property
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -174,6 +174,8 @@
         Whether it still carries out an order, for example loads weights.
     staged : tuple of str
         Models whose weights are staged on its host, or loading.
+    incarnation : int
+        Incarnation of the target (`Target.incarnation`); 0 if unknown.
     """
 
     orders: int
@@ -182,6 +184,7 @@
     state: str | None = None
     is_order_under_way: bool = False
     staged: tuple[str, ...] = ()
+    incarnation: int = 0
 
 
 class TargetControl(Protocol):
