Failing test: an order sent after the end of the lease

Tasks of a leader go on until the loop that also waits for the store cancels them, up to 2 s after the lease.

--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -4,6 +4,7 @@
 import random
 
 from ...hall_lease import ControllerLease
+from ...outcomes import Unavailable
 from ...standins.fleet import Fleet, FleetControl, LoopClock, run_virtually
 from ...store import MemoryStore
 from ...targets import (
@@ -146,3 +147,15 @@
         assert await hall.first.send(member, join) == OrderRefused("elsewhere")
 
     play(scenario)
+
+
+def test_no_order_is_sent_once_the_lease_has_ended():
+    async def scenario(hall):
+        await hall.first.lease.acquire(LEASE_S)
+        await asyncio.sleep(LEASE_S)
+        order = StageOrder("large")
+        outcome = await hall.first.sender.send(hall.workers[0].entry, order, WITHIN_S)
+        assert isinstance(outcome, Unavailable)
+        assert hall.first.control.given == 0
+
+    play(scenario)
