No order is sent without the lease, and a leader's tasks end with it

Cause: the loop that renews a lease and cancels the controller's tasks when it ends also waited for the controller's round, which may wait 2 s for the store. Meanwhile tasks of the ended term sent and repeated orders, and the lease was not renewed. Change: the rounds run beside the renewal, so a round that waits delays neither; rounds and tasks are cancelled when the lease ends. The order sender checks the lease, and that its term is the one in which the order was decided, right before each send: a process that stood still finds its term over. Why safe: an order that is not sent needs no repair; the next leader finds the replica as it is.

--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -142,6 +142,11 @@
             return False
         return self.clock.now_s() < held.valid_until_s
 
+    def remaining_s(self) -> float:
+        """Return for how many seconds this daemon may still act as the hall's leader."""
+        held = self.held
+        return max(0.0, held.valid_until_s - self.clock.now_s()) if held and self.is_valid else 0.0
+
     async def acquire(self, ttl_s: float) -> HeldLease | Conflict | Unavailable | Unknown:
         """Try to acquire the lease; return `Conflict` if another daemon holds it."""
         sent_s = self.clock.now_s()
--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -51,6 +51,9 @@
 WRONG_STATE = "state"
 ELSEWHERE = "elsewhere"
 
+# Reason of `Unavailable` for an order that is not sent because the lease has ended.
+NO_LEASE = "no_lease"
+
 OrderOutcome = OrderDone | OrderRefused | Unavailable | Unknown
 
 
@@ -138,7 +141,7 @@
     directory : TargetDirectory
         The target list.
     lease : ControllerLease
-        Lease of the hall, whose term the numbers belong to.
+        Lease of the hall, whose term the numbers belong to; no order is sent without it.
 
     Notes
     -----
@@ -175,12 +178,13 @@
         self._known_term: int | None = None
 
     async def send(self, target: Target, order: Order, within_s: float) -> OrderOutcome:
-        """Send an order until it is answered, for at most `within_s`.
+        """Send an order until it is answered, for at most `within_s` and while the term lasts.
 
         If the target refuses the expected number of orders, the order is sent again with the number
         that the target reports. `Unknown` means that the order may be executed, now or later.
         """
         until_s = self.clock.now_s() + within_s
+        term = self._current_term()
         unknown: Unknown | None = None
         is_reported = False
         while True:
@@ -191,6 +195,10 @@
             outcome: OrderOutcome
             if isinstance(expected, Unavailable):
                 outcome = expected
+            elif term is None or self._current_term() != term:
+                outcome = Unavailable(NO_LEASE)
+                self._log(target, order, expected, outcome)
+                return unknown or outcome
             else:
                 is_reported = True
                 outcome = await self._send_once(target, order, expected)
--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -159,3 +159,20 @@
         assert hall.first.control.given == 0
 
     play(scenario)
+
+
+def test_an_order_without_an_answer_is_not_repeated_once_the_lease_has_ended():
+    async def scenario(hall):
+        await hall.first.lease.acquire(LEASE_S)
+        hall.workers[0].alive = False
+        order = StageOrder("large")
+        sending = asyncio.ensure_future(
+            hall.first.sender.send(hall.workers[0].entry, order, 2 * LEASE_S)
+        )
+        await asyncio.sleep(LEASE_S)
+        given = hall.first.control.given
+        assert given > 1
+        await sending
+        assert hall.first.control.given == given
+
+    play(scenario)
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -34,6 +34,9 @@
 CONTROLLER_ROUND_S = 0.1
 ROUND_JITTER = (0.85, 1.15)
 
+# Longest pause between two checks of whether the lease is due for renewal or has ended.
+LEASE_CHECK_S = 0.1
+
 # Pause between two checks of whether the store's era has settled; a check makes no store call.
 SETTLING_CHECK_S = 0.1
 
@@ -182,20 +185,31 @@
     async def _control_while_lease_valid(self) -> None:
         """Run the controller until the lease ends or this daemon stops or steps down.
 
-        The controller pauses while a new era of the store settles.
+        The controller pauses while a new era of the store settles. A round that waits for the store
+        delays neither the renewal of the lease nor the end of the controller's tasks with it.
         """
         renewal = LeaseRenewal(self.lease, self.clock)
+        controlling = asyncio.ensure_future(self._run_rounds())
         try:
             while self.lease.is_valid and not self.is_stopping() and not self.should_step_down():
                 if not renewal.step():
                     break
-                if self.settling.is_settled():
-                    await self.controller.step()
-                await asyncio.sleep(CONTROLLER_ROUND_S * self.rng.uniform(*ROUND_JITTER))
+                pause_s = min(LEASE_CHECK_S, self.lease.remaining_s())
+                await asyncio.wait({controlling}, timeout=pause_s)
+                if controlling.done():
+                    controlling.result()
         finally:
             renewal.cancel()
+            controlling.cancel()
             self.controller.step_down()
 
+    async def _run_rounds(self) -> None:
+        """Run the controller's rounds, one after the other, until cancelled."""
+        while True:
+            if self.settling.is_settled():
+                await self.controller.step()
+            await asyncio.sleep(CONTROLLER_ROUND_S * self.rng.uniform(*ROUND_JITTER))
+
     @abstractmethod
     async def run(self) -> None:
         """Lead the hall, or follow its leader, until the daemon ends."""
