Stand-in site holds orders on their way and records who sent each

Two leaders of one hall cannot be played in real processes without orders that are on their way while the lease changes hands, and cannot be judged without knowing which daemon sent an order. `RunRecord.orders` lists every order that reached a worker with its sender's address, expected number, arrival and execution; an `OrderGate` holds the orders that a test chooses, without an answer, and lets the workers carry them out when it is released, also after the sender has closed the connection. `StoreFaults` can leave single kinds of calls unanswered, or refuse them, while the others go on: a leader whose writes and renewals hang still gets its target list.

--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -79,6 +79,8 @@
         Delay of each answer.
     silent_share : float
         Share of the calls of any kind that are neither executed nor answered.
+    silent_kinds, busy_kinds : frozenset of str
+        Kinds of calls that are neither executed nor answered, and that get status 503.
     endless : EndlessKind or None
         What reads and watches are answered with without end.
     endless_share : float
@@ -92,6 +94,8 @@
     refused_share: float = 0.0
     slow_s: float = 0.0
     silent_share: float = 0.0
+    silent_kinds: frozenset[str] = frozenset()
+    busy_kinds: frozenset[str] = frozenset()
     endless: EndlessKind | None = None
     endless_share: float = 1.0
     endless_until_s: float = 0.0
@@ -230,8 +234,10 @@
             silence_count = self._silence_count
             if request.protocol in self._silent_connections:
                 await asyncio.sleep(SILENCE_S)
-            if self.rng.random() < self.faults.silent_share:
+            if kind in self.faults.silent_kinds or self.rng.random() < self.faults.silent_share:
                 await asyncio.sleep(SILENCE_S)
+            if kind in self.faults.busy_kinds:
+                return web.Response(status=503)
             refusal = await self._refusal(request)
             if refusal is not None:
                 return refusal
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -16,6 +16,7 @@
     LeaveOrder,
     OpenOrder,
     Order,
+    OrderDone,
     OrderRefused,
     StageOrder,
 )
@@ -29,6 +30,8 @@
     "KV_CAPACITY_TOKENS",
     "CrashingRequest",
     "LeavingArrival",
+    "OrderGate",
+    "ReceivedOrder",
     "ReplicaArrival",
     "RunRecord",
     "SocketSizes",
@@ -141,6 +144,71 @@
     members: tuple[str, ...]
 
 
+@dataclass(slots=True, eq=False)
+class ReceivedOrder:
+    """An order that reached a worker.
+
+    Attributes
+    ----------
+    sender : str
+        IP address that it came from.
+    operation, group, epoch : str, str, int
+        As the order names them; empty and 0 if it does not.
+    expected : int or None
+        Number of accepted orders that it expects.
+    received_s, carried_out_s : float
+        Loop time at which it was read, and at which the worker carried it out or refused it; the
+        latter is infinite while that has not happened.
+    answer : str
+        ``done``, ``refused``, or empty as long as there is none.
+    """
+
+    worker_id: str
+    sender: str
+    operation: str
+    group: str
+    epoch: int
+    expected: int | None
+    received_s: float
+    carried_out_s: float = float("inf")
+    answer: str = ""
+
+
+class OrderGate:
+    """Holds orders that are on their way to workers; their senders get no answer.
+
+    Attributes
+    ----------
+    holds : callable
+        Returns whether an order is held; by default none is.
+    """
+
+    def __init__(self):
+        self.holds: Callable[[ReceivedOrder], bool] = lambda received: False
+        self._held: list[tuple[ReceivedOrder, Callable[[], object]]] = []
+
+    @property
+    def held(self) -> list[ReceivedOrder]:
+        """The orders that are held now, in order of arrival."""
+        return [received for received, _ in self._held]
+
+    def hold(self, received: ReceivedOrder, carry_out: Callable[[], object]) -> None:
+        """Hold an order until it is released."""
+        self._held.append((received, carry_out))
+
+    def release(
+        self, selects: Callable[[ReceivedOrder], bool] = lambda received: True
+    ) -> list[ReceivedOrder]:
+        """Let the workers carry out the selected held orders, and return these."""
+        released = [
+            (received, carry_out) for received, carry_out in self._held if selects(received)
+        ]
+        self._held = [entry for entry in self._held if entry not in released]
+        for _, carry_out in released:
+            carry_out()
+        return [received for received, _ in released]
+
+
 @dataclass(slots=True)
 class RunRecord:
     """What the workers of a site have received and run.
@@ -180,6 +248,8 @@
         Requests that reached heads of replicas, dead ones included.
     endless : dict
         Where the bytes without end came in the last such answer to each request.
+    orders : list of ReceivedOrder
+        Orders that reached workers that were alive, in order of arrival.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
@@ -197,6 +267,7 @@
     at_evacuated: list[LeavingArrival] = field(default_factory=list)
     at_replicas: list[ReplicaArrival] = field(default_factory=list)
     endless: dict[str, EndlessKind] = field(default_factory=dict)
+    orders: list[ReceivedOrder] = field(default_factory=list)
 
     def record_arrival_at_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
         """Record the arrival of a request at a worker whose entry says that it leaves."""
@@ -284,6 +355,11 @@
         Called with the worker when it crashes.
     sockets : SocketSizes
         Sizes of the listening socket's queue and buffers.
+
+    Attributes
+    ----------
+    gate : OrderGate or None
+        Holds orders on their way to the worker; None for none.
     """
 
     def __init__(
@@ -311,6 +387,7 @@
         self._server: web.Server | None = None
         self._sockets: asyncio.Server | None = None
         self.has_crashed = False
+        self.gate: OrderGate | None = None
         self._rng = random.Random(worker.worker_id)
 
     async def start(self, ip: str = "127.0.0.1") -> str:
@@ -589,7 +666,11 @@
         order = _parse_order(fields)
         if order is None or self.fleet is None:
             return web.Response(status=400)
-        answer = self.fleet.order(self.worker, order, fields.get("expected-revision"))
+        received = self._record_order(request, fields)
+        if self.gate is not None and self.gate.holds(received):
+            self.gate.hold(received, lambda: self._carry_out(received, order))
+            await asyncio.sleep(60)
+        answer = self._carry_out(received, order)
         if answer is None:
             await asyncio.sleep(60)
             return web.Response(status=503)
@@ -598,6 +679,28 @@
         status = 200 if answer.already else 202
         return web.Response(status=status, headers=self._announcement_headers(request))
 
+    def _record_order(self, request: web.BaseRequest, fields: dict) -> ReceivedOrder:
+        received = ReceivedOrder(
+            self.worker.worker_id,
+            request.remote or "",
+            fields["operation"],
+            fields.get("group", ""),
+            fields.get("epoch", 0),
+            fields.get("expected-revision"),
+            asyncio.get_running_loop().time(),
+        )
+        self.record.orders.append(received)
+        return received
+
+    def _carry_out(self, received: ReceivedOrder, order: Order) -> OrderDone | OrderRefused | None:
+        """Let the worker carry out an order, and record its answer."""
+        fleet = require(self.fleet, "the fleet")
+        answer = fleet.order(self.worker, order, received.expected)
+        if answer is not None:
+            received.carried_out_s = asyncio.get_running_loop().time()
+            received.answer = "refused" if isinstance(answer, OrderRefused) else "done"
+        return answer
+
     async def _answer_report(self, request: web.BaseRequest) -> web.StreamResponse:
         period = self._endless_period()
         if period is None or not period.kind.is_of_report:
