Failing test: orders sent without a lease while calls to the store hang

In virtual time, over 4 x 6 moments at which the store begins to hang and the controller has a plan to write, with a task that forms and one that dissolves a replica, whose orders get no answer: no order may be sent while the lease isn't valid by the leader's own clock.

--- /dev/null
+++ b/ferrydock/route_daemon/tests/test_ended_terms.py
@@ -0,0 +1,138 @@
+"""What a leader sends, and what its orders do, once its term has ended. In virtual time."""
+
+import asyncio
+
+import pytest
+
+from ...freshness import EraSettling
+from ...outcomes import Unavailable, Unknown
+from ...replicas.tests.hall import Hall
+from ...standins.fleet import FleetControl, run_virtually
+from ...store import MemoryStore
+from .._leadership import LEASE_S, HallLeadership
+
+HALL = "hall-a"
+
+# How long a call to a store that hangs takes.
+CALL_TIMEOUT_S = 1.0
+
+# How long after the start of a scenario its store begins to hang, and how long after that the
+# controller has a plan to write: from its first round in which the store hangs to the last of the
+# term. A renewal comes every 0.5 s.
+HANG_AFTER_S = (0.0, 0.13, 0.26, 0.39)
+PLAN_AFTER_S = (0.0, 0.3, 0.6, 0.9, 1.2, 1.5)
+
+
+class HangingStore(MemoryStore):
+    """A store whose calls are neither carried out nor answered while it hangs."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.hangs = False
+
+    async def range(self, key, range_end=""):
+        return await self._call(super().range(key, range_end), Unavailable)
+
+    async def transact(self, txn):
+        return await self._call(super().transact(txn), Unknown)
+
+    async def renew_lease(self, lease_id):
+        return await self._call(super().renew_lease(lease_id), Unavailable)
+
+    async def _call(self, call, outcome):
+        if not self.hangs:
+            return await call
+        call.close()
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        return outcome("no answer")
+
+
+class RecordingControl(FleetControl):
+    """Sends orders and records those that are sent without a valid lease."""
+
+    def __init__(self, hall, lease):
+        super().__init__(hall.fleet, hall.rng)
+        self.lease = lease
+        self.sent = 0
+        self.sent_without_lease = []
+
+    async def order(self, target, order, expected_orders):
+        self.sent += 1
+        if not self.lease.is_valid:
+            self.sent_without_lease.append((type(order).__name__, target.target_id))
+        return await super().order(target, order, expected_orders)
+
+
+class OneTerm(HallLeadership):
+    """Acquires the lease once and leads until it ends."""
+
+    async def run(self):
+        await self._acquire_and_lead()
+
+
+class LedHall(Hall):
+    """A hall with four targets in one domain, and a leader whose store can hang."""
+
+    def __init__(self):
+        super().__init__(1, domains=1, workers=4)
+        self.store = HangingStore(self.clock)
+        controller = self.start_controller()
+        self.kill_controller()  # the leadership runs its rounds
+        self.control = RecordingControl(self, controller.lease)
+        controller.order_sender.control = self.control
+        settling = EraSettling(self.store, self.clock, is_first_start=True)
+        leadership = OneTerm(controller, self.store, self.clock, self.rng, lambda: False, settling)
+        self.leading = asyncio.ensure_future(leadership.run())
+
+    def lose_orders(self):
+        """Let no order be answered from now on, nor carried out soon."""
+        self.fleet.faults.late_share = 1.0
+        self.fleet.faults.late_from_s = self.fleet.faults.late_to_s = 1000.0
+
+    def add_staged_targets(self):
+        """Add targets that can form a replica at once, so that the controller writes a plan."""
+        for number in range(4):
+            worker = self.fleet.add(f"w1-{number}", HALL, "d1")
+            worker.staged = ["small"]
+            self.fleet.on_change(worker)
+
+
+async def begin_forming(hall):
+    hall.lose_orders()
+    assert await hall.until(lambda: hall.control.sent >= 4, 5.0) is not None
+
+
+async def begin_dissolving(hall):
+    assert await hall.until(lambda: hall.models()["large"], 60.0) is not None
+    hall.lose_orders()
+    member = hall.fleet.workers["w0-3"]
+    member.draining = True
+    hall.fleet.on_change(member)
+    sent = hall.control.sent
+    assert await hall.until(lambda: hall.control.sent > sent, 5.0) is not None
+
+
+async def lead_until_the_store_hangs(begin_task, hang_after_s, plan_after_s):
+    """Lead with a running task, then without the store; return the hall after the term."""
+    hall = LedHall()
+    await begin_task(hall)
+    await asyncio.sleep(hang_after_s)
+    hall.store.hangs = True
+    await asyncio.sleep(plan_after_s)
+    hall.add_staged_targets()
+    async with asyncio.timeout(LEASE_S + 3 * CALL_TIMEOUT_S):
+        await hall.leading
+    await asyncio.sleep(5.0)
+    return hall
+
+
+@pytest.mark.parametrize("begin_task", [begin_forming, begin_dissolving])
+def test_no_order_is_sent_without_a_valid_lease_while_calls_to_the_store_hang(begin_task):
+    """Failure: tasks of a leader sent orders while its round waited for the store."""
+    late = {}
+    for hang_after_s in HANG_AFTER_S:
+        for plan_after_s in PLAN_AFTER_S:
+            hall = run_virtually(lead_until_the_store_hangs(begin_task, hang_after_s, plan_after_s))
+            if hall.control.sent_without_lease:
+                late[hang_after_s, plan_after_s] = hall.control.sent_without_lease
+    assert late == {}
