Failing test: late orders to leave take an adopted replica apart

In virtual time: a leader dissolves a replica (a member was silent), its orders to leave get no answer; the next leader finds the members ready and adopts the replica, opens it and serves. Opening raises only the head's number of accepted orders, so the orders to leave that are still on their way to the other members carry the right number, and are carried out 4 s later: the replica stands still with the requests that it has, and is dissolved by the new leader. No rule is broken (the members have left, so no join elsewhere breaks TWO).

Not caused by terms: an order that was sent under a valid lease is enough. A re-formed replica would void the orders, as its members' departure counts; an adopted one does not.

--- a/ferrydock/route_daemon/tests/test_ended_terms.py
+++ b/ferrydock/route_daemon/tests/test_ended_terms.py
@@ -9,6 +9,7 @@
 from ...replicas.tests.hall import Hall
 from ...standins.fleet import FleetControl, run_virtually
 from ...store import MemoryStore
+from ...targets import LeaveOrder
 from .._leadership import LEASE_S, HallLeadership
 
 HALL = "hall-a"
@@ -136,3 +137,43 @@
             if hall.control.sent_without_lease:
                 late[hang_after_s, plan_after_s] = hall.control.sent_without_lease
     assert late == {}
+
+
+# When an order is carried out that is on its way while the next leader adopts a replica.
+LATE_S = 4.0
+
+
+class LateLeaves(FleetControl):
+    """Sends orders; those to leave get no answer and are carried out `LATE_S` later."""
+
+    def __init__(self, hall):
+        super().__init__(hall.fleet, hall.rng)
+        self.late = []
+
+    async def order(self, target, order, expected_orders):
+        if not isinstance(order, LeaveOrder):
+            return await super().order(target, order, expected_orders)
+        worker = self.fleet.workers[target.target_id]
+        carry_out = (self.fleet.execute, worker, order, expected_orders)
+        asyncio.get_running_loop().call_later(LATE_S, *carry_out)
+        self.late.append(target.target_id)
+        return Unknown("no answer")
+
+
+def test_late_orders_to_leave_do_not_take_apart_a_replica_that_the_next_leader_adopted():
+    """Failure: an adopted replica lost its members while it served."""
+
+    async def scenario():
+        hall = Hall(1, domains=1, workers=4)
+        first = hall.start_controller()
+        assert await hall.until(lambda: hall.models()["large"], 60.0) is not None
+        first.order_sender.control = LateLeaves(hall)
+        first.mark_lost(["w0-3"], "silent")  # it answers again before the next leader asks
+        late = first.order_sender.control.late
+        assert await hall.until(lambda: {"w0-1", "w0-2"} <= set(late), 20.0) is not None
+        hall.kill_controller()
+        hall.start_controller()
+        assert await hall.until(lambda: hall.models()["large"], LATE_S) is not None
+        assert await hall.until(lambda: not hall.fleet.open_heads(), 4 * LATE_S) is None
+
+    run_virtually(scenario())
