--- a/ferrydock/replicas/tests/hall.py
+++ b/ferrydock/replicas/tests/hall.py
@@ -6,12 +6,13 @@
 from ...configuration import Configuration, CurrentConfiguration, ServiceSpec
 from ...hall_lease import ControllerLease
 from ...standins.fleet import Fleet, FleetControl, FleetList, LoopClock
-from ...store import MemoryStore
+from ...store import MemoryStore, Position
 from ...targets import TargetDirectory
 from .. import ControllerSettings, OrderSender, ReplicaController
 from .specs import two_models
 
 ROUND_S = 0.1
+CONFIRM_PAUSE_S = 0.05
 LEASE_S = 2.0
 
 
@@ -35,6 +36,8 @@
         self.demand = {}
         self.in_flight = {}
         self.following = asyncio.ensure_future(self._follow())
+        self.confirms_list = True
+        self.confirming = asyncio.ensure_future(self._confirm())
         self.controllers = 0
         self.task = None
         self.controller = None
@@ -61,6 +64,13 @@
             for entry in changes.entries:
                 self.directory.put(entry)
 
+    async def _confirm(self):
+        """Confirm the list at the store's position, as other calls to the store do."""
+        while True:
+            if self.confirms_list:
+                self.directory.position = Position(self.store.era, self.store.revision)
+            await asyncio.sleep(CONFIRM_PAUSE_S)
+
     def start_controller(self):
         """Start a controller that acquires the lease and then runs its rounds."""
         self.controllers += 1
--- a/ferrydock/replicas/tests/site.py
+++ b/ferrydock/replicas/tests/site.py
@@ -8,7 +8,7 @@
 from ...configuration import Configuration, CurrentConfiguration, ServiceSpec
 from ...hall_lease import ControllerLease
 from ...standins.fleet import Fleet, FleetControl, FleetList, LoopClock
-from ...store import MemoryStore
+from ...store import MemoryStore, Position
 from ...targets import TargetDirectory
 from .. import ControllerSettings, OrderSender, ReplicaController
 from .hall import LEASE_S, ROUND_S
@@ -54,6 +54,8 @@
         self.follows_site_plan = True
         self.given = set()
         self.following = asyncio.ensure_future(self._follow())
+        self.confirms_list = True
+        self.confirming = asyncio.ensure_future(self._confirm())
         self.measuring = asyncio.ensure_future(self._measure())
 
     async def _follow(self):
@@ -65,6 +67,13 @@
             for entry in changes.entries:
                 self.directory.put(entry)
 
+    async def _confirm(self):
+        """Confirm the list at the store's position, as other calls to the store do."""
+        while True:
+            if self.confirms_list:
+                self.directory.position = Position(self.store.era, self.store.revision)
+            await asyncio.sleep(CONFIRM_PAUSE_S)
+
     async def _measure(self):
         while True:
             await asyncio.sleep(0.1)
