A leader plans only from a list that is not older than its lease

Cause: a daemon that acquired the lease acted on whatever list it had. After seconds without the store that list showed targets as free that other leaders had formed into replicas, so the same targets were planned anew. Change: the controller waits until its list is complete up to the store's position at which its lease was created, and is not that of a restored store that is still to be read again. Why safe: until then replicas serve as they are; no order was sent in that time before either, by the old leader.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -188,7 +188,7 @@
         """Check the hall's targets and replicas once, and start the tasks that are due."""
         if self.current.lookup is None or not self.directory.loaded or not self.lease.is_valid:
             return
-        if not await self.record.read():
+        if not self._is_list_current() or not await self.record.read():
             return
         now_s = self.clock.now_s()
         if self._term_began_s is None:
@@ -200,6 +200,16 @@
         for service in self.current.engine_services():
             await self._step_service(service.name, self._engine(service), is_demand_due)
 
+    def _is_list_current(self) -> bool:
+        """Return whether the target list contains all that was written before this term.
+
+        An older one shows targets as free that the leaders before have formed into replicas.
+        """
+        held = self.lease.held
+        if held is None or self.directory.is_provisional:
+            return False
+        return self.directory.position >= held.created
+
     def _engine(self, service: ServiceSpec) -> EngineSpec:
         """Return the engine of a service; without its parallel loads if no site plan applies.
 
--- a/ferrydock/replicas/tests/site.py
+++ b/ferrydock/replicas/tests/site.py
@@ -13,6 +13,7 @@
 from .. import ControllerSettings, OrderSender, ReplicaController
 from .hall import LEASE_S, ROUND_S
 
+CONFIRM_PAUSE_S = 0.05
 HALLS = ("hall-a", "hall-b", "hall-c")
 
 # Demand is an average that fades over 5 s, as `scheduling._demand` measures it.
--- a/ferrydock/route_daemon/_leadership.py
+++ b/ferrydock/route_daemon/_leadership.py
@@ -111,9 +111,13 @@
         """
         if self.is_stopping() or not self.settling.is_settled():
             return
+        began_s = self.clock.now_s()
         acquired = await self.lease.acquire(LEASE_S)
         if isinstance(acquired, HeldLease):
             self.leader_address = self.lease.address
+            # The controller waits for a list that is not older, so it is requested at once.
+            confirmation = self.controller.directory.confirmation
+            confirmation.note_store(acquired.created, began_s, self.clock.now_s())
             log_event(
                 _LOG,
                 logging.INFO,
