Tasks of an ended term no longer count their end in the next one

Callers would see: a hall that never forms replicas again in one of its fabric domains while a certain daemon leads it, so its lost replicas are not replaced and requests are refused for want of slots.

Cause: `step_down` cancels the tasks and clears the counter of replicas that are being dissolved; the cancelled task's `finally` runs later and subtracts 1 from the cleared counter. -1 is true, and a domain in which something is being dissolved gets no formations. In the same way the ended task marked targets as free that a task of the next term sends orders to: a member that had joined another replica was told to leave its former one.

Change: what is formed and dissolved is recorded in an object of its own for each term (`RunningOperations`), to which a task is bound when it is started. Targets of a replica that is dissolved count as busy from when that is decided, not from the first step of its task.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -24,6 +24,7 @@
 from ._health import DissolveReason, HealthResult, ReplicaHealthCheck, Verdict
 from ._model_changes import ChangeWay, ModelChanges, choose_way
 from ._observed import ObservedReplica, observed_replicas
+from ._operations import RunningOperations
 from ._order_sender import OrderSender
 from ._plan import Formation
 from ._planning import ControllerSettings, HallPlan, HallPlanner
@@ -361,12 +362,12 @@
         replica are cut.
         """
         self._log_removal(replica, result)
-        replica = replica.with_members(result.missing)
+        replica = replica.with_members(result.missing).without(result.dead)
         cut = result.reason not in (DissolveReason.LEAVING, DissolveReason.SURPLUS)
         if cut:
             self.on_broken(replica.key)
-            self.state.dissolving[replica.domain] += 1
-        self._spawn(self._dissolve(replica, set(result.dead), cut))
+        self.state.operations.begin_dissolving(replica, cut)
+        self._spawn(self._dissolve(replica, cut, self.state.operations))
 
     def _begin_reassignment(self, found: Reassignment, service: str) -> None:
         """Start to dissolve a surplus replica, so that its targets can serve another model."""
@@ -420,23 +421,21 @@
         ready_s = model.load_s * slowdown(joining, engine.loads_at_once)
         formation = Formation(model, members, 0, ready_s)
         plan = PlannedReplica(replica.name, replica.epoch, formation)
-        self._note_forming(plan)
+        self.state.operations.begin_forming(plan)
         log_event(_LOG, logging.INFO, "replica_adopted", replica=replica.name, epoch=replica.epoch)
-        self._spawn(self._form(plan, joined=True))
+        self._spawn(self._form(plan, self.state.operations, joined=True))
         return True
 
-    async def _dissolve(self, replica: ObservedReplica, dead: set[str], cut: bool) -> None:
-        members = tuple(t for t in replica.members if t.target_id not in dead)
-        ids = {target.target_id for target in members}
-        self.state.busy |= ids
+    async def _dissolve(
+        self, replica: ObservedReplica, cut: bool, operations: RunningOperations
+    ) -> None:
         try:
             finish_within_s = None if cut else self.current.longest_request_s(replica.service)
+            members = tuple(replica.members)
             left = await self.former.dissolve(replica.key, members, finish_within_s)
             self.state.note_left(left, replica.key)
         finally:
-            self.state.busy -= ids
-            if cut:
-                self.state.dissolving[replica.domain] -= 1
+            operations.end_dissolving(replica, cut)
 
     # Missing replicas -------------------------------------------------------------------------
 
@@ -464,10 +463,10 @@
         for name, formation in plans.items():
             self.planner.loads.begin(formation.loads, self.clock.now_s())
             plan = PlannedReplica(name, epoch, formation)
-            self._note_forming(plan)
+            self.state.operations.begin_forming(plan)
             if formation.is_extra:
                 self._note_spares_used(service, plan)
-            self._spawn(self._form(plan))
+            self._spawn(self._form(plan, self.state.operations))
 
     def _demand_to_record(self) -> dict[str, Mapping[str, float]]:
         """Return the demand that a new leader begins with, by service and model."""
@@ -479,11 +478,9 @@
         known = {name: self.planner.site.observations.known_demand(name) for name in services}
         return {name: demand for name, demand in known.items() if demand}
 
-    def _note_forming(self, plan: PlannedReplica) -> None:
-        self.state.forming[plan.key] = plan
-        self.state.busy.update(plan.member_ids)
-
-    async def _form(self, plan: PlannedReplica, joined: bool = False) -> None:
+    async def _form(
+        self, plan: PlannedReplica, operations: RunningOperations, joined: bool = False
+    ) -> None:
         began_s = self.clock.now_s()
         try:
             result = await self.former.form(plan, joined)
@@ -494,8 +491,7 @@
                 if member_id in result.failure:
                     self.state.pause(member_id)
         finally:
-            self.state.forming.pop(plan.key, None)
-            self.state.busy.difference_update(plan.member_ids)
+            operations.end_forming(plan)
 
     # Tasks ------------------------------------------------------------------------------------
 
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -5,13 +5,14 @@
 
 import logging
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ..clock import Clock
 from ..logs import log_event
 from ..targets import Target
 from ._forming import PlannedReplica
 from ._observed import ObservedReplica
+from ._operations import RunningOperations
 from ._spares import SpareUse
 from ._staging import StagingProgress
 
@@ -32,15 +33,11 @@
 
     Attributes
     ----------
-    busy : set of str
-        Ids of targets that orders are being sent to.
-    dissolving : Counter of str
-        Number of replicas being dissolved whose requests are cut, by domain.
+    operations : RunningOperations
+        Replicas that are being formed and dissolved in this term of leadership.
     changing : dict
         Model that each replica is given to, by name and epoch of the replica, while its members
         load that model and still serve.
-    forming : dict
-        Replicas that are being formed, by name and epoch.
     spares : SpareUse
         For which models spares may form replicas, and which replicas they have formed.
     staging : StagingProgress
@@ -53,21 +50,17 @@
         "_paused_until_s",
         "_reached",
         "_suspected_until_s",
-        "busy",
         "changing",
         "clock",
-        "forming",
-        "dissolving",
+        "operations",
         "spares",
         "staging",
     )
 
     def __init__(self, clock: Clock):
         self.clock = clock
-        self.busy: set[str] = set()
+        self.operations = RunningOperations()
         self.changing: dict[tuple[str, int], str] = {}
-        self.dissolving: Counter[str] = Counter()
-        self.forming: dict[tuple[str, int], PlannedReplica] = {}
         self.spares = SpareUse()
         self.staging = StagingProgress()
         self._left_replicas: dict[str, tuple[str, int]] = {}
@@ -76,6 +69,21 @@
         self._lost: set[str] = set()
         self._reached: set[str] = set()
 
+    @property
+    def busy(self) -> set[str]:
+        """Ids of targets that orders are being sent to."""
+        return self.operations.busy
+
+    @property
+    def dissolving(self) -> Mapping[str, int]:
+        """Number of replicas being dissolved whose requests are cut, by domain, if any."""
+        return self.operations.dissolving
+
+    @property
+    def forming(self) -> Mapping[tuple[str, int], PlannedReplica]:
+        """Replicas that are being formed, by name and epoch."""
+        return self.operations.forming
+
     def suspect(self, target_ids: Iterable[str], reason: str, is_reached: bool = False) -> None:
         """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`.
 
@@ -177,10 +185,8 @@
 
     def clear(self) -> None:
         """Clear what belongs to one term of leadership: all but suspicions and pauses."""
-        self.busy.clear()
+        self.operations = RunningOperations()
         self.changing.clear()
-        self.dissolving.clear()
-        self.forming.clear()
         self.spares.clear()
         self.staging.clear()
         self._left_replicas.clear()
--- a/ferrydock/replicas/_observed.py
+++ b/ferrydock/replicas/_observed.py
@@ -1,6 +1,6 @@
 """Replicas as the entries of their members in the target list show them; stateless."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
 from typing import Self
 
@@ -58,6 +58,10 @@
         members = sorted([*self.members, *missing], key=lambda t: t.existing_membership.rank)
         return replace(self, members=members)
 
+    def without(self, target_ids: Container[str]) -> Self:
+        """Return the replica without some of its members."""
+        return replace(self, members=[t for t in self.members if t.target_id not in target_ids])
+
 
 def observed_replicas(members: Iterable[Target]) -> list[ObservedReplica]:
     """Return the replicas that the given targets, each with a membership, belong to."""
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -209,7 +209,7 @@
         counts = self.state.counts(replicas)
         site_targets = self._site_targets(service, engine)
         for name in sorted(domains):
-            if self.state.dissolving[name]:
+            if self.state.dissolving.get(name):
                 continue  # survivors of a broken replica are soon idle, and then ready soonest
             domain = self._domain_state(domains[name], counts[name], shares[name])
             domain.planned = self.site.domain_counts(service, name)
@@ -257,7 +257,7 @@
                 in_use={m.name: counts.get(m.name, 0) * m.size for m in engine.models},
                 shares=domain.shares,
                 loading=self.state.staging.loading(now_s),
-                may_restage=not self.state.dissolving[name] and not self.state.is_busy(usable),
+                may_restage=not self.state.dissolving.get(name) and not self.state.is_busy(usable),
             )
             orders += choose_stagings(domain.idle, engine, state)
         return orders[: self._loads_left(engine, now_s)]
@@ -327,7 +327,7 @@
         shares = self._shares(domains, self.weights(service, engine))
         counts = self.state.counts(replicas)
         for name in sorted(domains):
-            if self.state.dissolving[name] or self.state.is_busy(domains[name]):
+            if self.state.dissolving.get(name) or self.state.is_busy(domains[name]):
                 continue
             domain = self._domain_state(domains[name], counts[name], shares[name])
             serving = [r for r in replicas if r.domain == name and r.is_open]
--- /dev/null
+++ b/ferrydock/replicas/tests/test_terms.py
@@ -0,0 +1,48 @@
+"""One controller that leads its hall in several terms: nothing of an ended term counts in the next.
+
+In between, the daemon has lost or released the lease, and the controller has stepped down.
+"""
+
+import asyncio
+
+from .hall import Hall
+from .test_controller import ALL_REPLICAS, hall_with_all_replicas, run_scenario
+
+
+async def end_term(hall):
+    """Let the controller's term end as after an offer to lead; its next one follows at once."""
+    await hall.controller.lease.release()
+
+
+async def hall_that_dissolves_a_replica():
+    """Return a hall whose leader dissolves a replica; one member answers a second later."""
+    hall = await hall_with_all_replicas(Hall(2))
+    await asyncio.sleep(30.0)
+    head = lose_a_member(hall)
+    hall.fleet.workers[head.members[1]].paused_until_s = hall.clock.now_s() + 1.0
+    assert await hall.until(lambda: hall.broken, 1.0) is not None
+    return hall
+
+
+def lose_a_member(hall):
+    """Kill a member of a large replica; return the replica's head."""
+    head = next(w for w in hall.fleet.open_heads() if w.model == "large")
+    hall.kill_worker(head.members[2])
+    hall.controller.mark_lost([head.members[2]], "test")
+    return head
+
+
+def test_a_term_that_ends_while_a_replica_is_dissolved_does_not_end_forming_for_good():
+    """Failure: the task cancelled with the term counted its end in the next one, below zero."""
+
+    async def scenario():
+        hall = await hall_that_dissolves_a_replica()
+        await end_term(hall)
+        await asyncio.sleep(20.0)
+        assert hall.models() == ALL_REPLICAS
+        lose_a_member(hall)
+        await asyncio.sleep(1.0)
+        assert await hall.until(lambda: hall.models() == ALL_REPLICAS, 20.0) is not None
+        assert hall.fleet.violations == []
+
+    run_scenario(scenario)
