What the health check observed in one term does not count in the next

Callers would see: answers cut, because a replica that serves was dissolved as soon as its daemon led the hall again; or, in the other direction, a replica with a dead member kept for good.

Cause: `step_down` did not clear the observations of `ReplicaHealthCheck`. The time since which a replica's head had no entry, or since which it was an orphan, went on over the time without leadership, in which nothing was observed, so the grace was over at the first round of the next term. And a replica stayed marked as being asked for reports if the task was cancelled before its first step.

Change: the observations are cleared at the end of a term. Whether reports are requested belongs to the observation of the missing members, so a request of an ended term, or from before the members had their entries again, changes nothing of a later observation.

Evidence: both tests failed before: no report was requested in 5 s, and a replica whose head had lost its entry 0.5 s before was dissolved.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -176,6 +176,7 @@
             task.cancel()
         self.record.reset()
         self.changes.clear()
+        self.health_check.reset()
         self.state.clear()
         self.planner.reset()
         self._reported_all_dead.clear()
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -100,11 +100,14 @@
         answered the last one.
     has_left : bool
         Whether one of them is certainly no member any more.
+    is_requesting : bool
+        Whether a task requests their reports now.
     """
 
     requested_s: float = float("-inf")
     silent_since_s: float | None = None
     has_left: bool = False
+    is_requesting: bool = False
 
 
 class ReplicaHealthCheck:
@@ -127,7 +130,6 @@
         "_headless_since_s",
         "_logged_missing",
         "_missing",
-        "_requesting",
         "_orphaned_since_s",
         "clock",
         "directory",
@@ -157,10 +159,21 @@
         self._orphaned_since_s: dict[tuple[str, int], float] = {}
         self._headless_since_s: dict[tuple[str, int], float] = {}
         self._missing: dict[tuple[str, int], _MissingMembers] = {}
-        self._requesting: set[tuple[str, int]] = set()
         # By replica: its missing members and whether they were alive, as logged last.
         self._logged_missing: dict[tuple[str, int], tuple[str, bool]] = {}
 
+    def reset(self) -> None:
+        """Clear what was observed in one term of leadership.
+
+        In the next term each replica gets its whole grace again: between the terms nobody here has
+        evaluated it.
+        """
+        self._has_mass_silence = False
+        self._orphaned_since_s.clear()
+        self._headless_since_s.clear()
+        self._missing.clear()
+        self._logged_missing.clear()
+
     def begin_round(self, replicas: list[ObservedReplica]) -> None:
         """Count the silent replicas, before each of them is evaluated."""
         serving = [replica for replica in replicas if replica.is_open]
@@ -296,18 +309,21 @@
         missing = self._missing.setdefault(key, _MissingMembers())
         is_silent = missing.silent_since_s is not None
         interval_s = SILENT_REPORT_INTERVAL_S if is_silent else REPORT_INTERVAL_S
-        if key not in self._requesting and now_s - missing.requested_s >= interval_s:
-            self._requesting.add(key)
+        if not missing.is_requesting and now_s - missing.requested_s >= interval_s:
+            missing.is_requesting = True
             missing.requested_s = now_s
-            self.spawn(self._request_missing_reports(replica))
+            self.spawn(self._request_missing_reports(replica, missing))
         if missing.has_left or missing.silent_since_s is None:
             return not missing.has_left
         may_be_paused = now_s - missing.silent_since_s < MAX_SILENCE_S
         return may_be_paused and self._has_requests(replica)
 
-    async def _request_missing_reports(self, replica: ObservedReplica) -> None:
+    async def _request_missing_reports(
+        self, replica: ObservedReplica, known: _MissingMembers
+    ) -> None:
         """Ask the members without an entry for reports on whether they belong to the replica.
 
+        The reports do not count if the members had an entry again meanwhile, or the term has ended.
         While one of them is silent, the replica is kept for the requests in flight, but must get no
         new ones: the daemons do not find the silence before they have requests there.
         """
@@ -318,9 +334,8 @@
                 *(control.report(target, REPORT_TIMEOUT_S) for target in missing)
             )
         finally:
-            self._requesting.discard(replica.key)
-        known = self._missing.get(replica.key)
-        if known is None:
+            known.is_requesting = False
+        if self._missing.get(replica.key) is not known:
             return
         is_silent = any(isinstance(report, Unavailable) for report in reports)
         known.has_left = any(_shows_departure(report, replica.key) for report in reports)
--- a/ferrydock/replicas/tests/test_terms.py
+++ b/ferrydock/replicas/tests/test_terms.py
@@ -46,3 +46,45 @@
         assert hall.fleet.violations == []
 
     run_scenario(scenario)
+
+
+def test_members_are_asked_for_reports_although_a_term_ended_before_the_last_request():
+    """Failure: a task cancelled before its first step kept its replica from being asked again."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(12))
+        await asyncio.sleep(20.0)
+        head = next(h for h in hall.fleet.open_heads() if h.model == "large")
+        member = hall.fleet.workers[head.members[3]]
+        hall.directory.remove(member.worker_id)
+        await hall.controller.step()  # starts the task, which has not run yet
+        hall.controller.step_down()
+        before = hall.controller.order_sender.control.reports
+        await asyncio.sleep(5.0)
+        assert hall.controller.order_sender.control.reports - before >= 3
+
+    run_scenario(scenario)
+
+
+def test_a_replica_whose_head_has_no_entry_gets_its_whole_grace_in_a_new_term():
+    """Failure: the time of an earlier term counted, and the replica was dissolved at once."""
+
+    async def scenario():
+        hall = await hall_with_all_replicas(Hall(10))
+        await asyncio.sleep(20.0)
+        before = {head.group_key for head in hall.fleet.open_heads()}
+        head = hall.fleet.open_heads()[0]
+        hall.list.overwrite(head)
+        await asyncio.sleep(0.5)
+        hall.controller.lease.held = None  # the store lets it expire
+        await asyncio.sleep(0.2)
+        hall.list.restore(head)
+        await asyncio.sleep(0.5)
+        hall.list.overwrite(head)
+        assert await hall.until(lambda: hall.controller.lease.is_valid, 10.0) is not None
+        await asyncio.sleep(0.5)
+        hall.list.restore(head)
+        await asyncio.sleep(5.0)
+        assert {head.group_key for head in hall.fleet.open_heads()} == before
+
+    run_scenario(scenario)
