A target that joins late after an order to leave is observed again

Callers would see: refused requests, since a lost replica is replaced later. A target that its leader believed free belonged to a replica that the leader believed dissolved; each replica that it was planned into failed at the first order, and its other members were held up.

Cause: an order to leave that reaches a target before the order to join has no effect and does not make that order void. The leader recorded the departure and from then on did not look at an entry that showed the target in that replica, for as long as the entry did so.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -215,7 +215,8 @@
         targets = [target for target in members if target.hall == self.hall]
         self.state.prune(targets)
         self.loads.follow(service, targets, engine)
-        joined = [t for t in targets if t.membership is not None and not self.state.has_left(t)]
+        departures = self.state.departures
+        joined = [t for t in targets if t.membership is not None and not departures.has_left(t)]
         observed = observed_replicas(joined)
         self.health_check.begin_round(observed)
         staying = [replica for replica in observed if self._handle_replica(replica, engine)]
@@ -434,7 +435,7 @@
             finish_within_s = None if cut else self.current.longest_request_s(replica.service)
             members = tuple(replica.members)
             left = await self.former.dissolve(replica.key, members, finish_within_s)
-            self.state.note_left(left, replica.key)
+            self.state.departures.note(left, replica.key, self.clock.now_s())
         finally:
             operations.end_dissolving(replica, cut)
 
@@ -487,10 +488,11 @@
             result = await self.former.form(plan, joined)
             took_s = self.clock.now_s() - began_s
             self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
-            self.state.note_left(result.left_ids, plan.key)
             for member_id in plan.member_ids:
                 if member_id in result.failure:
                     self.state.pause(member_id)
+                    self.state.departures.discard(member_id)
+            self.state.departures.note(result.left_ids, plan.key, self.clock.now_s())
         finally:
             operations.end_forming(plan)
 
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..logs import log_event
 from ..targets import Target
+from ._departures import Departures
 from ._forming import PlannedReplica
 from ._observed import ObservedReplica
 from ._operations import RunningOperations
@@ -33,6 +34,8 @@
 
     Attributes
     ----------
+    departures : Departures
+        Targets that have left the replica that their entries may still show.
     operations : RunningOperations
         Replicas that are being formed and dissolved in this term of leadership.
     changing : dict
@@ -45,13 +48,13 @@
     """
 
     __slots__ = (
-        "_left_replicas",
         "_lost",
         "_paused_until_s",
         "_reached",
         "_suspected_until_s",
         "changing",
         "clock",
+        "departures",
         "operations",
         "spares",
         "staging",
@@ -63,7 +66,7 @@
         self.changing: dict[tuple[str, int], str] = {}
         self.spares = SpareUse()
         self.staging = StagingProgress()
-        self._left_replicas: dict[str, tuple[str, int]] = {}
+        self.departures = Departures()
         self._paused_until_s: dict[str, float] = {}
         self._suspected_until_s: dict[str, float] = {}
         self._lost: set[str] = set()
@@ -136,18 +139,9 @@
         is_paused = self._paused_until_s.get(target.target_id, 0.0) > self.clock.now_s()
         return is_paused or self.is_suspected(target.target_id)
 
-    def note_left(self, target_ids: Iterable[str], key: tuple[str, int]) -> None:
-        """Record targets that have left a replica; their entries may still show them in it."""
-        self._left_replicas.update((target_id, key) for target_id in target_ids)
-
-    def has_left(self, target: Target) -> bool:
-        """Return whether a target is known to have left the replica that its entry shows."""
-        membership = target.existing_membership
-        return self._left_replicas.get(target.target_id) == (membership.replica, membership.epoch)
-
     def is_idle(self, target: Target) -> bool:
         """Return whether a target belongs to no replica and gets no order at present."""
-        is_free = target.membership is None or self.has_left(target)
+        is_free = target.membership is None or self.departures.has_left(target)
         return is_free and target.target_id not in self.busy
 
     def is_busy(self, targets: Iterable[Target]) -> bool:
@@ -169,14 +163,9 @@
         return counts
 
     def prune(self, targets: list[Target]) -> None:
-        """Remove departures that the entries show, and pauses and suspicions that are over."""
-        entries = {target.target_id: target for target in targets}
-        for target_id, key in list(self._left_replicas.items()):
-            entry = entries.get(target_id)
-            membership = entry.membership if entry else None
-            if membership is None or (membership.replica, membership.epoch) != key:
-                del self._left_replicas[target_id]
+        """Remove departures that no longer count, and pauses and suspicions that are over."""
         now_s = self.clock.now_s()
+        self.departures.prune(targets, now_s)
         for until in (self._paused_until_s, self._suspected_until_s):
             for target_id in [i for i, until_s in until.items() if until_s <= now_s]:
                 del until[target_id]
@@ -189,4 +178,4 @@
         self.changing.clear()
         self.spares.clear()
         self.staging.clear()
-        self._left_replicas.clear()
+        self.departures.clear()
--- a/ferrydock/replicas/tests/specs.py
+++ b/ferrydock/replicas/tests/specs.py
@@ -1,7 +1,7 @@
 """Engine and targets of a small service with two models, for tests."""
 
 from ...configuration import EngineSpec, ModelSpec
-from ...targets import Target
+from ...targets import Membership, ReplicaState, Target
 
 
 def two_models(loads_per_s=5.0, **fields):
@@ -28,3 +28,8 @@
         domain=domain,
         **fields,
     )
+
+
+def member(name, key, rank=0, state=ReplicaState.READY, **fields):
+    """Return a worker that belongs to the replica with a name and epoch."""
+    return worker(name, membership=Membership(*key, rank, state), **fields)
