A target that has started again has no last model

Callers would see: refused requests for some 16 s, because a replica whose members were expected to be ready in 0.2 s loaded its weights from the store; and the platform would see more loads begun within a window than allowed, since these were not counted.

Cause: the directory copies the last model from a target's former entry, also from one of an earlier incarnation. A target that has crashed and started again has nothing in memory.

Change: the last model is copied within one incarnation only. Where the platform does not start targets again under their ids, the incarnation is 0 and nothing changes.

--- a/ferrydock/targets/_directory.py
+++ b/ferrydock/targets/_directory.py
@@ -238,14 +238,19 @@
         return self._leaving_targets.reports(self.targets)
 
     def _with_known_state(self, target: Target) -> Target:
-        """Record an entry's membership; return the entry with last model and leaving mark."""
+        """Record an entry's membership; return the entry with last model and leaving mark.
+
+        A target that has started again has no model in memory.
+        """
         target = self._leaving_targets.mark(target)
         if target.membership is not None:
             self._note_member(target)
         if target.models:
             return replace(target, last_model=target.models[0])
         previous = self.targets.get(target.target_id)
-        return replace(target, last_model=previous.last_model) if previous else target
+        if previous is None or previous.incarnation != target.incarnation:
+            return target
+        return replace(target, last_model=previous.last_model)
 
     def _note_member(self, target: Target) -> None:
         membership = target.existing_membership
--- a/ferrydock/targets/_target.py
+++ b/ferrydock/targets/_target.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     target_id : str
-        Id of this incarnation; the next incarnation has another id.
+        Id of the target; some platforms start it again under the same id (`incarnation`).
     address : str
         ``IP:PORT``; another target may later have the same address.
     slots : int
@@ -63,7 +63,7 @@
     models : tuple of str
         Models that it holds.
     last_model : str
-        Model that this process has last seen it hold; empty for none.
+        Model that this process has last seen this incarnation hold; empty for none.
     membership : Membership or None
         The replica that it belongs to; None for none.
     age_mark : (int, int)
