Loads count unless the hall was never planned and no requests have been observed

Callers would see: the platform refuses, or delays, loads beyond its bound (CEILING); with 20 new targets and a rate of 1 a second, 16 loads began at once where 8 are allowed within 5 s.

Cause: a new leader took a hall whose targets hold no weights for one before its first requests, whose loads do not count. So it is at the start; but not if all targets of a serving site's hall were replaced, nor if the target list is older than the loads of an earlier leader.

Change: loads count if the hall had a placement record when the term began, so that an earlier leader has formed replicas, or if demand is observed or recorded for any service. Then the members of first replicas load within the hall's share of the bound. At the start of a site nothing changes, unless a leader ends between its first plan and the first entry that shows a load.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -130,6 +130,7 @@
             is_hall_open,
             lambda service: self.record.demand.get(service, {}),
             remote_changes,
+            self._are_loads_counted,
         )
         self.health_check = ReplicaHealthCheck(
             self.state,
@@ -470,6 +471,18 @@
                 self._note_spares_used(service, plan)
             self._spawn(self._form(plan, self.state.operations))
 
+    def _are_loads_counted(self) -> bool:
+        """Return whether the platform may count loads: not before a site's first requests.
+
+        Decided from the hall's record in the store and from the demand, since the target list may
+        be older than the loads of an earlier leader, or all targets may have been replaced.
+        """
+        observations = self.planner.site.observations
+        services = self.current.engine_services()
+        return self.record.was_planned or any(
+            observations.known_demand(service.name) for service in services
+        )
+
     def _demand_to_record(self) -> dict[str, Mapping[str, float]]:
         """Return the demand that a new leader begins with, by service and model."""
         services = [
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -115,6 +115,9 @@
         Returns, for a service, the demand in the placement record; used until demand is observed.
     remote_changes : callable, optional
         Returns the replicas of other halls that are given to another model, and that model.
+    are_loads_counted : callable, optional
+        Returns whether the platform may count loads: requests may have run, on this site or under
+        an earlier leader. By default it does.
 
     Notes
     -----
@@ -129,6 +132,7 @@
         "_target_count_changed_s",
         "_last_reassignment_s",
         "_weights",
+        "are_loads_counted",
         "clock",
         "demand",
         "directory",
@@ -149,11 +153,13 @@
         is_hall_open: Callable[[str], bool] = lambda hall: True,
         recorded_demand: Callable[[str], Mapping[str, float]] = lambda service: {},
         remote_changes: Callable[[], Mapping[tuple[str, int], str]] = dict,
+        are_loads_counted: Callable[[], bool] = lambda: True,
     ):
         self.state = state
         self.directory = directory
         self.clock = clock
         self.settings = settings
+        self.are_loads_counted = are_loads_counted
         self.demand = demand
         self.site = SitePlanner(
             state,
@@ -195,9 +201,9 @@
         """
         now_s = self.clock.now_s()
         is_first = self._is_first_plan(targets)
-        # Before the first replica no target serves, and the platform does not count loads.
-        loads_left = len(targets) if is_first else self._loads_left(engine, now_s)
-        if is_first:
+        loads_left = self._loads_left(engine, now_s)
+        if is_first and not self.are_loads_counted():
+            loads_left = len(targets)
             self.loads.open()  # no earlier leader has loaded anything here
         loading = self.state.staging.loading(now_s)
         domains = _by_domain(targets)
--- a/ferrydock/replicas/_record.py
+++ b/ferrydock/replicas/_record.py
@@ -38,6 +38,9 @@
     demand : mapping
         Slots that requests fill on the whole site by service and model, as the last leader wrote
         them; empty if it wrote none. How long ago that was is not known.
+    was_planned : bool
+        Whether the hall had a record when this term's first read succeeded, so that an earlier
+        leader has formed replicas.
 
     Notes
     -----
@@ -46,18 +49,23 @@
     a higher epoch than its successor, and no epoch is used twice.
     """
 
-    __slots__ = ("_position", "demand", "hall", "holder", "store")
+    __slots__ = ("_is_first_read", "_position", "demand", "hall", "holder", "store", "was_planned")
 
     def __init__(self, store: Store, hall: str, holder: str):
         self.store = store
         self.hall = hall
         self.holder = holder
         self._position: Position | None = None
+        self._is_first_read = True
         self.demand: Mapping[str, Mapping[str, float]] = {}
+        self.was_planned = False
 
     def reset(self) -> None:
-        """Discard the known position; `read` must succeed before the next write."""
+        """Discard what one term has read; `read` must succeed before the next write."""
         self._position = None
+        self._is_first_read = True
+        self.demand = {}
+        self.was_planned = False
 
     async def read(self) -> bool:
         """Read the position of the record's last write if needed; return whether it is known."""
@@ -70,6 +78,9 @@
         item = found.items[0] if found.items else None
         self._position = _record_position(found.era, item)
         self.demand = self._decode_demand(item.value) if item is not None else {}
+        if self._is_first_read:
+            self._is_first_read = False
+            self.was_planned = item is not None
         return True
 
     async def write(
--- a/ferrydock/replicas/tests/test_loads_across_leaders.py
+++ b/ferrydock/replicas/tests/test_loads_across_leaders.py
@@ -9,12 +9,14 @@
 from .hall import Hall
 from .specs import two_models
 from .test_load_window import (
+    LOADS_PER_S,
     MAX_LOADS,
     WINDOW_S,
     hall_with_many_new_workers,
     load_times,
     most_loads_in_a_window,
 )
+from .test_loads import ALL_REPLICAS
 
 
 async def change_leader(hall):
@@ -69,3 +71,37 @@
         assert took_s is not None and took_s < WINDOW_S - 1.0
 
     run_virtually(scenario())
+
+
+async def hall_whose_targets_are_all_replaced(demand):
+    """Return a hall that has served; all its targets are lost, and others hold no weights."""
+    hall = Hall(1)
+    hall.start_controller()
+    assert await hall.until(lambda: hall.models() == ALL_REPLICAS, 60.0) is not None
+    await asyncio.sleep(30.0)
+    hall.demand = demand
+    hall.set_engine(two_models(loads_per_s=LOADS_PER_S))
+    hall.kill_controller()
+    await hall.controller.lease.release()
+    for worker_id in list(hall.fleet.workers):
+        hall.kill_worker(worker_id)
+    await asyncio.sleep(5.0)
+    assert not hall.directory.targets
+    hall.fleet.workers.clear()
+    for number in range(20):
+        hall.fleet.add(f"new-{number}", "hall-a", f"d{number % 2}")
+    hall.start_controller()
+    return hall
+
+
+@pytest.mark.parametrize("demand", [{}, {"large": 9.0, "small": 18.0}])
+def test_a_new_leader_of_a_hall_whose_targets_are_all_replaced_keeps_to_the_bound(demand):
+    """Failure: it took the hall for one before its first requests, whose loads do not count."""
+
+    async def scenario():
+        hall = await hall_whose_targets_are_all_replaced(demand)
+        took_s = await hall.until(lambda: hall.models() == ALL_REPLICAS, 90.0)
+        assert most_loads_in_a_window(load_times(hall)) <= MAX_LOADS
+        assert took_s is not None
+
+    run_virtually(scenario())
