What a leader knows of one service does not depend on another one

Callers would see, in a hall with two services that run engines: none of the two gets its first replicas, as long as their numbers of targets differ; a replica whose head is lost is never dissolved, so its members stay unused; members of dissolved replicas are told to leave again.

Cause: the state of a hall's leader is pruned in the turn of each service, by that service's targets and replicas alone. So the turn of the other service discarded the time since which a replica was without its head, the reports of members without an entry (99 requests in 10 s instead of 10) and the departures. The number of targets that must not change before the first plan was kept once for all services, and so were the models that each domain held last.

Change: these are kept by service, or pruned by the whole list. The models that domains held, and the number of targets, belong to a term and are cleared with it: a leader that led the hall before plans as any other daemon would.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -214,14 +214,14 @@
     async def _step_service(self, service: str, engine: EngineSpec, is_demand_due: bool) -> None:
         members = self.directory.possible_members(service)
         targets = [target for target in members if target.hall == self.hall]
-        self.state.prune(targets)
+        self.state.prune(self.directory.targets)
         self.loads.follow(service, targets, engine)
         departures = self.state.departures
         joined = [t for t in targets if t.membership is not None and not departures.has_left(t)]
         observed = observed_replicas(joined)
         self.health_check.begin_round(observed)
         staying = [replica for replica in observed if self._handle_replica(replica, engine)]
-        self.health_check.prune({replica.key for replica in observed})
+        self.health_check.end_round(service, {replica.key for replica in observed})
         self._follow_changes(service, staying, engine)
         if is_demand_due:
             self._follow_demand(service, targets, staying, engine)
--- a/ferrydock/replicas/_departures.py
+++ b/ferrydock/replicas/_departures.py
@@ -3,7 +3,7 @@
 Owns the departures that this controller has ordered in its term, in memory.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from ..targets import Target
@@ -41,10 +41,10 @@
     >>> departures.note(["t"], ("g", 1), now_s=10.0)
     >>> departures.has_left(entry), departures.has_left(member("t", ("h", 2)))
     (True, False)
-    >>> departures.prune([entry], now_s=15.0)
+    >>> departures.prune({"t": entry}, now_s=15.0)
     >>> departures.has_left(entry)
     True
-    >>> departures.prune([entry], now_s=16.5)
+    >>> departures.prune({"t": entry}, now_s=16.5)
     >>> departures.has_left(entry)
     False
     """
@@ -67,9 +67,8 @@
         departure = self._departures.get(target.target_id)
         return departure is not None and departure.key == _replica_key(target)
 
-    def prune(self, targets: Iterable[Target], now_s: float) -> None:
-        """Remove departures that the entries show, and those that the entries contradict."""
-        entries = {target.target_id: target for target in targets}
+    def prune(self, entries: Mapping[str, Target], now_s: float) -> None:
+        """Remove departures that the entries, by target id, show or contradict."""
         for target_id, departure in list(self._departures.items()):
             entry = entries.get(target_id)
             is_shown = entry is None or _replica_key(entry) != departure.key
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -162,8 +162,14 @@
             counts[plan.formation.members[0].domain][plan.formation.model.name] += 1
         return counts
 
-    def prune(self, targets: list[Target]) -> None:
-        """Remove departures that no longer count, and pauses and suspicions that are over."""
+    def prune(self, targets: Mapping[str, Target]) -> None:
+        """Remove departures that no longer count, and pauses and suspicions that are over.
+
+        Parameters
+        ----------
+        targets : mapping of str to Target
+            All targets by id, of all services.
+        """
         now_s = self.clock.now_s()
         self.departures.prune(targets, now_s)
         for until in (self._paused_until_s, self._suspected_until_s):
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Set
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -126,6 +126,7 @@
     """
 
     __slots__ = (
+        "_evaluated",
         "_has_mass_silence",
         "_headless_since_s",
         "_logged_missing",
@@ -156,6 +157,8 @@
         self.directory: TargetDirectory = order_sender.directory
         self.clock: Clock = order_sender.clock
         self.spawn = spawn
+        # Replicas of the last round, by service.
+        self._evaluated: dict[str, frozenset[tuple[str, int]]] = {}
         self._orphaned_since_s: dict[tuple[str, int], float] = {}
         self._headless_since_s: dict[tuple[str, int], float] = {}
         self._missing: dict[tuple[str, int], _MissingMembers] = {}
@@ -169,6 +172,7 @@
         evaluated it.
         """
         self._has_mass_silence = False
+        self._evaluated.clear()
         self._orphaned_since_s.clear()
         self._headless_since_s.clear()
         self._missing.clear()
@@ -267,15 +271,17 @@
         missing = self._missing_members(replica)
         return HealthResult(Verdict.DISSOLVE, DissolveReason.LEAVING, missing=missing)
 
-    def prune(self, keys: set[tuple[str, int]]) -> None:
-        """Remove the state of replicas other than those in `keys`."""
+    def end_round(self, service: str, keys: Set[tuple[str, int]]) -> None:
+        """Remove what was observed of a service's replicas that are not in `keys` any more."""
+        gone = self._evaluated.get(service, frozenset()) - keys
+        self._evaluated[service] = frozenset(keys)
         for known in (
             self._orphaned_since_s,
             self._headless_since_s,
             self._missing,
             self._logged_missing,
         ):
-            for key in [key for key in known if key not in keys]:
+            for key in gone & known.keys():
                 del known[key]
 
     def _missing_members(self, replica: ObservedReplica) -> tuple[Target, ...]:
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -1,8 +1,8 @@
 """Inputs of the planning rules: a hall's targets and replicas, and the loads that may still begin.
 
-Owns the begun loads, the models held in each domain seen so far, how long each model has been short
-of replicas, and since when the number of targets has not changed. Decides by `_plan`, `_staging`
-and `_turn_over`; sends no orders.
+Owns the begun loads; and for the present term the models held in each domain seen so far, how long
+each model has been short of replicas, and since when the number of targets has not changed. Decides
+by `_plan`, `_staging` and `_turn_over`; sends no orders.
 """
 
 from collections import Counter
@@ -128,9 +128,8 @@
     __slots__ = (
         "_models_held",
         "_short_since_s",
-        "_last_target_count",
-        "_target_count_changed_s",
         "_last_reassignment_s",
+        "_target_counts",
         "_weights",
         "are_loads_counted",
         "clock",
@@ -171,14 +170,17 @@
         )
         self._weights: dict[str, SteadyWeights] = {}
         self.loads = WeightLoadBudget(settings.load_window_s + ORDER_DELAY_S)
-        self._models_held: dict[str, Counter[str]] = {}
+        # Targets that hold each model, by service and domain.
+        self._models_held: dict[str, dict[str, Counter[str]]] = {}
         self._last_reassignment_s = 0.0
         self._short_since_s: dict[tuple[str, str], float] = {}
-        self._last_target_count = 0
-        self._target_count_changed_s = 0.0
+        # Number of targets on the site, and since when it has not changed, by service.
+        self._target_counts: dict[str, tuple[int, float]] = {}
 
     def reset(self) -> None:
-        """Clear the weights and shortages that belong to one term of leadership."""
+        """Clear what belongs to one term of leadership: weights, shortages and observed targets."""
+        self._models_held.clear()
+        self._target_counts.clear()
         self._weights.clear()
         self._short_since_s.clear()
         self.site.reset()
@@ -200,7 +202,7 @@
             Replicas that are kept.
         """
         now_s = self.clock.now_s()
-        is_first = self._is_first_plan(targets)
+        is_first = self._is_first_plan(service, targets)
         loads_left = self._loads_left(engine, now_s)
         if is_first and not self.are_loads_counted():
             loads_left = len(targets)
@@ -208,8 +210,8 @@
         loading = self.state.staging.loading(now_s)
         domains = _by_domain(targets)
         weights = self.weights(service, engine)
-        shares = self._shares(domains, weights)
-        if not self._are_targets_settled(targets, now_s):
+        shares = self._shares(service, domains, weights)
+        if not self._are_targets_settled(service, targets, now_s):
             return []
         plans: list[Formation] = []
         counts = self.state.counts(replicas)
@@ -244,10 +246,10 @@
         """
         now_s = self.clock.now_s()
         is_serving = any(replica.is_open for replica in replicas)
-        if not is_serving and (self.state.forming or self._is_first_plan(targets)):
+        if not is_serving and (self.state.forming or self._is_first_plan(service, targets)):
             return []
         domains = _by_domain(t for t in targets if self._is_usable(t))
-        shares = self._shares(domains, self.weights(service, engine))
+        shares = self._shares(service, domains, self.weights(service, engine))
         orders: list[tuple[Target, ModelSpec]] = []
         counts_by_domain = self.state.counts(replicas)
         for name, usable in domains.items():
@@ -272,7 +274,7 @@
         """Return what the hall should hold for a service."""
         weights = self.weights(service, engine)
         usable = _by_domain(t for t in targets if self._is_usable(t))
-        shares = self._shares(usable, weights)
+        shares = self._shares(service, usable, weights)
         planned: Counter[str] = Counter({model.name: 0 for model in engine.models})
         for name, members in usable.items():
             by_site = self.site.domain_counts(service, name)
@@ -330,7 +332,7 @@
         if is_paused or not self._is_any_short(service):
             return None
         domains = _by_domain(t for t in targets if self._is_usable(t))
-        shares = self._shares(domains, self.weights(service, engine))
+        shares = self._shares(service, domains, self.weights(service, engine))
         counts = self.state.counts(replicas)
         for name in sorted(domains):
             if self.state.dissolving.get(name) or self.state.is_busy(domains[name]):
@@ -393,13 +395,13 @@
         max_loads = int(within_window + EXTRA_LOADS) // settings.halls
         return self.loads.remaining(max_loads, now_s)
 
-    def _is_first_plan(self, targets: Iterable[Target]) -> bool:
+    def _is_first_plan(self, service: str, targets: Iterable[Target]) -> bool:
         """Return whether no target of the hall holds weights, or was seen holding any."""
         if any(target.models or target.staged for target in targets):
             return False
-        return not any(self._models_held.values())
+        return not any(self._models_held.get(service, {}).values())
 
-    def _are_targets_settled(self, targets: list[Target], now_s: float) -> bool:
+    def _are_targets_settled(self, service: str, targets: list[Target], now_s: float) -> bool:
         """Return whether all of the hall's targets have probably registered.
 
         That holds if the number of the service's targets on the site has not changed for
@@ -408,11 +410,12 @@
         """
         if not all(target.is_unused for target in targets):
             return True
-        count = len(self.directory.possible_members(targets[0].service)) if targets else 0
-        if count != self._last_target_count:
-            self._last_target_count = count
-            self._target_count_changed_s = now_s
-        return now_s - self._target_count_changed_s >= TARGETS_SETTLE_S
+        count = len(self.directory.possible_members(service)) if targets else 0
+        last_count, changed_s = self._target_counts.get(service, (0, now_s))
+        if count != last_count:
+            changed_s = now_s
+        self._target_counts[service] = (count, changed_s)
+        return now_s - changed_s >= TARGETS_SETTLE_S
 
     def weights(self, service: str, engine: EngineSpec) -> dict[str, float]:
         """Return the share of the targets that each model should have now.
@@ -441,19 +444,21 @@
         )
 
     def _shares(
-        self, domains: Mapping[str, Iterable[Target]], weights: Mapping[str, float]
+        self,
+        service: str,
+        domains: Mapping[str, Iterable[Target]],
+        weights: Mapping[str, float],
     ) -> dict[str, dict[str, float]]:
         """Return the models' shares in each domain.
 
         A domain without targets still counts with the models that it held last. Otherwise its model
         would be planned in another domain, where the spares would load its weights.
         """
+        held = self._models_held.setdefault(service, {})
         for name, targets in domains.items():
-            self._models_held[name] = _count_models_held(targets) or self._models_held.get(
-                name, Counter()
-            )
-        order = sorted(self._models_held)
-        shares = domain_shares(weights, [self._models_held[name] for name in order])
+            held[name] = _count_models_held(targets) or held.get(name, Counter())
+        order = sorted(held)
+        shares = domain_shares(weights, [held[name] for name in order])
         return dict(zip(order, shares, strict=True))
 
     def _site_targets(self, service: str, engine: EngineSpec) -> dict[str, int]:
