Suspicions and pauses end with the incarnation of a target

Callers would see: refused requests for up to 6 s longer, since a target that had crashed and started again under its id was not planned into a replica, although it answered.

Cause: the controller kept both by target id. They are observations of a target, so they rightly outlast a term of leadership, but a new incarnation was not observed to be silent.

Change: both are kept with the incarnation that the target list showed when they began, and apply to entries of that incarnation; one of an unknown incarnation applies to all. `UnusedTargets` owns them, apart from what belongs to a term in `HallState`.

--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -69,7 +69,9 @@
     clock = ManualClock(100.0)
     demand = {model.name: size / models for model in spec.models}
     settings = ControllerSettings("hall-a", HALL_COUNT, 5.0, 1.1)
-    planner = HallPlanner(HallState(clock), directory, clock, settings, lambda service: demand)
+    planner = HallPlanner(
+        HallState(clock, directory), directory, clock, settings, lambda service: demand
+    )
     replicas = observed_replicas(targets)
     demand_s = 0.0
     began_s = time.process_time()
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -119,7 +119,7 @@
         self.in_flight = in_flight
         self.metrics = metrics or RouteMetrics()
         self.record = PlacementRecord(store, self.hall, lease.holder)
-        self.state = HallState(self.clock)
+        self.state = HallState(self.clock, self.directory)
         self.planner = HallPlanner(
             self.state,
             self.directory,
@@ -161,15 +161,15 @@
 
         If they are reached, their hosts accepted the connection.
         """
-        self.state.suspect(target_ids, reason, is_reached)
+        self.state.unused.suspect(target_ids, reason, is_reached)
 
     def mark_lost(self, target_ids: Iterable[str], reason: str) -> None:
         """Suspect targets that were silent for too long, or that refuse connections."""
-        self.state.mark_lost(target_ids, reason)
+        self.state.unused.suspect(target_ids, reason, is_lost=True)
 
     def end_suspicion(self, target_ids: Iterable[str]) -> None:
         """Stop suspecting targets that answer again."""
-        self.state.end_suspicion(target_ids)
+        self.state.unused.end_suspicion(target_ids)
 
     def step_down(self) -> None:
         """Cancel all tasks and clear the state, after the lease was lost or released."""
@@ -503,7 +503,7 @@
             self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
             for member_id in plan.member_ids:
                 if member_id in result.failure:
-                    self.state.pause(member_id)
+                    self.state.unused.pause(member_id)
                     self.state.departures.discard(member_id)
             self.state.departures.note(result.left_ids, plan.key, self.clock.now_s())
         finally:
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -1,33 +1,23 @@
-"""Running operations of a hall's controller, and the targets that it does not use for a time.
+"""State of a hall's controller: what it does in this term, and the targets that it does not use.
 
-Owns this state, in memory; the suspicions and pauses outlast a term of leadership.
+Owns this state, in memory. All but the suspicions and pauses belongs to one term of leadership.
 """
 
-import logging
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 
 from ..clock import Clock
-from ..logs import log_event
-from ..targets import Target
+from ..targets import Target, TargetDirectory
 from ._departures import Departures
 from ._forming import PlannedReplica
 from ._observed import ObservedReplica
 from ._operations import RunningOperations
 from ._spares import SpareUse
 from ._staging import StagingProgress
+from ._unused_targets import UnusedTargets
 
 __all__ = ["HallState"]
 
-_LOG = logging.getLogger("ferrydock.replicas")
-
-# How long a target that did not answer is suspected to be dead. The entry of a dead target expires
-# within this time: entries expire after three missed heartbeats.
-SUSPICION_S = 6.0
-
-# How long a target gets no order after one to it has failed.
-FAILED_ORDER_PAUSE_S = 3.0
-
 
 class HallState:
     """State of the controller of one hall.
@@ -45,32 +35,28 @@
         For which models spares may form replicas, and which replicas they have formed.
     staging : StagingProgress
         Weights that targets are loading to their hosts.
+    unused : UnusedTargets
+        Suspected and paused targets; outlasts a term of leadership.
     """
 
     __slots__ = (
-        "_lost",
-        "_paused_until_s",
-        "_reached",
-        "_suspected_until_s",
         "changing",
         "clock",
         "departures",
         "operations",
         "spares",
         "staging",
+        "unused",
     )
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, directory: TargetDirectory):
         self.clock = clock
         self.operations = RunningOperations()
         self.changing: dict[tuple[str, int], str] = {}
         self.spares = SpareUse()
         self.staging = StagingProgress()
         self.departures = Departures()
-        self._paused_until_s: dict[str, float] = {}
-        self._suspected_until_s: dict[str, float] = {}
-        self._lost: set[str] = set()
-        self._reached: set[str] = set()
+        self.unused = UnusedTargets(directory, clock)
 
     @property
     def busy(self) -> set[str]:
@@ -87,58 +73,6 @@
         """Replicas that are being formed, by name and epoch."""
         return self.operations.forming
 
-    def suspect(self, target_ids: Iterable[str], reason: str, is_reached: bool = False) -> None:
-        """Suspect targets, which did not answer a request for a report, for `SUSPICION_S`.
-
-        If they are reached, their hosts accepted the connection.
-        """
-        target_ids = list(target_ids)
-        if is_reached:
-            self._reached.update(target_ids)
-        else:
-            self._reached.difference_update(target_ids)
-        for target_id in target_ids:
-            if target_id not in self._suspected_until_s:
-                log_event(_LOG, logging.WARNING, "target_suspected", target=target_id, why=reason)
-            self._suspected_until_s[target_id] = self.clock.now_s() + SUSPICION_S
-
-    def mark_lost(self, target_ids: Iterable[str], reason: str) -> None:
-        """Suspect targets that a replica is not to wait for: they are longer silent than a pause.
-
-        Also those that refuse connections.
-        """
-        target_ids = list(target_ids)
-        self.suspect(target_ids, reason)
-        self._lost.update(target_ids)
-
-    def end_suspicion(self, target_ids: Iterable[str]) -> None:
-        """Stop suspecting targets that answer again."""
-        for target_id in target_ids:
-            if self._suspected_until_s.pop(target_id, None) is not None:
-                log_event(_LOG, logging.INFO, "target_answers", target=target_id)
-            self._lost.discard(target_id)
-
-    def is_suspected(self, target_id: str) -> bool:
-        """Return whether a target is suspected to be dead."""
-        return self._suspected_until_s.get(target_id, 0.0) > self.clock.now_s()
-
-    def is_lost(self, target_id: str) -> bool:
-        """Return whether a suspected target is certain not to be in a short pause."""
-        return target_id in self._lost and self.is_suspected(target_id)
-
-    def is_reached(self, target_id: str) -> bool:
-        """Return whether the host of a suspected target accepted the last connection to it."""
-        return target_id in self._reached and self.is_suspected(target_id)
-
-    def pause(self, target_id: str) -> None:
-        """Send no orders to a target for `FAILED_ORDER_PAUSE_S`, after an order to it failed."""
-        self._paused_until_s[target_id] = self.clock.now_s() + FAILED_ORDER_PAUSE_S
-
-    def is_paused(self, target: Target) -> bool:
-        """Return whether a target is paused or suspected."""
-        is_paused = self._paused_until_s.get(target.target_id, 0.0) > self.clock.now_s()
-        return is_paused or self.is_suspected(target.target_id)
-
     def is_idle(self, target: Target) -> bool:
         """Return whether a target belongs to no replica and gets no order at present."""
         is_free = target.membership is None or self.departures.has_left(target)
@@ -170,13 +104,8 @@
         targets : mapping of str to Target
             All targets by id, of all services.
         """
-        now_s = self.clock.now_s()
-        self.departures.prune(targets, now_s)
-        for until in (self._paused_until_s, self._suspected_until_s):
-            for target_id in [i for i, until_s in until.items() if until_s <= now_s]:
-                del until[target_id]
-        self._lost.intersection_update(self._suspected_until_s)
-        self._reached.intersection_update(self._suspected_until_s)
+        self.departures.prune(targets, self.clock.now_s())
+        self.unused.prune()
 
     def clear(self) -> None:
         """Clear what belongs to one term of leadership: all but suspicions and pauses."""
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -229,15 +229,17 @@
             return HealthResult(Verdict.STAYS)
         return HealthResult(Verdict.DISSOLVE, DissolveReason.ORPHANED)
 
-    def _suspected_members(self, replica: ObservedReplica) -> tuple[str, ...]:
-        return tuple(t.target_id for t in replica.members if self.state.is_suspected(t.target_id))
+    def _suspected_members(self, replica: ObservedReplica) -> list[Target]:
+        return [target for target in replica.members if self.state.unused.is_suspected(target)]
 
     def _dead_members(self, replica: ObservedReplica) -> tuple[str, ...]:
-        """Return the suspected members of a replica that is not worth waiting for."""
+        """Return the ids of the suspected members, unless they are worth waiting for."""
         suspected = self._suspected_members(replica)
-        return () if self._is_worth_waiting_for(replica, suspected) else suspected
+        if self._is_worth_waiting_for(replica, suspected):
+            return ()
+        return tuple(target.target_id for target in suspected)
 
-    def _is_worth_waiting_for(self, replica: ObservedReplica, suspected: tuple[str, ...]) -> bool:
+    def _is_worth_waiting_for(self, replica: ObservedReplica, suspected: list[Target]) -> bool:
         """Return whether to wait until suspected members answer or are certainly lost.
 
         A sound target may be silent for a second or so, and its host accepts connections meanwhile.
@@ -245,9 +247,9 @@
         have no place elsewhere are cut with the replica; or so many replicas are silent that it is
         more likely the network.
         """
-        if replica.head is None or any(self.state.is_lost(target_id) for target_id in suspected):
+        if replica.head is None or any(self.state.unused.is_lost(t) for t in suspected):
             return False
-        if all(self.state.is_reached(target_id) for target_id in suspected):
+        if all(self.state.unused.is_reached(t) for t in suspected):
             return True
         return self._has_mass_silence or self._has_requests(replica)
 
--- a/ferrydock/replicas/_model_changes.py
+++ b/ferrydock/replicas/_model_changes.py
@@ -185,7 +185,9 @@
 
     def _cannot_load(self, target: Target) -> bool:
         """Return whether a target's host loads already, or the target gets no orders for a time."""
-        return self.state.staging.is_loading(target.target_id) or self.state.is_paused(target)
+        return self.state.staging.is_loading(target.target_id) or self.state.unused.is_paused(
+            target
+        )
 
     def _adopt_loads(self, change: ModelChange, engine: EngineSpec) -> None:
         if not change.adopted:
--- a/ferrydock/replicas/_planning.py
+++ b/ferrydock/replicas/_planning.py
@@ -371,7 +371,7 @@
         return HallSupply(self.demand(service), len(targets) / max(1, site_target_count), counts)
 
     def _is_usable(self, target: Target) -> bool:
-        return not target.draining and not self.state.is_paused(target)
+        return not target.draining and not self.state.unused.is_paused(target)
 
     def _domain_state(
         self,
--- a/ferrydock/replicas/_weight_loads.py
+++ b/ferrydock/replicas/_weight_loads.py
@@ -124,10 +124,10 @@
                 self.state.staging.request_report(target.target_id)
         elif isinstance(outcome, Unknown) and engine.loads_at_once:
             self.state.staging.request_report(target.target_id)
-            self.state.pause(target.target_id)
+            self.state.unused.pause(target.target_id)
         else:
             self.state.staging.remove(target.target_id)
-            self.state.pause(target.target_id)
+            self.state.unused.pause(target.target_id)
 
     async def _check(self, target: Target) -> None:
         """Ask a target whether its load is done."""
@@ -140,7 +140,7 @@
         if not isinstance(report, Unavailable) and not report.is_order_under_way:
             staging.remove(target_id)
             if load.model not in report.staged:
-                self.state.pause(target_id)
+                self.state.unused.pause(target_id)
                 log_event(_LOG, logging.WARNING, "load_failed", target=target_id, model=load.model)
             return
         if staging.note_still_loading(target_id, now_s):
--- a/ferrydock/replicas/tests/test_demand_plan.py
+++ b/ferrydock/replicas/tests/test_demand_plan.py
@@ -193,7 +193,9 @@
         directory.put(target)
     settings = ControllerSettings("hall-a", 1, 5.0, 1.1)
     demand = {}
-    planner = HallPlanner(HallState(clock), directory, clock, settings, lambda service: demand)
+    planner = HallPlanner(
+        HallState(clock, directory), directory, clock, settings, lambda service: demand
+    )
     return planner, targets, demand, clock
 
 
