A leader whose lease has ended during a write begins no loads

Callers would see: the platform counts more loads than allowed (CEILING), as the next leader of the hall has the hall's share for itself after a pause that counts from its own begin.

Cause: a round asks for the lease at its begin, and again after the plans are written, before it forms them. It then went on to the loads of spares, and to the next service, without asking.

Change: it asks after the write for these too.

Evidence: with a store that takes as long for a write as the lease is valid, an order to stage weights was sent without the lease; the test records the lease at each order.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -212,6 +212,8 @@
         return engine if self.follows_site_plan else replace(engine, loads_at_once=0)
 
     async def _step_service(self, service: str, engine: EngineSpec, is_demand_due: bool) -> None:
+        if not self.lease.is_valid:
+            return  # it has ended during a write for another service
         members = self.directory.possible_members(service)
         targets = [target for target in members if target.hall == self.hall]
         self.state.prune(self.directory.targets)
@@ -229,6 +231,8 @@
         formations = self.planner.formations(service, targets, staying, engine)
         if formations:
             await self._begin_forming(service, formations, engine)
+            if not self.lease.is_valid:
+                return  # it has ended during the write
         for target, model in self.planner.stagings(service, targets, staying, engine):
             self.loads.begin(target, model, engine)
         for target, model in self.changes.loads(service, self.planner.loads_left(engine)):
--- a/ferrydock/replicas/tests/test_terms.py
+++ b/ferrydock/replicas/tests/test_terms.py
@@ -5,7 +5,8 @@
 
 import asyncio
 
-from .hall import Hall
+from ...store import MemoryStore
+from .hall import LEASE_S, Hall
 from .test_controller import ALL_REPLICAS, hall_with_all_replicas, run_scenario
 
 
@@ -88,3 +89,46 @@
         assert {head.group_key for head in hall.fleet.open_heads()} == before
 
     run_scenario(scenario)
+
+
+class SlowStore(MemoryStore):
+    """Store whose conditional writes take `write_s` seconds."""
+
+    write_s = 0.0
+
+    async def transact(self, txn):
+        await asyncio.sleep(self.write_s)
+        return await super().transact(txn)
+
+
+def record_orders_without_lease(hall):
+    """Return a list that gets each order that the controller begins to send without its lease."""
+    found = []
+    control, lease = hall.controller.order_sender.control, hall.controller.lease
+    send = control.order
+
+    async def order(target, order, expected):
+        if not lease.is_valid:
+            found.append(order)
+        return await send(target, order, expected)
+
+    control.order = order
+    return found
+
+
+def test_a_leader_whose_lease_ends_during_a_write_of_plans_begins_no_loads():
+    """Failure: it had asked for its lease before the write only."""
+
+    async def scenario():
+        hall = Hall(2)
+        hall.store = SlowStore(hall.clock)
+        await hall_with_all_replicas(hall)
+        await asyncio.sleep(30.0)
+        found = record_orders_without_lease(hall)
+        hall.store.write_s = LEASE_S
+        hall.fleet.add("new", "hall-a", "d1")
+        lose_a_member(hall)
+        await asyncio.sleep(2 * LEASE_S)
+        assert found == []
+
+    run_scenario(scenario)
