--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -24,6 +24,7 @@
 from ._health import DissolveReason, HealthResult, ReplicaHealthCheck, Verdict
 from ._model_changes import ChangeWay, ModelChanges, choose_way
 from ._observed import ObservedReplica, observed_replicas
+from ._operations import RunningOperations
 from ._order_sender import OrderSender
 from ._plan import Formation
 from ._planning import ControllerSettings, HallPlan, HallPlanner
@@ -118,7 +119,7 @@
         self.in_flight = in_flight
         self.metrics = metrics or RouteMetrics()
         self.record = PlacementRecord(store, self.hall, lease.holder)
-        self.state = HallState(self.clock)
+        self.state = HallState(self.clock, self.directory)
         self.planner = HallPlanner(
             self.state,
             self.directory,
@@ -129,6 +130,7 @@
             is_hall_open,
             lambda service: self.record.demand.get(service, {}),
             remote_changes,
+            self._are_loads_counted,
         )
         self.health_check = ReplicaHealthCheck(
             self.state,
@@ -159,15 +161,15 @@
 
         If they are reached, their hosts accepted the connection.
         """
-        self.state.suspect(target_ids, reason, is_reached)
+        self.state.unused.suspect(target_ids, reason, is_reached)
 
     def mark_lost(self, target_ids: Iterable[str], reason: str) -> None:
         """Suspect targets that were silent for too long, or that refuse connections."""
-        self.state.mark_lost(target_ids, reason)
+        self.state.unused.suspect(target_ids, reason, is_lost=True)
 
     def end_suspicion(self, target_ids: Iterable[str]) -> None:
         """Stop suspecting targets that answer again."""
-        self.state.end_suspicion(target_ids)
+        self.state.unused.end_suspicion(target_ids)
 
     def step_down(self) -> None:
         """Cancel all tasks and clear the state, after the lease was lost or released."""
@@ -175,6 +177,7 @@
             task.cancel()
         self.record.reset()
         self.changes.clear()
+        self.health_check.reset()
         self.state.clear()
         self.planner.reset()
         self._reported_all_dead.clear()
@@ -219,15 +222,18 @@
         return engine if self.follows_site_plan else replace(engine, loads_at_once=0)
 
     async def _step_service(self, service: str, engine: EngineSpec, is_demand_due: bool) -> None:
+        if not self.lease.is_valid:
+            return  # it has ended during a write for another service
         members = self.directory.possible_members(service)
         targets = [target for target in members if target.hall == self.hall]
-        self.state.prune(targets)
+        self.state.prune(self.directory.targets)
         self.loads.follow(service, targets, engine)
-        joined = [t for t in targets if t.membership is not None and not self.state.has_left(t)]
+        departures = self.state.departures
+        joined = [t for t in targets if t.membership is not None and not departures.has_left(t)]
         observed = observed_replicas(joined)
         self.health_check.begin_round(observed)
         staying = [replica for replica in observed if self._handle_replica(replica, engine)]
-        self.health_check.prune({replica.key for replica in observed})
+        self.health_check.end_round(service, {replica.key for replica in observed})
         self._follow_changes(service, staying, engine)
         if is_demand_due:
             self._follow_demand(service, targets, staying, engine)
@@ -235,6 +241,8 @@
         formations = self.planner.formations(service, targets, staying, engine)
         if formations:
             await self._begin_forming(service, formations, engine)
+            if not self.lease.is_valid:
+                return  # it has ended during the write
         for target, model in self.planner.stagings(service, targets, staying, engine):
             self.loads.begin(target, model, engine)
         for target, model in self.changes.loads(service, self.planner.loads_left(engine)):
@@ -371,12 +379,12 @@
         replica are cut.
         """
         self._log_removal(replica, result)
-        replica = replica.with_members(result.missing)
+        replica = replica.with_members(result.missing).without(result.dead)
         cut = result.reason not in (DissolveReason.LEAVING, DissolveReason.SURPLUS)
         if cut:
             self.on_broken(replica.key)
-            self.state.dissolving[replica.domain] += 1
-        self._spawn(self._dissolve(replica, set(result.dead), cut))
+        self.state.operations.begin_dissolving(replica, cut)
+        self._spawn(self._dissolve(replica, cut, self.state.operations))
 
     def _begin_reassignment(self, found: Reassignment, service: str) -> None:
         """Start to dissolve a surplus replica, so that its targets can serve another model."""
@@ -430,23 +438,21 @@
         ready_s = model.load_s * slowdown(joining, engine.loads_at_once)
         formation = Formation(model, members, 0, ready_s)
         plan = PlannedReplica(replica.name, replica.epoch, formation)
-        self._note_forming(plan)
+        self.state.operations.begin_forming(plan)
         log_event(_LOG, logging.INFO, "replica_adopted", replica=replica.name, epoch=replica.epoch)
-        self._spawn(self._form(plan, joined=True))
+        self._spawn(self._form(plan, self.state.operations, joined=True))
         return True
 
-    async def _dissolve(self, replica: ObservedReplica, dead: set[str], cut: bool) -> None:
-        members = tuple(t for t in replica.members if t.target_id not in dead)
-        ids = {target.target_id for target in members}
-        self.state.busy |= ids
+    async def _dissolve(
+        self, replica: ObservedReplica, cut: bool, operations: RunningOperations
+    ) -> None:
         try:
             finish_within_s = None if cut else self.current.longest_request_s(replica.service)
+            members = tuple(replica.members)
             left = await self.former.dissolve(replica.key, members, finish_within_s)
-            self.state.note_left(left, replica.key)
+            self.state.departures.note(left, replica.key, self.clock.now_s())
         finally:
-            self.state.busy -= ids
-            if cut:
-                self.state.dissolving[replica.domain] -= 1
+            operations.end_dissolving(replica, cut)
 
     # Missing replicas -------------------------------------------------------------------------
 
@@ -475,10 +481,22 @@
         for name, formation in plans.items():
             self.planner.loads.begin(formation.loads, self.clock.now_s())
             plan = PlannedReplica(name, epoch, formation)
-            self._note_forming(plan)
+            self.state.operations.begin_forming(plan)
             if formation.is_extra:
                 self._note_spares_used(service, plan)
-            self._spawn(self._form(plan))
+            self._spawn(self._form(plan, self.state.operations))
+
+    def _are_loads_counted(self) -> bool:
+        """Return whether the platform may count loads: not before a site's first requests.
+
+        Decided from the hall's record in the store and from the demand, since the target list may
+        be older than the loads of an earlier leader, or all targets may have been replaced.
+        """
+        observations = self.planner.site.observations
+        services = self.current.engine_services()
+        return self.record.was_planned or any(
+            observations.known_demand(service.name) for service in services
+        )
 
     def _log_plans(self, epoch: int, plans: Mapping[str, Formation]) -> None:
         """Log from which list, and under which lease, replicas are planned."""
@@ -508,23 +526,21 @@
         known = {name: self.planner.site.observations.known_demand(name) for name in services}
         return {name: demand for name, demand in known.items() if demand}
 
-    def _note_forming(self, plan: PlannedReplica) -> None:
-        self.state.forming[plan.key] = plan
-        self.state.busy.update(plan.member_ids)
-
-    async def _form(self, plan: PlannedReplica, joined: bool = False) -> None:
+    async def _form(
+        self, plan: PlannedReplica, operations: RunningOperations, joined: bool = False
+    ) -> None:
         began_s = self.clock.now_s()
         try:
             result = await self.former.form(plan, joined)
             took_s = self.clock.now_s() - began_s
             self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
-            self.state.note_left(result.left_ids, plan.key)
             for member_id in plan.member_ids:
                 if member_id in result.failure:
-                    self.state.pause(member_id)
+                    self.state.unused.pause(member_id)
+                    self.state.departures.discard(member_id)
+            self.state.departures.note(result.left_ids, plan.key, self.clock.now_s())
         finally:
-            self.state.forming.pop(plan.key, None)
-            self.state.busy.difference_update(plan.member_ids)
+            operations.end_forming(plan)
 
     # Tasks ------------------------------------------------------------------------------------
 
