An adopted replica is opened once all its members report that they are ready

Cause: a new leader that found a replica which the leader before had begun to form waited until the target list showed its members as ready, and opened it. The list can be older than the orders to leave by which the leader before had begun to dissolve it: the head was opened without a member, and its requests stood still.

--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -125,10 +125,14 @@
         Parameters
         ----------
         is_joined : bool, default=False
-            Whether another leader has already ordered the members to join.
+            Whether another leader has already ordered the members to join. It may have ordered some
+            to leave since, so all must report that they are ready.
         """
         refused = [] if is_joined else await self._join(plan)
-        why = f"no join: {','.join(refused)}" if refused else await self._open(plan)
+        why = f"no join: {','.join(refused)}" if refused else await self._wait_until_ready(plan)
+        if not why and is_joined:
+            why = await self._confirm_ready(plan)
+        why = why or await self._open(plan)
         left: tuple[str, ...] = ()
         if why:
             left = await self.dissolve(plan.key, plan.formation.members)
@@ -213,10 +217,7 @@
         ]
 
     async def _open(self, plan: PlannedReplica) -> str:
-        """Wait until all members are ready, and open the head; return why that failed, or ""."""
-        why = await self._wait_until_ready(plan)
-        if why:
-            return why
+        """Open the head of a replica whose members are ready; return why that failed, or ""."""
         head = plan.formation.members[0]
         order = OpenOrder(plan.name, plan.epoch)
         until_s = self.clock.now_s() + OPEN_RETRY_TIMEOUT_S
@@ -251,6 +252,21 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         return ""
 
+    async def _confirm_ready(self, plan: PlannedReplica) -> str:
+        """Return "" once all members report that they are ready, or which do not.
+
+        They are asked again for as long as a sound member may be silent.
+        """
+        until_s = self.clock.now_s() + MAX_SILENCE_S
+        while True:
+            ready = await self._ready_by_report(plan, list(plan.member_ids))
+            late = [member_id for member_id in plan.member_ids if member_id not in ready]
+            if not late:
+                return ""
+            if self.clock.now_s() >= until_s:
+                return f"not ready: {','.join(late)}"
+            await asyncio.sleep(REPORT_DELAY_S)
+
     def _not_ready(self, plan: PlannedReplica, reported: set[str]) -> list[str]:
         """Return the members that neither the list nor their own report shows as ready."""
         return [
--- a/ferrydock/replicas/tests/test_late_orders.py
+++ b/ferrydock/replicas/tests/test_late_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ...targets import JoinOrder
+from ...targets import JoinOrder, LeaveOrder, ReplicaState
 from .hall import Hall
 from .test_controller import ALL_REPLICAS, hall_with_all_replicas, run_scenario
 
@@ -30,3 +30,35 @@
         assert hall.models() == ALL_REPLICAS and hall.fleet.violations == []
 
     run_scenario(scenario)
+
+
+def test_a_replica_is_not_opened_by_a_list_that_shows_a_member_that_has_left_it():
+    """Failure: the next leader opened a replica that the one before had begun to dissolve."""
+
+    async def scenario():
+        hall = Hall(1, domains=1, workers=4)
+        hall.start_controller()
+        workers = list(hall.fleet.workers.values())
+        head = workers[0]
+        assert await hall.until(lambda: head.membership is not None, 5.0) is not None
+        hall.fleet.faults.late_share = 1.0
+        hall.fleet.faults.late_from_s = hall.fleet.faults.late_to_s = 1000.0
+
+        def are_ready():
+            return all(w.current_membership.state is ReplicaState.READY for w in workers)
+
+        assert await hall.until(are_ready, 30.0) is not None
+        await asyncio.sleep(0.5)
+        hall.kill_controller()
+        hall.fleet.faults.late_share = 0.0
+        hall.following.cancel()
+        key = workers[3].group_key
+        hall.fleet.execute(workers[3], LeaveOrder(*key), workers[3].orders)
+        hall.start_controller()
+
+        def is_opened():
+            return head.group_key == key and head.current_membership.state is ReplicaState.OPEN
+
+        assert await hall.until(is_opened, 10.0) is None
+
+    run_scenario(scenario)
