Failing test: a process that stood still sends orders before it notices that its lease ended

In virtual time a leader's process stands still for 3 s, beyond its lease of 1.8 s, at 40 moments around the pause before an order is sent again; all timers that are due then run in their order, as in a process that is woken. The lease is checked between rounds and not before an order is sent. Real processes show it only by chance (the moment must be hit within 0.02 s).

--- a/ferrydock/route_daemon/tests/test_ended_terms.py
+++ b/ferrydock/route_daemon/tests/test_ended_terms.py
@@ -139,6 +139,35 @@
     assert late == {}
 
 
+# How long a process stands still, and how long after its first orders: from its wait for an answer,
+# which ends after 0.7 s, over the pause before it sends again to the next wait.
+STANDSTILL_S = 3.0
+STANDSTILL_AFTER_S = tuple(0.66 + number / 250 for number in range(40))
+
+
+async def lead_until_the_process_stands_still(begin_task, standstill_after_s):
+    """Lead with a running task, stand still beyond the lease, and go on; return the hall."""
+    hall = LedHall()
+    await begin_task(hall)
+    await asyncio.sleep(standstill_after_s)
+    asyncio.get_running_loop().skip(STANDSTILL_S)
+    async with asyncio.timeout(LEASE_S):
+        await hall.leading
+    await asyncio.sleep(5.0)
+    return hall
+
+
+@pytest.mark.parametrize("begin_task", [begin_forming, begin_dissolving])
+def test_no_order_is_sent_by_a_process_that_stood_still_beyond_its_lease(begin_task):
+    """Failure: tasks that were due sent orders before the end of the lease was noticed."""
+    late = {}
+    for standstill_after_s in STANDSTILL_AFTER_S:
+        hall = run_virtually(lead_until_the_process_stands_still(begin_task, standstill_after_s))
+        if hall.control.sent_without_lease:
+            late[standstill_after_s] = hall.control.sent_without_lease
+    assert late == {}
+
+
 # When an order is carried out that is on its way while the next leader adopts a replica.
 LATE_S = 4.0
 
--- a/ferrydock/standins/fleet/_virtual.py
+++ b/ferrydock/standins/fleet/_virtual.py
@@ -46,6 +46,10 @@
         """Return the virtual seconds since the loop was created."""
         return self._jumping.now_s
 
+    def skip(self, for_s: float) -> None:
+        """Let the time pass in which the process stands still; all due timers run afterwards."""
+        self._jumping.now_s += for_s
+
 
 class LoopClock(Clock):
     """Clock that reads the time of the running loop."""
