Tests of two leaders take less time and end their own calls

Targets that are added later hold the model, heads close within 0.2 s, and the site cancels its calls at the end (a warning about a closed event loop before).

--- a/tests/led_site.py
+++ b/tests/led_site.py
@@ -142,6 +142,7 @@
         self.halls = halls
         self.site = FleetSite(halls, domain_size=0)
         self.site.engine = self.site.fleet.engine = one_model()
+        self.site.fleet.closing_s = 0.2
         # A new leader waits for this time before targets load weights by its orders.
         self.site.extra_bounds = {"ceiling-window-s": 1}
         self.site.worker_ip = loopback_address()
@@ -150,6 +151,7 @@
         self.daemons = []
         self.callers = None
         self._calling = None
+        self._calls = set()
 
     @property
     def fleet(self):
@@ -169,6 +171,9 @@
 
     async def __aexit__(self, *error):
         self._calling.cancel()
+        for call in self._calls:
+            call.cancel()
+        await asyncio.gather(self._calling, *self._calls, return_exceptions=True)
         await self.callers.close()
         for daemon in self.daemons:
             daemon.wake()
@@ -195,13 +200,16 @@
         await self.until(lambda: any(map(leads, daemons)), "one of the daemons leads")
         return sorted(daemons, key=leads, reverse=True)
 
-    async def add_targets(self, hall, domain):
-        """Add the targets of one replica to a domain; return them."""
+    async def add_targets(self, hall, domain, staged=()):
+        """Add the targets of one replica to a domain, with models on their hosts; return them."""
         targets = []
         for number in range(REPLICA_SIZE):
             name = f"{hall}-{domain}-{number}"
-            targets.append(await self.site.add_worker(name, hall, f"{hall}-{domain}"))
+            target = await self.site.add_worker(name, hall, f"{hall}-{domain}")
             self.site.faces[name].gate = self.gate
+            target.staged = list(staged)
+            self.site.write_entry_again(target)
+            targets.append(target)
         return targets
 
     async def until(self, condition, what):
@@ -252,11 +260,10 @@
 
     async def _call_continually(self):
         """Send requests, so that the targets check the replicas that they reach."""
-        calls = set()
         while True:
             task = asyncio.ensure_future(self.callers.call("write-large"))
-            calls.add(task)
-            task.add_done_callback(calls.discard)
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
     async def until_served(self, replicas, daemons=None):
--- a/tests/test_two_leaders.py
+++ b/tests/test_two_leaders.py
@@ -77,7 +77,7 @@
     """
     faults = leader.store_face.faults
     faults.busy_kinds = frozenset({"txn"})
-    await site.add_targets(hall, "d1")
+    await site.add_targets(hall, "d1", staged=["large"])
     await site.until(lambda: leader.has_logged("placement_unwritten"), "a plan is not written")
     term = site.term_of(leader, hall)
     known_end_s = term.ends_s
@@ -197,7 +197,7 @@
         await site.until(lambda: not own.believes_to_lead(led_hall), "its term has ended")
 
         site.gate.holds = lambda order: order.sender == outside.ip
-        await site.add_targets(led_hall, "d1")
+        await site.add_targets(led_hall, "d1", staged=["large"])
         await site.until(lambda: site.gate.held, "orders from outside are on their way")
         outside.freeze()
         await site.until(lambda: own.believes_to_lead(led_hall), "its own daemon leads again")
