Stand-in: leaves of other groups, held lists, and workers that were ready before a restart

What plays could not show: the platform answers an order to leave a group that the worker is not in with 200 and does not count it, the stand-in refused it; no play could let one daemon's watch of the target list hang while its other calls to the store work; nobody could read which orders a worker had taken, late ones included.

`FleetFaults.answers_other_leaves` and `StoreFaults.lists_held_until_s` are off by default, so other plays are as before. `Fleet.on_order` is called with each order received or carried out late. A violation of `two` names the joined group too. `ready_groups` now outlives a restart: groups are named by epoch, so a new incarnation never gets the ready mark of a group it was not in.

--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -73,6 +73,8 @@
         Loop times at which a worker's process crashed, by worker id; it starts again.
     extra_bounds : dict
         Further bounds in the settings of daemons, by the platform's names.
+    restarted_s : dict
+        Loop times at which a worker that had crashed started again, by worker id.
     evacuate_ms : int or None
         Bound on evacuations in the settings of daemons; None if the settings have none.
     sockets : SocketSizes
@@ -103,6 +105,7 @@
         self.plain: dict[str, Worker] = {}
         self.killed_s: dict[str, float] = {}
         self.crashed_s: dict[str, list[float]] = {}
+        self.restarted_s: dict[str, list[float]] = {}
         self._restart_tasks: set[asyncio.Task] = set()
         self._store_rng = random.Random(f"store {seed}")
         self._configuration = b""
@@ -220,6 +223,8 @@
                 await asyncio.sleep(PORT_RETRY_INTERVAL_S)
         self.on_port(_port_of(worker), True)
         worker.restart()
+        restarted_s = asyncio.get_running_loop().time()
+        self.restarted_s.setdefault(worker.worker_id, []).append(restarted_s)
         self.faces[worker.worker_id].has_crashed = False
         self._write_entry(worker)
 
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -28,7 +28,8 @@
 PAGE_SIZE = 50
 MAX_TXN_ENTRIES = 32
 MAX_WAIT_MS = 30000
-PROTECTED_PREFIXES = ("op/", "servers/")
+TARGETS_PREFIX = "servers/"
+PROTECTED_PREFIXES = ("op/", TARGETS_PREFIX)
 
 # Header of all answers: how often the store was restored from an older copy.
 ERA_HEADER = "Store-Era"
@@ -85,6 +86,8 @@
         Share of the reads and watches that are answered so.
     endless_until_s : float
         Loop time until which.
+    lists_held_until_s : float
+        Loop time until which watches of the target list get no answer; they are answered then.
     """
 
     down: str = ""
@@ -95,6 +98,7 @@
     endless: EndlessKind | None = None
     endless_share: float = 1.0
     endless_until_s: float = 0.0
+    lists_held_until_s: float = 0.0
 
 
 class StoreFace:
@@ -236,6 +240,8 @@
             if refusal is not None:
                 return refusal
             answer = await self._execute(request, kind, handler)
+            if kind == "watch" and request.query["path-prefix"] == TARGETS_PREFIX:
+                await self._hold()
             await asyncio.sleep(self.latency_s + self.faults.slow_s)
             if silence_count != self._silence_count:
                 await asyncio.sleep(SILENCE_S)
@@ -247,6 +253,12 @@
 
         return handle
 
+    async def _hold(self) -> None:
+        """Wait as long as answers to watches of the target list are held back."""
+        loop = asyncio.get_running_loop()
+        while (held_s := self.faults.lists_held_until_s - loop.time()) > 0:
+            await asyncio.sleep(held_s)
+
     async def _execute(self, request: web.Request, kind: str, handler) -> web.Response:
         transport = request.transport
         if transport is None:
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -30,6 +30,7 @@
     "FleetFaults",
     "LeavingSaid",
     "NamedLimit",
+    "ReceivedOrder",
     "Shedding",
     "Violation",
     "Worker",
@@ -151,11 +152,39 @@
         Share of the orders that get no answer and are executed later.
     late_from_s, late_to_s : float
         Range of the delay of these orders.
+    answers_other_leaves : bool
+        Whether an order to leave a group that the worker is not in is answered as done, without
+        being counted; otherwise it is refused.
     """
 
     late_share: float = 0.0
     late_from_s: float = 2.0
     late_to_s: float = 12.0
+    answers_other_leaves: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """An order that a worker has received, or carries out late.
+
+    Attributes
+    ----------
+    expected : int or None
+        Number of accepted orders that the order expects; None for any.
+    orders : int
+        Number of orders that the worker has accepted, this one included.
+    answer : OrderDone, OrderRefused or None
+        None for an order that is not answered and is executed later.
+    is_late : bool
+        Whether it is executed later than it was received; nobody gets the answer.
+    """
+
+    worker_id: str
+    order: Order
+    expected: int | None
+    orders: int
+    answer: OrderDone | OrderRefused | None
+    is_late: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -172,8 +201,9 @@
         Whether the process runs and answers.
     left_s : float or None
         Loop time at which the worker's entry said that it leaves; None if it does not leave.
-    was_ready : set
-        ``(name, epoch, members)`` of each group in which the worker has been ready.
+    ready_groups : set
+        ``(name, epoch, members)`` of each group in which the worker has been ready, in this
+        incarnation or an earlier one.
     loads : int
         Number of loads from the weight store that the worker has started.
     load_times : list of (str, float)
@@ -243,7 +273,6 @@
         self.membership = None
         self.members = ()
         self.model = ""
-        self.ready_groups = set()
         self.running = 0
 
     @property
@@ -292,6 +321,8 @@
     ----------
     closing_s : float
         Time that a head takes to finish its requests after an order to close.
+    on_order : callable
+        Called with each order that a worker receives, and with each one that it executes late.
     """
 
     def __init__(
@@ -306,6 +337,7 @@
         self.stall_s = stall_s
         self.closing_s = 1.0
         self.on_change = on_change
+        self.on_order: Callable[[ReceivedOrder], None] = lambda received: None
         self.faults = FleetFaults()
         self.workers: dict[str, Worker] = {}
         self.violations: list[Violation] = []
@@ -352,9 +384,20 @@
         if self.rng.random() < self.faults.late_share:
             delay_s = self.rng.uniform(self.faults.late_from_s, self.faults.late_to_s)
             loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self.execute, worker, order, expected)
+            loop.call_later(delay_s, self._execute_late, worker, order, expected)
+            self.on_order(
+                ReceivedOrder(worker.worker_id, order, expected, worker.orders, answer=None)
+            )
             return None
-        return self.execute(worker, order, expected)
+        answer = self.execute(worker, order, expected)
+        self.on_order(ReceivedOrder(worker.worker_id, order, expected, worker.orders, answer))
+        return answer
+
+    def _execute_late(self, worker: Worker, order: Order, expected: int | None) -> None:
+        answer = self.execute(worker, order, expected)
+        self.on_order(
+            ReceivedOrder(worker.worker_id, order, expected, worker.orders, answer, is_late=True)
+        )
 
     def execute(
         self, worker: Worker, order: Order, expected: int | None
@@ -387,7 +430,7 @@
         if worker.group_key == key:
             same = worker.members == order.members
             return OrderDone(already=True) if same else OrderRefused("epoch")
-        self._check_serving_group(worker)
+        self._check_serving_group(worker, key)
         previous_group = worker.group_key
         model = require(self.engine.model(order.model), order.model)
         ready_s = self._time_to_ready_s(worker, model)
@@ -402,7 +445,7 @@
         self._schedule_break(previous_group)
         return OrderDone(already=False)
 
-    def _check_serving_group(self, worker: Worker) -> None:
+    def _check_serving_group(self, worker: Worker, joined: tuple[str, int]) -> None:
         """Record a violation if a worker joins another group while its own is serving."""
         membership = worker.membership
         if membership is None:
@@ -411,7 +454,8 @@
         if head is None or not head.alive or head.group_key != worker.group_key:
             return
         if head.current_membership.state in SERVING_STATES:
-            detail = f"{worker.group_key} is {head.current_membership.state.value}"
+            state = head.current_membership.state.value
+            detail = f"joined {joined} while {worker.group_key} of {worker.members} is {state}"
             self.violations.append(Violation("two", worker.worker_id, detail))
 
     def _time_to_ready_s(self, worker: Worker, model: ModelSpec) -> float:
@@ -499,6 +543,8 @@
 
     def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone | OrderRefused:
         key = (order.replica, order.epoch)
+        if worker.group_key != key and self.faults.answers_other_leaves:
+            return OrderDone(already=True)
         if worker.group_key != key or worker.current_membership.state in SERVING_STATES:
             return OrderRefused("state")
         worker.membership = None
