Soak: plays with leaders that change beside late orders, restarts and stale lists

A target accepted a join of another replica while its own served. It needs leaders that lose the store in turn, orders carried out seconds after they were sent, targets that start again under the same id, and target lists older than the lease; no play had them together, and late orders came at most 3 s late.

`--plays=terms` draws them from a seed (`draw_terms`): whichever daemon leads a hall is cut off from the store for 1 to 5 s, every 1.5 to 3.5 s; 35 or 60 in 100 orders get no answer and are carried out 2 to 12 s later; workers crash and start again, mostly members of replicas while no leader in contact sees it; watches of the list are held back; beside them leaders frozen beyond their lease, stops, kills, reloads and changes of the configuration. Demand moves between the models. Callers use their connections until a process is gone. A play without a change of leader, late order, restart or join fails as "nothing was checked". The numbers are in the line of each seed, and all orders in `orders.txt`.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -50,6 +50,12 @@
 stops of several daemons, on most seeds among changes of the configuration, reloads and silences;
 ``tests/soak_long_answer_seeds.txt``.
 
+``python -m benchmarks.soak --plays=terms --seeds=50`` plays leaders that lose the store in turn,
+orders that are carried out seconds after they were sent, targets that start again under the same
+id, and target lists older than the lease, beside stops, kills and changes of the configuration, and
+prints how many of each occurred; ``tests/soak_term_seeds.txt``. ``orders.txt`` in the logs of a
+seed that fails lists all orders and leaders.
+
 ``python -m benchmarks.soak --plays=drains --seeds=50`` plays targets that leave all the time while
 store, leaders and callers are slow, silent or stopped, and measures how long each target that
 leaves still gets requests; ``tests/soak_drain_seeds.txt``. ``drains.txt`` in the logs of a seed
@@ -76,6 +82,7 @@
     Trouble,
     draw_crashing,
     draw_crashing_parts,
+    draw_demand,
     draw_drains,
     draw_endless,
     draw_endless_senders,
@@ -90,6 +97,7 @@
     draw_silences,
     draw_skew,
     draw_stops,
+    draw_terms,
     draw_troubles,
     figures,
 )
@@ -133,6 +141,12 @@
 )
 LONG_ANSWERS_EVENT_S = 0.1
 
+# Changing leaders: streams of about 1 s, more of the one model and then of the other than its
+# replicas have slots for, so that replicas turn over.
+TERMS_LOAD = Load(45.0, {"write-large": 1.0, "write-small": 1.0, "look": 1.0, "file": 1.5})
+TERMS_EVENT_S = 0.1
+TERMS_LENGTH_S = 32.0
+
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
 DRAINS_LENGTH_S = 20.0
@@ -380,6 +394,25 @@
     )
 
 
+def terms_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with leaders that change beside late orders and restarts.
+
+    Callers keep their connections until a process is gone. Every tenth seed has 48 daemons, every
+    fourth eight in one hall, the others six in two halls.
+    """
+    halls, _, _ = _fleet_sizes(seed)
+    is_largest = len(halls) == 3
+    name, load = f"terms {seed}", draw_demand(seed, TERMS_LENGTH_S, TERMS_LOAD)
+    troubles = draw_terms(seed, TERMS_LENGTH_S, halls)
+    min_daemons = FOREIGN_PEERS if is_largest else MIN_PEERS
+    return replace(
+        _fleet_experiment(name, seed, TERMS_LENGTH_S, load, troubles, min_daemons),
+        persistent_callers=1 if is_largest else 3,
+        event_s=TERMS_EVENT_S,
+        has_terms=True,
+    )
+
+
 PLAYS = {
     "all": soak_experiment,
     "stops": stops_experiment,
@@ -396,6 +429,7 @@
     "silences": silences_experiment,
     "long_answers": long_answers_experiment,
     "endless": endless_experiment,
+    "terms": terms_experiment,
 }
 
 
@@ -428,6 +462,7 @@
             endless=result.endless or None,
             memory_mb=round(measured["memory_mb"]) if result.endless or result.silences else None,
             **_failure_figures(result),
+            **_term_figures(result),
             **_drain_figures(result),
             stood_still=len(result.stood_still) or None,
             slow_answers=len(result.slow_answers) or None,
@@ -437,6 +472,8 @@
         ),
         flush=True,
     )
+    if result.terms is not None and result.broken:
+        (logs / "orders.txt").write_text("\n".join(result.terms.lines) + "\n")
     if result.drains is not None:
         (logs / "drains.txt").write_text(_drain_page(result))
     if result.broken:
@@ -463,6 +500,21 @@
     return {f"got_{status}": statuses.count(status) or None for status in (502, 503, 504)}
 
 
+def _term_figures(result: Result) -> dict[str, int]:
+    """Return how many changes of leaders, late orders, restarts and joins a play provoked."""
+    terms = result.terms
+    if terms is None:
+        return {}
+    return {
+        "leader_changes": terms.leader_changes,
+        "terms": terms.terms,
+        "late_orders": terms.late_orders,
+        "late_done": terms.late_done,
+        "restarts": terms.restarts,
+        "joins": terms.joins,
+    }
+
+
 def _drain_figures(result: Result) -> dict[str, Any]:
     """Return the fields of a seed's line on leaving targets; none if they were not measured."""
     drains = result.drains
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -32,7 +32,7 @@
 from ._page import figures, page
 from ._processes import free_ports, loopback_address
 from ._rests import backoff_violations, draw_rests
-from ._result import PROMISES, Result
+from ._result import PROMISES, Result, TermCounts
 from ._run import Emulation
 from ._silences import LossExcuse, draw_silences, excuse_of_loss
 from ._skew import draw_skew
@@ -46,6 +46,7 @@
     find_end_fault,
     is_as_promised,
 )
+from ._terms import draw_demand, draw_terms
 
 __all__ = [
     "CONTACT_S",
@@ -63,6 +64,7 @@
     "Pause",
     "PlannedStop",
     "Result",
+    "TermCounts",
     "Execution",
     "Trouble",
     "demo_experiment",
@@ -86,6 +88,8 @@
     "draw_long_answers",
     "draw_rests",
     "draw_skew",
+    "draw_demand",
+    "draw_terms",
     "backoff_violations",
     "rate_limit_violations",
     "max_arrivals",
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -17,11 +17,16 @@
     "ENDLESS_STORE_KIND",
     "ENDLESS_STORE_OF_SOME_KIND",
     "FOREIGN_KIND",
+    "LEADERS_KIND",
+    "LISTS_KIND",
+    "ORDERS_KIND",
+    "RESTARTS_KIND",
     "SILENCE_KIND",
     "STOPS_IN_TURN_KIND",
     "KINDS",
     "Experiment",
     "Load",
+    "MixChange",
     "Silent",
     "Trouble",
     "demo_experiment",
@@ -128,6 +133,19 @@
     "until then those that connect to their internal ports get bytes without end (how: which)",
     "configuration_changed": "the operator changes routes, limits and keys that no caller uses",
 }
+LEADERS_KIND = "leaders_in_turn"
+LISTS_KIND = "lists_held"
+ORDERS_KIND = "orders_very_late"
+RESTARTS_KIND = "workers_restart"
+_TERM_KINDS = {
+    LEADERS_KIND: "whichever daemon leads the hall loses the store, `count` times, up to `for_s` "
+    "each time (how: as for store_down)",
+    LISTS_KIND: "watches of the target list by `count` daemons are answered only after `for_s`",
+    ORDERS_KIND: "for `for_s`, a share of the orders is left unanswered and carried out 2 to 12 s "
+    "later",
+    RESTARTS_KIND: "`count` workers crash, `for_s` apart, and start again under the same id, often "
+    "while their hall has no leader",
+}
 KINDS = {
     **_SOAK_KINDS,
     **_STOP_KINDS,
@@ -139,6 +157,7 @@
     **_LINK_KINDS,
     **_FOREIGN_KINDS,
     **_LOST_KINDS,
+    **_TERM_KINDS,
 }
 
 
@@ -241,6 +260,8 @@
     has_long_answers : bool
         Whether requests state how many tokens their answers may have, some of them many, and
         routes allow as long as a planned stop takes.
+    has_terms : bool
+        Whether changes of leaders, late orders and restarts of workers are counted, and must occur.
     """
 
     name: str
@@ -258,6 +279,7 @@
     has_small_buffers: bool = False
     has_foreign_entries: bool = False
     has_long_answers: bool = False
+    has_terms: bool = False
 
 
 def _read_number(place, fields, name, default, low, high, faults, integer=False):
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -48,6 +48,7 @@
     is_as_promised,
 )
 from ._store_answers import describe_store_answers
+from ._terms import describe_unprovoked, describe_unserved_at_end
 from ._troubles import EmulationParts
 
 __all__ = ["PromiseChecker"]
@@ -117,6 +118,7 @@
         self._check_lost()
         self._check_endless()
         self._check_long_answers()
+        self._check_terms()
         result.replicas_at_end = len(self.parts.site.fleet.open_heads())
         if result.replicas_at_end < wanted_replicas:
             broken.append(f"formed: {result.replicas_at_end} replicas are open at the end")
@@ -319,6 +321,16 @@
                 result.calls, result.stops, self._execution_of, self._killed_s, result.stood_still
             )
 
+    def _check_terms(self) -> None:
+        """Report a site that does not serve again, and troubles that did not come about."""
+        result = self.parts.result
+        if result.terms is not None:
+            ended_s = self.parts.last_trouble_ended_s
+            result.broken += describe_unprovoked(result.terms)
+            result.broken += describe_unserved_at_end(
+                result.calls, ended_s, self._is_in_steady_state
+            )
+
     def _is_in_steady_state(self, call: Call) -> bool:
         """Return whether nothing disturbed daemon and store, and no stall silenced all workers."""
         stalls = self.parts.result.stood_still
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -7,7 +7,7 @@
 from ._load import Call
 from ._stops import Pause, PlannedStop
 
-__all__ = ["PROMISES", "Result"]
+__all__ = ["PROMISES", "Result", "TermCounts"]
 
 PROMISES = (
     "no replica serves while a member is missing, no worker is in two",
@@ -28,10 +28,42 @@
     "no request is refused for an old configuration by a daemon that reaches the store",
     "a sound worker that stands still for a second ends no answer and loses no request",
     "bytes without end of a worker reach no caller, and requests are served by other workers",
+    "the site serves again after leaders, orders and workers were late, lost and started again",
     "an entry of another writer ends no process, fails no request and names no target to use",
 )
 
 
+@dataclass(slots=True)
+class TermCounts:
+    """What a play provoked: changes of leaders, late orders, and workers started again.
+
+    Attributes
+    ----------
+    leader_changes : int
+        How often another daemon than before acquired a hall's lease.
+    terms : int
+        Leases acquired, also by the daemon that had led before.
+    late_orders : int
+        Orders that got no answer.
+    late_done : int
+        How many of them had an effect when they were carried out.
+    restarts : int
+        How often a worker started again under the same id.
+    joins : int
+        Orders to join that workers accepted.
+    lines : list of str
+        All orders and changes of leaders, with the time of day as in the logs of daemons.
+    """
+
+    leader_changes: int = 0
+    terms: int = 0
+    late_orders: int = 0
+    late_done: int = 0
+    restarts: int = 0
+    joins: int = 0
+    lines: list[str] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Result:
     """Result of an emulation.
@@ -77,6 +109,8 @@
         Entries written by another writer, and how many of them over entries of targets.
     silences, endless : int
         How often a sound worker stood still, and how often one sent bytes without end.
+    terms : TermCounts or None
+        What a play with changing leaders provoked; None in other plays.
     excused : Counter
         Number of the `stop_calls`, or of calls beside entries of another writer, covered by an
         exception of the promise, by reason.
@@ -108,4 +142,5 @@
     overwritten: int = 0
     silences: int = 0
     endless: int = 0
+    terms: TermCounts | None = None
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -24,6 +24,7 @@
 from . import _silences as _silences
 from . import _skew as _skew
 from . import _target_troubles as _target_troubles
+from . import _terms as _terms
 from ._crashing import CrashingCallers
 from ._crashing_parts import CrashingPartCallers
 from ._experiment import Experiment, Trouble
@@ -76,6 +77,8 @@
         if experiment.has_long_answers:
             self.site.route_limit_s = _long_answers.ROUTE_LIMIT_S
             self.site.has_long_routes = True
+        if experiment.has_terms:
+            self.site.fleet.faults.answers_other_leaves = True
         self.address = loopback_address()
         self.has_links = any(spec.kind == LINK_KIND for spec in experiment.troubles)
         if self.has_links:
@@ -87,7 +90,6 @@
         self.folder = Path(self._own_folder.name) if self._own_folder else require(folder, "folder")
         self._load_began_s = 0.0
         self._tasks: set[asyncio.Task] = set()
-        self._store_disturbances: list[StoreDisturbance] = []
         self._parts = EmulationParts(
             self.site, self.daemons, self.rng, experiment, self.result, self.now_s
         )
@@ -121,7 +123,11 @@
             monitor = StallMonitor(self.site.engine, self.now_s)
             self.result.stood_still = monitor.stood_still
             self.result.slow_answers = monitor.slow_answers
-            monitoring = asyncio.ensure_future(monitor.run())
+            monitoring = [asyncio.ensure_future(monitor.run())]
+            if self.experiment.has_terms:
+                terms = _terms.TermMonitor(self.site)
+                self.result.terms = terms.counts
+                monitoring.append(asyncio.ensure_future(terms.run(self._parts)))
             await asyncio.gather(
                 self._send_load(callers),
                 self._run_persistent_callers(callers.calls),
@@ -129,9 +135,10 @@
                 self._supervise(),
             )
             await asyncio.gather(*self._tasks)
-            monitoring.cancel()
+            for task in monitoring:
+                task.cancel()
             await self._wait_until_formed(self.experiment.settle_s + FORMATION_TIMEOUT_S)
-            PromiseChecker(self._parts, self._load_began_s, self._store_disturbances).check(
+            PromiseChecker(self._parts, self._load_began_s, self._parts.store_disturbances).check(
                 self._wanted_replicas()
             )
             await callers.close()
@@ -302,9 +309,10 @@
         if trouble.kind in STORE_KINDS:
             to_s = asyncio.get_running_loop().time()
             is_of_all = len(affected) == len(self.daemons)
-            self._store_disturbances.append(
+            self._parts.store_disturbances.append(
                 StoreDisturbance(from_s, to_s, affected, is_of_all, trouble.kind in REACHABLE_KINDS)
             )
+        self._parts.last_trouble_ended_s = self.now_s()
         self.result.troubles.append(f"{trouble.at_s:.2f} s {trouble.kind} {done}".strip())
 
 
--- a/ferrydock/emulator/_troubles.py
+++ b/ferrydock/emulator/_troubles.py
@@ -13,6 +13,7 @@
 from ._crashing import CrashingCallers
 from ._crashing_parts import CrashingPartCallers
 from ._experiment import Experiment, Trouble
+from ._leaving import StoreDisturbance
 from ._links import DaemonLinks
 from ._load import Callers
 from ._processes import DaemonProcess
@@ -46,6 +47,10 @@
         Seconds of the load between which most callers came to one daemon.
     endless_s : list of (float, float)
         Seconds of the load between which workers sent bytes without end.
+    store_disturbances : list of StoreDisturbance
+        Times at which the store was disturbed, with the daemons affected.
+    last_trouble_ended_s : float
+        Seconds of the load at which the last trouble so far ended.
     links : dict
         Links of each daemon to the workers, by its name; empty if none are ever lost.
     """
@@ -63,6 +68,8 @@
     callers: Callers | None = None
     skews_s: list[tuple[float, float]] = field(default_factory=list)
     endless_s: list[tuple[float, float]] = field(default_factory=list)
+    store_disturbances: list[StoreDisturbance] = field(default_factory=list)
+    last_trouble_ended_s: float = 0.0
     links: dict[str, DaemonLinks] = field(default_factory=dict)
 
     def store_of(self, daemon: DaemonProcess) -> StoreFace:
