--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -145,7 +145,7 @@
 # replicas have slots for, so that replicas turn over.
 TERMS_LOAD = Load(45.0, {"write-large": 1.0, "write-small": 1.0, "look": 1.0, "file": 1.5})
 TERMS_EVENT_S = 0.1
-TERMS_LENGTH_S = 32.0
+TERMS_LENGTH_S = 38.0
 
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -56,8 +56,8 @@
 # How long a leader is cut off from the store, and the time between two cuts of a series: often the
 # next leader is cut off before the last one has the store again.
 CUT_S = (1.0, 5.0)
-CUT_INTERVAL_S = (1.5, 3.5)
-CUTS = (3, 4, 5)
+CUT_INTERVAL_S = (2.0, 4.5)
+CUT_COUNTS = (3, 4, 5)
 
 # How long a cut waits for a hall to have a leader.
 LEADER_TIMEOUT_S = 4.0
@@ -66,7 +66,7 @@
 # Workers of one series that start again, the share of them that are members of replicas, the time
 # between two of them, the share of them that crash while their hall has no leader in contact with
 # the store, and how long they wait for that.
-RESTARTED = (3, 6, 9)
+RESTARTED_COUNTS = (3, 6, 9)
 MEMBER_SHARE = 0.8
 RESTART_INTERVAL_S = (0.1, 1.0)
 UNSEEN_SHARE = 0.6
@@ -74,7 +74,7 @@
 
 # For how long watches of the target list are held back, and at how many daemons.
 LIST_LAG_S = (1.0, 5.0)
-LAGGING = (1, 2, 100)
+LAGGING_COUNTS = (1, 2, 100)
 
 # How long a leader is suspended: longer than its lease, which `route_daemon` takes for 1.8 s.
 SUSPENDED_S = (2.2, 4.5)
@@ -107,16 +107,18 @@
     drawn = [Trouble(at_s, ORDERS_KIND, for_s=orders_s - at_s)]
     for hall in halls:
         at_s, how = rng.uniform(0.5, 3.0), rng.choice(("silent", "silent", "busy"))
-        drawn.append(Trouble(at_s, LEADERS_KIND, rng.choice(CUTS), CUT_S[1], hall, how))
+        drawn.append(Trouble(at_s, LEADERS_KIND, rng.choice(CUT_COUNTS), CUT_S[1], hall, how))
     for _ in range(rng.choice(RESTART_SERIES)):
         at_s, for_s = rng.uniform(0.5, until_s - 4.0), rng.uniform(*RESTART_INTERVAL_S)
         drawn.append(
-            Trouble(at_s, RESTARTS_KIND, rng.choice(RESTARTED), for_s, rng.choice(("", *halls)))
+            Trouble(
+                at_s, RESTARTS_KIND, rng.choice(RESTARTED_COUNTS), for_s, rng.choice(("", *halls))
+            )
         )
     for _ in range(rng.choice(LIST_SERIES)):
         at_s, for_s = rng.uniform(0.5, until_s), rng.uniform(*LIST_LAG_S)
         drawn.append(
-            Trouble(at_s, LISTS_KIND, rng.choice(LAGGING), for_s, rng.choice(("", *halls)))
+            Trouble(at_s, LISTS_KIND, rng.choice(LAGGING_COUNTS), for_s, rng.choice(("", *halls)))
         )
     for _ in range(rng.choice(SUSPENDED_SERIES)):
         at_s, for_s = rng.uniform(1.0, until_s - 4.0), rng.uniform(*SUSPENDED_S)
--- a/ferrydock/emulator/tests/test_terms.py
+++ b/ferrydock/emulator/tests/test_terms.py
@@ -21,7 +21,7 @@
 )
 from .._troubles import TROUBLES
 
-LENGTH_S = 32.0
+LENGTH_S = 38.0
 ENDED_S = 20.0
 
 
