--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -78,7 +78,9 @@
             self.site.route_limit_s = _long_answers.ROUTE_LIMIT_S
             self.site.has_long_routes = True
         if experiment.has_terms:
-            self.site.fleet.faults.answers_other_leaves = True
+            # The platform's pages leave it open.
+            faults = self.site.fleet.faults
+            faults.confirms_needless_leave_at_any_number = experiment.seed % 2 == 1
         self.address = loopback_address()
         self.has_links = any(spec.kind == LINK_KIND for spec in experiment.troubles)
         if self.has_links:
--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from ..standins.fleet import FleetSite, ReceivedOrder, StoreFace, Worker
-from ..targets import JoinOrder, OrderDone
+from ..targets import JoinOrder
 from ._drain_plays import draw_weighted_series
 from ._experiment import (
     LEADERS_KIND,
@@ -289,11 +289,10 @@
         site.fleet.on_order = self._note_order
 
     def _note_order(self, received: ReceivedOrder) -> None:
-        counts, answer = self.counts, received.answer
-        counts.late_orders += answer is None and not received.is_late
-        if isinstance(answer, OrderDone) and not answer.already:
-            counts.late_done += received.is_late
-            counts.joins += isinstance(received.order, JoinOrder)
+        counts = self.counts
+        counts.late_orders += received.answer is None and not received.is_late
+        counts.late_done += received.has_effect and received.is_late
+        counts.joins += received.has_effect and isinstance(received.order, JoinOrder)
         late = " late" if received.is_late else ""
         self._note(
             f"{received.worker_id} {received.order} expected={received.expected} "
