Soak: crashed members end requests at their replica; demand rests before the end is judged

A crash of a member other than the head in the last 2 s before a request arrived at its replica now counts as the loss of its target; heads, plain targets and kills are judged as before. Demand stays as all replicas can serve it for the last 12 s, and no worker crashes in the quiet time.

--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 
-from ..standins.fleet import LeavingArrival
+from ..standins.fleet import LeavingArrival, ReplicaArrival
 from ._crashing import CONTACT_S, MAX_LATE_ARRIVALS, describe_refused, late_arrivals
 from ._crashing_parts import (
     PART_CRASHES,
@@ -33,7 +33,7 @@
 from ._load import Call
 from ._long_answers import describe_unanswered
 from ._rests import backoff_violations, describe_violations
-from ._silences import describe_dead, describe_late_answers, describe_lost
+from ._silences import describe_dead, describe_late_answers, describe_lost, members_lost_s
 from ._skew import describe_skew
 from ._stops import (
     PROMISES_NOT_RUN,
@@ -79,6 +79,9 @@
         self.load_began_s = load_began_s
         self.store_disturbances = store_disturbances
         self._sent_to = {call.request_id: call.daemon for call in parts.result.calls}
+        self._at_replicas: dict[str, list[ReplicaArrival]] = {}
+        for arrival in parts.site.record.at_replicas:
+            self._at_replicas.setdefault(arrival.request_id, []).append(arrival)
         self._daemons = {daemon.name: daemon for daemon in parts.daemons}
 
     def check(self, wanted_replicas: int) -> None:
@@ -445,6 +448,7 @@
         lost_times_s += [
             at_s for w in worker_ids for at_s in crashed_s.get(w, ()) if at_s >= sent_s
         ]
+        lost_times_s += members_lost_s(self._at_replicas.get(call.request_id, ()), crashed_s)
         lost_s = min(lost_times_s, default=float("inf"))
         worked_s = record.worked_s.get(call.request_id, float("-inf"))
         count = record.runs.get(call.request_id, 0)
--- a/ferrydock/emulator/_silences.py
+++ b/ferrydock/emulator/_silences.py
@@ -24,6 +24,7 @@
     "describe_lost",
     "draw_silences",
     "excuse_of_loss",
+    "members_lost_s",
 ]
 
 # How long a worker stands still, and the pause between two silences of a series.
@@ -164,6 +165,28 @@
     return LossExcuse.NONE
 
 
+def members_lost_s(
+    arrivals: Iterable[ReplicaArrival], crashed_s: Mapping[str, Sequence[float]]
+) -> list[float]:
+    """Return when members, heads excepted, of the replicas that a request reached crashed.
+
+    A replica that lost a member stands still until its head ends all requests, `FOUND_WITHIN_S`
+    later, also those that arrived meanwhile.
+
+    Parameters
+    ----------
+    crashed_s : mapping of str to sequence of float
+        Loop times at which each worker crashed.
+    """
+    return [
+        at_s
+        for arrival in arrivals
+        for member in arrival.members[1:]
+        for at_s in crashed_s.get(member, ())
+        if at_s >= arrival.at_s - FOUND_WITHIN_S
+    ]
+
+
 def describe_lost(
     calls: Iterable[Call],
     execution_of: Callable[[Call], Execution],
--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -49,8 +49,9 @@
 MIN_REQUESTS = 20
 
 # Shares of the orders that get no answer, one for each run, and how long after it was sent such an
-# order is carried out. The larger share also loses most repetitions of an order.
-LATE_SHARES = (0.35, 0.35, 0.6)
+# order is carried out. The larger shares also lose most repetitions of an order, which then takes
+# effect when it is carried out.
+LATE_SHARES = (0.35, 0.6, 0.8)
 LATE_DELAY_S = (2.0, 12.0)
 
 # How long a leader is cut off from the store, and the time between two cuts of a series: often the
@@ -92,6 +93,7 @@
 
 # Time between two changes of the demand, and the weights of the models' requests before and after.
 DEMAND_INTERVAL_S = (5.0, 9.0)
+DEMAND_RESTS_S = 12.0
 _MANY, _FEW = 8.0, 0.5
 
 
@@ -143,16 +145,21 @@
 
 
 def draw_demand(seed: int, length_s: float, load: Load) -> Load:
-    """Return a load whose demand moves between the two models, so that replicas turn over."""
+    """Return a load whose demand moves between the two models, so that replicas turn over.
+
+    From `DEMAND_RESTS_S` before the end on it is that of the given load, which all replicas can
+    serve.
+    """
     rng = random.Random(f"demand {seed}")
     changes, at_s = [], 0.0
     weights = [_MANY, _FEW]
     rng.shuffle(weights)
-    while at_s < length_s:
+    while at_s < length_s - DEMAND_RESTS_S:
         large, small = weights
         changes.append(MixChange(at_s, {**load.mix, "write-large": large, "write-small": small}))
         weights.reverse()
         at_s += rng.uniform(*DEMAND_INTERVAL_S)
+    changes.append(MixChange(length_s - DEMAND_RESTS_S, load.mix))
     return Load(load.requests_per_s, load.mix, tuple(changes))
 
 
@@ -224,8 +231,8 @@
     crashed = []
     for _ in range(spec.count):
         worker = _worker_to_restart(parts, rng, spec.hall)
-        if worker is None:
-            continue
+        if worker is None or parts.now_s() > parts.experiment.length_s - QUIET_S - UNSEEN_TIMEOUT_S:
+            break
         if rng.random() < UNSEEN_SHARE:
             await _wait_until_leaderless(parts, worker.hall)
         if worker.alive:
--- a/ferrydock/emulator/tests/test_silences.py
+++ b/ferrydock/emulator/tests/test_silences.py
@@ -4,7 +4,13 @@
 
 from ...standins.fleet import ReplicaArrival
 from .. import Call, Execution, LossExcuse, Pause, excuse_of_loss
-from .._silences import FOUND_WITHIN_S, describe_dead, describe_late_answers, describe_lost
+from .._silences import (
+    FOUND_WITHIN_S,
+    describe_dead,
+    describe_late_answers,
+    describe_lost,
+    members_lost_s,
+)
 
 
 def call(status=200, took_s=1.0, sent_after_s=0.0):
@@ -70,3 +76,20 @@
     assert bool(found) is is_fault
     assert describe_dead([arrival], {"other": 50.0}, lambda _: True, 0.0) == []
     assert describe_dead([arrival], {"member": 50.0}, lambda _: False, 0.0) == []
+
+
+@pytest.mark.parametrize(
+    ("worker", "crashed_s", "is_lost"),
+    [
+        ("w1", 9.0, True),
+        ("w1", 10.5, True),
+        ("w1", 9.9 - FOUND_WITHIN_S, False),
+        ("w0", 9.0, False),
+        ("w2", 9.0, False),
+    ],
+)
+def test_a_replica_that_lost_a_member_shortly_before_a_request_arrived_is_a_lost_target(
+    worker, crashed_s, is_lost
+):
+    arrivals = [ReplicaArrival("r", 10.0, ("w0", "w1"))]
+    assert bool(members_lost_s(arrivals, {worker: [crashed_s]})) is is_lost
