Soak: lists lag behind some cuts, and restarts meet targets that have just left a replica

The incident needs a daemon that leads again before its list is current, and a target that starts again while it is remembered as free. Half of the cuts hold back the daemon's list for 0.5 to 4 s more, and half of the restarts are in the domain of the one before.

--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -60,15 +60,22 @@
 CUT_INTERVAL_S = (2.0, 4.5)
 CUT_COUNTS = (3, 4, 5)
 
+# Share of the cuts after which the daemon's list lags behind longer than the cut lasts, and by how
+# much longer: it may lead again by then.
+LAGGING_CUT_SHARE = 0.5
+LAG_AFTER_CUT_S = (0.5, 4.0)
+
 # How long a cut waits for a hall to have a leader.
 LEADER_TIMEOUT_S = 4.0
 POLL_INTERVAL_S = 0.05
 
-# Workers of one series that start again, the share of them that are members of replicas, the time
-# between two of them, the share of them that crash while their hall has no leader in contact with
-# the store, and how long they wait for that.
+# Workers of one series that start again, the share of them that are members of replicas and of the
+# domain of the one before, which is left by those that were in its replica; the time between two
+# of them; the share of them that crash while their hall has no leader in contact with the store,
+# and how long they wait for that.
 RESTARTED_COUNTS = (3, 6, 9)
-MEMBER_SHARE = 0.8
+MEMBER_SHARE = 0.6
+SAME_DOMAIN_SHARE = 0.5
 RESTART_INTERVAL_S = (0.1, 1.0)
 UNSEEN_SHARE = 0.6
 UNSEEN_TIMEOUT_S = 3.0
@@ -188,7 +195,9 @@
         daemon = await _leader_in_contact(parts, spec.hall)
         if daemon is not None:
             for_s = rng.uniform(CUT_S[0], max(CUT_S[0], spec.for_s))
-            cuts.add(asyncio.ensure_future(_cut_off(parts, daemon, spec.how, for_s)))
+            lags = rng.random() < LAGGING_CUT_SHARE
+            lag_s = rng.uniform(*LAG_AFTER_CUT_S) if lags else 0.0
+            cuts.add(asyncio.ensure_future(_cut_off(parts, daemon, spec.how, for_s, lag_s)))
         await asyncio.sleep(rng.uniform(*CUT_INTERVAL_S))
     return f"{spec.how}: {', '.join(await asyncio.gather(*cuts))}"
 
@@ -205,17 +214,26 @@
     return None
 
 
-async def _cut_off(parts: EmulationParts, daemon: DaemonProcess, how: str, for_s: float) -> str:
-    """Cut a daemon off from the store; return its name, and when and for how long."""
+async def _cut_off(
+    parts: EmulationParts, daemon: DaemonProcess, how: str, for_s: float, lag_s: float
+) -> str:
+    """Cut a daemon off from the store, and hold back its list `lag_s` longer; return what it did.
+
+    The disturbance is recorded as long as the cut lasts: a list that lags behind is no excuse for a
+    configuration that is not confirmed.
+    """
     face, loop = parts.store_of(daemon), asyncio.get_running_loop()
     from_s, cut_s = loop.time(), parts.now_s()
     _set_down(face, how)
+    if lag_s:
+        face.faults.lists_held_until_s = max(face.faults.lists_held_until_s, from_s + for_s + lag_s)
     await asyncio.sleep(for_s)
     face.faults.down = ""
     parts.store_disturbances.append(
         StoreDisturbance(from_s, loop.time(), frozenset((daemon.name,)))
     )
-    return f"{daemon.name} at {cut_s:.2f} s for {for_s:.2f} s"
+    lag = f", list for {lag_s:.2f} s more" if lag_s else ""
+    return f"{daemon.name} at {cut_s:.2f} s for {for_s:.2f} s{lag}"
 
 
 def _set_down(face: StoreFace, how: str) -> None:
@@ -228,13 +246,16 @@
 async def restart_workers(parts: EmulationParts, spec: Trouble) -> str:
     """Crash `count` workers one after the other, members of replicas first; they start again."""
     rng = random.Random(f"{parts.experiment.seed} {spec}")
-    crashed = []
+    crashed: list[str] = []
+    domain = ""
     for _ in range(spec.count):
-        worker = _worker_to_restart(parts, rng, spec.hall)
+        is_in_domain = rng.random() < SAME_DOMAIN_SHARE
+        worker = _worker_to_restart(parts, rng, spec.hall, domain if is_in_domain else "")
         if worker is None or parts.now_s() > parts.experiment.length_s - QUIET_S - UNSEEN_TIMEOUT_S:
             break
         if rng.random() < UNSEEN_SHARE:
             await _wait_until_leaderless(parts, worker.hall)
+        domain = worker.domain
         if worker.alive:
             mark = "" if _has_leader_in_contact(parts, worker.hall) else " unseen"
             parts.site.crash_worker(worker)
@@ -243,9 +264,15 @@
     return ", ".join(crashed)
 
 
-def _worker_to_restart(parts: EmulationParts, rng: random.Random, hall: str) -> Worker | None:
+def _worker_to_restart(
+    parts: EmulationParts, rng: random.Random, hall: str, domain: str
+) -> Worker | None:
     """Return a random worker that is alive, mostly a member of a replica; None if there is none."""
-    alive = [w for w in parts.site.fleet.workers.values() if w.alive and hall in ("", w.hall)]
+    alive = [
+        worker
+        for worker in parts.site.fleet.workers.values()
+        if worker.alive and hall in ("", worker.hall) and domain in ("", worker.domain)
+    ]
     members = [worker for worker in alive if worker.membership is not None]
     chosen = members if members and rng.random() < MEMBER_SHARE else alive
     return rng.choice(chosen) if chosen else None
--- a/ferrydock/emulator/tests/test_terms.py
+++ b/ferrydock/emulator/tests/test_terms.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ...standins.fleet import FleetSite
+from ...standins.fleet import FleetSite, StoreFaults
 from ...targets import JoinOrder, OrderDone
 from .. import KINDS, Call, Load, TermCounts, Trouble, draw_demand, draw_terms
 from .._store_troubles import HeldLease
@@ -80,7 +80,7 @@
 def test_leaders_are_cut_off_in_turn_and_all_have_the_store_again(monkeypatch):
     """Failure: a play cuts off one daemon all the time, and no other one ever leads."""
     daemons = [SimpleNamespace(name=name) for name in ("one", "two")]
-    faces = {d.name: SimpleNamespace(faults=SimpleNamespace(down="")) for d in daemons}
+    faces = {d.name: SimpleNamespace(faults=StoreFaults()) for d in daemons}
     downs = []
 
     def leader_names(parts):
@@ -90,6 +90,7 @@
 
     monkeypatch.setattr("ferrydock.emulator._terms.leaders", leader_names)
     monkeypatch.setattr("ferrydock.emulator._terms.CUT_S", (0.05, 0.05))
+    monkeypatch.setattr("ferrydock.emulator._terms.LAGGING_CUT_SHARE", 1.0)
     monkeypatch.setattr("ferrydock.emulator._terms.CUT_INTERVAL_S", (0.0, 0.0))
 
     async def scenario():
@@ -107,6 +108,7 @@
     done, disturbances = asyncio.run(scenario())
     assert "one" in done and "two" in done
     assert {name for d in disturbances for name in d.daemons} == {"one", "two"}
+    assert all(face.faults.lists_held_until_s for face in faces.values())
     assert set(downs) == {"busy"} and not any(face.faults.down for face in faces.values())
 
 
