--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 
-from ..standins.fleet import FleetSite, ReceivedOrder, StoreFace, Worker
+from ..standins.fleet import FleetSite, HandledOrder, StoreFace, Worker
 from ..targets import JoinOrder
 from ._drain_plays import draw_weighted_series
 from ._experiment import (
@@ -322,7 +322,7 @@
         self._leases: dict[str, HeldLease] = {}
         site.fleet.on_order = self._note_order
 
-    def _note_order(self, received: ReceivedOrder) -> None:
+    def _note_order(self, received: HandledOrder) -> None:
         counts = self.counts
         counts.late_orders += received.answer is None and not received.is_late
         counts.late_done += received.has_effect and received.is_late
--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -1,9 +1,10 @@
-"""Numbers of accepted orders that a leader remembers: past a term, a restart, or counted too high."""
+"""Numbers of orders that a leader remembers: past a term, a restart, or counted too high."""
 
 import asyncio
 import random
 
 from ...hall_lease import ControllerLease
+from ...outcomes import Unavailable
 from ...standins.fleet import Fleet, FleetControl, LoopClock, run_virtually
 from ...store import MemoryStore
 from ...targets import (
@@ -12,6 +13,7 @@
     OpenOrder,
     OrderDone,
     OrderRefused,
+    StageOrder,
     TargetDirectory,
 )
 from .. import OrderSender
@@ -37,7 +39,7 @@
         self.directory.replace(worker.entry for worker in hall.fleet.workers.values())
         self.control = FleetControl(hall.fleet, hall.rng)
         self.lease = ControllerLease(hall.store, hall.clock, "hall-a", name)
-        self.sender = OrderSender(self.control, self.directory, hall.clock)
+        self.sender = OrderSender(self.control, self.directory, hall.clock, self.lease)
 
     async def send(self, worker, order):
         """Send an order within the present term, or within a term of its own."""
@@ -98,3 +100,79 @@
         assert hall.fleet.violations == []
 
     play(scenario)
+
+
+def test_a_target_that_was_started_again_does_not_join_by_a_number_of_an_earlier_term():
+    async def scenario(hall):
+        member = hall.workers[1]
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        await hall.first.send(member, LeaveOrder(*FIRST))
+        member.restart()
+        assert await hall.second.send(member, StageOrder("large")) == OrderDone(False)
+        await hall.second.form(hall.workers, SECOND)
+        assert member.orders == 2  # what the first daemon remembers of the earlier start
+        join = JoinOrder(*THIRD, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+        assert hall.fleet.violations == []
+
+    play(scenario)
+
+
+def test_a_leave_without_effect_is_not_counted_within_a_term():
+    async def scenario(hall):
+        member = hall.workers[1]
+        hall.first.directory.replace(worker.entry for worker in hall.workers)
+        await hall.order_late(member, JoinOrder(*FIRST, "small", MEMBERS))
+        await hall.first.lease.acquire(60.0)
+        await hall.first.send(member, LeaveOrder(*FIRST))
+        await asyncio.sleep(5.0)
+        assert member.group_key == FIRST
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+
+    play(scenario)
+
+
+def test_a_target_that_was_started_again_within_a_term_does_not_join_by_its_earlier_number():
+    async def scenario(hall):
+        member = hall.workers[1]
+        await hall.first.lease.acquire(60.0)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        member.restart()
+        await hall.order_late(member, JoinOrder(*FIRST, "small", MEMBERS))
+        await asyncio.sleep(5.0)
+        assert member.group_key == FIRST
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderRefused("elsewhere")
+
+    play(scenario)
+
+
+def test_no_order_is_sent_once_the_lease_has_ended():
+    async def scenario(hall):
+        await hall.first.lease.acquire(LEASE_S)
+        await asyncio.sleep(LEASE_S)
+        order = StageOrder("large")
+        outcome = await hall.first.sender.send(hall.workers[0].entry, order, WITHIN_S)
+        assert isinstance(outcome, Unavailable)
+        assert hall.first.control.given == 0
+
+    play(scenario)
+
+
+def test_an_order_without_an_answer_is_not_repeated_once_the_lease_has_ended():
+    async def scenario(hall):
+        await hall.first.lease.acquire(LEASE_S)
+        hall.workers[0].alive = False
+        order = StageOrder("large")
+        sending = asyncio.ensure_future(
+            hall.first.sender.send(hall.workers[0].entry, order, 2 * LEASE_S)
+        )
+        await asyncio.sleep(LEASE_S)
+        given = hall.first.control.given
+        assert given > 1
+        await sending
+        assert hall.first.control.given == given
+
+    play(scenario)
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -29,9 +29,9 @@
     "EndlessPeriod",
     "Fleet",
     "FleetFaults",
+    "HandledOrder",
     "LeavingSaid",
     "NamedLimit",
-    "ReceivedOrder",
     "Shedding",
     "Violation",
     "Worker",
@@ -166,7 +166,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReceivedOrder:
+class HandledOrder:
     """An order that a worker has received, or carries out late.
 
     Attributes
@@ -301,6 +301,7 @@
             staged=tuple(self.staged),
             models=(self.model,) if self.model and self.membership else (),
             membership=self.membership,
+            age_mark=(self.born_ms, self.entries),
         )
 
     @property
@@ -352,7 +353,7 @@
         self.closing_s = 1.0
         self.report_lag_s = REPORT_LAG_S
         self.on_change = on_change
-        self.on_order: Callable[[ReceivedOrder], None] = lambda received: None
+        self.on_order: Callable[[HandledOrder], None] = lambda received: None
         self.faults = FleetFaults()
         self.workers: dict[str, Worker] = {}
         self.violations: list[Violation] = []
@@ -401,7 +402,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, self._execute_and_note, worker, order, expected, True)
             self.on_order(
-                ReceivedOrder(worker.worker_id, order, expected, worker.orders, answer=None)
+                HandledOrder(worker.worker_id, order, expected, worker.orders, answer=None)
             )
             return None
         return self._execute_and_note(worker, order, expected, False)
@@ -413,7 +414,7 @@
         answer = self.execute(worker, order, expected)
         has_effect = worker.orders != orders
         self.on_order(
-            ReceivedOrder(
+            HandledOrder(
                 worker.worker_id, order, expected, worker.orders, answer, has_effect, is_late
             )
         )
