--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -146,6 +146,7 @@
 TERMS_LOAD = Load(45.0, {"write-large": 1.0, "write-small": 1.0, "look": 1.0, "file": 1.5})
 TERMS_EVENT_S = 0.1
 TERMS_LENGTH_S = 38.0
+TERMS_DOMAIN_SIZE = 16
 
 # Leaving targets among all other troubles: mostly short requests, beside persistent callers.
 DRAINS_LOAD = Load(120.0, {"write-large": 1.0, "write-small": 2.0, "look": 4.0, "file": 2.0})
@@ -407,6 +408,7 @@
     min_daemons = FOREIGN_PEERS if is_largest else MIN_PEERS
     return replace(
         _fleet_experiment(name, seed, TERMS_LENGTH_S, load, troubles, min_daemons),
+        domain_size=TERMS_DOMAIN_SIZE,
         persistent_callers=1 if is_largest else 3,
         event_s=TERMS_EVENT_S,
         has_terms=True,
--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -69,11 +69,12 @@
 LEADER_TIMEOUT_S = 4.0
 POLL_INTERVAL_S = 0.05
 
-# Workers of one series that start again, the share of them that are members of replicas and of the
-# domain of the one before, which is left by those that were in its replica; the time between two
-# of them; the share of them that crash while their hall has no leader in contact with the store,
-# and how long they wait for that.
-RESTARTED_COUNTS = (3, 6, 9)
+# Workers of one series that start again, how many of them crash at the same time, the share that
+# are members of replicas, and the share that are in the domain of those before them, where others
+# have just left their replica; the time between two crashes, the share that happen while the hall
+# has no leader in contact with the store, and how long they wait for that.
+RESTARTED_COUNTS = (6, 9, 12)
+TOGETHER_COUNTS = (1, 2, 3)
 MEMBER_SHARE = 0.6
 SAME_DOMAIN_SHARE = 0.5
 RESTART_INTERVAL_S = (0.1, 1.0)
@@ -244,22 +245,26 @@
 
 @trouble(RESTARTS_KIND)
 async def restart_workers(parts: EmulationParts, spec: Trouble) -> str:
-    """Crash `count` workers one after the other, members of replicas first; they start again."""
+    """Crash `count` workers, a few at a time, members of replicas first; they start again."""
     rng = random.Random(f"{parts.experiment.seed} {spec}")
+    until_s = parts.experiment.length_s - QUIET_S - UNSEEN_TIMEOUT_S
     crashed: list[str] = []
     domain = ""
-    for _ in range(spec.count):
+    while len(crashed) < spec.count and parts.now_s() < until_s:
         is_in_domain = rng.random() < SAME_DOMAIN_SHARE
-        worker = _worker_to_restart(parts, rng, spec.hall, domain if is_in_domain else "")
-        if worker is None or parts.now_s() > parts.experiment.length_s - QUIET_S - UNSEEN_TIMEOUT_S:
+        first = _worker_to_restart(parts, rng, spec.hall, domain if is_in_domain else "")
+        if first is None:
             break
+        domain = first.domain
         if rng.random() < UNSEEN_SHARE:
-            await _wait_until_leaderless(parts, worker.hall)
-        domain = worker.domain
-        if worker.alive:
-            mark = "" if _has_leader_in_contact(parts, worker.hall) else " unseen"
-            parts.site.crash_worker(worker)
-            crashed.append(f"{worker.worker_id} at {parts.now_s():.2f} s{mark}")
+            await _wait_until_leaderless(parts, first.hall)
+        mark = "" if _has_leader_in_contact(parts, first.hall) else " unseen"
+        worker: Worker | None = first
+        for _ in range(rng.choice(TOGETHER_COUNTS)):
+            if worker is not None and worker.alive:
+                parts.site.crash_worker(worker)
+                crashed.append(f"{worker.worker_id} at {parts.now_s():.2f} s{mark}")
+            worker = _worker_to_restart(parts, rng, spec.hall, domain)
         await asyncio.sleep(spec.for_s)
     return ", ".join(crashed)
 
