--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -49,15 +49,15 @@
 MIN_REQUESTS = 20
 
 # Shares of the orders that get no answer, one for each run, and how long after it was sent such an
-# order is carried out. The larger shares also lose most repetitions of an order, which then takes
+# order is carried out. The larger share also loses most repetitions of an order, which then takes
 # effect when it is carried out.
-LATE_SHARES = (0.35, 0.6, 0.8)
+LATE_SHARES = (0.35, 0.6)
 LATE_DELAY_S = (2.0, 12.0)
 
 # How long a leader is cut off from the store, and the time between two cuts of a series: often the
 # next leader is cut off before the last one has the store again.
 CUT_S = (1.0, 5.0)
-CUT_INTERVAL_S = (2.0, 4.5)
+CUT_INTERVAL_S = (3.0, 6.0)
 CUT_COUNTS = (3, 4, 5)
 
 # Share of the cuts after which the daemon's list lags behind longer than the cut lasts, and by how
