--- a/ferrydock/emulator/tests/test_terms.py
+++ b/ferrydock/emulator/tests/test_terms.py
@@ -1,6 +1,7 @@
 """Rules on plays whose leaders change, and what such a play draws."""
 
 import asyncio
+import random
 from types import SimpleNamespace
 
 import pytest
@@ -18,6 +19,8 @@
     cut_leaders_off,
     describe_unprovoked,
     describe_unserved_at_end,
+    hold_lists,
+    restart_workers,
 )
 from .._troubles import TROUBLES
 
@@ -112,6 +115,62 @@
     assert set(downs) == {"busy"} and not any(face.faults.down for face in faces.values())
 
 
+def test_workers_crash_while_their_hall_has_no_leader_in_contact(monkeypatch):
+    """Failure: each restart is seen by a leader, which then remembers nothing of the old start."""
+    monkeypatch.setattr("ferrydock.emulator._terms.UNSEEN_SHARE", 1.0)
+    names = iter([{"one"}, {"one"}, set()])
+    seen = []
+
+    def leader_names(parts):
+        seen.append(next(names, set()))
+        return seen[-1]
+
+    monkeypatch.setattr("ferrydock.emulator._terms.leaders", leader_names)
+    crashed = []
+
+    async def scenario():
+        site = FleetSite(("a",))
+        for number in range(4):
+            site.fleet.add(f"w{number}", "a", "a-d0")
+
+        def crash_worker(worker):
+            worker.alive = False
+            crashed.append((worker.worker_id, seen[-1]))
+
+        parts = SimpleNamespace(
+            experiment=SimpleNamespace(seed=1, length_s=LENGTH_S),
+            now_s=lambda: 0.0,
+            daemons_of=lambda hall: [SimpleNamespace(name="one")],
+            store_of=lambda daemon: SimpleNamespace(faults=StoreFaults()),
+            site=SimpleNamespace(fleet=site.fleet, crash_worker=crash_worker),
+        )
+        return await restart_workers(parts, Trouble(0.0, "workers_restart", 2, 0.0, "a"))
+
+    done = asyncio.run(scenario())
+    assert len(crashed) >= 2 and len(seen) >= 3
+    assert all(holders == set() for _, holders in crashed)
+    assert done.count("unseen") == len(crashed)
+
+
+def test_lists_are_held_at_as_many_daemons_as_said_and_the_store_counts_as_reachable():
+    daemons = [SimpleNamespace(name=name) for name in ("one", "two", "three")]
+    faces = {d.name: SimpleNamespace(faults=StoreFaults()) for d in daemons}
+
+    async def scenario():
+        parts = SimpleNamespace(
+            rng=random.Random(1),
+            daemons_of=lambda hall: daemons,
+            store_of=lambda daemon: faces[daemon.name],
+            store_disturbances=[],
+        )
+        await hold_lists(parts, Trouble(0.0, "lists_held", 2, 0.01, "a"))
+        return parts.store_disturbances
+
+    (disturbance,) = asyncio.run(scenario())
+    held = {name for name, face in faces.items() if face.faults.lists_held_until_s}
+    assert len(held) == 2 and disturbance.daemons == held and disturbance.is_reachable
+
+
 @pytest.mark.parametrize("seed", range(1, 41))
 def test_troubles_are_known_and_include_all_that_the_incident_needs(seed):
     drawn = draw_terms(seed, LENGTH_S, ("a", "b"))
