--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -29,6 +29,7 @@
     "EndlessPeriod",
     "Fleet",
     "FleetFaults",
+    "HandledOrder",
     "LeavingSaid",
     "NamedLimit",
     "Shedding",
@@ -164,6 +165,33 @@
     confirms_needless_leave_at_any_number: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class HandledOrder:
+    """An order that a worker has received, or carries out late.
+
+    Attributes
+    ----------
+    expected : int or None
+        Number of accepted orders that the order expects; None for any.
+    orders : int
+        Number of orders that the worker has accepted, this one included.
+    answer : OrderDone, OrderRefused or None
+        None for an order that is not answered and is executed later.
+    has_effect : bool
+        Whether it began something, and so was counted.
+    is_late : bool
+        Whether it is executed later than it was received; nobody gets the answer.
+    """
+
+    worker_id: str
+    order: Order
+    expected: int | None
+    orders: int
+    answer: OrderDone | OrderRefused | None
+    has_effect: bool = False
+    is_late: bool = False
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """A model worker; after a crash it may start again under the same id.
@@ -180,8 +208,9 @@
         Loop time at which the worker's entry said that it leaves; None if it does not leave.
     order_times : list of float
         Loop time of each order that has begun something since the last start.
-    was_ready : set
-        ``(name, epoch, members)`` of each group in which the worker has been ready.
+    ready_groups : set
+        ``(name, epoch, members)`` of each group in which the worker has been ready, in this
+        incarnation or an earlier one.
     loads : int
         Number of loads from the weight store that the worker has started.
     load_times : list of (str, float)
@@ -251,7 +280,6 @@
         self.membership = None
         self.members = ()
         self.model = ""
-        self.ready_groups = set()
         self.running = 0
 
     @property
@@ -306,6 +334,8 @@
     ----------
     closing_s : float
         Time that a head takes to finish its requests after an order to close.
+    on_order : callable
+        Called with each order that a worker receives, and with each one that it executes late.
     report_lag_s : float
         Age of the number of orders in a report; the group in it is current.
     """
@@ -323,6 +353,7 @@
         self.closing_s = 1.0
         self.report_lag_s = REPORT_LAG_S
         self.on_change = on_change
+        self.on_order: Callable[[HandledOrder], None] = lambda received: None
         self.faults = FleetFaults()
         self.workers: dict[str, Worker] = {}
         self.violations: list[Violation] = []
@@ -369,9 +400,25 @@
         if self.rng.random() < self.faults.late_share:
             delay_s = self.rng.uniform(self.faults.late_from_s, self.faults.late_to_s)
             loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self.execute, worker, order, expected)
+            loop.call_later(delay_s, self._execute_and_note, worker, order, expected, True)
+            self.on_order(
+                HandledOrder(worker.worker_id, order, expected, worker.orders, answer=None)
+            )
             return None
-        return self.execute(worker, order, expected)
+        return self._execute_and_note(worker, order, expected, False)
+
+    def _execute_and_note(
+        self, worker: Worker, order: Order, expected: int | None, is_late: bool
+    ) -> OrderDone | OrderRefused | None:
+        orders = worker.orders
+        answer = self.execute(worker, order, expected)
+        has_effect = worker.orders != orders
+        self.on_order(
+            HandledOrder(
+                worker.worker_id, order, expected, worker.orders, answer, has_effect, is_late
+            )
+        )
+        return answer
 
     def execute(
         self, worker: Worker, order: Order, expected: int | None
@@ -415,7 +462,7 @@
         if worker.group_key == key:
             same = worker.members == order.members
             return OrderDone(already=True) if same else OrderRefused("epoch")
-        self._check_serving_group(worker)
+        self._check_serving_group(worker, key)
         previous_group = worker.group_key
         model = require(self.engine.model(order.model), order.model)
         ready_s = self._time_to_ready_s(worker, model)
@@ -430,7 +477,7 @@
         self._schedule_break(previous_group)
         return OrderDone(already=False)
 
-    def _check_serving_group(self, worker: Worker) -> None:
+    def _check_serving_group(self, worker: Worker, joined: tuple[str, int]) -> None:
         """Record a violation if a worker joins another group while its own is serving."""
         membership = worker.membership
         if membership is None:
@@ -439,7 +486,8 @@
         if head is None or not head.alive or head.group_key != worker.group_key:
             return
         if head.current_membership.state in SERVING_STATES:
-            detail = f"{worker.group_key} is {head.current_membership.state.value}"
+            state = head.current_membership.state.value
+            detail = f"joined {joined} while {worker.group_key} of {worker.members} is {state}"
             self.violations.append(Violation("two", worker.worker_id, detail))
 
     def _time_to_ready_s(self, worker: Worker, model: ModelSpec) -> float:
