A replica that a daemon considers lost is used again once its members answer

Callers would see: requests refused, or begun streams cut, at one daemon, while a replica that this daemon considers lost serves other daemons' requests, until that replica is dissolved.

Cause: entries of `catalog.broken` were never removed. A daemon considers a replica lost after 1.5 s in which its own polls got no answer; its hall leader, whose polls were answered, keeps the replica. The same with a replica that the daemon gave up as leader in an earlier term, and that was not dissolved.

Change: from 8 s after the loss on, the time in which its leader dissolves it, a lost replica that is still listed as open, and that the hall's leader does not report, is polled each 2 s. If all members that the daemon has seen report that they belong to it, it is used again (`LostReplicas`, log event `lost_replica_answers`). That is more than is known of other replicas that are used, so no request reaches an incomplete one because of it.

--- a/ferrydock/forwarding/_suspicions.py
+++ b/ferrydock/forwarding/_suspicions.py
@@ -9,15 +9,23 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Collection, Coroutine, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Coroutine, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..clock import Clock
 from ..logs import log_event
 from ..outcomes import NotListening, Unavailable, Unreachable
-from ..targets import MAX_SILENCE_S, ReplicaView, Target, TargetControl, TargetReport
+from ..targets import (
+    MAX_SILENCE_S,
+    ReplicaState,
+    ReplicaView,
+    Target,
+    TargetControl,
+    TargetReport,
+)
 from ._attempts import AttemptRunner
+from ._lost_replicas import LostReplicas
 
 __all__ = ["FailureListener", "Polled", "Suspicions", "poll_targets"]
 
@@ -179,6 +187,8 @@
         Notified of what is found out.
     has_lost_links : callable
         Returns whether this daemon reaches no target at all; by default not known.
+    lost : LostReplicas
+        The replicas that are considered lost, until their members answer again.
     """
 
     __slots__ = (
@@ -189,6 +199,7 @@
         "control",
         "has_lost_links",
         "listener",
+        "lost",
         "resumed_s",
         "running_s",
         "spawn",
@@ -213,6 +224,9 @@
         self.listener: FailureListener | None = None
         self.has_lost_links: Callable[[], Awaitable[bool]] | None = None
         self._suspicions: dict[ReplicaKey, _Suspicion] = {}
+        self.lost = LostReplicas(
+            clock, self._open_members, self._do_members_answer, self._use_lost_again, spawn
+        )
 
     def begin(self, replica: ReplicaView, polled: Polled, took_s: float) -> None:
         """Suspect a replica after a poll of its members, which took `took_s` seconds."""
@@ -229,15 +243,13 @@
 
     def report(self, key: ReplicaKey, reason: str) -> None:
         """Handle the hall leader's report that it avoids a replica."""
+        self.lost.note_reported(key, True)
         if key in self.catalog.broken:
             return
         suspicion = self._suspicions.get(key)
         if suspicion is None:
-            members = self._listed_members(key)
+            members = self._known_members(key)
             head_id = next(iter(members), "")
-            if members:
-                service = members[head_id].service
-                members |= _by_id(self.catalog.directory.unlisted_members(service, key))
             suspicion = self._suspicions[key] = _Suspicion(key, head_id, members, members)
         suspicion.is_reported = True
         self._avoid(suspicion)
@@ -245,15 +257,21 @@
 
     def withdraw_report(self, key: ReplicaKey) -> None:
         """Handle that the hall leader does not report a replica any more; poll its members."""
+        self.lost.note_reported(key, False)
         suspicion = self._suspicions.get(key)
         if suspicion is not None:
             suspicion.is_reported = False
 
     def mark_broken(self, key: ReplicaKey, reason: str) -> None:
-        """Never use a replica again, and interrupt its requests."""
-        self._suspicions.pop(key, None)
+        """Consider a replica lost, and interrupt its requests.
+
+        It is used again only if its members answer although nobody reports it any more.
+        """
+        suspicion = self._suspicions.pop(key, None)
         if key in self.catalog.broken:
             return
+        members = suspicion.members if suspicion is not None else self._known_members(key)
+        self.lost.add(key, members, suspicion is not None and suspicion.is_reported)
         self.catalog.broken.add(key)
         self.catalog.suspected.discard(key)
         self.attempts.interrupt_lost(key, reason)
@@ -261,7 +279,8 @@
             self.listener.on_replica_avoided(key)
 
     def step(self) -> None:
-        """Poll the silent members of the suspected replicas that are due."""
+        """Poll the silent members of the suspected replicas that are due, and of lost ones."""
+        self.lost.step()
         now_s = self.clock.now_s()
         for suspicion in list(self._suspicions.values()):
             if suspicion.is_polling or now_s - suspicion.polled_s < RECHECK_INTERVAL_S:
@@ -375,6 +394,37 @@
         if self.listener is not None:
             self.listener.on_replica_used_again(key)
 
+    def _use_lost_again(self, key: ReplicaKey) -> None:
+        """Use a replica again that was considered lost and whose members have all answered."""
+        name, epoch = key
+        log_event(_LOG, logging.WARNING, "lost_replica_answers", replica=name, epoch=epoch)
+        self.catalog.broken.discard(key)
+        if self.listener is not None:
+            self.listener.on_replica_used_again(key)
+
+    async def _do_members_answer(self, members: Mapping[str, Target], key: ReplicaKey) -> bool:
+        """Poll targets; return whether all report that they belong to a replica."""
+        targets = list(members.values())
+        polled = await poll_targets(self.control, targets, RECHECK_TIMEOUT_S, key)
+        return not polled.failed
+
+    def _open_members(self, key: ReplicaKey) -> dict[str, Target]:
+        """Return the members of a replica whose head is listed as open; empty for any other."""
+        members = self._known_members(key)
+        head = next(iter(members.values()), None)
+        if head is None or head.existing_membership.rank != 0:
+            return {}
+        is_open = head.existing_membership.state is ReplicaState.OPEN
+        return members if is_open and not head.draining else {}
+
+    def _known_members(self, key: ReplicaKey) -> dict[str, Target]:
+        """Return the members of a listed replica by id, the head first, also unlisted ones."""
+        members = self._listed_members(key)
+        if members:
+            service = next(iter(members.values())).service
+            members |= _by_id(self.catalog.directory.unlisted_members(service, key))
+        return members
+
     def _listed_members(self, key: ReplicaKey) -> dict[str, Target]:
         """Return the members of a replica in the target list by id, the head first."""
         members = [
--- a/ferrydock/scheduling/_endpoints.py
+++ b/ferrydock/scheduling/_endpoints.py
@@ -53,7 +53,8 @@
     ----------
     broken : set of (str, int)
         Replicas, by name and epoch, that get no requests: a member was found dead, or the hall
-        leader has abandoned them. Entries are never removed, since an epoch is not reused.
+        leader has abandoned them. An entry is removed only if the members answer again although
+        nobody reports the replica (`forwarding._lost_replicas`).
     suspected : set of (str, int)
         Replicas, by name and epoch, that get no requests for now: a member does not answer.
     limits : RateLimits
