Loads count beside a replica that serves, and not after a total loss

Callers would see: after all daemons and targets have lost power, the first replicas form 5 s later or more, since the loads of their members waited for the hall's share of the bound.

Cause: since a new leader let loads count if the hall had a placement record or demand in it. Both are there after a total loss too.

Change: loads count if demand is observed for any service, or if a replica is open on the site and the hall had a record when the term began.

Evidence: `test_after_a_total_loss_the_first_plan_follows_the_recorded_demand` failed on (9 replicas of one model in 25 s wanted) and passes. The test of now has demand that is observed, or a replica of another hall that serves; on the code before both fail (16 loads in a window, 8.5 allowed).

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -478,14 +478,15 @@
     def _are_loads_counted(self) -> bool:
         """Return whether the platform may count loads: not before a site's first requests.
 
-        Decided from the hall's record in the store and from the demand, since the target list may
-        be older than the loads of an earlier leader, or all targets may have been replaced.
+        They have begun if demand is observed; or if a replica is open on the site although an
+        earlier leader has already planned this hall, whose targets then have all been replaced, or
+        whose entries are older than its loads. At the start of a site, the hall has no record yet.
+        After a total loss no replica is open, and the demand in the record is of unknown age.
         """
-        observations = self.planner.site.observations
-        services = self.current.engine_services()
-        return self.record.was_planned or any(
-            observations.known_demand(service.name) for service in services
-        )
+        names = [service.name for service in self.current.engine_services()]
+        if any(self.planner.demand(name) for name in names):
+            return True
+        return self.record.was_planned and any(self.directory.replicas(name) for name in names)
 
     def _demand_to_record(self) -> dict[str, Mapping[str, float]]:
         """Return the demand that a new leader begins with, by service and model."""
--- a/ferrydock/replicas/tests/test_loads_across_leaders.py
+++ b/ferrydock/replicas/tests/test_loads_across_leaders.py
@@ -6,8 +6,9 @@
 import pytest
 
 from ...standins.fleet import run_virtually
+from ...targets import ReplicaState
 from .hall import Hall
-from .specs import two_models
+from .specs import member, two_models
 from .test_load_window import (
     LOADS_PER_S,
     MAX_LOADS,
@@ -73,6 +74,12 @@
     run_virtually(scenario())
 
 
+def remote_replica():
+    """Return the head of an open replica of another hall."""
+    head = member("remote", ("r", 2), state=ReplicaState.OPEN, models=("small",))
+    return replace(head, hall="hall-b")
+
+
 async def hall_whose_targets_are_all_replaced(demand):
     """Return a hall that has served; all its targets are lost, and others hold no weights."""
     hall = Hall(1)
@@ -90,6 +97,8 @@
     hall.fleet.workers.clear()
     for number in range(20):
         hall.fleet.add(f"new-{number}", "hall-a", f"d{number % 2}")
+    if not demand:
+        hall.directory.put(remote_replica())
     hall.start_controller()
     return hall
 
