A target that has started again is asked whether it still loads weights

Callers would see: a lost replica replaced up to 16 s later. A target that crashed while it loaded weights counted as loading until the load was estimated to be done: it got no other load, and was planned into a replica for which it would not be ready.

Cause: a load in progress is kept by target id, and its target is asked only after the estimate.

Change: a load is kept with the incarnation that the list shows; once another one is listed, the target is asked in the next round. Its report decides, as hosts may go on loading.

--- a/ferrydock/replicas/_staging.py
+++ b/ferrydock/replicas/_staging.py
@@ -91,6 +91,8 @@
         Whether another leader may have begun it, and its target has not been asked yet.
     was_late : bool
         Whether the target has reported that it still loads although the estimate is over.
+    incarnation : int
+        Incarnation of the target by its entry that was seen last; 0 if unknown.
     """
 
     model: str
@@ -103,6 +105,7 @@
     is_unsure: bool = False
     is_adopted: bool = False
     was_late: bool = False
+    incarnation: int = 0
 
 
 class StagingProgress:
@@ -205,13 +208,15 @@
     ) -> None:
         """Count the loads that the entries of the site's targets show to have begun.
 
-        An entry that was not seen before says nothing: its models may have been staged long ago.
+        A target that has started again is to be asked whether it still loads. An entry that was not
+        seen before says nothing: its models may have been staged long ago.
         """
         self._advance(now_s)
         before = self._staged.get(service, {})
         after = self._staged[service] = {}
         for target in targets:
             after[target.target_id] = target.staged
+            self._note_incarnation(target)
             known = before.get(target.target_id, target.staged)
             if known == target.staged:
                 continue
@@ -220,6 +225,14 @@
             if begun is not None and (own is None or own.model != begun.name):
                 self._other_loads[target.target_id] = (begun.load_s, engine.loads_at_once)
 
+    def _note_incarnation(self, target: Target) -> None:
+        load = self._loads.get(target.target_id)
+        if load is None:
+            return
+        if load.incarnation and target.incarnation != load.incarnation:
+            load.is_unsure = True
+        load.incarnation = target.incarnation
+
     def request_report(self, target_id: str) -> None:
         """Have a target asked at once, since it is not certain that its load has begun."""
         if target_id in self._loads:
