--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -75,6 +75,9 @@
         Era of the store to which the other attributes belong.
     value : bytes
         Value that the holder wrote to the key; unique to this write.
+    created : Position
+        Position of the store at which the key was created, or found again in a new era: all that
+        earlier leaders wrote is no later.
     """
 
     term: int
@@ -82,6 +85,7 @@
     valid_until_s: float
     era: int
     value: bytes
+    created: Position = Position()
 
 
 class ControllerLease:
@@ -138,6 +142,11 @@
             return False
         return self.clock.now_s() < held.valid_until_s
 
+    def remaining_s(self) -> float:
+        """Return for how many seconds this daemon may still act as the hall's leader."""
+        held = self.held
+        return max(0.0, held.valid_until_s - self.clock.now_s()) if held and self.is_valid else 0.0
+
     async def acquire(self, ttl_s: float) -> HeldLease | Conflict | Unavailable | Unknown:
         """Try to acquire the lease; return `Conflict` if another daemon holds it."""
         sent_s = self.clock.now_s()
@@ -206,7 +215,9 @@
         self, created: Position, lease: LeaseGranted, sent_s: float, value: bytes
     ) -> HeldLease:
         valid_until_s = sent_s + lease.ttl_s - CLOCK_MARGIN_S
-        self.held = HeldLease(created.rank(), lease.lease_id, valid_until_s, created.era, value)
+        self.held = HeldLease(
+            created.rank(), lease.lease_id, valid_until_s, created.era, value, created
+        )
         return self.held
 
     async def reclaim(self) -> bool:
@@ -227,8 +238,8 @@
         is_own = item.value == held.value and item.lease_id == held.lease_id
         if not is_own or self.clock.now_s() >= held.valid_until_s:
             return False
-        term = Position(read.era, item.create_revision).rank()
-        self.held = replace(held, term=term, era=read.era)
+        created = Position(read.era, item.create_revision)
+        self.held = replace(held, term=created.rank(), era=read.era, created=created)
         return self.is_valid
 
     async def renew(self) -> HeldLease | LeaseLost | Unavailable:
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -191,7 +191,7 @@
         """Check the hall's targets and replicas once, and start the tasks that are due."""
         if self.current.lookup is None or not self.directory.loaded or not self.lease.is_valid:
             return
-        if not await self.record.read():
+        if not self._is_list_current() or not await self.record.read():
             return
         now_s = self.clock.now_s()
         if self._term_began_s is None:
@@ -203,6 +203,16 @@
         for service in self.current.engine_services():
             await self._step_service(service.name, self._engine(service), is_demand_due)
 
+    def _is_list_current(self) -> bool:
+        """Return whether the target list contains all that was written before this term.
+
+        An older one shows targets as free that the leaders before have formed into replicas.
+        """
+        held = self.lease.held
+        if held is None or self.directory.is_provisional:
+            return False
+        return self.directory.position >= held.created
+
     def _engine(self, service: ServiceSpec) -> EngineSpec:
         """Return the engine of a service; without its parallel loads if no site plan applies.
 
@@ -467,6 +477,7 @@
         epoch = await self.record.write(plans, self._demand_to_record())
         if epoch is None or not self.lease.is_valid:
             return
+        self._log_plans(epoch, plans)
         for name, formation in plans.items():
             self.planner.loads.begin(formation.loads, self.clock.now_s())
             plan = PlannedReplica(name, epoch, formation)
@@ -488,6 +499,24 @@
             return True
         return self.record.was_planned and any(self.directory.replicas(name) for name in names)
 
+    def _log_plans(self, epoch: int, plans: Mapping[str, Formation]) -> None:
+        """Log from which list, and under which lease, replicas are planned."""
+        held = require(self.lease.held, "the lease under which replicas are planned")
+        log_event(
+            _LOG,
+            logging.INFO,
+            "replicas_planned",
+            hall=self.hall,
+            epoch=epoch,
+            term=held.term,
+            list_position=self.directory.position.rank(),
+            list_age_s=round(self.directory.age_s(self.clock.now_s()), 3),
+            members=";".join(
+                f"{name}:{','.join(member.target_id for member in formation.members)}"
+                for name, formation in plans.items()
+            ),
+        )
+
     def _demand_to_record(self) -> dict[str, Mapping[str, float]]:
         """Return the demand that a new leader begins with, by service and model."""
         services = [
