A hall's controller does not count time in which it has not observed the boxes

Operators' callers would see answers cut: a replica that drains was released at once, although other daemons still sent it requests; a member that paused twice was replaced as if silent ever since. A box that checks no fences could be joined while an order of the controller before still arrived.

Cause: `HallObserver` keeps since when boxes have been idle, silent, or drained. These times went on while the daemon did not control the hall, or was paused, and observed nothing.

Change: after 5 s without a round they are discarded and observed anew.

--- a/ferrydock/hall/_observer.py
+++ b/ferrydock/hall/_observer.py
@@ -26,6 +26,11 @@
 __all__ = ["HallObserver"]
 
 IDLE_PROBE_INTERVAL_S = 2.0
+
+# After a longer time without a round, in which this daemon did not control the hall or was paused,
+# nothing is known of how long boxes have been idle or silent.
+MAX_OBSERVATION_GAP_S = 5.0
+
 MAX_CONCURRENT_PROBES = 64
 
 
@@ -65,6 +70,7 @@
     __slots__ = (
         "_drain_idle_since_s",
         "_last_list_read_s",
+        "_last_refresh_s",
         "_entries",
         "absences",
         "attestations",
@@ -98,9 +104,12 @@
         self._entries: dict[str, _BoxEntry] = {}
         self._drain_idle_since_s: dict[str, float] = {}
         self._last_list_read_s = -1e9
+        self._last_refresh_s = -1e9
 
     async def refresh(self, placement: HallPlacement, list_interval_s: float = 1.0) -> None:
         """Read the box list if `list_interval_s` has passed, and probe the boxes that are due."""
+        if self.clock.now_s() - self._last_refresh_s > MAX_OBSERVATION_GAP_S:
+            self._discard_durations()
         if self.clock.now_s() - self._last_list_read_s >= list_interval_s:
             await self._read_list(placement)
         self._apply_attestations(placement)
@@ -108,6 +117,14 @@
         for start in range(0, len(due), MAX_CONCURRENT_PROBES):
             batch = due[start : start + MAX_CONCURRENT_PROBES]
             await asyncio.gather(*(self._probe(entry) for entry in batch))
+        self._last_refresh_s = self.clock.now_s()
+
+    def _discard_durations(self) -> None:
+        """Discard since when boxes have been idle or silent; it is observed anew."""
+        self._drain_idle_since_s.clear()
+        for entry in self._entries.values():
+            entry.idle_since_s = None
+            entry.silent_since_s = None
 
     async def _read_list(self, placement: HallPlacement) -> None:
         self._last_list_read_s = self.clock.now_s()
