Members that another leader ordered to join are freed and formed anew, not opened

What callers saw: a replica that a new leader had opened stood still 1 to 4 s later and was dissolved with its requests. Cause: orders to leave of the leader before were on their way; opening raises the number of the head alone, so the other members carried them out. Waiting for reports does not help against orders still to come. One that serves already is left to serve. Cost: two orders for each member, and about half a second, where a leader ends while it forms.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -422,7 +422,7 @@
         self.metrics.repairs.labels(str(result.reason)).inc()
 
     def _adopt(self, replica: ObservedReplica, engine: EngineSpec) -> bool:
-        """Continue to form a replica that another leader began to form.
+        """Wait for the members of a replica that another leader began to form, to form it anew.
 
         Returns False, and dissolves the replica, if its model is not configured.
         """
@@ -532,9 +532,10 @@
     ) -> None:
         began_s = self.clock.now_s()
         try:
-            result = await self.former.form(plan, joined)
-            took_s = self.clock.now_s() - began_s
-            self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
+            result = await (self.former.free_adopted if joined else self.former.form)(plan)
+            if not joined:
+                took_s = self.clock.now_s() - began_s
+                self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
             for member_id in plan.member_ids:
                 if member_id in result.failure:
                     self.state.unused.pause(member_id)
--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -119,23 +119,34 @@
         self.directory: TargetDirectory = orders.directory
         self.clock: Clock = orders.clock
 
-    async def form(self, plan: PlannedReplica, is_joined: bool = False) -> FormingResult:
-        """Order all members to join, wait until they are ready, and open the head.
-
-        Parameters
-        ----------
-        is_joined : bool, default=False
-            Whether another leader has already ordered the members to join. It may have ordered some
-            to leave since, so all must report that they are ready.
-        """
-        refused = [] if is_joined else await self._join(plan)
+    async def form(self, plan: PlannedReplica) -> FormingResult:
+        """Order all members to join, wait until they are ready, and open the head."""
+        refused = await self._join(plan)
         why = f"no join: {','.join(refused)}" if refused else await self._wait_until_ready(plan)
-        if not why and is_joined:
-            why = await self._confirm_ready(plan)
         why = why or await self._open(plan)
         left: tuple[str, ...] = ()
         if why:
             left = await self.dissolve(plan.key, plan.formation.members)
+        self._log_formed(plan, why)
+        return FormingResult(why, left)
+
+    async def free_adopted(self, plan: PlannedReplica) -> FormingResult:
+        """Free the members that another leader has ordered to join once they hold the model.
+
+        Orders of that leader to leave may still be on their way, and only an order that a member
+        carries out makes them void. So the replica is not opened: its members leave it, and are
+        ready again soon after they join another one. A head that serves already is left to serve.
+        """
+        why = await self._wait_until_ready(plan)
+        head = plan.formation.members[0]
+        if not why and await self._reported_state(plan.key, head, MAX_SILENCE_S) in _SERVING:
+            self._log_formed(plan, "")
+            return FormingResult()
+        left = await self.dissolve(plan.key, plan.formation.members)
+        return FormingResult(why, left)
+
+    def _log_formed(self, plan: PlannedReplica, why: str) -> None:
+        """Log that a replica serves, or why it was not formed."""
         log_event(
             _LOG,
             logging.WARNING if why else logging.INFO,
@@ -146,7 +157,6 @@
             members=",".join(plan.member_ids),
             why=why or None,
         )
-        return FormingResult(why, left)
 
     async def dissolve(
         self,
@@ -252,21 +262,6 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         return ""
 
-    async def _confirm_ready(self, plan: PlannedReplica) -> str:
-        """Return "" once all members report that they are ready, or which do not.
-
-        They are asked again for as long as a sound member may be silent.
-        """
-        until_s = self.clock.now_s() + MAX_SILENCE_S
-        while True:
-            ready = await self._ready_by_report(plan, list(plan.member_ids))
-            late = [member_id for member_id in plan.member_ids if member_id not in ready]
-            if not late:
-                return ""
-            if self.clock.now_s() >= until_s:
-                return f"not ready: {','.join(late)}"
-            await asyncio.sleep(REPORT_DELAY_S)
-
     def _not_ready(self, plan: PlannedReplica, reported: set[str]) -> list[str]:
         """Return the members that neither the list nor their own report shows as ready."""
         return [
