A tunnel that ends while its answer waits for its reader loses none of it

What callers would see: on the way over another daemon, an answer that its caller reads more slowly than it comes was cut where the daemon had paused reading, if the last frame came in the same read. With a Content-Length the answer broke (cut, or 502 for a request that may not be repeated); without one, ended by the close of the connection, it passed for complete: a 200 with a short body.

Cause: at the last frame TunnelProtocol closed the tunnel at once. AnswerProtocol had paused and kept bytes that it had not parsed; connection_lost then ended the body without them. A direct connection has no such end: its close is read only once reading goes on.

Why it works: while the transport is paused, the tunnel is left open. The other daemon closes it after the last frame, and the transport reports that only once reading goes on, as it does for a direct connection.

--- a/ferrydock/links/_tunnel_client.py
+++ b/ferrydock/links/_tunnel_client.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from ..clock import Clock
+from ..invariants import require
 from ..logs import log_event
 from ._dialer import Dialed, NoPathToTargets
 from ._direct import open_directly
@@ -160,16 +161,29 @@
         found = self._frames.feed(data)
         if found:
             self.inner.data_received(found)
-        if self._frames.has_ended and self._transport is not None:
-            if self._frames.is_withdrawn:
-                self._on_withdrawn()
-            else:
-                self.inner.eof_received()
-            self._transport.close()
+        if self._frames.has_ended:
+            self._end()
+
+    def _end(self) -> None:
+        """Close the tunnel after its last frame, unless the inner protocol has paused reading.
+
+        It may then hold bytes that it has not parsed yet. Once it reads again, the transport
+        reports the end of the tunnel, since the other daemon closes it after the last frame.
+        """
+        transport = require(self._transport, "the transport of a connected tunnel")
+        if self._frames.is_withdrawn:
+            self._on_withdrawn()
+        elif transport.is_reading():
+            self.inner.eof_received()
+        else:
+            return
+        transport.close()
 
     def eof_received(self) -> bool:
         """Close the tunnel, which the other daemon has closed."""
         self._is_cut = not self._frames.has_ended
+        if not self._is_cut:
+            self.inner.eof_received()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
