A resumed stream whose next target ends after the head of its answer is not complete

What callers saw: a stream broke after two events, and the target that was to continue it closed its connection in order after the head of an answer without a length. The caller got the two events, framed as a complete answer.

Cause: an answer that ends with its connection and has no event counted as complete as soon as any event number was known; that was meant for callers that continue a stream themselves, whose answer may have no further event.

Evidence: test_begun_stream_whose_next_target_ends_after_the_head_does_not_pass_for_a_complete_one failed on the code before, without and with a comment as body.

Why it works: the rule asks whether the run of this target had an event, and allows none only if this daemon has passed on none. Such an attempt is torn now: the stream is resumed elsewhere or cut, and a caller can continue a cut one. The price: a stream that broke after its last event and before its end is cut if its next target has nothing to add and no framing.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -185,13 +185,16 @@
 
 
 def _ends_before_first_event(events: NumberedEvents, answer: aiohttp.ClientResponse) -> bool:
-    """Return whether a stream that ends with its connection has no event at all.
+    """Return whether an answer that ends with its connection has no event, but should have one.
 
-    A target that ends after the head of its answer closes the connection in order at times.
+    A target that ends after the head of its answer closes the connection in order at times. A
+    caller may already have the last event of a stream that it continues, so none need follow. A
+    stream that was begun here broke before its end; a caller can continue it if it is cut.
     """
     headers = answer.headers
     is_framed = "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "")
-    return not is_framed and events.count == 0 and events.last_id is None
+    may_have_none = events.count == 0 and events.last_id is not None
+    return not (is_framed or may_have_none or events.run_has_event)
 
 
 def _answer_headers(answer: aiohttp.ClientResponse) -> CIMultiDict[str]:
--- a/ferrydock/forwarding/_events.py
+++ b/ferrydock/forwarding/_events.py
@@ -128,6 +128,11 @@
         """Whether a run that continues after `last_id` repeats and omits nothing."""
         return self._written.is_certain
 
+    @property
+    def run_has_event(self) -> bool:
+        """Whether this run had a complete event, repeated ones included."""
+        return self._ready is not self._started_at or self._repeated_id >= 0
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the bytes received of this run end within an event."""
--- a/ferrydock/forwarding/tests/test_forwarding.py
+++ b/ferrydock/forwarding/tests/test_forwarding.py
@@ -695,3 +695,18 @@
             assert body_of(await rig.ask(headers=["Last-Event-Id: 9"])) == (b"", True)
 
     play(scenario)
+
+
+@pytest.mark.parametrize("body", [b"", b": comment\n\n"])
+def test_begun_stream_whose_next_target_ends_after_the_head_does_not_pass_for_a_complete_one(body):
+    """Failure: the caller got the events of the first target, framed as a complete answer."""
+
+    async def scenario():
+        torn = resets(STREAM + events(1, 2) + chunk(b"id: 3\nda"))
+        targets = [ScriptedTarget(), ScriptedTarget()]
+        targets[0].scripts = targets[1].scripts = [torn, writes(UNFRAMED_STREAM + body, keep=False)]
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], targets) as rig:
+            received, has_ended = body_of(await rig.ask("POST", body=b"prompt"))
+        assert received.startswith(event(1) + event(2)) and not has_ended
+
+    play(scenario)
