A target that has started again is not ejected for its earlier failures

Callers would see: requests refused, or queued for longer, after targets of a plain service have crashed: each daemon left one that had failed repeatedly unused for up to 8 s, also after it had started again.

Cause: failures and ejections are counted by target id.

Change: they are reset once the list shows a later incarnation of the target. The requests in flight are still counted by id, since those at the earlier incarnation end by themselves.

--- a/ferrydock/forwarding/_target_loads.py
+++ b/ferrydock/forwarding/_target_loads.py
@@ -4,9 +4,11 @@
 counts and times by target id, in memory only.
 """
 
-from collections.abc import Container, ItemsView
+from collections.abc import Container, ItemsView, Mapping
 from dataclasses import dataclass
 
+from ..targets import Target
+
 __all__ = ["FIRST_SERVER_ERROR_STATUS", "TargetLoad", "TargetLoads"]
 
 # Statuses from this one on are errors of the target itself (RFC 9110, section 15.6).
@@ -43,6 +45,8 @@
         Ejections since the last success.
     ejected_s, ejected_until_s : float
         Local times at which the current or last ejection began and ends.
+    incarnation : int
+        Incarnation of the target that the list showed last; 0 if unknown.
     """
 
     in_flight: int = 0
@@ -53,6 +57,13 @@
     ejections_since_success: int = 0
     ejected_s: float = float("-inf")
     ejected_until_s: float = 0.0
+    incarnation: int = 0
+
+    def reset_failures(self) -> None:
+        """End the ejection, and reset the counts of failures and ejections."""
+        self.consecutive_failures = 0
+        self.ejections_since_success = 0
+        self.ejected_s, self.ejected_until_s = float("-inf"), 0.0
 
 
 class TargetLoads:
@@ -96,6 +107,22 @@
         for target_id in unlisted:
             del self._loads[target_id]
 
+    def note_incarnations(self, targets: Mapping[str, Target]) -> None:
+        """Reset the failures of targets that have started again under their ids.
+
+        Parameters
+        ----------
+        targets : mapping of str to Target
+            The target list by id.
+        """
+        for target_id, load in self._loads.items():
+            target = targets.get(target_id)
+            if target is None:
+                continue
+            if load.incarnation and target.incarnation > load.incarnation:
+                load.reset_failures()
+            load.incarnation = target.incarnation
+
     def request_started(self, target_id: str, now_s: float) -> None:
         """Count a request that is sent to a target."""
         load = self.of(target_id)
--- a/ferrydock/route_daemon/_upkeep.py
+++ b/ferrydock/route_daemon/_upkeep.py
@@ -62,6 +62,7 @@
         """Assign free slots to queued requests if the target list has changed."""
         if self.directory.changes != self._last_handled_change:
             self._last_handled_change = self.directory.changes
+            self._loads.note_incarnations(self.directory.targets)
             now_s = self.gateway.clock.now_s()
             self.gateway.forwarder.selector.catalog.has_cold(now_s)
             self.gateway.forwarder.selector.assign_free_slots()
