--- a/ferrydock/route_daemon/tests/test_ended_terms.py
+++ b/ferrydock/route_daemon/tests/test_ended_terms.py
@@ -82,13 +82,16 @@
         self.control = RecordingControl(self, controller.lease)
         controller.order_sender.control = self.control
         settling = EraSettling(self.store, self.clock, is_first_start=True)
-        leadership = OneTerm(controller, self.store, self.clock, self.rng, lambda: False, settling)
+        self.is_stopping = False
+        leadership = OneTerm(
+            controller, self.store, self.clock, self.rng, lambda: self.is_stopping, settling
+        )
         self.leading = asyncio.ensure_future(leadership.run())
 
-    def lose_orders(self):
-        """Let no order be answered from now on, nor carried out soon."""
+    def lose_orders(self, from_s=1000.0, to_s=1000.0):
+        """Let no order be answered from now on; it is carried out this much later."""
         self.fleet.faults.late_share = 1.0
-        self.fleet.faults.late_from_s = self.fleet.faults.late_to_s = 1000.0
+        self.fleet.faults.late_from_s, self.fleet.faults.late_to_s = from_s, to_s
 
     def add_staged_targets(self):
         """Add targets that can form a replica at once, so that the controller writes a plan."""
@@ -98,14 +101,14 @@
             self.fleet.on_change(worker)
 
 
-async def begin_forming(hall):
-    hall.lose_orders()
+async def begin_forming(hall, *late_s):
+    hall.lose_orders(*late_s)
     assert await hall.until(lambda: hall.control.sent >= 4, 5.0) is not None
 
 
-async def begin_dissolving(hall):
+async def begin_dissolving(hall, *late_s):
     assert await hall.until(lambda: hall.models()["large"], 60.0) is not None
-    hall.lose_orders()
+    hall.lose_orders(*late_s)
     member = hall.fleet.workers["w0-3"]
     member.draining = True
     hall.fleet.on_change(member)
@@ -168,6 +171,36 @@
     assert late == {}
 
 
+# When the orders of a leader that stops as planned are carried out, and when it stops.
+LATE_ORDERS_S = (0.1, 6.0)
+STOP_AFTER_S = tuple(number / 5 for number in range(20))
+
+
+async def stop_with_orders_on_their_way(begin_task, stop_after_s):
+    """Stop a leader as planned while its orders are on their way; return the hall."""
+    hall = LedHall()
+    await begin_task(hall, *LATE_ORDERS_S)
+    await asyncio.sleep(stop_after_s)
+    hall.is_stopping = True
+    await hall.leading
+    hall.fleet.faults.late_share = 0.0
+    for worker in hall.fleet.workers.values():
+        worker.draining = False
+        hall.fleet.on_change(worker)
+    hall.start_controller()
+    await hall.until(lambda: False, LATE_ORDERS_S[1])
+    assert await hall.until(lambda: hall.models()["large"], 60.0) is not None
+    return hall
+
+
+@pytest.mark.parametrize("begin_task", [begin_forming, begin_dissolving])
+def test_orders_of_a_leader_that_stopped_break_no_rule_under_the_next_one(begin_task):
+    """The lease is released, so the next leader begins at once."""
+    for stop_after_s in STOP_AFTER_S:
+        hall = run_virtually(stop_with_orders_on_their_way(begin_task, stop_after_s))
+        assert hall.fleet.violations == [], stop_after_s
+
+
 # When an order is carried out that is on its way while the next leader adopts a replica.
 LATE_S = 4.0
 
--- a/tests/led_site.py
+++ b/tests/led_site.py
@@ -19,6 +19,8 @@
 from ferrydock.standins.fleet import FleetSite, LoopClock, OrderGate
 from ferrydock.store import LeaseGranted, MemoryStore, Put
 
+HALL = "hall-a"
+
 CONDITION_LIMIT_S = 60.0
 POLL_INTERVAL_S = 0.02
 REQUEST_INTERVAL_S = 0.1
@@ -284,3 +286,24 @@
 
 def _is_served(call):
     return call.outcome == "served" and not call.fault
+
+
+def play(folder, story, *halls):
+    """Play a story on a site of its own; check what must hold in every story."""
+
+    async def run():
+        async with LedSite(folder, *(halls or (HALL,))) as site:
+            await story(site)
+            assert site.fleet.violations == []
+            assert site.orders_without_lease() == []
+
+    asyncio.run(run())
+
+
+async def freeze_forming_leader(site, hall, leader):
+    """Freeze the hall's leader when all of its orders to join a new replica are on their way."""
+    site.gate.holds = lambda order: order.sender == leader.ip
+    targets = await site.add_targets(hall, "d0")
+    await site.until(lambda: len(site.gate.held) >= REPLICA_SIZE, "all orders are on their way")
+    leader.freeze()
+    return targets
--- a/tests/test_two_leaders.py
+++ b/tests/test_two_leaders.py
@@ -3,37 +3,12 @@
 Each test checks the record of the targets, and that its story has really happened.
 """
 
-import asyncio
-
 import pytest
 
-from .led_site import REPLICA_SIZE, LedSite
+from .led_site import HALL, REPLICA_SIZE, freeze_forming_leader, play
 
 pytestmark = pytest.mark.processes
 
-HALL = "hall-a"
-
-
-def play(folder, story, *halls):
-    """Play a story on a site of its own; check what must hold in every story."""
-
-    async def run():
-        async with LedSite(folder, *(halls or (HALL,))) as site:
-            await story(site)
-            assert site.fleet.violations == []
-            assert site.orders_without_lease() == []
-
-    asyncio.run(run())
-
-
-async def freeze_forming_leader(site, hall, leader):
-    """Freeze the hall's leader when all of its orders to join a new replica are on their way."""
-    site.gate.holds = lambda order: order.sender == leader.ip
-    targets = await site.add_targets(hall, "d0")
-    await site.until(lambda: len(site.gate.held) >= REPLICA_SIZE, "all orders are on their way")
-    leader.freeze()
-    return targets
-
 
 @pytest.mark.parametrize("arrival", ["while_the_next_leader_forms", "while_its_replica_serves"])
 def test_orders_of_a_leader_that_was_frozen_beyond_its_lease_do_no_harm(tmp_path, arrival):
@@ -178,41 +153,6 @@
         face.faults.down = ""
 
 
-def test_orders_around_a_time_in_which_a_hall_was_led_from_outside_do_no_harm(tmp_path):
-    led_hall = "hall-b"
-
-    async def story(site):
-        own, outside = await asyncio.gather(site.start_daemon(led_hall), site.start_daemon(HALL))
-        await site.until(
-            lambda: own.believes_to_lead(led_hall) and outside.believes_to_lead(HALL),
-            "each daemon leads its hall",
-        )
-        await freeze_forming_leader(site, led_hall, own)
-        await site.until(lambda: outside.believes_to_lead(led_hall), "it is led from outside")
-        assert own.believes_to_lead(led_hall)
-        await site.until(site.fleet.open_heads, "a replica is open")
-        released = site.gate.release()
-        own.wake()
-        assert len(site.late_orders(released, site.term_of(outside, led_hall))) >= REPLICA_SIZE
-        await site.until(lambda: not own.believes_to_lead(led_hall), "its term has ended")
-
-        site.gate.holds = lambda order: order.sender == outside.ip
-        await site.add_targets(led_hall, "d1", staged=["large"])
-        await site.until(lambda: site.gate.held, "orders from outside are on their way")
-        outside.freeze()
-        await site.until(lambda: own.believes_to_lead(led_hall), "its own daemon leads again")
-        assert outside.believes_to_lead(led_hall)
-        await site.until(lambda: len(site.fleet.open_heads()) > 1, "another replica is open")
-        released = site.gate.release()
-        outside.wake()
-        assert site.late_orders(released, site.term_of(own, led_hall))
-        await site.until(lambda: not outside.believes_to_lead(led_hall), "its term has ended")
-        site.gate.holds = lambda order: False
-        await site.until_served(2)
-
-    play(tmp_path, story, HALL, led_hall)
-
-
 def test_a_replica_that_is_adopted_while_the_leader_before_dissolves_it_is_served(tmp_path):
     async def story(site):
         first, second = await site.start_leader_and_follower(HALL)
