Test: what is on its way from the leader before changes nothing in the replica formed anew

Since members that another leader ordered to join are formed anew, the orders to leave that were on their way must all be refused, and the replica that serves when they arrive must still be the one that serves at the end.

--- a/tests/test_two_leaders.py
+++ b/tests/test_two_leaders.py
@@ -167,12 +167,15 @@
         first.freeze()
         await site.until(lambda: second.has_logged("replica_adopted", replica=name), "adopted")
         assert first.believes_to_lead(HALL) and second.believes_to_lead(HALL)
-        await site.until(site.fleet.open_heads, "the replica is open again")
+        head = (await site.until(site.fleet.open_heads, "its members serve again"))[0]
+        key = head.group_key
         site.gate.holds = lambda order: False
         released = site.gate.release()
         first.wake()
         assert len(site.late_orders(released, site.term_of(second, HALL))) >= REPLICA_SIZE
+        assert {order.answer for order in released} == {"refused"}
         await site.until(lambda: not first.believes_to_lead(HALL), "its term has ended")
         await site.until_served(1)
+        assert [head.group_key for head in site.fleet.open_heads()] == [key]
 
     play(tmp_path, story)
