--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -141,10 +141,10 @@
 )
 LONG_ANSWERS_EVENT_S = 0.1
 
-# Changing leaders: streams of about 1 s, more of the one model and then of the other than its
+# Changing leaders: streams of about 2 s, more of the one model and then of the other than its
 # replicas have slots for, so that replicas turn over.
 TERMS_LOAD = Load(45.0, {"write-large": 1.0, "write-small": 1.0, "look": 1.0, "file": 1.5})
-TERMS_EVENT_S = 0.1
+TERMS_EVENT_S = 0.2
 TERMS_LENGTH_S = 38.0
 TERMS_DOMAIN_SIZE = 16
 
--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -88,8 +88,10 @@
 # How long a leader is suspended: longer than its lease, which `route_daemon` takes for 1.8 s.
 SUSPENDED_S = (2.2, 4.5)
 
+# Shares of the time of troubles in which the series of restarts of each hall begin.
+RESTARTS_BEGIN = ((0.05, 0.2), (0.4, 0.7))
+
 # Series of each kind in a run.
-RESTART_SERIES = (2, 3, 4)
 LIST_SERIES = (1, 2, 3)
 SUSPENDED_SERIES = (0, 1, 2)
 OTHER_SERIES = (0, 1, 2, 3)
@@ -118,13 +120,11 @@
     for hall in halls:
         at_s, how = rng.uniform(0.5, 3.0), rng.choice(("silent", "silent", "busy"))
         drawn.append(Trouble(at_s, LEADERS_KIND, rng.choice(CUT_COUNTS), CUT_S[1], hall, how))
-    for _ in range(rng.choice(RESTART_SERIES)):
-        at_s, for_s = rng.uniform(0.5, until_s - 4.0), rng.uniform(*RESTART_INTERVAL_S)
-        drawn.append(
-            Trouble(
-                at_s, RESTARTS_KIND, rng.choice(RESTARTED_COUNTS), for_s, rng.choice(("", *halls))
-            )
-        )
+    for hall in halls:
+        for share in RESTARTS_BEGIN:
+            at_s, for_s = rng.uniform(*share) * until_s, rng.uniform(*RESTART_INTERVAL_S)
+            count = rng.choice(RESTARTED_COUNTS)
+            drawn.append(Trouble(at_s, RESTARTS_KIND, count, for_s, hall))
     for _ in range(rng.choice(LIST_SERIES)):
         at_s, for_s = rng.uniform(0.5, until_s), rng.uniform(*LIST_LAG_S)
         drawn.append(
