ferrydockd takes an answer without a length that ends in a reset for a lost one

What callers saw: an engine, a plain service or another hall answered without a length, so until the connection ends, and the connection was reset after the head or within the body. The caller got a 200 with an empty or short body and its length, as a complete answer; a call with an idempotency key was recorded with it.

Cause: aiohttp ends such a body at any end of the connection. `ferrydockd-routes` checked for a reset, ferrydockd did not, nor did the readers of control answers (`read_body`).

Why it works: one function, `http_client.raise_if_reset`, moved from forwarding, now serves all of them. It asks only of answers that are not framed: a framed one is complete whatever its connection does after it.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -13,6 +13,7 @@
 
 from .. import http_server as web
 from ..clock import Clock
+from ..http_client import is_framed, raise_if_reset
 from ..invariants import require
 from ._closed_connections import CloseReason
 from ._events import NumberedEvents
@@ -58,7 +59,7 @@
             size += len(piece)
             if size > MAX_BUFFERED_BYTES:
                 return await self._relay_large(exchange, answer, b"".join(pieces), pending)
-        _raise_if_reset(answer)
+        raise_if_reset(answer)
         exchange.first_bytes_s = self.clock.now_s() - exchange.received_s
         exchange.response = web.Response(
             status=answer.status,
@@ -81,7 +82,7 @@
             await _write(response, piece)
             if connection.is_backlogged:
                 await _wait_for_caller(exchange, connection, answer)
-        _raise_if_reset(answer)
+        raise_if_reset(answer)
         await _write_end(response)
         return AttemptEnd(True, True, AttemptReason.ANSWERED, status=answer.status)
 
@@ -119,7 +120,7 @@
                     last_piece_s = self.clock.now_s()  # the pause was not the target's
             if events.fault is not None:
                 return AttemptEnd(False, True, events.fault)
-        _raise_if_reset(answer)
+        raise_if_reset(answer)
         if events.has_partial_event or _ends_before_first_event(events, answer):
             return AttemptEnd(False, True, AttemptReason.TORN)
         if exchange.response is None:
@@ -173,17 +174,6 @@
         piece = b""
 
 
-def _raise_if_reset(answer: aiohttp.ClientResponse) -> None:
-    """Raise if an answer without a length was cut short by a connection reset.
-
-    aiohttp treats the end of the connection as the end of such an answer. The error that ended the
-    connection is only found in its protocol object, a private attribute.
-    """
-    error = answer._protocol.exception() if answer._protocol is not None else None
-    if isinstance(error, OSError) and not isinstance(error, aiohttp.ServerDisconnectedError):
-        raise aiohttp.ClientPayloadError("the connection was reset")
-
-
 def _ends_before_first_event(events: NumberedEvents, answer: aiohttp.ClientResponse) -> bool:
     """Return whether an answer that ends with its connection has no event, but should have one.
 
@@ -191,10 +181,8 @@
     caller may already have the last event of a stream that it continues, so none need follow. A
     stream that was begun here broke before its end; a caller can continue it if it is cut.
     """
-    headers = answer.headers
-    is_framed = "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "")
     may_have_none = events.count == 0 and events.last_id is not None
-    return not (is_framed or may_have_none or events.run_has_event)
+    return not (is_framed(answer) or may_have_none or events.run_has_event)
 
 
 def _answer_headers(answer: aiohttp.ClientResponse) -> CIMultiDict[str]:
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..http_client import raise_if_reset
 from ..invariants import require
 from ..logs import log_event
 from ..outcomes import NotRun, Run
@@ -253,6 +254,7 @@
                 allow_redirects=False,
             ) as response:
                 answer = await response.read()
+                raise_if_reset(response)
                 content_type = response.headers.get("Content-Type", "application/octet-stream")
                 return Answered(response.status, content_type, answer)
         except aiohttp.ClientConnectorError:
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from ..clock import Clock
-from ..http_client import open_session
+from ..http_client import open_session, raise_if_reset
 from ..invariants import require
 from ..logs import log_event
 from ..membership import HallSummary, SharedState
@@ -137,6 +137,7 @@
         try:
             async with self.stop_limit.apply():
                 body = await response.read()
+                raise_if_reset(response)
         except DaemonStopping:
             return _lost_answer(STOPPING_REASON, model_request)
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -10,7 +10,7 @@
 
 from .answer_protocol import AnswerProtocol
 
-__all__ = ["BodyTooLarge", "open_session", "read_body"]
+__all__ = ["BodyTooLarge", "is_framed", "open_session", "raise_if_reset", "read_body"]
 
 
 class BodyTooLarge(aiohttp.ClientPayloadError):
@@ -81,8 +81,36 @@
         if size > max_bytes:
             response.close()
             raise BodyTooLarge(f"a body of more than {max_bytes} bytes")
+    raise_if_reset(response)
     return b"".join(pieces)
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an answer states where its body ends; else that is the connection's end."""
+    encoding = response.headers.get("Transfer-Encoding")
+    if encoding is not None:
+        return encoding.strip().lower().endswith("chunked")
+    return "Content-Length" in response.headers
+
+
+def raise_if_reset(response: aiohttp.ClientResponse) -> None:
+    """Raise if the body of an answer ended because its connection was reset.
+
+    Called once the body has been read. aiohttp treats any end of the connection as the end of an
+    answer that is not framed. The error that ended the connection is only found in its protocol
+    object, a private attribute. A framed answer is complete whatever happens to its connection.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        The body may be incomplete.
+    """
+    if is_framed(response):
+        return
+    error = response._protocol.exception() if response._protocol is not None else None
+    if isinstance(error, OSError) and not isinstance(error, aiohttp.ServerDisconnectedError):
+        raise aiohttp.ClientPayloadError("the connection was reset")
+
+
 def _make_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
     return AnswerProtocol(loop)
--- a/ferrydock/platform/tests/ages_site.py
+++ b/ferrydock/platform/tests/ages_site.py
@@ -217,7 +217,9 @@
     def _answer(self, answered, status, fields, era=None):
         if not answered.done():
             era = self.memory.era if era is None else era
-            answered.set_result(Response(status, orjson.dumps(fields), {"Store-Era": str(era)}))
+            body = orjson.dumps(fields)
+            headers = {"Store-Era": str(era), "Content-Length": str(len(body))}
+            answered.set_result(Response(status, body, headers))
 
     async def _carry_out(self, path, query, body):
         kind, _, argument = path.partition("/")
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -12,7 +12,7 @@
 import aiohttp
 import orjson
 
-from ..http_client import open_session
+from ..http_client import open_session, raise_if_reset
 from ..invariants import require
 from ..placement import Replica
 from ._events import EventRelay
@@ -263,6 +263,7 @@
     async def _read_answer(self, response) -> Answered | Refused | Broken:
         try:
             body = await response.read()
+            raise_if_reset(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Broken(f"the answer broke: {type(error).__name__}")
         response.release()
