A stream that another hall completed gets no error after its terminal marker

What callers of ferrydockd saw: the stream of another hall was passed on up to its terminal marker, the connection broke before the last chunk, and an error event followed the marker. Each relay of an engine's own stream already ends at the marker; the one of another hall took the broken connection for an incomplete stream.

A broken stream is logged.

--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -165,8 +165,8 @@
                         await answer.write(ready)
         except DaemonStopping:
             reason = STOPPING_REASON
-        except (aiohttp.ClientPayloadError, TimeoutError):
-            relay.complete = False
+        except (aiohttp.ClientPayloadError, TimeoutError) as broken:
+            log_event(_LOG, logging.INFO, "hall_stream_broken", why=type(broken).__name__)
         if not relay.complete:
             error = error_body("stream_broken", reason, Run.UNKNOWN, False)
             await answer.write(error_event(error))
--- a/ferrydock/gateway/tests/test_cut_answers.py
+++ b/ferrydock/gateway/tests/test_cut_answers.py
@@ -4,13 +4,15 @@
 from types import SimpleNamespace
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
 
 from ...clock import SystemClock
 from ...forwarding.tests.rig import ScriptedTarget, play, resets, writes
 from ...planned_stop import StopLimit
 from ...requests import Answered, ModelRequest
 from ...requests._attempt import Attempt, Broken, EngineClient
-from ...requests._events import EventRelay
+from ...requests._events import DONE_EVENT, EventRelay
 from .._lasting_work import BackgroundTasks
 from .._services import LOST_CONTACT, ServiceRoutes
 from .._spill import RemoteHallForwarder
@@ -22,18 +24,18 @@
     "length": HEAD + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY,
     "chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY),
 }
+MODEL_REQUEST = ModelRequest(
+    "id", "acme", "m", "/v1/completions", b"{}", {}, False, (), 5, False, "", 1e9
+)
 
 
 async def ask_engine(url):
     client = EngineClient()
     head = SimpleNamespace(url=url)
     replica = SimpleNamespace(replica_id="r", generation=1, head=head)
-    request = ModelRequest(
-        "id", "acme", "m", "/v1/completions", b"{}", {}, False, (), 5, False, "", 1e9
-    )
     try:
         relay = EventRelay(keep=False)
-        outcome = await client.send(request, Attempt(replica), relay, caller=None)
+        outcome = await client.send(MODEL_REQUEST, Attempt(replica), relay, caller=None)
     finally:
         await client.close()
     return None if isinstance(outcome, Broken) else outcome.body
@@ -54,11 +56,8 @@
 
 async def ask_other_hall(url):
     forwarder = RemoteHallForwarder(None, SystemClock(), StopLimit())
-    model_request = SimpleNamespace(
-        hops=0, path="/v1/completions", body=b"{}", request_id="id", repeatable=False
-    )
     try:
-        answer = await forwarder._forward_to(url, SimpleNamespace(headers={}), model_request)
+        answer = await forwarder._forward_to(url, SimpleNamespace(headers={}), MODEL_REQUEST)
     finally:
         await forwarder.close()
     assert answer.status in (200, 502)
@@ -109,3 +108,35 @@
         for cut in range(0, len(answer), 12):
             assert body_of(end(answer[:cut])) is None, answer[:cut]
     assert body_of(end(answer[:-1])) is None
+
+
+@pytest.mark.parametrize("is_complete", [True, False])
+@pytest.mark.parametrize("end", [lambda data: writes(data, keep=False), resets])
+def test_stream_of_another_hall_has_an_error_after_it_only_if_it_is_incomplete(end, is_complete):
+    """Failure: an error followed the terminal marker if the connection broke after it."""
+    event = b'data: {"choices":[]}\n\n' + (DONE_EVENT if is_complete else b"")
+    chunk = b"%x\r\n%s\r\n" % (len(event), event)
+    head = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+
+    async def scenario():
+        hall = ScriptedTarget(end(head + chunk))
+        await hall.start()
+        forwarder = RemoteHallForwarder(None, SystemClock(), StopLimit())
+
+        async def forward(request):
+            url = f"http://{hall.address}"
+            return await forwarder._forward_to(url, request, MODEL_REQUEST)
+
+        app = web.Application()
+        app.router.add_post("/", forward)
+        async with TestClient(TestServer(app)) as client, client.post("/") as answer:
+            received = await answer.read()
+        await forwarder.close()
+        hall.close()
+        return received
+
+    received = play(scenario)
+    assert received.startswith(event)
+    assert (received == event) is is_complete and (b'"error"' in received) is not is_complete
