Messages between daemons are decoded into declared types or refused

What a site would see: one reply of a leader with a field of another type (a text as age or version, a list as name of a replica, no text as configuration) raised in the loop that polls it, and the daemon ended. A report of demand that could not be decoded did the same to the leaders of the other halls. An incarnation of more than 64 bits in one follower's report that a target leaves was kept, could not be written again, and no follower got a reply any more.

Cause: fields were taken for what their annotations say, as with the entries of targets before.

Why it works: the dataclasses that describe the messages are what `msgspec` checks; each decoder raises ValueError (KeyError for a missing part), which each caller handles. The messages are the same on the wire. An unknown field of a newer version is ignored now, and no longer a reason to refuse the message.

--- a/ferrydock/backpressure/_messages.py
+++ b/ferrydock/backpressure/_messages.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+import msgspec
+
 __all__ = ["LimitReport", "decode_limits", "encode_limits"]
 
 # Decimal digits of an age in seconds. A message takes longer than the 1 ms that this resolves.
@@ -47,7 +49,7 @@
 
     Raises
     ------
-    TypeError, ValueError
+    ValueError
         If the fields do not have the form that `encode_limits` returns.
 
     Examples
@@ -55,9 +57,5 @@
     >>> decode_limits({"t": [None, 0.25]}), decode_limits(None)
     ((LimitReport(target_id='t', rate_per_s=None, age_s=0.25),), ())
     """
-    if not isinstance(fields, Mapping | None):
-        raise TypeError(f"limits are a table, not {type(fields).__name__}")
-    return tuple(
-        LimitReport(str(target_id), None if rate is None else float(rate), float(age_s))
-        for target_id, (rate, age_s) in (fields or {}).items()
-    )
+    reports = msgspec.convert(fields or {}, dict[str, tuple[float | None, float]])
+    return tuple(LimitReport(target_id, *report) for target_id, report in reports.items())
--- a/ferrydock/crashes/_messages.py
+++ b/ferrydock/crashes/_messages.py
@@ -8,6 +8,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+import msgspec
+
+from ..typed_json import Number
+
 __all__ = ["CrashAge", "CrashReport", "CrashUpdate", "decode_crash_update"]
 
 
@@ -65,9 +69,9 @@
     """
 
     life: str
-    change: int
+    change: Number
     known_life: str = ""
-    known_change: int = 0
+    known_change: Number = 0
     reports: tuple[CrashReport, ...] = ()
 
 
@@ -76,7 +80,7 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
+    ValueError
         If a field is missing or of another type.
 
     Examples
@@ -87,31 +91,4 @@
     >>> decode_crash_update(asdict(update)) == update, decode_crash_update(None)
     (True, None)
     """
-    if fields is None:
-        return None
-    return CrashUpdate(
-        life=str(fields["life"]),
-        change=int(fields["change"]),
-        known_life=str(fields["known_life"]),
-        known_change=int(fields["known_change"]),
-        reports=tuple(_decode_report(report) for report in fields["reports"]),
-    )
-
-
-def _decode_report(fields: Mapping) -> CrashReport:
-    age_s = fields["answered_age_s"]
-    return CrashReport(
-        identity=str(fields["identity"]),
-        crashes=tuple(_decode_crash(crash) for crash in fields["crashes"]),
-        answered_id=str(fields["answered_id"]),
-        answered_age_s=None if age_s is None else float(age_s),
-    )
-
-
-def _decode_crash(fields: Mapping) -> CrashAge:
-    return CrashAge(
-        crash_id=str(fields["crash_id"]),
-        target_id=str(fields["target_id"]),
-        ended_age_s=float(fields["ended_age_s"]),
-        ran_s=float(fields["ran_s"]),
-    )
+    return None if fields is None else msgspec.convert(fields, CrashUpdate)
--- a/ferrydock/evacuation/_report.py
+++ b/ferrydock/evacuation/_report.py
@@ -7,7 +7,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+import msgspec
+
 from ..store import Position
+from ..typed_json import Number
 
 __all__ = ["EvacuationReport", "decode_evacuation_report"]
 
@@ -45,18 +48,24 @@
         return {"halls": dict(self.closes_in_s), "position": position, "age_s": self.age_s}
 
 
+@dataclass(frozen=True, slots=True)
+class _Fields:
+    """The report as the fields of a message."""
+
+    halls: dict[str, float]
+    position: tuple[Number, Number]
+    age_s: float
+
+
 def decode_evacuation_report(fields) -> EvacuationReport | None:
     """Decode a report; None if the message has none.
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    ValueError
         If the fields are not a valid report.
     """
     if fields is None:
         return None
-    if not isinstance(fields, dict) or not isinstance(fields["halls"], dict):
-        raise TypeError("a report on evacuated halls is a table with a table of halls")
-    era, revision = fields["position"]
-    closes_in_s = {str(hall): float(seconds) for hall, seconds in fields["halls"].items()}
-    return EvacuationReport(closes_in_s, Position(int(era), int(revision)), float(fields["age_s"]))
+    report = msgspec.convert(fields, _Fields)
+    return EvacuationReport(report.halls, Position(*report.position), report.age_s)
--- a/ferrydock/links/_tunnel_messages.py
+++ b/ferrydock/links/_tunnel_messages.py
@@ -15,8 +15,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
 import orjson
 
+from ..typed_json import load_object
+
 __all__ = [
     "END_FRAME",
     "WITHDRAWN_FRAME",
@@ -75,6 +78,15 @@
     backoff_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Fields:
+    """A request as the fields of a message."""
+
+    address: str
+    request: str
+    backoff_s: float | None = None
+
+
 def encode_request(request: TunnelRequest) -> bytes:
     """Return a request as sent."""
     request_id = request.request_id[: MAX_REQUEST_BYTES // 8]
@@ -90,7 +102,7 @@
 
     Raises
     ------
-    ValueError, KeyError, TypeError
+    ValueError
         It is not a request for a tunnel.
 
     Examples
@@ -107,13 +119,9 @@
         raise ValueError(f"a request of {length} bytes")
     if len(data) < _REQUEST_LENGTH.size + length:
         return None
-    fields = orjson.loads(data[_REQUEST_LENGTH.size : _REQUEST_LENGTH.size + length])
-    backoff_s = fields.get("backoff_s")
-    return TunnelRequest(
-        str(fields["address"]),
-        str(fields["request"]),
-        None if backoff_s is None else float(backoff_s),
-    )
+    fields = load_object(data[_REQUEST_LENGTH.size : _REQUEST_LENGTH.size + length])
+    request = msgspec.convert(fields, _Fields)
+    return TunnelRequest(request.address, request.request, request.backoff_s)
 
 
 def encode_frame(data: bytes) -> bytes:
--- a/ferrydock/relay/_messages.py
+++ b/ferrydock/relay/_messages.py
@@ -4,15 +4,16 @@
 upgrade, so a field is never renamed (tests/test_outside.py).
 """
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 
 import msgspec
 import orjson
 
-from ..crashes import CrashUpdate, decode_crash_update
+from ..crashes import CrashUpdate
 from ..evacuation import EvacuationReport, decode_evacuation_report
 from ..store import Position
 from ..targets import Target
+from ..typed_json import Number, load_object
 
 __all__ = [
     "UpdateReply",
@@ -58,12 +59,12 @@
     """
 
     life: str
-    change: int
-    version: int
-    broken: tuple[tuple[str, int], ...] = ()
+    change: Number
+    version: Number
+    broken: tuple[tuple[str, Number], ...] = ()
     sender: str = ""
     crashes: CrashUpdate | None = None
-    leaving: tuple[tuple[str, int], ...] = ()
+    leaving: tuple[tuple[str, Number], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,20 +112,20 @@
 
     serves: bool
     life: str
-    change: int
+    change: Number
     whole: bool
     entries: tuple[Target, ...]
     removed: tuple[str, ...]
-    revision: int
-    version: int
+    revision: Number
+    version: Number
     configuration: str
     age_s: float | None
-    broken: tuple[tuple[str, int], ...] = ()
-    daemons: int = 1
+    broken: tuple[tuple[str, Number], ...] = ()
+    daemons: Number = 1
     crashes: CrashUpdate | None = None
-    era: int = 0
+    era: Number = 0
     evacuated: EvacuationReport | None = None
-    leaving: tuple[tuple[str, int], ...] = ()
+    leaving: tuple[tuple[str, Number], ...] = ()
 
     @property
     def position(self) -> Position:
@@ -182,16 +183,10 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    ValueError
         If the data is not a valid request.
     """
-    fields = orjson.loads(data)
-    decoded = {
-        "broken": _decode_pairs(fields.get("broken", ())),
-        "crashes": decode_crash_update(fields.get("crashes")),
-        "leaving": _decode_pairs(fields.get("leaving", ())),
-    }
-    return UpdateRequest(**{**fields, **decoded})
+    return msgspec.convert(load_object(data), UpdateRequest)
 
 
 def decode_reply(data: bytes) -> UpdateReply:
@@ -199,7 +194,7 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    ValueError
         If the data is not a valid reply.
 
     Examples
@@ -211,15 +206,6 @@
     >>> decode_reply(encode(reply)) == reply
     True
     """
-    fields = orjson.loads(data)
-    fields["entries"] = msgspec.convert(fields["entries"], tuple[Target, ...])
-    fields["removed"] = tuple(fields["removed"])
-    fields["broken"] = _decode_pairs(fields.get("broken", ()))
-    fields["crashes"] = decode_crash_update(fields.get("crashes"))
-    fields["evacuated"] = decode_evacuation_report(fields.get("evacuated"))
-    fields["leaving"] = _decode_pairs(fields.get("leaving", ()))
-    return UpdateReply(**fields)
-
-
-def _decode_pairs(pairs) -> tuple[tuple[str, int], ...]:
-    return tuple((str(name), int(epoch)) for name, epoch in pairs)
+    fields = load_object(data)
+    evacuated = decode_evacuation_report(fields.pop("evacuated", None))
+    return replace(msgspec.convert(fields, UpdateReply), evacuated=evacuated)
--- a/ferrydock/scheduling/_demand.py
+++ b/ferrydock/scheduling/_demand.py
@@ -9,8 +9,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from math import exp
+from typing import Annotated
 
+import msgspec
 import orjson
+from msgspec import Meta
+
+from ..typed_json import Number, load_object
 
 __all__ = ["DemandMeter", "encode_demand", "receive_report"]
 
@@ -52,6 +57,12 @@
 REFUSED_KEY = "#refused_slots"
 CHANGING_KEY = "#changing"
 
+# Largest demand for one model that a report may hold, in slots: above that of any site, and small
+# enough for every calculation with it.
+MAX_REPORTED_SLOTS = 1e6
+
+_SlotsByModel = dict[str, dict[str, Annotated[float, Meta(ge=0, le=MAX_REPORTED_SLOTS)]]]
+
 
 @dataclass(slots=True)
 class _ModelDemand:
@@ -305,9 +316,18 @@
 
 
 def receive_report(meter: DemandMeter, hall: str, data: bytes, now_s: float) -> None:
-    """Apply another hall's report to a meter; one of an older version has only the demand."""
-    report = orjson.loads(data)
-    meter.receive_remote_refusals(hall, report.pop(REFUSED_KEY, {}), now_s)
-    changes = {(name, epoch): model for name, epoch, model in report.pop(CHANGING_KEY, ())}
+    """Apply another hall's report to a meter; one of an older version has only the demand.
+
+    Raises
+    ------
+    ValueError
+        If the report cannot be decoded; nothing of it is applied.
+    """
+    fields = load_object(data)
+    refused = msgspec.convert(fields.pop(REFUSED_KEY, {}), _SlotsByModel)
+    changing = msgspec.convert(fields.pop(CHANGING_KEY, []), list[tuple[str, Number, str]])
+    wanted = msgspec.convert(fields, _SlotsByModel)
+    meter.receive_remote_refusals(hall, refused, now_s)
+    changes = {(name, epoch): model for name, epoch, model in changing}
     meter.receive_remote_changes(hall, changes, now_s)
-    meter.receive_remote(hall, report, now_s)
+    meter.receive_remote(hall, wanted, now_s)
--- a/ferrydock/scheduling/_messages.py
+++ b/ferrydock/scheduling/_messages.py
@@ -5,14 +5,16 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 
+import msgspec
 import orjson
 
 from ..backpressure import LimitReport, decode_limits, encode_limits
 from ..crashes import CrashUpdate, decode_crash_update
 from ..evacuation import EvacuationReport, decode_evacuation_report
 from ..teams import TeamUse
+from ..typed_json import Number, load_object
 
 __all__ = [
     "ACCEPTED_FIELDS",
@@ -77,12 +79,12 @@
     """
 
     sender: str
-    running: Mapping[str, int] = field(default_factory=dict)
-    seen: tuple[int, ...] = ()
+    running: Mapping[str, Number] = field(default_factory=dict)
+    seen: tuple[Number, ...] = ()
     service: str = ""
     model: str = ""
     avoid: tuple[str, ...] = ()
-    rank: tuple[int, ...] = ()
+    rank: tuple[Number, ...] = ()
     left_s: float = 0.0
     hold_s: float = 0.0
     limits: tuple[LimitReport, ...] = ()
@@ -126,8 +128,8 @@
     """
 
     target_id: str
-    candidates: int
-    grant: int = 0
+    candidates: Number
+    grant: Number = 0
     limited_for_s: float = 0.0
     limits: tuple[LimitReport, ...] = ()
     waited_s: float = 0.0
@@ -149,7 +151,7 @@
 
     Raises
     ------
-    ValueError, TypeError
+    ValueError
         If the bytes are not a valid message.
 
     Examples
@@ -158,20 +160,16 @@
     >>> decode_request(encode(request)) == request
     True
     """
-    fields = orjson.loads(data)
-    fields["seen"] = tuple(fields.get("seen", ()))
-    fields["avoid"] = tuple(fields.get("avoid", ()))
-    fields["rank"] = tuple(fields.get("rank", ()))
-    fields["limits"] = decode_limits(fields.get("limits"))
-    fields["resting"] = tuple(fields.get("resting", ()))
-    return SlotRequest(**fields)
+    fields = load_object(data)
+    limits = decode_limits(fields.pop("limits", None))
+    return replace(msgspec.convert(fields, SlotRequest), limits=limits)
 
 
 def decode_reply(data: bytes) -> SlotReply:
-    """Decode the scheduler's reply to a daemon; raises ValueError or TypeError if it is invalid."""
-    fields = orjson.loads(data)
-    fields["limits"] = decode_limits(fields.get("limits"))
-    return SlotReply(**fields)
+    """Decode the scheduler's reply to a daemon; raises ValueError if it is invalid."""
+    fields = load_object(data)
+    limits = decode_limits(fields.pop("limits", None))
+    return replace(msgspec.convert(fields, SlotReply), limits=limits)
 
 
 def encode_report_reply() -> bytes:
@@ -182,9 +180,9 @@
 def decode_report_reply(data: bytes) -> frozenset[str]:
     """Return the fields that a scheduler accepts; none if it has an older version.
 
-    Raises ValueError, TypeError or KeyError if the reply is invalid.
+    Raises ValueError or KeyError if the reply is invalid.
     """
-    return frozenset(orjson.loads(data)["accepts"]) if data else frozenset()
+    return msgspec.convert(load_object(data)["accepts"], frozenset[str]) if data else frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,9 +222,9 @@
 def decode_hall_request(data: bytes) -> HallUpdate:
     """Decode the request of another hall's scheduler.
 
-    Raises ValueError, TypeError or KeyError if it is invalid.
+    Raises ValueError or KeyError if it is invalid.
     """
-    fields = orjson.loads(data)
+    fields = load_object(data)
     crashes = decode_crash_update(fields["crashes"])
     evacuated = decode_evacuation_report(fields.get("evacuated"))
     limits = decode_limits(fields.get("limits"))
@@ -248,7 +246,7 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    ValueError, KeyError
         If the bytes are not a valid reply.
 
     Examples
@@ -258,18 +256,14 @@
     >>> decode_hall_reply(encode_hall_reply(HallUpdate({"running": 3}))).running
     {'running': 3}
     """
-    fields = orjson.loads(data)
-    if not isinstance(fields, dict):
-        raise TypeError(f"an answer of another hall is a table, not {type(fields).__name__}")
-    running = fields.get("running")
-    if not isinstance(running, dict):
-        return HallUpdate(fields)
+    fields = load_object(data)
+    if not isinstance(fields.get("running"), dict):
+        return HallUpdate(msgspec.convert(fields, dict[str, Number]))
+    running = msgspec.convert(fields["running"], dict[str, Number])
     crashes = decode_crash_update(fields["crashes"])
     evacuated = decode_evacuation_report(fields.get("evacuated"))
-    teams = {
-        team: TeamUse(float(granted), float(wanted))
-        for team, (granted, wanted) in dict(fields.get("teams", {})).items()
-    }
+    uses = msgspec.convert(fields.get("teams", {}), dict[str, tuple[float, float]])
+    teams = {team: TeamUse(*use) for team, use in uses.items()}
     return HallUpdate(running, crashes, decode_limits(fields.get("limits")), evacuated, teams)
 
 
--- a/ferrydock/scheduling/_remote_halls.py
+++ b/ferrydock/scheduling/_remote_halls.py
@@ -125,8 +125,12 @@
 
     async def _poll_demand(self, hall: str, address: str) -> None:
         data = await self.calls.call(address, DEMAND, b"", REPLY_TIMEOUT_S)
-        if data is not None:
+        if data is None:
+            return
+        try:
             receive_report(self.demand, hall, data, self.clock.now_s())
+        except ValueError as error:
+            log_event(_LOG, logging.ERROR, "demand_unreadable", address=address, why=repr(error))
 
     async def close(self) -> None:
         """Close the connections."""
--- a/ferrydock/typed_json.py
+++ b/ferrydock/typed_json.py
@@ -1,15 +1,17 @@
 """Decoding JSON into declared types, so that what another process wrote is what its types say.
 
-Stateless. `msgspec` checks the types; the result of a failure is a `Fault` that names the field.
+Stateless. `msgspec` checks the types. The result of a failure is a `Fault` that names the field, or
+for messages between daemons a ValueError, which their receivers refuse.
 """
 
-from typing import TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
+import orjson
 
 from .outcomes import Fault
 
-__all__ = ["decode"]
+__all__ = ["Number", "decode", "load_object"]
 
 # Bounds the log lines that show the fault.
 MAX_PROBLEM_CHARS = 200
@@ -20,6 +22,24 @@
 
 Decoded = TypeVar("Decoded")
 
+# A count, a revision, a version or a priority. What one daemon sends is passed on by another, and
+# `orjson` writes no number of more than 64 bits.
+Number = Annotated[int, msgspec.Meta(ge=-(2**62), le=2**62)]
+
+
+def load_object(data: bytes) -> dict[str, Any]:
+    """Return the fields of a JSON object, whose types are not checked.
+
+    Raises
+    ------
+    ValueError
+        If the data is not a JSON object.
+    """
+    fields = orjson.loads(data)
+    if not isinstance(fields, dict):
+        raise ValueError(f"a message is an object, not {type(fields).__name__}")
+    return fields
+
 
 def decode(decoder: msgspec.json.Decoder[Decoded], data: bytes) -> Decoded | Fault:
     """Return the decoded value, or its first fault.
