Addresses of other daemons are checked when they are received

What callers would see: a daemon that had lost its links asked the others for a tunnel; if one of them was named with an address that has no port number, the request failed with an error instead of going through the next one.

Cause: the exchange of addresses took any text; the connection fails with a ValueError, which is no OSError.

Evidence: links/tests/test_odd_peers.py, 28 of 28 cases failed before (ports 0, 65536, , negative, 080, digits that are not ASCII, no port, other types). Now such a reply or call is refused as a whole, and logged by the daemon that reads a reply.

--- a/ferrydock/links/_peer_exchange.py
+++ b/ferrydock/links/_peer_exchange.py
@@ -8,11 +8,14 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
+import msgspec
 import orjson
 
 from ..clock import Clock
 from ..logs import log_event
+from ..typed_json import Address, load_object
 from ._tunnel_peers import TunnelPeers
 
 __all__ = ["PEERS_METHOD", "PeerExchange"]
@@ -36,6 +39,14 @@
 Call = Callable[[str, str, bytes], Awaitable[bytes | None]]
 
 
+@dataclass(frozen=True, slots=True)
+class _Caller:
+    """A call: the hall of a daemon, and where it accepts tunnels; empty if it does not."""
+
+    hall: str
+    address: str
+
+
 class PeerExchange:
     """Tells other daemons where this one accepts tunnels, and learns the same of them.
 
@@ -81,8 +92,8 @@
         if reply is None:
             return False
         try:
-            self.peers.receive(orjson.loads(reply))
-        except (ValueError, TypeError, AttributeError) as error:
+            self.peers.receive(msgspec.convert(load_object(reply), dict[str, list[Address]]))
+        except ValueError as error:
             log_event(_LOG, logging.ERROR, "peers_unreadable", address=leader, why=repr(error))
             return False
         return True
@@ -92,11 +103,13 @@
 
         Raises
         ------
-        ValueError, KeyError, TypeError
+        ValueError
             The call cannot be decoded.
         """
-        fields = orjson.loads(data)
+        caller = msgspec.convert(load_object(data), _Caller)
+        if caller.address:
+            msgspec.convert(caller.address, Address)
         now_s = self.clock.now_s()
         named = self.peers.named(now_s)
-        self.peers.note_caller(str(fields["hall"]), str(fields["address"]), now_s)
+        self.peers.note_caller(caller.hall, caller.address, now_s)
         return orjson.dumps(named)
--- a/ferrydock/targets/_fields.py
+++ b/ferrydock/targets/_fields.py
@@ -9,6 +9,8 @@
 
 from msgspec import Meta
 
+from ..typed_json import Address
+
 __all__ = [
     "MAX_COUNT",
     "Address",
@@ -27,10 +29,6 @@
 MAX_NAME_CHARS = 200
 MAX_MODELS = 100
 
-_BYTE = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
-_PORT = r"(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
-
-Address = Annotated[str, Meta(pattern=rf"\A{_BYTE}(?:\.{_BYTE}){{3}}:{_PORT}\Z")]
 TargetId = Annotated[str, Meta(pattern=rf"\A[!-~]{{1,{MAX_NAME_CHARS}}}\Z")]
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 # A name that may be empty.
--- a/ferrydock/typed_json.py
+++ b/ferrydock/typed_json.py
@@ -11,7 +11,7 @@
 
 from .outcomes import Fault
 
-__all__ = ["Number", "decode", "load_object"]
+__all__ = ["Address", "Number", "decode", "load_object"]
 
 # Bounds the log lines that show the fault.
 MAX_PROBLEM_CHARS = 200
@@ -26,6 +26,12 @@
 # `orjson` writes no number of more than 64 bits.
 Number = Annotated[int, msgspec.Meta(ge=-(2**62), le=2**62)]
 
+_BYTE = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_PORT = r"(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+
+# ``IP:PORT`` of a target or another daemon.
+Address = Annotated[str, msgspec.Meta(pattern=rf"\A{_BYTE}(?:\.{_BYTE}){{3}}:{_PORT}\Z")]
+
 
 def load_object(data: bytes) -> dict[str, Any]:
     """Return the fields of a JSON object, whose types are not checked.
