--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -105,8 +105,9 @@
     aiohttp.ClientPayloadError
         The body may be incomplete.
     """
-    protocol = response._protocol
-    error = protocol.exception() if protocol is not None and not is_framed(response) else None
+    if is_framed(response):
+        return
+    error = response._protocol.exception() if response._protocol is not None else None
     if isinstance(error, OSError) and not isinstance(error, aiohttp.ServerDisconnectedError):
         raise aiohttp.ClientPayloadError("the connection was reset")
 
