Soak: served requests count at the end of a play although the emulation stalls

Now only requests that were not served are left out beside a stall; a play in which all requests are refused beside one still fails, since it has checked nothing.

--- a/ferrydock/emulator/_terms.py
+++ b/ferrydock/emulator/_terms.py
@@ -384,9 +384,14 @@
     ended_s : float
         Seconds of the load at which the last trouble ended.
     is_judged : callable
-        Returns whether nothing else may have kept a request from being served.
+        Returns whether nothing else may have kept a request from being served. Requests that were
+        not served although something else may have kept them from it do not count.
     """
-    after = [call for call in calls if call.at_s >= ended_s + RECOVERY_S and is_judged(call)]
+    after = [
+        call
+        for call in calls
+        if call.at_s >= ended_s + RECOVERY_S and (call.outcome == "served" or is_judged(call))
+    ]
     if len(after) < MIN_REQUESTS:
         return [f"recovery: {len(after)} requests after the troubles: nothing was checked"]
     served = sum(call.outcome == "served" for call in after)
--- a/ferrydock/emulator/tests/test_terms.py
+++ b/ferrydock/emulator/tests/test_terms.py
@@ -58,6 +58,12 @@
     assert bool(describe_unserved_at_end(sent, ENDED_S, lambda call: True)) is is_broken
 
 
+def test_served_requests_beside_a_stall_of_the_emulation_count_and_refused_ones_do_not():
+    """Failure: a play whose emulation stalls all the time at its end has checked nothing."""
+    assert not describe_unserved_at_end(calls(20, 20), ENDED_S, lambda call: False)
+    assert describe_unserved_at_end(calls(0, 20), ENDED_S, lambda call: False)
+
+
 def test_leaders_late_orders_and_joins_are_counted():
     async def scenario():
         site = FleetSite(("a",))
