A target's answer to its last order outweighs an older report

Cause: reports are 0.2 s old as a whole; took the group in them for that of the moment. The stand-in's reports are late as a whole now, too. Change: what a target has answered to in this term and incarnation is kept if it is later than the report. Why safe: the number is the one that the target answered to; the join is accepted only if nothing came in between. Evidence: test_a_target_that_has_just_left_joins_although... failed before and passes.

--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -40,7 +40,7 @@
 REPORT_TIMEOUT_S = 0.5
 
 # Wait before requesting the report of a target that refused an order because of its expected
-# number: the number in the report may lag behind by this much.
+# number: a report may lag behind by this much.
 REPORT_LAG_S = 0.2
 
 # How long the report is requested again, at the interval above, while its number is unchanged and
@@ -96,12 +96,11 @@
         return cls(report.orders, replica, report.incarnation, NumberSource.REPORT, now_s)
 
     def is_ahead_of(self, reported: "KnownOrders") -> bool:
-        """Return whether this is the later state of what a target reports.
+        """Return whether this is a later state of the same incarnation than the reported one.
 
-        A report names the replica as of now, but its number may lag behind.
+        A report may be older than the target's answer to the last order.
         """
-        is_same = (self.replica, self.incarnation) == (reported.replica, reported.incarnation)
-        return is_same and self.orders > reported.orders
+        return self.incarnation == reported.incarnation and self.orders > reported.orders
 
     def is_in_other_replica(self, order: Order) -> bool:
         """Return whether this is an order to join, and the target belongs to another replica."""
--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -176,3 +176,21 @@
         assert hall.first.control.given == given
 
     play(scenario)
+
+
+def test_a_target_that_has_just_left_joins_although_its_report_shows_the_former_replica():
+    """Failure: each repair waited until the survivors' reports were current."""
+
+    async def scenario(hall):
+        member = hall.workers[1]
+        await hall.first.lease.acquire(60.0)
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        await asyncio.sleep(READY_S)
+        assert await hall.first.send(member, LeaveOrder(*FIRST)) == OrderDone(True)
+        given = hall.first.control.given
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        assert hall.first.control.given == given + 1
+
+    play(scenario)
--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -85,7 +85,7 @@
             await asyncio.sleep(timeout_s)
             return Unavailable("silent")
         await asyncio.sleep(_pause_s(worker))
-        membership = worker.membership
+        membership = self.fleet.reported_membership(worker)
         return TargetReport(
             orders=self.fleet.reported_orders(worker),
             replica=membership.replica if membership else None,
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -16,7 +16,7 @@
     RunRecord,
     SocketSizes,
     WorkerFace,
-    entry_group,
+    encode_group,
     entry_models,
 )
 from ._workers import ColdPeriod, EndlessPeriod, Fleet, LeavingSaid, NamedLimit, Shedding, Worker
@@ -366,7 +366,7 @@
                 "models": entry_models(worker),
                 "domain": worker.domain,
                 "staged": worker.staged,
-                "group": entry_group(worker),
+                "group": encode_group(worker.membership),
             }
         return fields
 
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -14,6 +14,7 @@
     CloseOrder,
     JoinOrder,
     LeaveOrder,
+    Membership,
     OpenOrder,
     Order,
     OrderDone,
@@ -721,7 +722,9 @@
             "running": worker.running,
             "kv-used": 0,
             "kv-total": KV_CAPACITY_TOKENS,
-            "group": entry_group(worker),
+            "group": encode_group(
+                self.fleet.reported_membership(worker) if self.fleet is not None else None
+            ),
             "staged": worker.staged,
             "domain": worker.domain,
             "pace": 1.0,
@@ -735,9 +738,8 @@
     return [{"name": name, "version": 1, "adapters": []} for name in worker.entry.models]
 
 
-def entry_group(worker: Worker) -> dict | None:
+def encode_group(membership: Membership | None) -> dict | None:
     """Return the group of a worker, as in its entry and report."""
-    membership = worker.membership
     if membership is None:
         return None
     return {
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -208,6 +208,8 @@
         Loop time at which the worker's entry said that it leaves; None if it does not leave.
     order_times : list of float
         Loop time of each order that has begun something since the last start.
+    membership_changes : list of (float, Membership or None)
+        Loop time of each change of the membership since the last start, and what it became.
     ready_groups : set
         ``(name, epoch, members)`` of each group in which the worker has been ready, in this
         incarnation or an earlier one.
@@ -242,6 +244,7 @@
     draining: bool = False
     left_s: float | None = None
     order_times: list[float] = field(default_factory=list)
+    membership_changes: list[tuple[float, Membership | None]] = field(default_factory=list)
     highest_epoch: int = 0
     last_model: str = ""
     staged: list[str] = field(default_factory=list)
@@ -275,6 +278,7 @@
         self.cold = None
         self.is_unlisted = False
         self.order_times = []
+        self.membership_changes = []
         self.highest_epoch = 0
         self.last_model = ""
         self.membership = None
@@ -282,6 +286,11 @@
         self.model = ""
         self.running = 0
 
+    def change_membership(self, membership: Membership | None, now_s: float) -> None:
+        """Set the membership, and record when it changed."""
+        self.membership = membership
+        self.membership_changes.append((now_s, membership))
+
     @property
     def orders(self) -> int:
         """Number of orders that have begun something since the last start."""
@@ -337,7 +346,7 @@
     on_order : callable
         Called with each order that a worker receives, and with each one that it executes late.
     report_lag_s : float
-        Age of the number of orders in a report; the group in it is current.
+        Age of the number of orders and of the group in a report.
     """
 
     def __init__(
@@ -455,6 +464,12 @@
         """Return the number of orders in a worker's report, which is `report_lag_s` old."""
         return bisect_right(worker.order_times, self.now_s() - self.report_lag_s)
 
+    def reported_membership(self, worker: Worker) -> Membership | None:
+        """Return the membership in a worker's report, which is `report_lag_s` old."""
+        until_s = self.now_s() - self.report_lag_s
+        past = [membership for at_s, membership in worker.membership_changes if at_s <= until_s]
+        return past[-1] if past else None
+
     def _join(self, worker: Worker, order: JoinOrder) -> OrderDone | OrderRefused:
         if order.epoch < worker.highest_epoch:
             return OrderRefused("epoch")
@@ -468,7 +483,8 @@
         ready_s = self._time_to_ready_s(worker, model)
         rank = order.members.index(worker.worker_id)
         worker.highest_epoch = order.epoch
-        worker.membership = Membership(order.replica, order.epoch, rank, ReplicaState.JOINING)
+        membership = Membership(order.replica, order.epoch, rank, ReplicaState.JOINING)
+        worker.change_membership(membership, self.now_s())
         worker.members = order.members
         worker.model = model.name
         worker.last_model = model.name
@@ -547,7 +563,8 @@
 
     def _set_state(self, worker: Worker, state: ReplicaState) -> None:
         membership = worker.current_membership
-        worker.membership = Membership(membership.replica, membership.epoch, membership.rank, state)
+        membership = Membership(membership.replica, membership.epoch, membership.rank, state)
+        worker.change_membership(membership, self.now_s())
         self.on_change(worker)
 
     def _open(self, worker: Worker, order: OpenOrder) -> OrderDone | OrderRefused:
@@ -580,7 +597,7 @@
     def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone:
         if _is_needless(worker, order):
             return OrderDone(already=True)
-        worker.membership = None
+        worker.change_membership(None, self.now_s())
         worker.members = ()
         self._schedule_break((order.replica, order.epoch))
         return OrderDone(already=False)
--- a/ferrydock/standins/fleet/tests/test_orders.py
+++ b/ferrydock/standins/fleet/tests/test_orders.py
@@ -205,19 +205,20 @@
     run_scenario(scenario)
 
 
-def test_a_report_tells_the_group_at_once_and_the_number_of_orders_late():
+def test_a_report_tells_the_group_and_the_number_of_orders_late():
     async def scenario(pair):
         await asyncio.sleep(CALM_S)
         pair.join(FIRST)
         report = await pair.report(pair.head)
-        assert (report.replica, report.epoch, report.orders) == (*FIRST, 0)
+        assert (report.replica, report.epoch, report.orders) == (None, 0, 0)
         await asyncio.sleep(0.9 * REPORT_LAG_S)
         pair.order(pair.head, LeaveOrder(*FIRST))
         await asyncio.sleep(0.2 * REPORT_LAG_S)
         report = await pair.report(pair.head)
-        assert (report.replica, report.orders) == (None, 1)
+        assert (report.replica, report.epoch, report.orders) == (*FIRST, 1)
         await asyncio.sleep(REPORT_LAG_S)
-        assert (await pair.report(pair.head)).orders == 2
+        report = await pair.report(pair.head)
+        assert (report.replica, report.orders) == (None, 2)
 
     run_scenario(scenario)
 
