Guard: a leader that has stepped down remembers nothing of its term

The test walks all objects of a controller in `replicas` and demands that every collection is empty after `step_down`, but for four that outlast a term on purpose, with the reason beside each.

--- a/ferrydock/replicas/tests/test_terms.py
+++ b/ferrydock/replicas/tests/test_terms.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Collection
 
 from ...store import MemoryStore
 from .hall import LEASE_S, Hall
@@ -132,3 +133,52 @@
         assert found == []
 
     run_scenario(scenario)
+
+
+# What outlasts a term on purpose: observations of targets, which end with their incarnation; the
+# loads that have begun, since the platform counts them whoever ordered them; numbers of orders,
+# which are cleared by the first order of another term; and tasks, which end as soon as the loop
+# runs them.
+OUTLASTING = {
+    "OrderSender._known",
+    "UnusedTargets._pauses",
+    "UnusedTargets._suspicions",
+    "WeightLoadBudget._begun_s",
+}
+TASKS = {"ReplicaController._tasks"}
+
+
+def fields_of(component):
+    """Yield the names and values of an object's attributes."""
+    slots = [slot for each in type(component).__mro__ for slot in getattr(each, "__slots__", ())]
+    for name in (*slots, *getattr(component, "__dict__", ())):
+        if hasattr(component, name):
+            yield name, getattr(component, name)
+
+
+def remembered(component, seen=None):
+    """Return the names of all collections with content that a controller's objects hold."""
+    seen = set() if seen is None else seen
+    seen.add(id(component))
+    found = set()
+    for name, value in fields_of(component):
+        if isinstance(value, Collection) and not isinstance(value, str | tuple) and value:
+            found.add(f"{type(component).__name__}.{name}")
+        if type(value).__module__.startswith("ferrydock.replicas") and id(value) not in seen:
+            found |= remembered(value, seen)
+    return found
+
+
+def test_a_leader_that_has_stepped_down_remembers_nothing_of_its_term():
+    """Guards against state of a term that a later one uses."""
+
+    async def scenario():
+        hall = await hall_that_dissolves_a_replica()
+        controller = hall.controller
+        controller.mark_suspected(["w1-0"], "test")
+        in_term = remembered(controller)
+        assert {"RunningOperations.dissolving", "HallPlanner._models_held"} <= in_term
+        controller.step_down()
+        assert remembered(controller) - OUTLASTING - TASKS == set()
+
+    run_scenario(scenario)
