--- a/tests/test_led_from_outside.py
+++ b/tests/test_led_from_outside.py
@@ -32,7 +32,9 @@
 
         site.gate.holds = lambda order: order.sender == outside.ip
         await site.add_targets(led_hall, "d1", staged=["large"])
-        await site.until(lambda: site.gate.held, "orders from outside are on their way")
+        await site.until(
+            lambda: len(site.gate.held) >= REPLICA_SIZE, "orders from outside are on their way"
+        )
         outside.freeze()
         await site.until(lambda: own.believes_to_lead(led_hall), "its own daemon leads again")
         assert outside.believes_to_lead(led_hall)
