An answer of the store with an odd era or a value nested deeply is bad, not an error

What a daemon did: an era of more than 4,300 digits in the store's header raised in whatever had called the store, as did a value nested some hundred levels deep in a field of another type: the line that was to report it could not show it. The client of the store caught neither; what its callers made of it was not tried.

Why it works: an era has at most 9 digits, a longer one counts as the known one and is logged; values are shown by `reprlib`, which bounds depth and length.

--- a/ferrydock/platform/_decoding.py
+++ b/ferrydock/platform/_decoding.py
@@ -1,6 +1,7 @@
 """Readers for fields of the platform's messages; records which default values were logged."""
 
 import logging
+import reprlib
 from collections.abc import Mapping
 
 from ..logs import log_event
@@ -37,7 +38,7 @@
     if name not in fields:
         raise BadMessage(f"{name!r} is missing")
     if not isinstance(fields[name], kind):
-        raise BadMessage(f"{name!r} is {fields[name]!r}")
+        raise BadMessage(f"{name!r} is {reprlib.repr(fields[name])}")
     return fields[name]
 
 
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -97,6 +97,9 @@
 # store that does not send the header has a single era.
 ERA_HEADER = "Store-Era"
 
+# Digits of an era: more are no number of restorations.
+MAX_ERA_DIGITS = 9
+
 Decoded = TypeVar("Decoded")
 
 
@@ -382,10 +385,9 @@
         """
         if header_value is None:
             return self.era
-        if not header_value.isdecimal():
-            log_event(
-                _LOG, logging.ERROR, "store_era_unreadable", header=ERA_HEADER, value=header_value
-            )
+        if not header_value.isdecimal() or len(header_value) > MAX_ERA_DIGITS:
+            value = header_value[:MAX_ERA_DIGITS]
+            log_event(_LOG, logging.ERROR, "store_era_unreadable", header=ERA_HEADER, value=value)
             return self.era
         era = int(header_value)
         self.raise_era(era)
