A configuration with a field of another type is refused before it is put in force

What a daemon did: a list or an object as host or path prefix of a route passed the decoder and raised when the configuration was put in force; as name of a service or model, at the first look-up of it; a version of more than 64 bits could not be written into any reply to another daemon.

Cause: the fields of routes, services and teams were copied, not checked; the version had no bound.

The store of the platform accepts only valid configurations as far as is known; other daemons pass on what they read.

Why it works: each route that is not in the cache, and each service and team, is checked against the types that its class declares. One that fails makes the whole configuration unreadable: the version before stays in force, and the log says so.

--- a/ferrydock/platform/_configuration.py
+++ b/ferrydock/platform/_configuration.py
@@ -8,7 +8,9 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import TypeVar
 
+import msgspec
 import orjson
 
 from ..configuration import (
@@ -28,6 +30,7 @@
 )
 from ..outcomes import Unavailable, Unknown
 from ..store import Compare, Position, Txn, TxnDone
+from ..typed_json import Number
 from ._decoding import get_or_log_default
 from ._store import CONFIGURATION_KEY, EVACUATION_PREFIX, PlatformStore
 
@@ -61,6 +64,9 @@
 )
 
 
+Part = TypeVar("Part", Route, ServiceSpec, Team)
+
+
 class PlatformConfigurationSource:
     """Reads the key ``op/config`` if it has changed since the last read.
 
@@ -194,7 +200,7 @@
         """Decode a configuration as it is stored; it may have been received from another daemon."""
         try:
             return parse_configuration(encoded, self._route_cache)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
             return ConfigurationUnreadable(f"{CONFIGURATION_KEY}: {type(error).__name__} {error}")
 
 
@@ -215,7 +221,7 @@
         cached, routes_by_encoded = self._routes_by_encoded, {}
         for entry in entries:
             encoded = orjson.dumps(entry)
-            routes_by_encoded[encoded] = cached.get(encoded) or _parse_route(entry)
+            routes_by_encoded[encoded] = cached.get(encoded) or _checked(_parse_route(entry))
         self._routes_by_encoded = routes_by_encoded
         return tuple(routes_by_encoded.values())
 
@@ -230,20 +236,27 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError, AttributeError
-        If a field is missing or of the wrong type.
+    KeyError, TypeError, ValueError, AttributeError, RecursionError
+        If a field is missing, of the wrong type or nested too deeply.
     """
     fields = orjson.loads(value)
     return Configuration(
-        version=int(fields["version"]),
+        version=msgspec.convert(int(fields["version"]), Number),
         routes=(route_cache or RouteCache()).decode(fields["routes"]),
-        services={service["name"]: _parse_service(service) for service in fields["services"]},
-        teams=tuple(_parse_team(team) for team in fields.get("tenants") or ()),
+        services={
+            service["name"]: _checked(_parse_service(service)) for service in fields["services"]
+        },
+        teams=tuple(_checked(_parse_team(team)) for team in fields.get("tenants") or ()),
         limits=_parse_limits(fields.get("limits") or {}),
         encoded=value,
     )
 
 
+def _checked(part: Part) -> Part:
+    """Return a part of a configuration; raise ValueError if a field has no declared type."""
+    return msgspec.convert(msgspec.to_builtins(part), type(part))
+
+
 def _check_numbers(fields: Mapping, names: tuple[str, ...]) -> None:
     """Raise ValueError or TypeError if one of the named fields is present and is not a number."""
     for name in names:
