Answers of engines, the box list and the weight store are decoded into declared types

What ferrydockd did: a state, cache events, a list of boxes, a rate or a refused order in JSON of another shape (a list or a number where an object belongs, no object at all) raised a TypeError in the loop that polls it, which nothing there catches; a field of another type was taken for what its annotation says.

Why it works: the classes of the port are what `msgspec` checks. Numbers may still come as text in a state and a box, as before. An accepted order's answer must be an object; any other answer is unknown, and the order is sent again under its id.

--- a/ferrydock/engines/_http.py
+++ b/ferrydock/engines/_http.py
@@ -3,14 +3,14 @@
 import asyncio
 
 import aiohttp
+import msgspec
 import orjson
 
 from ..http_client import open_session, read_body
 from ..outcomes import Unavailable, Unknown
+from ..typed_json import load_object
 from ._port import (
-    BoxPhase,
     BoxState,
-    CacheEvent,
     CacheEvents,
     Fence,
     Order,
@@ -50,23 +50,15 @@
     }
 
 
-def state_from_json(fields: dict) -> BoxState:
-    """Return the state from the JSON fields that `state_to_json` makes."""
-    return BoxState(
-        box=fields["box"],
-        incarnation=fields["incarnation"],
-        fence=Fence(*fields["fence"]),
-        phase=BoxPhase(fields["phase"]),
-        replica_id=fields.get("replica_id", ""),
-        model=fields.get("model", ""),
-        version=fields.get("version", ""),
-        members=tuple(fields.get("members", ())),
-        held=tuple((model, version) for model, version in fields.get("held", ())),
-        running=int(fields.get("running", 0)),
-        waiting=int(fields.get("waiting", 0)),
-        draining=bool(fields.get("draining", False)),
-        slots=int(fields.get("slots", 0)),
-    )
+def state_from_json(fields: object) -> BoxState:
+    """Return the state from the JSON fields that `state_to_json` makes.
+
+    Raises
+    ------
+    ValueError
+        A field is missing or of another type.
+    """
+    return msgspec.convert(fields, BoxState, strict=False)
 
 
 @register_engine("http")
@@ -112,9 +104,9 @@
             async with self._http().post(
                 f"{url}/control/order", data=orjson.dumps(body), timeout=self._timeout
             ) as response:
-                fields = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))
+                fields = load_object(await read_body(response, MAX_ANSWER_BYTES))
                 if response.status == 409:
-                    return OrderRefused(Fence(*fields["fence"]))
+                    return OrderRefused(msgspec.convert(fields["fence"], Fence))
                 response.raise_for_status()
                 return OrderAccepted()
         except aiohttp.ClientConnectorError as error:
@@ -128,11 +120,8 @@
                 f"{url}/control/events", params={"after": str(after)}, timeout=self._timeout
             ) as response:
                 response.raise_for_status()
-                fields = orjson.loads(await read_body(response, MAX_EVENTS_BYTES))
-            events = tuple(
-                CacheEvent(e["sequence"], e["stored"], tuple(e["blocks"])) for e in fields["events"]
-            )
-            return CacheEvents(fields["incarnation"], events)
+                fields = load_object(await read_body(response, MAX_EVENTS_BYTES))
+            return msgspec.convert(fields, CacheEvents)
         except _FAILURES as error:
             return Unavailable(f"no cache events from the box: {type(error).__name__}")
 
--- a/ferrydock/store/_box_list.py
+++ b/ferrydock/store/_box_list.py
@@ -3,14 +3,15 @@
 The list lags behind: a box on it may have been removed already.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import aiohttp
-import orjson
+import msgspec
 
 from ..http_client import open_session, read_body
 from ..outcomes import Unavailable
+from ..typed_json import load_object
 
 __all__ = ["Box", "BoxList", "HttpBoxList", "StaticBoxList"]
 
@@ -102,22 +103,12 @@
                 f"{self.url}/boxes", params={"hall": hall}, timeout=timeout
             ) as response:
                 response.raise_for_status()
-                entries = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))["boxes"]
-            return tuple(_decode_box(fields) for fields in entries)
+                fields = load_object(await read_body(response, MAX_ANSWER_BYTES))
+            boxes = msgspec.convert(fields["boxes"], tuple[Box, ...], strict=False)
+            return tuple(replace(box, url=box.url.rstrip("/")) for box in boxes)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             return Unavailable(f"the box list cannot be read: {type(error).__name__}")
 
     async def close(self) -> None:
         if self._session is not None:
             await self._session.close()
-
-
-def _decode_box(fields: dict) -> Box:
-    return Box(
-        name=str(fields["name"]),
-        hall=str(fields["hall"]),
-        fabric_domain=str(fields["fabric_domain"]),
-        url=str(fields["url"]).rstrip("/"),
-        accelerators=int(fields.get("accelerators", 8)),
-        leaving=bool(fields.get("leaving", False)),
-    )
--- a/ferrydock/store/_weight_store.py
+++ b/ferrydock/store/_weight_store.py
@@ -7,10 +7,11 @@
 from typing import Protocol
 
 import aiohttp
-import orjson
+import msgspec
 
 from ..http_client import open_session, read_body
 from ..outcomes import Unavailable
+from ..typed_json import load_object
 
 __all__ = ["HttpWeightStore", "StaticWeightStore", "WeightStore", "WeightStoreRate"]
 
@@ -71,8 +72,8 @@
         try:
             async with self._session.get(f"{self.url}/rate", timeout=timeout) as response:
                 response.raise_for_status()
-                fields = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))
-                return WeightStoreRate(float(fields["rate_bytes_per_s"]))
+                fields = load_object(await read_body(response, MAX_ANSWER_BYTES))
+                return WeightStoreRate(msgspec.convert(fields["rate_bytes_per_s"], float))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             return Unavailable(f"the weight store cannot be read: {type(error).__name__}")
 
