--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -119,19 +119,34 @@
         self.directory: TargetDirectory = orders.directory
         self.clock: Clock = orders.clock
 
-    async def form(self, plan: PlannedReplica, is_joined: bool = False) -> FormingResult:
-        """Order all members to join, wait until they are ready, and open the head.
-
-        Parameters
-        ----------
-        is_joined : bool, default=False
-            Whether another leader has already ordered the members to join.
-        """
-        refused = [] if is_joined else await self._join(plan)
-        why = f"no join: {','.join(refused)}" if refused else await self._open(plan)
+    async def form(self, plan: PlannedReplica) -> FormingResult:
+        """Order all members to join, wait until they are ready, and open the head."""
+        refused = await self._join(plan)
+        why = f"no join: {','.join(refused)}" if refused else await self._wait_until_ready(plan)
+        why = why or await self._open(plan)
         left: tuple[str, ...] = ()
         if why:
             left = await self.dissolve(plan.key, plan.formation.members)
+        self._log_formed(plan, why)
+        return FormingResult(why, left)
+
+    async def free_adopted(self, plan: PlannedReplica) -> FormingResult:
+        """Free the members that another leader has ordered to join once they hold the model.
+
+        Orders of that leader to leave may still be on their way, and only an order that a member
+        carries out makes them void. So the replica is not opened: its members leave it, and are
+        ready again soon after they join another one. A head that serves already is left to serve.
+        """
+        why = await self._wait_until_ready(plan)
+        head = plan.formation.members[0]
+        if not why and await self._reported_state(plan.key, head, MAX_SILENCE_S) in _SERVING:
+            self._log_formed(plan, "")
+            return FormingResult()
+        left = await self.dissolve(plan.key, plan.formation.members)
+        return FormingResult(why, left)
+
+    def _log_formed(self, plan: PlannedReplica, why: str) -> None:
+        """Log that a replica serves, or why it was not formed."""
         log_event(
             _LOG,
             logging.WARNING if why else logging.INFO,
@@ -142,7 +157,6 @@
             members=",".join(plan.member_ids),
             why=why or None,
         )
-        return FormingResult(why, left)
 
     async def dissolve(
         self,
@@ -213,10 +227,7 @@
         ]
 
     async def _open(self, plan: PlannedReplica) -> str:
-        """Wait until all members are ready, and open the head; return why that failed, or ""."""
-        why = await self._wait_until_ready(plan)
-        if why:
-            return why
+        """Open the head of a replica whose members are ready; return why that failed, or ""."""
         head = plan.formation.members[0]
         order = OpenOrder(plan.name, plan.epoch)
         until_s = self.clock.now_s() + OPEN_RETRY_TIMEOUT_S
--- a/ferrydock/replicas/_health.py
+++ b/ferrydock/replicas/_health.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Set
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -100,11 +100,14 @@
         answered the last one.
     has_left : bool
         Whether one of them is certainly no member any more.
+    is_requesting : bool
+        Whether a task requests their reports now.
     """
 
     requested_s: float = float("-inf")
     silent_since_s: float | None = None
     has_left: bool = False
+    is_requesting: bool = False
 
 
 class ReplicaHealthCheck:
@@ -123,11 +126,11 @@
     """
 
     __slots__ = (
+        "_evaluated",
         "_has_mass_silence",
         "_headless_since_s",
         "_logged_missing",
         "_missing",
-        "_requesting",
         "_orphaned_since_s",
         "clock",
         "directory",
@@ -154,13 +157,27 @@
         self.directory: TargetDirectory = order_sender.directory
         self.clock: Clock = order_sender.clock
         self.spawn = spawn
+        # Replicas of the last round, by service.
+        self._evaluated: dict[str, frozenset[tuple[str, int]]] = {}
         self._orphaned_since_s: dict[tuple[str, int], float] = {}
         self._headless_since_s: dict[tuple[str, int], float] = {}
         self._missing: dict[tuple[str, int], _MissingMembers] = {}
-        self._requesting: set[tuple[str, int]] = set()
         # By replica: its missing members and whether they were alive, as logged last.
         self._logged_missing: dict[tuple[str, int], tuple[str, bool]] = {}
 
+    def reset(self) -> None:
+        """Clear what was observed in one term of leadership.
+
+        In the next term each replica gets its whole grace again: between the terms nobody here has
+        evaluated it.
+        """
+        self._has_mass_silence = False
+        self._evaluated.clear()
+        self._orphaned_since_s.clear()
+        self._headless_since_s.clear()
+        self._missing.clear()
+        self._logged_missing.clear()
+
     def begin_round(self, replicas: list[ObservedReplica]) -> None:
         """Count the silent replicas, before each of them is evaluated."""
         serving = [replica for replica in replicas if replica.is_open]
@@ -212,15 +229,17 @@
             return HealthResult(Verdict.STAYS)
         return HealthResult(Verdict.DISSOLVE, DissolveReason.ORPHANED)
 
-    def _suspected_members(self, replica: ObservedReplica) -> tuple[str, ...]:
-        return tuple(t.target_id for t in replica.members if self.state.is_suspected(t.target_id))
+    def _suspected_members(self, replica: ObservedReplica) -> list[Target]:
+        return [target for target in replica.members if self.state.unused.is_suspected(target)]
 
     def _dead_members(self, replica: ObservedReplica) -> tuple[str, ...]:
-        """Return the suspected members of a replica that is not worth waiting for."""
+        """Return the ids of the suspected members, unless they are worth waiting for."""
         suspected = self._suspected_members(replica)
-        return () if self._is_worth_waiting_for(replica, suspected) else suspected
+        if self._is_worth_waiting_for(replica, suspected):
+            return ()
+        return tuple(target.target_id for target in suspected)
 
-    def _is_worth_waiting_for(self, replica: ObservedReplica, suspected: tuple[str, ...]) -> bool:
+    def _is_worth_waiting_for(self, replica: ObservedReplica, suspected: list[Target]) -> bool:
         """Return whether to wait until suspected members answer or are certainly lost.
 
         A sound target may be silent for a second or so, and its host accepts connections meanwhile.
@@ -228,9 +247,9 @@
         have no place elsewhere are cut with the replica; or so many replicas are silent that it is
         more likely the network.
         """
-        if replica.head is None or any(self.state.is_lost(target_id) for target_id in suspected):
+        if replica.head is None or any(self.state.unused.is_lost(t) for t in suspected):
             return False
-        if all(self.state.is_reached(target_id) for target_id in suspected):
+        if all(self.state.unused.is_reached(t) for t in suspected):
             return True
         return self._has_mass_silence or self._has_requests(replica)
 
@@ -254,15 +273,17 @@
         missing = self._missing_members(replica)
         return HealthResult(Verdict.DISSOLVE, DissolveReason.LEAVING, missing=missing)
 
-    def prune(self, keys: set[tuple[str, int]]) -> None:
-        """Remove the state of replicas other than those in `keys`."""
+    def end_round(self, service: str, keys: Set[tuple[str, int]]) -> None:
+        """Remove what was observed of a service's replicas that are not in `keys` any more."""
+        gone = self._evaluated.get(service, frozenset()) - keys
+        self._evaluated[service] = frozenset(keys)
         for known in (
             self._orphaned_since_s,
             self._headless_since_s,
             self._missing,
             self._logged_missing,
         ):
-            for key in [key for key in known if key not in keys]:
+            for key in gone & known.keys():
                 del known[key]
 
     def _missing_members(self, replica: ObservedReplica) -> tuple[Target, ...]:
@@ -296,18 +317,21 @@
         missing = self._missing.setdefault(key, _MissingMembers())
         is_silent = missing.silent_since_s is not None
         interval_s = SILENT_REPORT_INTERVAL_S if is_silent else REPORT_INTERVAL_S
-        if key not in self._requesting and now_s - missing.requested_s >= interval_s:
-            self._requesting.add(key)
+        if not missing.is_requesting and now_s - missing.requested_s >= interval_s:
+            missing.is_requesting = True
             missing.requested_s = now_s
-            self.spawn(self._request_missing_reports(replica))
+            self.spawn(self._request_missing_reports(replica, missing))
         if missing.has_left or missing.silent_since_s is None:
             return not missing.has_left
         may_be_paused = now_s - missing.silent_since_s < MAX_SILENCE_S
         return may_be_paused and self._has_requests(replica)
 
-    async def _request_missing_reports(self, replica: ObservedReplica) -> None:
+    async def _request_missing_reports(
+        self, replica: ObservedReplica, known: _MissingMembers
+    ) -> None:
         """Ask the members without an entry for reports on whether they belong to the replica.
 
+        The reports do not count if the members had an entry again meanwhile, or the term has ended.
         While one of them is silent, the replica is kept for the requests in flight, but must get no
         new ones: the daemons do not find the silence before they have requests there.
         """
@@ -318,9 +342,8 @@
                 *(control.report(target, REPORT_TIMEOUT_S) for target in missing)
             )
         finally:
-            self._requesting.discard(replica.key)
-        known = self._missing.get(replica.key)
-        if known is None:
+            known.is_requesting = False
+        if self._missing.get(replica.key) is not known:
             return
         is_silent = any(isinstance(report, Unavailable) for report in reports)
         known.has_left = any(_shows_departure(report, replica.key) for report in reports)
--- a/ferrydock/replicas/tests/site.py
+++ b/ferrydock/replicas/tests/site.py
@@ -8,11 +8,12 @@
 from ...configuration import Configuration, CurrentConfiguration, ServiceSpec
 from ...hall_lease import ControllerLease
 from ...standins.fleet import Fleet, FleetControl, FleetList, LoopClock
-from ...store import MemoryStore
+from ...store import MemoryStore, Position
 from ...targets import TargetDirectory
 from .. import ControllerSettings, OrderSender, ReplicaController
 from .hall import LEASE_S, ROUND_S
 
+CONFIRM_PAUSE_S = 0.05
 HALLS = ("hall-a", "hall-b", "hall-c")
 
 # Demand is an average that fades over 5 s, as `scheduling._demand` measures it.
@@ -54,6 +55,8 @@
         self.follows_site_plan = True
         self.given = set()
         self.following = asyncio.ensure_future(self._follow())
+        self.confirms_list = True
+        self.confirming = asyncio.ensure_future(self._confirm())
         self.measuring = asyncio.ensure_future(self._measure())
 
     async def _follow(self):
@@ -65,6 +68,13 @@
             for entry in changes.entries:
                 self.directory.put(entry)
 
+    async def _confirm(self):
+        """Confirm the list at the store's position, as other calls to the store do."""
+        while True:
+            if self.confirms_list:
+                self.directory.position = Position(self.store.era, self.store.revision)
+            await asyncio.sleep(CONFIRM_PAUSE_S)
+
     async def _measure(self):
         while True:
             await asyncio.sleep(0.1)
@@ -92,7 +102,7 @@
             lease,
             self.store,
             self.current,
-            OrderSender(FleetControl(self.fleet, self.rng), self.directory, self.clock),
+            OrderSender(FleetControl(self.fleet, self.rng), self.directory, self.clock, lease),
             lambda key: None,
             demand=lambda service: dict(self.demand),
             refused_slots=self.refused_slots,
--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -85,14 +85,15 @@
             await asyncio.sleep(timeout_s)
             return Unavailable("silent")
         await asyncio.sleep(_pause_s(worker))
-        membership = worker.membership
+        membership = self.fleet.reported_membership(worker)
         return TargetReport(
-            orders=worker.orders,
+            orders=self.fleet.reported_orders(worker),
             replica=membership.replica if membership else None,
             epoch=membership.epoch if membership else 0,
             state=membership.state.value if membership else None,
             is_order_under_way=self.fleet.is_order_under_way(worker),
             staged=tuple(worker.staged),
+            incarnation=worker.born_ms,
         )
 
     async def close(self) -> None:
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -28,7 +28,8 @@
 PAGE_SIZE = 50
 MAX_TXN_ENTRIES = 32
 MAX_WAIT_MS = 30000
-PROTECTED_PREFIXES = ("op/", "servers/")
+TARGETS_PREFIX = "servers/"
+PROTECTED_PREFIXES = ("op/", TARGETS_PREFIX)
 
 # Header of all answers: how often the store was restored from an older copy.
 ERA_HEADER = "Store-Era"
@@ -79,12 +80,16 @@
         Delay of each answer.
     silent_share : float
         Share of the calls of any kind that are neither executed nor answered.
+    silent_kinds, busy_kinds : frozenset of str
+        Kinds of calls that are neither executed nor answered, and that get status 503.
     endless : EndlessKind or None
         What reads and watches are answered with without end.
     endless_share : float
         Share of the reads and watches that are answered so.
     endless_until_s : float
         Loop time until which.
+    lists_held_until_s : float
+        Loop time until which watches of the target list get no answer; they are answered then.
     """
 
     down: str = ""
@@ -92,9 +97,12 @@
     refused_share: float = 0.0
     slow_s: float = 0.0
     silent_share: float = 0.0
+    silent_kinds: frozenset[str] = frozenset()
+    busy_kinds: frozenset[str] = frozenset()
     endless: EndlessKind | None = None
     endless_share: float = 1.0
     endless_until_s: float = 0.0
+    lists_held_until_s: float = 0.0
 
 
 class StoreFace:
@@ -230,12 +238,16 @@
             silence_count = self._silence_count
             if request.protocol in self._silent_connections:
                 await asyncio.sleep(SILENCE_S)
-            if self.rng.random() < self.faults.silent_share:
+            if kind in self.faults.silent_kinds or self.rng.random() < self.faults.silent_share:
                 await asyncio.sleep(SILENCE_S)
+            if kind in self.faults.busy_kinds:
+                return web.Response(status=503)
             refusal = await self._refusal(request)
             if refusal is not None:
                 return refusal
             answer = await self._execute(request, kind, handler)
+            if kind == "watch" and request.query["path-prefix"] == TARGETS_PREFIX:
+                await self._hold()
             await asyncio.sleep(self.latency_s + self.faults.slow_s)
             if silence_count != self._silence_count:
                 await asyncio.sleep(SILENCE_S)
@@ -247,6 +259,12 @@
 
         return handle
 
+    async def _hold(self) -> None:
+        """Wait as long as answers to watches of the target list are held back."""
+        loop = asyncio.get_running_loop()
+        while (held_s := self.faults.lists_held_until_s - loop.time()) > 0:
+            await asyncio.sleep(held_s)
+
     async def _execute(self, request: web.Request, kind: str, handler) -> web.Response:
         transport = request.transport
         if transport is None:
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -28,6 +29,7 @@
     "EndlessPeriod",
     "Fleet",
     "FleetFaults",
+    "HandledOrder",
     "LeavingSaid",
     "NamedLimit",
     "Shedding",
@@ -37,6 +39,7 @@
 
 REJOIN_DURATION_S = 0.2
 MAX_STAGED_MODELS = 1
+REPORT_LAG_S = 0.2
 
 # After the end of a load, the times of the others are computed this much later, so that rounding
 # does not count it as running.
@@ -151,11 +154,42 @@
         Share of the orders that get no answer and are executed later.
     late_from_s, late_to_s : float
         Range of the delay of these orders.
+    confirms_needless_leave_at_any_number : bool
+        Whether an order to leave a group that the worker is not in is answered as done also if it
+        expects another number of orders; it is refused by default.
     """
 
     late_share: float = 0.0
     late_from_s: float = 2.0
     late_to_s: float = 12.0
+    confirms_needless_leave_at_any_number: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HandledOrder:
+    """An order that a worker has received, or carries out late.
+
+    Attributes
+    ----------
+    expected : int or None
+        Number of accepted orders that the order expects; None for any.
+    orders : int
+        Number of orders that the worker has accepted, this one included.
+    answer : OrderDone, OrderRefused or None
+        None for an order that is not answered and is executed later.
+    has_effect : bool
+        Whether it began something, and so was counted.
+    is_late : bool
+        Whether it is executed later than it was received; nobody gets the answer.
+    """
+
+    worker_id: str
+    order: Order
+    expected: int | None
+    orders: int
+    answer: OrderDone | OrderRefused | None
+    has_effect: bool = False
+    is_late: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -172,8 +206,13 @@
         Whether the process runs and answers.
     left_s : float or None
         Loop time at which the worker's entry said that it leaves; None if it does not leave.
-    was_ready : set
-        ``(name, epoch, members)`` of each group in which the worker has been ready.
+    order_times : list of float
+        Loop time of each order that has begun something since the last start.
+    membership_changes : list of (float, Membership or None)
+        Loop time of each change of the membership since the last start, and what it became.
+    ready_groups : set
+        ``(name, epoch, members)`` of each group in which the worker has been ready, in this
+        incarnation or an earlier one.
     loads : int
         Number of loads from the weight store that the worker has started.
     load_times : list of (str, float)
@@ -204,7 +243,8 @@
     alive: bool = True
     draining: bool = False
     left_s: float | None = None
-    orders: int = 0
+    order_times: list[float] = field(default_factory=list)
+    membership_changes: list[tuple[float, Membership | None]] = field(default_factory=list)
     highest_epoch: int = 0
     last_model: str = ""
     staged: list[str] = field(default_factory=list)
@@ -237,15 +277,25 @@
         self.leaving_said = None
         self.cold = None
         self.is_unlisted = False
-        self.orders = 0
+        self.order_times = []
+        self.membership_changes = []
         self.highest_epoch = 0
         self.last_model = ""
         self.membership = None
         self.members = ()
         self.model = ""
-        self.ready_groups = set()
         self.running = 0
 
+    def change_membership(self, membership: Membership | None, now_s: float) -> None:
+        """Set the membership, and record when it changed."""
+        self.membership = membership
+        self.membership_changes.append((now_s, membership))
+
+    @property
+    def orders(self) -> int:
+        """Number of orders that have begun something since the last start."""
+        return len(self.order_times)
+
     @property
     def entry(self) -> Target:
         """Entry of the worker in the list of targets."""
@@ -260,6 +310,7 @@
             staged=tuple(self.staged),
             models=(self.model,) if self.model and self.membership else (),
             membership=self.membership,
+            age_mark=(self.born_ms, self.entries),
         )
 
     @property
@@ -292,6 +343,10 @@
     ----------
     closing_s : float
         Time that a head takes to finish its requests after an order to close.
+    on_order : callable
+        Called with each order that a worker receives, and with each one that it executes late.
+    report_lag_s : float
+        Age of the number of orders and of the group in a report.
     """
 
     def __init__(
@@ -305,7 +360,9 @@
         self.rng = rng
         self.stall_s = stall_s
         self.closing_s = 1.0
+        self.report_lag_s = REPORT_LAG_S
         self.on_change = on_change
+        self.on_order: Callable[[HandledOrder], None] = lambda received: None
         self.faults = FleetFaults()
         self.workers: dict[str, Worker] = {}
         self.violations: list[Violation] = []
@@ -352,17 +409,39 @@
         if self.rng.random() < self.faults.late_share:
             delay_s = self.rng.uniform(self.faults.late_from_s, self.faults.late_to_s)
             loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self.execute, worker, order, expected)
+            loop.call_later(delay_s, self._execute_and_note, worker, order, expected, True)
+            self.on_order(
+                HandledOrder(worker.worker_id, order, expected, worker.orders, answer=None)
+            )
             return None
-        return self.execute(worker, order, expected)
+        return self._execute_and_note(worker, order, expected, False)
+
+    def _execute_and_note(
+        self, worker: Worker, order: Order, expected: int | None, is_late: bool
+    ) -> OrderDone | OrderRefused | None:
+        orders = worker.orders
+        answer = self.execute(worker, order, expected)
+        has_effect = worker.orders != orders
+        self.on_order(
+            HandledOrder(
+                worker.worker_id, order, expected, worker.orders, answer, has_effect, is_late
+            )
+        )
+        return answer
 
     def execute(
         self, worker: Worker, order: Order, expected: int | None
     ) -> OrderDone | OrderRefused | None:
-        """Execute an order if the worker is alive and its order count is the expected one."""
+        """Execute an order if the worker is alive and its order count is the expected one.
+
+        Only an order that begins something raises the count: one whose effect is in place already
+        is confirmed, and orders that expect the same count are still accepted after it.
+        """
         if not worker.alive:
             return None
         if expected is not None and expected != worker.orders:
+            if self.faults.confirms_needless_leave_at_any_number and _is_needless(worker, order):
+                return OrderDone(already=True)
             return OrderRefused("state")
         handlers: dict[type, Callable[..., OrderDone | OrderRefused]] = {
             JoinOrder: self._join,
@@ -374,12 +453,23 @@
         answer = handlers[type(order)](worker, order)
         if not isinstance(answer, OrderDone):
             return answer
-        if not answer.already:
-            worker.orders += 1
+        if answer.already:
+            return answer
+        worker.order_times.append(self.now_s())
         self.on_change(worker)
         # A leave is complete at once, unlike other orders, and still counts as an order.
         return OrderDone(already=True) if isinstance(order, LeaveOrder) else answer
 
+    def reported_orders(self, worker: Worker) -> int:
+        """Return the number of orders in a worker's report, which is `report_lag_s` old."""
+        return bisect_right(worker.order_times, self.now_s() - self.report_lag_s)
+
+    def reported_membership(self, worker: Worker) -> Membership | None:
+        """Return the membership in a worker's report, which is `report_lag_s` old."""
+        until_s = self.now_s() - self.report_lag_s
+        past = [membership for at_s, membership in worker.membership_changes if at_s <= until_s]
+        return past[-1] if past else None
+
     def _join(self, worker: Worker, order: JoinOrder) -> OrderDone | OrderRefused:
         if order.epoch < worker.highest_epoch:
             return OrderRefused("epoch")
@@ -387,13 +477,14 @@
         if worker.group_key == key:
             same = worker.members == order.members
             return OrderDone(already=True) if same else OrderRefused("epoch")
-        self._check_serving_group(worker)
+        self._check_serving_group(worker, key)
         previous_group = worker.group_key
         model = require(self.engine.model(order.model), order.model)
         ready_s = self._time_to_ready_s(worker, model)
         rank = order.members.index(worker.worker_id)
         worker.highest_epoch = order.epoch
-        worker.membership = Membership(order.replica, order.epoch, rank, ReplicaState.JOINING)
+        membership = Membership(order.replica, order.epoch, rank, ReplicaState.JOINING)
+        worker.change_membership(membership, self.now_s())
         worker.members = order.members
         worker.model = model.name
         worker.last_model = model.name
@@ -402,7 +493,7 @@
         self._schedule_break(previous_group)
         return OrderDone(already=False)
 
-    def _check_serving_group(self, worker: Worker) -> None:
+    def _check_serving_group(self, worker: Worker, joined: tuple[str, int]) -> None:
         """Record a violation if a worker joins another group while its own is serving."""
         membership = worker.membership
         if membership is None:
@@ -411,7 +502,8 @@
         if head is None or not head.alive or head.group_key != worker.group_key:
             return
         if head.current_membership.state in SERVING_STATES:
-            detail = f"{worker.group_key} is {head.current_membership.state.value}"
+            state = head.current_membership.state.value
+            detail = f"joined {joined} while {worker.group_key} of {worker.members} is {state}"
             self.violations.append(Violation("two", worker.worker_id, detail))
 
     def _time_to_ready_s(self, worker: Worker, model: ModelSpec) -> float:
@@ -471,12 +563,15 @@
 
     def _set_state(self, worker: Worker, state: ReplicaState) -> None:
         membership = worker.current_membership
-        worker.membership = Membership(membership.replica, membership.epoch, membership.rank, state)
+        membership = Membership(membership.replica, membership.epoch, membership.rank, state)
+        worker.change_membership(membership, self.now_s())
         self.on_change(worker)
 
     def _open(self, worker: Worker, order: OpenOrder) -> OrderDone | OrderRefused:
         if worker.group_key != (order.replica, order.epoch) or worker.current_membership.rank != 0:
             return OrderRefused("state")
+        if worker.current_membership.state is ReplicaState.OPEN:
+            return OrderDone(already=True)
         if worker.current_membership.state is not ReplicaState.READY:
             return OrderRefused("state")
         self._set_state(worker, ReplicaState.OPEN)
@@ -485,6 +580,8 @@
     def _close(self, worker: Worker, order: CloseOrder) -> OrderDone | OrderRefused:
         if worker.group_key != (order.replica, order.epoch):
             return OrderRefused("state")
+        if worker.current_membership.state is ReplicaState.CLOSING:
+            return OrderDone(already=True)
         if worker.current_membership.state is not ReplicaState.OPEN:
             return OrderRefused("state")
         self._set_state(worker, ReplicaState.CLOSING)
@@ -497,13 +594,12 @@
         if worker.group_key == key and worker.current_membership.state is ReplicaState.CLOSING:
             self._set_state(worker, ReplicaState.READY)
 
-    def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone | OrderRefused:
-        key = (order.replica, order.epoch)
-        if worker.group_key != key or worker.current_membership.state in SERVING_STATES:
-            return OrderRefused("state")
-        worker.membership = None
+    def _leave(self, worker: Worker, order: LeaveOrder) -> OrderDone:
+        if _is_needless(worker, order):
+            return OrderDone(already=True)
+        worker.change_membership(None, self.now_s())
         worker.members = ()
-        self._schedule_break(key)
+        self._schedule_break((order.replica, order.epoch))
         return OrderDone(already=False)
 
     def _stage(self, worker: Worker, order: StageOrder) -> OrderDone | OrderRefused:
@@ -575,3 +671,8 @@
             and worker.current_membership.state is ReplicaState.OPEN
             and self.is_complete(worker)
         ]
+
+
+def _is_needless(worker: Worker, order: Order) -> bool:
+    """Return whether this is an order to leave a group that a worker is not in."""
+    return isinstance(order, LeaveOrder) and worker.group_key != (order.replica, order.epoch)
