--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -7,9 +7,12 @@
 import asyncio
 import functools
 import logging
+from collections.abc import Callable
+from contextvars import ContextVar
 
 import aiohttp
 import orjson
+from aiohttp.connector import Connection
 
 from ..http_client import open_session, read_body
 from ..links import DialingConnector, TargetDialer
@@ -51,6 +54,35 @@
 _REFUSALS = {400: "invalid", 409: "state", 412: "epoch", 421: "other_target"}
 
 
+class OrderNotAllowed(Exception):
+    """An order is not written, because its sender may not send it any more."""
+
+
+# Whether the call that is being connected may still be sent.
+_may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=lambda: True)
+
+
+class CheckingConnector(DialingConnector):
+    """Connects to workers, and asks the caller once more before anything is written.
+
+    The process may stand still while it connects.
+    """
+
+    async def connect(self, *arguments, **options) -> Connection:
+        """Return a connection.
+
+        Raises
+        ------
+        OrderNotAllowed
+            If the caller may not send any more.
+        """
+        connection = await super().connect(*arguments, **options)
+        if not _may_send.get()():
+            connection.close()
+            raise OrderNotAllowed
+        return connection
+
+
 class PlatformTargetControl:
     """Client of ``/v1/order`` and ``/v1/report`` of the workers.
 
@@ -67,7 +99,11 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def order(
-        self, target: Target, order: Order, expected_orders: int | None
+        self,
+        target: Target,
+        order: Order,
+        expected_orders: int | None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> OrderDone | OrderRefused | Unavailable | Unknown:
         """Send an order to a worker.
 
@@ -76,6 +112,8 @@
         expected_orders : int or None
             Number of orders that the worker must have accepted so far to accept this one; None
             for an order without this condition.
+        may_send : callable, optional
+            Returns whether the order may still be sent, right before it is written.
 
         Returns
         -------
@@ -88,6 +126,7 @@
             body["expected-revision"] = expected_orders
         headers = {"Content-Type": "application/json", "X-Expect-Instance": target.target_id}
         url = f"http://{target.address}/v1/order"
+        token = _may_send.set(may_send)
         try:
             async with (
                 asyncio.timeout(ORDER_TIMEOUT_S),
@@ -96,10 +135,14 @@
                 ) as response,
             ):
                 status = response.status
+        except OrderNotAllowed:
+            return Unavailable("not allowed any more")
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unavailable(type(error).__name__)
         except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
             return Unknown(type(error).__name__)
+        finally:
+            _may_send.reset(token)
         if status in (OK, ACCEPTED):
             return OrderDone(already=status == OK)
         if status in _REFUSALS:
@@ -152,7 +195,7 @@
             self._session = open_session(
                 CONNECT_TIMEOUT_S,
                 idle_timeout_s=None,
-                connector_class=functools.partial(DialingConnector, dialer=self.dialer),
+                connector_class=functools.partial(CheckingConnector, dialer=self.dialer),
             )
         return self._session
 
--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -200,7 +200,7 @@
                 return unknown or outcome
             else:
                 is_reported = True
-                outcome = await self._send_once(target, order, expected)
+                outcome = await self._send_once(target, order, expected, term)
                 if isinstance(outcome, OrderDone):
                     self._note_done(target, order, expected, outcome)
                     return outcome
@@ -275,8 +275,13 @@
         reported = KnownOrders.from_report(report, self.clock.now_s())
         return known if known is not None and known.is_ahead_of(reported) else reported
 
-    async def _send_once(self, target: Target, order: Order, expected: int) -> OrderOutcome:
-        outcome = await self.control.order(target, order, expected)
+    async def _send_once(
+        self, target: Target, order: Order, expected: int, term: int
+    ) -> OrderOutcome:
+        """Send an order once, if the term still lasts when the target is connected."""
+        outcome = await self.control.order(
+            target, order, expected, lambda: self._current_term() == term
+        )
         self._log(target, order, expected, outcome)
         return outcome
 
--- a/ferrydock/replicas/tests/test_terms.py
+++ b/ferrydock/replicas/tests/test_terms.py
@@ -108,10 +108,10 @@
     control, lease = hall.controller.order_sender.control, hall.controller.lease
     send = control.order
 
-    async def order(target, order, expected):
+    async def order(target, order, expected, may_send):
         if not lease.is_valid:
             found.append(order)
-        return await send(target, order, expected)
+        return await send(target, order, expected, may_send)
 
     control.order = order
     return found
--- a/ferrydock/replicas/tests/test_unanswered_closing_heads.py
+++ b/ferrydock/replicas/tests/test_unanswered_closing_heads.py
@@ -21,12 +21,12 @@
     order_of = control.order
     lost = []
 
-    async def order(target, order, expected_orders):
+    async def order(target, order, expected_orders, may_send):
         now_s = asyncio.get_running_loop().time()
         if target.target_id != head.worker_id or not isinstance(order, CloseOrder):
-            return await order_of(target, order, expected_orders)
+            return await order_of(target, order, expected_orders, may_send)
         if now_s >= until_s:
-            return await order_of(target, order, expected_orders)
+            return await order_of(target, order, expected_orders, may_send)
         if not lost and carried_out_after_s is not None:
             carry_out = (control.fleet.order, head, order, expected_orders)
             asyncio.get_running_loop().call_later(carried_out_after_s, *carry_out)
--- a/ferrydock/route_daemon/tests/test_ended_terms.py
+++ b/ferrydock/route_daemon/tests/test_ended_terms.py
@@ -57,11 +57,11 @@
         self.sent = 0
         self.sent_without_lease = []
 
-    async def order(self, target, order, expected_orders):
+    async def order(self, target, order, expected_orders, may_send):
         self.sent += 1
         if not self.lease.is_valid:
             self.sent_without_lease.append((type(order).__name__, target.target_id))
-        return await super().order(target, order, expected_orders)
+        return await super().order(target, order, expected_orders, may_send)
 
 
 class OneTerm(HallLeadership):
@@ -212,9 +212,9 @@
         super().__init__(hall.fleet, hall.rng)
         self.late = []
 
-    async def order(self, target, order, expected_orders):
+    async def order(self, target, order, expected_orders, may_send):
         if not isinstance(order, LeaveOrder):
-            return await super().order(target, order, expected_orders)
+            return await super().order(target, order, expected_orders, may_send)
         worker = self.fleet.workers[target.target_id]
         carry_out = (self.fleet.execute, worker, order, expected_orders)
         asyncio.get_running_loop().call_later(LATE_S, *carry_out)
--- a/ferrydock/standins/fleet/_ports.py
+++ b/ferrydock/standins/fleet/_ports.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from ...outcomes import Unavailable, Unknown
 from ...targets import (
@@ -55,7 +55,11 @@
         return worker
 
     async def order(
-        self, target: Target, order: Order, expected_orders: int | None
+        self,
+        target: Target,
+        order: Order,
+        expected_orders: int | None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> OrderDone | OrderRefused | Unavailable | Unknown:
         self.given += 1
         await asyncio.sleep(self.rng.uniform(0.001, 0.004))
--- a/ferrydock/targets/_ports.py
+++ b/ferrydock/targets/_ports.py
@@ -1,6 +1,6 @@
 """Ports to the list of targets and to the control of targets; adapters implement both."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -193,9 +193,17 @@
     dialer: TargetDialer
 
     async def order(
-        self, target: Target, order: Order, expected_orders: int | None
+        self,
+        target: Target,
+        order: Order,
+        expected_orders: int | None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> OrderDone | OrderRefused | Unavailable | Unknown:
-        """Send an order once. `Unknown` means that it may be executed, now or much later."""
+        """Send an order once. `Unknown` means that it may be executed, now or much later.
+
+        `may_send` is called once the target is connected, right before the order is written; the
+        order is not sent if it returns False.
+        """
 
     async def report(self, target: Target, timeout_s: float) -> TargetReport | Unavailable:
         """Request a target's report."""
