Failing test: a replica that serves is adopted anew in each round while the list lags behind

Seen at leaders: two log lines and a request for a report about ten times a second and replica, for as long as the target list does not show the open head: 39 reports in 4 s.

--- a/ferrydock/replicas/tests/test_late_orders.py
+++ b/ferrydock/replicas/tests/test_late_orders.py
@@ -1,8 +1,10 @@
 """Orders that are carried out after the leader has undone what they were sent for."""
 
 import asyncio
+from dataclasses import replace
 
 from ...targets import JoinOrder, LeaveOrder, ReplicaState
+from .._forming import OPEN_SHOWN_TIMEOUT_S
 from .hall import Hall
 from .test_controller import ALL_REPLICAS, hall_with_all_replicas, run_scenario
 
@@ -62,3 +64,24 @@
         assert await hall.until(is_opened, 10.0) is None
 
     run_scenario(scenario)
+
+
+def test_a_replica_that_serves_is_not_adopted_again_and_again_by_a_list_that_lags_behind():
+    """Failure: each round adopted it anew, and asked its head for a report."""
+
+    async def scenario():
+        hall = Hall(1, domains=1, workers=4)
+        hall.start_controller()
+        assert await hall.until(lambda: hall.models()["large"], 60.0) is not None
+        hall.kill_controller()
+        hall.following.cancel()
+        head = hall.fleet.open_heads()[0]
+        shown = replace(head.current_membership, state=ReplicaState.READY)
+        hall.directory.put(replace(head.entry, membership=shown))
+        await hall.controller.lease.release()
+        control = hall.start_controller().order_sender.control
+        await asyncio.sleep(2 * OPEN_SHOWN_TIMEOUT_S)
+        assert hall.fleet.open_heads() == [head]
+        assert control.given == 0 and control.reports <= 2
+
+    run_scenario(scenario)
