A leader waits until the list shows a replica open that it found serving

Cause: the replica counted as adopted only until its head had reported that it serves, so the next round, 0.1 s later, adopted it by the same list. Forming waits up to 2 s for the list in this place; finding it open waits likewise. Evidence: the test before failed with 39 reports in 4 s, and passes with at most 2.

--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -140,6 +140,7 @@
         why = await self._wait_until_ready(plan)
         head = plan.formation.members[0]
         if not why and await self._reported_state(plan.key, head, MAX_SILENCE_S) in _SERVING:
+            await self._wait_until_shown_open(plan)
             self._log_formed(plan, "")
             return FormingResult()
         left = await self.dissolve(plan.key, plan.formation.members)
