A new leader's list is requested at once, whatever the back-off of its confirmation

Cause: calls that confirm the list fail during an outage, and then come up to 5 s apart until a read of the configuration is answered, which has a back-off of its own. Acquiring the lease shows that the store answers, too. Change: a lease that begins ends the back-off, once for each term. No call is added while the store does not answer.

--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -120,6 +120,7 @@
         "_first_position_in_era",
         "_is_store_reached",
         "_last_read_version",
+        "_last_term",
         "_is_reading_full_list",
         "_reading_backoff",
         "_reading_not_before_s",
@@ -171,6 +172,8 @@
         self._reading_not_before_s = float("-inf")
         self._is_store_reached = True
         self._last_read_version = -1
+        # Term of the last lease that this daemon was seen to hold.
+        self._last_term: int | None = None
         self._is_reading_full_list = False
         self._reads = OverlappingReads(self._read_configuration)
         self._read_failure = ""
@@ -308,6 +311,7 @@
         try:
             while True:
                 self.settling.check_era(self.directory.position)
+                self._note_new_term()
                 self.list_confirmer.step()
                 self._step_configuration_confirmer()
                 is_relayed = self.leadership.is_relayed
@@ -358,6 +362,17 @@
         wait_s = 0.0 if self.leadership.is_leader else NEXT_LEADER_WAIT_S
         return self.directory.is_provisional and self.settling.remaining_s() <= -wait_s
 
+    def _note_new_term(self) -> None:
+        """End the back-off of the list's confirmation when this daemon begins to lead its hall.
+
+        The store has answered then, and the hall's controller waits for a list that is not older
+        than the lease.
+        """
+        held = self.leadership.lease.held
+        if held is not None and held.term != self._last_term:
+            self._last_term = held.term
+            self.list_confirmer.note_store_reached()
+
     def _is_overdue(self, now_s: float) -> bool:
         """Return whether the watch of the target list should have returned changes by `now_s`.
 
--- a/ferrydock/route_daemon/tests/test_store_follower.py
+++ b/ferrydock/route_daemon/tests/test_store_follower.py
@@ -114,7 +114,7 @@
         self.clock = LoopClock()
         self.is_leader = is_leader
         self.is_relayed = False
-        self.lease = SimpleNamespace(is_valid=is_leader)
+        self.lease = SimpleNamespace(is_valid=is_leader, held=None)
         self.settling = EraSettling(MemoryStore(), self.clock, is_first_start=False)
 
 
