--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -176,3 +176,137 @@
         assert hall.first.control.given == given
 
     play(scenario)
+
+
+# The number that each order is sent with: a join is refused by the target's report before a wrong
+# number shows, so these scenarios also send other orders.
+
+
+class RecordingControl(FleetControl):
+    """Sends orders and records the number that each one expects."""
+
+    def __init__(self, hall):
+        super().__init__(hall.fleet, hall.rng)
+        self.expected = []
+
+    async def order(self, target, order, expected_orders):
+        self.expected.append(expected_orders)
+        return await super().order(target, order, expected_orders)
+
+
+async def lead(hall):
+    """Let the first daemon lead; return the control that records its orders."""
+    control = hall.first.sender.control = RecordingControl(hall)
+    await hall.first.lease.acquire(60.0)
+    return control
+
+
+async def expected_by_next_order(hall, control, order):
+    """Return the numbers that the next order to the second worker is sent with."""
+    control.expected.clear()
+    assert await hall.first.send(hall.workers[1], order) == OrderDone(False)
+    return control.expected
+
+
+def test_the_order_after_a_leave_without_effect_expects_the_number_before_it():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        await hall.order_late(member, JoinOrder(*FIRST, "small", MEMBERS))
+        assert await hall.first.send(member, LeaveOrder(*FIRST)) == OrderDone(True)
+        await asyncio.sleep(1.0)
+        assert await expected_by_next_order(hall, control, StageOrder("small")) == [1]
+
+    play(scenario)
+
+
+def test_the_order_after_one_whose_effect_was_in_place_expects_the_number_before_it():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(True)
+        await asyncio.sleep(1.0)
+        assert await expected_by_next_order(hall, control, StageOrder("small")) == [1]
+
+    play(scenario)
+
+
+def test_the_first_order_of_a_term_expects_the_number_that_the_target_reports():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        await hall.first.lease.release()
+        assert await hall.second.send(member, JoinOrder(*FIRST, "small", MEMBERS)) == OrderDone(
+            False
+        )
+        await asyncio.sleep(1.0)
+        await hall.first.lease.acquire(60.0)
+        assert await expected_by_next_order(hall, control, StageOrder("large")) == [2]
+
+    play(scenario)
+
+
+def test_the_first_order_to_a_target_that_the_list_shows_as_started_again_expects_its_number():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        member.restart()
+        hall.first.directory.put(member.entry)
+        assert await expected_by_next_order(hall, control, StageOrder("small")) == [0]
+
+    play(scenario)
+
+
+def test_a_join_expects_the_number_of_a_start_that_the_list_does_not_show_yet():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        entry = member.entry
+        member.restart()
+        hall.first.directory.put(entry)
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await hall.first.sender.send(entry, join, WITHIN_S) == OrderDone(False)
+        assert control.expected == [0, 0]
+
+    play(scenario)
+
+
+def test_a_join_expects_the_number_of_the_last_answer_while_that_of_the_report_lags_behind():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, StageOrder("large")) == OrderDone(False)
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await expected_by_next_order(hall, control, join) == [1]
+
+    play(scenario)
+
+
+def test_a_member_that_has_left_by_a_late_order_joins_another_replica():
+    async def scenario(hall):
+        member, _ = hall.workers[1], await lead(hall)
+        assert await hall.first.send(member, JoinOrder(*FIRST, "small", MEMBERS)) == OrderDone(
+            False
+        )
+        hall.fleet.execute(member, LeaveOrder(*FIRST), member.orders)
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+
+    play(scenario)
+
+
+def test_an_order_is_not_repeated_in_a_later_term_of_the_same_daemon():
+    async def scenario(hall):
+        member, control = hall.workers[1], await lead(hall)
+        member.alive = False
+        sending = asyncio.ensure_future(
+            hall.first.sender.send(member.entry, StageOrder("large"), WITHIN_S)
+        )
+        await asyncio.sleep(0.1)
+        await hall.first.lease.release()
+        await hall.first.lease.acquire(60.0)
+        sent = len(control.expected)
+        assert sent == 1
+        await sending
+        assert len(control.expected) == sent
+
+    play(scenario)
--- a/ferrydock/route_daemon/tests/test_ended_terms.py
+++ b/ferrydock/route_daemon/tests/test_ended_terms.py
@@ -168,6 +168,27 @@
     assert late == {}
 
 
+def test_no_round_of_a_controller_begins_after_its_term():
+    async def scenario():
+        hall = LedHall()
+        assert await hall.until(lambda: hall.control.sent, 5.0) is not None
+        rounds, step = [], hall.controller.step
+
+        async def recorded_step():
+            rounds.append(hall.clock.now_s())
+            await step()
+
+        hall.controller.step = recorded_step
+        await asyncio.sleep(0.5)
+        hall.controller.lease.held = None  # the store lets it expire
+        await hall.leading
+        count = len(rounds)
+        await asyncio.sleep(1.0)
+        assert count and len(rounds) == count
+
+    run_virtually(scenario())
+
+
 # When an order is carried out that is on its way while the next leader adopts a replica.
 LATE_S = 4.0
 
