--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -294,6 +294,24 @@
     play(scenario)
 
 
+def test_a_target_that_has_just_left_joins_although_its_report_shows_the_former_replica():
+    """Failure: each repair waited until the survivors' reports were current."""
+
+    async def scenario(hall):
+        member = hall.workers[1]
+        await hall.first.lease.acquire(60.0)
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        await asyncio.sleep(READY_S)
+        assert await hall.first.send(member, LeaveOrder(*FIRST)) == OrderDone(True)
+        given = hall.first.control.given
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        assert hall.first.control.given == given + 1
+
+    play(scenario)
+
+
 def test_an_order_is_not_repeated_in_a_later_term_of_the_same_daemon():
     async def scenario(hall):
         member, control = hall.workers[1], await lead(hall)
@@ -310,3 +328,16 @@
         assert len(control.expected) == sent
 
     play(scenario)
+
+
+def test_a_target_that_has_left_by_an_order_of_the_leader_before_joins_once_it_reports_that():
+    async def scenario(hall):
+        member = hall.workers[1]
+        join = JoinOrder(*FIRST, "small", MEMBERS)
+        assert await hall.first.send(member, join) == OrderDone(False)
+        await asyncio.sleep(READY_S)
+        assert await hall.first.send(member, LeaveOrder(*FIRST)) == OrderDone(True)
+        join = JoinOrder(*SECOND, "small", MEMBERS)
+        assert await hall.second.send(member, join) == OrderDone(False)
+
+    play(scenario)
