A replica found ready is freed only by a report that is no older than its adoption

Cause: a report is up to 0.2 s old as a whole. A head that the leader before had just opened was taken for ready. Change: the leader waits 0.2 s after the members hold the model and before it asks the head. An order to open that is carried out later than that still meets the order to leave (not changed). Cost: 0.2 s where a leader ends while it forms.

--- a/ferrydock/replicas/_forming.py
+++ b/ferrydock/replicas/_forming.py
@@ -24,7 +24,7 @@
     TargetDirectory,
     TargetReport,
 )
-from ._order_sender import OrderSender
+from ._order_sender import REPORT_LAG_S, OrderSender
 from ._plan import Formation
 
 __all__ = ["FormingResult", "PlannedReplica", "ReplicaFormer"]
@@ -139,10 +139,12 @@
         """
         why = await self._wait_until_ready(plan)
         head = plan.formation.members[0]
-        if not why and await self._reported_state(plan.key, head, MAX_SILENCE_S) in _SERVING:
-            await self._wait_until_shown_open(plan)
-            self._log_formed(plan, "")
-            return FormingResult()
+        if not why:
+            await asyncio.sleep(REPORT_LAG_S)  # its report is then no older than the adoption
+            if await self._reported_state(plan.key, head, MAX_SILENCE_S) in _SERVING:
+                await self._wait_until_shown_open(plan)
+                self._log_formed(plan, "")
+                return FormingResult()
         left = await self.dissolve(plan.key, plan.formation.members)
         return FormingResult(why, left)
 
