--- a/ferrydock/replicas/tests/test_order_numbers.py
+++ b/ferrydock/replicas/tests/test_order_numbers.py
@@ -189,9 +189,9 @@
         super().__init__(hall.fleet, hall.rng)
         self.expected = []
 
-    async def order(self, target, order, expected_orders):
+    async def order(self, target, order, expected_orders, *arguments):
         self.expected.append(expected_orders)
-        return await super().order(target, order, expected_orders)
+        return await super().order(target, order, expected_orders, *arguments)
 
 
 async def lead(hall):
