A recorded demand that is no number of slots counts as none

What callers would see: no replica formed or repaired in a hall, by any leader: a placement record of another writer with a demand of -5 raised in each round (math domain error); nan and inf as text gave weights that are no numbers.

--- a/ferrydock/replicas/_record.py
+++ b/ferrydock/replicas/_record.py
@@ -8,20 +8,29 @@
 import logging
 import uuid
 from collections.abc import Mapping
+from typing import Annotated
 
+import msgspec
 import orjson
+from msgspec import Meta
 
 from ..hall_lease import placement_key
 from ..invariants import require
 from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
 from ..store import Compare, KeyValue, Position, Put, RangeDone, Store, Txn, TxnDone
+from ..typed_json import load_object
 from ._plan import Formation
 
 __all__ = ["PlacementRecord"]
 
 _LOG = logging.getLogger("ferrydock.replicas")
 
+# Most slots that requests for one model may fill: far above any site, and finite.
+MAX_DEMAND_SLOTS = 1e6
+
+RecordedDemand = dict[str, dict[str, Annotated[float, Meta(ge=0, le=MAX_DEMAND_SLOTS)]]]
+
 
 class PlacementRecord:
     """Writes plans on the condition that the record has not changed since it was read.
@@ -142,12 +151,8 @@
     def _decode_demand(self, value: bytes) -> dict[str, dict[str, float]]:
         """Return the demand in a record; empty, with a log line, if it cannot be decoded."""
         try:
-            demand = orjson.loads(value).get("demand", {})
-            return {
-                service: {model: float(slots) for model, slots in models.items()}
-                for service, models in demand.items()
-            }
-        except (ValueError, TypeError, AttributeError) as error:
+            return msgspec.convert(load_object(value).get("demand", {}), RecordedDemand)
+        except ValueError as error:
             log_event(
                 _LOG, logging.WARNING, "placement_unreadable", hall=self.hall, why=repr(error)
             )
