A leader that waits for its list says so; adopted members are freed by a task of its own

list_older_than_lease is logged once in a term, after 2 s without a list that is not older than the lease: without it a leader that never gets one was silent.

--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -19,7 +19,7 @@
 from ..route_metrics import RouteMetrics
 from ..store import Store
 from ..targets import ReplicaState, Target, TargetDirectory
-from ._forming import PlannedReplica, ReplicaFormer
+from ._forming import FormingResult, PlannedReplica, ReplicaFormer
 from ._hall_state import HallState
 from ._health import DissolveReason, HealthResult, ReplicaHealthCheck, Verdict
 from ._model_changes import ChangeWay, ModelChanges, choose_way
@@ -45,6 +45,10 @@
 # Interval between two evaluations of the demand, whose average decays over 5 s.
 DEMAND_CHECK_INTERVAL_S = 0.5
 
+# How long a new leader waits for a list that is not older than its lease before it logs that. The
+# list is requested when the lease is acquired.
+LIST_AWAITED_ALARM_S = 2.0
+
 # Hexadecimal digits in the name of a replica: enough to keep the names in a hall distinct.
 REPLICA_NAME_DIGITS = 8
 
@@ -191,7 +195,11 @@
         """Check the hall's targets and replicas once, and start the tasks that are due."""
         if self.current.lookup is None or not self.directory.loaded or not self.lease.is_valid:
             return
-        if not self._is_list_current() or not await self.record.read():
+        now_s = self.clock.now_s()
+        if not self._is_list_current():
+            self._note_list_awaited(now_s)
+            return
+        if not await self.record.read():
             return
         now_s = self.clock.now_s()
         if self._term_began_s is None:
@@ -213,6 +221,22 @@
             return False
         return self.directory.position >= held.created
 
+    def _note_list_awaited(self, now_s: float) -> None:
+        """Log once in a term that it has waited for a list for too long."""
+        if self.state.list_awaited_since_s is None:
+            self.state.list_awaited_since_s = now_s
+        if now_s - self.state.list_awaited_since_s < LIST_AWAITED_ALARM_S:
+            return
+        self.state.list_awaited_since_s = float("inf")
+        log_event(
+            _LOG,
+            logging.WARNING,
+            "list_older_than_lease",
+            hall=self.hall,
+            list_position=self.directory.position.rank(),
+            provisional=self.directory.is_provisional,
+        )
+
     def _engine(self, service: ServiceSpec) -> EngineSpec:
         """Return the engine of a service; without its parallel loads if no site plan applies.
 
@@ -440,7 +464,7 @@
         plan = PlannedReplica(replica.name, replica.epoch, formation)
         self.state.operations.begin_forming(plan)
         log_event(_LOG, logging.INFO, "replica_adopted", replica=replica.name, epoch=replica.epoch)
-        self._spawn(self._form(plan, self.state.operations, joined=True))
+        self._spawn(self._free_adopted(plan, self.state.operations))
         return True
 
     async def _dissolve(
@@ -527,23 +551,30 @@
         known = {name: self.planner.site.observations.known_demand(name) for name in services}
         return {name: demand for name, demand in known.items() if demand}
 
-    async def _form(
-        self, plan: PlannedReplica, operations: RunningOperations, joined: bool = False
-    ) -> None:
+    async def _form(self, plan: PlannedReplica, operations: RunningOperations) -> None:
         began_s = self.clock.now_s()
         try:
-            result = await (self.former.free_adopted if joined else self.former.form)(plan)
-            if not joined:
-                took_s = self.clock.now_s() - began_s
-                self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
-            for member_id in plan.member_ids:
-                if member_id in result.failure:
-                    self.state.unused.pause(member_id)
-                    self.state.departures.discard(member_id)
-            self.state.departures.note(result.left_ids, plan.key, self.clock.now_s())
+            result = await self.former.form(plan)
+            took_s = self.clock.now_s() - began_s
+            self.metrics.forming.labels("failed" if result.failure else "open").observe(took_s)
+            self._note_result(plan, result)
+        finally:
+            operations.end_forming(plan)
+
+    async def _free_adopted(self, plan: PlannedReplica, operations: RunningOperations) -> None:
+        try:
+            self._note_result(plan, await self.former.free_adopted(plan))
         finally:
             operations.end_forming(plan)
 
+    def _note_result(self, plan: PlannedReplica, result: FormingResult) -> None:
+        """Record which members have left, and those that an order to has failed."""
+        for member_id in plan.member_ids:
+            if member_id in result.failure:
+                self.state.unused.pause(member_id)
+                self.state.departures.discard(member_id)
+        self.state.departures.note(result.left_ids, plan.key, self.clock.now_s())
+
     # Tasks ------------------------------------------------------------------------------------
 
     def _spawn(self, work: Coroutine) -> None:
--- a/ferrydock/replicas/_hall_state.py
+++ b/ferrydock/replicas/_hall_state.py
@@ -31,6 +31,9 @@
     changing : dict
         Model that each replica is given to, by name and epoch of the replica, while its members
         load that model and still serve.
+    list_awaited_since_s : float or None
+        Local time since which this term waits for a target list that is not older than its lease;
+        infinite once that is logged, None if it has not waited.
     spares : SpareUse
         For which models spares may form replicas, and which replicas they have formed.
     staging : StagingProgress
@@ -43,6 +46,7 @@
         "changing",
         "clock",
         "departures",
+        "list_awaited_since_s",
         "operations",
         "spares",
         "staging",
@@ -53,6 +57,7 @@
         self.clock = clock
         self.operations = RunningOperations()
         self.changing: dict[tuple[str, int], str] = {}
+        self.list_awaited_since_s: float | None = None
         self.spares = SpareUse()
         self.staging = StagingProgress()
         self.departures = Departures()
@@ -111,6 +116,7 @@
         """Clear what belongs to one term of leadership: all but suspicions and pauses."""
         self.operations = RunningOperations()
         self.changing.clear()
+        self.list_awaited_since_s = None
         self.spares.clear()
         self.staging.clear()
         self.departures.clear()
--- a/ferrydock/replicas/tests/test_list_older_than_lease.py
+++ b/ferrydock/replicas/tests/test_list_older_than_lease.py
@@ -60,3 +60,15 @@
         assert await hall.until(lambda: controller.order_sender.control.given > 0, 5.0) is not None
 
     run_scenario(scenario)
+
+
+def test_a_leader_that_waits_long_for_its_list_logs_that_once(caplog):
+    async def scenario():
+        hall = Hall(3)
+        hall.directory.is_provisional = True
+        hall.start_controller()
+        await asyncio.sleep(10.0)
+
+    with caplog.at_level("WARNING"):
+        run_scenario(scenario)
+    assert caplog.text.count("list_older_than_lease") == 1
--- a/ferrydock/route_daemon/_store_follower.py
+++ b/ferrydock/route_daemon/_store_follower.py
@@ -120,7 +120,7 @@
         "_first_position_in_era",
         "_is_store_reached",
         "_last_read_version",
-        "_last_term",
+        "_last_held_term",
         "_is_reading_full_list",
         "_reading_backoff",
         "_reading_not_before_s",
@@ -172,14 +172,11 @@
         self._reading_not_before_s = float("-inf")
         self._is_store_reached = True
         self._last_read_version = -1
-        # Term of the last lease that this daemon was seen to hold.
-        self._last_term: int | None = None
+        self._last_held_term: int | None = None
         self._is_reading_full_list = False
         self._reads = OverlappingReads(self._read_configuration)
         self._read_failure = ""
-        self.max_keyed_age_s: Callable[[], float] = lambda: max_keyed_age_s(
-            deployment.settings.freshness_s
-        )
+        self.max_keyed_age_s: Callable[[], float] = self._max_keyed_age_at_start_s
         self.configuration_confirmer = Confirmer(
             self._keyed_age_s,
             self._read_configuration,
@@ -196,6 +193,9 @@
             self.clock,
         )
 
+    def _max_keyed_age_at_start_s(self) -> float:
+        return max_keyed_age_s(self.deployment.settings.freshness_s)
+
     async def follow_configuration(self) -> None:
         """Read the configuration periodically while the hall leader does not relay it.
 
@@ -369,8 +369,8 @@
         than the lease.
         """
         held = self.leadership.lease.held
-        if held is not None and held.term != self._last_term:
-            self._last_term = held.term
+        if held is not None and held.term != self._last_held_term:
+            self._last_held_term = held.term
             self.list_confirmer.note_store_reached()
 
     def _is_overdue(self, now_s: float) -> bool:
