--- a/ferrydock/replicas/tests/test_leaders_in_turn.py
+++ b/ferrydock/replicas/tests/test_leaders_in_turn.py
@@ -18,10 +18,16 @@
 PLAYS = [
     # A leave without effect was counted: the number was too high.
     pytest.param(WITHOUT_RESTARTS, 22, id="without_restarts-22"),
-    # The number was that of an earlier start of the target.
+    pytest.param(WITH_RESTARTS, 65, id="with_restarts-65"),
+    # The number was that of an earlier start of the target; in the second one a head that served.
     pytest.param(WITH_RESTARTS, 35, id="with_restarts-35"),
+    pytest.param(WITH_RESTARTS, 55, id="with_restarts-55"),
     # A domain formed no replicas any more.
     pytest.param(ORDERS_ANSWERED, 18, id="orders_answered-18"),
+    # They catch a sender that keeps numbers past a term and needs no report for a join, under a
+    # leader whose list is older than its lease.
+    pytest.param(ORDERS_ANSWERED, 148, id="orders_answered-148"),
+    pytest.param(ORDERS_ANSWERED, 162, id="orders_answered-162"),
     pytest.param(NEEDLESS_LEAVES_CONFIRMED, 1, id="needless_leaves_confirmed-1"),
     pytest.param(LATE_REPORTS, 1, id="late_reports-1"),
 ]
