A target suspected together with a lost one is not lost itself

What callers would see: a replica with a member that only stands still for a second replaced at once, and its begun requests cut, because another target named in the same report was already considered lost. Cause: carried the mark of one target over to those after it in the same call; before it each target had its own. Found by reading the whole change once more. Evidence: the new test failed before and passes, with the other five.

--- a/ferrydock/replicas/_unused_targets.py
+++ b/ferrydock/replicas/_unused_targets.py
@@ -79,9 +79,10 @@
             known = self._suspicions.get(target_id)
             if known is None:
                 log_event(_LOG, logging.WARNING, "target_suspected", target=target_id, why=reason)
-            elif known.incarnation == incarnation:
-                is_lost = is_lost or known.is_lost
-            self._suspicions[target_id] = _Suspicion(incarnation, until_s, is_reached, is_lost)
+            was_lost = known is not None and known.incarnation == incarnation and known.is_lost
+            self._suspicions[target_id] = _Suspicion(
+                incarnation, until_s, is_reached, is_lost or was_lost
+            )
 
     def end_suspicion(self, target_ids: Iterable[str]) -> None:
         """Stop suspecting targets that answer again."""
--- a/ferrydock/replicas/tests/test_unused_targets.py
+++ b/ferrydock/replicas/tests/test_unused_targets.py
@@ -65,3 +65,17 @@
         assert unused.is_suspected(target) and not unused.is_lost(target)
 
     run_virtually(scenario())
+
+
+def test_a_target_that_is_suspected_together_with_a_lost_one_is_not_lost():
+    """Failure: a replica with a target in a short pause was replaced, and its requests cut."""
+
+    async def scenario():
+        lost, paused = worker("t", age_mark=(7, 1)), worker("u", age_mark=(7, 1))
+        unused = unused_targets(lost, paused)
+        suspect(unused)
+        unused.suspect(["t", "u"], "test")
+        assert unused.is_lost(lost)
+        assert unused.is_suspected(paused) and not unused.is_lost(paused)
+
+    run_virtually(scenario())
