--- a/ferrydock/hall_lease.py
+++ b/ferrydock/hall_lease.py
@@ -64,28 +64,31 @@
 
     Attributes
     ----------
-    term : int
-        Rank of the store position at which the controller's key was created; it ranks the orders
-        that the holder sends.
+    created : Position
+        Position of the store at which the controller's key was created, or found again in a new
+        era: all that earlier leaders wrote is no later.
     lease_id : int
         Id of the store's lease to which the key is bound.
     valid_until_s : float
         Local time until which the store cannot have let the lease expire.
-    era : int
-        Era of the store to which the other attributes belong.
     value : bytes
         Value that the holder wrote to the key; unique to this write.
-    created : Position
-        Position of the store at which the key was created, or found again in a new era: all that
-        earlier leaders wrote is no later.
     """
 
-    term: int
+    created: Position
     lease_id: int
     valid_until_s: float
-    era: int
     value: bytes
-    created: Position = Position()
+
+    @property
+    def term(self) -> int:
+        """Rank of the position at which the key was created; it ranks the holder's orders."""
+        return self.created.rank()
+
+    @property
+    def era(self) -> int:
+        """Era of the store to which the lease belongs."""
+        return self.created.era
 
 
 class ControllerLease:
@@ -215,9 +218,7 @@
         self, created: Position, lease: LeaseGranted, sent_s: float, value: bytes
     ) -> HeldLease:
         valid_until_s = sent_s + lease.ttl_s - CLOCK_MARGIN_S
-        self.held = HeldLease(
-            created.rank(), lease.lease_id, valid_until_s, created.era, value, created
-        )
+        self.held = HeldLease(created, lease.lease_id, valid_until_s, value)
         return self.held
 
     async def reclaim(self) -> bool:
@@ -238,8 +239,7 @@
         is_own = item.value == held.value and item.lease_id == held.lease_id
         if not is_own or self.clock.now_s() >= held.valid_until_s:
             return False
-        created = Position(read.era, item.create_revision)
-        self.held = replace(held, term=created.rank(), era=read.era, created=created)
+        self.held = replace(held, created=Position(read.era, item.create_revision))
         return self.is_valid
 
     async def renew(self) -> HeldLease | LeaseLost | Unavailable:
--- a/ferrydock/replicas/_controller.py
+++ b/ferrydock/replicas/_controller.py
@@ -195,9 +195,8 @@
         """Check the hall's targets and replicas once, and start the tasks that are due."""
         if self.current.lookup is None or not self.directory.loaded or not self.lease.is_valid:
             return
-        now_s = self.clock.now_s()
         if not self._is_list_current():
-            self._note_list_awaited(now_s)
+            self._note_list_awaited()
             return
         if not await self.record.read():
             return
@@ -221,8 +220,9 @@
             return False
         return self.directory.position >= held.created
 
-    def _note_list_awaited(self, now_s: float) -> None:
+    def _note_list_awaited(self) -> None:
         """Log once in a term that it has waited for a list for too long."""
+        now_s = self.clock.now_s()
         if self.state.list_awaited_since_s is None:
             self.state.list_awaited_since_s = now_s
         if now_s - self.state.list_awaited_since_s < LIST_AWAITED_ALARM_S:
--- a/ferrydock/replicas/_order_sender.py
+++ b/ferrydock/replicas/_order_sender.py
@@ -250,7 +250,7 @@
         Parameters
         ----------
         is_reported : bool
-            Whether the target has reported its number since the call to `send`, or needs not.
+            Whether the target has reported its number since the call to `send`, or need not.
         """
         known = self._known_of(target)
         if known is None and target.is_unused:
