--- a/review/stand2/site.py
+++ b/review/stand2/site.py
@@ -9,7 +9,9 @@
 import json
 import os
 import random
+import shutil
 import signal
+import socket
 import tempfile
 import time
 import traceback
@@ -28,7 +30,11 @@
 COMMAND = ("python3", "-m", "ferrydock.route_daemon")
 ENVIRONMENT = {"SSL_CERT_FILE": "/dev/null", "SSL_CERT_DIR": "/dev/null"}
 
-PORTS = (8227, 8220, 8229, 7340, 7355)
+# Ports of a daemon: frontend, ready, control, and the first and last of the internal ones. They lie
+# below the range from which the system takes ports for outgoing connections.
+PORT_COUNT = 5
+PORT_RANGE = (20000, 31999)
+
 READY_WITHIN_S = 30.0
 
 # Exit statuses of a script.
@@ -230,7 +236,7 @@
     def add_daemon(self, name: str, hall: str) -> Daemon:
         """Add a daemon of a hall on a loopback address of its own; it is not started."""
         address = f"127.{self._net[0]}.{self._net[1]}.{len(self.daemons) + 1}"
-        settings = self.fleet.settings(name, hall, list(PORTS), address=address)
+        settings = self.fleet.settings(name, hall, _free_ports(address), address=address)
         daemon = Daemon(self, name, hall, settings)
         self.daemons.append(daemon)
         return daemon
@@ -241,7 +247,8 @@
         for daemon in daemons:
             while not await daemon.is_ready():
                 if time.monotonic() > until_s:
-                    raise RuntimeError(f"{daemon.name} is not ready: see {daemon.log_path}")
+                    log = _end_of(daemon.log_path)
+                    raise RuntimeError(f"{daemon.name} is not ready; the end of its log: {log}")
                 await asyncio.sleep(0.05)
         self.record.write(f"ready: {', '.join(daemon.name for daemon in daemons)}")
 
@@ -251,6 +258,22 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(3):
                 await self.fleet.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def _end_of(path: Path) -> str:
+    return path.read_text(errors="replace")[-2000:]
+
+
+def _free_ports(address: str) -> list[int]:
+    """Return ports of an address, in rising order, on which nothing listens."""
+    ports: list[int] = []
+    while len(ports) < PORT_COUNT:
+        port = random.randint(*PORT_RANGE)
+        with socket.socket() as opened, contextlib.suppress(OSError):
+            opened.bind((address, port))
+            ports.append(port)
+    return sorted(ports)
 
 
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> NoReturn:
