--- a/review/stand2/site.py
+++ b/review/stand2/site.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 import traceback
@@ -279,10 +280,12 @@
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> NoReturn:
     """Run a case, which returns whether the rule held; exit as the scripts of the review do.
 
-    The second argument of the case tells whether the disruption is played.
+    The second argument of the case tells whether the disruption is played. `run.sh` passes the
+    value of TROUBLE as the only argument of the program; 0 leaves the disruption out.
     """
     record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    (trouble,) = sys.argv[1:]
+    has_trouble = trouble != "0"
     status = COULD_NOT_RUN
     try:
         status = HELD if asyncio.run(case(record, has_trouble)) else BROKEN
