Answers with a status that no answer has are their target's failure

Callers saw: a worker's answer with status 000, 001 or 099 reached them as `HTTP/1.1 0 Odd`, one with 101 as a switch of protocols that they had not asked for; with 600 or 999, requests that may not be repeated got it. All of these counted as complete answers (request_done status=0), and 0 to 101 as successes of the worker.

Cause: aiohttp's parser accepts any status of three digits, and skips only 102 to 199 and 100. Everything after it compares with single bounds (below 300 is a success, 500 and above an error), so what lies outside 200 to 599 falls into one of them.

Change: `answer_head.head_fault` says whether a parsed head is part of an answer. `AnswerProtocol`, which reads every answer of workers, store and engines, asks it before a head is queued, and ends the answer as it does one that is no HTTP: the attempt fails as `unreadable_answer`, the target is ejected, the request goes elsewhere or gets 502. `answer_unreadable` logs why.

--- a/ferrydock/answer_protocol.py
+++ b/ferrydock/answer_protocol.py
@@ -1,10 +1,12 @@
-"""The client side of one HTTP connection, with bounds on what its server sends beside bodies.
+"""The client side of one HTTP connection: which heads are answers, and bounds on what is no body.
 
-Owns the counts of the answer that is read. aiohttp bounds the length of a line and of a header
-field, but neither the number of informational heads before the final one nor the framing of a body,
-and it reads all heads that are buffered within one turn of the loop.
+Owns the counts of the answer that is read. Each head is checked by `answer_head` before it is
+queued. aiohttp bounds the length of a line and of a header field, but neither the number of
+informational heads before the final one nor the framing of a body, and it reads all heads that are
+buffered within one turn of the loop.
 """
 
+import logging
 from typing import Any
 
 import aiohttp
@@ -13,8 +15,14 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 
+from .answer_head import FIRST_FINAL_STATUS, head_fault
+from .logs import log_event
+from .outcomes import Fault
+
 __all__ = ["AnswerProtocol"]
 
+_LOG = logging.getLogger("ferrydock.answer_protocol")
+
 # Bytes of an answer that are no body: all its heads, chunk sizes and extensions, and trailers.
 MAX_FRAMING_BYTES = 131072
 
@@ -28,21 +36,19 @@
 # Bytes parsed between two checks of these bounds.
 MAX_PIECE_BYTES = 16384
 
-FIRST_FINAL_STATUS = 200
-SWITCHING_PROTOCOLS = 101
-
 
 class AnswerProtocol(ResponseHandler):
-    """Reads answers, and aborts a connection whose server exceeds a bound.
+    """Reads answers, and aborts a connection whose server sends none or exceeds a bound.
 
-    An answer whose head exceeds one fails with `aiohttp.ClientResponseError`, one whose body does
-    with `aiohttp.ClientPayloadError`. Bytes after the end of an answer are discarded, and leave the
+    An answer whose head does so fails with `aiohttp.ClientResponseError`, one whose body does with
+    `aiohttp.ClientPayloadError`. Bytes after the end of an answer are discarded, and leave the
     answer complete.
     """
 
     def __init__(self, loop) -> None:
         super().__init__(loop)
         self._answer: StreamReader | None = None  # body of the final head
+        self._head_fault: Fault | None = None
         self._informational_heads = 0
         self._received_bytes = 0
         self._has_excess = False
@@ -56,19 +62,22 @@
         super().set_response_params(**options)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Queue a head, unless the final one came before."""
+        """Queue a head that is part of an answer, unless the final one came before."""
         message, body = data
         if self._answer is not None:
             self._has_excess = True
             return
-        if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
+        self._head_fault = self._head_fault or head_fault(message)
+        if self._head_fault is not None:
+            return
+        if message.code >= FIRST_FINAL_STATUS:
             self._answer = body
         else:
             self._informational_heads += 1
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes piece by piece, until reading is paused or a bound is exceeded.
+        """Parse received bytes piece by piece, until reading is paused or the answer fails.
 
         Without bytes, parsing goes on after a pause.
         """
@@ -85,7 +94,7 @@
             start += len(piece)
             self._received_bytes += len(piece)
             super().data_received(piece)
-            self._check_bounds()
+            self._check_answer()
             if self._exception is not None:
                 self._fail_body(self._exception)
                 self._abort()
@@ -100,8 +109,10 @@
     def _has_ended(self) -> bool:
         return self._answer is not None and self._answer.is_eof()
 
-    def _check_bounds(self) -> None:
-        """Fail the answer if a bound is exceeded; while paused, some bytes are not parsed yet."""
+    def _check_answer(self) -> None:
+        """Fail what is no answer, or exceeds a bound; while paused, some bytes are not parsed."""
+        if self._exception is None and self._head_fault is not None:
+            self._fail(str(self._head_fault))
         if self._exception is not None or self._reading_paused:
             return
         body_bytes = self._answer.total_bytes if self._answer is not None else 0
@@ -112,6 +123,13 @@
             problem = f"{framing_bytes} bytes beside {body_bytes} of the body"
         else:
             return
+        self._fail(problem)
+
+    def _fail(self, problem: str) -> None:
+        """End the wait for the answer."""
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        server = f"{peer[0]}:{peer[1]}" if peer else None
+        log_event(_LOG, logging.WARNING, "answer_unreadable", server=server, why=problem)
         self.set_exception(HttpProcessingError(message=problem))
 
     def _fail_body(self, error: BaseException) -> None:
--- /dev/null
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -0,0 +1,95 @@
+"""What is no answer is its target's failure: callers get another target's answer, or an error."""
+
+import pytest
+
+from ...configuration import RouteKind
+from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
+
+BODY = b"X-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno"
+BROKEN_ANSWERS = {
+    **{
+        f"status {status}": b"HTTP/1.1 %s Odd\r\n" % status.encode() + BODY
+        for status in ("000", "001", "099", "101", "600", "999")
+    },
+    "status 000 without a reason": b"HTTP/1.1 000\r\n" + BODY,
+    "status 101 with an upgrade": b"HTTP/1.1 101 S\r\nUpgrade: a\r\nConnection: upgrade\r\n" + BODY,
+    "status 099 before a sound answer": b"HTTP/1.1 099 Odd\r\n\r\n" + complete_answer(),
+}
+EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in (1, 2)]
+any_broken_answer = pytest.mark.parametrize("case", BROKEN_ANSWERS)
+
+
+@any_broken_answer
+def test_a_broken_answer_to_a_request_that_may_be_repeated_is_replaced_by_another_targets(case):
+    async def scenario():
+        broken = ScriptedTarget(writes(BROKEN_ANSWERS[case], keep=False))
+        sound = ScriptedTarget(writes(complete_answer()))
+        async with Rig([route()], [broken, sound]) as rig:
+            while not broken.requests:
+                answer = await rig.ask()
+                assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and answer.endswith(b"\r\n\r\nok")
+
+    play(scenario)
+
+
+@any_broken_answer
+def test_a_broken_answer_to_a_request_that_may_not_be_repeated_is_an_error(case):
+    async def scenario():
+        broken = ScriptedTarget(writes(BROKEN_ANSWERS[case], keep=False))
+        async with Rig([route(kind=RouteKind.AT_MOST_ONCE)], [broken]) as rig:
+            answer = await rig.ask()
+            assert answer.startswith(b"HTTP/1.1 502 ") and b"s\r\n\r\n" not in answer
+        assert len(broken.requests) == 1
+
+    play(scenario)
+
+
+@any_broken_answer
+def test_a_connection_that_had_a_broken_answer_serves_no_other_request(case):
+    connections = []
+
+    async def script(target, request, writer):
+        connections.append(writer)
+        writer.write(BROKEN_ANSWERS[case] if len(connections) == 1 else complete_answer())
+        return True
+
+    async def scenario():
+        async with Rig([route(attempts=1)], [ScriptedTarget(script)]) as rig:
+            assert (await rig.ask()).startswith(b"HTTP/1.1 502 ")
+            assert (await rig.ask()).startswith(b"HTTP/1.1 200 ")
+        assert len(set(connections)) == 2
+
+    play(scenario)
+
+
+def streaming(case, broken_number):
+    """Return a script that sends one event and breaks off, but answer `broken_number` is broken."""
+
+    async def script(target, request, writer):
+        if len(target.requests) == broken_number:
+            writer.write(BROKEN_ANSWERS[case])
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+        events = EVENTS[1:] if b"Last-Event-Id: 1" in request else EVENTS
+        size = len(events) if broken_number == 0 else 1
+        sent = b"".join(events[:size])
+        writer.write(b"%x\r\n%s\r\n" % (len(sent), sent) + b"0\r\n\r\n" * (broken_number == 0))
+
+    return script
+
+
+@any_broken_answer
+@pytest.mark.parametrize("broken_number", [1, 2], ids=["first answer", "continuation"])
+def test_a_stream_goes_on_elsewhere_after_a_broken(case, broken_number):
+    async def scenario():
+        broken = ScriptedTarget(streaming(case, broken_number))
+        sound = ScriptedTarget(streaming(case, 0))
+        streams = route(kind=RouteKind.RESUMABLE_STREAM, attempts=4)
+        async with Rig([streams], [broken, sound]) as rig:
+            for _ in range(6):
+                answer = await rig.ask()
+                assert answer.startswith(b"HTTP/1.1 200 ")
+                assert [answer.count(event) for event in EVENTS] == [1, 1]
+        assert broken.requests
+
+    play(scenario)
