A head with a control byte is its target's failure, not the end of the caller's connection

Callers saw: if a worker's answer had a control byte in a field's value, in its signature or in the reason phrase, the caller's connection was closed without an answer, also for requests that may be repeated; a stream got a 500. A continuation with such a head was taken, and its events passed on.

Cause: aiohttp's parser accepts these bytes and its writer refuses them. By then the attempt counted as complete, so nothing could go elsewhere; the head of a continuation is never written, so nothing refused it.

The names were refused by the parser already; their tests are new, the behaviour is not.

--- a/ferrydock/forwarding/tests/test_broken_answers.py
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -3,9 +3,10 @@
 import pytest
 
 from ...configuration import RouteKind
-from .rig import Rig, ScriptedTarget, complete_answer, play, route, writes
+from .rig import HEAD, Rig, ScriptedTarget, complete_answer, play, route, writes
 
-BODY = b"X-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno"
+LENGTH_AND_BODY = b"Content-Length: 2\r\n\r\nno"
+BODY = b"X-Server-Stamp: s\r\n" + LENGTH_AND_BODY
 BROKEN_ANSWERS = {
     **{
         f"status {status}": b"HTTP/1.1 %s Odd\r\n" % status.encode() + BODY
@@ -14,6 +15,21 @@
     "status 000 without a reason": b"HTTP/1.1 000\r\n" + BODY,
     "status 101 with an upgrade": b"HTTP/1.1 101 S\r\nUpgrade: a\r\nConnection: upgrade\r\n" + BODY,
     "status 099 before a sound answer": b"HTTP/1.1 099 Odd\r\n\r\n" + complete_answer(),
+    **{
+        f"{byte!r} in a name": b"HTTP/1.1 200 OK\r\nX-%cA: 1\r\n" % byte + BODY
+        for byte in b"\0\a\t \r\x1b\x7f\xe9,{"
+    },
+    **{
+        f"{byte!r} in a value": b"HTTP/1.1 200 OK\r\nA: b%cc\r\n" % byte + BODY
+        for byte in b"\0\a\v\r\x1b\x7f"
+    },
+    **{
+        f"{byte!r} in the reason": b"HTTP/1.1 200 O%cK\r\n" % byte + BODY
+        for byte in b"\0\a\v\x1b\x7f"
+    },
+    "a control byte in the signature": HEAD.replace(b"s\r", b"s\x1b\r") + LENGTH_AND_BODY,
+    "a control byte in a server error": b"HTTP/1.1 500 Odd\r\nA: \a\r\n" + BODY,
+    "a control byte before a sound answer": b"HTTP/1.1 103 E\r\nA: \a\r\n\r\n" + complete_answer(),
 }
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in (1, 2)]
 any_broken_answer = pytest.mark.parametrize("case", BROKEN_ANSWERS)
