A blank before the first field of a head is its target's failure

Callers saw: an answer whose first field began with a blank reached them with that line passed on as a field; where the line was the signature, an unsigned answer passed as signed.

Cause: aiohttp runs its parser so leniently that it skips a blank after the status line, and what it hands on no longer shows it. A line with a blank in front continues the field before it, and here there is none (RFC 9112, section 2.2); what the worker meant is not known.

Change: `FirstFieldCheck` looks at the bytes of the heads of one answer before they are parsed. Folded values further down are read as before.

--- a/ferrydock/answer_head.py
+++ b/ferrydock/answer_head.py
@@ -1,8 +1,9 @@
 """Whether the head of a received HTTP response is an answer; decided before anything uses it.
 
 aiohttp's parser accepts every status of three digits, and control bytes in a reason phrase and in
-field values. Most of these could not be written to a caller, or have no meaning there.
-`AnswerProtocol` checks each head of each connection by these rules.
+field values, and skips a blank before the first field. Most of these could not be written to a
+caller, or have no meaning there. `AnswerProtocol` checks each head of each connection by these
+rules. A `FirstFieldCheck` owns the position in the heads of one answer.
 """
 
 import re
@@ -12,7 +13,7 @@
 
 from .outcomes import Fault
 
-__all__ = ["FIRST_FINAL_STATUS", "head_fault"]
+__all__ = ["FIRST_FINAL_STATUS", "FirstFieldCheck", "head_fault"]
 
 # Statuses (RFC 9110, section 15): informational ones, then those of a final answer.
 FIRST_STATUS = 100
@@ -20,6 +21,10 @@
 LAST_STATUS = 599
 SWITCHING_PROTOCOLS = 101
 
+# Where the first digit of the status is in a status line, and bytes of a line that are kept for it.
+STATUS_DIGIT = len(b"HTTP/1.1 ")
+STATUS_LINE_BYTES = STATUS_DIGIT + 1
+
 # Bytes of a name, a value or a reason phrase that are shown in a fault.
 MAX_SHOWN_BYTES = 64
 
@@ -38,6 +43,56 @@
     return _status_fault(message.code) or _text_fault(message.reason, message.raw_headers)
 
 
+class FirstFieldCheck:
+    """Finds a blank before the first field in the heads of one answer, as they arrive.
+
+    A line that begins with a blank continues the field before it; the first has none before it.
+    Parsers differ in what they make of such a line (RFC 9112, section 2.2), and aiohttp's does not
+    show that there was a blank.
+
+    Examples
+    --------
+    >>> check = FirstFieldCheck()
+    >>> check.fault(b"HTTP/1.1 103 Early Hints\\r\\nA: 1\\r\\n 2\\r\\n\\r\\nHTTP/1.1 2") is None
+    True
+    >>> check.fault(b"00 OK\\r\\n") is None, str(check.fault(b" A: 1"))
+    (True, 'first field: it begins with a blank')
+    """
+
+    __slots__ = ("_is_before_first_field", "_is_complete", "_line", "_status_line")
+
+    def __init__(self):
+        self._line = self._status_line = b""  # the first bytes of each
+        self._is_before_first_field = False
+        self._is_complete = False
+
+    def fault(self, data: bytes) -> Fault | None:
+        """Return the fault that the next received bytes show, if any; bodies are not read."""
+        start = 0
+        while start < len(data) and not self._is_complete:
+            if self._is_before_first_field and data[start] in b" \t":
+                return Fault("first field", "it begins with a blank")
+            self._is_before_first_field = False
+            end = data.find(b"\n", start)
+            stop = end if end >= 0 else len(data)
+            self._line += data[start : min(stop, start + STATUS_LINE_BYTES - len(self._line))]
+            if end < 0:
+                break
+            self._end_line()
+            start = end + 1
+        return None
+
+    def _end_line(self) -> None:
+        """Note a line that has ended; an empty one ends a head, if it is not before one."""
+        line, self._line = self._line.rstrip(b"\r"), b""
+        if line and not self._status_line:
+            self._status_line = line
+            self._is_before_first_field = True
+        elif not line and self._status_line:
+            self._is_complete = self._status_line[STATUS_DIGIT:] != b"1"
+            self._status_line = b""
+
+
 def _status_fault(status: int) -> Fault | None:
     """Return the fault of a status that no answer has.
 
--- a/ferrydock/answer_protocol.py
+++ b/ferrydock/answer_protocol.py
@@ -15,7 +15,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 
-from .answer_head import FIRST_FINAL_STATUS, head_fault
+from .answer_head import FIRST_FINAL_STATUS, FirstFieldCheck, head_fault
 from .logs import log_event
 from .outcomes import Fault
 
@@ -48,6 +48,7 @@
     def __init__(self, loop) -> None:
         super().__init__(loop)
         self._answer: StreamReader | None = None  # body of the final head
+        self._first_field = FirstFieldCheck()
         self._head_fault: Fault | None = None
         self._informational_heads = 0
         self._received_bytes = 0
@@ -57,6 +58,7 @@
     def set_response_params(self, **options: Any) -> None:
         """Begin to read the answer to another request."""
         self._answer = None
+        self._first_field = FirstFieldCheck()
         self._informational_heads = 0
         self._received_bytes = 0
         super().set_response_params(**options)
@@ -93,7 +95,9 @@
             piece = data[start : start + MAX_PIECE_BYTES]
             start += len(piece)
             self._received_bytes += len(piece)
-            super().data_received(piece)
+            self._head_fault = self._head_fault or self._first_field.fault(piece)
+            if self._head_fault is None:
+                super().data_received(piece)
             self._check_answer()
             if self._exception is not None:
                 self._fail_body(self._exception)
--- a/ferrydock/forwarding/tests/test_broken_answers.py
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -27,6 +27,19 @@
         f"{byte!r} in the reason": b"HTTP/1.1 200 O%cK\r\n" % byte + BODY
         for byte in b"\0\a\v\x1b\x7f"
     },
+    **{
+        f"{name} before the first field": b"HTTP/1.1 200 OK\r\n" + line + BODY
+        for name, line in {
+            "a blank": b" X-A: 1\r\n",
+            "a tab": b"\tX-A: 1\r\n",
+            "a blank, no colon": b" A\r\n",
+            "a line of blanks": b" \r\n",
+        }.items()
+    },
+    "a blank before the signature": b"HTTP/1.1 200 OK\r\n " + BODY,
+    "a blank after a bare line feed": b"HTTP/1.1 200 OK\n X-A: 1\n" + BODY,
+    "a blank after an informational head": b"HTTP/1.1 103 E\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\n "
+    + BODY,
     "a control byte in the signature": HEAD.replace(b"s\r", b"s\x1b\r") + LENGTH_AND_BODY,
     "a control byte in a server error": b"HTTP/1.1 500 Odd\r\nA: \a\r\n" + BODY,
     "a control byte before a sound answer": b"HTTP/1.1 103 E\r\nA: \a\r\n\r\n" + complete_answer(),
