An answer in an unknown transfer coding is its target's failure

Callers saw: the bytes of an answer whose Transfer-Encoding was not known, or did not end in chunks, up to the end of the connection, as a whole answer; with `gzip, chunked`, compressed bytes without a word of it; with `xchunked`, a truncated stream as a whole one. On a kept connection such an answer held its request until the time limit.

Cause: aiohttp's parser reads a body in any coding but a last `chunked` up to the end of the connection, as if it had none. A caller is not told the coding, since that concerns one connection only.

Change: `head_fault` accepts `chunked` as the only coding, once: ferrydock asks for no other. `is_framed` relies on it. Lengths and chunks that are malformed are refused by the parser, as before.

--- a/ferrydock/answer_head.py
+++ b/ferrydock/answer_head.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from aiohttp.http import RawResponseMessage
+from multidict import CIMultiDictProxy
 
 from .outcomes import Fault
 
@@ -40,7 +41,11 @@
 
     No request asks for another protocol, so that status 101 answers none.
     """
-    return _status_fault(message.code) or _text_fault(message.reason, message.raw_headers)
+    return (
+        _status_fault(message.code)
+        or _text_fault(message.reason, message.raw_headers)
+        or _framing_fault(message.headers)
+    )
 
 
 class FirstFieldCheck:
@@ -130,3 +135,23 @@
             shown = name[:MAX_SHOWN_BYTES].decode("ascii")
             return Fault(shown, f"a control byte in {value[:MAX_SHOWN_BYTES]!r}")
     return None
+
+
+def _framing_fault(headers: CIMultiDictProxy[str]) -> Fault | None:
+    """Return the fault of a body whose end or content cannot be known from its head.
+
+    Chunks are the only transfer coding that an answer may have without being asked for another
+    (RFC 9112, section 7.4). aiohttp reads all others as a body that ends with the connection. It
+    checks the length and the chunks of a body itself.
+
+    Examples
+    --------
+    >>> from multidict import CIMultiDict
+    >>> fields = [CIMultiDict({"Transfer-Encoding": coding}) for coding in ("Chunked", "gzip")]
+    >>> [str(_framing_fault(CIMultiDictProxy(headers))) for headers in fields]
+    ['None', "Transfer-Encoding: ['gzip'] is not chunked"]
+    """
+    codings = headers.getall("Transfer-Encoding", None)
+    if codings is None or [coding.strip().lower() for coding in codings] == ["chunked"]:
+        return None
+    return Fault("Transfer-Encoding", f"{codings!r:.{MAX_SHOWN_BYTES}} is not chunked")
--- a/ferrydock/forwarding/tests/test_broken_answers.py
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -7,6 +7,7 @@
 
 LENGTH_AND_BODY = b"Content-Length: 2\r\n\r\nno"
 BODY = b"X-Server-Stamp: s\r\n" + LENGTH_AND_BODY
+CHUNK = b"\r\n2\r\nno\r\n0\r\n\r\n"
 BROKEN_ANSWERS = {
     **{
         f"status {status}": b"HTTP/1.1 %s Odd\r\n" % status.encode() + BODY
@@ -40,6 +41,20 @@
     "a blank after a bare line feed": b"HTTP/1.1 200 OK\n X-A: 1\n" + BODY,
     "a blank after an informational head": b"HTTP/1.1 103 E\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\n "
     + BODY,
+    **{
+        f"Transfer-Encoding {coding!r}": HEAD + b"Transfer-Encoding: %s\r\n" % coding + CHUNK
+        for coding in (
+            b"foo",
+            b"xchunked",
+            b"chunked, gzip",
+            b"gzip, chunked",
+            b"chunked, chunked",
+            b"chunked\r\nTransfer-Encoding: chunked",
+            b"chunked;a=b",
+            b"identity",
+            b"",
+        )
+    },
     "a control byte in the signature": HEAD.replace(b"s\r", b"s\x1b\r") + LENGTH_AND_BODY,
     "a control byte in a server error": b"HTTP/1.1 500 Odd\r\nA: \a\r\n" + BODY,
     "a control byte before a sound answer": b"HTTP/1.1 103 E\r\nA: \a\r\n\r\n" + complete_answer(),
--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -86,11 +86,11 @@
 
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether an answer states where its body ends; else that is the connection's end."""
-    encoding = response.headers.get("Transfer-Encoding")
-    if encoding is not None:
-        return encoding.strip().lower().endswith("chunked")
-    return "Content-Length" in response.headers
+    """Return whether an answer states where its body ends; else that is the connection's end.
+
+    `answer_head` lets no other transfer coding than chunks pass.
+    """
+    return "Transfer-Encoding" in response.headers or "Content-Length" in response.headers
 
 
 def raise_if_reset(response: aiohttp.ClientResponse) -> None:
