An empty signature is none

Callers saw: a success with an empty X-Server-Stamp as a worker's answer. Cause: the adapter asked whether the field is there, not whether it says anything. It now counts as unsigned: the attempt fails, and the request goes elsewhere where that is allowed.

--- a/ferrydock/forwarding/tests/test_broken_answers.py
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -60,13 +60,19 @@
     "a control byte before a sound answer": b"HTTP/1.1 103 E\r\nA: \a\r\n\r\n" + complete_answer(),
 }
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in (1, 2)]
+UNSIGNED_ANSWERS = {
+    "nothing as the signature": b"HTTP/1.1 200 OK\r\nX-Server-Stamp:\r\n" + LENGTH_AND_BODY,
+    "blanks as the signature": b"HTTP/1.1 200 OK\r\nX-Server-Stamp: \t \r\n" + LENGTH_AND_BODY,
+}
+REFUSED_ANSWERS = BROKEN_ANSWERS | UNSIGNED_ANSWERS
+any_refused_answer = pytest.mark.parametrize("case", REFUSED_ANSWERS)
 any_broken_answer = pytest.mark.parametrize("case", BROKEN_ANSWERS)
 
 
-@any_broken_answer
+@any_refused_answer
 def test_a_broken_answer_to_a_request_that_may_be_repeated_is_replaced_by_another_targets(case):
     async def scenario():
-        broken = ScriptedTarget(writes(BROKEN_ANSWERS[case], keep=False))
+        broken = ScriptedTarget(writes(REFUSED_ANSWERS[case], keep=False))
         sound = ScriptedTarget(writes(complete_answer()))
         async with Rig([route()], [broken, sound]) as rig:
             while not broken.requests:
@@ -76,10 +82,10 @@
     play(scenario)
 
 
-@any_broken_answer
+@any_refused_answer
 def test_a_broken_answer_to_a_request_that_may_not_be_repeated_is_an_error(case):
     async def scenario():
-        broken = ScriptedTarget(writes(BROKEN_ANSWERS[case], keep=False))
+        broken = ScriptedTarget(writes(REFUSED_ANSWERS[case], keep=False))
         async with Rig([route(kind=RouteKind.AT_MOST_ONCE)], [broken]) as rig:
             answer = await rig.ask()
             assert answer.startswith(b"HTTP/1.1 502 ") and b"s\r\n\r\n" not in answer
@@ -111,7 +117,7 @@
 
     async def script(target, request, writer):
         if len(target.requests) == broken_number:
-            writer.write(BROKEN_ANSWERS[case])
+            writer.write(REFUSED_ANSWERS[case])
             return
         writer.write(b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
         events = EVENTS[1:] if b"Last-Event-Id: 1" in request else EVENTS
@@ -122,7 +128,7 @@
     return script
 
 
-@any_broken_answer
+@any_refused_answer
 @pytest.mark.parametrize("broken_number", [1, 2], ids=["first answer", "continuation"])
 def test_a_stream_goes_on_elsewhere_after_a_broken(case, broken_number):
     async def scenario():
--- a/ferrydock/platform/_dialect.py
+++ b/ferrydock/platform/_dialect.py
@@ -92,11 +92,12 @@
     def parse_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHeaders:
         """Parse the status and headers of a worker's answer.
 
-        Status 421 means that the address belongs to another worker than the addressed one.
+        Status 421 means that the address belongs to another worker than the addressed one. An empty
+        signature is none.
         """
         is_misdirected = status == MISDIRECTED_REQUEST
         is_refused = "X-Not-Executed" in headers
-        signed = "X-Server-Stamp" in headers
+        signed = bool(headers.get("X-Server-Stamp", "").strip())
         may_request_backoff = is_refused and status == SERVICE_UNAVAILABLE
         return AnswerHeaders(
             is_not_executed=is_refused or is_misdirected,
