Calls of a daemon are not repeated where their answers point to

Seen: an order, a report, a call of the store or of an engine whose answer was a redirection (301, 302, 303, 307, 308) was sent on to whatever address the answer named, an order and its body with 307 and 308 too, and what came from there counted as the worker's or the store's answer. Without a Location, an engine's order counted as accepted. Requests of callers to engines of `ferrydockd`, and between its halls, likewise.

Cause: aiohttp follows redirections unless told not to, and its `raise_for_status` lets 3xx pass. Only the ways of callers' requests to workers and plain services had this off.

Change: every call says `allow_redirects=False`; `raise_unless_success` takes the place of `raise_for_status`. No protocol here has redirections, so such an answer is what any other status is that was not expected.

--- a/ferrydock/engines/_http.py
+++ b/ferrydock/engines/_http.py
@@ -6,7 +6,7 @@
 import msgspec
 import orjson
 
-from ..http_client import open_session, read_body
+from ..http_client import open_session, raise_unless_success, read_body
 from ..outcomes import Unavailable, Unknown
 from ..typed_json import load_object
 from ._port import (
@@ -80,8 +80,10 @@
 
     async def state(self, url: str) -> BoxState | Unavailable:
         try:
-            async with self._http().get(f"{url}/control/state", timeout=self._timeout) as response:
-                response.raise_for_status()
+            async with self._http().get(
+                f"{url}/control/state", timeout=self._timeout, allow_redirects=False
+            ) as response:
+                raise_unless_success(response)
                 return state_from_json(orjson.loads(await read_body(response, MAX_ANSWER_BYTES)))
         except _FAILURES as error:
             return Unavailable(f"no state from the box: {type(error).__name__}")
@@ -102,12 +104,15 @@
         }
         try:
             async with self._http().post(
-                f"{url}/control/order", data=orjson.dumps(body), timeout=self._timeout
+                f"{url}/control/order",
+                data=orjson.dumps(body),
+                timeout=self._timeout,
+                allow_redirects=False,
             ) as response:
                 fields = load_object(await read_body(response, MAX_ANSWER_BYTES))
                 if response.status == 409:
                     return OrderRefused(msgspec.convert(fields["fence"], Fence))
-                response.raise_for_status()
+                raise_unless_success(response)
                 return OrderAccepted()
         except aiohttp.ClientConnectorError as error:
             return Unavailable(f"the box cannot be reached: {type(error).__name__}")
@@ -117,9 +122,12 @@
     async def cache_events(self, url: str, after: int) -> CacheEvents | Unavailable:
         try:
             async with self._http().get(
-                f"{url}/control/events", params={"after": str(after)}, timeout=self._timeout
+                f"{url}/control/events",
+                params={"after": str(after)},
+                timeout=self._timeout,
+                allow_redirects=False,
             ) as response:
-                response.raise_for_status()
+                raise_unless_success(response)
                 fields = load_object(await read_body(response, MAX_EVENTS_BYTES))
             return msgspec.convert(fields, CacheEvents)
         except _FAILURES as error:
@@ -128,7 +136,7 @@
     async def cancel(self, url: str, request_id: str) -> None:
         try:
             async with self._http().post(
-                f"{url}/control/cancel/{request_id}", timeout=self._timeout
+                f"{url}/control/cancel/{request_id}", timeout=self._timeout, allow_redirects=False
             ):
                 pass
         except _FAILURES:
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -115,7 +115,10 @@
         try:
             async with self.stop_limit.apply():
                 response = await self._session.post(
-                    url + model_request.path, data=model_request.body, headers=headers
+                    url + model_request.path,
+                    data=model_request.body,
+                    headers=headers,
+                    allow_redirects=False,
                 )
         except DaemonStopping:
             return _lost_answer(STOPPING_REASON, model_request)
--- a/ferrydock/http_client.py
+++ b/ferrydock/http_client.py
@@ -10,7 +10,17 @@
 
 from .answer_protocol import AnswerProtocol
 
-__all__ = ["BodyTooLarge", "is_framed", "open_session", "raise_if_reset", "read_body"]
+__all__ = [
+    "BodyTooLarge",
+    "is_framed",
+    "open_session",
+    "raise_if_reset",
+    "raise_unless_success",
+    "read_body",
+]
+
+# First status that is no success (RFC 9110, section 15.3).
+FIRST_NON_SUCCESS_STATUS = 300
 
 
 class BodyTooLarge(aiohttp.ClientPayloadError):
@@ -93,6 +103,23 @@
     return "Transfer-Encoding" in response.headers or "Content-Length" in response.headers
 
 
+def raise_unless_success(response: aiohttp.ClientResponse) -> None:
+    """Raise if an answer is no success; aiohttp's own check lets redirections pass.
+
+    Raises
+    ------
+    aiohttp.ClientResponseError
+        The status is not from 200 to 299.
+    """
+    if response.status >= FIRST_NON_SUCCESS_STATUS:
+        raise aiohttp.ClientResponseError(
+            response.request_info,
+            response.history,
+            status=response.status,
+            message=response.reason or "",
+        )
+
+
 def raise_if_reset(response: aiohttp.ClientResponse) -> None:
     """Raise if the body of an answer ended because its connection was reset.
 
--- a/ferrydock/platform/_control.py
+++ b/ferrydock/platform/_control.py
@@ -131,7 +131,7 @@
             async with (
                 asyncio.timeout(ORDER_TIMEOUT_S),
                 self._open_session().post(
-                    url, data=orjson.dumps(body), headers=headers
+                    url, data=orjson.dumps(body), headers=headers, allow_redirects=False
                 ) as response,
             ):
                 status = response.status
@@ -161,7 +161,9 @@
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._open_session().get(url, headers=headers, timeout=timeout) as response,
+                self._open_session().get(
+                    url, headers=headers, timeout=timeout, allow_redirects=False
+                ) as response,
             ):
                 if response.status != OK:
                     return Unavailable(f"status {response.status}")
--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -342,7 +342,12 @@
             async with (
                 asyncio.timeout(timeout_s),
                 self._open_session(is_on_new_connection).request(
-                    method, self._base + path, params=query, data=data, headers=_JSON
+                    method,
+                    self._base + path,
+                    params=query,
+                    data=data,
+                    headers=_JSON,
+                    allow_redirects=False,
                 ) as response,
             ):
                 encoded = await read_body(response, MAX_ANSWER_BYTES)
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -212,7 +212,7 @@
     async def _exchange(self, session, url, data, headers, request, relay, caller):
         """Send the request; relay a streamed answer, or read any other answer completely."""
         try:
-            response = await session.post(url, data=data, headers=headers)
+            response = await session.post(url, data=data, headers=headers, allow_redirects=False)
         except aiohttp.ClientConnectorError:
             return Refused("the engine cannot be reached", stale=False, connected=False)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/ferrydock/store/_box_list.py
+++ b/ferrydock/store/_box_list.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from ..http_client import open_session, read_body
+from ..http_client import open_session, raise_unless_success, read_body
 from ..outcomes import Unavailable
 from ..typed_json import load_object
 
@@ -100,9 +100,9 @@
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         try:
             async with self._session.get(
-                f"{self.url}/boxes", params={"hall": hall}, timeout=timeout
+                f"{self.url}/boxes", params={"hall": hall}, timeout=timeout, allow_redirects=False
             ) as response:
-                response.raise_for_status()
+                raise_unless_success(response)
                 fields = load_object(await read_body(response, MAX_ANSWER_BYTES))
             boxes = msgspec.convert(fields["boxes"], tuple[Box, ...], strict=False)
             return tuple(replace(box, url=box.url.rstrip("/")) for box in boxes)
--- a/ferrydock/store/_etcd.py
+++ b/ferrydock/store/_etcd.py
@@ -176,7 +176,9 @@
         url = self.urls[self._preferred_index] + "/v3/watch"
         timeout = aiohttp.ClientTimeout(total=None, connect=self.timeout_s)
         try:
-            async with self._http_session().post(url, json=request, timeout=timeout) as response:
+            async with self._http_session().post(
+                url, json=request, timeout=timeout, allow_redirects=False
+            ) as response:
                 if response.status != 200:
                     return
                 async for line in response.content:
@@ -210,7 +212,7 @@
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         try:
             async with self._http_session().post(
-                url, data=orjson.dumps(body), timeout=timeout
+                url, data=orjson.dumps(body), timeout=timeout, allow_redirects=False
             ) as response:
                 raw = await read_body(response, MAX_ANSWER_BYTES)
                 if response.status == 200:
--- a/ferrydock/store/_weight_store.py
+++ b/ferrydock/store/_weight_store.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from ..http_client import open_session, read_body
+from ..http_client import open_session, raise_unless_success, read_body
 from ..outcomes import Unavailable
 from ..typed_json import load_object
 
@@ -70,8 +70,10 @@
             )
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         try:
-            async with self._session.get(f"{self.url}/rate", timeout=timeout) as response:
-                response.raise_for_status()
+            async with self._session.get(
+                f"{self.url}/rate", timeout=timeout, allow_redirects=False
+            ) as response:
+                raise_unless_success(response)
                 fields = load_object(await read_body(response, MAX_ANSWER_BYTES))
                 return WeightStoreRate(msgspec.convert(fields["rate_bytes_per_s"], float))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError) as error:
