A write with an answer that says nothing may have been carried out

Seen: a transaction or a lease that the store answered with 201, 204, 3xx, 500 or 502 counted as not carried out, the end of a lease with any status as done. A leader could then take a placement record for unwritten that was written.

Cause: writes shared the function for statuses that a read does not expect. For a read it makes no difference whether it was carried out.

Change: after a write only 4xx and 503 say that nothing was done; any other unexpected status leaves the outcome unknown, and the caller reads back, as after an answer that was lost.

--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -85,6 +85,9 @@
 
 # HTTP statuses of the store's protocol.
 OK = 200
+FIRST_NON_SUCCESS_STATUS = 300
+FIRST_REFUSAL_STATUS = 400
+FIRST_SERVER_ERROR_STATUS = 500
 NOT_FOUND = 404
 PRECONDITION_FAILED = 412  # a condition of a transaction does not hold
 GONE = 410  # the store has compacted the changes that a watch asks for
@@ -216,7 +219,7 @@
             return TxnDone(True, revision, era=answer.era)
         if answer.status == PRECONDITION_FAILED:
             return _decode(decode_refused, answer, txn.failure_reads, answer.era)
-        return _unexpected_status(answer)
+        return _unexpected_write_status(answer)
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable | Unknown:
         """Request a lease with a time to live of `ttl_s` seconds."""
@@ -224,7 +227,7 @@
         if isinstance(answer, Unavailable | Unknown):
             return answer
         if answer.status != OK:
-            return _unexpected_status(answer)
+            return _unexpected_write_status(answer)
         return _decode(decode_lease, answer, answer.era)
 
     async def renew_lease(self, lease_id: int) -> LeaseGranted | LeaseLost | Unavailable:
@@ -246,7 +249,9 @@
         answer = await self._call("DELETE", f"/kv-lease-end/{lease_id}")
         if isinstance(answer, Unavailable | Unknown):
             return answer
-        return LeaseLost(lease_id)
+        if answer.status < FIRST_NON_SUCCESS_STATUS or answer.status == NOT_FOUND:
+            return LeaseLost(lease_id)
+        return _unexpected_write_status(answer)
 
     async def watch(self, prefix: str, after: Position) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes under `prefix` after a position.
@@ -436,6 +441,16 @@
     return Unavailable(f"the store answered {answer.status}")
 
 
+def _unexpected_write_status(answer: _Answer) -> Unavailable | Unknown:
+    """Return the outcome of a writing call with a status that the protocol has not for it.
+
+    A refusal (4xx) means that nothing was done; any other status does not say so.
+    """
+    if FIRST_REFUSAL_STATUS <= answer.status < FIRST_SERVER_ERROR_STATUS:
+        return _unexpected_status(answer)
+    return Unknown(f"the store answered {answer.status}")
+
+
 def _decode(decode: Callable[..., Decoded], answer: _Answer, *arguments) -> Decoded | Unavailable:
     """Decode the body of an answer; log a body that cannot be decoded and return `Unavailable`."""
     try:
--- a/ferrydock/platform/tests/test_broken_answers.py
+++ b/ferrydock/platform/tests/test_broken_answers.py
@@ -6,7 +6,7 @@
 
 from ...forwarding.tests.rig import ScriptedTarget, play, writes
 from ...outcomes import Unavailable, Unknown
-from ...store import LeaseLost, Position, Put, Txn
+from ...store import Position, Put, Txn
 from ...targets import LeaveOrder, Target
 from .. import PlatformStore, PlatformTargetControl
 
@@ -74,6 +74,20 @@
     assert era == 0
 
 
+@pytest.mark.parametrize("status", [201, 204, 302, 307, 500, 502, 599])
+@pytest.mark.parametrize("call", [*WORKER_CALLS, *STORE_CALLS])
+def test_a_status_that_the_protocol_does_not_have_is_no_outcome(call, status):
+    """Failure: a transaction and a lease with such an answer counted as not carried out."""
+    head = b"HTTP/1.1 %d Odd\r\n" % status
+    answer = head + (FIELDS + b"\r\n" if status == 204 else BODY)
+    if call == "watch":
+        answer = answer.replace(b"Store-Era: 7\r\n", b"")
+    outcome, _ = play(lambda: outcome_of(call, answer))
+    if call == "end" and status < 300:
+        return  # the protocol names no status of success for this call
+    assert isinstance(outcome, Unknown if call in WRITES else Unavailable)
+
+
 @pytest.mark.parametrize("status", [301, 302, 303, 307, 308])
 @pytest.mark.parametrize("call", [*WORKER_CALLS, *STORE_CALLS])
 def test_a_call_is_not_repeated_where_its_answer_points_to(call, status):
@@ -88,7 +102,7 @@
             outcome, _ = await outcome_of(call, answer)
         finally:
             other.close()
-        assert isinstance(outcome, Unavailable | Unknown | LeaseLost)
+        assert isinstance(outcome, Unknown if call in WRITES else Unavailable)
         assert other.requests == []
 
     play(scenario)
