Answers of plain services of ferrydockd are read as all others are

Callers of `ferrydockd` saw: statuses 000, 099, 101, 600 and 999, heads with control bytes or a blank before the first field, and bodies in an unknown transfer coding, as answers of a plain service, recorded as the outcome of its idempotency key. Informational heads without end were all held.

Cause: this was the one session that was not opened by `open_session`, so that its answers were read by aiohttp's own protocol.

Change: it is opened by `open_session`. A broken answer is a call without an answer: repeated at another address where its method allows, otherwise an error.

--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from ..clock import Clock
-from ..http_client import raise_if_reset
+from ..http_client import open_session, raise_if_reset
 from ..invariants import require
 from ..logs import log_event
 from ..outcomes import NotRun, Run
@@ -234,9 +234,8 @@
     ) -> Answered | str:
         """Make one attempt; return the complete answer, `NOT_SENT` or `LOST_CONTACT`."""
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._session = aiohttp.ClientSession(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            self._session = open_session(
+                CONNECT_TIMEOUT_S, idle_timeout_s=None, cookie_jar=aiohttp.DummyCookieJar()
             )
         headers = {n: request.headers[n] for n in _FORWARDED_HEADERS if n in request.headers}
         headers["X-Request-Id"] = request_id
