An odd Content-Type is no failure of a request that ran

Callers of `ferrydockd` saw a 500 if an engine, a plain service or another hall answered with a Content-Type that contains "charset" before any semicolon (`text/plain charset=utf-8`), although the request had run and was answered; with an idempotency key each repetition got it again.

Cause: aiohttp's `content_type` argument raises for such a text, after the answer was read. Change: it is written as the field that it is.

--- a/ferrydock/gateway/_claim_answers.py
+++ b/ferrydock/gateway/_claim_answers.py
@@ -71,6 +71,8 @@
     return web.Response(
         body=existing_claim.body,
         status=existing_claim.status,
-        headers={"X-Already-Ran": "true"},
-        content_type=existing_claim.content_type.partition(";")[0],
+        headers={
+            "X-Already-Ran": "true",
+            "Content-Type": existing_claim.content_type.partition(";")[0],
+        },
     )
--- a/ferrydock/gateway/_models.py
+++ b/ferrydock/gateway/_models.py
@@ -257,8 +257,10 @@
                 return web.Response(
                     body=answer.body,
                     status=answer.status,
-                    headers={"X-Request-Id": model_request.request_id},
-                    content_type=answer.content_type.partition(";")[0],
+                    headers={
+                        "X-Request-Id": model_request.request_id,
+                        "Content-Type": answer.content_type.partition(";")[0],
+                    },
                 )
             return await caller.finish()
         log_event(
--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -162,7 +162,7 @@
             return web.Response(
                 body=outcome.body,
                 status=outcome.status,
-                content_type=outcome.content_type.partition(";")[0],
+                headers={"Content-Type": outcome.content_type.partition(";")[0]},
             )
         if isinstance(outcome, NotRun):
             return not_run_response(outcome)
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -145,14 +145,16 @@
             return _lost_answer(STOPPING_REASON, model_request)
         except (aiohttp.ClientError, OSError, TimeoutError):
             return _lost_answer("the answer of another hall broke", model_request)
-        headers = {"X-Request-Id": model_request.request_id}
+        headers = {
+            "X-Request-Id": model_request.request_id,
+            "Content-Type": response.content_type,
+        }
         if "Retry-After" in response.headers:
             headers["Retry-After"] = response.headers["Retry-After"]
         return web.Response(
             body=body,
             status=response.status,
             headers=headers,
-            content_type=response.content_type,
         )
 
     async def _relay_stream(self, response, request: web.Request) -> web.StreamResponse:
