A broken stream whose events cannot be decoded ends with an error

Callers of `ferrydockd` saw a stream cut off without an error event: an engine had sent an event that is none of the model API (no JSON, other types), and then broke off.

Cause: for the continuation at another engine the text so far is read from the events; an event that could not be decoded raised through the request.

Change: events are decoded into declared types; if that fails, the text is not known, the stream is not continued, and its caller gets the error event.

--- a/ferrydock/requests/_events.py
+++ b/ferrydock/requests/_events.py
@@ -4,10 +4,19 @@
 of routes, which have ids, see `forwarding.NumberedEvents`.
 """
 
+import logging
+
+import msgspec
 import orjson
 
+from ..logs import log_event
+from ..outcomes import Fault
+from ..typed_json import decode
+
 __all__ = ["EventRelay", "error_event", "text_so_far"]
 
+_LOG = logging.getLogger("ferrydock.requests")
+
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 DATA_PREFIX = b"data: "
@@ -130,20 +139,43 @@
         return self._kept if self.keep else None
 
 
-def text_so_far(relayed: bytes) -> str:
-    """Return the text that relayed events of an answer contain.
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+    text: str | None = None
+
+
+class _Fields(msgspec.Struct):
+    """The fields of an event that hold text of the answer."""
+
+    choices: tuple[_Choice, ...] = ()
+
+
+_DECODER = msgspec.json.Decoder(_Fields)
+
+
+def text_so_far(relayed: bytes) -> str | None:
+    """Return the text that relayed events of an answer contain; None if one cannot be decoded.
 
     Examples
     --------
     >>> text_so_far(b'data: {"choices":[{"delta":{"content":"Dear"}}]}\\n\\n')
     'Dear'
+    >>> text_so_far(b"data: no JSON\\n\\n") is None
+    True
     """
-    parts = []
+    parts: list[str] = []
     for event in relayed.split(EVENT_END):
         if not event.startswith(DATA_PREFIX) or event + EVENT_END == DONE_EVENT:
             continue
-        for choice in orjson.loads(event[len(DATA_PREFIX) :]).get("choices", ()):
-            parts.append(choice.get("delta", {}).get("content") or choice.get("text") or "")
+        fields = decode(_DECODER, event[len(DATA_PREFIX) :])
+        if isinstance(fields, Fault):
+            log_event(_LOG, logging.WARNING, "event_unreadable", field=fields.place, why=fields)
+            return None
+        parts += (choice.delta.content or choice.text or "" for choice in fields.choices)
     return "".join(parts)
 
 
--- a/ferrydock/requests/_executor.py
+++ b/ferrydock/requests/_executor.py
@@ -419,12 +419,13 @@
         return None
 
     def _prepare_continuation(self) -> bool:
-        """Have the next engine continue the text that the caller has; return False if not kept."""
+        """Have the next engine continue the text that the caller has; return False if unknown."""
         relayed = self.relay.relayed()
-        if relayed is None:
+        text = text_so_far(relayed) if relayed is not None else None
+        if text is None:
             return False
         fields = dict(self.request.fields)
-        fields["continue_text"] = text_so_far(relayed)
+        fields["continue_text"] = text
         self.body = orjson.dumps(fields)
         self.relay.start_run()
         return True
