Bytes without end are not held by ferrydockd

Callers of `ferrydockd` could see the end of the daemon, and with it of all requests: an engine, a plain service or another hall that sends a body, or one event of a stream, without end was read and held until the time limit of the call, an event in time that grows with the square of its length.

Cause: bodies of data answers were read by `response.read()`, and `EventRelay` had no bound, unlike all other readers. Change: answers are read by `read_body` (8 MiB of an engine or another hall, 32 MiB of a plain service), an event ends its stream at 1 MiB, and its end is looked for only in what is new. Heads were bounded before. The bound is for each answer; that of all at once is not.

--- a/ferrydock/gateway/_services.py
+++ b/ferrydock/gateway/_services.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from ..clock import Clock
-from ..http_client import open_session, raise_if_reset
+from ..http_client import open_session, read_body
 from ..invariants import require
 from ..logs import log_event
 from ..outcomes import NotRun, Run
@@ -21,7 +21,7 @@
 from ..requests import Answered, Claim, ClaimStore, Failed, RequestLifecycle
 from ..retry_budget import DEFAULT_RETRY_RATIO, RetryBudget
 from ..table import TableKeeper, Target
-from ._bodies import read_body
+from ._bodies import read_body as read_request_body
 from ._callers import Authenticator
 from ._claim_answers import CLAIM_TIMEOUT_S, claim_response, open_claim
 from ._errors import error_response, lost_answer_response, not_run_response
@@ -40,6 +40,9 @@
 REMOVED_RETRY_S = 5.0
 UNREACHABLE_RETRY_S = 2.0
 
+# Bytes of an answer, which is held until it is complete.
+MAX_ANSWER_BYTES = 32 * 2**20
+
 # Why a call got no answer, as logged.
 NOT_SENT = "not_sent"
 LOST_CONTACT = "lost_contact"
@@ -124,7 +127,9 @@
             return error_response(404, "no_such_service", f"there is no service {name}")
         if target.leaving:
             return not_run_response(NotRun("leaving", f"{name} is leaving", REMOVED_RETRY_S))
-        body = await read_body(request, self.body_timeout_s, self.background_tasks.stop_limit)
+        body = await read_request_body(
+            request, self.body_timeout_s, self.background_tasks.stop_limit
+        )
         if body is None:
             return error_response(408, "body_too_slow", "the body did not come in time")
         task = self.background_tasks.start(self._run(request, team, target, body))
@@ -252,8 +257,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                answer = await response.read()
-                raise_if_reset(response)
+                answer = await read_body(response, MAX_ANSWER_BYTES)
                 content_type = response.headers.get("Content-Type", "application/octet-stream")
                 return Answered(response.status, content_type, answer)
         except aiohttp.ClientConnectorError:
--- a/ferrydock/gateway/_spill.py
+++ b/ferrydock/gateway/_spill.py
@@ -10,13 +10,13 @@
 from aiohttp import web
 
 from ..clock import Clock
-from ..http_client import open_session, raise_if_reset
+from ..http_client import open_session, read_body
 from ..invariants import require
 from ..logs import log_event
 from ..membership import HallSummary, SharedState
 from ..outcomes import NotRun, Run
 from ..planned_stop import STOPPING_REASON, DaemonStopping, StopLimit
-from ..requests import EventRelay, Failed, ModelRequest, error_event
+from ..requests import MAX_ANSWER_BYTES, EventRelay, Failed, ModelRequest, error_event
 from ._errors import error_body, lost_answer_response
 
 __all__ = ["HOP_HEADER", "RemoteHallForwarder"]
@@ -139,8 +139,7 @@
     async def _relay_complete(self, response, model_request: ModelRequest) -> web.Response:
         try:
             async with self.stop_limit.apply():
-                body = await response.read()
-                raise_if_reset(response)
+                body = await read_body(response, MAX_ANSWER_BYTES)
         except DaemonStopping:
             return _lost_answer(STOPPING_REASON, model_request)
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -168,6 +167,9 @@
                     ready = relay.feed(piece)
                     if ready:
                         await answer.write(ready)
+                    if relay.is_event_too_large:
+                        reason = "another hall sent an event without end"
+                        break
         except DaemonStopping:
             reason = STOPPING_REASON
         except (aiohttp.ClientPayloadError, TimeoutError) as broken:
--- a/ferrydock/requests/__init__.py
+++ b/ferrydock/requests/__init__.py
@@ -9,6 +9,7 @@
 
 from ._admission import ReplicaGate
 from ._attempt import (
+    MAX_ANSWER_BYTES,
     Answered,
     Attempt,
     Broken,
@@ -34,6 +35,7 @@
 
 __all__ = [
     "GROUP_WAIT_S",
+    "MAX_ANSWER_BYTES",
     "RELAYED_WAIT_S",
     "MIN_RELAYING_DAEMONS",
     "Answered",
--- a/ferrydock/requests/_attempt.py
+++ b/ferrydock/requests/_attempt.py
@@ -12,13 +12,14 @@
 import aiohttp
 import orjson
 
-from ..http_client import open_session, raise_if_reset
+from ..http_client import open_session, read_body
 from ..invariants import require
 from ..placement import Replica
 from ._events import EventRelay
 from ._model_request import ModelRequest
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "Answered",
     "Attempt",
     "Broken",
@@ -34,6 +35,9 @@
 # How long a pooled connection without requests stays open.
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 
+# Bytes of an answer that is no stream, which is held until it is complete: the text of one request.
+MAX_ANSWER_BYTES = 8 * 2**20
+
 # HTTP statuses (RFC 9110). An answer with one of `NOT_RUN_STATUSES` may state in its body that the
 # request did not run.
 FIRST_SERVER_ERROR_STATUS = 500
@@ -249,6 +253,9 @@
                 events = feed(chunk)
                 if events:
                     await caller.write(events)
+                if relay.is_event_too_large:
+                    relay.drop_incomplete_event()
+                    return Broken("an event without end")
         except (aiohttp.ClientError, TimeoutError) as error:
             relay.drop_incomplete_event()
             if relay.complete:
@@ -262,8 +269,7 @@
 
     async def _read_answer(self, response) -> Answered | Refused | Broken:
         try:
-            body = await response.read()
-            raise_if_reset(response)
+            body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Broken(f"the answer broke: {type(error).__name__}")
         response.release()
--- a/ferrydock/requests/_events.py
+++ b/ferrydock/requests/_events.py
@@ -24,6 +24,9 @@
 # A stream longer than this is not kept, so it cannot be continued on another engine.
 MAX_KEPT_BYTES = 1 << 20
 
+# Bytes of one event; a longer one has no end. Events of the model API hold a few tokens.
+MAX_EVENT_BYTES = 1 << 20
+
 # Chunks collected before their events are counted; the count is needed only if a stream breaks.
 MAX_RECENT_CHUNKS = 256
 
@@ -51,6 +54,7 @@
         "_recent",
         "_incomplete",
         "_events_before_run",
+        "_scanned_bytes",
         "keep",
         "complete",
     )
@@ -61,7 +65,8 @@
         self._counted = 0
         self._kept = b""
         self._recent: list[bytes] = []
-        self._incomplete = b""
+        self._incomplete = bytearray()
+        self._scanned_bytes = 0  # of an incomplete event, in which its end was looked for
         self._events_before_run = 0
 
     def feed(self, chunk: bytes) -> bytes:
@@ -93,14 +98,22 @@
 
     def _take_complete(self, chunk: bytes) -> bytes:
         """Split buffered and new bytes after the last complete event; buffer the rest."""
-        data = self._incomplete + chunk
-        cut = data.rfind(EVENT_END)
+        data = self._incomplete
+        data += chunk
+        cut = data.rfind(EVENT_END, self._scanned_bytes)
         if cut < 0:
-            self._incomplete = data
+            self._scanned_bytes = max(0, len(data) - len(EVENT_END) + 1)
             return b""
         cut += len(EVENT_END)
-        self._incomplete = data[cut:]
-        return data[:cut]
+        complete = bytes(data[:cut])
+        del data[:cut]
+        self._scanned_bytes = 0
+        return complete
+
+    @property
+    def is_event_too_large(self) -> bool:
+        """Whether the last event is incomplete and longer than any sound one."""
+        return len(self._incomplete) > MAX_EVENT_BYTES
 
     def _count_recent(self) -> None:
         """Count the events of the recent chunks, and keep their bytes if `keep` is set.
@@ -131,7 +144,8 @@
 
     def drop_incomplete_event(self) -> None:
         """Discard an event that was received only in part."""
-        self._incomplete = b""
+        self._incomplete.clear()
+        self._scanned_bytes = 0
 
     def relayed(self) -> bytes | None:
         """Return all relayed bytes, or None if they were not kept or exceed the limit."""
