--- a/ferrydock/platform/_store.py
+++ b/ferrydock/platform/_store.py
@@ -7,7 +7,7 @@
 import logging
 from collections.abc import AsyncGenerator, Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import aiohttp
 import orjson
@@ -94,7 +94,10 @@
 
 # Statuses of a call that the store rejected without carrying it out.
 _REJECTED_STATUSES = (429, 503)
-_JSON = {"Content-Type": "application/json"}
+_CALL_OPTIONS: dict[str, Any] = {
+    "headers": {"Content-Type": "application/json"},
+    "allow_redirects": False,
+}
 
 # Header of the store's answers with its era: how often the store was restored from an older copy. A
 # store that does not send the header has a single era.
@@ -347,12 +350,7 @@
             async with (
                 asyncio.timeout(timeout_s),
                 self._open_session(is_on_new_connection).request(
-                    method,
-                    self._base + path,
-                    params=query,
-                    data=data,
-                    headers=_JSON,
-                    allow_redirects=False,
+                    method, self._base + path, params=query, data=data, **_CALL_OPTIONS
                 ) as response,
             ):
                 encoded = await read_body(response, MAX_ANSWER_BYTES)
