A store's answer that is no message of the etcd API is none

Callers of `ferrydockd` could see its end: an answer of the store that was JSON, but no message of its API (a list, null, a key without base64, a lease without ID), raised through what reads the store, and a watch that ended so left no line in the log.

Cause: only transport and JSON were checked where the answer is read; the fields were used as they came. Change: `_call_url` returns an object or nothing, and each method decodes it in one place; what cannot be decoded is logged, and an unknown outcome (for reads: unavailable).

--- a/ferrydock/store/_etcd.py
+++ b/ferrydock/store/_etcd.py
@@ -7,13 +7,17 @@
 
 import base64
 import itertools
-from collections.abc import AsyncGenerator, Sequence
+import logging
+from collections.abc import AsyncGenerator, Callable, Sequence
+from typing import TypeVar
 
 import aiohttp
 import orjson
 
 from ..http_client import open_session, read_body
+from ..logs import log_event
 from ..outcomes import Unavailable, Unknown
+from ..typed_json import load_object
 from ._position import Position
 from ._store import (
     Delete,
@@ -30,6 +34,8 @@
 
 __all__ = ["EtcdStore", "decode_key_value", "encode_text"]
 
+_LOG = logging.getLogger("ferrydock.store")
+
 IDLE_CONNECTION_TIMEOUT_S = 15.0
 
 # Bytes of an answer's body, which holds keys and values in base64: far above the complete table of
@@ -38,6 +44,11 @@
 
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
 
+# What fields of other types than those of the API end in.
+_DECODE_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+
+Decoded = TypeVar("Decoded")
+
 
 def encode_text(text: str | bytes) -> str:
     """Encode `text` in base64, as the JSON API expects keys and values."""
@@ -136,29 +147,22 @@
         body = {"key": encode_text(key)}
         if range_end:
             body["range_end"] = encode_text(range_end)
-        answer = await self._call("/v3/kv/range", body)
-        if not isinstance(answer, dict):
-            return Unavailable(answer.reason)
-        items = tuple(decode_key_value(fields) for fields in answer.get("kvs", []))
-        return RangeDone(items, _header_revision(answer))
+        answer = _decode(_decode_range, await self._call("/v3/kv/range", body))
+        return Unavailable(answer.reason) if isinstance(answer, Unknown) else answer
 
     async def transact(self, txn: Txn) -> TxnDone | Unavailable | Unknown:
         answer = await self._call("/v3/kv/txn", _encode_txn(txn))
-        if not isinstance(answer, dict):
-            return answer
-        return _decode_txn(txn, answer, _header_revision(answer))
+        return _decode(lambda fields: _decode_txn(txn, fields, _header_revision(fields)), answer)
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable | Unknown:
         answer = await self._call("/v3/lease/grant", {"TTL": str(max(1, round(ttl_s)))})
-        if not isinstance(answer, dict):
-            return answer
-        return LeaseGranted(int(answer["ID"]), float(answer["TTL"]))
+        return _decode(lambda fields: LeaseGranted(int(fields["ID"]), float(fields["TTL"])), answer)
 
     async def renew_lease(self, lease_id: int) -> LeaseGranted | LeaseLost | Unavailable:
         answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
-        if not isinstance(answer, dict):
-            return Unavailable(answer.reason)
-        ttl_s = float(answer.get("result", answer).get("TTL", 0))
+        ttl_s = _decode(_decode_kept_s, answer)
+        if isinstance(ttl_s, Unavailable | Unknown):
+            return Unavailable(ttl_s.reason)
         return LeaseGranted(lease_id, ttl_s) if ttl_s > 0 else LeaseLost(lease_id)
 
     async def revoke_lease(self, lease_id: int) -> LeaseLost | Unavailable | Unknown:
@@ -184,7 +188,8 @@
                 async for line in response.content:
                     for batch in _decode_watch_line(line):
                         yield batch
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, OSError, TimeoutError, *_DECODE_ERRORS) as error:
+            log_event(_LOG, logging.INFO, "watch_ended", prefix=prefix, why=repr(error))
             return
 
     async def close(self) -> None:
@@ -216,7 +221,7 @@
             ) as response:
                 raw = await read_body(response, MAX_ANSWER_BYTES)
                 if response.status == 200:
-                    return orjson.loads(raw)
+                    return load_object(raw)
                 return Unknown(f"the store answered with status {response.status}")
         except _CONNECT_ERRORS as error:
             return Unavailable(f"the store cannot be reached: {error}")
@@ -224,6 +229,32 @@
             return Unknown(f"the store's answer was lost: {type(error).__name__}")
 
 
+def _decode(
+    decode: Callable[[dict], Decoded], answer: dict | Unavailable | Unknown
+) -> Decoded | Unavailable | Unknown:
+    """Decode the fields of an answer; those that are no message of the API are logged, and unknown.
+
+    A call that failed has no fields, and stays what it is.
+    """
+    if not isinstance(answer, dict):
+        return answer
+    try:
+        return decode(answer)
+    except _DECODE_ERRORS as error:
+        log_event(_LOG, logging.ERROR, "store_answer_unreadable", why=repr(error))
+        return Unknown(f"the store's answer cannot be decoded: {error!r}")
+
+
+def _decode_range(answer: dict) -> RangeDone:
+    items = tuple(decode_key_value(fields) for fields in answer.get("kvs", []))
+    return RangeDone(items, _header_revision(answer))
+
+
+def _decode_kept_s(answer: dict) -> float:
+    """Return for how many seconds a lease was renewed; 0 if it is lost."""
+    return float(answer.get("result", answer).get("TTL", 0))
+
+
 def _header_revision(answer: dict) -> int:
     return int(answer.get("header", {}).get("revision", 0))
 
