Fields of an answer that are not UTF-8 reach the caller with all their bytes

Callers saw: a field or a reason phrase of a worker's answer with other bytes than UTF-8 (Latin-1, which RFC 9110 calls opaque but allows) came without them, `caf` for `caf\xe9`; in the signature the same.

Cause: aiohttp decodes such bytes as escapes, and its writer drops escapes. Change: the two responses that carry a worker's head encode them back. Heads without escapes are written by aiohttp as before.

--- a/ferrydock/forwarding/_answer_relay.py
+++ b/ferrydock/forwarding/_answer_relay.py
@@ -20,6 +20,7 @@
 from ._exchange import AttemptEnd, AttemptReason, CallerGone, Exchange, OpenedAnswer
 from ._headers import end_to_end
 from ._listener import CallerConnection, caller_connection
+from ._relayed_heads import RelayedResponse, RelayedStream
 from ._resumptions import log_resumption
 from ._target_loads import TargetLoads
 
@@ -61,7 +62,7 @@
                 return await self._relay_large(exchange, answer, b"".join(pieces), pending)
         raise_if_reset(answer)
         exchange.first_bytes_s = self.clock.now_s() - exchange.received_s
-        exchange.response = web.Response(
+        exchange.response = RelayedResponse(
             status=answer.status,
             reason=answer.reason,
             headers=_answer_headers(answer),
@@ -148,7 +149,7 @@
         headers = _answer_headers(answer)
         if exchange.can_resume and exchange.request.version >= HttpVersion11:
             headers.popall("Content-Length", None)
-        response = web.StreamResponse(status=answer.status, reason=answer.reason, headers=headers)
+        response = RelayedStream(status=answer.status, reason=answer.reason, headers=headers)
         if "Content-Length" not in headers and answer.status not in STATUSES_WITHOUT_BODY:
             response.enable_chunked_encoding()
         exchange.first_bytes_s = self.clock.now_s() - exchange.received_s
--- a/ferrydock/forwarding/tests/test_unusual_answers.py
+++ b/ferrydock/forwarding/tests/test_unusual_answers.py
@@ -21,6 +21,16 @@
         b"HTTP/1.1 200 caf\xc3\xa9\r\n",
         (),
     ),
+    "a reason in Latin-1": (
+        b"HTTP/1.1 200 caf\xe9\r\n" + FRAMED,
+        b"HTTP/1.1 200 caf\xe9\r\n",
+        (),
+    ),
+    "a value in Latin-1": (
+        b"HTTP/1.1 200 OK\r\nA: caf\xe9\r\n" + FRAMED,
+        b"HTTP/1.1 200 OK\r\n",
+        (b"A: caf\xe9\r\n",),
+    ),
     "bare line feeds": (
         (b"HTTP/1.1 200 OK\r\nA: 1\r\n" + FRAMED).replace(b"\r\n", b"\n"),
         b"HTTP/1.1 200 OK\r\n",
@@ -100,6 +110,20 @@
     play(scenario)
 
 
+def test_a_stream_is_passed_on_with_the_bytes_of_its_fields():
+    """Failure: the bytes of a field that are no UTF-8 were left out."""
+    event = b"id: 1\ndata: 1\n\n"
+    sent = b"HTTP/1.1 200 OK\r\nA: caf\xe9\r\n" + STAMP + b"\r\n" + event
+
+    async def scenario():
+        target = ScriptedTarget(writes(sent, keep=False))
+        async with Rig([route(kind=RouteKind.RESUMABLE_STREAM)], [target]) as rig:
+            answer = await rig.ask()
+        assert b"\r\nA: caf\xe9\r\n" in answer and event in answer
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("status", [204, 304])
 def test_an_answer_without_a_body_is_passed_on(status):
     async def scenario():
