Read of a final head only the byte after its status line

The check for a blank before the first field went on to the end of each head. For the final one it is done after that byte; only informational heads are read to their ends, where the next one begins.

--- a/ferrydock/answer_head.py
+++ b/ferrydock/answer_head.py
@@ -75,9 +75,13 @@
         """Return the fault that the next received bytes show, if any; bodies are not read."""
         start = 0
         while start < len(data) and not self._is_complete:
-            if self._is_before_first_field and data[start] in b" \t":
-                return Fault("first field", "it begins with a blank")
-            self._is_before_first_field = False
+            if self._is_before_first_field:
+                if data[start] in b" \t":
+                    return Fault("first field", "it begins with a blank")
+                self._is_before_first_field = False
+                if self._status_line[STATUS_DIGIT:] != b"1":
+                    self._is_complete = True  # the final head
+                    break
             end = data.find(b"\n", start)
             stop = end if end >= 0 else len(data)
             self._line += data[start : min(stop, start + STATUS_LINE_BYTES - len(self._line))]
@@ -88,13 +92,12 @@
         return None
 
     def _end_line(self) -> None:
-        """Note a line that has ended; an empty one ends a head, if it is not before one."""
+        """Note a line that has ended; an empty one ends an informational head, or precedes one."""
         line, self._line = self._line.rstrip(b"\r"), b""
         if line and not self._status_line:
             self._status_line = line
             self._is_before_first_field = True
-        elif not line and self._status_line:
-            self._is_complete = self._status_line[STATUS_DIGIT:] != b"1"
+        elif not line:
             self._status_line = b""
 
 
