--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -46,6 +46,10 @@
 the configuration; on every fourth seed the store answers so too, and on the next one peers;
 ``tests/soak_endless_seeds.txt``.
 
+``python -m benchmarks.soak --plays=broken --seeds=50`` plays workers, their orders and reports, and
+the store, whose answers have broken heads, on two of three seeds among stops, restarts, kills and
+changes of the configuration; ``tests/soak_broken_seeds.txt``.
+
 ``python -m benchmarks.soak --plays=long_answers --seeds=50`` plays answers of up to 6 s beside
 stops of several daemons, on most seeds among changes of the configuration, reloads and silences;
 ``tests/soak_long_answer_seeds.txt``.
@@ -80,6 +84,7 @@
     Load,
     Result,
     Trouble,
+    draw_broken,
     draw_crashing,
     draw_crashing_parts,
     draw_demand,
@@ -377,6 +382,21 @@
     )
 
 
+def broken_experiment(seed: int) -> Experiment:
+    """Return the experiment of a seed with answers of workers and the store that are broken.
+
+    Callers keep their connections until a process is gone. Every tenth seed has 24 daemons, every
+    fourth eight in one hall, the others six in two halls.
+    """
+    halls, _, _ = _fleet_sizes(seed)
+    length_s = 14.0
+    troubles = draw_broken(seed, length_s, halls)
+    return replace(
+        _fleet_experiment(f"broken {seed}", seed, length_s, LEAVING_LOAD, troubles, MIN_PEERS),
+        persistent_callers=1 if len(halls) == 3 else 2,
+    )
+
+
 def long_answers_experiment(seed: int) -> Experiment:
     """Return the experiment of a seed with answers of several seconds beside planned stops.
 
@@ -431,6 +451,7 @@
     "silences": silences_experiment,
     "long_answers": long_answers_experiment,
     "endless": endless_experiment,
+    "broken": broken_experiment,
     "terms": terms_experiment,
 }
 
@@ -462,6 +483,7 @@
             overwritten=result.overwritten or None,
             silences=result.silences or None,
             endless=result.endless or None,
+            broken_answers=result.broken_answers or None,
             memory_mb=round(measured["memory_mb"]) if result.endless or result.silences else None,
             **_failure_figures(result),
             **_term_figures(result),
--- a/ferrydock/emulator/__init__.py
+++ b/ferrydock/emulator/__init__.py
@@ -1,5 +1,6 @@
 """Emulation of a platform: daemons as processes, callers, injected faults, and a report."""
 
+from ._broken import draw_broken
 from ._crashing import CONTACT_S, draw_crashing, late_arrivals
 from ._crashing_parts import draw_crashing_parts
 from ._drain_plays import draw_drains
@@ -73,6 +74,7 @@
     "LateArrival",
     "LateClass",
     "draw_drains",
+    "draw_broken",
     "draw_endless",
     "draw_endless_senders",
     "draw_entry",
--- a/ferrydock/emulator/_endless.py
+++ b/ferrydock/emulator/_endless.py
@@ -68,7 +68,7 @@
 
 # Largest body that daemons keep, to send it again; a larger one is forwarded as it arrives.
 MAX_KEPT_BODY_BYTES = SLOW_BODY_BYTES[0]
-_REPEATABLE_CLASSES = ("write-large", "write-small", "look")
+REPEATABLE_CLASSES = ("write-large", "write-small", "look")
 
 
 def _chosen(parts: EmulationParts, spec: Trouble) -> list[Worker]:
@@ -196,7 +196,7 @@
             call
             for call in during
             if call.request_id in answered
-            and call.kind in _REPEATABLE_CLASSES
+            and call.kind in REPEATABLE_CLASSES
             and len(call.body) <= MAX_KEPT_BODY_BYTES
             and not _is_in_stream(call, answered)
         ],
--- a/ferrydock/emulator/_experiment.py
+++ b/ferrydock/emulator/_experiment.py
@@ -7,10 +7,13 @@
 from enum import StrEnum
 
 from ..outcomes import Fault, Invalid
-from ..standins.fleet import EndlessKind, EndlessPeerKind
+from ..standins.fleet import BrokenKind, EndlessKind, EndlessPeerKind
 from ._links import LinkFailure
 
 __all__ = [
+    "BROKEN_CONTROL_KIND",
+    "BROKEN_KIND",
+    "BROKEN_STORE_KIND",
     "ENDLESS_CALLERS_KIND",
     "ENDLESS_KIND",
     "ENDLESS_PEERS_KIND",
@@ -111,6 +114,15 @@
     FOREIGN_KIND: "another writer adds `count` entries at a time that name no target, for `for_s`, "
     "and overwrites some of those in use",
 }
+BROKEN_CONTROL_KIND = "control_broken"
+BROKEN_KIND = "workers_broken"
+BROKEN_STORE_KIND = "store_broken"
+_BROKEN_KINDS = {
+    BROKEN_KIND: "`count` workers answer callers with what is no answer, for `for_s` (how: what is "
+    "wrong with its head)",
+    BROKEN_CONTROL_KIND: "the same for their answers to orders and their reports",
+    BROKEN_STORE_KIND: "the store answers a share of all calls so, after it has executed them",
+}
 ENDLESS_CALLERS_KIND = "callers_endless"
 ENDLESS_KIND = "workers_endless"
 ENDLESS_PEERS_KIND = "peers_endless"
@@ -157,6 +169,7 @@
     **_LINK_KINDS,
     **_FOREIGN_KINDS,
     **_LOST_KINDS,
+    **_BROKEN_KINDS,
     **_TERM_KINDS,
 }
 
@@ -178,6 +191,7 @@
     *_STORE_FAILURES,
     *(failure for failure in LinkFailure if failure != "reset"),
     *Silent,
+    *BrokenKind,
     *EndlessKind,
     *EndlessPeerKind,
 )
--- a/ferrydock/emulator/_judge.py
+++ b/ferrydock/emulator/_judge.py
@@ -9,6 +9,7 @@
 import time
 
 from ..standins.fleet import LeavingArrival, ReplicaArrival
+from ._broken import describe_broken_answers, describe_unserved_beside_broken
 from ._crashing import CONTACT_S, MAX_LATE_ARRIVALS, describe_refused, late_arrivals
 from ._crashing_parts import (
     PART_CRASHES,
@@ -118,6 +119,7 @@
         self._check_limits()
         self._check_rests()
         self._check_foreign_entries()
+        self._check_broken_answers()
         self._check_lost()
         self._check_endless()
         self._check_long_answers()
@@ -290,7 +292,7 @@
     def _check_lost(self) -> None:
         """Report lost requests and large daemons beside workers in the troubles of these plays."""
         result = self.parts.result
-        if result.silences or result.endless:
+        if result.silences or result.endless or result.broken_answers:
             result.broken += describe_memory(result.memory_bytes)
             self._check_dead_replicas()
             result.broken += describe_late_answers(result.calls, self._is_in_steady_state)
@@ -316,6 +318,20 @@
             result.calls, self.parts.endless_s, self._is_in_steady_state
         )
 
+    def _check_broken_answers(self) -> None:
+        """Report callers that suffered from answers whose heads are broken."""
+        result, record = self.parts.result, self.parts.site.record
+        result.broken_answers += len(record.broken) + record.broken_control
+        if not result.broken_answers:
+            return
+        result.broken += describe_broken_answers(result.calls, record.broken)
+        result.broken += describe_unserved_beside_broken(
+            result.calls, record.broken, self.parts.broken_s, self._is_in_steady_state
+        )
+        result.broken += describe_unserved_after(
+            result.calls, self.parts.broken_s, self._is_in_steady_state
+        )
+
     def _check_long_answers(self) -> None:
         """Report requests that stopping daemons accepted and did not answer completely."""
         if self.parts.experiment.has_long_answers:
--- a/ferrydock/emulator/_load.py
+++ b/ferrydock/emulator/_load.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from ..standins.fleet import ENDLESS_MARK, answer_events, request_bytes
+from ..standins.fleet import BROKEN_MARK, ENDLESS_MARK, answer_events, request_bytes
 
 __all__ = ["ANSWER_TIMEOUT_S", "Call", "Callers", "receive_answer", "encode_request"]
 
@@ -63,7 +63,7 @@
     parts : tuple of str
         Ids of the parts of its prompt, if it names any.
     has_filler : bool
-        Whether its caller got bytes that a worker sent without end.
+        Whether its caller got bytes of an answer without end, or of a broken one.
     """
 
     request_id: str
@@ -225,7 +225,7 @@
         Whether the connection stays open.
     """
     head = await reader.readuntil(b"\r\n\r\n")
-    call.has_filler = ENDLESS_MARK in head
+    call.has_filler = _has_filler(head)
     call.status = int(head.split()[1])
     call.time_to_header_s = now_s() - call.at_s
     body = await _read_body(reader, head, call, piece_pause_s)
@@ -234,6 +234,10 @@
     return b"connection: close" not in head.lower()
 
 
+def _has_filler(data: bytes) -> bool:
+    return ENDLESS_MARK in data or BROKEN_MARK in data
+
+
 def _check(call: Call, body: bytes) -> None:
     if call.status != 200:
         call.code = _error_code_of(body)
@@ -267,7 +271,7 @@
     body = b""
     while len(body) < size:
         body += await reader.readexactly(min(READ_BYTES, size - len(body)))
-        call.has_filler |= ENDLESS_MARK in body
+        call.has_filler |= _has_filler(body)
         await asyncio.sleep(piece_pause_s)
     return body
 
@@ -280,6 +284,6 @@
         if size == 0:
             return body
         body += data[:-2]
-        call.has_filler |= ENDLESS_MARK in data
+        call.has_filler |= _has_filler(data)
         lines = body.split(b"\n")
         call.event_ids = [int(line[4:]) for line in lines if line.startswith(b"id: ")]
--- a/ferrydock/emulator/_result.py
+++ b/ferrydock/emulator/_result.py
@@ -109,6 +109,8 @@
         Entries written by another writer, and how many of them over entries of targets.
     silences, endless : int
         How often a sound worker stood still, and how often one sent bytes without end.
+    broken_answers : int
+        How many calls of callers, daemons and the store got a broken answer.
     terms : TermCounts or None
         What a play with changing leaders provoked; None in other plays.
     excused : Counter
@@ -142,5 +144,6 @@
     overwritten: int = 0
     silences: int = 0
     endless: int = 0
+    broken_answers: int = 0
     terms: TermCounts | None = None
     excused: Counter[str] = field(default_factory=Counter)
--- a/ferrydock/emulator/_run.py
+++ b/ferrydock/emulator/_run.py
@@ -15,6 +15,7 @@
 from ..standins.fleet import FleetSite, SocketSizes
 
 # Imported because they register troubles.
+from . import _broken as _broken
 from . import _daemon_troubles as _daemon_troubles
 from . import _endless as _endless
 from . import _endless_senders as _endless_senders
--- a/ferrydock/emulator/_store_troubles.py
+++ b/ferrydock/emulator/_store_troubles.py
@@ -8,7 +8,7 @@
 
 from ..hall_lease import controller_key
 from ..standins.fleet import WRITTEN_AGAIN_S
-from ._experiment import ENDLESS_STORE_KIND, ENDLESS_STORE_OF_SOME_KIND, Trouble
+from ._experiment import BROKEN_STORE_KIND, ENDLESS_STORE_KIND, ENDLESS_STORE_OF_SOME_KIND, Trouble
 from ._processes import DaemonProcess
 from ._troubles import EmulationParts, trouble
 
@@ -35,6 +35,7 @@
     "leader_connections_silent",
     "calls_lost",
     "leader_calls_lost",
+    BROKEN_STORE_KIND,
     ENDLESS_STORE_KIND,
     ENDLESS_STORE_OF_SOME_KIND,
 )
--- a/ferrydock/emulator/_troubles.py
+++ b/ferrydock/emulator/_troubles.py
@@ -47,6 +47,8 @@
         Seconds of the load between which most callers came to one daemon.
     endless_s : list of (float, float)
         Seconds of the load between which workers sent bytes without end.
+    broken_s : list of (float, float)
+        Seconds of the load between which workers' answers to callers were broken.
     store_disturbances : list of StoreDisturbance
         Times at which the store was disturbed, with the daemons affected.
     last_trouble_ended_s : float
@@ -68,6 +70,7 @@
     callers: Callers | None = None
     skews_s: list[tuple[float, float]] = field(default_factory=list)
     endless_s: list[tuple[float, float]] = field(default_factory=list)
+    broken_s: list[tuple[float, float]] = field(default_factory=list)
     store_disturbances: list[StoreDisturbance] = field(default_factory=list)
     last_trouble_ended_s: float = 0.0
     links: dict[str, DaemonLinks] = field(default_factory=dict)
--- a/ferrydock/standins/fleet/__init__.py
+++ b/ferrydock/standins/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Stand-in of the users' platform and its workers, called in memory or over its protocol."""
 
+from ._broken import BROKEN_MARK, BrokenKind
 from ._caller import answer_events, request_bytes
 from ._endless import ENDLESS_MARK, EndlessKind
 from ._endless_peer import EndlessPeer, EndlessPeerKind
@@ -35,9 +36,11 @@
 __all__ = [
     "CRASHING_BODY",
     "CRASHING_PART",
+    "BROKEN_MARK",
     "ENDLESS_MARK",
     "HEARTBEAT_S",
     "WRITTEN_AGAIN_S",
+    "BrokenKind",
     "ColdPeriod",
     "CrashingRequest",
     "EndlessKind",
--- a/ferrydock/standins/fleet/_site.py
+++ b/ferrydock/standins/fleet/_site.py
@@ -9,6 +9,7 @@
 from ...clock import SystemClock
 from ...configuration import EngineSpec, ModelSpec
 from ...store import MemoryStore, StoreCopy
+from ._broken import BrokenKind, BrokenPeriod
 from ._endless import EndlessKind
 from ._store_http import StoreFace
 from ._worker_http import (
@@ -188,6 +189,13 @@
         until_s = asyncio.get_running_loop().time() + for_s
         self._worker(worker_id).endless = EndlessPeriod(kind, until_s)
 
+    def answer_broken(
+        self, worker_id: str, kind: BrokenKind, for_s: float, is_of_control: bool = False
+    ) -> None:
+        """Let a worker's answers be broken for a time; entry and health stay sound."""
+        until_s = asyncio.get_running_loop().time() + for_s
+        self._worker(worker_id).broken = BrokenPeriod(kind, until_s, is_of_control)
+
     def expire_entry(self, worker: Worker, after_s: float, until_s: float) -> None:
         """Remove a worker's entry after a time, as when heartbeats are missed, until the next one.
 
--- a/ferrydock/standins/fleet/_store_http.py
+++ b/ferrydock/standins/fleet/_store_http.py
@@ -21,6 +21,7 @@
     WatchBatch,
     prefix_end,
 )
+from ._broken import BrokenKind, broken_answer
 from ._endless import EndlessKind, send_without_end
 
 __all__ = ["StoreCall", "StoreFace", "StoreFaults"]
@@ -88,6 +89,10 @@
         Share of the reads and watches that are answered so.
     endless_until_s : float
         Loop time until which.
+    broken : BrokenKind or None
+        What is wrong with the answers to a share of the calls of any kind, which are executed.
+    broken_share : float
+        That share.
     lists_held_until_s : float
         Loop time until which watches of the target list get no answer; they are answered then.
     """
@@ -102,6 +107,8 @@
     endless: EndlessKind | None = None
     endless_share: float = 1.0
     endless_until_s: float = 0.0
+    broken: BrokenKind | None = None
+    broken_share: float = 1.0
     lists_held_until_s: float = 0.0
 
 
@@ -127,6 +134,8 @@
         Delay of each answer, that of the network to an undisturbed store.
     endless_answers, endless_bytes : int
         How many calls were answered without end, and the bytes of these answers.
+    broken_answers : int
+        How many calls got a broken answer.
     """
 
     def __init__(self, store: MemoryStore, rng: random.Random):
@@ -139,6 +148,7 @@
         self.address = ""
         self.endless_answers = 0
         self.endless_bytes = 0
+        self.broken_answers = 0
         self._waiting: set[asyncio.Transport] = set()
         self._sending: set[asyncio.Task[None]] = set()
         self._oldest_revision = 0
@@ -255,10 +265,21 @@
                 await asyncio.sleep(SILENCE_S)
             if kind != "watch":
                 self._record(request, kind, received_s)
-            return answer
+            return self._break_or_pass(request, answer)
 
         return handle
 
+    def _break_or_pass(self, request: web.Request, sound: web.Response) -> web.Response:
+        """Return a sound answer, or write a broken one in its place and close the connection."""
+        kind = self.faults.broken
+        if kind is None or self.rng.random() >= self.faults.broken_share:
+            return sound
+        if request.transport is not None and isinstance(sound.body, bytes):
+            self.broken_answers += 1
+            request.transport.write(broken_answer(kind, sound.headers, sound.body))
+            request.transport.close()
+        return web.Response(status=503)
+
     async def _hold(self) -> None:
         """Wait as long as answers to watches of the target list are held back."""
         loop = asyncio.get_running_loop()
--- a/ferrydock/standins/fleet/_worker_http.py
+++ b/ferrydock/standins/fleet/_worker_http.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import orjson
@@ -21,6 +21,7 @@
     OrderRefused,
     StageOrder,
 )
+from ._broken import BrokenKind, BrokenPeriod, broken_answer
 from ._caller import answer_events
 from ._endless import EndlessKind, send_without_end
 from ._workers import EndlessPeriod, Fleet, LeavingSaid, NamedLimit, Shedding, Worker
@@ -249,6 +250,10 @@
         Requests that reached heads of replicas, dead ones included.
     endless : dict
         Where the bytes without end came in the last such answer to each request.
+    broken : dict
+        What was wrong with the broken answers to each request.
+    broken_control : int
+        How many orders and reports were answered so.
     orders : list of ReceivedOrder
         Orders that reached workers that were alive, in order of arrival.
     """
@@ -268,6 +273,8 @@
     at_evacuated: list[LeavingArrival] = field(default_factory=list)
     at_replicas: list[ReplicaArrival] = field(default_factory=list)
     endless: dict[str, EndlessKind] = field(default_factory=dict)
+    broken: dict[str, list[BrokenKind]] = field(default_factory=dict)
+    broken_control: int = 0
     orders: list[ReceivedOrder] = field(default_factory=list)
 
     def record_arrival_at_leaving(self, request: web.BaseRequest, worker: Worker) -> None:
@@ -475,10 +482,28 @@
         period = self._endless_period()
         if period is not None and not period.kind.is_of_report:
             return await self._answer_without_end(request, period)
+        broken = self._broken_period(is_of_control=False)
+        if broken is not None:
+            return await self._answer_broken(request, broken.kind)
         if self.fleet is None:
             return await self._answer_plain(request)
         return await self._answer_stream(request)
 
+    def _broken_period(self, is_of_control: bool) -> BrokenPeriod | None:
+        """Return the period in which such answers of the worker are broken; None without one."""
+        period = self.worker.broken
+        if period is not None and asyncio.get_running_loop().time() >= period.until_s:
+            self.worker.broken = period = None
+        return period if period is not None and period.is_of_control == is_of_control else None
+
+    async def _answer_broken(self, request: web.BaseRequest, kind: BrokenKind) -> web.Response:
+        """Read a request, and send what is no answer to it."""
+        await request.read()
+        self.record.record_arrival(request, self.worker)
+        self.record.note(request)
+        self.record.broken.setdefault(request.headers["X-Attempt-Id"], []).append(kind)
+        return _send_broken(request, kind, self._answer_headers(request))
+
     def _endless_period(self) -> EndlessPeriod | None:
         """Return the period in which the worker answers without end; None if it is over."""
         period = self.worker.endless
@@ -675,6 +700,10 @@
         if answer is None:
             await asyncio.sleep(60)
             return web.Response(status=503)
+        broken = self._broken_period(is_of_control=True)
+        if broken is not None:
+            self.record.broken_control += 1
+            return _send_broken(request, broken.kind, self._announcement_headers(request))
         if isinstance(answer, OrderRefused):
             return web.Response(status=_REFUSAL_STATUS[answer.reason])
         status = 200 if answer.already else 202
@@ -703,6 +732,12 @@
         return answer
 
     async def _answer_report(self, request: web.BaseRequest) -> web.StreamResponse:
+        broken = self._broken_period(is_of_control=True)
+        if broken is not None:
+            self.record.broken_control += 1
+            sound = self._report(request)
+            body = sound.body if isinstance(sound.body, bytes) else b""
+            return _send_broken(request, broken.kind, sound.headers, body)
         period = self._endless_period()
         if period is None or not period.kind.is_of_report:
             return self._report(request)
@@ -733,6 +768,16 @@
         return web.Response(body=orjson.dumps(fields), headers=headers)
 
 
+def _send_broken(
+    request: web.BaseRequest, kind: BrokenKind, headers: Mapping[str, str], body: bytes = b""
+) -> web.Response:
+    """Write a broken answer and close the connection after it."""
+    transport = require(request.transport, "the connection")
+    transport.write(broken_answer(kind, headers, body))
+    transport.close()
+    return web.Response(status=503)  # the connection is closed
+
+
 def entry_models(worker: Worker) -> list[dict]:
     """Return the models of a worker, as in its entry and report."""
     return [{"name": name, "version": 1, "adapters": []} for name in worker.entry.models]
--- a/ferrydock/standins/fleet/_workers.py
+++ b/ferrydock/standins/fleet/_workers.py
@@ -22,6 +22,7 @@
     StageOrder,
     Target,
 )
+from ._broken import BrokenPeriod
 from ._endless import EndlessKind
 
 __all__ = [
@@ -264,6 +265,7 @@
     is_overwritten: bool = False
     paused_until_s: float = float("-inf")
     endless: EndlessPeriod | None = None
+    broken: BrokenPeriod | None = None
 
     def restart(self) -> None:
         """Start a new incarnation under the same id; only the models staged on the host remain."""
