Log once what made an answer unreadable, the parser's own faults too

Only the faults that ferrydock finds itself left an `answer_unreadable`; a head that aiohttp's parser refuses left the reason of the attempt alone.

--- a/ferrydock/answer_protocol.py
+++ b/ferrydock/answer_protocol.py
@@ -33,6 +33,9 @@
 # Informational heads (1xx) before the final one.
 MAX_INFORMATIONAL_HEADS = 64
 
+# Characters of a failure that are logged; the parser's own contain what was received.
+MAX_PROBLEM_CHARS = 200
+
 # Bytes parsed between two checks of these bounds.
 MAX_PIECE_BYTES = 16384
 
@@ -50,6 +53,7 @@
         self._answer: StreamReader | None = None  # body of the final head
         self._first_field = FirstFieldCheck()
         self._head_fault: Fault | None = None
+        self._answer_is_logged = False
         self._informational_heads = 0
         self._received_bytes = 0
         self._has_excess = False
@@ -100,6 +104,7 @@
                 super().data_received(piece)
             self._check_answer()
             if self._exception is not None:
+                self._log_failure(self._exception)
                 self._fail_body(self._exception)
                 self._abort()
                 return
@@ -116,7 +121,7 @@
     def _check_answer(self) -> None:
         """Fail what is no answer, or exceeds a bound; while paused, some bytes are not parsed."""
         if self._exception is None and self._head_fault is not None:
-            self._fail(str(self._head_fault))
+            self.set_exception(HttpProcessingError(message=str(self._head_fault)))
         if self._exception is not None or self._reading_paused:
             return
         body_bytes = self._answer.total_bytes if self._answer is not None else 0
@@ -127,14 +132,17 @@
             problem = f"{framing_bytes} bytes beside {body_bytes} of the body"
         else:
             return
-        self._fail(problem)
+        self.set_exception(HttpProcessingError(message=problem))
 
-    def _fail(self, problem: str) -> None:
-        """End the wait for the answer."""
+    def _log_failure(self, error: BaseException) -> None:
+        """Log what could not be read; the parser's own faults too, but no time-out of a caller."""
+        if not isinstance(error, HttpProcessingError) or self._answer_is_logged:
+            return
+        self._answer_is_logged = True
         peer = self.transport.get_extra_info("peername") if self.transport is not None else None
         server = f"{peer[0]}:{peer[1]}" if peer else None
-        log_event(_LOG, logging.WARNING, "answer_unreadable", server=server, why=problem)
-        self.set_exception(HttpProcessingError(message=problem))
+        why = error.message[:MAX_PROBLEM_CHARS]
+        log_event(_LOG, logging.WARNING, "answer_unreadable", server=server, why=why)
 
     def _fail_body(self, error: BaseException) -> None:
         """End the wait for the rest of a body; aiohttp does not if it cannot parse the framing."""
--- a/ferrydock/forwarding/tests/test_broken_answers.py
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -82,6 +82,20 @@
     play(scenario)
 
 
+@any_broken_answer
+def test_what_was_wrong_with_a_broken_answer_is_logged_once(case, caplog):
+    caplog.set_level("WARNING", logger="ferrydock")
+
+    async def scenario():
+        broken = ScriptedTarget(writes(BROKEN_ANSWERS[case] * 2, keep=False))
+        async with Rig([route(attempts=1)], [broken]) as rig:
+            await rig.ask()
+        lines = [m for m in caplog.messages if m.startswith("event=answer_unreadable ")]
+        assert len(lines) == 1 and f"server={broken.address} why=" in lines[0]
+
+    play(scenario)
+
+
 @any_refused_answer
 def test_a_broken_answer_to_a_request_that_may_not_be_repeated_is_an_error(case):
     async def scenario():
