--- a/ferrydock/forwarding/tests/test_broken_answers.py
+++ b/ferrydock/forwarding/tests/test_broken_answers.py
@@ -1,5 +1,8 @@
 """What is no answer is its target's failure: callers get another target's answer, or an error."""
 
+import random
+import re
+
 import pytest
 
 from ...configuration import RouteKind
@@ -157,3 +160,41 @@
         assert broken.requests
 
     play(scenario)
+
+
+def mutated(head, rng):
+    """Return a head with one to three bytes replaced, inserted or left out."""
+    data = bytearray(head)
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        place = rng.randrange(len(data))
+        change = rng.randrange(3)
+        data[place : place + (change != 1)] = b"" if change == 2 else rng.randbytes(1)
+    return bytes(data)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("kind", [RouteKind.AT_MOST_ONCE, RouteKind.STREAM])
+def test_callers_get_an_answer_whatever_bytes_the_head_of_their_targets_has(kind, seed):
+    rng = random.Random(seed)
+    body = EVENTS[0] if kind.is_stream else b"ok"
+    head = HEAD + b"A: b\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def script(target, request, writer):
+        writer.write(mutated(head, rng) + body)
+        writer.close()
+
+    async def scenario():
+        answers = []
+        async with Rig([route(kind=kind)], [ScriptedTarget(script)]) as rig:
+            for _ in range(100):
+                answers.append(await rig.ask())
+        for answer in answers:
+            beginning, _, rest = answer.partition(b"\r\n\r\n")
+            status_line, *fields = beginning.split(b"\r\n")
+            assert re.fullmatch(rb"HTTP/1\.1 [2-5]\d\d [^\x00-\x08\x0a-\x1f\x7f]*", status_line)
+            assert all(re.fullmatch(rb"[^\s:]+: [^\x00-\x08\x0a-\x1f\x7f]*", f) for f in fields)
+            assert rest or status_line.startswith((b"HTTP/1.1 204", b"HTTP/1.1 304"))
+        assert sum(answer.startswith(b"HTTP/1.1 200") for answer in answers) > 10
+        assert sum(answer.startswith(b"HTTP/1.1 502") for answer in answers) > 10
+
+    play(scenario)
