--- a/ferrydock/forwarding/tests/test_opened_elsewhere.py
+++ b/ferrydock/forwarding/tests/test_opened_elsewhere.py
@@ -6,13 +6,26 @@
 import pytest
 
 from .rig import ScriptedTarget, play, writes
-from .test_forwarding import STREAM, body_of, events
+from .test_forwarding import STREAM, body_of, chunk, events
 from .test_handovers import REFUSAL, HandoverRig
 from .test_interruptions import COMPLETE_BODY, KEYS, pauses
 
 SILENT = "silent"
 NO_STREAM = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 NOT_HTTP = b"nothing\r\n\r\n"
+REST = chunk(b"id: 3\ndata: broken\n\n") + b"0\r\n\r\n"
+NOT_TAKEN = {
+    "refuses": REFUSAL,
+    "answers_no_stream": NO_STREAM,
+    "is_no_answer": NOT_HTTP,
+    "status_000": STREAM.replace(b"200 OK", b"000 OK") + REST,
+    "status_600": STREAM.replace(b"200 OK", b"600 OK") + REST,
+    "control_byte_in_reason": STREAM.replace(b"200 OK", b"200 \a") + REST,
+    "control_byte_in_value": STREAM.replace(b"\r\n", b"\r\nX: \a\r\n", 1) + REST,
+    "blank_before_first_field": STREAM.replace(b"\r\n", b"\r\n X: 1\r\n", 1) + REST,
+    "unknown_coding": STREAM.replace(b"chunked", b"xchunked") + REST,
+    "empty_signature": STREAM.replace(b"X-Server-Stamp: s", b"X-Server-Stamp:") + REST,
+}
 
 
 def opens_late(opens, resume, fails=None):
@@ -53,9 +66,7 @@
     return streaming, old, new
 
 
-@pytest.mark.parametrize(
-    "answer", [REFUSAL, NO_STREAM, NOT_HTTP], ids=["refuses", "answers_no_stream", "is_no_answer"]
-)
+@pytest.mark.parametrize("answer", NOT_TAKEN.values(), ids=NOT_TAKEN)
 def test_stream_of_a_silent_replica_is_not_cut_if_the_target_it_moves_to_does_not_take_it(answer):
     """Failure: its connection was closed before the other target, its last one, refused it."""
 
