--- a/ferrydock/platform/tests/ages_site.py
+++ b/ferrydock/platform/tests/ages_site.py
@@ -340,7 +340,8 @@
         self.way = way
 
     @asynccontextmanager
-    async def request(self, method, url, params=None, data=None, headers=None):
+    async def request(self, method, url, params=None, data=None, headers=None, *, allow_redirects):
+        assert not allow_redirects
         answered = asyncio.get_running_loop().create_future()
         body = orjson.loads(data) if data else None
         path = url.partition("/v1/")[2]
