--- a/ferrydock/gateway/tests/test_cut_answers.py
+++ b/ferrydock/gateway/tests/test_cut_answers.py
@@ -64,6 +64,21 @@
     return answer.body if answer.status == 200 else None
 
 
+async def stream_of_other_hall(url):
+    """Return what the caller of a stream of another hall gets."""
+    forwarder = RemoteHallForwarder(None, SystemClock(), StopLimit())
+
+    async def forward(request):
+        return await forwarder._forward_to(url, request, MODEL_REQUEST)
+
+    app = web.Application()
+    app.router.add_post("/", forward)
+    async with TestClient(TestServer(app)) as client, client.post("/") as answer:
+        received = await answer.read()
+    await forwarder.close()
+    return received
+
+
 ASK = {"engine": ask_engine, "service": ask_service, "other hall": ask_other_hall}
 
 
@@ -123,17 +138,7 @@
     async def scenario():
         hall = ScriptedTarget(end(head + chunk))
         await hall.start()
-        forwarder = RemoteHallForwarder(None, SystemClock(), StopLimit())
-
-        async def forward(request):
-            url = f"http://{hall.address}"
-            return await forwarder._forward_to(url, request, MODEL_REQUEST)
-
-        app = web.Application()
-        app.router.add_post("/", forward)
-        async with TestClient(TestServer(app)) as client, client.post("/") as answer:
-            received = await answer.read()
-        await forwarder.close()
+        received = await stream_of_other_hall(f"http://{hall.address}")
         hall.close()
         return received
 
--- a/ferrydock/gateway/tests/test_endless_answers.py
+++ b/ferrydock/gateway/tests/test_endless_answers.py
@@ -4,16 +4,11 @@
 from types import SimpleNamespace
 
 import pytest
-from aiohttp import web
-from aiohttp.test_utils import TestClient, TestServer
 
-from ...clock import SystemClock
 from ...forwarding.tests.flooding_server import FloodingServer
 from ...forwarding.tests.rig import play
-from ...planned_stop import StopLimit
 from ...requests import Attempt, Broken, EngineClient, EventRelay
-from .._spill import RemoteHallForwarder
-from .test_cut_answers import ASK, MODEL_REQUEST
+from .test_cut_answers import ASK, stream_of_other_hall
 
 # Twice the largest bound of an answer: the sockets on both sides hold several megabytes more.
 MAX_SENT_BYTES = 64 * 2**20
@@ -78,21 +73,6 @@
     return b"".join(received)
 
 
-async def stream_of_other_hall(url):
-    """Return what the caller of a stream of another hall gets."""
-    forwarder = RemoteHallForwarder(None, SystemClock(), StopLimit())
-
-    async def forward(request):
-        return await forwarder._forward_to(url, request, MODEL_REQUEST)
-
-    app = web.Application()
-    app.router.add_post("/", forward)
-    async with TestClient(TestServer(app)) as client, client.post("/") as answer:
-        received = await answer.read()
-    await forwarder.close()
-    return received
-
-
 @pytest.mark.parametrize("ask", [stream_of_engine, stream_of_other_hall])
 def test_an_event_without_end_breaks_its_stream_and_is_not_held(ask):
     event = b"data: 1\n\n"
